Config: Adds settings, policy documents and their validation

Entry instances need their own settings and the site's policy as typed values, and operators need every fault of a file at once.

--- /dev/null
+++ b/Source/config/json_text.h
@@ -0,0 +1,26 @@
+// Settings files and policy values as JSON, with faults of form as errors.
+#ifndef BURDOCKROCK_CONFIG_JSON_TEXT_H_
+#define BURDOCKROCK_CONFIG_JSON_TEXT_H_
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include <json/value.h>
+
+#include "config/setting_error.h"
+
+namespace burdockrock {
+
+// The object that `text` holds. Comments, duplicate keys, trailing text and
+// anything but an object are errors. `file` goes into the errors.
+std::variant<Json::Value, SettingErrors> ParseSettings(std::string_view text,
+                                                       const std::string& file);
+
+// The same for the file at `path`.
+std::variant<Json::Value, SettingErrors> ReadSettingsFile(
+    const std::string& path);
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_CONFIG_JSON_TEXT_H_
