Observe: Adds numbered log events, metrics and their catalogues

The library brings the table of events with a logger over it, and a registry of counters, gauges and summaries in the text exposition format; quantiles come from Boost.Accumulators' extended P-squared algorithm, with the first nine values kept exactly because the algorithm answers 0 until each of its markers holds a value.

Lines past the limit of one event number are counted and summed up by one line.

Beyond the plain list of metrics: one that the catalogue lacks is named in a comment of the text, so that a misspelt name shows.

--- /dev/null
+++ b/Source/observe/event_catalogue.cc
@@ -0,0 +1,155 @@
+#include "observe/event_catalogue.h"
+
+#include <algorithm>
+#include <array>
+
+namespace burdockrock {
+
+namespace {
+
+// Sorted by number: FindEvent searches by halves.
+constexpr auto kEvents = std::to_array<EventInfo>({
+    {EventNumber::kStarted, Level::kInfo, "started",
+     "The process has started with valid settings"},
+    {EventNumber::kStopping, Level::kInfo, "stopping",
+     "The process was asked to stop and no longer accepts work"},
+    {EventNumber::kStopped, Level::kInfo, "stopped",
+     "The process is about to exit"},
+    {EventNumber::kSettingsRefused, Level::kError, "settings_refused",
+     "The settings are invalid and the process does not start"},
+    {EventNumber::kListening, Level::kInfo, "listening",
+     "The process accepts connections at the address given"},
+    {EventNumber::kDumpServed, Level::kInfo, "dump_served",
+     "A dump of the process's state was served"},
+    {EventNumber::kMalformedRequest, Level::kWarning, "malformed_request",
+     "A caller's request could not be parsed and was refused"},
+    {EventNumber::kRequestTooLarge, Level::kWarning, "request_too_large",
+     "A caller's request is over the size limit and was refused"},
+    {EventNumber::kSlowClientCut, Level::kWarning, "slow_client_cut",
+     "A connection was closed because its client read or sent too slowly"},
+    {EventNumber::kTooManyConnections, Level::kWarning, "too_many_connections",
+     "A connection was refused because the limit on connections is reached"},
+    {EventNumber::kRequestRefused, Level::kInfo, "request_refused",
+     "A request was answered as not run"},
+    {EventNumber::kMayHaveRunAnswered, Level::kWarning, "may_have_run_answered",
+     "A request was answered as possibly run because its outcome is not known"},
+    {EventNumber::kJobAccepted, Level::kInfo, "job_accepted",
+     "A job was recorded and will be run"},
+    {EventNumber::kJobEnded, Level::kInfo, "job_ended",
+     "Every task of a job has ended"},
+    {EventNumber::kCancel, Level::kInfo, "cancel",
+     "A caller cancelled a request or a job"},
+    {EventNumber::kPeerUp, Level::kInfo, "peer_up",
+     "A peer entry instance answers"},
+    {EventNumber::kPeerSilent, Level::kWarning, "peer_silent",
+     "A peer entry instance has stopped answering"},
+    {EventNumber::kPeerLeaving, Level::kInfo, "peer_leaving",
+     "A peer entry instance has started its planned stop"},
+    {EventNumber::kWorkerClaimed, Level::kInfo, "worker_claimed",
+     "A worker accepted this process as its owner"},
+    {EventNumber::kClaimRefused, Level::kInfo, "claim_refused",
+     "A worker refused this process as its owner because it accepted a higher "
+     "epoch"},
+    {EventNumber::kOwnershipLost, Level::kWarning, "ownership_lost",
+     "A worker refused a command because this process's epoch is stale"},
+    {EventNumber::kWorkerHandedOver, Level::kInfo, "worker_handed_over",
+     "A worker was handed over to another entry instance"},
+    {EventNumber::kWorkerSilent, Level::kWarning, "worker_silent",
+     "A worker has stopped answering"},
+    {EventNumber::kWorkerRemoved, Level::kInfo, "worker_removed",
+     "A worker has left the list of instances"},
+    {EventNumber::kPeerMalformed, Level::kError, "peer_malformed",
+     "A peer's message could not be parsed and was dropped"},
+    {EventNumber::kWorkerMalformed, Level::kError, "worker_malformed",
+     "A worker's answer could not be parsed and was dropped"},
+    {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
+     "The platform's service does not answer; durable work is refused "
+     "meanwhile"},
+    {EventNumber::kPlatformBack, Level::kInfo, "platform_back",
+     "The platform's service answers again"},
+    {EventNumber::kPlatformMalformed, Level::kError, "platform_malformed",
+     "The platform's answer could not be parsed and was treated as lost"},
+    {EventNumber::kAppendConflict, Level::kWarning, "append_conflict",
+     "A log append met another revision than the one expected"},
+    {EventNumber::kLostAnswerSettled, Level::kInfo, "lost_answer_settled",
+     "The answer to a write was lost and reading back showed whether it took "
+     "effect"},
+    {EventNumber::kLogFenced, Level::kWarning, "log_fenced",
+     "Another writer has fenced this process's log and it stops writing there"},
+    {EventNumber::kLogAdopted, Level::kWarning, "log_adopted",
+     "This process has adopted the log of an entry instance that is gone"},
+    {EventNumber::kLogCompacted, Level::kInfo, "log_compacted",
+     "A log was rewritten without the entries that are settled"},
+    {EventNumber::kWriteBudgetReached, Level::kWarning, "write_budget_reached",
+     "Writes to the platform wait because the budget of writes is used up"},
+    {EventNumber::kAttemptLost, Level::kWarning, "attempt_lost",
+     "An attempt to run a task was lost with its worker or lease"},
+    {EventNumber::kAttemptRestarted, Level::kInfo, "attempt_restarted",
+     "A task whose attempt was lost was started again"},
+    {EventNumber::kGangStarted, Level::kInfo, "gang_started",
+     "Every task of a gang was started"},
+    {EventNumber::kGangBackedOff, Level::kInfo, "gang_backed_off",
+     "A gang released its held resources because not every task found room"},
+    {EventNumber::kWorkerQuarantined, Level::kWarning, "worker_quarantined",
+     "A worker gets no work for a time because tasks fail there that run "
+     "elsewhere"},
+    {EventNumber::kWorkerReleased, Level::kInfo, "worker_released",
+     "A worker was released from quarantine"},
+    {EventNumber::kJobJudgedBad, Level::kWarning, "job_judged_bad",
+     "A job's tasks fail on unlike workers and the job is no longer retried"},
+    {EventNumber::kQuarantineCapReached, Level::kError,
+     "quarantine_cap_reached",
+     "A worker was not quarantined because the limit on quarantined workers is "
+     "reached"},
+    {EventNumber::kConfigurationApplied, Level::kInfo, "configuration_applied",
+     "A configuration is in force in this process"},
+    {EventNumber::kConfigurationRefusedOlder, Level::kWarning,
+     "configuration_refused_older",
+     "A configuration was refused because a newer one is in force"},
+    {EventNumber::kConfigurationInvalid, Level::kError, "configuration_invalid",
+     "A configuration is invalid; the one before stays in force"},
+    {EventNumber::kConfigurationAwaited, Level::kWarning,
+     "configuration_awaited",
+     "The process waits for its first configuration and refuses work "
+     "meanwhile"},
+    {EventNumber::kConfigurationConflict, Level::kWarning,
+     "configuration_conflict",
+     "Two operators changed the configuration at once and one change was "
+     "refused"},
+    {EventNumber::kDrainStarted, Level::kInfo, "drain_started",
+     "The planned stop has started: no new work is taken, what is in progress "
+     "goes on"},
+    {EventNumber::kHandedOver, Level::kInfo, "handed_over",
+     "Workers, queue and log were handed over to other entry instances"},
+    {EventNumber::kDrainComplete, Level::kInfo, "drain_complete",
+     "Nothing is in progress any more and the process may be stopped"},
+});
+
+}  // namespace
+
+std::span<const EventInfo> AllEvents() {
+  return kEvents;
+}
+
+const EventInfo* FindEvent(EventNumber number) {
+  const auto* it =
+      std::ranges::lower_bound(kEvents, number, {}, &EventInfo::number);
+  const bool found = it != kEvents.end() && it->number == number;
+  return found ? it : nullptr;
+}
+
+const char* LevelName(Level level) {
+  switch (level) {
+    case Level::kDebug:
+      return "debug";
+    case Level::kInfo:
+      return "info";
+    case Level::kWarning:
+      return "warning";
+    case Level::kError:
+      return "error";
+  }
+  return "error";
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/observe/event_number.h
@@ -0,0 +1,88 @@
+// The numbers of the events that the logs name. A number is never reused for
+// another event. They are grouped by hundreds; docs/events.md is their
+// catalogue for operators.
+#ifndef BURDOCKROCK_OBSERVE_EVENT_NUMBER_H_
+#define BURDOCKROCK_OBSERVE_EVENT_NUMBER_H_
+
+namespace burdockrock {
+
+enum class Level { kDebug, kInfo, kWarning, kError };
+
+enum class EventNumber : int {
+  // Process
+  kStarted = 101,
+  kStopping = 102,
+  kStopped = 103,
+  kSettingsRefused = 104,
+  kListening = 105,
+  kDumpServed = 106,
+
+  // Callers
+  kMalformedRequest = 201,
+  kRequestTooLarge = 202,
+  kSlowClientCut = 203,
+  kTooManyConnections = 204,
+  kRequestRefused = 205,
+  kMayHaveRunAnswered = 206,
+  kJobAccepted = 207,
+  kJobEnded = 208,
+  kCancel = 209,
+
+  // Membership and ownership
+  kPeerUp = 301,
+  kPeerSilent = 302,
+  kPeerLeaving = 303,
+  kWorkerClaimed = 304,
+  kClaimRefused = 305,
+  kOwnershipLost = 306,
+  kWorkerHandedOver = 307,
+  kWorkerSilent = 308,
+  kWorkerRemoved = 309,
+  kPeerMalformed = 310,
+  kWorkerMalformed = 311,
+
+  // Platform and durable logs
+  kPlatformUnreachable = 401,
+  kPlatformBack = 402,
+  kPlatformMalformed = 403,
+  kAppendConflict = 404,
+  kLostAnswerSettled = 405,
+  kLogFenced = 406,
+  kLogAdopted = 407,
+  kLogCompacted = 408,
+  kWriteBudgetReached = 409,
+
+  // Tasks
+  kAttemptLost = 501,
+  kAttemptRestarted = 502,
+  kGangStarted = 503,
+  kGangBackedOff = 504,
+  kWorkerQuarantined = 505,
+  kWorkerReleased = 506,
+  kJobJudgedBad = 507,
+  kQuarantineCapReached = 508,
+
+  // Configuration
+  kConfigurationApplied = 601,
+  kConfigurationRefusedOlder = 602,
+  kConfigurationInvalid = 603,
+  kConfigurationAwaited = 604,
+  kConfigurationConflict = 605,
+
+  // Planned stop
+  kDrainStarted = 701,
+  kHandedOver = 702,
+  kDrainComplete = 703,
+};
+
+// What the catalogue says of one event.
+struct EventInfo {
+  EventNumber number;
+  Level level;
+  const char* name;     // snake_case, unique
+  const char* meaning;  // one sentence for operators, without a full stop
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_OBSERVE_EVENT_NUMBER_H_
--- /dev/null
+++ b/Source/observe/metric_catalogue.h
@@ -0,0 +1,73 @@
+// The metrics that the process serves, by name. docs/metrics.md is their
+// catalogue for operators.
+#ifndef BURDOCKROCK_OBSERVE_METRIC_CATALOGUE_H_
+#define BURDOCKROCK_OBSERVE_METRIC_CATALOGUE_H_
+
+#include <array>
+#include <string_view>
+
+namespace burdockrock {
+
+enum class MetricKind { kCounter, kGauge, kSummary };
+
+// What the catalogue says of one metric.
+struct MetricInfo {
+  std::string_view name;
+  MetricKind kind;
+  std::string_view label;  // the one label's name; empty: no label
+  std::string_view help;   // one line, with the unit
+};
+
+inline constexpr std::string_view kWaitingSeconds =
+    "burdockrock_waiting_seconds";
+inline constexpr std::string_view kPackedRatio = "burdockrock_packed_ratio";
+inline constexpr std::string_view kPlatformCallsTotal =
+    "burdockrock_platform_calls_total";
+inline constexpr std::string_view kControlBytesTotal =
+    "burdockrock_control_bytes_total";
+inline constexpr std::string_view kControlMessagesTotal =
+    "burdockrock_control_messages_total";
+inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
+inline constexpr std::string_view kAnswersTotal = "burdockrock_answers_total";
+inline constexpr std::string_view kQueueLength = "burdockrock_queue_length";
+inline constexpr std::string_view kOwnedWorkers = "burdockrock_owned_workers";
+inline constexpr std::string_view kStepSeconds = "burdockrock_step_seconds";
+inline constexpr std::string_view kResidentBytes = "burdockrock_resident_bytes";
+inline constexpr std::string_view kProcessorSecondsTotal =
+    "burdockrock_processor_seconds_total";
+
+inline constexpr auto kAllMetrics = std::to_array<MetricInfo>({
+    {kWaitingSeconds, MetricKind::kSummary, "urgency",
+     "Time from a request's arrival to its running task, in seconds"},
+    {kPackedRatio, MetricKind::kGauge, "dimension",
+     "Share of the owned workers' capacity that is granted, 0 to 1"},
+    {kPlatformCallsTotal, MetricKind::kCounter, "",
+     "Calls to the platform's service, a waiting watch as one"},
+    {kControlBytesTotal, MetricKind::kCounter, "edge",
+     "Bytes sent and received for control, payloads and answers left out"},
+    {kControlMessagesTotal, MetricKind::kCounter, "edge",
+     "Messages sent and received for control"},
+    {kStartsTotal, MetricKind::kCounter, "",
+     "Attempts started on workers and minions"},
+    {kAnswersTotal, MetricKind::kCounter, "verdict",
+     "Answers given to callers"},
+    {kQueueLength, MetricKind::kGauge, "urgency",
+     "Requests and tasks that wait for room"},
+    {kOwnedWorkers, MetricKind::kGauge, "", "Workers that this process owns"},
+    {kStepSeconds, MetricKind::kSummary, "",
+     "Time that one step of the reducer took, in seconds"},
+    {kResidentBytes, MetricKind::kGauge, "",
+     "Resident memory of this process, in bytes"},
+    {kProcessorSecondsTotal, MetricKind::kCounter, "",
+     "Processor time that this process has used, in seconds"},
+});
+
+// Nothing is known of `name`: nullptr.
+const MetricInfo* FindMetric(std::string_view name);
+
+// The kind's name in the text exposition format: "counter".
+const char* MetricKindName(MetricKind kind);
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_OBSERVE_METRIC_CATALOGUE_H_
