--- /dev/null
+++ b/Source/scheduler/claims.cc
@@ -0,0 +1,379 @@
+#include "scheduler/claims.h"
+
+#include <array>
+#include <memory>
+#include <utility>
+
+#include <json/value.h>
+
+#include "net/json.h"
+#include "scheduler/context.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr char kClaimLogPrefix[] = "claims.";
+constexpr char kClaimKind[] = "claim";
+constexpr Duration kPlatformRetryAfter = std::chrono::seconds(2);
+// A longer answer is not kept; a retry is then told that the request ran.
+constexpr std::size_t kMaxClaimAnswer = 4096;
+
+constexpr std::array<const char*, 6> kStateNames = {
+    "claimed", "released", "ran", "failed", "may_have_run", "accepted"};
+
+std::string RecordKey(const std::string& team, const std::string& key) {
+  return "k/" + team + "/" + key;
+}
+
+std::string ShardOf(const std::string& team, const std::string& key) {
+  return kClaimLogPrefix + std::to_string(StableHash(team, key) % kClaimShards);
+}
+
+std::string OwnWriter(const Context& context) {
+  const StateOptions& self = context.state().self;
+  return OwnerName(self.instance, self.incarnation);
+}
+
+// A pending record may still be written although another stands for its key.
+bool MayReplace(const LogRecord& pending, const LogRecord* current) {
+  if (current == nullptr) {
+    return true;
+  }
+  const auto standing = DecodeClaim(current->body);
+  const auto wanted = DecodeClaim(pending.body);
+  if (!standing || !wanted) {
+    return false;
+  }
+  const bool is_own =
+      standing->id == wanted->id && standing->writer == wanted->writer;
+  return is_own || standing->state == ClaimState::kReleased;
+}
+
+OpenLog& ShardLog(Context& context, const std::string& name) {
+  State& state = context.state();
+  const auto it = state.logs.find(name);
+  if (it != state.logs.end()) {
+    return it->second;
+  }
+  const JournalPolicy& policy = context.policy().journal;
+  const std::int64_t retention_ms = ToMilliseconds(policy.claim_retention);
+  const std::shared_ptr<std::int64_t> wall_ms = state.wall_ms;
+  OpenLog& open = AddLog(
+      context,
+      {.name = name,
+       .writer = OwnWriter(context),
+       .exclusive = false,
+       .commit_interval = policy.commit,
+       .max_batch_bytes = static_cast<std::size_t>(policy.max_batch_bytes),
+       .retry = {.seed = state.random()},
+       .still_wanted = MayReplace,
+       .keep = [wall_ms, retention_ms](const LogRecord& standing) {
+         const auto claim = DecodeClaim(standing.body);
+         return claim && claim->wall_ms + retention_ms > *wall_ms;
+       }});
+  RunLedger(context, name, open.log->Open(context.now()));
+  return state.logs.at(name);
+}
+
+LogRecord MakeRecord(Context& context,
+                     const std::string& key,
+                     const std::string& id,
+                     ClaimState state,
+                     const std::string& answer) {
+  const ClaimRecord claim{
+      .id = id,
+      .writer = OwnWriter(context),
+      .state = state,
+      .answer = answer.size() <= kMaxClaimAnswer ? answer : "",
+      .wall_ms = *context.state().wall_ms};
+  return {.key = key, .kind = kClaimKind, .body = EncodeClaim(claim)};
+}
+
+// Answers the request or job with a verdict that another one's claim gives.
+void EndWork(Context& context, const std::string& id, Verdict verdict) {
+  State& state = context.state();
+  const auto it = state.requests.entries.find(id);
+  if (it != state.requests.entries.end()) {
+    it->second.claimed = false;
+    FinishRequest(context, id, std::move(verdict));
+    return;
+  }
+  RefuseJob(context, id, std::move(verdict));
+}
+
+void Deactivate(Context& context,
+                const std::string& key,
+                const std::string& id) {
+  auto& active = context.state().claims.active;
+  const auto it = active.find(key);
+  if (it != active.end() && it->second == id) {
+    active.erase(it);
+  }
+}
+
+// What a retry is told that finds its key claimed.
+void AnswerFromClaim(Context& context,
+                     const std::string& id,
+                     const ClaimRecord& claim) {
+  switch (claim.state) {
+    case ClaimState::kRan:
+    case ClaimState::kFailed:
+      EndWork(context, id,
+              Ran{.failed = claim.state == ClaimState::kFailed,
+                  .answer = claim.answer});
+      return;
+    case ClaimState::kAccepted: {
+      Job* job = FindJob(context, id);
+      if (job != nullptr) {
+        context.Answer(job->reply,
+                       WorkAnswer{.id = claim.id, .verdict = Accepted{}});
+        job->reply = 0;
+      }
+      EndWork(context, id, Accepted{});
+      return;
+    }
+    case ClaimState::kReleased:
+    case ClaimState::kClaimed:
+    case ClaimState::kMayHaveRun:
+      // Saying "not run" here would invite the caller to use another key while
+      // the first request still runs.
+      EndWork(context, id,
+              MayHaveRun{.reason = Reason::kDuplicateKey,
+                         .detail = "a request with this key was taken earlier "
+                                   "and its outcome is not known"});
+      return;
+  }
+}
+
+struct ClaimWanted {
+  std::string id;
+  std::string team;
+  std::string key;
+};
+
+void RefuseUnrecorded(Context& context, const std::string& id) {
+  EndWork(context, id,
+          NotRun{.reason = Reason::kPlatformDown,
+                 .detail = "the idempotency key can't be recorded now",
+                 .retry_after = kPlatformRetryAfter});
+}
+
+void SetTicket(Context& context, const std::string& id, Ticket ticket) {
+  State& state = context.state();
+  const auto it = state.requests.entries.find(id);
+  if (it != state.requests.entries.end()) {
+    it->second.claim_ticket = ticket;
+    return;
+  }
+  Job* job = FindJob(context, id);
+  if (job != nullptr) {
+    job->claim_ticket = ticket;
+  }
+}
+
+// Looks the key up in a shard that was read, and claims it when it is free.
+void LookUp(Context& context, const ClaimWanted& wanted) {
+  const std::string name = ShardOf(wanted.team, wanted.key);
+  const std::string key = RecordKey(wanted.team, wanted.key);
+  const SlotLog& log = *context.state().logs.at(name).log;
+  const auto it = log.records().find(key);
+  if (it != log.records().end()) {
+    const auto claim = DecodeClaim(it->second.record.body);
+    if (!claim || claim->state != ClaimState::kReleased) {
+      Deactivate(context, key, wanted.id);
+      AnswerFromClaim(context, wanted.id, claim.value_or(ClaimRecord{}));
+      return;
+    }
+  }
+  const Ticket ticket =
+      AppendTo(context, name,
+               MakeRecord(context, key, wanted.id, ClaimState::kClaimed, ""),
+               {.urgent = true, .refuse_when_unreachable = true},
+               ClaimAppend{.id = wanted.id});
+  SetTicket(context, wanted.id, ticket);
+}
+
+void BeginClaim(Context& context, const ClaimWanted& wanted) {
+  State& state = context.state();
+  const std::string key = RecordKey(wanted.team, wanted.key);
+  if (!state.claims.active.emplace(key, wanted.id).second) {
+    EndWork(context, wanted.id,
+            MayHaveRun{.reason = Reason::kDuplicateKey,
+                       .detail = "a request with this key is under way"});
+    return;
+  }
+  const std::string name = ShardOf(wanted.team, wanted.key);
+  const OpenLog& open = ShardLog(context, name);
+  if (open.log->is_open()) {
+    LookUp(context, wanted);
+    return;
+  }
+  if (!open.log->is_reachable()) {
+    Deactivate(context, key, wanted.id);
+    RefuseUnrecorded(context, wanted.id);
+    return;
+  }
+  state.claims.waiting[name].push_back(wanted.id);
+}
+
+std::optional<ClaimWanted> WantedBy(Context& context, const std::string& id) {
+  const auto& entries = context.state().requests.entries;
+  const auto it = entries.find(id);
+  if (it != entries.end()) {
+    return ClaimWanted{.id = id,
+                       .team = it->second.request.team,
+                       .key = it->second.request.key};
+  }
+  const Job* job = FindJob(context, id);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  return ClaimWanted{.id = id, .team = job->spec.team, .key = job->spec.key};
+}
+
+}  // namespace
+
+std::string EncodeClaim(const ClaimRecord& claim) {
+  Json::Value value(Json::objectValue);
+  value["id"] = claim.id;
+  value["writer"] = claim.writer;
+  value["state"] = kStateNames.at(static_cast<std::size_t>(claim.state));
+  value["wall_ms"] = Json::Int64{claim.wall_ms};
+  if (!claim.answer.empty()) {
+    value["answer"] = claim.answer;
+  }
+  return WriteJson(value);
+}
+
+std::optional<ClaimRecord> DecodeClaim(const std::string& text) {
+  const auto parsed = ParseJson(text);
+  const auto* value = std::get_if<Json::Value>(&parsed);
+  if (value == nullptr || !value->isObject() || !(*value)["id"].isString() ||
+      !(*value)["writer"].isString() || !(*value)["state"].isString() ||
+      !(*value)["wall_ms"].isInt64()) {
+    return std::nullopt;
+  }
+  const std::string state = (*value)["state"].asString();
+  for (std::size_t it = 0; it < kStateNames.size(); ++it) {
+    if (state == kStateNames.at(it)) {
+      const Json::Value answer = (*value)["answer"];
+      return ClaimRecord{.id = (*value)["id"].asString(),
+                         .writer = (*value)["writer"].asString(),
+                         .state = static_cast<ClaimState>(it),
+                         .answer = answer.isString() ? answer.asString() : "",
+                         .wall_ms = (*value)["wall_ms"].asInt64()};
+    }
+  }
+  return std::nullopt;
+}
+
+void ClaimKeyOfRequest(Context& context, RequestEntry& entry) {
+  entry.state = RequestState::kClaiming;
+  BeginClaim(context, {.id = entry.request.id,
+                       .team = entry.request.team,
+                       .key = entry.request.key});
+}
+
+void ClaimKeyOfJob(Context& context, Job& job) {
+  BeginClaim(context,
+             {.id = job.id, .team = job.spec.team, .key = job.spec.key});
+}
+
+void SettleClaim(Context& context,
+                 const std::string& team,
+                 const std::string& key,
+                 const std::string& id,
+                 ClaimState state,
+                 const std::string& answer) {
+  const std::string record_key = RecordKey(team, key);
+  Deactivate(context, record_key, id);
+  const std::string name = ShardOf(team, key);
+  ShardLog(context, name);
+  AppendTo(context, name, MakeRecord(context, record_key, id, state, answer),
+           {}, std::nullopt);
+}
+
+void OnClaimAppended(Context& context,
+                     const std::string& id,
+                     AppendOutcome outcome) {
+  const auto wanted = WantedBy(context, id);
+  if (!wanted) {
+    return;
+  }
+  if (outcome == AppendOutcome::kCommitted) {
+    const auto it = context.state().requests.entries.find(id);
+    if (it == context.state().requests.entries.end()) {
+      OnJobClaimed(context, id);
+      return;
+    }
+    it->second.claimed = true;
+    it->second.claim_ticket = 0;
+    AdmitRequest(context, it->second);
+    return;
+  }
+  if (outcome == AppendOutcome::kDropped) {
+    LookUp(context, *wanted);  // another's claim came first
+    return;
+  }
+  if (outcome == AppendOutcome::kUnknown) {
+    // It was not dispatched and will not be, but the claim may stand.
+    SettleClaim(context, wanted->team, wanted->key, id, ClaimState::kReleased,
+                "");
+  }
+  Deactivate(context, RecordKey(wanted->team, wanted->key), id);
+  RefuseUnrecorded(context, id);
+}
+
+void OnClaimShardRead(Context& context, const std::string& log) {
+  State& state = context.state();
+  const auto it = state.claims.waiting.find(log);
+  if (it == state.claims.waiting.end()) {
+    return;
+  }
+  const std::vector<std::string> ids = std::move(it->second);
+  state.claims.waiting.erase(it);
+  const bool is_open = state.logs.at(log).log->is_open();
+  for (const std::string& id : ids) {
+    const auto wanted = WantedBy(context, id);
+    if (!wanted) {
+      continue;
+    }
+    if (is_open) {
+      LookUp(context, *wanted);
+    } else {
+      Deactivate(context, RecordKey(wanted->team, wanted->key), id);
+      RefuseUnrecorded(context, id);
+    }
+  }
+}
+
+void GiveUpClaim(Context& context,
+                 const std::string& team,
+                 const std::string& key,
+                 const std::string& id,
+                 std::uint64_t ticket) {
+  const std::string name = ShardOf(team, key);
+  const auto it = context.state().logs.find(name);
+  if (ticket == 0 || it == context.state().logs.end()) {
+    Deactivate(context, RecordKey(team, key), id);
+    return;
+  }
+  it->second.tickets.erase(ticket);
+  LedgerProgress progress = it->second.log->GiveUp(ticket, context.now());
+  bool may_stand = false;
+  for (const TicketOutcome& outcome : progress.finished) {
+    may_stand = may_stand || outcome.outcome == AppendOutcome::kUnknown;
+  }
+  RunLedger(context, name, std::move(progress));
+  if (may_stand) {
+    SettleClaim(context, team, key, id, ClaimState::kReleased, "");
+  }
+  Deactivate(context, RecordKey(team, key), id);
+}
+
+bool IsClaimLog(const std::string& log) {
+  return log.starts_with(kClaimLogPrefix);
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/scheduler/drain.cc
@@ -0,0 +1,114 @@
+#include "scheduler/drain.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "scheduler/context.h"
+#include "scheduler/forwarding.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr Duration kDrainInterval = std::chrono::milliseconds(200);
+constexpr Duration kOfferInterval = std::chrono::seconds(1);
+// Accepted jobs are durable: a peer takes their journal over also after this
+// process has exited. The hand-over is waited for only so long.
+constexpr Duration kJournalPatience = std::chrono::seconds(10);
+// The same for workers when there is no member to take them.
+constexpr Duration kWorkerPatience = std::chrono::seconds(30);
+
+void EmptyQueues(Context& context) {
+  State& state = context.state();
+  std::vector<std::string> waiting;
+  for (const auto& [id, entry] : state.requests.entries) {
+    if (entry.state == RequestState::kQueued) {
+      waiting.push_back(id);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const std::string& id : waiting) {
+    RequestEntry& entry = state.requests.entries.at(id);
+    const std::string service = entry.request.service;
+    state.requests.services[service]
+        .classes[static_cast<std::size_t>(entry.request.urgency)]
+        .Erase(entry.request.team, id);
+    const std::string peer = ChoosePeerForRequest(context, service);
+    if (!peer.empty() && ForwardToPeer(context, entry, peer)) {
+      continue;
+    }
+    RefuseRequest(context, id,
+                  {.reason = Reason::kDraining,
+                   .detail = "this entry instance is stopping; ask another",
+                   .retry_after = RetryAfter(context, Duration(0))});
+  }
+}
+
+bool HasUnfinishedJobs(const State& state) {
+  return std::any_of(state.jobs.jobs.begin(), state.jobs.jobs.end(),
+                     [](const auto& it) { return !it.second.finished; });
+}
+
+void OfferJournals(Context& context) {
+  const std::vector<std::string> members = DomainMembers(context);
+  if (members.empty()) {
+    return;
+  }
+  for (const auto& [name, journal] : context.state().jobs.journals) {
+    const std::size_t at = StableHash("adopter", name) % members.size();
+    context.Send(members[at], AdoptLog{.log = name});
+  }
+}
+
+bool IsComplete(const Context& context) {
+  const State& state = context.state();
+  const Duration spent = context.now() - state.drain.started;
+  const bool requests_done = state.requests.entries.empty();
+  const bool workers_gone =
+      state.ownership.owned == 0 ||
+      (state.membership.members.empty() && spent > kWorkerPatience);
+  const bool jobs_gone = !HasUnfinishedJobs(state) || spent > kJournalPatience;
+  return requests_done && workers_gone && jobs_gone;
+}
+
+}  // namespace
+
+void OnDrainAsked(Context& context, const DrainAsked& asked) {
+  State& state = context.state();
+  context.Answer(asked.reply, DrainStarted{});
+  if (state.drain.draining) {
+    return;
+  }
+  state.drain.draining = true;
+  state.drain.started = context.now();
+  context.Log(EventNumber::kDrainStarted, {});
+  EmptyQueues(context);
+  for (auto& [id, worker] : state.ownership.workers) {
+    UpdateOpen(context, worker);
+  }
+  // The digest tells the peers at once; the review hands the workers over.
+  context.At(context.now(), TimerKind::kDigest);
+  context.At(context.now(), TimerKind::kDrain);
+}
+
+void OnDrainTimer(Context& context) {
+  State& state = context.state();
+  if (!state.drain.draining || state.drain.complete) {
+    return;
+  }
+  const Duration spent = context.now() - state.drain.started;
+  if (spent % kOfferInterval < kDrainInterval && HasUnfinishedJobs(state)) {
+    OfferJournals(context);
+  }
+  ReviewOwnership(context);
+  if (IsComplete(context)) {
+    state.drain.complete = true;
+    context.Log(EventNumber::kDrainComplete, {});
+    context.Emit(StopProcess{});
+    return;
+  }
+  context.After(kDrainInterval, TimerKind::kDrain);
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/scheduler/dump.h
@@ -0,0 +1,31 @@
+// The state of a process for operators.
+#ifndef BURDOCKROCK_SCHEDULER_DUMP_H_
+#define BURDOCKROCK_SCHEDULER_DUMP_H_
+
+#include <array>
+#include <cstdint>
+
+#include <json/value.h>
+
+#include "scheduler/state.h"
+
+namespace burdockrock {
+
+// All that the process knows, as one JSON object. `now` gives ages.
+Json::Value DumpState(const State& state, Time now);
+
+// What the metrics are read from.
+struct StateFigures {
+  std::uint32_t owned = 0;
+  std::array<std::size_t, kUrgencyCount> waiting_requests{};
+  std::int64_t waiting_tasks = 0;
+  Resources capacity;  // of open owned workers
+  Resources free;
+  Counters counters;
+};
+
+StateFigures FiguresOf(const State& state);
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_SCHEDULER_DUMP_H_
--- /dev/null
+++ b/Source/scheduler/fair_queue.h
@@ -0,0 +1,55 @@
+// A queue that serves teams by weight.
+#ifndef BURDOCKROCK_SCHEDULER_FAIR_QUEUE_H_
+#define BURDOCKROCK_SCHEDULER_FAIR_QUEUE_H_
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace burdockrock {
+
+// Start-time fair queueing: each team has a virtual time that rises by
+// 1 / weight with each item served; the team with the lowest goes first. A
+// team that was idle starts at the virtual time of the last served, so that
+// it can't save up a burst. Within a team first in, first out.
+class FairQueue {
+ public:
+  void Push(const std::string& team, double weight, std::string id);
+
+  // The next item; nothing when empty.
+  std::optional<std::string> Pop();
+
+  // The newest item of the team with the most waiting; nothing when empty.
+  std::optional<std::string> PopNewestOfLongest();
+
+  void Erase(const std::string& team, const std::string& id);
+
+  std::size_t size() const { return size_; }
+  std::size_t SizeOf(const std::string& team) const;
+
+ private:
+  struct Team {
+    double weight = 1;
+    double virtual_time = 0;
+    std::deque<std::string> items;
+  };
+  struct Rank {
+    double virtual_time = 0;
+    std::string team;
+    auto operator<=>(const Rank&) const = default;
+  };
+
+  void DropIfIdle(const std::string& team);
+
+  std::map<std::string, Team> teams_;  // with items only
+  std::set<Rank> ranks_;
+  double served_ = 0;
+  std::size_t size_ = 0;
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_SCHEDULER_FAIR_QUEUE_H_
--- /dev/null
+++ b/Source/scheduler/forwarding.cc
@@ -0,0 +1,146 @@
+#include "scheduler/forwarding.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "scheduler/context.h"
+
+namespace burdockrock {
+
+namespace {
+
+// A request with less time left than the way to a peer and back stays here.
+constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(5);
+
+std::int64_t FreeSlots(const Peer& peer, const std::string& service) {
+  const auto lent = peer.lent.find(service);
+  const std::int64_t given = lent == peer.lent.end() ? 0 : lent->second;
+  for (const ServiceRoom& it : peer.digest.services) {
+    if (it.service == service) {
+      return it.waiting > 0 ? 0 : it.free_slots - given;
+    }
+  }
+  return 0;
+}
+
+// The peer has said that it did not run the request.
+void TakeBack(Context& context, RequestEntry& entry, const NotRun& refusal) {
+  entry.state = RequestState::kQueued;
+  entry.peer.clear();
+  const bool is_final = refusal.reason == Reason::kInvalid ||
+                        refusal.reason == Reason::kCancelled ||
+                        refusal.reason == Reason::kDeadline;
+  if (is_final) {
+    RefuseRequest(context, entry.request.id, refusal);
+    return;
+  }
+  ++context.state().counters.forwards_refused;
+  AdmitRequest(context, entry);
+}
+
+}  // namespace
+
+bool IsUsable(const Context& context, const Peer& peer) {
+  const ForwardingPolicy& policy = context.policy().forwarding;
+  if (!peer.alive || !peer.digest.serving || peer.digest.draining ||
+      peer.leaving) {
+    return false;
+  }
+  const Duration age = context.now() - peer.digest_at;
+  if (policy.gate && age > context.policy().membership.digest_max_age) {
+    return false;
+  }
+  return !policy.one_strike || !peer.struck;
+}
+
+std::string ChoosePeerForRequest(Context& context, const std::string& service) {
+  std::vector<const Peer*> candidates;
+  for (const auto& [id, peer] : context.state().membership.peers) {
+    if (IsUsable(context, peer) && FreeSlots(peer, service) > 0) {
+      candidates.push_back(&peer);
+    }
+  }
+  if (candidates.empty()) {
+    return "";
+  }
+  const auto pick = [&] {
+    const auto at = static_cast<std::size_t>(
+        context.Random() * static_cast<double>(candidates.size()));
+    return candidates[std::min(at, candidates.size() - 1)];
+  };
+  const Peer* first = pick();
+  const Peer* second = pick();
+  return FreeSlots(*second, service) > FreeSlots(*first, service) ? second->id
+                                                                  : first->id;
+}
+
+bool ForwardToPeer(Context& context,
+                   RequestEntry& entry,
+                   const std::string& peer) {
+  const Duration left = entry.deadline - context.now();
+  if (entry.forwarded_once || left < kLeastTimeLeft) {
+    return false;
+  }
+  entry.state = RequestState::kForwarded;
+  entry.forwarded_once = true;
+  entry.peer = peer;
+  ++context.state().membership.peers.at(peer).lent[entry.request.service];
+  ++context.state().counters.forwards;
+  Request request = entry.request;
+  request.deadline = left;
+  context.Send(peer, ForwardRequest{.request = std::move(request)});
+  return true;
+}
+
+void OnForwardAnswer(Context& context,
+                     const std::string& from,
+                     const ForwardAnswer& answer) {
+  State& state = context.state();
+  const auto it = state.requests.entries.find(answer.answer.id);
+  if (it == state.requests.entries.end() ||
+      it->second.state != RequestState::kForwarded || it->second.peer != from) {
+    return;  // late or doubled
+  }
+  RequestEntry& entry = it->second;
+  if (const auto* refusal = std::get_if<NotRun>(&answer.answer.verdict)) {
+    state.membership.peers.at(from).struck = true;
+    TakeBack(context, entry, *refusal);
+    return;
+  }
+  entry.dispatched = true;
+  entry.started = std::min(entry.arrived + answer.answer.waited, context.now());
+  FinishRequest(context, answer.answer.id, answer.answer.verdict);
+}
+
+void OnForwardNotReached(Context& context, const ForwardRequest& forward) {
+  State& state = context.state();
+  const auto it = state.requests.entries.find(forward.request.id);
+  if (it == state.requests.entries.end() ||
+      it->second.state != RequestState::kForwarded) {
+    return;
+  }
+  const auto peer = state.membership.peers.find(it->second.peer);
+  if (peer != state.membership.peers.end()) {
+    peer->second.struck = true;
+  }
+  TakeBack(context, it->second,
+           {.reason = Reason::kOverloaded, .detail = "peer not reached"});
+}
+
+void FailForwarded(Context& context, const std::string& peer) {
+  std::vector<std::string> ids;
+  for (const auto& [id, entry] : context.state().requests.entries) {
+    if (entry.state == RequestState::kForwarded && entry.peer == peer) {
+      ids.push_back(id);
+    }
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const std::string& it : ids) {
+    FinishRequest(context, it,
+                  MayHaveRun{.reason = Reason::kOwnerLost,
+                             .detail = "the entry instance that ran it died"});
+  }
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/scheduler/gangs.cc
@@ -0,0 +1,218 @@
+#include "scheduler/gangs.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "scheduler/context.h"
+#include "scheduler/forwarding.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr std::uint32_t kMaxBackoffShift = 5;
+
+struct PeerShare {
+  std::string peer;
+  std::int64_t places = 0;
+};
+
+bool IsWhollyQueued(const Job& job) {
+  return job.queued == job.tasks.size();
+}
+
+// Places at peers of the domain, by their digests.
+std::vector<PeerShare> PeerShares(Context& context, const Resources& need) {
+  std::vector<PeerShare> shares;
+  for (const auto& [id, peer] : context.state().membership.peers) {
+    if (!IsDomainPeer(context, peer) || !IsUsable(context, peer)) {
+      continue;
+    }
+    const std::int64_t places =
+        CountFitting(need, peer.digest.free - peer.lent_room);
+    if (places > 0) {
+      shares.push_back({.peer = id, .places = places});
+    }
+  }
+  std::sort(shares.begin(), shares.end(),
+            [](const PeerShare& left, const PeerShare& right) {
+              return left.places > right.places;
+            });
+  return shares;
+}
+
+void HoldLocally(Context& context,
+                 Job& job,
+                 std::uint32_t index,
+                 TargetIndex target) {
+  State& state = context.state();
+  Task& task = job.tasks[index];
+  task.attempt = state.jobs.journals.at(job.log).next_attempt++;
+  NoteDispatched(context, job, index);
+  WorkerRecord& worker =
+      state.ownership.workers.at(state.placement.info(target).id);
+  task.owner = context.self();
+  task.worker = worker.info.id;
+  StartOnWorker(
+      context, worker,
+      {.attempt = {.job = job.id, .task = index, .number = task.attempt},
+       .resources = job.spec.resources,
+       .payload = job.spec.payload,
+       .hold = true});
+}
+
+void HoldAtPeer(Context& context,
+                Job& job,
+                std::uint32_t index,
+                const std::string& peer) {
+  job.tasks[index].attempt =
+      context.state().jobs.journals.at(job.log).next_attempt++;
+  NoteDispatched(context, job, index);
+  OfferTask(context, job, index, peer, true);
+}
+
+bool RecordDispatches(Context& context, Job& job) {
+  bool recorded = false;
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    if (!job.tasks[it].dispatched) {
+      RecordDispatch(context, job, it);
+      recorded = true;
+    }
+  }
+  return recorded;
+}
+
+bool HasEnded(const Task& task) {
+  return task.state == TaskState::kEnding || task.state == TaskState::kDone ||
+         task.state == TaskState::kFailed ||
+         task.state == TaskState::kMayHaveRun;
+}
+
+// Tasks of a gang that has lost a member after another one had finished can't
+// be run together again.
+void FailGang(Context& context, Job& job) {
+  job.judged_failed = true;
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    if (job.tasks[it].state == TaskState::kQueued) {
+      EndTask(context, job, it, TaskState::kFailed);
+    } else if (IsOut(job.tasks[it])) {
+      StopAttempt(context, job, it);
+    }
+  }
+}
+
+}  // namespace
+
+bool AssembleGang(Context& context, Job& job) {
+  if (!IsWhollyQueued(job)) {
+    return false;
+  }
+  State& state = context.state();
+  const auto count = static_cast<std::int64_t>(job.tasks.size());
+  const Resources& need = job.spec.resources;
+  const std::int64_t local =
+      std::min(state.placement.CountFitting(need), count);
+  const std::vector<PeerShare> shares =
+      local == count ? std::vector<PeerShare>{} : PeerShares(context, need);
+  std::int64_t places = local;
+  for (const PeerShare& it : shares) {
+    places += it.places;
+  }
+  if (places < count) {
+    return false;
+  }
+  if (!job.spec.idempotent && RecordDispatches(context, job)) {
+    return true;
+  }
+  std::vector<TargetIndex> targets;
+  if (local > 0) {
+    targets = state.placement.PickGang(need, static_cast<std::uint32_t>(local));
+  }
+  job.hold_until = context.now() + context.policy().gang.hold;
+  context.At(job.hold_until, TimerKind::kGang, job.id);
+  std::uint32_t index = 0;
+  for (const TargetIndex it : targets) {
+    HoldLocally(context, job, index++, it);
+  }
+  for (const PeerShare& share : shares) {
+    for (std::int64_t it = 0; it < share.places && index < count; ++it) {
+      HoldAtPeer(context, job, index++, share.peer);
+    }
+  }
+  return true;
+}
+
+void OnGangTaskHeld(Context& context, Job& job) {
+  if (job.gang_running || job.settling) {
+    return;
+  }
+  const bool all_held =
+      std::all_of(job.tasks.begin(), job.tasks.end(),
+                  [](const Task& it) { return it.state == TaskState::kHeld; });
+  if (!all_held) {
+    return;
+  }
+  job.gang_running = true;
+  job.hold_until = Time(0);
+  context.Log(EventNumber::kGangStarted,
+              {{"job", job.id}, {"tasks", std::to_string(job.tasks.size())}});
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    GoAttempt(context, job, it);
+  }
+}
+
+void BackOffGang(Context& context, Job& job, const std::string& why) {
+  const bool is_idle = !job.gang_running && job.hold_until == Time(0);
+  if (job.judged_failed || (is_idle && job.retry_at > context.now())) {
+    return;
+  }
+  job.gang_running = false;
+  job.hold_until = Time(0);
+  if (std::any_of(job.tasks.begin(), job.tasks.end(), HasEnded)) {
+    FailGang(context, job);
+    return;
+  }
+  const std::uint32_t shift = std::min(job.backoffs, kMaxBackoffShift);
+  ++job.backoffs;
+  job.retry_at = context.now() +
+                 context.Jitter(context.policy().gang.backoff * (1U << shift));
+  context.Log(EventNumber::kGangBackedOff, {{"job", job.id}, {"why", why}});
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    const TaskState state = job.tasks[it].state;
+    const bool runs = state == TaskState::kStarting ||
+                      state == TaskState::kHeld || state == TaskState::kRunning;
+    if (runs) {
+      StopAttempt(context, job, it);
+    }
+  }
+  context.At(job.retry_at, TimerKind::kGang, job.id);
+}
+
+void OnGangTimer(Context& context, const std::string& id) {
+  Job* job = FindJob(context, id);
+  if (job == nullptr || job->finished || job->cancelled || job->gang_running) {
+    return;
+  }
+  if (job->hold_until != Time(0) && context.now() >= job->hold_until) {
+    BackOffGang(context, *job, "not all tasks were held in time");
+    return;
+  }
+  if (job->hold_until == Time(0) && context.now() >= job->retry_at) {
+    QueueJob(context, *job);
+  }
+}
+
+void SettleGang(Context& context, Job& job) {
+  const bool all_run =
+      std::all_of(job.tasks.begin(), job.tasks.end(), [](const Task& it) {
+        return it.state == TaskState::kRunning || HasEnded(it);
+      });
+  if (all_run) {
+    job.gang_running = true;
+    return;
+  }
+  job.gang_running = true;  // so that the backoff stops what was found
+  BackOffGang(context, job, "found in part after the takeover");
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/scheduler/health.cc
@@ -0,0 +1,110 @@
+#include "scheduler/health.h"
+
+#include <algorithm>
+#include <set>
+
+#include "scheduler/context.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr std::uint32_t kMaxProbeShift = 5;
+
+bool LooksBad(const Context& context, const WorkerHealth& health) {
+  const HealthPolicy& policy = context.policy().health;
+  std::set<std::string> failed_jobs;
+  std::int64_t failures = 0;
+  for (const WorkerHealth::End& it : health.recent) {
+    if (it.failed) {
+      ++failures;
+      failed_jobs.insert(it.job);
+    }
+  }
+  const auto total = static_cast<double>(health.recent.size());
+  return static_cast<std::int64_t>(failed_jobs.size()) >=
+             policy.min_distinct_jobs &&
+         static_cast<double>(failures) >= policy.failure_ratio * total;
+}
+
+// Past the cap the cause is not in single workers: taking more of them out
+// would only take room from sound work.
+bool CapReached(const Context& context) {
+  const State& state = context.state();
+  std::int64_t quarantined = 0;
+  for (const auto& [id, worker] : state.ownership.workers) {
+    if (worker.index && worker.health.quarantined) {
+      ++quarantined;
+    }
+  }
+  const double share = context.policy().health.max_quarantined_share;
+  const auto cap = static_cast<std::int64_t>(
+      share * static_cast<double>(state.ownership.owned));
+  return quarantined >= std::max<std::int64_t>(cap, 1);
+}
+
+Duration ProbeWait(const Context& context, const WorkerHealth& health) {
+  const std::uint32_t shift = std::min(health.quarantines, kMaxProbeShift);
+  return context.policy().health.probe * (1U << shift);
+}
+
+void Quarantine(Context& context, WorkerRecord& worker) {
+  if (CapReached(context)) {
+    context.Log(EventNumber::kQuarantineCapReached,
+                {{"worker", worker.info.id}});
+    return;
+  }
+  worker.health.quarantined = true;
+  worker.health.probing = false;
+  context.Log(EventNumber::kWorkerQuarantined, {{"worker", worker.info.id}});
+  UpdateOpen(context, worker);
+  context.After(ProbeWait(context, worker.health), TimerKind::kProbe,
+                worker.info.id);
+  ++worker.health.quarantines;
+}
+
+}  // namespace
+
+void NoteEnd(Context& context,
+             WorkerRecord& worker,
+             const std::string& job,
+             bool failed,
+             bool job_is_bad) {
+  if (failed && job_is_bad) {
+    return;
+  }
+  WorkerHealth& health = worker.health;
+  health.recent.push_back({.job = job, .failed = failed});
+  if (health.recent.size() > kHealthWindow) {
+    health.recent.erase(health.recent.begin());
+  }
+  if (health.probing) {
+    health.probing = false;
+    if (failed) {
+      Quarantine(context, worker);
+      return;
+    }
+    health.quarantines = 0;
+    context.Log(EventNumber::kWorkerReleased, {{"worker", worker.info.id}});
+    UpdateOpen(context, worker);
+    return;
+  }
+  if (failed && !health.quarantined && LooksBad(context, health)) {
+    Quarantine(context, worker);
+  }
+}
+
+void OnProbeTimer(Context& context, const std::string& id) {
+  const auto it = context.state().ownership.workers.find(id);
+  if (it == context.state().ownership.workers.end() ||
+      !it->second.health.quarantined) {
+    return;
+  }
+  WorkerRecord& worker = it->second;
+  worker.health.quarantined = false;
+  worker.health.probing = true;
+  worker.health.recent.clear();
+  UpdateOpen(context, worker);
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/scheduler/jobs.h
@@ -0,0 +1,201 @@
+// Durable work: services, batches and gangs, from acceptance to the end of the
+// last task.
+//
+// The process that accepted a job writes its journal and decides on each of
+// its attempts. Owners of workers start attempts for it and tell it what
+// becomes of them.
+#ifndef BURDOCKROCK_SCHEDULER_JOBS_H_
+#define BURDOCKROCK_SCHEDULER_JOBS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "ledger/slot_log.h"
+#include "model/attempt.h"
+#include "model/caller_message.h"
+#include "model/peer_message.h"
+#include "model/work.h"
+#include "scheduler/event.h"
+
+namespace burdockrock {
+
+class Context;
+
+enum class TaskState : std::uint8_t {
+  kQueued,
+  kDispatching,  // non-idempotent: the dispatch is being recorded
+  kStarting,     // offered or sent to a worker, not answered
+  kHeld,         // of a gang: has its room, waits for the others
+  kRunning,
+  kStopping,  // told to stop; its end has not been reported
+  kOrphaned,  // its owner is gone; not known whether it runs
+  kEnding,    // ended; the end is being recorded
+  kDone,
+  kFailed,
+  kMayHaveRun,
+  kCancelled,
+};
+
+struct Task {
+  TaskState state = TaskState::kQueued;
+  TaskState end = TaskState::kDone;  // what it becomes when kEnding is over
+  std::uint8_t tries = 0;
+  bool dispatched = false;  // of a non-idempotent job: it may have run
+  std::uint64_t attempt = 0;
+  std::uint64_t offer_sequence = 0;
+  Time offered{0};
+  std::string worker;  // where it is, when known
+  std::string owner;   // the member that owns the worker
+  std::string answer;  // of an ended task, cut at kMaxKeptAnswer
+};
+
+inline constexpr std::size_t kMaxKeptAnswer = 1024;
+
+// How long a finished job's status can be asked for.
+inline constexpr Duration kFinishedKept = std::chrono::minutes(10);
+
+struct Job {
+  std::string id;
+  std::string log;
+  JobSpec spec;
+  std::vector<Task> tasks;
+  ReplyId reply = 0;  // waits to hear "accepted"
+  ReplyId cancel_reply = 0;
+  std::string cancel_peer;  // a peer that asked for the cancel
+  std::uint64_t cancel_ask = 0;
+  Time arrived{0};
+  Time first_start{0};
+  bool recorded = false;  // the journal holds it
+  bool cancelled = false;
+  bool cancel_recorded = false;
+  bool bad = false;  // judged by its failures
+  bool finished = false;
+  bool judged_failed = false;
+  std::uint64_t accept_ticket = 0;
+  std::uint64_t claim_ticket = 0;
+  std::uint32_t next_queued = 0;  // no task below it is queued
+  bool in_queue = false;
+  std::uint32_t queued = 0;
+  std::uint32_t open = 0;           // tasks that have not ended
+  std::set<std::string> failed_on;  // workers; at most a few
+  // Of a gang.
+  bool gang_running = false;  // all were held and told to go
+  bool settling = false;      // adopted, and its attempts are looked for
+  Time hold_until{0};         // while it is being assembled
+  Time retry_at{0};
+  std::uint32_t backoffs = 0;
+};
+
+// A journal that this process writes.
+struct Journal {
+  std::string name;
+  std::uint64_t generation = 1;
+  std::uint64_t next_job = 1;
+  std::uint64_t next_attempt = 1;
+  bool adopted = false;  // from another process
+  bool ready = false;    // open for writing
+  bool loaded = false;
+  Time finished_at{0};
+};
+
+struct Jobs {
+  std::unordered_map<std::string, Job> jobs;
+  std::map<std::string, Journal> journals;  // that this process writes
+  std::set<std::string> adopting;
+  std::map<std::string, Resources> team_usage;
+  std::int64_t waiting = 0;  // tasks queued, of all jobs
+  // Journals' generations below which offers are refused.
+  std::map<std::string, std::uint64_t> fences;
+  // Stops that came before their offers; value: when to forget.
+  std::map<AttemptId, Time> stopped_early;
+  std::uint64_t next_ask = 1;
+  std::map<std::uint64_t, ReplyId> asks;
+};
+
+void OnJobArrived(Context& context, const JobArrived& arrived);
+
+// The key of a non-idempotent job is recorded.
+void OnJobClaimed(Context& context, const std::string& id);
+void RefuseJob(Context& context, const std::string& id, Verdict verdict);
+
+// What the journal answered to an append.
+void OnJobRecorded(Context& context,
+                   const std::string& id,
+                   AppendOutcome outcome);
+void OnEndRecorded(Context& context,
+                   const std::string& id,
+                   std::uint32_t task,
+                   AppendOutcome outcome);
+void OnDispatchRecorded(Context& context,
+                        const std::string& id,
+                        std::uint32_t task,
+                        AppendOutcome outcome);
+void OnCancelRecorded(Context& context,
+                      const std::string& id,
+                      AppendOutcome outcome);
+
+// News of an attempt of a job whose journal this process writes. `owner` is
+// the member that owns the worker.
+void OnAttemptRunning(Context& context,
+                      const AttemptId& attempt,
+                      bool held,
+                      const std::string& worker,
+                      const std::string& owner);
+// Nothing was started, and nothing will be.
+void OnAttemptNotStarted(Context& context,
+                         const AttemptId& attempt,
+                         const std::string& why);
+void OnAttemptEnded(Context& context,
+                    const AttemptReport& report,
+                    const std::string& worker,
+                    const std::string& owner);
+
+// Not known whether the attempt runs: it is looked for.
+void OrphanTask(Context& context, Job& job, std::uint32_t task);
+
+// Nobody has the attempt: it is tried again or, if non-idempotent, given up.
+void OnAttemptLost(Context& context, Job& job, std::uint32_t task);
+
+Job* FindJob(Context& context, const std::string& id);
+Job* JobOfAttempt(Context& context, const AttemptId& attempt, Task** task);
+
+std::optional<WorkStatus> JobStatus(Context& context, const std::string& id);
+void CancelJob(Context& context, Job& job);
+void OnWorkAsked(Context& context, const WorkAsked& asked);
+void OnAskWork(Context& context, const std::string& from, const AskWork& ask);
+void OnAskWorkAnswer(Context& context, const AskWorkAnswer& answer);
+
+// The journal that a job of this id is in; empty when `id` is not a job's.
+std::string LogOfJob(const std::string& id);
+
+// The end of a task, durable before its worker may forget it.
+void EndTask(Context& context, Job& job, std::uint32_t task, TaskState end);
+
+// Puts a task back among the waiting ones.
+void RequeueTask(Context& context, Job& job, std::uint32_t task);
+
+// Forgets the job; callers that wait for it are told that it may have run.
+void DropJob(Context& context, const std::string& id);
+
+// A finished job's status is kept no longer.
+void OnForgetJobTimer(Context& context, const std::string& id);
+void OnJobDeadline(Context& context, const std::string& id);
+void OnRetryTaskTimer(Context& context, const std::string& id);
+
+// A task that is out: it holds or may hold room somewhere.
+bool IsOut(const Task& task);
+
+// The task left the waiting ones and counts against its team.
+void NoteDispatched(Context& context, Job& job, std::uint32_t task);
+
+// Ends the job if its last task has ended.
+void FinishIfDone(Context& context, Job& job);
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_SCHEDULER_JOBS_H_
--- /dev/null
+++ b/Source/scheduler/reducer.cc
@@ -0,0 +1,270 @@
+#include "scheduler/reducer.h"
+
+#include <array>
+#include <utility>
+#include <variant>
+
+#include "scheduler/context.h"
+#include "scheduler/gangs.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr Duration kFirstOffers = std::chrono::seconds(1);
+
+using TimerHandler = void (*)(Context&, const std::string&);
+
+struct TimerRow {
+  TimerKind kind;
+  TimerHandler handler;
+};
+
+constexpr std::array kTimerTable = {
+    TimerRow{
+        TimerKind::kDigest,
+        [](Context& context, const std::string&) { OnDigestTimer(context); }},
+    TimerRow{TimerKind::kRenew, OnRenewTimer},
+    TimerRow{TimerKind::kClaim, OnClaimTimer},
+    TimerRow{TimerKind::kLeaseBound, OnLeaseBoundTimer},
+    TimerRow{TimerKind::kProbe, OnProbeTimer},
+    TimerRow{TimerKind::kRequestDeadline, OnRequestDeadline},
+    TimerRow{TimerKind::kLedger, OnLedgerTimer},
+    TimerRow{
+        TimerKind::kWatch,
+        [](Context& context, const std::string&) { OnWatchTimer(context); }},
+    TimerRow{TimerKind::kOrphanScan,
+             [](Context& context, const std::string&) {
+               OnOrphanScanTimer(context);
+             }},
+    TimerRow{TimerKind::kJournal, OnJournalTimer},
+    TimerRow{TimerKind::kForgetJob, OnForgetJobTimer},
+    TimerRow{TimerKind::kSearch, OnSearchTimer},
+    TimerRow{
+        TimerKind::kOffers,
+        [](Context& context, const std::string&) { OnOffersTimer(context); }},
+    TimerRow{TimerKind::kGang, OnGangTimer},
+    TimerRow{TimerKind::kRetryTask, OnRetryTaskTimer},
+    TimerRow{TimerKind::kJobDeadline, OnJobDeadline},
+    TimerRow{TimerKind::kSchedule,
+             [](Context& context, const std::string&) {
+               context.state().tasks.wanted = true;
+             }},
+    TimerRow{
+        TimerKind::kDrain,
+        [](Context& context, const std::string&) { OnDrainTimer(context); }},
+};
+
+void RunTimer(Context& context, const Timer& timer) {
+  for (const TimerRow& it : kTimerTable) {
+    if (it.kind == timer.kind) {
+      it.handler(context, timer.id);
+      return;
+    }
+  }
+}
+
+struct PeerMessageHandler {
+  Context& context;
+  const PeerSaid& said;
+
+  void operator()(const Digest& message) const {
+    OnDigest(context, said, message);
+  }
+  void operator()(const ForwardRequest& message) const {
+    OnForwardRequest(context, said.from, message);
+  }
+  void operator()(const ForwardAnswer& message) const {
+    OnForwardAnswer(context, said.from, message);
+  }
+  void operator()(const CancelForward& message) const {
+    OnCancelForward(context, message);
+  }
+  void operator()(const TaskOffer& message) const {
+    OnTaskOffer(context, said.from, message);
+  }
+  void operator()(const TaskRefused& message) const {
+    OnTaskRefused(context, said.from, message);
+  }
+  void operator()(const TaskUpdate& message) const {
+    OnTaskUpdate(context, said.from, message);
+  }
+  void operator()(const TaskAcknowledged& message) const {
+    OnTaskAcknowledged(context, message.attempt);
+  }
+  void operator()(const TaskGo& message) const {
+    OnTaskGo(context, message.attempt);
+  }
+  void operator()(const TaskStop& message) const {
+    OnTaskStop(context, message.attempt);
+  }
+  void operator()(const Handover& message) const {
+    OnHandover(context, said.from, message);
+  }
+  void operator()(const AttemptSearch& message) const {
+    OnAttemptSearch(context, said.from, message);
+  }
+  void operator()(const AttemptSearchAnswer& message) const {
+    OnAttemptSearchAnswer(context, said.from, message);
+  }
+  void operator()(const AdoptLog& message) const {
+    AdoptJournal(context, message.log);
+  }
+  void operator()(const PullDocuments& message) const {
+    OnPullDocuments(context, said.from, message);
+  }
+  void operator()(const ConfigDocument& message) const {
+    ApplyConfig(context, message.view);
+  }
+  void operator()(const InstancesDocument& message) const {
+    ApplyInstances(context, message.list);
+  }
+  void operator()(const AskWork& message) const {
+    OnAskWork(context, said.from, message);
+  }
+  void operator()(const AskWorkAnswer& message) const {
+    OnAskWorkAnswer(context, message);
+  }
+};
+
+struct PlatformHandler {
+  Context& context;
+  const PlatformResult& result;
+
+  void operator()(const ConfigWatchPurpose& /*purpose*/) const {
+    OnConfigWatched(context, result);
+  }
+  void operator()(const InstancesWatchPurpose& /*purpose*/) const {
+    OnInstancesWatched(context, result);
+  }
+  void operator()(const ConfigWritePurpose& purpose) const {
+    OnConfigWritten(context, purpose, result);
+  }
+  void operator()(const LedgerPurpose& purpose) const {
+    const auto it = context.state().logs.find(purpose.log);
+    if (it != context.state().logs.end()) {
+      RunLedger(
+          context, purpose.log,
+          it->second.log->OnAnswer(purpose.ledger_call, result, context.now()));
+    }
+  }
+  void operator()(const OrphanScanPurpose& /*purpose*/) const {
+    OnOrphanScan(context, result);
+  }
+};
+
+// Notes whether the platform answers, for the digests and the log.
+void NotePlatform(Context& context, const PlatformResult& result) {
+  State& state = context.state();
+  const auto* lost = std::get_if<PlatformUnavailable>(&result);
+  if (lost == nullptr) {
+    if (!state.platform_ok && state.platform_ever) {
+      context.Log(EventNumber::kPlatformBack, {});
+    }
+    state.platform_ok = true;
+    state.platform_ever = true;
+    state.platform_seen = context.now();
+    return;
+  }
+  if (state.platform_ok || !state.platform_ever) {
+    context.Log(EventNumber::kPlatformUnreachable, {{"detail", lost->message}});
+  }
+  state.platform_ok = false;
+}
+
+struct EventHandler {
+  Context& context;
+
+  void operator()(const ProcessStarted& /*event*/) const {
+    context.state().started = context.now();
+    StartMembership(context);
+    context.After(kFirstOffers, TimerKind::kOffers);
+    context.After(context.policy().membership.peer_silent,
+                  TimerKind::kOrphanScan);
+  }
+  void operator()(const TimerFired& /*event*/) const {
+    while (const auto timer = context.state().timers.PopDue(context.now())) {
+      RunTimer(context, *timer);
+    }
+  }
+  void operator()(const RequestArrived& event) const {
+    OnRequestArrived(context, event);
+  }
+  void operator()(const JobArrived& event) const {
+    OnJobArrived(context, event);
+  }
+  void operator()(const WorkAsked& event) const { OnWorkAsked(context, event); }
+  void operator()(const CallerGone& /*event*/) const {}
+  void operator()(const ConfigAsked& event) const {
+    OnConfigAsked(context, event);
+  }
+  void operator()(const ConfigProposed& event) const {
+    OnConfigProposed(context, event);
+  }
+  void operator()(const DrainAsked& event) const {
+    OnDrainAsked(context, event);
+  }
+  void operator()(const PlatformAnswered& event) const {
+    auto& calls = context.state().calls.platform;
+    const auto it = calls.find(event.call);
+    if (it == calls.end()) {
+      return;  // late or doubled
+    }
+    const PlatformPurpose purpose = std::move(it->second);
+    calls.erase(it);
+    NotePlatform(context, event.result);
+    std::visit(PlatformHandler{.context = context, .result = event.result},
+               purpose);
+  }
+  void operator()(const WorkerAnswered& event) const {
+    OnWorkerAnswered(context, event);
+  }
+  void operator()(const PeerSaid& event) const {
+    if (NotePeer(context, event)) {
+      std::visit(PeerMessageHandler{.context = context, .said = event},
+                 event.message);
+    }
+  }
+  void operator()(const PeerNotReached& event) const {
+    if (const auto* forward = std::get_if<ForwardRequest>(&event.message)) {
+      OnForwardNotReached(context, *forward);
+    }
+  }
+};
+
+void DropDeadLogs(State& state) {
+  for (const std::string& it : state.dead_logs) {
+    state.logs.erase(it);
+  }
+  state.dead_logs.clear();
+}
+
+}  // namespace
+
+State MakeState(StateOptions options) {
+  State state;
+  state.random.seed(options.seed);
+  const double writes = state.config.policy.journal.writes_per_second;
+  state.write_budget = std::make_unique<WriteBudget>(
+      WriteBudgetOptions{.writes_per_second = writes, .burst = writes});
+  state.self = std::move(options);
+  return state;
+}
+
+Effects Step(State& state, const Event& event) {
+  Effects effects;
+  Context context(state, event.now, effects);
+  *state.wall_ms = state.self.wall_start_ms + ToMilliseconds(event.now);
+  std::visit(EventHandler{.context = context}, event.body);
+  if (state.tasks.wanted) {
+    PlaceTasks(context);
+  }
+  DropDeadLogs(state);
+  return effects;
+}
+
+Time NextTime(const State& state) {
+  return state.timers.next();
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/scheduler/task_exchange.cc
@@ -0,0 +1,398 @@
+// The messages between the writer of a job's journal and the owners of the
+// workers that its tasks run on.
+#include <algorithm>
+#include <utility>
+
+#include "scheduler/context.h"
+#include "scheduler/tasks.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr Duration kOfferRepeat = std::chrono::seconds(1);
+constexpr Duration kEndRepeat = std::chrono::seconds(1);
+constexpr Duration kStoppedEarlyKept = std::chrono::seconds(60);
+
+AttemptReport ReportOf(const Booking& booking) {
+  return {.attempt = booking.attempt,
+          .resources = booking.resources,
+          .state = booking.state,
+          .outcome = booking.outcome,
+          .answer = booking.answer};
+}
+
+bool IsOwnLog(const Context& context, const std::string& log) {
+  return context.state().jobs.journals.contains(log);
+}
+
+void Refuse(Context& context,
+            const std::string& peer,
+            std::uint64_t sequence,
+            const AttemptId& attempt,
+            const std::string& why) {
+  context.Send(
+      peer,
+      TaskRefused{.sequence = sequence, .attempt = attempt, .reason = why});
+}
+
+// Why an offer must not be taken; empty when it may be.
+std::string OfferProblem(Context& context, const TaskOffer& offer) {
+  State& state = context.state();
+  const auto fence = state.jobs.fences.find(LogOfJob(offer.attempt.job));
+  if (fence != state.jobs.fences.end() && offer.generation < fence->second) {
+    return "old_generation";
+  }
+  if (state.jobs.stopped_early.contains(offer.attempt)) {
+    return "stopped";
+  }
+  return state.drain.draining ? "draining" : "";
+}
+
+void RepeatOffers(Context& context, Job& job) {
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    const Task& task = job.tasks[it];
+    const bool waits = task.state == TaskState::kStarting &&
+                       !task.owner.empty() && task.owner != context.self() &&
+                       context.now() - task.offered >= kOfferRepeat;
+    if (waits) {
+      OfferTask(context, job, it, task.owner, job.spec.kind == JobKind::kGang);
+    }
+  }
+}
+
+// Stops and goes are repeated until the attempt's news shows their effect.
+void RepeatStops(Context& context, Job& job) {
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    const Task& task = job.tasks[it];
+    if (context.now() - task.offered < kOfferRepeat) {
+      continue;
+    }
+    if (task.state == TaskState::kStopping) {
+      StopAttempt(context, job, it);
+    } else if (task.state == TaskState::kHeld && job.gang_running) {
+      GoAttempt(context, job, it);
+    }
+  }
+}
+
+}  // namespace
+
+std::string WriterOf(const Context& context, const std::string& log) {
+  const State& state = context.state();
+  const auto own = state.jobs.journals.find(log);
+  std::string writer;
+  std::uint64_t generation = 0;
+  if (own != state.jobs.journals.end() && own->second.ready) {
+    writer = context.self();
+    generation = own->second.generation;
+  }
+  for (const auto& [id, peer] : state.membership.peers) {
+    if (!peer.alive) {
+      continue;
+    }
+    for (const LedLog& it : peer.digest.logs) {
+      if (it.name == log && it.generation > generation) {
+        writer = id;
+        generation = it.generation;
+      }
+    }
+  }
+  return writer;
+}
+
+WorkerRecord* FindBooking(Context& context, const AttemptId& attempt) {
+  for (auto& [id, worker] : context.state().ownership.workers) {
+    if (worker.bookings.contains(attempt)) {
+      return &worker;
+    }
+  }
+  return nullptr;
+}
+
+void OfferTask(Context& context,
+               Job& job,
+               std::uint32_t index,
+               const std::string& peer,
+               bool hold) {
+  Peer& target = context.state().membership.peers.at(peer);
+  Task& task = job.tasks[index];
+  task.owner = peer;
+  task.worker.clear();
+  task.offered = context.now();
+  task.offer_sequence = ++target.offer_sequence;
+  target.lent_room += job.spec.resources;
+  context.Send(
+      peer,
+      TaskOffer{
+          .sequence = task.offer_sequence,
+          .to_incarnation = target.incarnation,
+          .generation = context.state().jobs.journals.at(job.log).generation,
+          .attempt = {.job = job.id, .task = index, .number = task.attempt},
+          .kind = job.spec.kind,
+          .resources = job.spec.resources,
+          .payload = job.spec.payload,
+          .hold = hold});
+}
+
+void OnTaskOffer(Context& context,
+                 const std::string& from,
+                 const TaskOffer& offer) {
+  State& state = context.state();
+  Peer& peer = state.membership.peers.at(from);
+  // A doubled or overtaken offer is dropped without an answer: the attempt may
+  // have started and ended since, and would start again. An offer that was
+  // really lost is repeated under a new sequence.
+  if (offer.to_incarnation != state.self.incarnation ||
+      offer.sequence <= peer.accepted_sequence) {
+    return;
+  }
+  peer.accepted_sequence = offer.sequence;
+  WorkerRecord* holder = FindBooking(context, offer.attempt);
+  if (holder != nullptr) {
+    Booking& booking = holder->bookings.at(offer.attempt);
+    booking.offer_sequence = offer.sequence;
+    if (booking.confirmed != Time(0)) {
+      TellWriter(context, *holder, booking);
+    }
+    return;
+  }
+  const std::string problem = OfferProblem(context, offer);
+  if (!problem.empty()) {
+    Refuse(context, from, offer.sequence, offer.attempt, problem);
+    return;
+  }
+  const WorkerPolicy policy = offer.kind == JobKind::kService
+                                  ? WorkerPolicy::kSpread
+                                  : WorkerPolicy::kPack;
+  const auto index = state.placement.PickWorker(offer.resources, policy);
+  if (!index) {
+    Refuse(context, from, offer.sequence, offer.attempt, "no_room");
+    return;
+  }
+  WorkerRecord& worker =
+      state.ownership.workers.at(state.placement.info(*index).id);
+  StartOnWorker(context, worker,
+                {.attempt = offer.attempt,
+                 .resources = offer.resources,
+                 .payload = offer.payload,
+                 .hold = offer.hold,
+                 .offered_by = from,
+                 .offer_sequence = offer.sequence});
+}
+
+void OnTaskRefused(Context& context,
+                   const std::string& from,
+                   const TaskRefused& refused) {
+  Task* task = nullptr;
+  Job* job = JobOfAttempt(context, refused.attempt, &task);
+  // Only the answer to the last offer counts: an earlier one may have been
+  // refused and a later one taken.
+  const bool is_current =
+      job != nullptr && task->attempt == refused.attempt.number &&
+      task->owner == from && task->offer_sequence == refused.sequence &&
+      (task->state == TaskState::kStarting ||
+       task->state == TaskState::kStopping);
+  context.state().membership.peers.at(from).struck = true;
+  if (is_current) {
+    OnAttemptNotStarted(context, refused.attempt, refused.reason);
+  }
+}
+
+void OnStartDone(Context& context,
+                 WorkerRecord& worker,
+                 const AttemptId& attempt) {
+  Booking& booking = worker.bookings.at(attempt);
+  booking.uncertain = false;
+  TellWriter(context, worker, booking);
+}
+
+void OnStartNotDone(Context& context,
+                    WorkerRecord& worker,
+                    const AttemptId& attempt,
+                    const std::string& why) {
+  const Booking booking = worker.bookings.at(attempt);
+  EraseBooking(context, worker, attempt);
+  if (why == "no_room") {
+    // The worker has less room than the books say: what it runs is asked for
+    // before anything more is given to it.
+    worker.suspect = true;
+    UpdateOpen(context, worker);
+    RenewNow(context, worker);
+  }
+  if (booking.offered_by.empty()) {
+    OnAttemptNotStarted(context, attempt, why);
+    return;
+  }
+  Refuse(context, booking.offered_by, booking.offer_sequence, attempt, why);
+}
+
+void OnEndReported(Context& context,
+                   WorkerRecord& worker,
+                   const AttemptReport& report) {
+  const auto it = worker.bookings.find(report.attempt);
+  if (it != worker.bookings.end() && it->second.state == AttemptState::kEnded) {
+    return;  // told already; repeated until acknowledged
+  }
+  if (it == worker.bookings.end()) {
+    worker.bookings.emplace(report.attempt,
+                            Booking{.attempt = report.attempt,
+                                    .resources = report.resources,
+                                    .confirmed = context.now(),
+                                    .holds_room = false});
+  }
+  Booking& booking = worker.bookings.at(report.attempt);
+  if (booking.holds_room && worker.index) {
+    context.state().placement.Give(*worker.index, booking.resources);
+    context.state().tasks.wanted = true;
+  }
+  booking.holds_room = false;
+  booking.uncertain = false;
+  booking.state = AttemptState::kEnded;
+  booking.outcome = report.outcome;
+  booking.answer = report.answer;
+  const bool is_judged =
+      report.outcome == Outcome::kDone || report.outcome == Outcome::kFailed;
+  if (is_judged) {
+    Task* task = nullptr;
+    const Job* job = JobOfAttempt(context, report.attempt, &task);
+    NoteEnd(context, worker, report.attempt.job,
+            report.outcome == Outcome::kFailed, job != nullptr && job->bad);
+  }
+  TellWriter(context, worker, booking);
+}
+
+void TellWriter(Context& context,
+                const WorkerRecord& worker,
+                Booking& booking) {
+  booking.told = context.now();
+  const AttemptReport report = ReportOf(booking);
+  const std::string log = LogOfJob(report.attempt.job);
+  const std::string writer = WriterOf(context, log);
+  const std::string id = worker.info.id;
+  if (writer == context.self()) {
+    if (report.state == AttemptState::kEnded) {
+      OnAttemptEnded(context, report, id, context.self());
+    } else {
+      OnAttemptRunning(context, report.attempt,
+                       report.state == AttemptState::kHeld, id, context.self());
+    }
+    return;
+  }
+  // Without a known writer the end is told again later.
+  if (!writer.empty()) {
+    context.Send(writer, TaskUpdate{.report = report, .worker = id});
+  }
+}
+
+void OnTaskUpdate(Context& context,
+                  const std::string& from,
+                  const TaskUpdate& update) {
+  if (!IsOwnLog(context, LogOfJob(update.report.attempt.job))) {
+    return;
+  }
+  if (update.report.state == AttemptState::kEnded) {
+    OnAttemptEnded(context, update.report, update.worker, from);
+    return;
+  }
+  OnAttemptRunning(context, update.report.attempt,
+                   update.report.state == AttemptState::kHeld, update.worker,
+                   from);
+}
+
+void AcknowledgeEnd(Context& context,
+                    const AttemptId& attempt,
+                    const std::string& owner) {
+  if (owner.empty() || owner == context.self()) {
+    OnTaskAcknowledged(context, attempt);
+    return;
+  }
+  context.Send(owner, TaskAcknowledged{.attempt = attempt});
+}
+
+void OnTaskAcknowledged(Context& context, const AttemptId& attempt) {
+  WorkerRecord* worker = FindBooking(context, attempt);
+  if (worker == nullptr ||
+      worker->bookings.at(attempt).state != AttemptState::kEnded) {
+    return;
+  }
+  EraseBooking(context, *worker, attempt);
+  worker->acknowledge.push_back(attempt);
+}
+
+void OnTaskGo(Context& context, const AttemptId& attempt) {
+  WorkerRecord* worker = FindBooking(context, attempt);
+  if (worker == nullptr ||
+      worker->bookings.at(attempt).state != AttemptState::kHeld) {
+    return;
+  }
+  worker->go.push_back(attempt);
+  RenewNow(context, *worker);
+}
+
+void OnTaskStop(Context& context, const AttemptId& attempt) {
+  WorkerRecord* worker = FindBooking(context, attempt);
+  if (worker == nullptr) {
+    // The offer may still be on its way.
+    context.state().jobs.stopped_early[attempt] =
+        context.now() + kStoppedEarlyKept;
+    return;
+  }
+  CommandWorker(context, *worker,
+                StopCommand{.epoch = worker->epoch, .attempts = {attempt}},
+                StopPurpose{});
+}
+
+void StopAttempt(Context& context, Job& job, std::uint32_t index) {
+  Task& task = job.tasks[index];
+  const AttemptId attempt{.job = job.id, .task = index, .number = task.attempt};
+  task.state = TaskState::kStopping;
+  task.offered = context.now();
+  if (task.owner.empty() || task.owner == context.self()) {
+    OnTaskStop(context, attempt);
+    return;
+  }
+  context.Send(task.owner, TaskStop{.attempt = attempt});
+}
+
+void GoAttempt(Context& context, Job& job, std::uint32_t index) {
+  Task& task = job.tasks[index];
+  task.offered = context.now();
+  const AttemptId attempt{.job = job.id, .task = index, .number = task.attempt};
+  if (task.owner.empty() || task.owner == context.self()) {
+    OnTaskGo(context, attempt);
+    return;
+  }
+  context.Send(task.owner, TaskGo{.attempt = attempt});
+}
+
+void OnOffersTimer(Context& context) {
+  State& state = context.state();
+  for (auto& [id, job] : state.jobs.jobs) {
+    if (!job.finished && job.recorded) {
+      RepeatOffers(context, job);
+      RepeatStops(context, job);
+    }
+  }
+  for (auto& [id, worker] : state.ownership.workers) {
+    std::vector<AttemptId> untold;
+    for (const auto& [attempt, booking] : worker.bookings) {
+      if (booking.state == AttemptState::kEnded &&
+          context.now() - booking.told >= kEndRepeat) {
+        untold.push_back(attempt);
+      }
+    }
+    for (const AttemptId& it : untold) {
+      const auto booking = worker.bookings.find(it);
+      if (booking != worker.bookings.end()) {
+        TellWriter(context, worker, booking->second);
+      }
+    }
+  }
+  std::erase_if(state.jobs.stopped_early,
+                [&](const auto& it) { return it.second < context.now(); });
+  ForgetOldForwards(context);
+  context.After(kOfferRepeat, TimerKind::kOffers);
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/scheduler/tasks.cc
@@ -0,0 +1,307 @@
+#include "scheduler/tasks.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "scheduler/context.h"
+#include "scheduler/forwarding.h"
+
+namespace burdockrock {
+
+namespace {
+
+// Bounds of one pass, so that no event keeps the process busy for long. What
+// is left is placed in the next pass, which follows at once.
+constexpr std::size_t kMaxStartsPerPass = 256;
+constexpr std::size_t kMaxBlockedPerPass = 64;
+
+struct PassTeam {
+  double usage = 0;
+  std::string team;
+  auto operator<=>(const PassTeam&) const = default;
+};
+
+struct Pass {
+  std::size_t starts = 0;
+  std::size_t blocked = 0;
+  // Sizes that were found not to fit: neither does anything larger.
+  std::vector<Resources> misfits;
+  std::array<std::set<PassTeam>, kUrgencyCount> teams;
+  std::array<std::map<std::string, std::size_t>, kUrgencyCount> cursors;
+};
+
+double UsageOf(const Context& context, const std::string& team) {
+  const State& state = context.state();
+  const auto usage = state.jobs.team_usage.find(team);
+  if (usage == state.jobs.team_usage.end()) {
+    return 0;
+  }
+  const auto policy = context.policy().teams.find(team);
+  const double weight =
+      policy == context.policy().teams.end() ? 1 : policy->second.weight;
+  const DimensionArray used = ToArray(usage->second);
+  const DimensionArray total = ToArray(state.placement.total_capacity());
+  double share = 0;
+  for (std::size_t it = 0; it < kDimensionCount; ++it) {
+    if (total[it] > 0) {
+      share = std::max(share, static_cast<double>(used[it]) /
+                                  static_cast<double>(total[it]));
+    }
+  }
+  return share / std::max(weight, 0.001);
+}
+
+// A team's quota is split evenly over the live entry instances, without
+// asking anyone at each start. A share is never less than one task, so that a
+// small quota does not keep a team from running at all.
+bool WithinQuota(Context& context, const Job& job) {
+  const auto policy = context.policy().teams.find(job.spec.team);
+  if (policy == context.policy().teams.end()) {
+    return true;
+  }
+  const auto live = static_cast<std::int64_t>(CountLivePeers(context));
+  const DimensionArray quota = ToArray(policy->second.quota);
+  const DimensionArray need = ToArray(job.spec.resources);
+  const DimensionArray used =
+      ToArray(context.state().jobs.team_usage[job.spec.team]);
+  for (std::size_t it = 0; it < kDimensionCount; ++it) {
+    const std::int64_t share = (quota[it] + live - 1) / live;
+    if (quota[it] > 0 && used[it] + need[it] > std::max(share, need[it])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool IsKnownMisfit(const Pass& pass, const Resources& need) {
+  return std::any_of(pass.misfits.begin(), pass.misfits.end(),
+                     [&](const Resources& it) { return Fits(it, need); });
+}
+
+std::optional<std::uint32_t> NextTask(Job& job) {
+  while (job.next_queued < job.tasks.size()) {
+    if (job.tasks[job.next_queued].state == TaskState::kQueued) {
+      return job.next_queued;
+    }
+    ++job.next_queued;
+  }
+  return std::nullopt;
+}
+
+WorkerPolicy PolicyOf(const Job& job) {
+  return job.spec.kind == JobKind::kService ? WorkerPolicy::kSpread
+                                            : WorkerPolicy::kPack;
+}
+
+bool PlaceTask(Context& context, Job& job, std::uint32_t index) {
+  State& state = context.state();
+  const auto local =
+      state.placement.PickWorker(job.spec.resources, PolicyOf(job));
+  const std::string peer =
+      local ? "" : ChoosePeerForTask(context, job.spec.resources);
+  if (!local && peer.empty()) {
+    return false;
+  }
+  Task& task = job.tasks[index];
+  if (!job.spec.idempotent && !task.dispatched) {
+    RecordDispatch(context, job, index);
+    return true;
+  }
+  task.attempt = state.jobs.journals.at(job.log).next_attempt++;
+  NoteDispatched(context, job, index);
+  if (!local) {
+    OfferTask(context, job, index, peer, false);
+    return true;
+  }
+  WorkerRecord& worker =
+      state.ownership.workers.at(state.placement.info(*local).id);
+  task.owner = context.self();
+  task.worker = worker.info.id;
+  StartOnWorker(
+      context, worker,
+      {.attempt = {.job = job.id, .task = index, .number = task.attempt},
+       .resources = job.spec.resources,
+       .payload = job.spec.payload});
+  return true;
+}
+
+enum class Tried { kStarted, kBlocked, kNothingLeft };
+
+Tried TryJob(Context& context, Pass& pass, Job& job) {
+  if (job.cancelled || job.finished || job.queued == 0) {
+    return Tried::kNothingLeft;
+  }
+  if (context.now() < job.retry_at || !WithinQuota(context, job)) {
+    return Tried::kBlocked;
+  }
+  if (job.spec.kind == JobKind::kGang) {
+    return AssembleGang(context, job) ? Tried::kNothingLeft : Tried::kBlocked;
+  }
+  const auto index = NextTask(job);
+  if (!index) {
+    return Tried::kNothingLeft;
+  }
+  if (IsKnownMisfit(pass, job.spec.resources)) {
+    return Tried::kBlocked;
+  }
+  if (PlaceTask(context, job, *index)) {
+    return job.queued == 0 ? Tried::kNothingLeft : Tried::kStarted;
+  }
+  pass.misfits.push_back(job.spec.resources);
+  return Tried::kBlocked;
+}
+
+// Tries the jobs of a class until one task is started. False when none can.
+bool PlaceOne(Context& context, Pass& pass, std::size_t which) {
+  State& state = context.state();
+  auto& teams = pass.teams[which];
+  while (!teams.empty() && pass.blocked < kMaxBlockedPerPass) {
+    const PassTeam first = *teams.begin();
+    teams.erase(teams.begin());
+    std::deque<std::string>& jobs = state.tasks.classes[which][first.team];
+    std::size_t& cursor = pass.cursors[which][first.team];
+    if (cursor >= jobs.size()) {
+      continue;
+    }
+    Job* job = FindJob(context, jobs[cursor]);
+    const Tried tried =
+        job == nullptr ? Tried::kNothingLeft : TryJob(context, pass, *job);
+    if (tried == Tried::kNothingLeft) {
+      if (job != nullptr) {
+        job->in_queue = false;
+      }
+      jobs.erase(jobs.begin() + static_cast<std::ptrdiff_t>(cursor));
+    } else if (tried == Tried::kBlocked) {
+      ++cursor;
+      ++pass.blocked;
+    }
+    teams.insert({.usage = UsageOf(context, first.team), .team = first.team});
+    if (tried == Tried::kStarted) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void BeginPass(Context& context, Pass& pass) {
+  TaskQueue& queue = context.state().tasks;
+  for (std::size_t it = 0; it < kUrgencyCount; ++it) {
+    std::erase_if(queue.classes[it],
+                  [](const auto& team) { return team.second.empty(); });
+    for (const auto& [team, jobs] : queue.classes[it]) {
+      pass.teams[it].insert({.usage = UsageOf(context, team), .team = team});
+    }
+  }
+}
+
+// Urgent work first, but a share of the starts is offered to the classes below
+// before it, so that they are delayed and not starved.
+bool PlaceNext(Context& context, Pass& pass) {
+  TaskQueue& queue = context.state().tasks;
+  const double share = context.policy().urgency.batch_share;
+  const auto period =
+      share <= 0
+          ? std::uint64_t{0}
+          : static_cast<std::uint64_t>(std::max(std::llround(1 / share), 2LL));
+  for (std::size_t it = 0; it < kUrgencyCount; ++it) {
+    if (pass.teams[it].empty()) {
+      continue;
+    }
+    ++queue.picks[it];
+    const bool lower_first = period > 0 && queue.picks[it] % period == 0;
+    for (std::size_t low = it + 1; lower_first && low < kUrgencyCount; ++low) {
+      if (PlaceOne(context, pass, low)) {
+        return true;
+      }
+    }
+    if (PlaceOne(context, pass, it)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+void RecordDispatch(Context& context, Job& job, std::uint32_t index) {
+  --job.queued;
+  --context.state().jobs.waiting;
+  job.tasks[index].state = TaskState::kDispatching;
+  AppendTo(context, job.log, RecordOfDispatch(job, index), {.urgent = true},
+           DispatchAppend{.job = job.id, .task = index});
+}
+
+void QueueJob(Context& context, Job& job) {
+  State& state = context.state();
+  state.tasks.wanted = true;
+  if (job.in_queue) {
+    return;
+  }
+  job.in_queue = true;
+  const auto which = static_cast<std::size_t>(job.spec.urgency);
+  state.tasks.classes[which][job.spec.team].push_back(job.id);
+}
+
+void PlaceTasks(Context& context) {
+  State& state = context.state();
+  state.tasks.wanted = false;
+  if (state.jobs.waiting == 0 || state.drain.draining || !IsServing(context)) {
+    return;
+  }
+  Pass pass;
+  BeginPass(context, pass);
+  while (pass.starts < kMaxStartsPerPass && PlaceNext(context, pass)) {
+    ++pass.starts;
+  }
+  if (pass.starts == kMaxStartsPerPass) {
+    context.At(context.now(), TimerKind::kSchedule);
+  }
+}
+
+std::string ChoosePeerForTask(Context& context, const Resources& need) {
+  std::vector<const Peer*> candidates;
+  for (const auto& [id, peer] : context.state().membership.peers) {
+    const Resources room = peer.digest.largest_free - peer.lent_room;
+    if (IsDomainPeer(context, peer) && IsUsable(context, peer) &&
+        Fits(need, room)) {
+      candidates.push_back(&peer);
+    }
+  }
+  if (candidates.empty()) {
+    return "";
+  }
+  const auto at = static_cast<std::size_t>(
+      context.Random() * static_cast<double>(candidates.size()));
+  return candidates[std::min(at, candidates.size() - 1)]->id;
+}
+
+bool StartOnWorker(Context& context,
+                   WorkerRecord& worker,
+                   const StartTask& start) {
+  const bool booked = BookAttempt(
+      context, worker,
+      {.attempt = start.attempt,
+       .resources = start.resources,
+       .state = start.hold ? AttemptState::kHeld : AttemptState::kRunning,
+       .offered_by = start.offered_by,
+       .offer_sequence = start.offer_sequence,
+       .sent = context.now()});
+  if (!booked) {
+    return false;
+  }
+  ++context.state().counters.starts;
+  CommandWorker(context, worker,
+                StartCommand{.epoch = worker.epoch,
+                             .attempt = start.attempt,
+                             .resources = start.resources,
+                             .payload = start.payload,
+                             .lease = context.policy().lease.task_lease,
+                             .hold = start.hold},
+                StartPurpose{.attempt = start.attempt});
+  return true;
+}
+
+}  // namespace burdockrock
