--- a/Source/observe/log.cc
+++ b/Source/observe/log.cc
@@ -112,7 +112,7 @@
 }
 
 void Logger::Emit(const LogLine& line) {
-  const LogPrefix prefix = {.time = options_.timestamp(),
+  const LogHeader prefix = {.time = options_.timestamp(),
                             .instance = options_.instance};
   options_.sink(FormatLogLine(options_.format, prefix, line));
 }
--- a/Source/observe/log_format.cc
+++ b/Source/observe/log_format.cc
@@ -120,7 +120,7 @@
   out.push_back('"');
 }
 
-std::string FormatKeyValue(const LogPrefix& prefix, const LogLine& line) {
+std::string FormatKeyValue(const LogHeader& prefix, const LogLine& line) {
   const EventInfo& info = InfoOf(line.number);
   std::string out;
   AppendPair(out, "time", prefix.time);
@@ -148,7 +148,7 @@
   return out;
 }
 
-std::string FormatJson(const LogPrefix& prefix, const LogLine& line) {
+std::string FormatJson(const LogHeader& prefix, const LogLine& line) {
   const EventInfo& info = InfoOf(line.number);
   Json::Value object(Json::objectValue);
   object["time"] = prefix.time;
@@ -168,7 +168,7 @@
 }  // namespace
 
 std::string FormatLogLine(LogFormat format,
-                          const LogPrefix& prefix,
+                          const LogHeader& prefix,
                           const LogLine& line) {
   return format == LogFormat::kJsonLines ? FormatJson(prefix, line)
                                          : FormatKeyValue(prefix, line);
--- a/Source/observe/log_format.h
+++ b/Source/observe/log_format.h
@@ -34,17 +34,17 @@
 };
 
 // What stands before the event's own fields.
-struct LogPrefix {
+struct LogHeader {
   std::string time;
   std::string instance;
 
-  auto operator<=>(const LogPrefix&) const = default;
+  auto operator<=>(const LogHeader&) const = default;
 };
 
 // Without a newline at the end. An own field that takes the key of the prefix
 // (time, level, event, name, instance) gets a `_` after its key.
 std::string FormatLogLine(LogFormat format,
-                          const LogPrefix& prefix,
+                          const LogHeader& prefix,
                           const LogLine& line);
 
 }  // namespace burdockrock
--- a/Source/scheduler/jobs.cc
+++ b/Source/scheduler/jobs.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "scheduler/context.h"
+#include "scheduler/gangs.h"
 
 namespace burdockrock {
 
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "scheduler/context.h"
+#include "scheduler/gangs.h"
 #include "scheduler/forwarding.h"
 
 namespace burdockrock {
