Standin: Serves the fakes over HTTP with a control interface

Tests of whole processes need the platform, the workers and the minions on real sockets, with their failures switched while they run. Counters tell of doubled tasks, repeated keys, starts over capacity and the platform's calls by kind and second.

--- a/Tests/standin/platform_store.h
+++ b/Tests/standin/platform_store.h
@@ -66,6 +66,7 @@
   Time NextEventTime() const;
 
   LaggingInstances& instances() { return instances_; }
+  const LaggingInstances& instances() const { return instances_; }
   PlatformFaults& faults() { return faults_; }
   const CallCounter& calls() const { return calls_; }
   Revision revision() const { return revision_; }
--- /dev/null
+++ b/Tests/standin/standin_control.h
@@ -0,0 +1,51 @@
+// Carries out the control commands of the stand-in program.
+#ifndef BURDOCKROCK_STANDIN_STANDIN_CONTROL_H_
+#define BURDOCKROCK_STANDIN_STANDIN_CONTROL_H_
+
+#include <string>
+
+#include <json/value.h>
+
+#include "net/http_message.h"
+#include "standin/standin_cluster.h"
+
+namespace burdockrock {
+
+// GET /control answers with all counters; GET /control?key=K with how often
+// the work with the key or payload K was executed.
+//
+// POST /control sets faults of one target:
+//   {"target": "platform", "set": {"down": bool, "refuse": bool,
+//     "lose_answers": N, "garbage_answers": N, "slow_ms": N, "lag_ms": N,
+//     "max_writes_per_second": N, "max_reads_per_second": N,
+//     "cut_listeners": ["IP:PORT"]}}
+//   {"target": INSTANCE, "set": {"black_hole": bool, "paused": bool,
+//     "lose_answers": N, "garbage_answers": N, "slow_ms": N,
+//     "speed_percent": N, "usage_percent": N, "leaving": bool, "gone": bool,
+//     "crash": bool, "forget_epoch": bool}}
+//   {"cut": {"from_owner": ENTRY, "target": INSTANCE, "cut": bool}}
+// Faults that are not named stay as they are. `forget_epoch` goes with
+// `crash`. Of entry instances only "leaving" and "gone" can be set.
+class StandinControl {
+ public:
+  // `cluster` must outlive the control.
+  explicit StandinControl(StandinCluster& cluster) : cluster_(cluster) {}
+
+  HttpResponse Handle(const HttpRequest& request);
+
+ private:
+  // Each gives what is wrong, or nothing.
+  std::string Change(const Json::Value& body);
+  std::string SetPlatform(const Json::Value& set);
+  std::string SetInstance(const std::string& id, const Json::Value& set);
+  std::string Cut(const Json::Value& cut);
+
+  Json::Value Counters() const;
+  Json::Value PlatformCounters() const;
+
+  StandinCluster& cluster_;
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_STANDIN_STANDIN_CONTROL_H_
