Scheduler: Runs several reducers against the fakes in virtual time

Cause: the whole path needs proof before sockets come in. Found by it: the first member to be ready claimed every worker of its domain and handed most of them over at once; a member now claims one digest after it has told its peers that it serves. A document that does not apply was asked for five times a second; it is now watched.

--- a/Source/scheduler/config_state.cc
+++ b/Source/scheduler/config_state.cc
@@ -212,7 +212,7 @@
   ConfigState& config = state.config;
   // Until the platform or a peer has told both documents, each process asks
   // for itself.
-  const bool must_ask = !config.loaded || !state.membership.has_instances;
+  const bool must_ask = config.seen == 0 || !state.membership.has_instances;
   if (!must_ask && !IsWatcher(context)) {
     return;
   }
@@ -255,7 +255,7 @@
       ApplyConfig(context, {.revision = it.revision, .document = it.value});
     }
   }
-  if (!config.loaded) {
+  if (config.seen == 0) {
     context.Log(EventNumber::kConfigurationAwaited, {});
     RetryWatch(context);
     return;
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -66,6 +66,9 @@
 void SendDigests(Context& context) {
   State& state = context.state();
   const Digest digest = MakeDigest(context);
+  if (digest.serving && state.membership.announced == Time(0)) {
+    state.membership.announced = context.now();
+  }
   const bool full = state.membership.peers.size() <= kFullMeshPeers;
   std::map<std::string, std::vector<std::string>> others;
   for (const auto& [id, peer] : state.membership.peers) {
@@ -311,7 +314,11 @@
 std::vector<std::string> DomainMembers(const Context& context) {
   const State& state = context.state();
   std::vector<std::string> members;
-  if (IsServing(context) && !state.drain.draining) {
+  const bool is_announced =
+      state.membership.announced != Time(0) &&
+      context.now() - state.membership.announced >=
+          context.policy().membership.digest;
+  if (IsServing(context) && is_announced && !state.drain.draining) {
     members.push_back(state.self.instance);
   }
   for (const auto& [id, peer] : state.membership.peers) {
--- a/Source/scheduler/membership.h
+++ b/Source/scheduler/membership.h
@@ -43,6 +43,10 @@
   InstanceList instances;
   bool has_instances = false;
   bool settled = false;  // time was given to hear the peers after the start
+  // When the peers were first told that this process serves. It claims workers
+  // one digest later: by then each member knows of the others that start with
+  // it, and none claims what it would hand over at once.
+  Time announced{0};
   std::vector<std::string> members;  // last reviewed, of the own domain
 };
 
--- /dev/null
+++ b/Tests/scheduler/entry_group.cc
@@ -0,0 +1,675 @@
+#include "scheduler/entry_group.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <stdexcept>
+#include <tuple>
+
+#include <fmt/format.h>
+#include <json/value.h>
+
+#include "config/merge_patch.h"
+#include "config/policy_document.h"
+#include "net/json.h"
+#include "scheduler/context.h"
+#include "scheduler/standin_edge.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr char kBasePolicy[] = R"({
+  "domains": ["d0", "d1", "d2"],
+  "services": {"desk": {}},
+  "teams": {"default": {}, "other": {}}
+})";
+constexpr Duration kLongestHold = std::chrono::milliseconds(400);
+constexpr Duration kRefusedDelay = std::chrono::microseconds(300);
+constexpr std::uint64_t kMaxEventsPerRun = 50'000'000;
+
+std::string DomainOf(std::uint32_t domain) {
+  return "d" + std::to_string(domain);
+}
+
+}  // namespace
+
+std::string EntryGroup::PolicyDocumentText(const std::string& policy,
+                                           const std::string& author) {
+  const auto base = ParseJson(kBasePolicy);
+  const auto patch = ParseJson(policy);
+  PolicyDocument document;
+  document.author = author;
+  document.base = ApplyMergePatch(std::get<Json::Value>(base),
+                                  std::get<Json::Value>(patch));
+  return SerializePolicyDocument(document);
+}
+
+EntryGroup::EntryGroup(EntryGroupOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      platform_({.instances_lag = options_.list_lag}) {
+  by_kind_.resize(std::variant_size_v<PeerMessage>);
+  BuildInstances();
+  platform_.instances().Set(instances_);
+  platform_.Apply(KvPut{.key = kPolicyKey,
+                        .value = PolicyDocumentText(options_.policy, "first")},
+                  now_);
+  for (auto& [id, entry] : entries_) {
+    Start(entry);
+  }
+}
+
+void EntryGroup::BuildInstances() {
+  for (std::uint32_t domain = 0; domain < options_.entries.size(); ++domain) {
+    const std::string name = DomainOf(domain);
+    for (std::uint32_t it = 0; it < options_.entries[domain]; ++it) {
+      const std::string id = name + "-e" + std::to_string(it);
+      entries_[id] = {.id = id, .domain = name};
+      instances_.push_back({.id = id,
+                            .role = InstanceRole::kEntry,
+                            .domain = name,
+                            .address = "peer:" + id});
+    }
+    const auto add = [&](const std::string& id, InstanceRole role,
+                         std::uint32_t number, const Resources& capacity) {
+      machines_[id].model = std::make_unique<standin::WorkerModel>(
+          standin::WorkerOptions{.id = id,
+                                 .capacity = capacity,
+                                 .default_run = options_.minion_run,
+                                 .recorder = &recorder_});
+      instances_.push_back(
+          {.id = id,
+           .role = role,
+           .service = role == InstanceRole::kMinion ? "desk" : "",
+           .domain = name,
+           .rack =
+               name + "-r" + std::to_string(number / options_.workers_per_rack),
+           .address = "worker:" + id,
+           .capacity = capacity});
+    };
+    for (std::uint32_t it = 0; it < options_.workers; ++it) {
+      add(name + "-w" + std::to_string(it), InstanceRole::kWorker, it,
+          options_.worker_capacity);
+    }
+    for (std::uint32_t it = 0; it < options_.minions; ++it) {
+      add(name + "-m" + std::to_string(it), InstanceRole::kMinion, it,
+          options_.minion_capacity);
+    }
+  }
+}
+
+void EntryGroup::Start(Entry& entry) {
+  entry.incarnation = next_incarnation_++;
+  entry.up = true;
+  entry.held.clear();
+  entry.timer_at = kForever;
+  StateOptions options{.instance = entry.id,
+                       .incarnation = std::to_string(entry.incarnation),
+                       .domain = entry.domain,
+                       .site = "test",
+                       .seed = random_(),
+                       .wall_start_ms = 1'700'000'000'000};
+  for (const auto& [id, other] : entries_) {
+    if (id != entry.id) {
+      options.peers.push_back(
+          {.id = id, .domain = other.domain, .address = "peer:" + id});
+    }
+  }
+  entry.state = std::make_unique<State>(MakeState(std::move(options)));
+  config_seen_.erase(entry.id);
+  Step(entry, ProcessStarted{});
+}
+
+std::vector<std::string> EntryGroup::entries() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, entry] : entries_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+State& EntryGroup::state(const std::string& entry) {
+  return *entries_.at(entry).state;
+}
+
+EntryFaults& EntryGroup::faults(const std::string& entry) {
+  return entries_.at(entry).faults;
+}
+
+standin::WorkerModel& EntryGroup::worker(const std::string& id) {
+  return *machines_.at(id).model;
+}
+
+void EntryGroup::After(Duration delay, std::function<void()> action) {
+  agenda_.push({.at = now_ + delay,
+                .sequence = next_sequence_++,
+                .action = std::move(action)});
+}
+
+void EntryGroup::Run(Duration span) {
+  RunUntil([] { return false; }, span);
+}
+
+bool EntryGroup::RunUntil(const std::function<bool()>& done, Duration limit) {
+  const Time end = now_ + limit;
+  for (std::uint64_t it = 0; it < kMaxEventsPerRun; ++it) {
+    if (done()) {
+      return true;
+    }
+    if (agenda_.empty() || agenda_.top().at > end) {
+      now_ = end;
+      return done();
+    }
+    RunOne();
+  }
+  throw std::runtime_error("the run does not come to an end");
+}
+
+void EntryGroup::RunOne() {
+  const Occasion occasion = agenda_.top();
+  agenda_.pop();
+  now_ = std::max(now_, occasion.at);
+  occasion.action();
+}
+
+void EntryGroup::Deliver(const std::string& id,
+                         std::uint64_t incarnation,
+                         EventBody body) {
+  Entry& entry = entries_.at(id);
+  if (!entry.up || entry.incarnation != incarnation) {
+    return;
+  }
+  if (entry.faults.paused) {
+    entry.held.push_back(std::move(body));
+    return;
+  }
+  Step(entry, std::move(body));
+}
+
+void EntryGroup::Step(Entry& entry, EventBody body) {
+  const Effects effects =
+      burdockrock::Step(*entry.state, {.now = now_, .body = std::move(body)});
+  for (const Effect& it : effects) {
+    if (on_effect) {
+      on_effect(entry.id, it);
+    }
+    Carry(entry, it);
+  }
+  Revision& seen = config_seen_[entry.id];
+  const Revision revision = entry.state->config.view.revision;
+  if (revision < seen) {
+    broken_.push_back(entry.id + " went back to an older configuration");
+  }
+  seen = revision;
+  if (entry.up) {
+    ArmTimer(entry);
+  }
+}
+
+void EntryGroup::ArmTimer(Entry& entry) {
+  const Time next = NextTime(*entry.state);
+  if (next >= entry.timer_at) {
+    return;
+  }
+  entry.timer_at = next;
+  const std::string id = entry.id;
+  const std::uint64_t incarnation = entry.incarnation;
+  After(std::max(next - now_, Duration(0)), [this, id, incarnation, next] {
+    Entry& again = entries_.at(id);
+    if (again.incarnation == incarnation && again.timer_at == next) {
+      again.timer_at = kForever;
+      Deliver(id, incarnation, TimerFired{});
+      if (again.up && again.faults.paused) {
+        again.timer_at = Time(0);  // fires once more on Resume
+      }
+    }
+  });
+}
+
+void EntryGroup::Carry(Entry& entry, const Effect& effect) {
+  if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+    if (!answers_.emplace(answer->reply, answer->answer).second) {
+      broken_.push_back("a caller was answered twice");
+    }
+    answered_at_.emplace(answer->reply, now_);
+  } else if (const auto* platform = std::get_if<CallPlatform>(&effect)) {
+    CarryPlatform(entry, *platform);
+  } else if (const auto* worker = std::get_if<CallWorker>(&effect)) {
+    CarryWorker(entry, *worker);
+  } else if (const auto* send = std::get_if<SendPeer>(&effect)) {
+    CarryPeer(entry, *send);
+  } else if (const auto* log = std::get_if<WriteLog>(&effect)) {
+    if (std::getenv("BURDOCKROCK_TRACE") != nullptr) {
+      const LogHeader header{.time = std::to_string(now_.count()),
+                             .instance = entry.id};
+      fmt::print("{}\n", FormatLogLine(LogFormat::kKeyValue, header,
+                                       log->line));
+    }
+    lines_.push_back(log->line);
+  } else if (const auto* wait = std::get_if<WaitingMeasured>(&effect)) {
+    waits_.push_back(wait->waited);
+  } else if (std::holds_alternative<StopProcess>(effect)) {
+    entry.up = false;
+  }
+}
+
+void EntryGroup::CarryPlatform(Entry& entry, const CallPlatform& call) {
+  const std::string id = entry.id;
+  const std::uint64_t incarnation = entry.incarnation;
+  const auto fail = [this, id, incarnation, call] {
+    Deliver(id, incarnation,
+            PlatformAnswered{
+                .call = call.call,
+                .result = PlatformUnavailable{.may_have_taken_effect = true,
+                                              .message = "no answer"}});
+  };
+  After(call.timeout, fail);
+  if (entry.faults.cut_from_platform) {
+    return;
+  }
+  After(options_.platform_delay / 2, [this, id, incarnation, call] {
+    if (platform_.faults().down) {
+      return;
+    }
+    const PlatformResult result = platform_.Apply(call.operation, now_);
+    const bool holds_back = IsEmptyWatch(call.operation, result);
+    if (!holds_back) {
+      AnswerPlatform(id, incarnation, call.call, result);
+    } else {
+      const Time until = now_ + WaitOf(call.operation);
+      watches_.push_back({.entry = id,
+                          .incarnation = incarnation,
+                          .call = call.call,
+                          .operation = call.operation,
+                          .until = until});
+      After(until - now_, [this] { PokePlatform(); });
+    }
+    PokePlatform();
+  });
+}
+
+void EntryGroup::AnswerPlatform(const std::string& entry,
+                                std::uint64_t incarnation,
+                                CallId call,
+                                PlatformResult result) {
+  After(options_.platform_delay / 2,
+        [this, entry, incarnation, call, result = std::move(result)] {
+          if (!entries_.at(entry).faults.cut_from_platform) {
+            Deliver(entry, incarnation,
+                    PlatformAnswered{.call = call, .result = result});
+          }
+        });
+}
+
+void EntryGroup::PokePlatform() {
+  platform_.Advance(now_);
+  if (platform_.faults().down) {
+    return;
+  }
+  for (auto it = watches_.begin(); it != watches_.end();) {
+    auto news = TryWatch(platform_, it->operation);
+    if (!news && now_ >= it->until) {
+      news = EmptyAnswer(platform_, it->operation);
+    }
+    if (!news) {
+      ++it;
+      continue;
+    }
+    AnswerPlatform(it->entry, it->incarnation, it->call, *std::move(news));
+    it = watches_.erase(it);
+  }
+  const Time next = platform_.NextEventTime();
+  if (next != kForever && next > now_) {
+    After(next - now_, [this] { platform_.Advance(now_); });
+  }
+}
+
+void EntryGroup::CarryWorker(Entry& entry, const CallWorker& call) {
+  const std::string id = entry.id;
+  const std::uint64_t incarnation = entry.incarnation;
+  const Machine& machine = machines_.at(call.worker);
+  if (machine.killed) {
+    After(kRefusedDelay, [this, id, incarnation, call] {
+      Deliver(id, incarnation,
+              WorkerAnswered{
+                  .call = call.call,
+                  .result = WorkerUnreachable{.may_have_been_received = false,
+                                              .message = "refused"}});
+    });
+    return;
+  }
+  After(call.timeout, [this, id, incarnation, call] {
+    Deliver(id, incarnation,
+            WorkerAnswered{.call = call.call,
+                           .result = WorkerUnreachable{.message = "timeout"}});
+  });
+  if (entry.faults.cut_workers.contains(call.worker)) {
+    return;
+  }
+  After(options_.worker_delay,
+        [this, id, incarnation, call] { ApplyCommand(id, incarnation, call); });
+}
+
+void EntryGroup::ApplyCommand(const std::string& entry,
+                              std::uint64_t incarnation,
+                              const CallWorker& call) {
+  Machine& machine = machines_.at(call.worker);
+  if (machine.killed) {
+    return;
+  }
+  standin::WorkerModel& model = *machine.model;
+  const auto answer = [this, entry, incarnation, worker = call.worker,
+                       id = call.call](WorkerResult result) {
+    AnswerWorker(entry, incarnation, worker, id, std::move(result));
+  };
+  if (const auto* run = std::get_if<RunCommand>(&call.command)) {
+    model.Run(ToStandin(*run), now_, [answer](const standin::RunAnswer& it) {
+      if (const auto result = FromStandin(it)) {
+        answer(*result);
+      }
+    });
+  } else if (const auto* renew = std::get_if<RenewCommand>(&call.command)) {
+    const standin::RenewCommand command = ToStandin(*renew);
+    const auto first = model.Renew(command, now_);
+    const bool waits = std::holds_alternative<standin::Renewed>(first) &&
+                       renew->wait > Duration(0) && model.RenewWaits(command);
+    if (waits) {
+      const Time until = now_ + renew->wait;
+      machine.renews.push_back({.entry = entry,
+                                .incarnation = incarnation,
+                                .call = call.call,
+                                .command = command,
+                                .until = until});
+      After(renew->wait, [this, id = call.worker] { PokeWorker(id); });
+    } else if (const auto result = FromStandin(first)) {
+      answer(*result);
+    }
+  } else if (const auto result = ApplyToModel(model, call.command, now_)) {
+    answer(*result);
+  }
+  PokeWorker(call.worker);
+}
+
+void EntryGroup::AnswerWorker(const std::string& entry,
+                              std::uint64_t incarnation,
+                              const std::string& worker,
+                              CallId call,
+                              WorkerResult result) {
+  After(options_.worker_delay,
+        [this, entry, incarnation, worker, call, result = std::move(result)] {
+          if (!entries_.at(entry).faults.cut_workers.contains(worker)) {
+            Deliver(entry, incarnation,
+                    WorkerAnswered{.call = call, .result = result});
+          }
+        });
+}
+
+void EntryGroup::PokeWorker(const std::string& id) {
+  Machine& machine = machines_.at(id);
+  if (machine.killed) {
+    return;
+  }
+  standin::WorkerModel& model = *machine.model;
+  model.Advance(now_);
+  for (auto it = machine.renews.begin(); it != machine.renews.end();) {
+    const bool stale = it->command.epoch != model.epoch();
+    if (!stale && now_ < it->until && model.RenewWaits(it->command)) {
+      ++it;
+      continue;
+    }
+    const auto result = FromStandin(model.AnswerRenew(it->command, now_));
+    if (result) {
+      AnswerWorker(it->entry, it->incarnation, id, it->call, *result);
+    }
+    it = machine.renews.erase(it);
+  }
+  const Time next = model.NextEventTime();
+  if (next != kForever && next > now_) {
+    After(next - now_, [this, id] { PokeWorker(id); });
+  }
+}
+
+void EntryGroup::CarryPeer(Entry& entry, const SendPeer& send) {
+  ++peer_messages_;
+  ++by_kind_[send.message.index()];
+  const auto target = entries_.find(send.peer);
+  if (target == entries_.end()) {
+    return;
+  }
+  const std::string from = entry.id;
+  const std::uint64_t incarnation = entry.incarnation;
+  if (!target->second.up) {
+    After(kRefusedDelay, [this, from, incarnation, send] {
+      Deliver(from, incarnation,
+              PeerNotReached{.peer = send.peer, .message = send.message});
+    });
+    return;
+  }
+  if (entry.faults.cut_peers.contains(send.peer)) {
+    return;
+  }
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (chance(random_) < options_.lose) {
+    return;
+  }
+  const int copies = chance(random_) < options_.repeat ? 2 : 1;
+  for (int it = 0; it < copies; ++it) {
+    Duration delay = options_.peer_delay;
+    if (chance(random_) < options_.hold_back) {
+      delay += Duration(static_cast<Duration::rep>(
+          chance(random_) * static_cast<double>(kLongestHold.count())));
+    }
+    const std::uint64_t to = target->second.incarnation;
+    After(delay, [this, from, incarnation, to, send, domain = entry.domain] {
+      Deliver(send.peer, to,
+              PeerSaid{.from = from,
+                       .incarnation = std::to_string(incarnation),
+                       .domain = domain,
+                       .message = send.message});
+    });
+  }
+}
+
+void EntryGroup::Kill(const std::string& entry) {
+  entries_.at(entry).up = false;
+}
+
+void EntryGroup::Restart(const std::string& entry) {
+  Start(entries_.at(entry));
+}
+
+bool EntryGroup::IsUp(const std::string& entry) const {
+  return entries_.at(entry).up;
+}
+
+void EntryGroup::Pause(const std::string& entry) {
+  entries_.at(entry).faults.paused = true;
+}
+
+void EntryGroup::Resume(const std::string& id) {
+  Entry& entry = entries_.at(id);
+  entry.faults.paused = false;
+  std::deque<EventBody> held;
+  held.swap(entry.held);
+  for (EventBody& it : held) {
+    if (entry.up) {
+      Step(entry, std::move(it));
+    }
+  }
+  if (entry.up) {
+    entry.timer_at = kForever;
+    Step(entry, TimerFired{});
+  }
+}
+
+void EntryGroup::CutPeers(const std::string& left,
+                          const std::string& right,
+                          bool cut) {
+  if (cut) {
+    faults(left).cut_peers.insert(right);
+    faults(right).cut_peers.insert(left);
+  } else {
+    faults(left).cut_peers.erase(right);
+    faults(right).cut_peers.erase(left);
+  }
+}
+
+void EntryGroup::CutDomain(std::uint32_t domain, bool cut) {
+  const std::string name = DomainOf(domain);
+  for (auto& [id, entry] : entries_) {
+    if (entry.domain != name) {
+      continue;
+    }
+    entry.faults.cut_from_platform = cut;
+    for (auto& [other_id, other] : entries_) {
+      if (other.domain != name) {
+        CutPeers(id, other_id, cut);
+      }
+    }
+  }
+}
+
+void EntryGroup::KillWorker(const std::string& id) {
+  Machine& machine = machines_.at(id);
+  machine.model->Crash(true, now_);
+  machine.killed = true;
+  machine.renews.clear();
+  platform_.instances().Remove(id, now_);
+  PokePlatform();
+}
+
+ReplyId EntryGroup::Submit(const std::string& entry, Request request) {
+  const ReplyId reply = next_reply_++;
+  Deliver(entry, entries_.at(entry).incarnation,
+          RequestArrived{.reply = reply, .request = std::move(request)});
+  return reply;
+}
+
+ReplyId EntryGroup::Submit(const std::string& entry, JobSpec spec) {
+  const ReplyId reply = next_reply_++;
+  Deliver(entry, entries_.at(entry).incarnation,
+          JobArrived{.reply = reply, .spec = std::move(spec)});
+  return reply;
+}
+
+ReplyId EntryGroup::Ask(const std::string& entry,
+                        const std::string& id,
+                        bool cancel) {
+  const ReplyId reply = next_reply_++;
+  Deliver(entry, entries_.at(entry).incarnation,
+          WorkAsked{.reply = reply, .id = id, .cancel = cancel});
+  return reply;
+}
+
+ReplyId EntryGroup::PutConfig(const std::string& entry,
+                              Revision expect,
+                              const std::string& document) {
+  const ReplyId reply = next_reply_++;
+  Deliver(
+      entry, entries_.at(entry).incarnation,
+      ConfigProposed{.reply = reply, .expect = expect, .document = document});
+  return reply;
+}
+
+void EntryGroup::Drain(const std::string& entry) {
+  Deliver(entry, entries_.at(entry).incarnation, DrainAsked{});
+}
+
+const CallerAnswer* EntryGroup::AnswerTo(ReplyId reply) const {
+  const auto it = answers_.find(reply);
+  return it == answers_.end() ? nullptr : &it->second;
+}
+
+std::optional<Verdict> EntryGroup::VerdictOf(ReplyId reply) const {
+  const CallerAnswer* answer = AnswerTo(reply);
+  const auto* work =
+      answer == nullptr ? nullptr : std::get_if<WorkAnswer>(answer);
+  if (work == nullptr) {
+    return std::nullopt;
+  }
+  return work->verdict;
+}
+
+std::string EntryGroup::JobIdOf(ReplyId reply) const {
+  const CallerAnswer* answer = AnswerTo(reply);
+  const auto* work =
+      answer == nullptr ? nullptr : std::get_if<WorkAnswer>(answer);
+  return work == nullptr ? "" : work->id;
+}
+
+std::optional<Time> EntryGroup::AnsweredAt(ReplyId reply) const {
+  const auto it = answered_at_.find(reply);
+  if (it == answered_at_.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+std::optional<WorkStatus> EntryGroup::StatusOf(const std::string& job) {
+  for (auto& [id, entry] : entries_) {
+    if (!entry.up || entry.faults.paused) {
+      continue;
+    }
+    Effects effects;
+    Context context(*entry.state, now_, effects);
+    if (const auto status = JobStatus(context, job)) {
+      return status;
+    }
+  }
+  return std::nullopt;
+}
+
+bool EntryGroup::IsSettled() {
+  std::size_t owned = 0;
+  std::size_t machines = 0;
+  for (const auto& [id, machine] : machines_) {
+    machines += machine.killed ? 0 : 1;
+  }
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.up || entry.faults.paused) {
+      continue;
+    }
+    for (const auto& [name, worker] : entry.state->ownership.workers) {
+      owned += worker.state == OwnerState::kOwned && !worker.claim_in_flight &&
+                       worker.desired == id && !machines_.at(name).killed
+                   ? 1
+                   : 0;
+    }
+  }
+  return owned >= machines;
+}
+
+std::vector<std::string> EntryGroup::Violations() {
+  std::vector<std::string> lines = broken_;
+  if (recorder_.doubled() > 0) {
+    lines.push_back("tasks ran in two places: " +
+                    std::to_string(recorder_.doubled()));
+  }
+  if (recorder_.repeated_unique() > 0) {
+    lines.push_back("work that may run once ran again: " +
+                    std::to_string(recorder_.repeated_unique()));
+  }
+  for (const auto& [id, machine] : machines_) {
+    const standin::WorkerModel& model = *machine.model;
+    if (!Fits(model.taken(), model.options().capacity)) {
+      lines.push_back(id + " was given more than it has");
+    }
+  }
+  return lines;
+}
+
+std::uint64_t EntryGroup::peer_messages_of_kind(std::size_t index) const {
+  return by_kind_.at(index);
+}
+
+std::vector<LogLine> EntryGroup::LinesOf(EventNumber number) const {
+  std::vector<LogLine> found;
+  for (const LogLine& it : lines_) {
+    if (it.number == number) {
+      found.push_back(it);
+    }
+  }
+  return found;
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Tests/scheduler/entry_group.h
@@ -0,0 +1,218 @@
+// A few entry instances' reducers with fakes at their edges, in one process
+// and in virtual time. No sockets, no threads, no clock: the same seed gives
+// the same run.
+#ifndef BURDOCKROCK_TESTS_SCHEDULER_ENTRY_GROUP_H_
+#define BURDOCKROCK_TESTS_SCHEDULER_ENTRY_GROUP_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "model/caller_message.h"
+#include "scheduler/reducer.h"
+#include "standin/execution_recorder.h"
+#include "standin/platform_store.h"
+#include "standin/worker_model.h"
+
+namespace burdockrock {
+
+struct EntryGroupOptions {
+  // One failure domain for each member, with so many entry instances.
+  std::vector<std::uint32_t> entries = {3};
+  std::uint32_t workers = 6;  // in each domain
+  std::uint32_t minions = 0;  // in each domain, of the service "desk"
+  std::uint32_t workers_per_rack = 2;
+  Resources worker_capacity{.processors_milli = 8000, .memory_mb = 16384};
+  Resources minion_capacity{.slots = 8};
+  Duration minion_run = std::chrono::milliseconds(20);
+  std::uint64_t seed = 1;
+  Duration peer_delay = std::chrono::microseconds(1400);
+  Duration worker_delay = std::chrono::microseconds(200);
+  Duration platform_delay = std::chrono::milliseconds(2);
+  Duration list_lag = std::chrono::seconds(1);
+  // Each peer message is lost, doubled or held back with these chances.
+  double lose = 0;
+  double repeat = 0;
+  double hold_back = 0;
+  // Members that replace or add to the base policy, as JSON text.
+  std::string policy = "{}";
+};
+
+// What a process under test is subject to.
+struct EntryFaults {
+  bool paused = false;
+  bool cut_from_platform = false;
+  std::set<std::string> cut_peers;    // both ways
+  std::set<std::string> cut_workers;  // commands and answers
+};
+
+class EntryGroup {
+ public:
+  explicit EntryGroup(EntryGroupOptions options);
+  EntryGroup(const EntryGroup&) = delete;
+  EntryGroup& operator=(const EntryGroup&) = delete;
+
+  // Carries out everything due until `span` from now.
+  void Run(Duration span);
+
+  // Runs until `done` says so, checked after each event. False when `limit`
+  // has passed first.
+  bool RunUntil(const std::function<bool()>& done, Duration limit);
+
+  Time now() const { return now_; }
+
+  // "d0-e0": entry 0 of domain 0; "d0-w3" and "d0-m2" likewise.
+  std::vector<std::string> entries() const;
+  State& state(const std::string& entry);
+  EntryFaults& faults(const std::string& entry);
+  standin::PlatformStore& platform() { return platform_; }
+  standin::WorkerModel& worker(const std::string& id);
+  standin::ExecutionRecorder& recorder() { return recorder_; }
+  const EntryGroupOptions& options() const { return options_; }
+
+  void Kill(const std::string& entry);
+  // A new process of the same instance, with empty memory.
+  void Restart(const std::string& entry);
+  bool IsUp(const std::string& entry) const;
+  void Pause(const std::string& entry);
+  void Resume(const std::string& entry);
+  void CutPeers(const std::string& left, const std::string& right, bool cut);
+  // Cuts a whole domain's entries from all other domains' and the platform.
+  void CutDomain(std::uint32_t domain, bool cut);
+  // The worker's machine is gone: connections are refused, tasks are lost.
+  void KillWorker(const std::string& id);
+
+  ReplyId Submit(const std::string& entry, Request request);
+  ReplyId Submit(const std::string& entry, JobSpec spec);
+  ReplyId Ask(const std::string& entry, const std::string& id, bool cancel);
+  ReplyId PutConfig(const std::string& entry,
+                    Revision expect,
+                    const std::string& document);
+  void Drain(const std::string& entry);
+
+  const CallerAnswer* AnswerTo(ReplyId reply) const;
+  // The answer as a verdict of work; nothing while there is none.
+  std::optional<Verdict> VerdictOf(ReplyId reply) const;
+  std::string JobIdOf(ReplyId reply) const;
+  std::optional<Time> AnsweredAt(ReplyId reply) const;
+  // The status of a job by whichever live entry knows it.
+  std::optional<WorkStatus> StatusOf(const std::string& job);
+
+  // Every entry serves and every worker and minion is owned.
+  bool IsSettled();
+  // Lines of what must never be; empty when all holds.
+  std::vector<std::string> Violations();
+
+  std::uint64_t peer_messages() const { return peer_messages_; }
+  std::uint64_t peer_messages_of_kind(std::size_t index) const;
+  const std::vector<Duration>& waits() const { return waits_; }
+  std::vector<LogLine> LinesOf(EventNumber number) const;
+  // Sees each effect as it is carried out.
+  std::function<void(const std::string& entry, const Effect&)> on_effect;
+
+  static std::string PolicyDocumentText(const std::string& policy,
+                                        const std::string& author);
+
+ private:
+  struct Entry {
+    std::string id;
+    std::string domain;
+    std::uint64_t incarnation = 0;
+    bool up = false;
+    std::unique_ptr<State> state;
+    EntryFaults faults;
+    std::deque<EventBody> held;  // while paused
+    Time timer_at = kForever;
+  };
+  struct Occasion {
+    Time at{0};
+    std::uint64_t sequence = 0;
+    std::function<void()> action;
+    bool operator>(const Occasion& other) const {
+      return std::tie(at, sequence) > std::tie(other.at, other.sequence);
+    }
+  };
+  struct HeldWatch {
+    std::string entry;
+    std::uint64_t incarnation = 0;
+    CallId call = 0;
+    PlatformOperation operation;
+    Time until{0};
+  };
+  struct HeldRenew {
+    std::string entry;
+    std::uint64_t incarnation = 0;
+    CallId call = 0;
+    standin::RenewCommand command;
+    Time until{0};
+  };
+  struct Machine {
+    std::unique_ptr<standin::WorkerModel> model;
+    bool killed = false;
+    std::list<HeldRenew> renews;
+  };
+
+  void BuildInstances();
+  void Start(Entry& entry);
+  void After(Duration delay, std::function<void()> action);
+  void Deliver(const std::string& entry,
+               std::uint64_t incarnation,
+               EventBody body);
+  void Step(Entry& entry, EventBody body);
+  void ArmTimer(Entry& entry);
+  void RunOne();
+  void Carry(Entry& entry, const Effect& effect);
+  void CarryPlatform(Entry& entry, const CallPlatform& call);
+  void CarryWorker(Entry& entry, const CallWorker& call);
+  void CarryPeer(Entry& entry, const SendPeer& send);
+  void ApplyCommand(const std::string& entry,
+                    std::uint64_t incarnation,
+                    const CallWorker& call);
+  void AnswerWorker(const std::string& entry,
+                    std::uint64_t incarnation,
+                    const std::string& worker,
+                    CallId call,
+                    WorkerResult result);
+  void AnswerPlatform(const std::string& entry,
+                      std::uint64_t incarnation,
+                      CallId call,
+                      PlatformResult result);
+  void PokePlatform();
+  void PokeWorker(const std::string& id);
+
+  EntryGroupOptions options_;
+  std::mt19937_64 random_;
+  standin::PlatformStore platform_;
+  standin::ExecutionRecorder recorder_;
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, Machine> machines_;
+  std::vector<InstanceInfo> instances_;
+  std::priority_queue<Occasion, std::vector<Occasion>, std::greater<>> agenda_;
+  std::list<HeldWatch> watches_;
+  std::map<ReplyId, CallerAnswer> answers_;
+  std::map<ReplyId, Time> answered_at_;
+  std::vector<LogLine> lines_;
+  std::vector<Duration> waits_;
+  std::map<std::string, Revision> config_seen_;
+  std::vector<std::string> broken_;
+  std::vector<std::uint64_t> by_kind_;
+  Time now_{0};
+  std::uint64_t next_sequence_ = 0;
+  std::uint64_t next_incarnation_ = 100;
+  ReplyId next_reply_ = 1;
+  std::uint64_t peer_messages_ = 0;
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_TESTS_SCHEDULER_ENTRY_GROUP_H_
