Standin: Gives the fakes a namespace of their own

Cause: the fakes' worker messages bear the names of the model library's in the same namespace, so a program with both would break the one-definition rule. Change: the fakes stand in burdockrock::standin.

--- a/Tests/ledger/log_driver.cc
+++ b/Tests/ledger/log_driver.cc
@@ -20,7 +20,7 @@
 
 LogDriver::LogDriver(SlotLogOptions options,
                      WriteBudget& budget,
-                     PlatformStore& store)
+                     standin::PlatformStore& store)
     : store_(&store), log_(std::move(options), budget) {}
 
 void LogDriver::Take(LedgerProgress progress) {
--- a/Tests/ledger/log_driver.h
+++ b/Tests/ledger/log_driver.h
@@ -1,5 +1,5 @@
-// Drives one SlotLog by hand against a PlatformStore: a test decides what
-// becomes of each call.
+// Drives one SlotLog by hand against a standin::PlatformStore: a test decides
+// what becomes of each call.
 #ifndef BURDOCKROCK_LEDGER_LOG_DRIVER_H_
 #define BURDOCKROCK_LEDGER_LOG_DRIVER_H_
 
@@ -15,7 +15,9 @@
 
 class LogDriver {
  public:
-  LogDriver(SlotLogOptions options, WriteBudget& budget, PlatformStore& store);
+  LogDriver(SlotLogOptions options,
+            WriteBudget& budget,
+            standin::PlatformStore& store);
 
   SlotLog& log() { return log_; }
   const SlotLog& log() const { return log_; }
@@ -35,7 +37,7 @@
   // The platform carries it out; the answer is lost.
   void LoseAnswer(Time now);
   // The call stays in the network and the caller stops waiting. Returns it for
-  // a later PlatformStore::Apply.
+  // a later standin::PlatformStore::Apply.
   PlatformOperation Delay(Time now);
   // The call never left this process.
   void Refuse(Time now);
@@ -59,7 +61,7 @@
   bool purged() const { return purged_; }
 
  private:
-  PlatformStore* store_;
+  standin::PlatformStore* store_;
   SlotLog log_;
   std::optional<LedgerCall> call_;
   std::map<Ticket, AppendOutcome> outcomes_;
--- a/Tests/ledger/log_fixture.h
+++ b/Tests/ledger/log_fixture.h
@@ -17,7 +17,7 @@
 inline constexpr std::uint32_t kTestRingSlots = 8;
 
 struct LogFixture {
-  PlatformStore store{PlatformStoreOptions{}};
+  standin::PlatformStore store{standin::PlatformStoreOptions{}};
   WriteBudget budget{{.writes_per_second = 1000, .burst = 1000}};
 
   // A log with one writer at a time.
--- a/Tests/standin/attempt_run.cc
+++ b/Tests/standin/attempt_run.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -39,4 +39,4 @@
   return std::min(work_, done_ + (now - since_) * percent_ / kFullPercent);
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/attempt_run.h
+++ b/Tests/standin/attempt_run.h
@@ -6,7 +6,7 @@
 
 #include "model/time.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // The work of an attempt, measured as time at full speed.
 class AttemptRun {
@@ -31,6 +31,6 @@
   Time since_{0};
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_ATTEMPT_RUN_H_
--- a/Tests/standin/call_counter.cc
+++ b/Tests/standin/call_counter.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -59,4 +59,4 @@
   second_ = second;
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/call_counter.h
+++ b/Tests/standin/call_counter.h
@@ -9,7 +9,7 @@
 
 #include "model/time.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 enum class CallKind { kGet, kPut, kDelete, kRange, kWatch, kInstances, kLease };
 inline constexpr std::size_t kCallKindCount = 7;
@@ -45,6 +45,6 @@
   std::int64_t second_ = 0;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_CALL_COUNTER_H_
--- a/Tests/standin/delay_queue.cc
+++ b/Tests/standin/delay_queue.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -60,4 +60,4 @@
   Arm();
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/delay_queue.h
+++ b/Tests/standin/delay_queue.h
@@ -11,7 +11,7 @@
 #include "model/time.h"
 #include "net/http_server_options.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // The monotonic clock.
 Time MonotonicNow();
@@ -37,6 +37,6 @@
   std::multimap<Time, std::function<void()>> queue_;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_DELAY_QUEUE_H_
--- a/Tests/standin/execution_recorder.cc
+++ b/Tests/standin/execution_recorder.cc
@@ -1,6 +1,6 @@
 #include "standin/execution_recorder.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -51,4 +51,4 @@
   return it == by_key_.end() ? 0 : it->second;
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/execution_recorder.h
+++ b/Tests/standin/execution_recorder.h
@@ -13,7 +13,7 @@
 #include "model/attempt.h"
 #include "model/time.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // Two attempts of one task that were live at the same moment.
 struct DoubledExecution {
@@ -69,6 +69,6 @@
   std::uint64_t repeated_unique_ = 0;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_EXECUTION_RECORDER_H_
--- a/Tests/standin/field_reader.cc
+++ b/Tests/standin/field_reader.cc
@@ -5,7 +5,7 @@
 
 #include <fmt/format.h>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 FieldReader::FieldReader(const Json::Value& object, std::string_view path)
     : object_(object.isObject() ? object : Json::Value::nullSingleton()),
@@ -168,4 +168,4 @@
   return value;
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/field_reader.h
+++ b/Tests/standin/field_reader.h
@@ -16,7 +16,7 @@
 #include "model/resources.h"
 #include "model/time.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // Each reading method marks its member as known. A member that is absent takes
 // the default; without a default its absence is a fault. `name` must be a
@@ -67,6 +67,6 @@
   std::string faults_;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_FIELD_READER_H_
--- a/Tests/standin/lagging_instances.cc
+++ b/Tests/standin/lagging_instances.cc
@@ -1,6 +1,6 @@
 #include "standin/lagging_instances.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 void LaggingInstances::Set(const std::vector<InstanceInfo>& instances) {
   actual_.clear();
@@ -63,4 +63,4 @@
   return list;
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/lagging_instances.h
+++ b/Tests/standin/lagging_instances.h
@@ -12,7 +12,7 @@
 #include "model/time.h"
 #include "model/work.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 class LaggingInstances {
  public:
@@ -49,6 +49,6 @@
   Revision revision_ = 1;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_LAGGING_INSTANCES_H_
--- a/Tests/standin/payload.cc
+++ b/Tests/standin/payload.cc
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -60,4 +60,4 @@
   return payload;
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/payload.h
+++ b/Tests/standin/payload.h
@@ -10,7 +10,7 @@
 
 #include "model/time.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 struct Payload {
   std::optional<Duration> sleep;  // absent: see WorkerModel
@@ -28,6 +28,6 @@
 // every text is a payload.
 Payload ParsePayload(std::string_view text);
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_PAYLOAD_H_
--- a/Tests/standin/platform_codec.cc
+++ b/Tests/standin/platform_codec.cc
@@ -7,7 +7,7 @@
 #include "net/json.h"
 #include "standin/field_reader.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -226,4 +226,4 @@
   return Response(EncodeText(unavailable.message), kUnavailable);
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/platform_codec.h
+++ b/Tests/standin/platform_codec.h
@@ -11,7 +11,7 @@
 #include "standin/platform_store.h"
 #include "standin/worker_codec.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 struct LeaseGrant {
   Duration ttl{0};
@@ -44,6 +44,6 @@
 std::optional<HttpResponse> EncodePlatformResult(const PlatformResult& result,
                                                  PlatformAnswerForm form);
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_PLATFORM_CODEC_H_
--- a/Tests/standin/platform_server.cc
+++ b/Tests/standin/platform_server.cc
@@ -5,7 +5,7 @@
 
 #include "net/address.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -194,4 +194,4 @@
   });
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/platform_server.h
+++ b/Tests/standin/platform_server.h
@@ -20,7 +20,7 @@
 #include "standin/platform_codec.h"
 #include "standin/platform_store.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // Faults of the server beside those of the store.
 struct PlatformServerFaults {
@@ -98,6 +98,6 @@
   std::vector<std::unique_ptr<HttpServer>> servers_;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_PLATFORM_SERVER_H_
--- a/Tests/standin/platform_store.cc
+++ b/Tests/standin/platform_store.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -261,4 +261,4 @@
   }
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/platform_store.h
+++ b/Tests/standin/platform_store.h
@@ -16,7 +16,7 @@
 #include "standin/call_counter.h"
 #include "standin/lagging_instances.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 using LeaseId = std::uint64_t;
 
@@ -110,6 +110,6 @@
   LeaseId last_lease_ = 0;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_PLATFORM_STORE_H_
--- a/Tests/standin/platform_store_test.cc
+++ b/Tests/standin/platform_store_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -153,4 +153,4 @@
   CHECK(store.TryWatch(InstancesWatch{.after = before.revision}));
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/standin_cluster.cc
+++ b/Tests/standin/standin_cluster.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -99,4 +99,4 @@
   return gone ? std::nullopt : worker->Listen();
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/standin_cluster.h
+++ b/Tests/standin/standin_cluster.h
@@ -17,7 +17,7 @@
 #include "standin/standin_settings.h"
 #include "standin/worker_server.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 class StandinCluster {
  public:
@@ -57,6 +57,6 @@
   std::map<std::string, std::unique_ptr<WorkerServer>> workers_;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_STANDIN_CLUSTER_H_
--- a/Tests/standin/standin_control.cc
+++ b/Tests/standin/standin_control.cc
@@ -8,7 +8,7 @@
 #include "standin/field_reader.h"
 #include "standin/worker_codec.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -280,4 +280,4 @@
   return body;
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/standin_control.h
+++ b/Tests/standin/standin_control.h
@@ -9,7 +9,7 @@
 #include "net/http_message.h"
 #include "standin/standin_cluster.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // GET /control answers with all counters; GET /control?key=K with how often
 // the work with the key or payload K was executed.
@@ -46,6 +46,6 @@
   StandinCluster& cluster_;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_STANDIN_CONTROL_H_
--- a/Tests/standin/standin_main.cc
+++ b/Tests/standin/standin_main.cc
@@ -23,7 +23,7 @@
 
 DEFINE_string(settings, "", "the JSON file with the settings");
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -86,7 +86,7 @@
 
 }  // namespace
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("standin --settings FILE");
--- a/Tests/standin/standin_settings.cc
+++ b/Tests/standin/standin_settings.cc
@@ -8,7 +8,7 @@
 
 #include "standin/field_reader.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -165,4 +165,4 @@
   return SettingsReader(root).Read();
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/standin_settings.h
+++ b/Tests/standin/standin_settings.h
@@ -11,7 +11,7 @@
 #include "model/time.h"
 #include "model/work.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 struct InstanceSettings {
   InstanceInfo info;
@@ -45,6 +45,6 @@
 std::variant<StandinSettings, SettingsError> ReadStandinSettings(
     const Json::Value& root);
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_STANDIN_SETTINGS_H_
--- a/Tests/standin/worker_codec.cc
+++ b/Tests/standin/worker_codec.cc
@@ -6,7 +6,7 @@
 #include "net/json.h"
 #include "standin/field_reader.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -256,4 +256,4 @@
   return Response(body, kBadRequest);
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/worker_codec.h
+++ b/Tests/standin/worker_codec.h
@@ -11,7 +11,7 @@
 #include "net/http_message.h"
 #include "standin/worker_messages.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // Why a body was refused.
 struct CodecError {
@@ -45,6 +45,6 @@
 // 400 with what is wrong.
 HttpResponse EncodeError(const CodecError& error);
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_WORKER_CODEC_H_
--- a/Tests/standin/worker_messages.cc
+++ b/Tests/standin/worker_messages.cc
@@ -1,6 +1,6 @@
 #include "standin/worker_messages.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 const char* RefusalName(Refusal refusal) {
   switch (refusal) {
@@ -16,4 +16,4 @@
   return "not_found";
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/worker_messages.h
+++ b/Tests/standin/worker_messages.h
@@ -13,7 +13,7 @@
 #include "model/resources.h"
 #include "model/time.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // An owner's epoch of one worker; a later claim has a higher one.
 using Epoch = std::uint64_t;
@@ -139,6 +139,6 @@
 using ThrottleAnswer = std::variant<Throttled, Refused, NoAnswer>;
 using CheckpointAnswer = std::variant<Checkpointed, Refused, NoAnswer>;
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_WORKER_MESSAGES_H_
--- a/Tests/standin/worker_model.cc
+++ b/Tests/standin/worker_model.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -458,4 +458,4 @@
   return reports;
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/worker_model.h
+++ b/Tests/standin/worker_model.h
@@ -24,7 +24,7 @@
 #include "standin/payload.h"
 #include "standin/worker_messages.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 struct WorkerFaults {
   // Every attempt that begins fails at once.
@@ -189,6 +189,6 @@
   std::uint32_t max_live_per_task_ = 0;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_WORKER_MODEL_H_
--- a/Tests/standin/worker_model_test.cc
+++ b/Tests/standin/worker_model_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -228,4 +228,4 @@
   CHECK(worker.epoch() == 1);
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/worker_server.cc
+++ b/Tests/standin/worker_server.cc
@@ -7,7 +7,7 @@
 #include "net/json.h"
 #include "standin/worker_codec.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 namespace {
 
@@ -217,4 +217,4 @@
   });
 }
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
--- a/Tests/standin/worker_server.h
+++ b/Tests/standin/worker_server.h
@@ -19,7 +19,7 @@
 #include "standin/delay_queue.h"
 #include "standin/worker_model.h"
 
-namespace burdockrock {
+namespace burdockrock::standin {
 
 // Faults of the server beside those of the worker model.
 struct WorkerServerFaults {
@@ -90,6 +90,6 @@
   std::list<HeldRenewal> renewals_;
 };
 
-}  // namespace burdockrock
+}  // namespace burdockrock::standin
 
 #endif  // BURDOCKROCK_STANDIN_WORKER_SERVER_H_
