--- a/Tests/ledger/slot_log_failure_test.cc
+++ b/Tests/ledger/slot_log_failure_test.cc
@@ -31,7 +31,7 @@
   driver.Settle(kTestStart);
   CHECK(driver.outcome(ticket) == AppendOutcome::kCommitted);
   CHECK(fixture.store.key_count() == 1);
-  CHECK(fixture.store.calls().Of(CallKind::kPut).total == 1);
+  CHECK(fixture.store.calls().Of(standin::CallKind::kPut).total == 1);
 }
 
 // Symptom: a job is recorded twice and run twice.
--- a/Tests/ledger/slot_log_test.cc
+++ b/Tests/ledger/slot_log_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::seconds;
 
 std::uint64_t Puts(const LogFixture& fixture) {
-  return fixture.store.calls().Of(CallKind::kPut).total;
+  return fixture.store.calls().Of(standin::CallKind::kPut).total;
 }
 
 TEST_CASE("What is pending shares one write after the commit interval") {
--- a/Tests/standin/standin_main.cc
+++ b/Tests/standin/standin_main.cc
@@ -91,10 +91,12 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("standin --settings FILE");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const auto settings = burdockrock::Load(FLAGS_settings);
-  if (const auto* error = std::get_if<burdockrock::SettingsError>(&settings)) {
-    return burdockrock::Fail(
+  const auto settings = burdockrock::standin::Load(FLAGS_settings);
+  if (const auto* error =
+          std::get_if<burdockrock::standin::SettingsError>(&settings)) {
+    return burdockrock::standin::Fail(
         fmt::format("{}: {}", FLAGS_settings, error->message));
   }
-  return burdockrock::Serve(std::get<burdockrock::StandinSettings>(settings));
+  return burdockrock::standin::Serve(
+      std::get<burdockrock::standin::StandinSettings>(settings));
 }
