Net: Refuses JSON that jsoncpp takes in strict mode, ends idle sessions sooner

jsoncpp's strict mode still reads "-" as 0, "+1" and "01" as numbers, ends the text at a byte 0 whatever follows, and keeps control characters and broken UTF-8 in strings. One pass before the parser now refuses these with their line and column; patching the parsed value was ruled out, since the faults are gone by then. The server looks at its deadlines at least each 100 ms, so that idle connections end soon after StopAccepting with the default timeouts, too. The server's own answers move to a file of their own.

--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -27,7 +27,7 @@
   std::string address{};  // "IP:PORT"
   std::size_t max_connections = 8;
   std::size_t max_queued = 1024;  // calls that wait for a connection
-  std::size_t max_response_bytes = 4 * 1024 * 1024;
+  std::size_t max_response_bytes = 4U << 20U;  // 4 MiB
   Duration connect_timeout = std::chrono::seconds(1);
 };
 
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -15,6 +15,7 @@
 constexpr int kBacklog = 1024;
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 constexpr Duration kMinCheckInterval = std::chrono::milliseconds(1);
+constexpr Duration kMaxCheckInterval = std::chrono::milliseconds(100);
 constexpr int kChecksPerTimeout = 8;
 // Connections above the limit that are told so; further ones are just closed.
 constexpr std::size_t kMaxRefused = 64;
@@ -192,8 +193,8 @@
   deadline_timer_armed_ = true;
   const Duration shortest = std::min(
       {options_.read_timeout, options_.idle_timeout, options_.write_timeout});
-  deadline_timer_.expires_after(
-      std::max(shortest / kChecksPerTimeout, kMinCheckInterval));
+  deadline_timer_.expires_after(std::clamp(
+      shortest / kChecksPerTimeout, kMinCheckInterval, kMaxCheckInterval));
   deadline_timer_.async_wait(
       [this, alive = std::weak_ptr(alive_)](boost::system::error_code) {
         if (!alive.expired()) {
--- a/Source/net/http_server_options.h
+++ b/Source/net/http_server_options.h
@@ -33,12 +33,12 @@
 
 struct HttpServerOptions {
   std::string address = "127.0.0.1";
-  std::uint16_t port = 0;  // 0: the system chooses
-  std::size_t max_body_bytes = 256 * 1024;
+  std::uint16_t port = 0;                    // 0: the system chooses
+  std::size_t max_body_bytes = 256U << 10U;  // 256 KiB
   std::size_t max_header_bytes = 8192;
   std::size_t max_connections = 1024;
   // For a whole request, from its first byte on. All three are kept to within
-  // an eighth of the shortest.
+  // an eighth of the shortest, 100 ms at most.
   Duration read_timeout = std::chrono::seconds(10);
   Duration idle_timeout = std::chrono::seconds(120);
   Duration write_timeout = std::chrono::seconds(10);
--- a/Source/net/http_session.cc
+++ b/Source/net/http_session.cc
@@ -9,8 +9,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "net/http_error_response.h"
 #include "net/http_target.h"
-#include "net/json.h"
 
 namespace burdockrock {
 
@@ -23,7 +23,6 @@
 // Long enough for a busy client to send once more and learn from the answer
 // that the connection ends, instead of losing a request to a close.
 constexpr Duration kStopGrace = std::chrono::milliseconds(500);
-constexpr std::chrono::seconds kRefusedRetryAfter{1};
 
 std::string RemoteText(const TcpSocket& socket) {
   boost::system::error_code ec;
@@ -34,29 +33,6 @@
   return fmt::format("{}:{}", remote.address().to_string(), remote.port());
 }
 
-HttpResponse InvalidResponse(int status, const std::string& problem) {
-  Json::Value error;
-  error["path"] = "$";
-  error["problem"] = problem;
-  error["allowed"] = "an HTTP/1.1 request within the limits of this server";
-  Json::Value body;
-  body["verdict"] = "not_run";
-  body["reason"] = "invalid";
-  body["errors"].append(error);
-  return HttpResponse{.status = status, .body = WriteJson(body)};
-}
-
-HttpResponse RefusedResponse() {
-  Json::Value body;
-  body["verdict"] = "not_run";
-  body["reason"] = "overloaded";
-  body["retry_after_ms"] =
-      static_cast<Json::Int64>(ToMilliseconds(kRefusedRetryAfter));
-  return HttpResponse{.status = 503,
-                      .body = WriteJson(body),
-                      .retry_after = kRefusedRetryAfter};
-}
-
 std::uint32_t ClampTo32(std::size_t bytes) {
   constexpr std::size_t kMax = std::numeric_limits<std::uint32_t>::max();
   return static_cast<std::uint32_t>(std::min(bytes, kMax));
@@ -85,7 +61,7 @@
     return;  // the hook closed the server
   }
   keep_alive_ = false;
-  Write(RefusedResponse());
+  Write(OverloadedResponse());
 }
 
 void HttpSession::CheckDeadline(Clock::time_point now) {
@@ -237,7 +213,7 @@
     return;  // the hook closed the server
   }
   keep_alive_ = false;
-  Write(InvalidResponse(status, detail));
+  Write(InvalidRequestResponse(status, detail));
 }
 
 void HttpSession::Write(HttpResponse response) {
--- a/Source/net/json.cc
+++ b/Source/net/json.cc
@@ -1,5 +1,6 @@
 #include "net/json.h"
 
+#include <algorithm>
 #include <charconv>
 #include <exception>
 #include <memory>
@@ -9,6 +10,8 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include "net/json_text.h"
+
 namespace burdockrock {
 
 namespace {
@@ -81,10 +84,22 @@
   return error;
 }
 
+JsonError ToError(std::string_view text, const JsonTextFault& fault) {
+  const std::string_view before = text.substr(0, fault.offset);
+  const std::size_t line_start = before.rfind('\n') + 1;  // npos + 1 is 0
+  const auto lines = std::count(before.begin(), before.end(), '\n');
+  return JsonError{.message = std::string(fault.problem),
+                   .line = static_cast<int>(lines) + 1,
+                   .column = static_cast<int>(fault.offset - line_start) + 1};
+}
+
 }  // namespace
 
 std::variant<Json::Value, JsonError> ParseJson(std::string_view text) {
   static thread_local const auto reader = MakeReader();
+  if (const auto fault = FindJsonTextFault(text)) {
+    return ToError(text, *fault);
+  }
   Json::Value value;
   std::string report;
   try {
--- a/Source/net/json.h
+++ b/Source/net/json.h
@@ -20,7 +20,8 @@
 };
 
 // Refuses comments, duplicate keys, anything after the value, a root that is
-// neither object nor array, and nesting deeper than 64.
+// neither object nor array, nesting deeper than 64, and what json_text.h
+// names.
 std::variant<Json::Value, JsonError> ParseJson(std::string_view text);
 
 // One line without spaces; UTF-8 is kept as it is.
--- a/Tests/net/http_server_test.cc
+++ b/Tests/net/http_server_test.cc
@@ -77,6 +77,7 @@
   boost::asio::io_context io(1);
   EchoServer echo(io, {.max_body_bytes = 100, .max_header_bytes = 512});
   const std::string long_header(600, 'h');
+  const std::string long_header_with_end = long_header + "\r\n\r\n";
   const std::string chunk = "40\r\n" + std::string(64, 'c') + "\r\n";
   for (const BadInput& it : std::vector<BadInput>{
            {"\x16\x03\x01 not http\r\n\r\n", "400", Kind::kMalformed},
@@ -90,7 +91,7 @@
            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk +
                 chunk,
             "413", Kind::kBodyTooLarge},
-           {"GET / HTTP/1.1\r\nX: " + long_header + "\r\n\r\n", "431",
+           {"GET / HTTP/1.1\r\nX: " + long_header_with_end, "431",
             Kind::kHeaderTooLarge},
            {"GET /" + long_header, "431", Kind::kHeaderTooLarge}}) {
     CAPTURE(it.text);
--- a/Tests/net/loopback.h
+++ b/Tests/net/loopback.h
@@ -112,11 +112,12 @@
 class EchoServer {
  public:
   EchoServer(boost::asio::io_context& io, HttpServerOptions options)
-      : server(io,
-               WithHook(std::move(options)),
-               [this](HttpRequest request, HttpServer::Responder respond) {
-                 Handle(std::move(request), std::move(respond));
-               }) {
+      : server(
+            io,
+            WithHook(std::move(options)),
+            [this](const HttpRequest& request, HttpServer::Responder respond) {
+              Handle(request, std::move(respond));
+            }) {
     port = std::get<std::uint16_t>(server.Listen());
   }
 
@@ -139,7 +140,7 @@
     return options;
   }
 
-  void Handle(HttpRequest request, HttpServer::Responder respond) {
+  void Handle(const HttpRequest& request, HttpServer::Responder respond) {
     requests.push_back(request);
     if (request.path == "/held") {
       held.push_back(std::move(respond));
