Placement: Packs by the shape of the free room and measures it

Packing took the candidate with the cheapest remainder.

The cost is now the angle between the task and the free room plus a tenth of the room that stays free; the candidates come from the orders by processors, by size and by direction. Gangs place task by task on the same cost.

placement_bench measures filling, refusals under churn and the cost of a decision beside first fit and random, as JSON lines with bounds.

--- a/Source/placement/fit_forest.cc
+++ b/Source/placement/fit_forest.cc
@@ -27,6 +27,15 @@
   greatest.slots = std::max(greatest.slots, other.slots);
 }
 
+bool IsInRange(std::int64_t order, const FitForest::Search& search) {
+  if (!search.from) {
+    return true;
+  }
+  return search.direction == FitForest::Direction::kAscending
+             ? order >= *search.from
+             : order <= *search.from;
+}
+
 }  // namespace
 
 struct FitForest::Walk {
@@ -147,15 +156,16 @@
   if (!Fits(walk.search.need, node.greatest)) {
     return true;
   }
-  if (node.key.order >= walk.search.from) {
-    if (!VisitBelow(node.left, walk)) {
+  const bool ascending = walk.search.direction == Direction::kAscending;
+  if (IsInRange(node.key.order, walk.search)) {
+    if (!VisitBelow(ascending ? node.left : node.right, walk)) {
       return false;
     }
     if (Fits(walk.search.need, node.free) && !walk.visitor(root)) {
       return false;
     }
   }
-  return VisitBelow(node.right, walk);
+  return VisitBelow(ascending ? node.right : node.left, walk);
 }
 
 }  // namespace burdockrock
--- a/Source/placement/fit_forest.h
+++ b/Source/placement/fit_forest.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -33,9 +34,13 @@
     auto operator<=>(const Key&) const = default;
   };
 
+  enum class Direction { kAscending, kDescending };
+
   struct Search {
     Resources need;
-    std::int64_t from = std::numeric_limits<std::int64_t>::min();
+    Direction direction = Direction::kAscending;
+    // Leaves out targets of a lower order; descending, of a higher one.
+    std::optional<std::int64_t> from = std::nullopt;
     // Ends the search after this many nodes, also when more targets fit.
     std::size_t max_nodes = std::numeric_limits<std::size_t>::max();
   };
@@ -52,9 +57,8 @@
   // Takes a target out of the tree at `root`, in which it is.
   void Erase(Root& root, TargetIndex target);
 
-  // Visits in ascending order of keys the targets whose order is at least
-  // `search.from` and which have room for `search.need`. Returns the count of
-  // nodes looked at.
+  // Visits the targets that have room for `search.need`, in the order of their
+  // keys and from `search.from` on. Returns the count of nodes looked at.
   std::size_t Visit(Root root,
                     const Search& search,
                     const Visitor& visitor) const;
--- a/Source/placement/worker_index.cc
+++ b/Source/placement/worker_index.cc
@@ -1,13 +1,16 @@
-// The orders by processors and by memory find a worker whenever one has room,
-// at logarithmic cost: within a group the order bounds one dimension and the
-// trees' greatest amounts the other. The orders by size and by load have no
-// such bound, so their searches end after kMaxNodes.
+// The order by processors finds a worker whenever one has room, and at
+// logarithmic cost: within a group the order bounds one dimension and the
+// trees' greatest amounts the other. The other orders have no such bound, so
+// their searches end after kMaxNodes and only add better candidates.
 #include "placement/worker_index.h"
 
 #include <algorithm>
+#include <compare>
+#include <functional>
+#include <queue>
 #include <tuple>
 
-#include "placement/pack_score.h"
+#include "placement/pack_cost.h"
 
 namespace burdockrock {
 
@@ -15,23 +18,47 @@
 
 constexpr std::int64_t kLoadSteps = 64;
 constexpr std::int64_t kSizeSteps = 1'000;
+constexpr std::int64_t kDirectionSteps = 256;
 constexpr std::size_t kMaxCandidates = 12;  // of each order
 constexpr std::size_t kMaxNodes = 128;
 constexpr std::size_t kSpareGangCandidates = 16;
 
+// `amount` in `steps` of `whole`.
 std::int64_t StepsOf(std::int64_t amount,
-                     std::int64_t capacity,
+                     std::int64_t whole,
                      std::int64_t steps) {
-  return capacity <= 0 ? 0 : amount * steps / capacity;
+  return whole <= 0 ? 0 : amount * steps / whole;
 }
 
-Resources Times(const Resources& need, std::int64_t count) {
-  return Resources{.processors_milli = need.processors_milli * count,
-                   .memory_mb = need.memory_mb * count,
-                   .accelerators = need.accelerators * count,
-                   .slots = need.slots * count};
+std::int64_t SizeOf(const Resources& amount, const Resources& capacity) {
+  return StepsOf(amount.processors_milli, capacity.processors_milli,
+                 kSizeSteps) +
+         StepsOf(amount.memory_mb, capacity.memory_mb, kSizeSteps);
 }
 
+// The part of the processors in the size; what is empty has the middle one.
+std::int64_t DirectionOf(const Resources& amount, const Resources& capacity) {
+  const std::int64_t size = SizeOf(amount, capacity);
+  if (size == 0) {
+    return kDirectionSteps / 2;
+  }
+  return StepsOf(
+      StepsOf(amount.processors_milli, capacity.processors_milli, kSizeSteps),
+      size, kDirectionSteps);
+}
+
+// The next task of a gang on a worker that has been given some of it.
+struct GangPlace {
+  double cost = 0;
+  TargetIndex index = 0;
+  Resources free;
+
+  auto operator<=>(const GangPlace&) const = default;
+};
+
+using GangQueue =
+    std::priority_queue<GangPlace, std::vector<GangPlace>, std::greater<>>;
+
 }  // namespace
 
 void WorkerIndex::Insert(TargetIndex index, const Target& target) {
@@ -73,7 +100,7 @@
   for (auto it = groups_.lower_bound(need.accelerators);
        it != groups_.end() && picked.size() < count; ++it) {
     const auto left = static_cast<std::uint32_t>(count - picked.size());
-    FillDensest(GangCandidates(it->second, need, left), need, left, picked);
+    PlaceDensest(GangCandidates(it->second, need, left), need, left, picked);
   }
   if (picked.size() < count) {
     picked.clear();
@@ -89,7 +116,7 @@
   };
   for (auto it = groups_.lower_bound(need.accelerators); it != groups_.end();
        ++it) {
-    Visit(it->second, kByProcessors, need, workers_.size(), add);
+    Visit(it->second, kByProcessors, {.need = need}, add);
   }
   return std::min(count, kMaxAmount);
 }
@@ -106,17 +133,15 @@
 }
 
 FitForest::Key WorkerIndex::KeyOf(Order order, const Worker& worker) {
-  const Resources& free = worker.free;
+  const std::int64_t size = SizeOf(worker.free, worker.capacity);
   switch (order) {
     case kByProcessors:
-      return {.order = free.processors_milli, .tie = free.memory_mb};
-    case kByMemory:
-      return {.order = free.memory_mb, .tie = free.processors_milli};
+      return {.order = worker.free.processors_milli,
+              .tie = worker.free.memory_mb};
     case kBySize:
-      return {.order = StepsOf(free.processors_milli,
-                               worker.capacity.processors_milli, kSizeSteps) +
-                       StepsOf(free.memory_mb, worker.capacity.memory_mb,
-                               kSizeSteps)};
+      return {.order = size};
+    case kByDirection:
+      return {.order = DirectionOf(worker.free, worker.capacity), .tie = size};
     case kByLoad:
     case kOrderCount:
       break;
@@ -126,49 +151,62 @@
 
 void WorkerIndex::Visit(const Group& group,
                         Order order,
-                        const Resources& need,
-                        std::size_t max_nodes,
+                        const FitForest::Search& search,
                         const FitForest::Visitor& visitor) const {
-  FitForest::Search search{.need = need, .max_nodes = max_nodes};
-  if (order == kByProcessors) {
-    search.from = need.processors_milli;
-  } else if (order == kByMemory) {
-    search.from = need.memory_mb;
-  }
   visited_ += forests_[order].Visit(group.roots[order], search, visitor);
 }
 
-void WorkerIndex::Collect(const Group& group,
+bool WorkerIndex::Collect(const Group& group,
                           Order order,
-                          const Resources& need,
+                          const FitForest::Search& search,
                           std::vector<TargetIndex>& found) const {
-  const bool bounded = order == kByProcessors || order == kByMemory;
-  const std::size_t max_nodes = bounded ? workers_.size() : kMaxNodes;
   std::size_t count = 0;
-  Visit(group, order, need, max_nodes, [&](TargetIndex index) {
+  Visit(group, order, search, [&](TargetIndex index) {
     found.push_back(index);
     return ++count < kMaxCandidates;
   });
+  return count > 0;
+}
+
+bool WorkerIndex::CollectByProcessors(const Group& group,
+                                      const Resources& need,
+                                      std::vector<TargetIndex>& found) const {
+  return Collect(group, kByProcessors,
+                 {.need = need, .from = need.processors_milli}, found);
+}
+
+bool WorkerIndex::CollectDense(const Group& group,
+                               const Resources& need,
+                               std::vector<TargetIndex>& found) const {
+  if (!CollectByProcessors(group, need, found)) {
+    return false;
+  }
+  FitForest::Search search{.need = need, .max_nodes = kMaxNodes};
+  Collect(group, kBySize, search, found);
+  const Resources& typical = workers_[found.front()].capacity;
+  search.from = DirectionOf(need, typical);
+  Collect(group, kByDirection, search, found);
+  search.direction = FitForest::Direction::kDescending;
+  Collect(group, kByDirection, search, found);
+  return true;
 }
 
 std::optional<TargetIndex> WorkerIndex::PickDensest(
     const Resources& need) const {
   std::vector<TargetIndex> found;
-  for (auto it = groups_.lower_bound(need.accelerators);
-       it != groups_.end() && found.empty(); ++it) {
-    for (const Order order : {kByProcessors, kByMemory, kBySize}) {
-      Collect(it->second, order, need, found);
+  for (auto it = groups_.lower_bound(need.accelerators); it != groups_.end();
+       ++it) {
+    if (CollectDense(it->second, need, found)) {
+      break;
     }
   }
-  const auto cost = [&](TargetIndex index) {
+  std::optional<std::tuple<double, TargetIndex>> best;
+  for (const TargetIndex index : found) {
     const Worker& worker = workers_[index];
-    return std::tuple(RemainderCost(worker.free - need, worker.capacity),
-                      index);
-  };
-  const auto best = std::min_element(
-      found.begin(), found.end(),
-      [&](TargetIndex l, TargetIndex r) { return cost(l) < cost(r); });
-  return best == found.end() ? std::nullopt : std::optional(*best);
+    const std::tuple cost(PackCost(need, worker.free, worker.capacity), index);
+    best = best ? std::min(*best, cost) : cost;
+  }
+  return best ? std::optional(std::get<TargetIndex>(*best)) : std::nullopt;
 }
 
 std::optional<TargetIndex> WorkerIndex::PickLeastLoaded(
@@ -176,10 +214,9 @@
   std::vector<TargetIndex> found;
   for (auto it = groups_.lower_bound(need.accelerators); it != groups_.end();
        ++it) {
-    const std::size_t before = found.size();
-    Collect(it->second, kByLoad, need, found);
-    if (found.size() == before) {
-      Collect(it->second, kByProcessors, need, found);
+    const FitForest::Search search{.need = need, .max_nodes = kMaxNodes};
+    if (!Collect(it->second, kByLoad, search, found)) {
+      CollectByProcessors(it->second, need, found);
     }
     if (need.accelerators == 0 && !found.empty()) {
       break;
@@ -195,7 +232,8 @@
   return best == found.end() ? std::nullopt : std::optional(*best);
 }
 
-// The fullest workers that hold the gang, and some more to choose from.
+// The workers with the fewest processors that hold the gang, some more to
+// choose from, and the best for a single task.
 std::vector<TargetIndex> WorkerIndex::GangCandidates(
     const Group& group,
     const Resources& need,
@@ -203,36 +241,41 @@
   std::vector<TargetIndex> candidates;
   std::int64_t fitting = 0;
   std::size_t spare = 0;
-  Visit(group, kByProcessors, need, workers_.size(), [&](TargetIndex index) {
+  const auto add = [&](TargetIndex index) {
     candidates.push_back(index);
     spare += fitting >= count ? 1 : 0;
     fitting += burdockrock::CountFitting(need, workers_[index].free);
     return spare < kSpareGangCandidates;
-  });
+  };
+  Visit(group, kByProcessors, {.need = need, .from = need.processors_milli},
+        add);
+  CollectDense(group, need, candidates);
+  std::sort(candidates.begin(), candidates.end());
+  candidates.erase(std::unique(candidates.begin(), candidates.end()),
+                   candidates.end());
   return candidates;
 }
 
-// Fills the workers that the gang's tasks leave with the cheapest remainder.
-void WorkerIndex::FillDensest(std::vector<TargetIndex> candidates,
-                              const Resources& need,
-                              std::uint32_t count,
-                              std::vector<TargetIndex>& picked) const {
-  const auto tasks = [&](TargetIndex index) {
-    return std::min<std::int64_t>(
-        count, burdockrock::CountFitting(need, workers_[index].free));
-  };
-  const auto cost = [&](TargetIndex index) {
-    const Worker& worker = workers_[index];
-    return std::tuple(
-        RemainderCost(worker.free - Times(need, tasks(index)), worker.capacity),
-        index);
+// Puts one task after the other where it costs least.
+void WorkerIndex::PlaceDensest(const std::vector<TargetIndex>& candidates,
+                               const Resources& need,
+                               std::uint32_t count,
+                               std::vector<TargetIndex>& picked) const {
+  GangQueue places;
+  const auto add = [&](TargetIndex index, const Resources& free) {
+    if (Fits(need, free)) {
+      const double cost = PackCost(need, free, workers_[index].capacity);
+      places.push({.cost = cost, .index = index, .free = free});
+    }
   };
-  std::sort(candidates.begin(), candidates.end(),
-            [&](TargetIndex l, TargetIndex r) { return cost(l) < cost(r); });
   for (const TargetIndex index : candidates) {
-    const std::int64_t share = std::min<std::int64_t>(tasks(index), count);
-    picked.insert(picked.end(), static_cast<std::size_t>(share), index);
-    count -= static_cast<std::uint32_t>(share);
+    add(index, workers_[index].free);
+  }
+  for (; count > 0 && !places.empty(); --count) {
+    const GangPlace place = places.top();
+    places.pop();
+    picked.push_back(place.index);
+    add(place.index, place.free - need);
   }
 }
 
--- a/Source/placement/worker_index.h
+++ b/Source/placement/worker_index.h
@@ -5,7 +5,6 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -51,7 +50,7 @@
   std::uint64_t visited() const { return visited_; }
 
  private:
-  enum Order { kByProcessors, kByMemory, kBySize, kByLoad, kOrderCount };
+  enum Order { kByProcessors, kBySize, kByDirection, kByLoad, kOrderCount };
 
   struct Worker {
     Resources free;
@@ -72,22 +71,28 @@
 
   void Visit(const Group& group,
              Order order,
-             const Resources& need,
-             std::size_t max_nodes,
+             const FitForest::Search& search,
              const FitForest::Visitor& visitor) const;
-  void Collect(const Group& group,
+  // Adds the first kMaxCandidates to `found`; returns true if there are any.
+  bool Collect(const Group& group,
                Order order,
-               const Resources& need,
+               const FitForest::Search& search,
                std::vector<TargetIndex>& found) const;
+  bool CollectByProcessors(const Group& group,
+                           const Resources& need,
+                           std::vector<TargetIndex>& found) const;
+  bool CollectDense(const Group& group,
+                    const Resources& need,
+                    std::vector<TargetIndex>& found) const;
   std::optional<TargetIndex> PickDensest(const Resources& need) const;
   std::optional<TargetIndex> PickLeastLoaded(const Resources& need) const;
   std::vector<TargetIndex> GangCandidates(const Group& group,
                                           const Resources& need,
                                           std::uint32_t count) const;
-  void FillDensest(std::vector<TargetIndex> candidates,
-                   const Resources& need,
-                   std::uint32_t count,
-                   std::vector<TargetIndex>& picked) const;
+  void PlaceDensest(const std::vector<TargetIndex>& candidates,
+                    const Resources& need,
+                    std::uint32_t count,
+                    std::vector<TargetIndex>& picked) const;
 
   std::vector<Worker> workers_;  // by target
   std::array<FitForest, kOrderCount> forests_;
--- /dev/null
+++ b/Tests/placement/decision_bench.h
@@ -0,0 +1,13 @@
+// The cost of one placement decision at growing fleets.
+#ifndef BURDOCKROCK_TESTS_PLACEMENT_DECISION_BENCH_H_
+#define BURDOCKROCK_TESTS_PLACEMENT_DECISION_BENCH_H_
+
+#include "bench_report.h"
+
+namespace burdockrock {
+
+void RunDecisionBench(BenchReport& report);
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_TESTS_PLACEMENT_DECISION_BENCH_H_
