Standin: Answers 429 for refused calls and routes by a table

The edge reads 503 as a call that may have taken effect, so a platform that refuses before it reads now says 429, which the edge takes as refused. The worker server's dispatch was one long chain in which the linter found a repeated branch; a table of paths replaces it. Faults of settings no longer show an empty member name.

--- a/Tests/standin/field_reader.cc
+++ b/Tests/standin/field_reader.cc
@@ -138,8 +138,8 @@
 }
 
 void FieldReader::AddFault(std::string_view name, std::string_view problem) {
-  faults_ += fmt::format("{}{}.{} {}", faults_.empty() ? "" : "; ", path_, name,
-                         problem);
+  faults_ += fmt::format("{}{}{}{} {}", faults_.empty() ? "" : "; ", path_,
+                         name.empty() ? "" : ".", name, problem);
 }
 
 std::string FieldReader::Faults() {
--- a/Tests/standin/platform_codec.cc
+++ b/Tests/standin/platform_codec.cc
@@ -14,7 +14,8 @@
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kTooLarge = 413;
-constexpr int kUnavailable = 503;
+// Says that the call was refused before it took effect, which 503 does not.
+constexpr int kTooManyRequests = 429;
 
 using Call = std::variant<PlatformCall, CodecError>;
 
@@ -223,7 +224,7 @@
   if (unavailable.may_have_taken_effect) {
     return std::nullopt;
   }
-  return Response(EncodeText(unavailable.message), kUnavailable);
+  return Response(EncodeText(unavailable.message), kTooManyRequests);
 }
 
 }  // namespace burdockrock::standin
--- a/Tests/standin/standin_control.h
+++ b/Tests/standin/standin_control.h
@@ -24,8 +24,9 @@
 //     "speed_percent": N, "usage_percent": N, "leaving": bool, "gone": bool,
 //     "crash": bool, "forget_epoch": bool}}
 //   {"cut": {"from_owner": ENTRY, "target": INSTANCE, "cut": bool}}
-// Faults that are not named stay as they are. `forget_epoch` goes with
-// `crash`. Of entry instances only "leaving" and "gone" can be set.
+// A platform that is down takes no call and never answers; one that refuses
+// answers 429. Faults that are not named stay as they are. `forget_epoch` goes
+// with `crash`. Of entry instances only "leaving" and "gone" can be set.
 class StandinControl {
  public:
   // `cluster` must outlive the control.
--- a/Tests/standin/worker_model_test.cc
+++ b/Tests/standin/worker_model_test.cc
@@ -49,7 +49,7 @@
   return refused->reason;
 }
 
-Renewed StateOf(WorkerModel& worker, Time now, RenewCommand command) {
+Renewed StateOf(WorkerModel& worker, Time now, const RenewCommand& command) {
   const RenewAnswer answer = worker.Renew(command, now);
   REQUIRE(std::holds_alternative<Renewed>(answer));
   return std::get<Renewed>(answer);
--- a/Tests/standin/worker_server.cc
+++ b/Tests/standin/worker_server.cc
@@ -1,6 +1,8 @@
 #include "standin/worker_server.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 #include "net/address.h"
@@ -98,61 +100,74 @@
   });
 }
 
+WorkerServer::Route WorkerServer::FindRoute(const HttpRequest& request) {
+  static const std::array<std::pair<std::string_view, Route>, 7> kRoutes = {{
+      {"/v1/run", &WorkerServer::Run},
+      {"/v1/start", &WorkerServer::CarryOut<DecodeStart, &WorkerModel::Start>},
+      {"/v1/renew", &WorkerServer::Renew},
+      {"/v1/stop", &WorkerServer::CarryOut<DecodeStop, &WorkerModel::Stop>},
+      {"/v1/claim", &WorkerServer::CarryOut<DecodeClaim, &WorkerModel::Claim>},
+      {"/v1/throttle",
+       &WorkerServer::CarryOut<DecodeThrottle, &WorkerModel::Throttle>},
+      {"/v1/checkpoint",
+       &WorkerServer::CarryOut<DecodeCheckpoint, &WorkerModel::Checkpoint>},
+  }};
+  if (request.method != "POST") {
+    return nullptr;
+  }
+  for (const auto& [path, route] : kRoutes) {
+    if (path == request.path) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
 void WorkerServer::Dispatch(const Call& call, Time now) {
-  const auto parsed = ParseJson(call.request.body);
-  if (const auto* error = std::get_if<JsonError>(&parsed)) {
+  const Route route = FindRoute(call.request);
+  if (route == nullptr) {
+    Answer(call.respond, NotFoundResponse());
+    return;
+  }
+  const auto body = ParseJson(call.request.body);
+  if (const auto* error = std::get_if<JsonError>(&body)) {
     Answer(call.respond, EncodeError({error->message}));
     return;
   }
-  const auto& body = std::get<Json::Value>(parsed);
-  const auto handle = [&](const auto& decoded, const auto& carry_out) {
-    if (const auto* error = std::get_if<CodecError>(&decoded)) {
-      Answer(call.respond, EncodeError(*error));
-    } else {
-      carry_out(std::get<0>(decoded));
-    }
-  };
-  const auto answer = [&](const auto& method) {
-    return [&, method](const auto& command) {
-      Answer(call.respond, Encode((worker_.*method)(command, now)));
-    };
-  };
-  const std::string& path = call.request.path;
-  if (call.request.method != "POST") {
-    Answer(call.respond, NotFoundResponse());
-  } else if (path == "/v1/run") {
-    handle(DecodeRun(body),
-           [&](const StartCommand& it) { Run(call, it, now); });
-  } else if (path == "/v1/start") {
-    handle(DecodeStart(body), answer(&WorkerModel::Start));
-  } else if (path == "/v1/renew") {
-    handle(DecodeRenew(body),
-           [&](const RenewCommand& it) { Renew(call, it, now); });
-  } else if (path == "/v1/stop") {
-    handle(DecodeStop(body), answer(&WorkerModel::Stop));
-  } else if (path == "/v1/claim") {
-    handle(DecodeClaim(body), answer(&WorkerModel::Claim));
-  } else if (path == "/v1/throttle") {
-    handle(DecodeThrottle(body), answer(&WorkerModel::Throttle));
-  } else if (path == "/v1/checkpoint") {
-    handle(DecodeCheckpoint(body), answer(&WorkerModel::Checkpoint));
-  } else {
-    Answer(call.respond, NotFoundResponse());
+  (this->*route)(call, std::get<Json::Value>(body), now);
+}
+
+template <auto decode, auto method>
+void WorkerServer::CarryOut(const Call& call,
+                            const Json::Value& body,
+                            Time now) {
+  const auto command = decode(body);
+  if (const auto* error = std::get_if<CodecError>(&command)) {
+    Answer(call.respond, EncodeError(*error));
+    return;
   }
+  Answer(call.respond, Encode((worker_.*method)(std::get<0>(command), now)));
 }
 
-void WorkerServer::Run(const Call& call,
-                       const StartCommand& command,
-                       Time now) {
-  worker_.Run(command, now,
+void WorkerServer::Run(const Call& call, const Json::Value& body, Time now) {
+  const auto command = DecodeRun(body);
+  if (const auto* error = std::get_if<CodecError>(&command)) {
+    Answer(call.respond, EncodeError(*error));
+    return;
+  }
+  worker_.Run(std::get<StartCommand>(command), now,
               [this, respond = call.respond](const RunAnswer& answer) {
                 Answer(respond, Encode(answer));
               });
 }
 
-void WorkerServer::Renew(const Call& call,
-                         const RenewCommand& command,
-                         Time now) {
+void WorkerServer::Renew(const Call& call, const Json::Value& body, Time now) {
+  const auto decoded = DecodeRenew(body);
+  if (const auto* error = std::get_if<CodecError>(&decoded)) {
+    Answer(call.respond, EncodeError(*error));
+    return;
+  }
+  const auto& command = std::get<RenewCommand>(decoded);
   const RenewAnswer answer = worker_.Renew(command, now);
   const bool renewed = std::holds_alternative<Renewed>(answer);
   if (renewed && worker_.RenewWaits(command) && command.wait > Duration(0)) {
--- a/Tests/standin/worker_server.h
+++ b/Tests/standin/worker_server.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include <json/value.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -59,16 +60,22 @@
     HttpRequest request;
     HttpServer::Responder respond;
   };
+  using Route = void (WorkerServer::*)(const Call&, const Json::Value&, Time);
   struct HeldRenewal {
     RenewCommand command;
     HttpServer::Responder respond;
     Time deadline{0};
   };
 
+  // Null when there is no such call.
+  static Route FindRoute(const HttpRequest& request);
   void OnRequest(Call call);
   void Dispatch(const Call& call, Time now);
-  void Run(const Call& call, const StartCommand& command, Time now);
-  void Renew(const Call& call, const RenewCommand& command, Time now);
+  void Run(const Call& call, const Json::Value& body, Time now);
+  void Renew(const Call& call, const Json::Value& body, Time now);
+  // For commands that are answered at once.
+  template <auto decode, auto method>
+  void CarryOut(const Call& call, const Json::Value& body, Time now);
   void Answer(const HttpServer::Responder& respond,
               std::optional<HttpResponse> response);
   void Pump(Time now);
