Cli: Reads the states and statuses that entry instances send

Waiting for a job knew the end states by names that no entry instance sends, such as done for finished, and so would have waited for ever. Errors without a path are printed as one line, deadlines of jobs may be as long as the codec takes, up to 31 days, and a refusal after a lost answer names the lost answer as the reason and not the refusal's id.

--- a/Source/cli/job_wait.cc
+++ b/Source/cli/job_wait.cc
@@ -82,7 +82,7 @@
   }
   const Json::Value& body = std::get<EntryAnswer>(result).body;
   PrintAnswer(invocation, body, StatusText(body));
-  return IsDone(body) ? ExitCode::kOk : ExitCode::kFailed;
+  return IsFinished(body) ? ExitCode::kOk : ExitCode::kFailed;
 }
 
 }  // namespace burdockrock
--- a/Source/cli/status_text.cc
+++ b/Source/cli/status_text.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "cli/json_text.h"
+#include "model/caller_message.h"
 #include "net/json.h"
 
 namespace burdockrock {
@@ -15,8 +16,8 @@
 constexpr std::array kTextFields = {"id", "kind", "state"};
 constexpr std::array kCountFields = {"queued", "starting", "running",
                                      "done",   "failed",   "may_have_run"};
-constexpr std::array kEndStates = {"done", "failed", "cancelled",
-                                   "may_have_run"};
+constexpr std::array kEndStates = {WorkState::kFinished, WorkState::kFailed,
+                                   WorkState::kCancelled};
 
 std::string AnswerText(const Json::Value& answer) {
   return answer.isString() ? answer.asString() : WriteJson(answer);
@@ -41,6 +42,7 @@
   for (const char* name : kCountFields) {
     text += CountLine(status, name);
   }
+  text += CountLine(status, "waited_ms");
   if (status["answers"].isArray()) {
     for (const Json::Value& answer : status["answers"]) {
       text += fmt::format("answer: {}\n", AnswerText(answer));
@@ -64,16 +66,16 @@
 
 bool IsEnded(const Json::Value& status) {
   const std::string state = StringMember(status, "state");
-  for (const char* end : kEndStates) {
-    if (state == end) {
+  for (const WorkState end : kEndStates) {
+    if (state == WorkStateName(end)) {
       return true;
     }
   }
   return false;
 }
 
-bool IsDone(const Json::Value& status) {
-  return StringMember(status, "state") == "done";
+bool IsFinished(const Json::Value& status) {
+  return StringMember(status, "state") == WorkStateName(WorkState::kFinished);
 }
 
 }  // namespace burdockrock
--- a/Source/cli/status_text.h
+++ b/Source/cli/status_text.h
@@ -17,8 +17,8 @@
 // True when no more work is done for it.
 bool IsEnded(const Json::Value& status);
 
-// True when it ended as it should.
-bool IsDone(const Json::Value& status);
+// True when it ended and all its tasks ran without failing.
+bool IsFinished(const Json::Value& status);
 
 }  // namespace burdockrock
 
--- a/Source/cli/submit_flags.cc
+++ b/Source/cli/submit_flags.cc
@@ -20,10 +20,11 @@
     "The team whose share it counts to; the policy's default team when "
     "not given");
 DEFINE_string(urgency, "normal", "What goes first when there is no room");
-DEFINE_int64(deadline_ms,
-             0,
-             "For a request the time to its answer, 10000 when not given; for "
-             "a job the time to the start of its last task");
+DEFINE_int64(
+    deadline_ms,
+    0,
+    "For a request the time to its answer, at most 3600000, and 10000 "
+    "when not given; for a job the time to the start of its last task");
 DEFINE_int64(count, 1, "The number of tasks of a job");
 DEFINE_int64(processors_milli,
              0,
@@ -46,8 +47,8 @@
 
 namespace {
 
-constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
-constexpr std::int64_t kMaxRunTimeMs = 30LL * 24 * 3'600'000;
+constexpr std::int64_t kMaxRequestDeadlineMs = 3'600'000;
+constexpr std::int64_t kMaxJobTimeMs = 31LL * 24 * 3'600'000;
 constexpr std::int64_t kDefaultRequestDeadlineMs = 10'000;
 
 // Beyond the deadline, for an answer that says it has passed.
@@ -161,12 +162,12 @@
       {.name = "urgency",
        .value = "urgent|normal|batch",
        .choices = {"urgent", "normal", "batch"}},
-      {.name = "deadline_ms", .value = "N", .min = 1, .max = kMaxDeadlineMs},
+      {.name = "deadline_ms", .value = "N", .min = 1, .max = kMaxJobTimeMs},
       {.name = "count", .value = "N", .min = 1, .max = kMaxTasks},
       AmountRule("processors_milli"),
       AmountRule("memory_mb"),
       AmountRule("accelerators"),
-      {.name = "run_time_ms", .value = "N", .min = 0, .max = kMaxRunTimeMs},
+      {.name = "run_time_ms", .value = "N", .min = 0, .max = kMaxJobTimeMs},
       {.name = "idempotent"},
       NameRule("key"),
       {.name = "payload",
@@ -188,6 +189,12 @@
   if (FLAGS_service.empty()) {
     return "--service is missing; it is required with --kind request";
   }
+  if (FLAGS_deadline_ms > kMaxRequestDeadlineMs) {
+    return fmt::format(
+        "--deadline_ms: {} is out of range; allowed: 1 to {} with --kind "
+        "request",
+        FLAGS_deadline_ms, kMaxRequestDeadlineMs);
+  }
   return FindForeignFlag(kJobOnlyFlags);
 }
 
--- a/Source/cli/submit_verdict.cc
+++ b/Source/cli/submit_verdict.cc
@@ -30,6 +30,15 @@
   return kVerdictNames[static_cast<std::size_t>(kind)];
 }
 
+// The path and what is allowed are missing in errors of a whole body.
+std::string ErrorLine(const Json::Value& error) {
+  const std::string path = StringMember(error, "path");
+  const std::string allowed = StringMember(error, "allowed");
+  return fmt::format("{}{}{}{}{}", path, path.empty() ? "" : ": ",
+                     StringMember(error, "problem"),
+                     allowed.empty() ? "" : "; allowed: ", allowed);
+}
+
 // " ID", or nothing while the work has none.
 std::string IdText(const SubmitVerdict& verdict) {
   return verdict.id.empty() ? "" : " " + verdict.id;
@@ -115,11 +124,11 @@
   // The refusal holds for the entry instance that gave it. One asked before
   // may have taken the work, and its answer was lost.
   if (verdict.kind == VerdictKind::kNotRun && answer.earlier_may_have_run) {
-    verdict.kind = VerdictKind::kMayHaveRun;
-    verdict.detail =
-        fmt::format("an answer was lost before {} said not run", answer.entry);
-    verdict.retry_after_ms = 0;
-    verdict.errors.clear();
+    return {
+        .kind = VerdictKind::kMayHaveRun,
+        .reason = "connection_lost",
+        .detail = fmt::format("an answer was lost before {} said not run: {}",
+                              answer.entry, verdict.reason)};
   }
   return verdict;
 }
@@ -195,9 +204,7 @@
     if (!error.isObject()) {
       continue;
     }
-    lines.push_back(fmt::format(
-        "{}: {}; allowed: {}", StringMember(error, "path"),
-        StringMember(error, "problem"), StringMember(error, "allowed")));
+    lines.push_back(ErrorLine(error));
   }
   return lines;
 }
