--- a/Source/ledger/slot_log.cc
+++ b/Source/ledger/slot_log.cc
@@ -245,8 +245,9 @@
 }
 
 // A log that was not seen for long may have been adopted, closed and purged.
-// Its slots are then free again: a put would succeed and be believed, though
-// nobody reads it. Reading first shows the log gone.
+// Its slots are then free again: a put would succeed and leave a journal in
+// pieces, which every later reader reports as damaged. Reading first shows the
+// log gone and nothing is written.
 bool SlotLog::IsStale(Time now) const {
   return now - verified_at_ > options_.verify_after;
 }
--- a/Tests/ledger/log_driver.cc
+++ b/Tests/ledger/log_driver.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace burdockrock {
 namespace {
@@ -26,6 +27,9 @@
 void LogDriver::Take(LedgerProgress progress) {
   for (LedgerCall& it : progress.calls) {
     REQUIRE_MESSAGE(!call_, "two calls under way at once");
+    if (const auto* put = std::get_if<KvPut>(&it.operation)) {
+      put_bytes_ += put->value.size();
+    }
     call_ = std::move(it);
   }
   for (const TicketOutcome& it : progress.finished) {
--- a/Tests/ledger/log_driver.h
+++ b/Tests/ledger/log_driver.h
@@ -59,6 +59,8 @@
   const std::string& fenced_by() const { return fenced_by_; }
   bool missed_batches() const { return missed_batches_; }
   bool purged() const { return purged_; }
+  // Of the values of all puts sent.
+  std::size_t put_bytes() const { return put_bytes_; }
 
  private:
   standin::PlatformStore* store_;
@@ -71,6 +73,7 @@
   std::string fenced_by_;
   bool missed_batches_ = false;
   bool purged_ = false;
+  std::size_t put_bytes_ = 0;
 };
 
 }  // namespace burdockrock
--- a/Tests/ledger/slot_log_failure_test.cc
+++ b/Tests/ledger/slot_log_failure_test.cc
@@ -310,6 +310,8 @@
   }
   CHECK(paused.outcome(after) != AppendOutcome::kCommitted);
   CHECK_FALSE(paused.log().is_writable());
+  // Without a put in the network the purged journal does not come back.
+  CHECK(fixture.store.key_count() == (delayed ? 1 : 0));
 }
 
 // Symptom: a commit is reported for a record that is not in the log.
--- a/Tests/ledger/slot_log_test.cc
+++ b/Tests/ledger/slot_log_test.cc
@@ -148,6 +148,7 @@
   reader.Settle(kTestStart);
   CHECK(reader.log().is_closed());
   reader.Take(reader.log().Purge(kTestStart + seconds(1)));
+  CHECK_FALSE(reader.has_call());
   CHECK(fixture.store.key_count() == 3);
   const Time later = kTestStart + reader.log().PurgeDelay();
   reader.Take(reader.log().Purge(later));
