--- a/Source/model/work.h
+++ b/Source/model/work.h
@@ -56,7 +56,7 @@
 };
 
 inline constexpr std::uint32_t kMaxTasks = 100'000;
-inline constexpr std::size_t kMaxPayloadBytes = 64U * 1024;
+inline constexpr std::size_t kMaxPayloadBytes = std::size_t{64} * 1024;
 inline constexpr std::size_t kMaxNameBytes = 128;
 
 enum class InstanceRole { kEntry, kWorker, kMinion };
