--- a/Source/placement/capacity_catalog.cc
+++ b/Source/placement/capacity_catalog.cc
@@ -64,7 +64,7 @@
         std::max(greatest.accelerators, capacity.accelerators);
     greatest.slots = std::max(greatest.slots, capacity.slots);
   }
-  const std::string text = burdockrock::DescribeMisfit(need, greatest);
+  std::string text = burdockrock::DescribeMisfit(need, greatest);
   if (!text.empty()) {
     return text;
   }
--- a/Source/placement/fit_forest.cc
+++ b/Source/placement/fit_forest.cc
@@ -6,6 +6,7 @@
 #include "placement/fit_forest.h"
 
 #include <algorithm>
+#include <compare>
 
 namespace burdockrock {
 
@@ -72,7 +73,7 @@
 
 bool FitForest::Before(Root left, Root right) const {
   const auto order = nodes_[left].key <=> nodes_[right].key;
-  return order == 0 ? left < right : order < 0;
+  return std::is_eq(order) ? left < right : std::is_lt(order);
 }
 
 void FitForest::Refresh(Root node) {
--- a/Tests/placement/bench_placer.cc
+++ b/Tests/placement/bench_placer.cc
@@ -89,7 +89,7 @@
       },
       .place_gang =
           [index](const Resources& need, std::uint32_t count) {
-            const auto places = index->PickGang(need, count);
+            auto places = index->PickGang(need, count);
             for (const TargetIndex worker : places) {
               index->Take(worker, need);
             }
--- a/Tests/placement/decision_bench.cc
+++ b/Tests/placement/decision_bench.cc
@@ -134,6 +134,7 @@
   double pack_p99 = 0;
   for (const BenchPolicy policy : kBenchPolicies) {
     std::vector<Costs> costs;
+    costs.reserve(kFleetSizes.size());
     for (const std::size_t workers : kFleetSizes) {
       costs.push_back(Measure(report, policy, workers));
     }
--- a/Tests/placement/packing_bench.cc
+++ b/Tests/placement/packing_bench.cc
@@ -136,7 +136,7 @@
            Refusals& refusals) {
   const std::vector<TargetInfo> fleet = MakeFleet(kWorkers, seed);
   Resources capacity = CapacityOf(fleet);
-  // Few enough that their share of the load says nothing of the others'.
+  // The load is that of processors and memory; accelerators end no task.
   capacity.accelerators = kMaxAmount;
   const BenchPlacer placer = MakeBenchPlacer(policy, fleet);
   OvernightMix mix(seed);
--- a/Tests/placement/placement_index_test.cc
+++ b/Tests/placement/placement_index_test.cc
@@ -116,6 +116,23 @@
   CHECK(used.size() == 24);
 }
 
+// Symptom: a task waits although a worker has room for it.
+// Events: hundreds of idle workers each lack one of two dimensions; the only
+// one with both is busier than all of them.
+// Cause: the search by load ends after a bounded number of steps.
+TEST_CASE("Spread finds the only worker with room behind many without") {
+  PlacementIndex index;
+  for (int it = 0; it < 400; ++it) {
+    const bool little_memory = it / 8 % 2 == 0;
+    const Resources room{.processors_milli = little_memory ? 16'000 : 2'000,
+                         .memory_mb = little_memory ? 8'192 : 65'536};
+    index.Add(Worker(it, room));
+  }
+  const TargetIndex roomy = index.Add(Worker(400));
+  REQUIRE(index.Take(roomy, kEvenTask));
+  CHECK(index.PickWorker(kEvenTask, WorkerPolicy::kSpread) == roomy);
+}
+
 TEST_CASE("Minions are picked by free slots, ties over the racks") {
   PlacementIndex index;
   for (int it = 0; it < 4; ++it) {
