Ledger: Tells a batch that was read back by its records too

Its first put meets its own first batch of before; position, writer and number are equal, so the new record was reported committed though it is in no slot. A new test showed that; comparing the records as well makes it a fenced writer. Ruled out: leaving it to the rule that a writer's name is not used twice, because the reducer can break it.

--- a/Source/ledger/log_replay.cc
+++ b/Source/ledger/log_replay.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -43,6 +44,15 @@
   return "";
 }
 
+std::size_t DigestOf(const std::vector<LogRecord>& records) {
+  std::string joined;
+  for (const LogRecord& it : records) {
+    joined += fmt::format("{}:{}{}:{}{}:{}", it.key.size(), it.key,
+                          it.kind.size(), it.kind, it.body.size(), it.body);
+  }
+  return std::hash<std::string>()(joined);
+}
+
 bool IsContiguous(const std::vector<StoredBatch>& stored,
                   std::uint32_t ring_slots) {
   if (stored.empty()) {
@@ -82,6 +92,7 @@
               .revision = revision,
               .writer = batch.writer,
               .number = batch.number,
+              .digest = DigestOf(batch.records),
               .bytes = EncodedHeaderBytes(batch.writer),
               .keys = {}};
   for (const LogRecord& it : batch.records) {
@@ -122,12 +133,11 @@
   return standing;
 }
 
-bool LogReplay::Holds(LogPosition position,
-                      std::string_view writer,
-                      std::uint64_t number) const {
-  const Slot& slot = slots_[SlotOf(position)];
-  return slot.used && slot.position == position && slot.writer == writer &&
-         slot.number == number;
+bool LogReplay::Holds(const LogBatch& batch) const {
+  const Slot& slot = slots_[SlotOf(batch.position)];
+  return slot.used && slot.position == batch.position &&
+         slot.writer == batch.writer && slot.number == batch.number &&
+         slot.digest == DigestOf(batch.records);
 }
 
 bool LogReplay::IsOverwritten(LogPosition position) const {
--- a/Source/ledger/log_replay.h
+++ b/Source/ledger/log_replay.h
@@ -48,10 +48,10 @@
   // What stands of the batch that next_position() overwrites, by key.
   std::vector<LogRecord> OverwrittenRecords() const;
 
-  // True when `position` is in the ring and is this batch of this writer.
-  bool Holds(LogPosition position,
-             std::string_view writer,
-             std::uint64_t number) const;
+  // True when the ring holds this batch: position, writer, number and records.
+  // The records count too, because a process that starts a log anew under the
+  // same name and writer counts its batches anew as well.
+  bool Holds(const LogBatch& batch) const;
 
   // True when `position` was overwritten.
   bool IsOverwritten(LogPosition position) const;
@@ -72,6 +72,7 @@
     Revision revision = 0;
     std::string writer;
     std::uint64_t number = 0;
+    std::size_t digest = 0;  // of the records
     std::size_t bytes = 0;
     std::set<std::string> keys;  // that its batch sets
   };
--- a/Source/ledger/slot_log_answers.cc
+++ b/Source/ledger/slot_log_answers.cc
@@ -241,7 +241,7 @@
     must_read_ = item.revision != open_batch_->expect;
     return;
   }
-  if (found->writer == own.writer && found->number == own.number) {
+  if (*found == own) {
     replay_.Apply(own, item.revision);
     FinishCommitted(now, out);
     return;
@@ -366,7 +366,7 @@
     return;
   }
   const LogBatch& own = open_batch_->batch;
-  if (replay_.Holds(own.position, own.writer, own.number)) {
+  if (replay_.Holds(own)) {
     FinishCommitted(now, out);
     return;
   }
--- a/Tests/ledger/log_replay_test.cc
+++ b/Tests/ledger/log_replay_test.cc
@@ -84,8 +84,13 @@
   CHECK(read.ExpectedRevision() == 12);
   CHECK(read.live_bytes() == replay.live_bytes());
   CHECK(read.IsOverwritten(1));
-  CHECK(read.Holds(4, "entry-1", 5));
-  CHECK_FALSE(read.Holds(4, "entry-2", 5));
+  CHECK(read.Holds(batches[4]));
+  LogBatch other = batches[4];
+  other.writer = "entry-2";
+  CHECK_FALSE(read.Holds(other));
+  other = batches[4];
+  other.records.front().body = "3";
+  CHECK_FALSE(read.Holds(other));
 }
 
 // Symptom: accepted jobs vanish from a journal without a trace.
--- a/Tests/ledger/slot_log_failure_test.cc
+++ b/Tests/ledger/slot_log_failure_test.cc
@@ -178,6 +178,26 @@
   CHECK(paused.outcome(later) == AppendOutcome::kFenced);
 }
 
+// Symptom: a caller hears "accepted" and its job is in no journal.
+// Sequence: a fenced writer starts its journal anew under the same name; its
+// first batch has the number and the position of its first batch before.
+// Cause: that one, read back after the conflict, is taken for the new one.
+TEST_CASE("A journal that is created a second time is not written") {
+  LogFixture fixture;
+  LogDriver before = fixture.CreatedJournal("a");
+  before.Append("job-1", "x", kTestStart);
+  before.Settle(kTestStart);
+  LogDriver again = fixture.CreatedJournal("a");
+  const Ticket ticket = again.Append("job-2", "y", kTestStart);
+  SUBCASE("and told so") {}
+  SUBCASE("and the answer is lost") {
+    again.LoseAnswer(kTestStart);
+  }
+  again.Settle(kTestStart);
+  CHECK(again.outcome(ticket) == AppendOutcome::kFenced);
+  CHECK_FALSE(Stands(fixture, kJournalName, "job-2"));
+}
+
 // Symptom: an accepted job is lost with the death of its entry instance.
 // Sequence: a peer reads the journal; the writer, still alive, commits one
 // more job; the peer adopts what it had read.
