--- /dev/null
+++ b/Tests/scheduler/property_test.cc
@@ -0,0 +1,272 @@
+// Random orders of events, with lost, doubled and late messages, pauses, kills,
+// cuts and outages, from fixed seeds. After each step: no worker is
+// overcommitted, no task is live in two places, nothing that may run once runs
+// twice, no configuration goes back. At the end nothing accepted is lost.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "config/policy_document.h"
+#include "scheduler/entry_group.h"
+#include "scheduler/work_samples.h"
+
+namespace burdockrock {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kSteps = 120;
+constexpr std::uint64_t kSeeds = 24;
+
+class RandomRun {
+ public:
+  explicit RandomRun(std::uint64_t seed)
+      : random_(seed),
+        group_({.entries = {3, 2},
+                .workers = 4,
+                .minions = 2,
+                .seed = seed,
+                .lose = 0.02,
+                .repeat = 0.03,
+                .hold_back = 0.05}) {}
+
+  void Run() {
+    Settle(group_);
+    for (int it = 0; it < kSteps; ++it) {
+      Act();
+      group_.Run(milliseconds(Pick(800)));
+      REQUIRE(group_.Violations() == std::vector<std::string>{});
+    }
+    Heal();
+    CHECK(AllEnd());
+    CHECK(group_.Violations() == std::vector<std::string>{});
+  }
+
+ private:
+  std::uint64_t Pick(std::uint64_t count) { return random_() % count; }
+
+  std::string AnyEntry() {
+    const auto ids = group_.entries();
+    return ids[Pick(ids.size())];
+  }
+
+  std::string AnyUpEntry() {
+    for (int it = 0; it < 20; ++it) {
+      const std::string id = AnyEntry();
+      if (group_.IsUp(id)) {
+        return id;
+      }
+    }
+    return "";
+  }
+
+  std::string AnyWorker() {
+    return "d" + std::to_string(Pick(2)) + (Pick(3) == 0 ? "-m" : "-w") +
+           std::to_string(Pick(2));
+  }
+
+  void SubmitWork() {
+    const std::string entry = AnyUpEntry();
+    if (entry.empty()) {
+      return;
+    }
+    const std::string sleep =
+        "sleep_ms=" + std::to_string(200 + Pick(4000)) + ";answer=x";
+    if (Pick(3) == 0) {
+      Request request = DeskRequest(sleep);
+      request.idempotent = Pick(2) == 0;
+      if (!request.idempotent) {
+        request.key = "k" + std::to_string(Pick(12));
+        request.payload += ";key=" + request.key;
+      }
+      group_.Submit(entry, request);
+      return;
+    }
+    JobSpec spec = SmallJob(Pick(3) == 0 ? JobKind::kGang : JobKind::kBatch,
+                            1 + static_cast<std::uint32_t>(Pick(12)));
+    spec.payload = sleep;
+    spec.idempotent = Pick(4) != 0;
+    if (!spec.idempotent) {
+      spec.key = "j" + std::to_string(next_key_++);
+    }
+    jobs_.push_back(group_.Submit(entry, spec));
+  }
+
+  void CancelSome() {
+    const std::string entry = AnyUpEntry();
+    if (jobs_.empty() || entry.empty()) {
+      return;
+    }
+    const std::string id = group_.JobIdOf(jobs_[Pick(jobs_.size())]);
+    if (!id.empty()) {
+      group_.Ask(entry, id, true);
+    }
+  }
+
+  void ChangeConfig() {
+    const std::string entry = AnyUpEntry();
+    if (entry.empty()) {
+      return;
+    }
+    const Revision expect = group_.state(entry).config.view.revision;
+    group_.PutConfig(entry, expect,
+                     EntryGroup::PolicyDocumentText(
+                         R"({"gang": {"hold_ms": )" +
+                             std::to_string(1500 + Pick(1000)) + "}}",
+                         entry));
+  }
+
+  void DisturbEntry() {
+    const std::string entry = AnyEntry();
+    if (!group_.IsUp(entry)) {
+      group_.faults(entry).paused = false;
+      group_.Restart(entry);
+    } else if (group_.faults(entry).paused) {
+      group_.Resume(entry);
+    } else if (Pick(2) == 0) {
+      group_.Kill(entry);
+    } else {
+      group_.Pause(entry);
+    }
+  }
+
+  void DisturbLinks() {
+    const std::string left = AnyEntry();
+    const std::string right = AnyEntry();
+    switch (Pick(4)) {
+      case 0:
+        group_.CutPeers(left, right, true);
+        break;
+      case 1:
+        group_.faults(left).cut_workers.insert(AnyWorker());
+        break;
+      case 2:
+        group_.faults(left).cut_from_platform = Pick(2) == 0;
+        break;
+      default:
+        group_.faults(left).cut_workers.clear();
+        for (const std::string& it : group_.entries()) {
+          group_.CutPeers(left, it, false);
+        }
+        break;
+    }
+  }
+
+  void DisturbOutside() {
+    switch (Pick(4)) {
+      case 0:
+        group_.platform().faults().down = !group_.platform().faults().down;
+        break;
+      case 1:
+        group_.platform().faults().lose_answers += 2;
+        break;
+      case 2:
+        group_.worker(AnyWorker()).faults().lose_answers += 2;
+        break;
+      default: {
+        auto& faults = group_.worker(AnyWorker()).faults();
+        faults.paused = !faults.paused;
+        break;
+      }
+    }
+  }
+
+  void Act() {
+    switch (Pick(8)) {
+      case 0:
+      case 1:
+      case 2:
+        SubmitWork();
+        break;
+      case 3:
+        CancelSome();
+        break;
+      case 4:
+        ChangeConfig();
+        break;
+      case 5:
+        DisturbEntry();
+        break;
+      case 6:
+        DisturbLinks();
+        break;
+      default:
+        DisturbOutside();
+        break;
+    }
+  }
+
+  void Heal() {
+    group_.platform().faults().down = false;
+    for (const std::string& it : group_.entries()) {
+      group_.faults(it).cut_from_platform = false;
+      group_.faults(it).cut_workers.clear();
+      group_.faults(it).cut_peers.clear();
+    }
+    for (std::uint32_t domain = 0; domain < 2; ++domain) {
+      for (std::uint32_t it = 0; it < 4; ++it) {
+        const std::string tail = std::to_string(it);
+        const std::string head = "d" + std::to_string(domain);
+        group_.worker(head + "-w" + tail).faults().paused = false;
+        if (it < 2) {
+          group_.worker(head + "-m" + tail).faults().paused = false;
+        }
+      }
+    }
+    for (const std::string& it : group_.entries()) {
+      if (!group_.IsUp(it)) {
+        group_.faults(it).paused = false;
+        group_.Restart(it);
+      } else if (group_.faults(it).paused) {
+        group_.Resume(it);
+      }
+    }
+  }
+
+  bool Ended(ReplyId reply) {
+    const auto verdict = group_.VerdictOf(reply);
+    if (!verdict || !std::holds_alternative<Accepted>(*verdict)) {
+      return true;  // never accepted: nothing was promised
+    }
+    const auto status = group_.StatusOf(group_.JobIdOf(reply));
+    return status && status->running + status->starting + status->queued == 0;
+  }
+
+  bool AllEnd() {
+    return group_.RunUntil(
+        [&] {
+          for (const ReplyId it : jobs_) {
+            if (!Ended(it)) {
+              return false;
+            }
+          }
+          return true;
+        },
+        seconds(400));
+  }
+
+  std::mt19937_64 random_;
+  EntryGroup group_;
+  std::vector<ReplyId> jobs_;
+  std::uint64_t next_key_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("the promises hold under random failures") {
+  const char* only = std::getenv("BURDOCKROCK_SEED");
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    if (only != nullptr && std::stoull(only) != seed) {
+      continue;
+    }
+    CAPTURE(seed);
+    RandomRun(seed).Run();
+  }
+}
+
+}  // namespace burdockrock
