Scheduler: Ends gangs that lost a member and renews a worker that comes back

Ruled out: the gang's hold and backoff times. Change: such a gang fails as a whole, and tasks that were held but never told to go count as not run; every answer starts the renewals again; the generation record is erased once.

--- a/Source/scheduler/gangs.cc
+++ b/Source/scheduler/gangs.cc
@@ -153,6 +153,7 @@
     return;
   }
   job.gang_running = true;
+  job.went = true;
   job.hold_until = Time(0);
   context.Log(EventNumber::kGangStarted,
               {{"job", job.id}, {"tasks", std::to_string(job.tasks.size())}});
@@ -162,16 +163,20 @@
 }
 
 void BackOffGang(Context& context, Job& job, const std::string& why) {
-  const bool is_idle = !job.gang_running && job.hold_until == Time(0);
-  if (job.judged_failed || (is_idle && job.retry_at > context.now())) {
+  if (job.judged_failed) {
     return;
   }
-  job.gang_running = false;
-  job.hold_until = Time(0);
   if (std::any_of(job.tasks.begin(), job.tasks.end(), HasEnded)) {
+    job.gang_running = false;
     FailGang(context, job);
     return;
   }
+  const bool is_idle = !job.gang_running && job.hold_until == Time(0);
+  if (is_idle && job.retry_at > context.now()) {
+    return;
+  }
+  job.gang_running = false;
+  job.hold_until = Time(0);
   const std::uint32_t shift = std::min(job.backoffs, kMaxBackoffShift);
   ++job.backoffs;
   job.retry_at = context.now() +
--- a/Source/scheduler/job_records.cc
+++ b/Source/scheduler/job_records.cc
@@ -262,6 +262,7 @@
     } else {
       OrphanUnended(context, job);
       job.settling = true;
+      job.went = true;
       ++unfinished;
       FinishIfDone(context, job);
     }
--- a/Source/scheduler/jobs.cc
+++ b/Source/scheduler/jobs.cc
@@ -540,11 +540,17 @@
       task->answer = report.answer.substr(0, kMaxKeptAnswer);
       NoteReturned(context, *job, index);
       EndTask(context, *job, index, TaskState::kDone);
+      if (is_gang && !job->gang_running && !job->settling) {
+        BackOffGang(context, *job, "a member ended while others were stopped");
+      }
       return;  // acknowledged when it is recorded
     case Outcome::kFailed:
       task->answer = report.answer.substr(0, kMaxKeptAnswer);
       OnTaskFailed(context, *job, index, worker);
       if (task->state == TaskState::kEnding) {
+        if (is_gang) {
+          BackOffGang(context, *job, "a member failed for good");
+        }
         return;
       }
       break;
@@ -616,15 +622,21 @@
     FinishIfDone(context, job);
     return;
   }
-  if (!job.spec.idempotent && task.dispatched) {
+  const bool is_gang = job.spec.kind == JobKind::kGang;
+  // The tasks of a gang that was never told to go were held and did not run.
+  const bool may_have_run = task.dispatched && (!is_gang || job.went);
+  if (!job.spec.idempotent && may_have_run) {
     NoteReturned(context, job, index);
     EndTask(context, job, index, TaskState::kMayHaveRun);
+    if (is_gang && !job.settling) {
+      BackOffGang(context, job, "attempt lost");
+    }
     return;
   }
   context.Log(EventNumber::kAttemptRestarted,
               {{"job", job.id}, {"task", std::to_string(index)}});
   RetryLater(context, job, index);
-  if (job.spec.kind == JobKind::kGang && !job.settling) {
+  if (is_gang && !job.settling) {
     BackOffGang(context, job, "attempt lost");
   }
 }
--- a/Source/scheduler/jobs.h
+++ b/Source/scheduler/jobs.h
@@ -85,6 +85,7 @@
   std::set<std::string> failed_on;  // workers; at most a few
   // Of a gang.
   bool gang_running = false;  // all were held and told to go
+  bool went = false;          // some task may have been told to go, ever
   bool settling = false;      // adopted, and its attempts are looked for
   Time hold_until{0};         // while it is being assembled
   Time retry_at{0};
--- a/Source/scheduler/journal.cc
+++ b/Source/scheduler/journal.cc
@@ -355,9 +355,12 @@
   const bool is_empty = std::all_of(
       log.records().begin(), log.records().end(),
       [](const auto& record) { return record.first == kGenerationKey; });
-  if (is_empty && log.pending_count() == 0 && log.is_writable()) {
+  const bool may_close = is_empty && name != state.jobs.own_journal &&
+                         log.pending_count() == 0 && log.is_writable();
+  if (may_close && !log.records().empty()) {
     AppendTo(context, name, {.key = kGenerationKey, .kind = kEraseKind}, {},
-             std::nullopt);
+             std::nullopt);  // closed at the next check
+  } else if (may_close) {
     RunLedger(context, name, log.Close(context.now()));
   }
   context.After(kEmptyJournalCheck, TimerKind::kJournal, name);
--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -35,6 +35,11 @@
   if (was_shut) {
     UpdateOpen(context, worker);
   }
+  // The renewals stopped when the worker fell silent; any answer starts them
+  // again.
+  if (IsOurs(worker) && worker.poll == 0) {
+    context.At(context.now(), TimerKind::kRenew, worker.info.id);
+  }
 }
 
 // Books what the worker has and this process did not know: attempts that an
