Scheduler: Splits jobs and requests by concern

Cause: two files had grown past 600 lines and did several jobs each: taking work in, following its attempts, answering for it. Change: job_admission, attempt_news and job_status beside jobs; request_admission and request_runs beside requests; names of journals and jobs stand once; members that nothing read are gone. No behaviour and no test changed. Result: the same tests pass.

--- /dev/null
+++ b/Source/scheduler/attempt_news.cc
@@ -0,0 +1,285 @@
+#include "scheduler/attempt_news.h"
+
+#include <algorithm>
+
+#include "scheduler/context.h"
+#include "scheduler/gangs.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr std::uint32_t kMaxBackoffShift = 7;
+
+Duration RetryDelay(Context& context, const Task& task) {
+  const RetryPolicy& policy = context.policy().retries;
+  const std::uint32_t shift =
+      std::min<std::uint32_t>(task.tries, kMaxBackoffShift);
+  return context.Jitter(
+      std::min(policy.backoff_min * (1U << shift), policy.backoff_max));
+}
+
+// Tries the task again after a while.
+void RetryLater(Context& context, Job& job, std::uint32_t index) {
+  Task& task = job.tasks[index];
+  NoteReturned(context, job, index);
+  task.state = TaskState::kQueued;
+  task.worker.clear();
+  task.owner.clear();
+  ++job.queued;
+  ++context.state().jobs.waiting;
+  job.next_queued = std::min(job.next_queued, index);
+  ++context.state().counters.retries;
+  context.After(RetryDelay(context, task), TimerKind::kRetryTask, job.id);
+}
+
+void OnTaskFailed(Context& context,
+                  Job& job,
+                  std::uint32_t index,
+                  const std::string& worker) {
+  const HealthPolicy& health = context.policy().health;
+  Task& task = job.tasks[index];
+  job.failed_on.insert(worker);
+  if (!job.bad && static_cast<std::int64_t>(job.failed_on.size()) >=
+                      health.bad_job_workers) {
+    job.bad = true;
+    context.Log(EventNumber::kJobJudgedBad, {{"job", job.id}});
+  }
+  if (job.spec.kind == JobKind::kService) {
+    RetryLater(context, job, index);
+    return;
+  }
+  const bool may_retry = job.spec.idempotent && !job.bad &&
+                         task.tries < context.policy().retries.max_attempts;
+  if (may_retry) {
+    RetryLater(context, job, index);
+    return;
+  }
+  NoteReturned(context, job, index);
+  EndTask(context, job, index, TaskState::kFailed);
+}
+
+}  // namespace
+
+void EndTask(Context& context, Job& job, std::uint32_t index, TaskState end) {
+  Task& task = job.tasks[index];
+  const bool was_queued = task.state == TaskState::kQueued;
+  if (was_queued) {
+    --job.queued;
+    --context.state().jobs.waiting;
+  }
+  task.state = TaskState::kEnding;
+  task.end = end;
+  AppendTo(context, job.log, RecordOfEnd(job, index), {},
+           EndAppend{.job = job.id, .task = index});
+}
+
+void OnDispatchRecorded(Context& context,
+                        const std::string& id,
+                        std::uint32_t index,
+                        AppendOutcome outcome) {
+  Job* job = FindJob(context, id);
+  if (job == nullptr || job->tasks[index].state != TaskState::kDispatching) {
+    return;
+  }
+  Task& task = job->tasks[index];
+  task.dispatched = outcome == AppendOutcome::kCommitted;
+  task.state = TaskState::kQueued;
+  ++job->queued;
+  ++context.state().jobs.waiting;
+  job->next_queued = std::min(job->next_queued, index);
+  QueueJob(context, *job);
+}
+
+void OnAttemptRunning(Context& context,
+                      const AttemptId& attempt,
+                      bool held,
+                      const std::string& worker,
+                      const std::string& owner) {
+  Task* task = nullptr;
+  Job* job = JobOfAttempt(context, attempt, &task);
+  if (job == nullptr || task->attempt > attempt.number || !IsOut(*task)) {
+    return;
+  }
+  if (held && task->state == TaskState::kRunning) {
+    return;  // overtaken by the news that it runs
+  }
+  // An adopted journal doesn't know the attempt numbers of its former writer.
+  task->attempt = attempt.number;
+  task->worker = worker;
+  task->owner = owner;
+  const bool is_stray = job->spec.kind == JobKind::kGang &&
+                        !job->gang_running && !job->settling &&
+                        job->hold_until == Time(0);
+  if (job->cancelled || is_stray || task->state == TaskState::kStopping) {
+    task->state = TaskState::kRunning;
+    StopAttempt(context, *job, attempt.task);
+    return;
+  }
+  task->state = held ? TaskState::kHeld : TaskState::kRunning;
+  if (!held && job->first_start == Time(0)) {
+    job->first_start = context.now();
+  }
+  if (!held) {
+    context.Emit(WaitingMeasured{.urgency = job->spec.urgency,
+                                 .is_request = false,
+                                 .waited = context.now() - job->arrived});
+  }
+  if (held) {
+    OnGangTaskHeld(context, *job);
+  }
+}
+
+void OnAttemptNotStarted(Context& context,
+                         const AttemptId& attempt,
+                         const std::string& why) {
+  Task* task = nullptr;
+  Job* job = JobOfAttempt(context, attempt, &task);
+  if (job == nullptr || task->attempt != attempt.number || !IsOut(*task)) {
+    return;
+  }
+  if (job->cancelled) {
+    NoteReturned(context, *job, attempt.task);
+    task->state = TaskState::kCancelled;
+    --job->open;
+    FinishIfDone(context, *job);
+    return;
+  }
+  RequeueTask(context, *job, attempt.task);
+  if (job->spec.kind == JobKind::kGang) {
+    BackOffGang(context, *job, why);
+  }
+}
+
+void OnAttemptEnded(Context& context,
+                    const AttemptReport& report,
+                    const std::string& worker,
+                    const std::string& owner) {
+  Task* task = nullptr;
+  Job* job = JobOfAttempt(context, report.attempt, &task);
+  const bool is_current =
+      job != nullptr && IsOut(*task) && task->attempt <= report.attempt.number;
+  if (!is_current) {
+    const bool is_ending = job != nullptr && task->state == TaskState::kEnding;
+    if (!is_ending) {
+      AcknowledgeEnd(context, report.attempt, owner);
+    }
+    return;
+  }
+  task->attempt = report.attempt.number;
+  task->worker = worker;
+  task->owner = owner;
+  const std::uint32_t index = report.attempt.task;
+  const bool is_gang = job->spec.kind == JobKind::kGang;
+  switch (report.outcome) {
+    case Outcome::kDone:
+      if (job->spec.kind == JobKind::kService && !job->cancelled) {
+        RetryLater(context, *job, index);
+        break;
+      }
+      task->answer = report.answer.substr(0, kMaxKeptAnswer);
+      NoteReturned(context, *job, index);
+      EndTask(context, *job, index, TaskState::kDone);
+      if (is_gang && !job->gang_running && !job->settling) {
+        BackOffGang(context, *job, "a member ended while others were stopped");
+      }
+      return;  // acknowledged when it is recorded
+    case Outcome::kFailed:
+      task->answer = report.answer.substr(0, kMaxKeptAnswer);
+      OnTaskFailed(context, *job, index, worker);
+      if (task->state == TaskState::kEnding) {
+        if (is_gang) {
+          BackOffGang(context, *job, "a member failed for good");
+        }
+        return;
+      }
+      break;
+    case Outcome::kStopped:
+      NoteReturned(context, *job, index);
+      if (job->judged_failed) {
+        EndTask(context, *job, index, TaskState::kFailed);
+        return;
+      }
+      if (job->cancelled) {
+        task->state = TaskState::kCancelled;
+        --job->open;
+        FinishIfDone(context, *job);
+        break;
+      }
+      task->state = TaskState::kDispatching;  // counted again by the requeue
+      RequeueTask(context, *job, index);
+      break;
+    case Outcome::kLeaseLapsed:
+    case Outcome::kNone:
+      OnAttemptLost(context, *job, index);
+      break;
+  }
+  AcknowledgeEnd(context, report.attempt, owner);
+  if (is_gang && !job->cancelled && !job->finished) {
+    BackOffGang(context, *job, OutcomeName(report.outcome));
+  }
+}
+
+void OrphanTask(Context& context, Job& job, std::uint32_t index) {
+  Task& task = job.tasks[index];
+  if (!IsOut(task)) {
+    return;
+  }
+  task.state = TaskState::kOrphaned;
+  task.owner.clear();
+  // What an earlier search has covered says nothing of an attempt that was
+  // orphaned after it: the worker may have changed hands since.
+  const auto search = context.state().searches.find(job.log);
+  const bool is_fresh = search != context.state().searches.end() &&
+                        search->second.started == context.now() &&
+                        search->second.round == 0;
+  if (!is_fresh) {
+    StartSearch(context, job.log);
+  }
+}
+
+void OnAttemptLost(Context& context, Job& job, std::uint32_t index) {
+  Task& task = job.tasks[index];
+  if (job.cancelled) {
+    NoteReturned(context, job, index);
+    task.state = TaskState::kCancelled;
+    --job.open;
+    FinishIfDone(context, job);
+    return;
+  }
+  const bool is_gang = job.spec.kind == JobKind::kGang;
+  // The tasks of a gang that was never told to go were held and did not run.
+  const bool may_have_run = task.dispatched && (!is_gang || job.went);
+  if (!job.spec.idempotent && may_have_run) {
+    NoteReturned(context, job, index);
+    EndTask(context, job, index, TaskState::kMayHaveRun);
+    if (is_gang && !job.settling) {
+      BackOffGang(context, job, "attempt lost");
+    }
+    return;
+  }
+  context.Log(EventNumber::kAttemptRestarted,
+              {{"job", job.id}, {"task", std::to_string(index)}});
+  RetryLater(context, job, index);
+  if (is_gang && !job.settling) {
+    BackOffGang(context, job, "attempt lost");
+  }
+}
+
+void OnEndRecorded(Context& context,
+                   const std::string& id,
+                   std::uint32_t index,
+                   AppendOutcome outcome) {
+  Job* job = FindJob(context, id);
+  if (job == nullptr || outcome != AppendOutcome::kCommitted) {
+    return;  // fenced: the journal's new writer decides
+  }
+  Task& task = job->tasks[index];
+  task.state = task.end;
+  --job->open;
+  AcknowledgeEnd(context, {.job = id, .task = index, .number = task.attempt},
+                 task.owner);
+  FinishIfDone(context, *job);
+}
+
+}  // namespace burdockrock
--- a/Source/scheduler/claims.cc
+++ b/Source/scheduler/claims.cc
@@ -8,6 +8,8 @@
 
 #include "net/json.h"
 #include "scheduler/context.h"
+#include "scheduler/job_admission.h"
+#include "scheduler/request_admission.h"
 
 namespace burdockrock {
 
--- a/Source/scheduler/dump.cc
+++ b/Source/scheduler/dump.cc
@@ -29,8 +29,6 @@
   switch (state) {
     case OwnerState::kFree:
       return "free";
-    case OwnerState::kClaiming:
-      return "claiming";
     case OwnerState::kOwned:
       return "owned";
     case OwnerState::kHandingOver:
--- a/Source/scheduler/forwarding.cc
+++ b/Source/scheduler/forwarding.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "scheduler/context.h"
+#include "scheduler/request_admission.h"
 
 namespace burdockrock {
 
--- a/Source/scheduler/gangs.cc
+++ b/Source/scheduler/gangs.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
 #include "scheduler/forwarding.h"
 
--- a/Source/scheduler/jobs.h
+++ b/Source/scheduler/jobs.h
@@ -54,6 +54,11 @@
   std::string answer;  // of an ended task, cut at kMaxKeptAnswer
 };
 
+// Names: journal "jobs.DOMAIN.INSTANCE.INCARNATION-NUMBER", job
+// "j.DOMAIN.INSTANCE.INCARNATION-NUMBER.COUNT".
+inline constexpr char kJobIdPrefix[] = "j.";
+inline constexpr char kJournalPrefix[] = "jobs.";
+
 inline constexpr std::size_t kMaxKeptAnswer = 1024;
 
 // How long a finished job's status can be asked for.
@@ -100,8 +105,6 @@
   std::uint64_t next_attempt = 1;
   bool adopted = false;  // from another process
   bool ready = false;    // open for writing
-  bool loaded = false;
-  Time finished_at{0};
 };
 
 struct Jobs {
@@ -125,65 +128,12 @@
   std::map<std::uint64_t, ReplyId> asks;
 };
 
-void OnJobArrived(Context& context, const JobArrived& arrived);
-
-// The key of a non-idempotent job is recorded.
-void OnJobClaimed(Context& context, const std::string& id);
-void RefuseJob(Context& context, const std::string& id, Verdict verdict);
-
-// What the journal answered to an append.
-void OnJobRecorded(Context& context,
-                   const std::string& id,
-                   AppendOutcome outcome);
-void OnEndRecorded(Context& context,
-                   const std::string& id,
-                   std::uint32_t task,
-                   AppendOutcome outcome);
-void OnDispatchRecorded(Context& context,
-                        const std::string& id,
-                        std::uint32_t task,
-                        AppendOutcome outcome);
-void OnCancelRecorded(Context& context,
-                      const std::string& id,
-                      AppendOutcome outcome);
-
-// News of an attempt of a job whose journal this process writes. `owner` is
-// the member that owns the worker.
-void OnAttemptRunning(Context& context,
-                      const AttemptId& attempt,
-                      bool held,
-                      const std::string& worker,
-                      const std::string& owner);
-// Nothing was started, and nothing will be.
-void OnAttemptNotStarted(Context& context,
-                         const AttemptId& attempt,
-                         const std::string& why);
-void OnAttemptEnded(Context& context,
-                    const AttemptReport& report,
-                    const std::string& worker,
-                    const std::string& owner);
-
-// Not known whether the attempt runs: it is looked for.
-void OrphanTask(Context& context, Job& job, std::uint32_t task);
-
-// Nobody has the attempt: it is tried again or, if non-idempotent, given up.
-void OnAttemptLost(Context& context, Job& job, std::uint32_t task);
-
 Job* FindJob(Context& context, const std::string& id);
 Job* JobOfAttempt(Context& context, const AttemptId& attempt, Task** task);
 
-std::optional<WorkStatus> JobStatus(Context& context, const std::string& id);
-void CancelJob(Context& context, Job& job);
-void OnWorkAsked(Context& context, const WorkAsked& asked);
-void OnAskWork(Context& context, const std::string& from, const AskWork& ask);
-void OnAskWorkAnswer(Context& context, const AskWorkAnswer& answer);
-
 // The journal that a job of this id is in; empty when `id` is not a job's.
 std::string LogOfJob(const std::string& id);
 
-// The end of a task, durable before its worker may forget it.
-void EndTask(Context& context, Job& job, std::uint32_t task, TaskState end);
-
 // Puts a task back among the waiting ones.
 void RequeueTask(Context& context, Job& job, std::uint32_t task);
 
@@ -192,7 +142,6 @@
 
 // A finished job's status is kept no longer.
 void OnForgetJobTimer(Context& context, const std::string& id);
-void OnJobDeadline(Context& context, const std::string& id);
 void OnRetryTaskTimer(Context& context, const std::string& id);
 
 // A task that is out: it holds or may hold room somewhere.
@@ -201,6 +150,9 @@
 // The task left the waiting ones and counts against its team.
 void NoteDispatched(Context& context, Job& job, std::uint32_t task);
 
+// The room that the task counted for is returned to its team.
+void NoteReturned(Context& context, Job& job, std::uint32_t task);
+
 // Ends the job if its last task has ended.
 void FinishIfDone(Context& context, Job& job);
 
--- a/Source/scheduler/journal.cc
+++ b/Source/scheduler/journal.cc
@@ -4,14 +4,16 @@
 #include <set>
 #include <utility>
 
+#include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
+#include "scheduler/job_admission.h"
 #include "scheduler/job_records.h"
+#include "scheduler/job_status.h"
 
 namespace burdockrock {
 
 namespace {
 
-constexpr char kJournalPrefix[] = "jobs.";
 constexpr char kLogKeyPrefix[] = "log/";
 constexpr char kGenerationKey[] = "generation";
 constexpr char kGenerationKind[] = "generation";
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
 
 namespace burdockrock {
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -48,8 +48,7 @@
 };
 
 enum class OwnerState {
-  kFree,      // not ours; some other member's or nobody's
-  kClaiming,  // a claim is under way
+  kFree,  // not ours; some other member's or nobody's
   kOwned,
   kHandingOver,  // offered to another member, still renewed by us
 };
--- a/Source/scheduler/reducer.cc
+++ b/Source/scheduler/reducer.cc
@@ -4,8 +4,13 @@
 #include <utility>
 #include <variant>
 
+#include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
 #include "scheduler/gangs.h"
+#include "scheduler/job_admission.h"
+#include "scheduler/job_status.h"
+#include "scheduler/request_admission.h"
+#include "scheduler/request_runs.h"
 
 namespace burdockrock {
 
--- /dev/null
+++ b/Source/scheduler/request_admission.cc
@@ -0,0 +1,254 @@
+#include "scheduler/request_admission.h"
+
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "scheduler/claims.h"
+#include "scheduler/context.h"
+#include "scheduler/forwarding.h"
+#include "scheduler/request_runs.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr Duration kForwardMemory = std::chrono::seconds(30);
+constexpr Duration kNotReadyRetry = std::chrono::seconds(1);
+
+double TeamWeight(const Context& context, const std::string& team) {
+  const auto it = context.policy().teams.find(team);
+  return it == context.policy().teams.end() ? 1.0 : it->second.weight;
+}
+
+// The time that a request entering the queue now will wait for a slot, from
+// the requests that go before it and the rate at which slots come free.
+Duration PredictWait(Context& context, const RequestEntry& entry) {
+  const ServiceQueue& queue = QueueOf(context, entry.request.service);
+  const auto slots =
+      context.state().placement.total_slots(entry.request.service);
+  if (slots <= 0) {
+    return Duration(0);
+  }
+  std::size_t ahead = 1;
+  for (std::size_t it = 0; it <= ClassOf(entry); ++it) {
+    ahead += queue.classes[it].size();
+  }
+  const double wait = static_cast<double>(ahead) * queue.mean_run_us /
+                      static_cast<double>(slots);
+  return Duration(static_cast<Duration::rep>(wait));
+}
+
+// Drops the newest request of the least urgent class below this one, if the
+// queue is full. False when the queue is full of work at least as urgent.
+bool MakeRoom(Context& context, const RequestEntry& entry) {
+  ServiceQueue& queue = QueueOf(context, entry.request.service);
+  const auto limit = static_cast<std::size_t>(
+      context.policy().admission.max_queue_per_service);
+  if (queue.size() < limit) {
+    return true;
+  }
+  for (std::size_t it = kUrgencyCount - 1; it > ClassOf(entry); --it) {
+    const auto id = queue.classes[it].PopNewestOfLongest();
+    if (id) {
+      RefuseRequest(context, *id,
+                    {.reason = Reason::kOverloaded,
+                     .detail = "gave way to more urgent requests",
+                     .retry_after = RetryAfter(context, Duration(0))});
+      return true;
+    }
+  }
+  return false;
+}
+
+bool OverTeamLimit(Context& context, const RequestEntry& entry) {
+  const auto it = context.policy().teams.find(entry.request.team);
+  if (it == context.policy().teams.end() || it->second.max_waiting <= 0) {
+    return false;
+  }
+  std::size_t waiting = 0;
+  for (const FairQueue& queue :
+       QueueOf(context, entry.request.service).classes) {
+    waiting += queue.SizeOf(entry.request.team);
+  }
+  return static_cast<std::int64_t>(waiting) >= it->second.max_waiting;
+}
+
+void RefuseOverloaded(Context& context,
+                      const std::string& id,
+                      Duration wait,
+                      const char* detail) {
+  RefuseRequest(context, id,
+                {.reason = Reason::kOverloaded,
+                 .detail = detail,
+                 .retry_after = RetryAfter(context, wait)});
+}
+
+// Queues the request here, or refuses it at once when it would not make its
+// deadline: a caller that hears now can come back, one that waits can't.
+void QueueOrRefuse(Context& context, RequestEntry& entry) {
+  const std::string id = entry.request.id;
+  const Duration wait = PredictWait(context, entry);
+  const Duration run(static_cast<Duration::rep>(
+      QueueOf(context, entry.request.service).mean_run_us));
+  if (context.now() + wait + run > entry.deadline) {
+    RefuseOverloaded(context, id, wait,
+                     "the queue is longer than the deadline");
+    return;
+  }
+  if (OverTeamLimit(context, entry)) {
+    RefuseRequest(context, id,
+                  {.reason = Reason::kQuota,
+                   .detail = "the team has too many requests waiting",
+                   .retry_after = RetryAfter(context, wait)});
+    return;
+  }
+  if (!MakeRoom(context, entry)) {
+    RefuseOverloaded(context, id, wait, "the queue is full");
+    return;
+  }
+  Enqueue(context, entry);
+}
+
+NotRun NotReady(const char* detail) {
+  return {.reason = Reason::kNotReady,
+          .detail = detail,
+          .retry_after = kNotReadyRetry};
+}
+
+// Why a request can't be taken at all; nothing when it can.
+std::optional<NotRun> RefusalOf(Context& context, const RequestEntry& entry) {
+  const State& state = context.state();
+  if (!state.config.loaded) {
+    return NotReady("this entry instance has no configuration yet");
+  }
+  if (!context.policy().services.contains(entry.request.service)) {
+    return NotRun{.reason = Reason::kUnknownService,
+                  .detail = "no service " + entry.request.service +
+                            " in the configuration"};
+  }
+  const auto& teams = context.policy().teams;
+  if (!teams.contains(entry.request.team)) {
+    return NotRun{
+        .reason = Reason::kInvalid,
+        .detail = "no team " + entry.request.team + " in the configuration"};
+  }
+  if (state.drain.draining) {
+    return NotRun{.reason = Reason::kDraining,
+                  .detail = "this entry instance is stopping; ask another",
+                  .retry_after = context.policy().admission.retry_after_min};
+  }
+  return std::nullopt;
+}
+
+void Accept(Context& context, RequestEntry entry) {
+  State& state = context.state();
+  const std::string id = entry.request.id;
+  const auto [it, inserted] = state.requests.entries.emplace(id, entry);
+  if (!inserted) {
+    context.Answer(
+        entry.reply,
+        WorkAnswer{.id = id,
+                   .verdict = NotRun{.reason = Reason::kDuplicateKey,
+                                     .detail = "a request with this id is "
+                                               "waiting or running here"}});
+    return;
+  }
+  if (const auto refusal = RefusalOf(context, it->second)) {
+    RefuseRequest(context, id, *refusal);
+    return;
+  }
+  context.At(entry.deadline, TimerKind::kRequestDeadline, id);
+  if (it->second.request.idempotent || !it->second.origin.empty()) {
+    AdmitRequest(context, it->second);
+    return;
+  }
+  ClaimKeyOfRequest(context, it->second);
+}
+
+}  // namespace
+
+void Enqueue(Context& context, RequestEntry& entry) {
+  entry.state = RequestState::kQueued;
+  QueueOf(context, entry.request.service)
+      .classes[ClassOf(entry)]
+      .Push(entry.request.team, TeamWeight(context, entry.request.team),
+            entry.request.id);
+}
+
+void OnRequestArrived(Context& context, const RequestArrived& arrived) {
+  State& state = context.state();
+  RequestEntry entry{.request = arrived.request,
+                     .reply = arrived.reply,
+                     .arrived = context.now()};
+  if (entry.request.id.empty()) {
+    entry.request.id =
+        fmt::format("{}.{}.{}", state.self.instance, state.self.incarnation,
+                    state.requests.next_id++);
+  }
+  if (entry.request.team.empty()) {
+    entry.request.team = context.policy().default_team;
+  }
+  if (entry.request.deadline <= Duration(0)) {
+    const auto it = context.policy().services.find(entry.request.service);
+    const bool has_own = it != context.policy().services.end() &&
+                         it->second.deadline > Duration(0);
+    entry.request.deadline =
+        has_own ? it->second.deadline
+                : context.policy().admission.default_request_deadline;
+  }
+  entry.deadline = context.now() + entry.request.deadline;
+  Accept(context, std::move(entry));
+}
+
+void OnForwardRequest(Context& context,
+                      const std::string& from,
+                      const ForwardRequest& forward) {
+  RequestEntry entry{.request = forward.request,
+                     .origin = from,
+                     .arrived = context.now(),
+                     .deadline = context.now() + forward.request.deadline,
+                     .forwarded_once = true};
+  auto& taken = context.state().requests.taken_forwards;
+  const Time forget = entry.deadline + kForwardMemory;
+  if (!taken.emplace(entry.request.id, forget).second) {
+    return;  // doubled: the first one is or was answered
+  }
+  Accept(context, std::move(entry));
+}
+
+void AdmitRequest(Context& context, RequestEntry& entry) {
+  ServiceQueue& queue = QueueOf(context, entry.request.service);
+  const bool has_waiting = queue.size() > 0;
+  if (!has_waiting && TryDispatch(context, entry)) {
+    return;
+  }
+  if (!entry.origin.empty()) {
+    // The peer counted on a free slot. Waiting here would hide the request
+    // from slots that come free there.
+    RefuseOverloaded(context, entry.request.id, PredictWait(context, entry),
+                     "no free slot");
+    return;
+  }
+  const std::string peer =
+      entry.forwarded_once
+          ? ""
+          : ChoosePeerForRequest(context, entry.request.service);
+  if (!peer.empty() && ForwardToPeer(context, entry, peer)) {
+    return;
+  }
+  if (context.state().placement.total_slots(entry.request.service) == 0) {
+    RefuseRequest(context, entry.request.id,
+                  NotReady("no minion of the service is owned here"));
+    return;
+  }
+  QueueOrRefuse(context, entry);
+}
+
+void ForgetOldForwards(Context& context) {
+  std::erase_if(context.state().requests.taken_forwards,
+                [&](const auto& it) { return it.second < context.now(); });
+}
+
+}  // namespace burdockrock
--- a/Source/scheduler/requests.h
+++ b/Source/scheduler/requests.h
@@ -67,41 +67,19 @@
   std::uint64_t next_id = 1;
 };
 
-void OnRequestArrived(Context& context, const RequestArrived& arrived);
-void OnForwardRequest(Context& context,
-                      const std::string& from,
-                      const ForwardRequest& forward);
 void OnForwardAnswer(Context& context,
                      const std::string& from,
                      const ForwardAnswer& answer);
 void OnForwardNotReached(Context& context, const ForwardRequest& forward);
-void ForgetOldForwards(Context& context);
 void OnCancelForward(Context& context, const CancelForward& cancel);
 void OnRequestDeadline(Context& context, const std::string& id);
 
-// The request's key is recorded, so that it may be dispatched.
-void AdmitRequest(Context& context, RequestEntry& entry);
-
 // Ends a request that was not dispatched or is known not to run.
 void RefuseRequest(Context& context, const std::string& id, NotRun not_run);
 
 // Ends a request with any verdict and forgets it.
 void FinishRequest(Context& context, const std::string& id, Verdict verdict);
 
-// A minion's answer to a run.
-void OnRunEnded(Context& context, const std::string& id, const RunEnded& ended);
-
-// The run was refused or never left: it may be tried again.
-void OnRunNotStarted(Context& context,
-                     const std::string& id,
-                     const std::string& why);
-
-// The answer to a run was lost; its minion is asked what it runs.
-void OnRunUncertain(Context& context, const std::string& id);
-
-// The minion doesn't run the attempt (any more) and its answer is lost.
-void OnRunVanished(Context& context, const AttemptId& attempt);
-
 // A peer died: requests that it was given may have run.
 void FailForwarded(Context& context, const std::string& peer);
 
@@ -117,11 +95,15 @@
 
 // The job part of a request's attempts, and back.
 std::string RequestAttemptName(const std::string& request);
+std::string RequestOfAttempt(const AttemptId& attempt);
 bool IsRequestAttempt(const AttemptId& attempt);
 
 // The request of this attempt is still known here.
 bool IsOpenRequest(const Context& context, const AttemptId& attempt);
 
+std::size_t ClassOf(const RequestEntry& entry);
+ServiceQueue& QueueOf(Context& context, const std::string& service);
+
 // Between retry_after_min and retry_after_max.
 Duration RetryAfter(const Context& context, Duration wanted);
 
--- a/Source/scheduler/search.cc
+++ b/Source/scheduler/search.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
 #include "scheduler/gangs.h"
 
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
+#include "scheduler/request_admission.h"
 #include "scheduler/tasks.h"
 
 namespace burdockrock {
--- a/Source/scheduler/work_queries.cc
+++ b/Source/scheduler/work_queries.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "scheduler/context.h"
+#include "scheduler/job_status.h"
 #include "scheduler/jobs.h"
 #include "scheduler/requests.h"
 #include "scheduler/tasks.h"
--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -5,7 +5,9 @@
 #include <utility>
 #include <variant>
 
+#include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
+#include "scheduler/request_runs.h"
 
 namespace burdockrock {
 
--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -12,6 +12,7 @@
 #include "config/policy_document.h"
 #include "net/json.h"
 #include "scheduler/context.h"
+#include "scheduler/job_status.h"
 #include "scheduler/standin_edge.h"
 
 namespace burdockrock {
