Scheduler: Keeps a request's id while it ends

Cause: callers pass the id that is kept in the entry itself, and the end of a request read it after that entry had been moved and erased. The release of a key's claim has the same fault. Ruled out: loss or doubling of the message, since the trace shows the refusal leave and the test without faults sees the same. Change: the id is read from the entry that is kept for the rest of the function.

--- a/Source/scheduler/requests.cc
+++ b/Source/scheduler/requests.cc
@@ -117,7 +117,11 @@
   if (it == state.requests.entries.end()) {
     return;
   }
-  RequestEntry entry = std::move(it->second);
+  // `id` may be the name that is kept in the entry itself. Read after the entry
+  // is gone it is empty: a peer's answer then names no request, and a key's
+  // claim is never settled.
+  const RequestEntry entry = std::move(it->second);
+  const std::string& own_id = entry.request.id;
   state.requests.entries.erase(it);
   if (entry.claimed) {
     const auto* ran = std::get_if<Ran>(&verdict);
@@ -127,7 +131,7 @@
     } else if (std::holds_alternative<NotRun>(verdict)) {
       claim = ClaimState::kReleased;
     }
-    SettleClaim(context, entry.request.team, entry.request.key, id, claim,
+    SettleClaim(context, entry.request.team, entry.request.key, own_id, claim,
                 ran != nullptr ? ran->answer : "");
   }
   if (entry.answered) {
@@ -135,11 +139,12 @@
   }
   ++state.counters.answers[verdict.index()];
   if (std::holds_alternative<MayHaveRun>(verdict)) {
-    context.Log(EventNumber::kMayHaveRunAnswered, {{"request", id}});
+    context.Log(EventNumber::kMayHaveRunAnswered, {{"request", own_id}});
   }
   const Duration waited =
       entry.dispatched ? entry.started - entry.arrived : Duration(0);
-  WorkAnswer answer{.id = id, .verdict = std::move(verdict), .waited = waited};
+  WorkAnswer answer{
+      .id = own_id, .verdict = std::move(verdict), .waited = waited};
   if (!entry.origin.empty()) {
     context.Send(entry.origin, ForwardAnswer{.answer = std::move(answer)});
     return;
