Scheduler: Waits for a first policy with few calls

Cause: without a stored policy the platform's empty answer counted as a success and reset the wait between tries, and the list of instances was asked for with no wait as long as no policy was known. In ten seconds of virtual time two entries wrote event 604 136 times and one made 136 platform calls. Change: the wait between tries grows until a policy is there, the event is written once, and the known list is watched with a held call. After it the two entries write it once each and one makes 9 calls in the same test.

--- a/Source/scheduler/config_state.cc
+++ b/Source/scheduler/config_state.cc
@@ -234,10 +234,13 @@
   }
   if (!config.watching_instances) {
     config.watching_instances = true;
+    // The list may be known while the policy is still asked for.
+    const Duration list_wait =
+        state.membership.has_instances ? kWatchWait : wait;
     context.CallPlatform(
         InstancesWatch{.after = state.membership.instances.revision,
-                       .wait = wait},
-        wait + kWatchGrace, InstancesWatchPurpose{});
+                       .wait = list_wait},
+        list_wait + kWatchGrace, InstancesWatchPurpose{});
   }
 }
 
@@ -249,17 +252,23 @@
     RetryWatch(context);
     return;
   }
-  config.backoff = Duration(0);
   for (const KvItem& it : items->items) {
     if (it.key == kPolicyKey && !it.deleted) {
       ApplyConfig(context, {.revision = it.revision, .document = it.value});
     }
   }
   if (config.seen == 0) {
-    context.Log(EventNumber::kConfigurationAwaited, {});
+    // Nothing has been stored yet. Taken for a success this would start the
+    // wait between tries anew each time, and each process would ask several
+    // times a second for as long as there is no policy.
+    if (!config.awaited) {
+      config.awaited = true;
+      context.Log(EventNumber::kConfigurationAwaited, {});
+    }
     RetryWatch(context);
     return;
   }
+  config.backoff = Duration(0);
   context.At(context.now(), TimerKind::kWatch);
 }
 
@@ -271,7 +280,9 @@
     RetryWatch(context);
     return;
   }
-  config.backoff = Duration(0);
+  if (config.seen != 0) {
+    config.backoff = Duration(0);
+  }
   ApplyInstances(context, *list);
   context.At(context.now(), TimerKind::kWatch);
 }
