--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -588,6 +588,10 @@
   Deliver(entry, entries_.at(entry).incarnation, DrainAsked{});
 }
 
+void EntryGroup::Inject(const std::string& entry, EventBody body) {
+  Deliver(entry, entries_.at(entry).incarnation, std::move(body));
+}
+
 const CallerAnswer* EntryGroup::AnswerTo(ReplyId reply) const {
   const auto it = answers_.find(reply);
   return it == answers_.end() ? nullptr : &it->second;
--- a/Tests/scheduler/entry_group.h
+++ b/Tests/scheduler/entry_group.h
@@ -101,6 +101,8 @@
                     Revision expect,
                     const std::string& document);
   void Drain(const std::string& entry);
+  // An event besides those that the fakes give: a doubled or late message.
+  void Inject(const std::string& entry, EventBody body);
 
   const CallerAnswer* AnswerTo(ReplyId reply) const;
   // The answer as a verdict of work; nothing while there is none.
