Scheduler: Looks for stopped tasks of a peer that has gone

Cause: a task that was told to stop, by a cancel or a gang's back-off, was left alone when the member that owned its worker went away, so its job waited for the end for ever; a gang judged failed would even have queued such a task again. Ruled out: the early-stop memory and the repeated stops, which work while the owner lives. Change: every task that is out there is looked for; of a gang judged failed it ends as failed.

--- a/Source/scheduler/attempt_news.cc
+++ b/Source/scheduler/attempt_news.cc
@@ -247,6 +247,11 @@
     FinishIfDone(context, job);
     return;
   }
+  if (job.judged_failed) {
+    NoteReturned(context, job, index);
+    EndTask(context, job, index, TaskState::kFailed);
+    return;
+  }
   const bool is_gang = job.spec.kind == JobKind::kGang;
   // The tasks of a gang that was never told to go were held and did not run.
   const bool may_have_run = task.dispatched && (!is_gang || job.went);
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -90,10 +90,9 @@
   for (auto& [job_id, job] : context.state().jobs.jobs) {
     for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
       const Task& task = job.tasks[it];
-      const bool is_out = task.state == TaskState::kStarting ||
-                          task.state == TaskState::kHeld ||
-                          task.state == TaskState::kRunning;
-      if (is_out && task.owner == id) {
+      // Also one that was told to stop: the word may be lost with the peer, and
+      // the job would wait for its end for ever.
+      if (IsOut(task) && task.owner == id) {
         OrphanTask(context, job, it);
       }
     }
