Scheduler: Starts work on a claimed worker only while its journals stand

It claimed workers back and started what waited in its memory, beside the new writer; after the partition it kept the stale jobs and answered by them, and its stops disturbed the new writer's gang. Cost: with the platform down a newly claimed worker waits, if its owner has open jobs.

--- a/Source/scheduler/journal.cc
+++ b/Source/scheduler/journal.cc
@@ -9,6 +9,7 @@
 #include "scheduler/job_admission.h"
 #include "scheduler/job_records.h"
 #include "scheduler/job_status.h"
+#include "scheduler/journal_check.h"
 
 namespace burdockrock {
 
@@ -77,6 +78,10 @@
     if (outcome == AppendOutcome::kCommitted) {
       BeginAdopted(context, own->log);
     }
+  } else if (const auto* check = std::get_if<CheckAppend>(&purpose)) {
+    if (outcome == AppendOutcome::kCommitted) {
+      OnJournalChecked(context, *check);
+    }
   }
 }
 
@@ -93,11 +98,8 @@
   journal.next_attempt = journal.generation << kAttemptsShift;
   // Durable before the first use: a third process that adopts the journal
   // after this one must come to a higher generation.
-  AppendTo(context, name,
-           {.key = kGenerationKey,
-            .kind = kGenerationKind,
-            .body = std::to_string(journal.generation)},
-           {.urgent = true}, GenerationAppend{.log = name});
+  AppendTo(context, name, RecordOfGeneration(journal), {.urgent = true},
+           GenerationAppend{.log = name});
 }
 
 void ArmTimer(Context& context, const std::string& name) {
@@ -179,6 +181,12 @@
   return kJournalPrefix + domain + "." + instance + "." + incarnation;
 }
 
+LogRecord RecordOfGeneration(const Journal& journal) {
+  return {.key = kGenerationKey,
+          .kind = kGenerationKind,
+          .body = std::to_string(journal.generation)};
+}
+
 OpenLog& AddLog(Context& context, SlotLogOptions options) {
   State& state = context.state();
   const std::string name = options.name;
@@ -340,6 +348,7 @@
   state.jobs.adopting.erase(name);
   state.searches.erase(name);
   state.dead_logs.push_back(name);
+  ForgetChecks(context, name);
 }
 
 void OnJournalTimer(Context& context, const std::string& name) {
--- a/Source/scheduler/journal.h
+++ b/Source/scheduler/journal.h
@@ -39,12 +39,19 @@
   std::string log;
 };
 
+struct CheckAppend {
+  std::string log;
+  std::string worker;
+  Epoch epoch = 0;  // under which the worker was claimed
+};
+
 using AppendPurpose = std::variant<JobAppend,
                                    EndAppend,
                                    DispatchAppend,
                                    CancelAppend,
                                    ClaimAppend,
-                                   GenerationAppend>;
+                                   GenerationAppend,
+                                   CheckAppend>;
 
 // A log of the platform as this process uses it.
 struct OpenLog {
@@ -78,6 +85,8 @@
 LogRecord RecordOfDispatch(const Job& job, std::uint32_t task);
 LogRecord RecordOfCancel(const Job& job);
 
+LogRecord RecordOfGeneration(const Journal& journal);
+
 // Makes a log known and returns it; the caller opens it.
 OpenLog& AddLog(Context& context, SlotLogOptions options);
 
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -5,6 +5,7 @@
 
 #include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
+#include "scheduler/journal_check.h"
 
 namespace burdockrock {
 
@@ -245,6 +246,7 @@
   peer.lent.clear();
   peer.lent_room = {};
   peer.struck = false;
+  YieldJournals(context, said.from, digest.logs);
   if (role_changed) {
     ReviewPeers(context);
     ReviewOwnership(context);
--- a/Source/scheduler/ownership.cc
+++ b/Source/scheduler/ownership.cc
@@ -196,7 +196,8 @@
   // that is not taken up leaves no worker idle.
   const bool is_open = IsOurs(worker) && !worker.info.leaving &&
                        !worker.removed && !worker.silent && !worker.suspect &&
-                       !worker.claim_in_flight && !worker.health.quarantined &&
+                       !worker.claim_in_flight && worker.unchecked.empty() &&
+                       !worker.health.quarantined &&
                        !(worker.health.probing && !worker.bookings.empty()) &&
                        !context.state().drain.draining;
   const bool was_open = context.state().placement.open(*worker.index);
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -58,11 +58,15 @@
   OwnerState state = OwnerState::kFree;
   std::optional<TargetIndex> index;  // while owned
   Epoch epoch = 0;                   // the highest known
-  std::string owner;                 // OwnerName of who claimed that epoch
-  Time quiet_until{0};               // left alone: it was just taken from us
-  std::uint32_t deposed = 0;         // times that it was taken from us
-  Time wanted_since{0};              // desired here while another has it
-  std::string desired;               // by rendezvous hash
+  // Journals not yet shown to be this process's since it claimed the worker,
+  // and the epoch of that claim.
+  std::set<std::string> unchecked;
+  Epoch checked_epoch = 0;
+  std::string owner;          // OwnerName of who claimed that epoch
+  Time quiet_until{0};        // left alone: it was just taken from us
+  std::uint32_t deposed = 0;  // times that it was taken from us
+  Time wanted_since{0};       // desired here while another has it
+  std::string desired;        // by rendezvous hash
   bool claim_in_flight = false;
   std::uint32_t claim_refusals = 0;
   Time claim_after{0};
--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -7,6 +7,7 @@
 
 #include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
+#include "scheduler/journal_check.h"
 #include "scheduler/request_runs.h"
 
 namespace burdockrock {
@@ -170,6 +171,7 @@
   ++state.ownership.owned;
   worker.version = 0;
   worker.go.clear();
+  CheckJournals(context, worker);
   context.Log(
       EventNumber::kWorkerClaimed,
       {{"worker", worker.info.id}, {"epoch", std::to_string(worker.epoch)}});
