Scheduler: Says may have run when an earlier try's answer was lost

Cause: a request that may be repeated is tried again when its minion's answer was lost; when the second try was refused, for want of a slot or at the deadline, the caller heard not_run though the first try had run. The test of a refused repetition saw not_run with one execution, for a request that ran here and for a forwarded one. Ruled out: requests that may run once, which are never tried again. Change: a lost answer is noted in the request, and a later refusal is told as may_have_run with its reason.

--- a/Source/scheduler/request_runs.cc
+++ b/Source/scheduler/request_runs.cc
@@ -137,6 +137,7 @@
     return;
   }
   entry.state = RequestState::kSettling;
+  entry.may_have_run = true;
 }
 
 void OnRunVanished(Context& context, const AttemptId& attempt) {
@@ -147,6 +148,7 @@
     return;
   }
   RequestEntry& entry = it->second;
+  entry.may_have_run = true;
   const bool may_retry = entry.request.idempotent && !entry.answered &&
                          entry.tries < context.policy().retries.max_attempts &&
                          TakeRetryToken(context);
--- a/Source/scheduler/requests.cc
+++ b/Source/scheduler/requests.cc
@@ -121,6 +121,14 @@
   // is gone it is empty: a peer's answer then names no request, and a key's
   // claim is never settled.
   const RequestEntry entry = std::move(it->second);
+  // A refusal is of the last try alone. Told as it is, a caller whose first try
+  // ran and lost its answer would hear that nothing ran.
+  if (const auto* last = std::get_if<NotRun>(&verdict);
+      last != nullptr && entry.may_have_run) {
+    verdict = MayHaveRun{
+        .reason = last->reason,
+        .detail = "an earlier try's answer was lost; " + last->detail};
+  }
   const std::string& own_id = entry.request.id;
   state.requests.entries.erase(it);
   if (entry.claimed) {
--- a/Source/scheduler/requests.h
+++ b/Source/scheduler/requests.h
@@ -39,6 +39,7 @@
   RequestState state = RequestState::kQueued;
   bool answered = false;  // at its deadline, while it still ran
   bool dispatched = false;
+  bool may_have_run = false;  // an earlier try's answer was lost
   bool forwarded_once = false;
   std::string peer;
   std::string minion;
