Scheduler: Refuses what waits when the last minion is gone

Cause: the queue was looked at only when a slot came free or a peer with room spoke, so that with the last minion of a service gone its callers waited to their deadlines, while new ones were refused at once. The test saw no answer a second after the minion showed as leaving, with 20 seconds left. Change: with each digest, what waits for a service without a minion is refused with not_ready and a time to retry after.

--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -6,6 +6,7 @@
 #include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
 #include "scheduler/journal_check.h"
+#include "scheduler/request_admission.h"
 
 namespace burdockrock {
 
@@ -195,6 +196,7 @@
     state.membership.settled = true;
   }
   ReviewPeers(context);
+  RefuseUnservable(context);
   SendDigests(context);
   ReviewOwnership(context);
   context.After(policy.digest, TimerKind::kDigest);
--- a/Source/scheduler/request_admission.cc
+++ b/Source/scheduler/request_admission.cc
@@ -1,5 +1,6 @@
 #include "scheduler/request_admission.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -116,6 +117,18 @@
   Enqueue(context, entry);
 }
 
+// A minion is owned here that will take requests, if perhaps not now.
+bool HasMinion(const Context& context, const std::string& service) {
+  const auto& workers = context.state().ownership.workers;
+  return std::any_of(workers.begin(), workers.end(), [&](const auto& it) {
+    const WorkerRecord& worker = it.second;
+    return worker.info.role == InstanceRole::kMinion &&
+           worker.info.service == service &&
+           worker.state == OwnerState::kOwned && !worker.info.leaving &&
+           !worker.removed && !worker.silent;
+  });
+}
+
 NotRun NotReady(const char* detail) {
   return {.reason = Reason::kNotReady,
           .detail = detail,
@@ -251,6 +264,20 @@
   QueueOrRefuse(context, entry);
 }
 
+void RefuseUnservable(Context& context) {
+  for (auto& [service, queue] : context.state().requests.services) {
+    if (queue.size() == 0 || HasMinion(context, service)) {
+      continue;
+    }
+    for (FairQueue& it : queue.classes) {
+      while (const auto id = it.Pop()) {
+        RefuseRequest(context, *id,
+                      NotReady("the last minion of the service is gone"));
+      }
+    }
+  }
+}
+
 void ForgetOldForwards(Context& context) {
   std::erase_if(context.state().requests.taken_forwards,
                 [&](const auto& it) { return it.second < context.now(); });
--- a/Source/scheduler/request_admission.h
+++ b/Source/scheduler/request_admission.h
@@ -22,6 +22,9 @@
 
 void Enqueue(Context& context, RequestEntry& entry);
 
+// Refuses what waits for a service of which no minion is left here.
+void RefuseUnservable(Context& context);
+
 // Forwards whose doubles can no longer arrive.
 void ForgetOldForwards(Context& context);
 
