--- a/Tests/scheduler/request_failure_test.cc
+++ b/Tests/scheduler/request_failure_test.cc
@@ -213,6 +213,79 @@
   CHECK(count > 0);
 }
 
+// Symptom: "not run" is said of a request that ran.
+// Sequence: a minion runs a request that may be repeated and its answer is
+// lost. When that shows, no slot is left to repeat it in: the minion leaves.
+// Cause: the refusal of the second try says nothing of the first.
+TEST_CASE("a refused repetition does not hide the first try") {
+  for (const bool is_forwarded : {false, true}) {
+    CAPTURE(is_forwarded);
+    EntryGroup group({.entries = {1, 1}, .workers = 1, .minions = 1});
+    REQUIRE(Settle(group));
+    group.Run(seconds(2));
+    Asked asked(group);
+    const std::string at = is_forwarded ? "d1-m0" : "d0-m0";
+    if (is_forwarded) {
+      asked.SubmitMany("d0-e0", "own", kSlots, 2500);
+    }
+    std::pair<std::string, CallId> run;
+    group.on_effect = [&](const std::string& entry, const Effect& effect) {
+      const auto* call = std::get_if<CallWorker>(&effect);
+      if (call != nullptr && call->worker == at &&
+          std::holds_alternative<RunCommand>(call->command)) {
+        run = {entry, call->call};
+      }
+    };
+    group.worker(at).faults().lose_answers = 1;
+    Request request = KeyedRequest("lost", 10);
+    request.deadline = seconds(20);
+    const ReplyId reply = asked.Submit("d0-e0", "lost", request);
+    group.Run(milliseconds(200));
+    REQUIRE(group.recorder().ExecutionsOf("lost") == 1);
+    group.MarkLeaving("d0-m0");
+    group.MarkLeaving("d1-m0");
+    group.Run(group.options().list_lag + seconds(1));
+    group.Inject(
+        run.first,
+        WorkerAnswered{.call = run.second,
+                       .result = WorkerUnreachable{.message = "closed"}});
+    group.Run(seconds(30));
+    const auto verdict = group.VerdictOf(reply);
+    REQUIRE(verdict);
+    CHECK(std::holds_alternative<MayHaveRun>(*verdict));
+    asked.Check();
+  }
+}
+
+// Symptom: callers wait to their deadline for a slot that can't come.
+// Sequence: requests wait when the only minion's machine is taken away.
+// Cause: what waits is looked at only when a slot comes free.
+TEST_CASE("requests that wait hear when the last minion is gone") {
+  EntryGroup group({.entries = {1}, .workers = 1, .minions = 1});
+  REQUIRE(Settle(group));
+  Asked asked(group);
+  asked.SubmitMany("d0-e0", "own", kSlots, 30000);
+  std::vector<ReplyId> waiting;
+  for (int it = 0; it < 4; ++it) {
+    const std::string key = NameOf("waiting", it);
+    Request request = KeyedRequest(key, 10);
+    request.deadline = seconds(20);
+    waiting.push_back(asked.Submit("d0-e0", key, request));
+  }
+  group.MarkLeaving("d0-m0");
+  group.Run(group.options().list_lag + seconds(1));
+  for (const ReplyId it : waiting) {
+    const auto verdict = group.VerdictOf(it);
+    REQUIRE(verdict);
+    const auto* refused = std::get_if<NotRun>(&*verdict);
+    REQUIRE(refused != nullptr);
+    CHECK(refused->reason == Reason::kNotReady);
+    CHECK(refused->retry_after > Duration(0));
+  }
+  group.Run(seconds(40));
+  asked.Check();
+}
+
 // Symptom: "not run" is said of a request that is run later, or a request is
 // left without an answer.
 // Sequence: requests wait for a slot; some reach their deadline, some are
