--- a/Tests/bench/control_bench.cc
+++ b/Tests/bench/control_bench.cc
@@ -1,6 +1,7 @@
 // What a deployment of Lanyu's size spends on control, idle and at peak, in
 // counts and bytes over virtual time.
 #include <string>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -20,6 +21,7 @@
 constexpr double kPeakCalls = 100;
 constexpr double kControlBytes = 24'000;
 constexpr Duration kSpan = seconds(20);
+constexpr std::size_t kManyDomains = 10;
 // At peak, beside the requests.
 constexpr double kJobsPerSecond = 20;
 constexpr double kKeyedPerSecond = 20;
@@ -114,6 +116,32 @@
                kPeakCalls);
 }
 
+// Sixty entry instances in ten domains. All live, none may be taken for dead.
+void BenchManyDomains(BenchReport& report) {
+  const auto group = MakeSettled(
+      {.entries = std::vector<std::uint32_t>(kManyDomains, 6), .workers = 5});
+  const std::size_t silent = group->LinesOf(EventNumber::kPeerSilent).size();
+  const WireMeter meter(*group);
+  group->Run(kSpan);
+  const double span_s = static_cast<double>(kSpan / seconds(1));
+  report.Add(
+      {.name = "control.idle_60.deployment.platform_calls",
+       .value = static_cast<double>(meter.Total().platform.messages) / span_s,
+       .unit = "1/s",
+       .bound = AtMost(kIdleCalls)});
+  const std::size_t lost =
+      group->LinesOf(EventNumber::kPeerSilent).size() - silent;
+  report.Add({.name = "control.idle_60.live_peers_taken_for_dead",
+              .value = static_cast<double>(lost) / span_s,
+              .unit = "1/s",
+              .bound = AtMost(0)});
+  report.Add(
+      {.name = "control.idle_60.entry.control_bytes",
+       .value = static_cast<double>(meter.Largest().ControlBytes()) / span_s,
+       .unit = "B/s",
+       .bound = AtMost(kControlBytes)});
+}
+
 }  // namespace
 
 int RunControlBench() {
@@ -121,6 +149,7 @@
   const auto group = MakeLanyu("{}", kWorkersPerDomain);
   BenchIdle(report, *group);
   BenchPeak(report, *group);
+  BenchManyDomains(report);
   return report.ExitCode();
 }
 
--- a/Tests/bench/lanyu.cc
+++ b/Tests/bench/lanyu.cc
@@ -1,7 +1,6 @@
 #include "bench/lanyu.h"
 
 #include <stdexcept>
-#include <utility>
 
 namespace burdockrock::bench {
 
@@ -43,7 +42,7 @@
   return group;
 }
 
-std::unique_ptr<EntryGroup> MakeLanyu(EntryGroupOptions options) {
+std::unique_ptr<EntryGroup> MakeLanyu(const EntryGroupOptions& options) {
   auto group = MakeSettled(options);
   group->KillWorker(kSpareMinion);
   group->Run(4 * kQuiet);
@@ -55,7 +54,7 @@
   EntryGroupOptions options = LanyuOptions();
   options.policy = policy;
   options.workers = workers;
-  return MakeLanyu(std::move(options));
+  return MakeLanyu(options);
 }
 
 }  // namespace burdockrock::bench
--- a/Tests/bench/lanyu.h
+++ b/Tests/bench/lanyu.h
@@ -19,7 +19,7 @@
 // seconds. `policy` is a merge patch on the policy as JSON text.
 std::unique_ptr<EntryGroup> MakeLanyu(const std::string& policy = "{}",
                                       std::uint32_t workers = 0);
-std::unique_ptr<EntryGroup> MakeLanyu(EntryGroupOptions options);
+std::unique_ptr<EntryGroup> MakeLanyu(const EntryGroupOptions& options);
 
 EntryGroupOptions LanyuOptions();
 
--- a/Tests/bench/traffic.cc
+++ b/Tests/bench/traffic.cc
@@ -1,5 +1,6 @@
 #include "bench/traffic.h"
 
+#include <cmath>
 #include <random>
 #include <unordered_map>
 #include <utility>
@@ -137,7 +138,7 @@
   std::vector<Arrival> arrivals;
   double at = gap_us(random);
   while (at < static_cast<double>(options.span.count())) {
-    const auto run = static_cast<Duration::rep>(run_ms(random) + 0.5);
+    const std::int64_t run = std::llround(run_ms(random));
     arrivals.push_back({.at = Time(static_cast<Time::rep>(at)),
                         .run = milliseconds(run),
                         .urgency = PickUrgency(options.mix, draw(random)),
