Scheduler: Admits by the wait that each class will really have

Ruled out: forwarding, as no peer had room. Change: the wait is predicted from what the higher classes leave or from the kept share, whichever is sooner; a request is queued only if that is within half of the time that a run leaves; one with less time left than a run is refused when its turn comes.

--- /dev/null
+++ b/Source/scheduler/decaying_rate.cc
@@ -0,0 +1,17 @@
+#include "scheduler/decaying_rate.h"
+
+#include <cmath>
+
+namespace burdockrock {
+
+void DecayingRate::Note(Time now) {
+  rate_ = At(now) + 1 / static_cast<double>(kMemory.count());
+  updated_ = now;
+}
+
+double DecayingRate::At(Time now) const {
+  const auto passed = static_cast<double>((now - updated_).count());
+  return rate_ * std::exp(-passed / static_cast<double>(kMemory.count()));
+}
+
+}  // namespace burdockrock
--- a/Source/scheduler/request_admission.cc
+++ b/Source/scheduler/request_admission.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration kForwardMemory = std::chrono::seconds(30);
+constexpr double kRunMargin = 4;
+constexpr double kLeastShare = 0.001;
 constexpr Duration kNotReadyRetry = std::chrono::seconds(1);
 
 double TeamWeight(const Context& context, const std::string& team) {
@@ -23,29 +25,47 @@
   return it == context.policy().teams.end() ? 1.0 : it->second.weight;
 }
 
-// The time that a request entering the queue now will wait for a slot at most,
-// from the requests that go before it and the rate at which slots come free.
-// The slots may all have been taken in the same moment, so that none comes free
-// for a whole run: without that run in the sum, each request that is let in
-// under overload ends just past its deadline half of the time, and its slot is
-// spent on an answer that nobody waits for.
+// The time that a request entering the queue now will wait for a slot. It gets
+// one when those of its own and the higher classes have had theirs, from what
+// the higher classes leave of the slots that come free; or by the share that is
+// kept for lower classes, after those of its own class.
 Duration PredictWait(Context& context, const RequestEntry& entry) {
   const ServiceQueue& queue = QueueOf(context, entry.request.service);
   const auto slots =
       context.state().placement.total_slots(entry.request.service);
-  if (slots <= 0) {
+  if (queue.mean_run_us <= 0 || slots <= 0) {
     return Duration(0);
   }
-  std::size_t ahead = 1;
-  for (std::size_t it = 0; it <= ClassOf(entry); ++it) {
+  const std::size_t own = ClassOf(entry);
+  const double whole = static_cast<double>(slots) / queue.mean_run_us;
+  double above = 0;
+  std::size_t ahead = queue.classes[own].size() + 1;
+  const double by_share =
+      static_cast<double>(ahead) /
+      (whole * std::max(context.policy().urgency.batch_share, kLeastShare));
+  for (std::size_t it = 0; it < own; ++it) {
+    above += queue.taken[it].At(context.now());
     ahead += queue.classes[it].size();
   }
-  const double runs =
-      1 + static_cast<double>(ahead) / static_cast<double>(slots);
-  const double wait = runs * queue.mean_run_us;
+  const double rest = std::max(whole - above, whole * kLeastShare);
+  const double by_rank = static_cast<double>(ahead) / rest;
+  // The slots may all have been taken in the same moment, so that none comes
+  // free for a whole run.
+  const double wait = queue.mean_run_us + std::min(by_rank, by_share);
   return Duration(static_cast<Duration::rep>(wait));
 }
 
+// The longest wait with which a request is still queued. The run has to fit
+// after it, and most runs are not much longer than kRunMargin times the mean.
+// Half of what is left is kept for what the prediction doesn't know. A queue
+// so short keeps all slots busy, and who would wait longer hears it at once.
+Duration LongestWait(Context& context, const RequestEntry& entry) {
+  const Duration left = entry.deadline - context.now();
+  const Duration run(static_cast<Duration::rep>(
+      QueueOf(context, entry.request.service).mean_run_us * kRunMargin));
+  return (left - std::min(run, left / 2)) / 2;
+}
+
 // Drops the newest request of the least urgent class below this one, if the
 // queue is full. False when the queue is full of work at least as urgent.
 bool MakeRoom(Context& context, const RequestEntry& entry) {
@@ -96,9 +116,7 @@
 void QueueOrRefuse(Context& context, RequestEntry& entry) {
   const std::string id = entry.request.id;
   const Duration wait = PredictWait(context, entry);
-  const Duration run(static_cast<Duration::rep>(
-      QueueOf(context, entry.request.service).mean_run_us));
-  if (context.now() + wait + run > entry.deadline) {
+  if (wait > LongestWait(context, entry)) {
     RefuseOverloaded(context, id, wait,
                      "the queue is longer than the deadline");
     return;
@@ -238,6 +256,7 @@
 
 void AdmitRequest(Context& context, RequestEntry& entry) {
   ServiceQueue& queue = QueueOf(context, entry.request.service);
+  queue.taken[ClassOf(entry)].Note(context.now());
   const bool has_waiting = queue.size() > 0;
   if (!has_waiting && TryDispatch(context, entry)) {
     return;
--- a/Source/scheduler/requests.cc
+++ b/Source/scheduler/requests.cc
@@ -41,6 +41,16 @@
                                                                        : first;
 }
 
+// What is left of the deadline is shorter than a usual run: a slot given to it
+// would most likely be wasted.
+bool IsDoomed(const Context& context,
+              const RequestEntry& entry,
+              const ServiceQueue& queue) {
+  const Duration run(static_cast<Duration::rep>(queue.mean_run_us));
+  const bool had_time = entry.deadline - entry.arrived > run;
+  return had_time && context.now() + run > entry.deadline;
+}
+
 void PumpService(Context& context,
                  const std::string& service,
                  ServiceQueue& queue) {
@@ -55,6 +65,13 @@
     const auto which = NextClass(context, queue);
     const std::string id = *queue.classes[*which].Pop();
     RequestEntry& entry = state.requests.entries.at(id);
+    if (IsDoomed(context, entry, queue)) {
+      RefuseRequest(context, id,
+                    {.reason = Reason::kOverloaded,
+                     .detail = "too little time is left for a run",
+                     .retry_after = RetryAfter(context, Duration(0))});
+      continue;
+    }
     if (has_slot) {
       TryDispatch(context, entry);
     } else if (!ForwardToPeer(context, entry, peer)) {
--- a/Source/scheduler/requests.h
+++ b/Source/scheduler/requests.h
@@ -13,6 +13,7 @@
 #include "model/peer_message.h"
 #include "model/verdict.h"
 #include "model/work.h"
+#include "scheduler/decaying_rate.h"
 #include "scheduler/event.h"
 #include "scheduler/fair_queue.h"
 
@@ -55,6 +56,8 @@
   std::array<FairQueue, kUrgencyCount> classes;
   std::array<std::uint64_t, kUrgencyCount> picks{};
   double mean_run_us = 0;  // moving average; 0 until the first end
+  // Requests taken in by class, per microsecond over the last second or so.
+  std::array<DecayingRate, kUrgencyCount> taken;
   std::size_t size() const;
 };
 
