Scheduler: Sends half as many digests to other domains

Ruled out: a longer period within a domain, as it lengthens the recovery from a kill. Change: members of other domains get every second digest.

--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -18,6 +18,10 @@
 // product.
 constexpr std::size_t kFullMeshPeers = 8;
 
+// A member of another domain gets every second digest at most: it is needed
+// there to forward by and not to own workers by.
+constexpr std::uint64_t kFarDigestEvery = 2;
+
 // A watcher whose platform is silent for longer hands the watch to a member
 // that still reaches it.
 constexpr Duration kWatcherPlatformAge = std::chrono::seconds(5);
@@ -74,11 +78,14 @@
   }
   const bool full = state.membership.peers.size() <= kFullMeshPeers;
   std::map<std::string, std::vector<std::string>> others;
+  const bool far = digest.sequence % kFarDigestEvery == 0;
   for (const auto& [id, peer] : state.membership.peers) {
-    if (full || peer.domain == state.self.domain) {
+    if (peer.domain == state.self.domain) {
       context.Send(id, digest);
-    } else {
+    } else if (!full) {
       others[peer.domain].push_back(id);
+    } else if (far) {
+      context.Send(id, digest);
     }
   }
   for (const auto& [domain, ids] : others) {
