Scheduler: Sends a refused forward back under its own id

Cause: a refusal took the id by reference from the entry that it then moved from, so the answer to the peer bore an empty id; the first entry waited for it until the deadline and said that the request may have run. Ruled out: loss in the entry group, doubled ids, the memory of taken forwards. Change: ends of requests and jobs take the id by value.

--- a/Source/scheduler/job_admission.cc
+++ b/Source/scheduler/job_admission.cc
@@ -140,7 +140,7 @@
   }
 }
 
-void RefuseJob(Context& context, const std::string& id, Verdict verdict) {
+void RefuseJob(Context& context, std::string id, Verdict verdict) {
   Job* job = FindJob(context, id);
   if (job == nullptr) {
     return;
--- a/Source/scheduler/jobs.cc
+++ b/Source/scheduler/jobs.cc
@@ -94,7 +94,7 @@
   context.state().jobs.jobs.erase(id);
 }
 
-void DropJob(Context& context, const std::string& id) {
+void DropJob(Context& context, std::string id) {
   State& state = context.state();
   Job* job = FindJob(context, id);
   if (job == nullptr) {
--- a/Source/scheduler/requests.cc
+++ b/Source/scheduler/requests.cc
@@ -122,13 +122,13 @@
   return std::clamp(wanted, policy.retry_after_min, policy.retry_after_max);
 }
 
-void RefuseRequest(Context& context, const std::string& id, NotRun not_run) {
+void RefuseRequest(Context& context, std::string id, NotRun not_run) {
   context.Log(EventNumber::kRequestRefused,
               {{"request", id}, {"reason", ReasonName(not_run.reason)}});
   FinishRequest(context, id, std::move(not_run));
 }
 
-void FinishRequest(Context& context, const std::string& id, Verdict verdict) {
+void FinishRequest(Context& context, std::string id, Verdict verdict) {
   State& state = context.state();
   const auto it = state.requests.entries.find(id);
   if (it == state.requests.entries.end()) {
