Tests: Sharpens three proofs of worker failures

Cause: trials with single guards removed showed three tests that passed without the code: the platform's list was changed without anybody hearing of it, the paused workers left no room for the doubles to show, and the cap on quarantine was never reached. Change: the list's change is announced, only loaded workers pause, and many small bad jobs press on the cap.

--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -542,6 +542,10 @@
   machine.model->Crash(true, now_);
   machine.killed = true;
   machine.renews.clear();
+  DropFromList(id);
+}
+
+void EntryGroup::DropFromList(const std::string& id) {
   platform_.instances().Remove(id, now_);
   PokePlatform();
 }
--- a/Tests/scheduler/entry_group.h
+++ b/Tests/scheduler/entry_group.h
@@ -91,6 +91,8 @@
   void CutDomain(std::uint32_t domain, bool cut);
   // The worker's machine is gone: connections are refused, tasks are lost.
   void KillWorker(const std::string& id);
+  // The platform's list drops the instance, after its lag, and nothing else.
+  void DropFromList(const std::string& id);
   // The platform's list will say, after its lag, that the instance leaves.
   void MarkLeaving(const std::string& id);
 
--- a/Tests/scheduler/worker_failure_test.cc
+++ b/Tests/scheduler/worker_failure_test.cc
@@ -44,7 +44,12 @@
   const std::string job =
       AcceptJob(group, "d0-e0", JobOf(JobKind::kBatch, 24, 40'000));
   group.Run(seconds(2));
-  group.platform().instances().Remove("d0-w0", group.now());
+  for (const std::string& it : WorkersOf(group)) {
+    if (group.worker(it).live() > 0) {
+      group.DropFromList(it);
+      break;
+    }
+  }
   CHECK(RunUntilDone(group, job, seconds(200)));
   CHECK(Overcommits(group) == 0);
   CHECK(group.Violations() == "");
@@ -54,14 +59,15 @@
 // Sequence: a worker's commands stand still past the lease of its tasks while
 // these run on until the lease lapses; then it answers again.
 // Cause: silence does not say that the attempts have ended.
-TEST_CASE("a worker paused past its lease and woken doubles nothing") {
-  EntryGroup group({.entries = {3}, .workers = 4});
+TEST_CASE("workers paused past their lease and woken double nothing") {
+  EntryGroup group({.entries = {3}, .workers = 9});
   REQUIRE(Settle(group));
   const std::string job =
-      AcceptJob(group, "d0-e1", JobOf(JobKind::kBatch, 20, 40'000));
+      AcceptJob(group, "d0-e1", JobOf(JobKind::kBatch, 36, 40'000));
   group.Run(seconds(2));
+  REQUIRE(group.recorder().live() == 36);
   for (const std::string& it : WorkersOf(group)) {
-    group.worker(it).faults().paused = it != "d0-w3";
+    group.worker(it).faults().paused = group.worker(it).live() > 0;
   }
   group.Run(seconds(30));
   for (const std::string& it : WorkersOf(group)) {
@@ -121,6 +127,28 @@
   CHECK(group.Violations() == "");
 }
 
+// Symptom: nearly all workers are out of service at once.
+// Sequence: many small jobs fail, each too soon to be judged by itself.
+// Cause: past some share the cause is not in the workers.
+TEST_CASE("small bad jobs quarantine no more workers than the cap") {
+  EntryGroup group({.entries = {1}, .workers = 10});
+  REQUIRE(Settle(group));
+  JobSpec bad = SmallJob(JobKind::kBatch, 1);
+  bad.payload = "sleep_ms=50;fail=1";
+  std::size_t most = 0;
+  for (int it = 0; it < 120; ++it) {
+    group.Submit("d0-e0", bad);
+    group.Run(milliseconds(20));
+    std::size_t now = 0;
+    for (const auto& [id, worker] : group.state("d0-e0").ownership.workers) {
+      now += worker.health.quarantined ? 1 : 0;
+    }
+    most = std::max(most, now);
+  }
+  CHECK(!group.LinesOf(EventNumber::kQuarantineCapReached).empty());
+  CHECK(most == 2);
+}
+
 // Symptom: one bad job alone takes workers out of service.
 // Sequence: a single job fails on every worker.
 // Cause: failures were counted without regard to whose they are.
