--- a/Source/wire/platform_codec.cc
+++ b/Source/wire/platform_codec.cc
@@ -1,15 +1,18 @@
 #include "wire/platform_codec.h"
 
+#include <array>
+#include <charconv>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <fmt/format.h>
 
 #include "net/json.h"
 #include "wire/caller_status.h"
+#include "wire/platform_fields.h"
 #include "wire/value_reader.h"
 #include "wire/value_writer.h"
-#include "wire/work_fields.h"
 
 namespace burdockrock {
 
@@ -21,88 +24,88 @@
 
 }  // namespace
 
-// The value of a deleted key may be absent.
-template <>
-struct FieldsOf<KvItem> {
-  template <typename Codec, typename Value>
-  static void Visit(Codec& codec, Value& it) {
-    codec.Field("key", it.key);
-    codec.Optional("value", it.value, std::string());
-    codec.Field("revision", it.revision);
-    codec.Optional("deleted", it.deleted, false);
-  }
-};
+namespace {
 
-template <>
-struct FieldsOf<KvItems> {
-  template <typename Codec, typename Value>
-  static void Visit(Codec& codec, Value& it) {
-    codec.Field("revision", it.revision);
-    codec.Field("items", it.items);
+template <typename T>
+Decoded<PlatformOperation> DecodeFields(const Json::Value& fields) {
+  auto decoded = DecodeValue<T>(fields);
+  if (auto* error = std::get_if<DecodeError>(&decoded)) {
+    return std::move(*error);
   }
-};
+  return PlatformOperation(std::get<T>(std::move(decoded)));
+}
 
-template <>
-struct FieldsOf<KvDone> {
-  template <typename Codec, typename Value>
-  static void Visit(Codec& codec, Value& it) {
-    codec.Field("revision", it.revision);
-  }
-};
+// The fields of a put are its body's, those of other calls the query's.
+constexpr std::string_view kMethodWithBody = "PUT";
 
-template <>
-struct FieldsOf<KvConflict> {
-  template <typename Codec, typename Value>
-  static void Visit(Codec& codec, Value& it) {
-    codec.Field("revision", it.revision);
-  }
+struct Route {
+  const char* method;
+  const char* path;
+  Decoded<PlatformOperation> (*decode)(const Json::Value& fields);
 };
 
-namespace {
-
-HttpRequest Encode(const KvGet& get) {
-  return {.method = "GET", .path = "/v1/kv", .query = {{"key", get.key}}};
-}
-
-HttpRequest Encode(const KvPut& put) {
-  Json::Value body(Json::objectValue);
-  body["key"] = put.key;
-  body["value"] = put.value;
-  if (put.expect) {
-    body["expect"] = Json::UInt64(*put.expect);
+constexpr std::array<Route, std::variant_size_v<PlatformOperation>> kRoutes = {{
+    {"GET", "/v1/kv", &DecodeFields<KvGet>},
+    {"PUT", "/v1/kv", &DecodeFields<KvPut>},
+    {"DELETE", "/v1/kv", &DecodeFields<KvDelete>},
+    {"GET", "/v1/range", &DecodeFields<KvRange>},
+    {"GET", "/v1/watch", &DecodeFields<KvWatch>},
+    {"GET", "/v1/instances", &DecodeFields<InstancesWatch>},
+}};
+
+// Text that should be a number and is none stays text, which DecodeFields
+// refuses.
+Json::Value ReadQuery(const HttpRequest& request) {
+  Json::Value fields(Json::objectValue);
+  for (const auto& [name, text] : request.query) {
+    std::uint64_t n = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, n);
+    const bool is_number =
+        name != "key" && name != "prefix" && ec == std::errc() && stop == end;
+    fields[name] = is_number ? WriteValue(n) : Json::Value(text);
   }
-  return {.method = "PUT", .path = "/v1/kv", .body = WriteJson(body)};
+  return fields;
 }
 
-HttpRequest Encode(const KvDelete& it) {
-  HttpRequest request{
-      .method = "DELETE", .path = "/v1/kv", .query = {{"key", it.key}}};
-  if (it.expect) {
-    request.query["expect"] = std::to_string(*it.expect);
-  }
-  return request;
+HttpResponse Response(const Json::Value& body, int status = kOkStatus) {
+  return {.status = status, .body = WriteJson(body)};
 }
 
-HttpRequest Encode(const KvRange& range) {
-  return {.method = "GET",
-          .path = "/v1/range",
-          .query = {{"prefix", range.prefix}}};
+HttpResponse ErrorResponse(const std::string& message, int status) {
+  Json::Value body;
+  body["error"] = message;
+  return Response(body, status);
 }
 
-HttpRequest Encode(const KvWatch& watch) {
-  return {.method = "GET",
-          .path = "/v1/watch",
-          .query = {{"prefix", watch.prefix},
-                    {"after", std::to_string(watch.after)},
-                    {"wait_ms", std::to_string(ToMilliseconds(watch.wait))}}};
-}
+struct AnswerEncoder {
+  const PlatformOperation& operation;
 
-HttpRequest Encode(const InstancesWatch& watch) {
-  return {.method = "GET",
-          .path = "/v1/instances",
-          .query = {{"after", std::to_string(watch.after)},
-                    {"wait_ms", std::to_string(ToMilliseconds(watch.wait))}}};
-}
+  HttpResponse operator()(const KvItems& it) const {
+    const bool one = std::holds_alternative<KvGet>(operation);
+    return Response(one ? WriteValue(it.items.front()) : WriteValue(it));
+  }
+  HttpResponse operator()(const KvConflict& it) const {
+    return Response(WriteValue(it), kConflictStatus);
+  }
+  HttpResponse operator()(const KvMissing&) const {
+    return ErrorResponse("there is no such key or lease", kNotFoundStatus);
+  }
+  HttpResponse operator()(const KvTooLarge&) const {
+    return ErrorResponse(
+        fmt::format("the value is over {} bytes", kMaxPlatformValueBytes),
+        kTooLargeStatus);
+  }
+  HttpResponse operator()(const PlatformUnavailable& it) const {
+    return ErrorResponse(it.message, it.may_have_taken_effect
+                                         ? kUnavailableStatus
+                                         : kTooManyRequestsStatus);
+  }
+  template <typename T>
+  HttpResponse operator()(const T& it) const {
+    return Response(WriteValue(it));
+  }
+};
 
 template <typename T>
 Decision Decode(const HttpResponse& response) {
@@ -140,7 +143,43 @@
 }  // namespace
 
 HttpRequest EncodePlatformOperation(const PlatformOperation& operation) {
-  return std::visit([](const auto& it) { return Encode(it); }, operation);
+  const Route& route = kRoutes.at(operation.index());
+  HttpRequest request{.method = route.method, .path = route.path};
+  const Json::Value fields =
+      std::visit([](const auto& it) { return WriteValue(it); }, operation);
+  if (route.method == kMethodWithBody) {
+    request.body = WriteJson(fields);
+    return request;
+  }
+  for (const std::string& name : fields.getMemberNames()) {
+    request.query[name] = fields[name].asString();
+  }
+  return request;
+}
+
+std::variant<PlatformOperation, DecodeError> DecodePlatformOperation(
+    const HttpRequest& request) {
+  for (const Route& it : kRoutes) {
+    if (request.method != it.method || request.path != it.path) {
+      continue;
+    }
+    if (request.method != kMethodWithBody) {
+      return it.decode(ReadQuery(request));
+    }
+    auto body = ParseObject(request.body);
+    if (auto* error = std::get_if<DecodeError>(&body)) {
+      return std::move(*error);
+    }
+    return it.decode(std::get<Json::Value>(body));
+  }
+  return DecodeError{.path = request.path,
+                     .problem = request.method + " is no call to the platform",
+                     .allowed = "a call of the key-value service"};
+}
+
+HttpResponse EncodePlatformAnswer(const PlatformOperation& operation,
+                                  const PlatformResult& result) {
+  return std::visit(AnswerEncoder{.operation = operation}, result);
 }
 
 std::variant<PlatformResult, DecodeError> DecodePlatformAnswer(
--- a/Source/wire/platform_codec.h
+++ b/Source/wire/platform_codec.h
@@ -12,6 +12,13 @@
 
 HttpRequest EncodePlatformOperation(const PlatformOperation& operation);
 
+std::variant<PlatformOperation, DecodeError> DecodePlatformOperation(
+    const HttpRequest& request);
+
+// What the platform answers to `operation`.
+HttpResponse EncodePlatformAnswer(const PlatformOperation& operation,
+                                  const PlatformResult& result);
+
 // The answer to `operation`. A status that the protocol does not name is
 // PlatformUnavailable. After a DecodeError the operation may have taken effect.
 std::variant<PlatformResult, DecodeError> DecodePlatformAnswer(
--- a/Source/wire/value_reader.h
+++ b/Source/wire/value_reader.h
@@ -3,6 +3,7 @@
 #define BURDOCKROCK_WIRE_VALUE_READER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -49,6 +50,11 @@
 template <HasFields T>
 void ReadValue(const JsonPlace& place, T& out);
 
+template <typename T>
+void ReadValue(const JsonPlace& place, std::optional<T>& out) {
+  ReadValue(place, out.emplace());
+}
+
 template <typename T>
 void ReadValue(const JsonPlace& place, std::vector<T>& out) {
   if (!place.value().isArray()) {
--- a/Source/wire/value_writer.h
+++ b/Source/wire/value_writer.h
@@ -3,6 +3,7 @@
 #define BURDOCKROCK_WIRE_VALUE_WRITER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <vector>
@@ -32,6 +33,12 @@
 template <HasFields T>
 Json::Value WriteValue(const T& value);
 
+// An empty one has no form of its own: ObjectWriter::Optional leaves it out.
+template <typename T>
+Json::Value WriteValue(const std::optional<T>& value) {
+  return value ? WriteValue(*value) : Json::Value();
+}
+
 template <typename T>
 Json::Value WriteValue(const std::vector<T>& values) {
   Json::Value array(Json::arrayValue);
--- a/Source/wire/worker_codec.cc
+++ b/Source/wire/worker_codec.cc
@@ -154,8 +154,29 @@
 
 namespace {
 
-constexpr std::array<const char*, std::variant_size_v<WorkerCommand>> kPaths = {
-    "/v1/claim", "/v1/start", "/v1/run", "/v1/renew", "/v1/stop"};
+constexpr const char* kStaleReason = "stale_epoch";
+
+template <typename T>
+Decoded<WorkerCommand> DecodeCommand(const std::string& body) {
+  auto decoded = DecodeText<T>(body);
+  if (auto* error = std::get_if<DecodeError>(&decoded)) {
+    return std::move(*error);
+  }
+  return WorkerCommand(std::get<T>(std::move(decoded)));
+}
+
+struct Route {
+  const char* path;
+  Decoded<WorkerCommand> (*decode)(const std::string& body);
+};
+
+constexpr std::array<Route, std::variant_size_v<WorkerCommand>> kRoutes = {{
+    {"/v1/claim", &DecodeCommand<ClaimCommand>},
+    {"/v1/start", &DecodeCommand<StartCommand>},
+    {"/v1/run", &DecodeCommand<RunCommand>},
+    {"/v1/renew", &DecodeCommand<RenewCommand>},
+    {"/v1/stop", &DecodeCommand<StopCommand>},
+}};
 
 WorkerUnreachable Garbage(std::string message) {
   return {.may_have_been_received = true,
@@ -224,12 +245,55 @@
   }
   const bool is_start =
       kind == WorkerCommandKind::kStart || kind == WorkerCommandKind::kRun;
-  if (is_start && refusal.reason != "stale_epoch") {
+  if (is_start && refusal.reason != kStaleReason) {
     return StartRefused{.reason = std::move(refusal.reason)};
   }
   return StaleEpoch{.epoch = refusal.epoch, .owner = std::move(refusal.owner)};
 }
 
+HttpResponse Response(const Json::Value& body, int status = kOkStatus) {
+  return {.status = status, .body = WriteJson(body)};
+}
+
+HttpResponse EncodeRefusal(WorkerCommandKind kind,
+                           std::string reason,
+                           const StaleEpoch& in_force) {
+  const bool is_claim = kind == WorkerCommandKind::kClaim;
+  Json::Value body =
+      WriteValue(Refusal{.reason = is_claim ? "" : std::move(reason),
+                         .epoch = in_force.epoch,
+                         .owner = in_force.owner});
+  if (is_claim) {
+    body["accepted"] = false;
+  }
+  return Response(body, kConflictStatus);
+}
+
+struct AnswerEncoder {
+  WorkerCommandKind kind;
+  const StaleEpoch& in_force;
+
+  HttpResponse operator()(const ClaimAccepted& it) const {
+    return Response(WriteValue(ClaimAnswer{.accepted = true, .claim = it}));
+  }
+  HttpResponse operator()(const StartDone&) const {
+    return Response(WriteValue(StartAnswer{.started = true}));
+  }
+  HttpResponse operator()(const StaleEpoch& it) const {
+    return EncodeRefusal(kind, kStaleReason, it);
+  }
+  HttpResponse operator()(const StartRefused& it) const {
+    return EncodeRefusal(kind, it.reason, in_force);
+  }
+  HttpResponse operator()(const WorkerUnreachable&) const {
+    return Response(Json::objectValue, kUnavailableStatus);
+  }
+  template <typename T>
+  HttpResponse operator()(const T& it) const {
+    return Response(WriteValue(it));
+  }
+};
+
 }  // namespace
 
 WorkerCommandKind KindOf(const WorkerCommand& command) {
@@ -239,12 +303,30 @@
 HttpRequest EncodeWorkerCommand(const WorkerCommand& command) {
   HttpRequest request;
   request.method = "POST";
-  request.path = kPaths.at(command.index());
+  request.path = kRoutes.at(command.index()).path;
   request.body = std::visit(
       [](const auto& it) { return WriteJson(WriteValue(it)); }, command);
   return request;
 }
 
+std::variant<WorkerCommand, DecodeError> DecodeWorkerCommand(
+    const HttpRequest& request) {
+  for (const Route& it : kRoutes) {
+    if (request.path == it.path && request.method == "POST") {
+      return it.decode(request.body);
+    }
+  }
+  return DecodeError{.path = request.path,
+                     .problem = request.method + " is no call to a worker",
+                     .allowed = "POST to /v1/ and a command's name"};
+}
+
+HttpResponse EncodeWorkerAnswer(WorkerCommandKind kind,
+                                const WorkerResult& result,
+                                const StaleEpoch& in_force) {
+  return std::visit(AnswerEncoder{.kind = kind, .in_force = in_force}, result);
+}
+
 WorkerResult DecodeWorkerAnswer(WorkerCommandKind kind,
                                 const HttpResponse& response) {
   if (response.status == kConflictStatus) {
--- a/Tests/bench/wire_meter.cc
+++ b/Tests/bench/wire_meter.cc
@@ -4,8 +4,6 @@
 #include <variant>
 
 #include "net/json.h"
-#include "scheduler/standin_edge.h"
-#include "standin/worker_codec.h"
 #include "wire/peer_codec.h"
 #include "wire/platform_codec.h"
 #include "wire/worker_codec.h"
@@ -35,10 +33,14 @@
 std::uint64_t AnswerBytes(EntryGroup& group,
                           const std::string& worker,
                           const RenewCommand& renew) {
-  const auto answer =
-      group.worker(worker).AnswerRenew(ToStandin(renew), group.now());
-  const auto response = standin::Encode(answer);
-  return kHttpBytes + (response ? response->body.size() : 0);
+  const standin::WorkerModel& model = group.worker(worker);
+  const auto answer = model.AnswerRenew(renew);
+  if (!answer) {
+    return kHttpBytes;
+  }
+  return kHttpBytes + EncodeWorkerAnswer(WorkerCommandKind::kRenew, *answer,
+                                         model.in_force())
+                          .body.size();
 }
 
 std::uint64_t PeakOf(const std::map<std::int64_t, std::uint64_t>& by_second) {
--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -13,7 +13,6 @@
 #include "net/json.h"
 #include "scheduler/context.h"
 #include "scheduler/job_status.h"
-#include "scheduler/standin_edge.h"
 
 namespace burdockrock {
 
@@ -273,11 +272,11 @@
       return;
     }
     const PlatformResult result = platform_.Apply(call.operation, now_);
-    const bool holds_back = IsEmptyWatch(call.operation, result);
+    const bool holds_back = platform_.IsEmptyWatch(call.operation, result);
     if (!holds_back) {
       AnswerPlatform(id, incarnation, call.call, result);
     } else {
-      const Time until = now_ + WaitOf(call.operation);
+      const Time until = now_ + standin::WaitOf(call.operation);
       watches_.push_back({.entry = id,
                           .incarnation = incarnation,
                           .call = call.call,
@@ -308,9 +307,9 @@
     return;
   }
   for (auto it = watches_.begin(); it != watches_.end();) {
-    auto news = TryWatch(platform_, it->operation);
+    auto news = platform_.TryWatch(it->operation);
     if (!news && now_ >= it->until) {
-      news = EmptyAnswer(platform_, it->operation);
+      news = platform_.EmptyAnswer(it->operation);
     }
     if (!news) {
       ++it;
@@ -366,28 +365,23 @@
     AnswerWorker(entry, incarnation, worker, id, std::move(result));
   };
   if (const auto* run = std::get_if<RunCommand>(&call.command)) {
-    model.Run(ToStandin(*run), now_, [answer](const standin::RunAnswer& it) {
-      if (const auto result = FromStandin(it)) {
-        answer(*result);
-      }
-    });
+    model.Run(*run, now_, answer);
   } else if (const auto* renew = std::get_if<RenewCommand>(&call.command)) {
-    const standin::RenewCommand command = ToStandin(*renew);
-    const auto first = model.Renew(command, now_);
-    const bool waits = std::holds_alternative<standin::Renewed>(first) &&
-                       renew->wait > Duration(0) && model.RenewWaits(command);
+    const auto first = model.Renew(*renew, now_);
+    const bool waits = first && std::holds_alternative<RenewDone>(*first) &&
+                       renew->wait > Duration(0) && model.RenewWaits(*renew);
     if (waits) {
       const Time until = now_ + renew->wait;
       machine.renews.push_back({.entry = entry,
                                 .incarnation = incarnation,
                                 .call = call.call,
-                                .command = command,
+                                .command = *renew,
                                 .until = until});
       After(renew->wait, [this, id = call.worker] { PokeWorker(id); });
-    } else if (const auto result = FromStandin(first)) {
-      answer(*result);
+    } else if (first) {
+      answer(*first);
     }
-  } else if (const auto result = ApplyToModel(model, call.command, now_)) {
+  } else if (const auto result = model.Apply(call.command, now_)) {
     answer(*result);
   }
   PokeWorker(call.worker);
@@ -420,7 +414,7 @@
       ++it;
       continue;
     }
-    const auto result = FromStandin(model.AnswerRenew(it->command, now_));
+    const auto result = model.AnswerRenew(it->command);
     if (result) {
       AnswerWorker(it->entry, it->incarnation, id, it->call, *result);
     }
--- a/Tests/scheduler/entry_group.h
+++ b/Tests/scheduler/entry_group.h
@@ -159,7 +159,7 @@
     std::string entry;
     std::uint64_t incarnation = 0;
     CallId call = 0;
-    standin::RenewCommand command;
+    RenewCommand command;
     Time until{0};
   };
   struct Machine {
--- a/Tests/standin/platform_codec.h
+++ b/Tests/standin/platform_codec.h
@@ -1,4 +1,5 @@
-// The wire form of calls to the platform and of its answers.
+// Calls to the platform with their leases, which entry instances don't use and
+// burdockrock's codec therefore doesn't know, and their answers.
 #ifndef BURDOCKROCK_STANDIN_PLATFORM_CODEC_H_
 #define BURDOCKROCK_STANDIN_PLATFORM_CODEC_H_
 
@@ -9,7 +10,7 @@
 #include "model/platform.h"
 #include "net/http_message.h"
 #include "standin/platform_store.h"
-#include "standin/worker_codec.h"
+#include "wire/decode_error.h"
 
 namespace burdockrock::standin {
 
@@ -25,24 +26,20 @@
 
 struct LeasedPut {
   KvPut put;
-  LeaseId lease = 0;
+  LeaseId lease = 0;  // 0: none
   auto operator<=>(const LeasedPut&) const = default;
 };
 
+// A put without a lease is a PlatformOperation.
 using PlatformCall =
     std::variant<PlatformOperation, LeaseGrant, LeaseRenewal, LeasedPut>;
 
-// How the result of a call is written where its type alone does not say.
-enum class PlatformAnswerForm { kItem, kItems, kLease };
-
-PlatformAnswerForm AnswerFormOf(const PlatformCall& call);
-
-std::variant<PlatformCall, CodecError> DecodePlatformCall(
+std::variant<PlatformCall, DecodeError> DecodePlatformCall(
     const HttpRequest& request);
 
 // Nothing when the call is not to be answered.
-std::optional<HttpResponse> EncodePlatformResult(const PlatformResult& result,
-                                                 PlatformAnswerForm form);
+std::optional<HttpResponse> EncodePlatformResult(const PlatformCall& call,
+                                                 const PlatformResult& result);
 
 }  // namespace burdockrock::standin
 
--- a/Tests/standin/platform_server.cc
+++ b/Tests/standin/platform_server.cc
@@ -3,29 +3,22 @@
 #include <algorithm>
 #include <utility>
 
-#include "net/address.h"
-
 namespace burdockrock::standin {
 
-namespace {
-
-// Room for a value of 1 MB over the limit, escaped.
-constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
-
-}  // namespace
-
 PlatformServer::PlatformServer(boost::asio::io_context& io,
                                PlatformServerOptions options,
                                DelayQueue& delays)
-    : io_(io),
+    : ServerBase(io, delays),
       options_(std::move(options)),
-      store_(options_.store),
-      delays_(delays),
-      timer_(io) {}
+      store_(options_.store) {}
 
 std::optional<NetError> PlatformServer::Listen() {
   for (const std::string& it : options_.listen) {
-    if (auto error = ListenOn(it)) {
+    auto error = ListenOn(
+        it, [this, it](HttpRequest request, HttpServer::Responder respond) {
+          OnRequest(it, std::move(request), std::move(respond));
+        });
+    if (error) {
       return error;
     }
   }
@@ -33,39 +26,24 @@
 }
 
 void PlatformServer::Pump() {
-  const Time now = MonotonicNow();
-  store_.Advance(now);
-  AnswerHeldWatches(now);
-  Arm();
+  OnTime(MonotonicNow());
 }
 
-std::optional<NetError> PlatformServer::ListenOn(const std::string& address) {
-  const auto parsed = ParseAddress(address);
-  if (const auto* error = std::get_if<NetError>(&parsed)) {
-    return *error;
-  }
-  const auto& endpoint = std::get<TcpEndpoint>(parsed);
-  HttpServerOptions options;
-  options.address = endpoint.address().to_string();
-  options.port = endpoint.port();
-  options.max_body_bytes = kMaxBodyBytes;
-  servers_.push_back(std::make_unique<HttpServer>(
-      io_, options,
-      [this, address](HttpRequest request, HttpServer::Responder respond) {
-        OnRequest(address, std::move(request), std::move(respond));
-      }));
-  const auto listening = servers_.back()->Listen();
-  if (const auto* error = std::get_if<NetError>(&listening)) {
-    return *error;
+void PlatformServer::OnTime(Time now) {
+  store_.Advance(now);
+  AnswerHeldWatches(now);
+  Time next = store_.NextEventTime();
+  for (const HeldWatch& it : watches_) {
+    next = std::min(next, it.deadline);
   }
-  return std::nullopt;
+  Arm(next);
 }
 
 void PlatformServer::OnRequest(const std::string& listener,
                                HttpRequest request,
                                HttpServer::Responder respond) {
-  delays_.After(
-      options_.latency + faults_.slow,
+  delays().After(
+      options_.latency + faults().slow,
       [this, listener, request = std::move(request),
        respond = std::move(respond)] { Dispatch(listener, request, respond); });
 }
@@ -73,20 +51,20 @@
 void PlatformServer::Dispatch(const std::string& listener,
                               const HttpRequest& request,
                               const HttpServer::Responder& respond) {
-  if (faults_.cut_listeners.contains(listener)) {
-    delays_.Lose(respond);
+  if (cut_listeners_.contains(listener)) {
+    delays().Lose(respond);
     return;
   }
   const auto decoded = DecodePlatformCall(request);
-  if (const auto* error = std::get_if<CodecError>(&decoded)) {
-    respond(EncodeError(*error));
+  if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+    respond(ErrorResponse(ToString(*error)));
     return;
   }
   const auto& call = std::get<PlatformCall>(decoded);
   const Time now = MonotonicNow();
   const PlatformResult result = Carry(call, now);
   if (!Hold(listener, call, result, respond, now)) {
-    Answer(result, AnswerFormOf(call), respond);
+    Answer(respond, EncodePlatformResult(call, result));
   }
   Pump();
 }
@@ -111,41 +89,16 @@
                           const HttpServer::Responder& respond,
                           Time now) {
   const auto* operation = std::get_if<PlatformOperation>(&call);
-  if (operation == nullptr ||
-      std::holds_alternative<PlatformUnavailable>(result)) {
-    return false;
-  }
-  HeldWatch held{
-      .watch = {}, .respond = respond, .listener = listener, .deadline = now};
-  if (const auto* it = std::get_if<KvWatch>(operation)) {
-    held.watch = *it;
-    held.deadline += it->wait;
-  } else if (const auto* list = std::get_if<InstancesWatch>(operation)) {
-    held.watch = *list;
-    held.deadline += list->wait;
-  }
-  if (held.deadline == now || News(held, now)) {
+  if (operation == nullptr || !store_.IsEmptyWatch(*operation, result)) {
     return false;
   }
-  watches_.push_back(std::move(held));
+  watches_.push_back({.watch = *operation,
+                      .respond = respond,
+                      .listener = listener,
+                      .deadline = now + WaitOf(*operation)});
   return true;
 }
 
-void PlatformServer::Answer(const PlatformResult& result,
-                            PlatformAnswerForm form,
-                            const HttpServer::Responder& respond) {
-  auto response = EncodePlatformResult(result, form);
-  if (!response) {
-    delays_.Lose(respond);
-    return;
-  }
-  if (faults_.garbage_answers > 0) {
-    --faults_.garbage_answers;
-    response->body = "{garbage";
-  }
-  respond(std::move(*response));
-}
-
 void PlatformServer::AnswerHeldWatches(Time now) {
   for (auto it = watches_.begin(); it != watches_.end();) {
     const auto news = News(*it, now);
@@ -153,10 +106,10 @@
       ++it;
       continue;
     }
-    if (store_.faults().down || faults_.cut_listeners.contains(it->listener)) {
-      delays_.Lose(it->respond);
+    if (store_.faults().down || cut_listeners_.contains(it->listener)) {
+      delays().Lose(it->respond);
     } else {
-      Answer(*news, PlatformAnswerForm::kItems, it->respond);
+      Answer(it->respond, EncodePlatformResult(it->watch, *news));
     }
     it = watches_.erase(it);
   }
@@ -165,33 +118,8 @@
 // What a held watch is to be answered with now, if anything.
 std::optional<PlatformResult> PlatformServer::News(const HeldWatch& held,
                                                    Time now) const {
-  auto news = std::visit([this](const auto& it) { return store_.TryWatch(it); },
-                         held.watch);
-  if (news || held.deadline > now) {
-    return news;
-  }
-  if (std::holds_alternative<KvWatch>(held.watch)) {
-    return KvItems{.revision = store_.revision(), .items = {}};
-  }
-  return store_.instances().Visible();
-}
-
-void PlatformServer::Arm() {
-  Time next = store_.NextEventTime();
-  for (const HeldWatch& it : watches_) {
-    next = std::min(next, it.deadline);
-  }
-  if (next >= armed_for_) {
-    return;
-  }
-  armed_for_ = next;
-  timer_.expires_at(std::chrono::steady_clock::time_point(next));
-  timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      armed_for_ = kForever;
-      Pump();
-    }
-  });
+  auto news = store_.TryWatch(held.watch);
+  return news || held.deadline > now ? news : store_.EmptyAnswer(held.watch);
 }
 
 }  // namespace burdockrock::standin
--- a/Tests/standin/platform_store.cc
+++ b/Tests/standin/platform_store.cc
@@ -31,6 +31,16 @@
 
 }  // namespace
 
+Duration WaitOf(const PlatformOperation& operation) {
+  if (const auto* watch = std::get_if<KvWatch>(&operation)) {
+    return watch->wait;
+  }
+  if (const auto* watch = std::get_if<InstancesWatch>(&operation)) {
+    return watch->wait;
+  }
+  return Duration(0);
+}
+
 PlatformStore::PlatformStore(PlatformStoreOptions options)
     : options_(options), instances_(options.instances_lag) {}
 
@@ -46,8 +56,7 @@
           [&](const KvDelete& it) { return AnswerWrite(Delete(it)); },
           [&](const KvRange& it) -> PlatformResult { return Range(it.prefix); },
           [&](const KvWatch& it) {
-            return TryWatch(it).value_or(
-                KvItems{.revision = revision_, .items = {}});
+            return Changes(it).value_or(EmptyAnswer(operation));
           },
           [&](const InstancesWatch&) -> PlatformResult {
             return instances_.Visible();
@@ -89,7 +98,7 @@
   return AnswerWrite(KvDone{.revision = lease});
 }
 
-std::optional<PlatformResult> PlatformStore::TryWatch(
+std::optional<PlatformResult> PlatformStore::Changes(
     const KvWatch& watch) const {
   if (watch.after >= revision_) {
     return std::nullopt;
@@ -122,13 +131,31 @@
 }
 
 std::optional<PlatformResult> PlatformStore::TryWatch(
-    const InstancesWatch& watch) const {
-  if (watch.after >= instances_.revision()) {
+    const PlatformOperation& watch) const {
+  if (const auto* it = std::get_if<KvWatch>(&watch)) {
+    return Changes(*it);
+  }
+  if (std::get<InstancesWatch>(watch).after >= instances_.revision()) {
     return std::nullopt;
   }
   return instances_.Visible();
 }
 
+bool PlatformStore::IsEmptyWatch(const PlatformOperation& operation,
+                                 const PlatformResult& result) const {
+  return WaitOf(operation) > Duration(0) &&
+         !std::holds_alternative<PlatformUnavailable>(result) &&
+         !TryWatch(operation);
+}
+
+PlatformResult PlatformStore::EmptyAnswer(
+    const PlatformOperation& watch) const {
+  if (std::holds_alternative<KvWatch>(watch)) {
+    return KvItems{.revision = revision_, .items = {}};
+  }
+  return instances_.Visible();
+}
+
 void PlatformStore::Advance(Time now) {
   instances_.Advance(now);
   for (auto it = leases_.begin(); it != leases_.end();) {
--- a/Tests/standin/platform_store.h
+++ b/Tests/standin/platform_store.h
@@ -34,6 +34,9 @@
   auto operator<=>(const PlatformFaults&) const = default;
 };
 
+// How long the operation waits for news; 0 unless it is a watch.
+Duration WaitOf(const PlatformOperation& operation);
+
 struct PlatformStoreOptions {
   Duration instances_lag{0};
   // A watch after a revision older than this many changes gets the whole range.
@@ -58,8 +61,13 @@
 
   // For a caller that holds a watch which Apply answered with no news: the
   // answer when there is news now, otherwise nothing. Counts no call.
-  std::optional<PlatformResult> TryWatch(const KvWatch& watch) const;
-  std::optional<PlatformResult> TryWatch(const InstancesWatch& watch) const;
+  std::optional<PlatformResult> TryWatch(const PlatformOperation& watch) const;
+  // True when `operation`, which Apply answered with `result`, is a watch that
+  // has to wait for news.
+  bool IsEmptyWatch(const PlatformOperation& operation,
+                    const PlatformResult& result) const;
+  // The answer to a watch without news.
+  PlatformResult EmptyAnswer(const PlatformOperation& watch) const;
 
   // Lapses leases and shows changes of the list that are due.
   void Advance(Time now);
@@ -94,6 +102,7 @@
   PlatformResult Delete(const KvDelete& call);
   PlatformResult Get(const KvGet& call) const;
   KvItems Range(const std::string& prefix) const;
+  std::optional<PlatformResult> Changes(const KvWatch& watch) const;
   void Erase(const std::string& key);
   void Record(const std::string& key);
   void DetachLease(const std::string& key, LeaseId lease);
--- a/Tests/standin/standin_control.cc
+++ b/Tests/standin/standin_control.cc
@@ -1,50 +1,89 @@
 #include "standin/standin_control.h"
 
-#include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
-#include "net/json.h"
-#include "standin/field_reader.h"
-#include "standin/worker_codec.h"
+#include "wire/caller_status.h"
+#include "wire/value_reader.h"
+#include "wire/value_writer.h"
+#include "wire/work_fields.h"
+
+namespace burdockrock {
+
+// A member that is read later. Not in an unnamed namespace: ObjectReader finds
+// it by its arguments, whose namespace is this one.
+static void ReadValue(const JsonPlace& place, Json::Value& out) {
+  out = place.value();
+}
+
+}  // namespace burdockrock
 
 namespace burdockrock::standin {
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
+// Reads an object whose members `visit` names to its argument, each with the
+// place that takes its value. A member that is absent leaves its place as it
+// is. Gives what is wrong, or nothing.
+template <typename Visit>
+std::string ReadMembers(const Json::Value& object, Visit visit) {
+  DecodeErrors errors;
+  const JsonPlace place(object, errors);
+  ObjectReader reader(place);
+  if (reader.Begin()) {
+    visit([&reader](const char* name, auto& out) {
+      reader.Optional(name, out, out);
+    });
+    reader.End();
+  }
+  return errors.empty() ? "" : ToString(errors.front());
+}
 
-HttpResponse Response(int status, const Json::Value& body) {
-  return HttpResponse{.status = status,
-                      .body = WriteJson(body),
-                      .content_type = "application/json",
-                      .retry_after = std::nullopt};
+// What one command sets at a worker.
+struct WorkerChange {
+  WorkerFaults faults;
+  ServerFaults server;
+  bool crash = false;
+  bool forget_epoch = false;
+};
+
+template <typename Keep>
+void VisitServer(const Keep& keep, ServerFaults& it) {
+  keep("garbage_answers", it.garbage_answers);
+  keep("slow_ms", it.slow);
 }
 
-Json::UInt64 Number(std::uint64_t n) {
-  return n;
+template <typename Keep>
+void VisitWorker(const Keep& keep, WorkerChange& it) {
+  keep("black_hole", it.faults.black_hole);
+  keep("paused", it.faults.paused);
+  keep("lose_answers", it.faults.lose_answers);
+  keep("speed_percent", it.faults.speed_percent);
+  keep("usage_percent", it.faults.usage_percent);
+  keep("crash", it.crash);
+  keep("forget_epoch", it.forget_epoch);
+  VisitServer(keep, it.server);
 }
 
 Json::Value EncodeCounts(const CallCounts& counts) {
   Json::Value body;
-  body["total"] = Number(counts.total);
-  body["this_second"] = Number(counts.this_second);
-  body["last_second"] = Number(counts.last_second);
-  body["peak_second"] = Number(counts.peak_second);
+  body["total"] = WriteValue(counts.total);
+  body["this_second"] = WriteValue(counts.this_second);
+  body["last_second"] = WriteValue(counts.last_second);
+  body["peak_second"] = WriteValue(counts.peak_second);
   return body;
 }
 
 Json::Value EncodeWorker(const WorkerModel& worker) {
   Json::Value body;
-  body["live"] = Number(worker.live());
-  body["taken"] = EncodeResources(worker.taken());
-  body["epoch"] = Number(worker.epoch());
+  body["live"] = WriteValue(worker.live());
+  body["taken"] = WriteValue(worker.taken());
+  body["epoch"] = WriteValue(worker.epoch());
   body["owner"] = worker.owner();
-  body["overcommit_attempts"] = Number(worker.overcommit_attempts());
-  body["stale_commands"] = Number(worker.stale_commands());
-  body["lapsed_leases"] = Number(worker.lapsed_leases());
-  body["max_live_per_task"] = Number(worker.max_live_per_task());
+  body["overcommit_attempts"] = WriteValue(worker.overcommit_attempts());
+  body["stale_commands"] = WriteValue(worker.stale_commands());
+  body["lapsed_leases"] = WriteValue(worker.lapsed_leases());
   return body;
 }
 
@@ -59,40 +98,11 @@
   return array;
 }
 
-// What one command sets at a worker.
-struct WorkerChange {
-  WorkerFaults faults;
-  WorkerServerFaults server_faults;
-  bool crash = false;
-  bool forget_epoch = false;
-};
-
-// What the command does not name stays as it is.
-WorkerChange ReadWorkerChange(FieldReader& reader, WorkerServer& worker) {
-  WorkerChange change{.faults = worker.worker().faults(),
-                      .server_faults = worker.faults()};
-  WorkerFaults& faults = change.faults;
-  WorkerServerFaults& server_faults = change.server_faults;
-  faults.black_hole = reader.Flag("black_hole", faults.black_hole);
-  faults.paused = reader.Flag("paused", faults.paused);
-  faults.lose_answers = reader.SmallCount("lose_answers", faults.lose_answers);
-  faults.speed_percent =
-      reader.SmallCount("speed_percent", faults.speed_percent);
-  faults.usage_percent =
-      reader.SmallCount("usage_percent", faults.usage_percent);
-  server_faults.garbage_answers =
-      reader.SmallCount("garbage_answers", server_faults.garbage_answers);
-  server_faults.slow = reader.Milliseconds("slow_ms", server_faults.slow);
-  change.crash = reader.Flag("crash", false);
-  change.forget_epoch = reader.Flag("forget_epoch", false);
-  return change;
-}
-
 // Gives what went wrong, or nothing.
 std::string Apply(const WorkerChange& change, WorkerServer& worker) {
   const bool was_paused = worker.worker().faults().paused;
   worker.worker().faults() = change.faults;
-  worker.faults() = change.server_faults;
+  worker.faults() = change.server;
   if (change.faults.paused != was_paused) {
     worker.SetPaused(change.faults.paused);
   }
@@ -108,73 +118,70 @@
 
 HttpResponse StandinControl::Handle(const HttpRequest& request) {
   if (request.path != "/control") {
-    return Response(kNotFound, Json::Value(Json::objectValue));
+    return JsonResponse(Json::objectValue, kNotFoundStatus);
   }
   if (request.method == "GET") {
     const auto key = request.query.find("key");
     if (key == request.query.end()) {
-      return Response(kOk, Counters());
+      return JsonResponse(Counters());
     }
     Json::Value body;
-    body["executions"] = Number(cluster_.recorder().ExecutionsOf(key->second));
-    return Response(kOk, body);
+    body["executions"] =
+        WriteValue(cluster_.recorder().ExecutionsOf(key->second));
+    return JsonResponse(body);
   }
-  const auto parsed = ParseJson(request.body);
-  if (const auto* error = std::get_if<JsonError>(&parsed)) {
-    return EncodeError({error->message});
+  const auto parsed = ParseObject(request.body);
+  if (const auto* error = std::get_if<DecodeError>(&parsed)) {
+    return ErrorResponse(ToString(*error));
   }
-  std::string fault = Change(std::get<Json::Value>(parsed));
-  if (!fault.empty()) {
-    return EncodeError({std::move(fault)});
-  }
-  return Response(kOk, Json::Value(Json::objectValue));
+  const std::string fault = Change(std::get<Json::Value>(parsed));
+  return fault.empty() ? JsonResponse(Json::objectValue) : ErrorResponse(fault);
 }
 
 std::string StandinControl::Change(const Json::Value& body) {
-  FieldReader reader(body, "$");
-  const Json::Value& cut = reader.Child("cut");
-  const std::string target = reader.Text("target", "");
-  const Json::Value& set = reader.Child("set");
-  std::string faults = reader.Faults();
-  if (!faults.empty()) {
-    return faults;
+  std::string target;
+  Json::Value set(Json::objectValue);
+  Json::Value cut;
+  std::string fault = ReadMembers(body, [&](const auto& keep) {
+    keep("target", target);
+    keep("set", set);
+    keep("cut", cut);
+  });
+  if (!fault.empty()) {
+    return fault;
   }
   if (!cut.isNull()) {
-    return target.empty() && set.isNull() ? Cut(cut)
-                                          : "$.cut stands with $.target";
+    return target.empty() && set.empty() ? Cut(cut)
+                                         : "$.cut stands with $.target";
   }
   return target == "platform" ? SetPlatform(set) : SetInstance(target, set);
 }
 
 std::string StandinControl::SetPlatform(const Json::Value& set) {
-  FieldReader reader(set, "$.set");
   PlatformServer& server = cluster_.platform();
+  std::set<std::string>& cut_listeners = server.cut_listeners();
   PlatformFaults faults = server.store().faults();
-  PlatformServerFaults server_faults = server.faults();
-  faults.down = reader.Flag("down", faults.down);
-  faults.refuse = reader.Flag("refuse", faults.refuse);
-  faults.lose_answers = reader.SmallCount("lose_answers", faults.lose_answers);
-  faults.max_writes_per_second =
-      reader.SmallCount("max_writes_per_second", faults.max_writes_per_second);
-  faults.max_reads_per_second =
-      reader.SmallCount("max_reads_per_second", faults.max_reads_per_second);
-  server_faults.garbage_answers =
-      reader.SmallCount("garbage_answers", server_faults.garbage_answers);
-  server_faults.slow = reader.Milliseconds("slow_ms", server_faults.slow);
-  if (reader.Has("cut_listeners")) {
-    const std::vector<std::string> cut = reader.Texts("cut_listeners");
-    server_faults.cut_listeners = {cut.begin(), cut.end()};
-  }
-  const bool sets_lag = reader.Has("lag_ms");
-  const Duration lag = reader.Milliseconds("lag_ms", Duration(0));
-  std::string problem = reader.Faults();
-  if (!problem.empty()) {
-    return problem;
+  ServerFaults server_faults = server.faults();
+  std::vector<std::string> cut = {cut_listeners.begin(), cut_listeners.end()};
+  std::optional<Duration> lag;
+  std::string fault = ReadMembers(set, [&](const auto& keep) {
+    keep("down", faults.down);
+    keep("refuse", faults.refuse);
+    keep("lose_answers", faults.lose_answers);
+    keep("max_writes_per_second", faults.max_writes_per_second);
+    keep("max_reads_per_second", faults.max_reads_per_second);
+    keep("cut_listeners", cut);
+    keep("lag_ms", lag);
+    VisitServer(keep, server_faults);
+  });
+  if (!fault.empty()) {
+    return fault;
   }
   server.store().faults() = faults;
   server.faults() = server_faults;
-  if (sets_lag) {
-    server.store().instances().set_lag(lag);
+  cut_listeners = {cut.begin(), cut.end()};
+  if (lag) {
+    server.store().instances().set_lag(*lag);
   }
   server.Pump();
   return "";
@@ -185,46 +192,51 @@
   if (!cluster_.HasInstance(id)) {
     return "$.target " + id + " is not an instance of the settings";
   }
-  FieldReader reader(set, "$.set");
-  const bool sets_leaving = reader.Has("leaving");
-  const bool sets_gone = reader.Has("gone");
-  const bool leaving = reader.Flag("leaving", false);
-  const bool gone = reader.Flag("gone", false);
   WorkerServer* worker = cluster_.FindWorker(id);
   WorkerChange change;
   if (worker != nullptr) {
-    change = ReadWorkerChange(reader, *worker);
+    change = {.faults = worker->worker().faults(), .server = worker->faults()};
   }
-  std::string problem = reader.Faults();
-  if (!problem.empty()) {
-    return problem;
+  std::optional<bool> leaving;
+  std::optional<bool> gone;
+  std::string fault = ReadMembers(set, [&](const auto& keep) {
+    keep("leaving", leaving);
+    keep("gone", gone);
+    if (worker != nullptr) {
+      VisitWorker(keep, change);
+    }
+  });
+  if (!fault.empty()) {
+    return fault;
   }
   if (worker != nullptr) {
-    problem = Apply(change, *worker);
+    fault = Apply(change, *worker);
   }
-  if (sets_leaving) {
-    cluster_.MarkLeaving(id, leaving);
+  if (leaving) {
+    cluster_.MarkLeaving(id, *leaving);
   }
-  if (sets_gone) {
-    if (const auto error = cluster_.SetGone(id, gone)) {
-      problem = error->message;
+  if (gone) {
+    if (const auto error = cluster_.SetGone(id, *gone)) {
+      fault = error->message;
     }
   }
-  return problem;
+  return fault;
 }
 
 std::string StandinControl::Cut(const Json::Value& cut) {
-  FieldReader reader(cut, "$.cut");
-  const std::string owner = reader.Text("from_owner");
-  const std::string target = reader.Text("target");
-  const bool is_cut = reader.Flag("cut", true);
+  std::string owner;
+  std::string target;
+  bool is_cut = true;
+  std::string fault = ReadMembers(cut, [&](const auto& keep) {
+    keep("from_owner", owner);
+    keep("target", target);
+    keep("cut", is_cut);
+  });
   WorkerServer* worker = cluster_.FindWorker(target);
-  if (worker == nullptr) {
-    reader.AddFault("target", target + " is not a worker or minion");
-  }
-  std::string problem = reader.Faults();
-  if (!problem.empty()) {
-    return problem;
+  if (!fault.empty() || worker == nullptr || owner.empty()) {
+    return fault.empty() ? "$.cut needs from_owner and the target of a worker "
+                           "or minion"
+                         : fault;
   }
   std::set<std::string>& cut_owners = worker->worker().faults().cut_owners;
   if (is_cut) {
@@ -240,7 +252,6 @@
   std::uint64_t overcommit_attempts = 0;
   std::uint64_t stale_commands = 0;
   std::uint64_t lapsed_leases = 0;
-  std::uint32_t max_live_per_task = 0;
   Json::Value body;
   body["instances"] = Json::Value(Json::objectValue);
   for (const auto& [id, server] : cluster_.workers()) {
@@ -248,19 +259,17 @@
     overcommit_attempts += worker.overcommit_attempts();
     stale_commands += worker.stale_commands();
     lapsed_leases += worker.lapsed_leases();
-    max_live_per_task = std::max(max_live_per_task, worker.max_live_per_task());
     body["instances"][id] = EncodeWorker(worker);
   }
   body["platform"] = PlatformCounters();
-  body["executions"] = Number(recorder.executions());
-  body["live"] = Number(recorder.live());
-  body["doubled"] = Number(recorder.doubled());
+  body["executions"] = WriteValue(recorder.executions());
+  body["live"] = WriteValue(recorder.live());
+  body["doubled"] = WriteValue(recorder.doubled());
   body["doubles"] = EncodeDoubles(recorder);
-  body["repeated_unique"] = Number(recorder.repeated_unique());
-  body["overcommit_attempts"] = Number(overcommit_attempts);
-  body["stale_commands"] = Number(stale_commands);
-  body["lapsed_leases"] = Number(lapsed_leases);
-  body["max_live_per_task"] = Number(max_live_per_task);
+  body["repeated_unique"] = WriteValue(recorder.repeated_unique());
+  body["overcommit_attempts"] = WriteValue(overcommit_attempts);
+  body["stale_commands"] = WriteValue(stale_commands);
+  body["lapsed_leases"] = WriteValue(lapsed_leases);
   return body;
 }
 
@@ -274,9 +283,9 @@
   }
   body["reads"] = EncodeCounts(calls.OfGroup(false));
   body["writes"] = EncodeCounts(calls.OfGroup(true));
-  body["keys"] = Number(server.store().key_count());
-  body["revision"] = Number(server.store().revision());
-  body["held_watches"] = Number(server.held_watches());
+  body["keys"] = WriteValue(server.store().key_count());
+  body["revision"] = WriteValue(server.store().revision());
+  body["held_watches"] = WriteValue(server.held_watches());
   return body;
 }
 
--- a/Tests/standin/standin_main.cc
+++ b/Tests/standin/standin_main.cc
@@ -16,10 +16,10 @@
 
 #include "net/address.h"
 #include "net/http_server.h"
-#include "net/json.h"
 #include "standin/standin_cluster.h"
 #include "standin/standin_control.h"
 #include "standin/standin_settings.h"
+#include "wire/value_reader.h"
 
 DEFINE_string(settings, "", "the JSON file with the settings");
 
@@ -32,17 +32,18 @@
   return 1;
 }
 
-std::variant<StandinSettings, SettingsError> Load(const std::string& name) {
+std::variant<StandinSettings, DecodeError> Load(const std::string& name) {
   std::ifstream file(name);
   if (!file) {
-    return SettingsError{"cannot be read; give the file with --settings"};
+    return DecodeError{.path = name,
+                       .problem = "cannot be read",
+                       .allowed = "a file by --settings"};
   }
   std::ostringstream text;
   text << file.rdbuf();
-  const auto parsed = ParseJson(text.str());
-  if (const auto* error = std::get_if<JsonError>(&parsed)) {
-    return SettingsError{
-        fmt::format("line {}: {}", error->line, error->message)};
+  auto parsed = ParseObject(text.str());
+  if (auto* error = std::get_if<DecodeError>(&parsed)) {
+    return std::move(*error);
   }
   return ReadStandinSettings(std::get<Json::Value>(parsed));
 }
@@ -89,14 +90,13 @@
 }  // namespace burdockrock::standin
 
 int main(int argc, char** argv) {
+  using namespace burdockrock;
   gflags::SetUsageMessage("standin --settings FILE");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const auto settings = burdockrock::standin::Load(FLAGS_settings);
-  if (const auto* error =
-          std::get_if<burdockrock::standin::SettingsError>(&settings)) {
-    return burdockrock::standin::Fail(
-        fmt::format("{}: {}", FLAGS_settings, error->message));
+  const auto settings = standin::Load(FLAGS_settings);
+  if (const auto* error = std::get_if<DecodeError>(&settings)) {
+    return standin::Fail(
+        fmt::format("{}: {}", FLAGS_settings, ToString(*error)));
   }
-  return burdockrock::standin::Serve(
-      std::get<burdockrock::standin::StandinSettings>(settings));
+  return standin::Serve(std::get<standin::StandinSettings>(settings));
 }
--- a/Tests/standin/standin_settings.cc
+++ b/Tests/standin/standin_settings.cc
@@ -6,7 +6,8 @@
 
 #include <fmt/format.h>
 
-#include "standin/field_reader.h"
+#include "wire/value_reader.h"
+#include "wire/work_fields.h"
 
 namespace burdockrock::standin {
 
@@ -14,155 +15,208 @@
 
 constexpr Duration kDefaultServiceTime = std::chrono::milliseconds(20);
 constexpr std::int64_t kDefaultSlots = 8;
+constexpr std::uint32_t kMaxCount = 10'000;
+constexpr std::uint32_t kMaxPort = 65'535;
 
-Resources DefaultCapacity(InstanceRole role) {
-  Resources capacity;
-  if (role == InstanceRole::kMinion) {
-    capacity.slots = kDefaultSlots;
+// "IP:PORT" or several of them.
+struct Addresses {
+  std::vector<std::string> list;
+};
+
+// What single and generated instances have in common.
+struct Member {
+  InstanceInfo info;
+  std::optional<Resources> capacity;
+  std::optional<Duration> service_time;
+};
+
+struct Group {
+  Member member;
+  std::uint32_t count = 0;
+  std::string prefix;
+  std::string ip;
+  std::uint32_t first_port = 0;
+  std::uint32_t per_rack = 0;
+};
+
+struct Platform {
+  Addresses listen;
+  Duration latency{0};
+  Duration lag{0};
+};
+
+struct Document {
+  Platform platform;
+  std::string control;
+  std::vector<Member> entries;
+  std::vector<Member> workers;
+  std::vector<Member> minions;
+  std::vector<Group> generate;
+};
+
+void ReadValue(const JsonPlace& place, Addresses& out) {
+  if (place.value().isString()) {
+    burdockrock::ReadValue(place, out.list.emplace_back());
+  } else {
+    burdockrock::ReadValue(place, out.list);
+  }
+  if (out.list.empty()) {
+    place.Fail("names no address", "IP:PORT or several in an array");
   }
-  return capacity;
 }
 
-// Reads what single and generated instances have in common.
-InstanceSettings ReadCommon(FieldReader& reader, InstanceRole role) {
-  InstanceSettings instance;
-  instance.info.role = role;
-  instance.info.domain = reader.Text("domain");
-  if (role == InstanceRole::kEntry) {
-    return instance;
+// Members that only workers or minions have.
+template <typename Codec>
+void VisitOffer(Codec& codec, Member& it) {
+  codec.Name("domain", it.info.domain);
+  codec.OptionalName("service", it.info.service);
+  codec.Optional("capacity", it.capacity, {});
+  codec.Optional("service_ms", it.service_time, {});
+}
+
+}  // namespace
+
+}  // namespace burdockrock::standin
+
+namespace burdockrock {
+
+template <>
+struct FieldsOf<standin::Platform> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("listen", it.listen);
+    codec.Optional("latency_ms", it.latency, Duration(0));
+    codec.Optional("lag_ms", it.lag, Duration(0));
   }
-  instance.info.capacity =
-      reader.ResourcesOf("capacity", DefaultCapacity(role));
-  if (role == InstanceRole::kMinion) {
-    instance.info.service = reader.Text("service");
-    instance.default_run =
-        reader.Milliseconds("service_ms", kDefaultServiceTime);
+};
+
+template <>
+struct FieldsOf<standin::Member> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Name("id", it.info.id);
+    codec.Name("rack", it.info.rack);
+    codec.Name("address", it.info.address);
+    standin::VisitOffer(codec, it);
   }
-  return instance;
-}
+};
 
-class SettingsReader {
- public:
-  explicit SettingsReader(const Json::Value& root) : reader_(root, "$") {}
-
-  std::variant<StandinSettings, SettingsError> Read() {
-    ReadPlatform();
-    settings_.control = reader_.Text("control");
-    ReadInstances("entries", InstanceRole::kEntry);
-    ReadInstances("workers", InstanceRole::kWorker);
-    ReadInstances("minions", InstanceRole::kMinion);
-    ReadGenerated();
-    CheckIds();
-    std::string faults = reader_.Faults();
-    if (!faults.empty()) {
-      return SettingsError{std::move(faults)};
-    }
-    return std::move(settings_);
+template <>
+struct FieldsOf<standin::Group> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("role", it.member.info.role);
+    codec.Field("count", it.count);
+    codec.Name("prefix", it.prefix);
+    codec.Optional("ip", it.ip, std::string("127.0.0.1"));
+    codec.Field("first_port", it.first_port);
+    codec.Optional("per_rack", it.per_rack, std::uint32_t{8});
+    standin::VisitOffer(codec, it.member);
   }
+};
 
- private:
-  void ReadPlatform() {
-    FieldReader reader(reader_.Child("platform"), "platform");
-    if (reader.Child("listen").isString()) {
-      settings_.platform_listen.push_back(reader.Text("listen"));
-    } else {
-      settings_.platform_listen = reader.Texts("listen");
-    }
-    settings_.platform_latency = reader.Milliseconds("latency_ms", Duration(0));
-    settings_.instances_lag = reader.Milliseconds("lag_ms", Duration(0));
-    if (settings_.platform_listen.empty()) {
-      reader.AddFault("listen", "names no address");
-    }
-    Collect(reader);
+template <>
+struct FieldsOf<standin::Document> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("platform", it.platform);
+    codec.Field("control", it.control);
+    codec.Optional("entries", it.entries, {});
+    codec.Optional("workers", it.workers, {});
+    codec.Optional("minions", it.minions, {});
+    codec.Optional("generate", it.generate, {});
   }
+};
 
-  void ReadInstances(const char* name, InstanceRole role) {
-    const Json::Value& list = reader_.Child(name);
-    if (!list.isNull() && !list.isArray()) {
-      reader_.AddFault(name, "is not an array");
-      return;
+}  // namespace burdockrock
+
+namespace burdockrock::standin {
+
+namespace {
+
+class SettingsBuilder {
+ public:
+  explicit SettingsBuilder(Document document)
+      : document_(std::move(document)) {}
+
+  std::variant<StandinSettings, DecodeError> Build() {
+    settings_.platform_listen = document_.platform.listen.list;
+    settings_.platform_latency = document_.platform.latency;
+    settings_.instances_lag = document_.platform.lag;
+    settings_.control = document_.control;
+    AddAll(document_.entries, InstanceRole::kEntry);
+    AddAll(document_.workers, InstanceRole::kWorker);
+    AddAll(document_.minions, InstanceRole::kMinion);
+    for (const Group& it : document_.generate) {
+      Generate(it);
     }
-    for (const Json::Value& it : list) {
-      FieldReader reader(it, name);
-      InstanceSettings instance = ReadCommon(reader, role);
-      instance.info.id = reader.Text("id");
-      instance.info.rack = reader.Text("rack");
-      instance.info.address = reader.Text("address");
-      settings_.instances.push_back(std::move(instance));
-      Collect(reader);
+    if (error_) {
+      return *std::move(error_);
     }
+    return std::move(settings_);
   }
 
-  void ReadGenerated() {
-    const Json::Value& generate = reader_.Child("generate");
-    if (generate.isArray()) {
-      for (const Json::Value& it : generate) {
-        Generate(it);
-      }
-    } else if (!generate.isNull()) {
-      Generate(generate);
+ private:
+  void AddAll(const std::vector<Member>& members, InstanceRole role) {
+    for (Member it : members) {
+      it.info.role = role;
+      Add(std::move(it));
     }
   }
 
-  void Generate(const Json::Value& group) {
-    constexpr std::uint64_t kMaxCount = 10'000;
-    constexpr std::uint64_t kMaxPort = 65'535;
-    FieldReader reader(group, "generate");
-    const auto role = ParseInstanceRole(reader.Text("role"));
-    if (!role) {
-      reader.AddFault("role", "is not entry, worker or minion");
+  void Add(Member member) {
+    InstanceInfo& info = member.info;
+    const bool is_minion = info.role == InstanceRole::kMinion;
+    const bool is_entry = info.role == InstanceRole::kEntry;
+    if (is_minion == info.service.empty() ||
+        (!is_minion && member.service_time) || (is_entry && member.capacity)) {
+      error_ = {info.id, "has not the members of its role", "see the header"};
     }
-    const InstanceSettings common =
-        ReadCommon(reader, role.value_or(InstanceRole::kWorker));
-    const std::uint64_t count = reader.Count("count", std::nullopt, kMaxCount);
-    const std::string prefix = reader.Text("prefix");
-    const std::string ip = reader.Text("ip", "127.0.0.1");
-    const std::uint64_t port =
-        reader.Count("first_port", std::nullopt, kMaxPort);
-    const std::uint64_t per_rack = reader.Count("per_rack", 8, kMaxCount);
-    if (per_rack == 0 || port + count > kMaxPort + 1) {
-      reader.AddFault("per_rack or first_port", "is out of range");
-    }
-    Collect(reader);
-    if (!failed_) {
-      for (std::uint64_t it = 0; it < count; ++it) {
-        InstanceSettings instance = common;
-        instance.info.id = fmt::format("{}{}", prefix, it + 1);
-        instance.info.rack =
-            fmt::format("{}-r{}", common.info.domain, it / per_rack + 1);
-        instance.info.address = fmt::format("{}:{}", ip, port + it);
-        settings_.instances.push_back(std::move(instance));
-      }
+    if (info.id == "platform" || !ids_.insert(info.id).second) {
+      error_ = {info.id, "stands twice or is platform", "each id once"};
     }
+    info.capacity = member.capacity.value_or(
+        Resources{.slots = is_minion ? kDefaultSlots : 0});
+    const Duration run = is_minion
+                             ? member.service_time.value_or(kDefaultServiceTime)
+                             : Duration(0);
+    settings_.instances.push_back(
+        {.info = std::move(info), .default_run = run});
   }
 
-  void CheckIds() {
-    std::set<std::string> ids{"platform"};
-    for (const InstanceSettings& it : settings_.instances) {
-      if (!ids.insert(it.info.id).second) {
-        reader_.AddFault("id", it.info.id + " stands twice");
-      }
+  void Generate(const Group& group) {
+    if (group.count > kMaxCount || group.per_rack == 0 ||
+        group.first_port > kMaxPort ||
+        group.first_port + group.count > kMaxPort + 1) {
+      error_ = {group.prefix, "count, per_rack or first_port is out of range",
+                fmt::format("count to {}, ports to {}", kMaxCount, kMaxPort)};
+      return;
     }
-  }
-
-  void Collect(FieldReader& part) {
-    const std::string faults = part.Faults();
-    if (!faults.empty()) {
-      failed_ = true;
-      reader_.AddFault("", faults);
+    for (std::uint32_t it = 0; it < group.count; ++it) {
+      Member member = group.member;
+      InstanceInfo& info = member.info;
+      info.id = fmt::format("{}{}", group.prefix, it + 1);
+      info.rack = fmt::format("{}-r{}", info.domain, it / group.per_rack + 1);
+      info.address = fmt::format("{}:{}", group.ip, group.first_port + it);
+      Add(std::move(member));
     }
   }
 
-  FieldReader reader_;
+  Document document_;
   StandinSettings settings_;
-  bool failed_ = false;
+  std::set<std::string> ids_;
+  std::optional<DecodeError> error_;
 };
 
 }  // namespace
 
-std::variant<StandinSettings, SettingsError> ReadStandinSettings(
+std::variant<StandinSettings, DecodeError> ReadStandinSettings(
     const Json::Value& root) {
-  return SettingsReader(root).Read();
+  auto document = DecodeValue<Document>(root);
+  if (auto* error = std::get_if<DecodeError>(&document)) {
+    return std::move(*error);
+  }
+  return SettingsBuilder(std::get<Document>(std::move(document))).Build();
 }
 
 }  // namespace burdockrock::standin
--- a/Tests/standin/standin_settings.h
+++ b/Tests/standin/standin_settings.h
@@ -10,6 +10,7 @@
 
 #include "model/time.h"
 #include "model/work.h"
+#include "wire/decode_error.h"
 
 namespace burdockrock::standin {
 
@@ -27,22 +28,16 @@
   std::vector<InstanceSettings> instances;
 };
 
-// What is wrong with the settings.
-struct SettingsError {
-  std::string message;
-  auto operator<=>(const SettingsError&) const = default;
-};
-
 // Reads
 //   {"platform": {"listen": "IP:PORT" or [..], "latency_ms", "lag_ms"},
 //    "control": "IP:PORT", "entries": [{"id","domain","rack","address"}],
 //    "workers": [{"id","domain","rack","address","capacity"}],
 //    "minions": [{.. as workers, "service","service_ms"}],
-//    "generate": {"role","count","prefix","domain","per_rack","ip",
-//                 "first_port", "service", "service_ms", "capacity"} or [..]}
+//    "generate": [{"role","count","prefix","domain","per_rack","ip",
+//                 "first_port", "service", "service_ms", "capacity"}]}
 // A generated instance is PREFIX and its number from 1 on, in the rack
 // "DOMAIN-rN", on the next port.
-std::variant<StandinSettings, SettingsError> ReadStandinSettings(
+std::variant<StandinSettings, DecodeError> ReadStandinSettings(
     const Json::Value& root);
 
 }  // namespace burdockrock::standin
--- a/Tests/standin/wire_agreement_test.cc
+++ b/Tests/standin/wire_agreement_test.cc
@@ -1,13 +1,12 @@
-// The stand-in has codecs of its own. These tests hold them against those of
-// the wire library, so that the two agree on every call and answer.
+// What the fakes are told and answer, over the wire and back as an entry
+// instance reads it.
+#include <optional>
 #include <string>
 
 #include <doctest/doctest.h>
 
-#include "net/json.h"
 #include "standin/platform_codec.h"
 #include "standin/platform_store.h"
-#include "standin/worker_codec.h"
 #include "standin/worker_model.h"
 #include "wire/platform_codec.h"
 #include "wire/worker_codec.h"
@@ -29,20 +28,25 @@
   return WorkerModel(options);
 }
 
-// Sends `command` as the entry instance writes it through `decode` to `carry`
-// and gives what the entry instance reads from the answer.
-template <class Decode, class Carry>
-WorkerResult Send(const WorkerCommand& command, Decode decode, Carry carry) {
-  const HttpRequest request = EncodeWorkerCommand(command);
-  const auto body = ParseJson(request.body);
-  REQUIRE(std::holds_alternative<Json::Value>(body));
-  const auto decoded = decode(std::get<Json::Value>(body));
-  const auto* error = std::get_if<CodecError>(&decoded);
-  const std::string fault = error == nullptr ? "" : error->message;
-  REQUIRE(fault == "");
-  const auto response = Encode(carry(std::get<0>(decoded)));
-  REQUIRE(response);
-  return DecodeWorkerAnswer(KindOf(command), *response);
+// Sends `command` as the entry instance writes it and gives what the entry
+// instance reads from the answer.
+WorkerResult Send(const WorkerCommand& command, WorkerModel& worker, Time now) {
+  const auto decoded = DecodeWorkerCommand(EncodeWorkerCommand(command));
+  REQUIRE(std::holds_alternative<WorkerCommand>(decoded));
+  const auto& received = std::get<WorkerCommand>(decoded);
+  CHECK(received == command);
+  std::optional<WorkerResult> result;
+  if (const auto* run = std::get_if<RunCommand>(&received)) {
+    worker.Run(*run, now, [&](const WorkerResult& it) { result = it; });
+  } else {
+    result = worker.Apply(received, now);
+  }
+  REQUIRE(result);
+  const HttpResponse response =
+      EncodeWorkerAnswer(KindOf(command), *result, worker.in_force());
+  const WorkerResult read = DecodeWorkerAnswer(KindOf(command), response);
+  CHECK(read == *result);
+  return read;
 }
 
 PlatformResult Send(const PlatformOperation& operation, PlatformStore& store) {
@@ -52,7 +56,7 @@
   const auto& call = std::get<PlatformCall>(decoded);
   CHECK(call == PlatformCall(operation));
   const PlatformResult result = store.Apply(operation, Time(0));
-  const auto response = EncodePlatformResult(result, AnswerFormOf(call));
+  const auto response = EncodePlatformResult(call, result);
   REQUIRE(response);
   const auto read = DecodePlatformAnswer(operation, *response);
   REQUIRE(std::holds_alternative<PlatformResult>(read));
@@ -61,67 +65,48 @@
 
 }  // namespace
 
-TEST_CASE("The codecs agree on commands to workers and their answers") {
+TEST_CASE("Commands to workers and their answers cross the wire") {
   WorkerModel worker = MakeWorker();
-  const burdockrock::ClaimCommand claim{
-      .epoch = 1, .owner = "e1", .incarnation = "i1"};
-  const auto carry_claim = [&](const ClaimCommand& it) {
-    CHECK(it.incarnation == "i1");
-    return worker.Claim(it, Time(0));
-  };
+  const auto second = std::chrono::seconds(1);
+  const ClaimCommand claim{.epoch = 1, .owner = "e1", .incarnation = "i1"};
   CHECK(
-      Send(claim, DecodeClaim, carry_claim) ==
+      Send(claim, worker, Time(0)) ==
       WorkerResult(ClaimAccepted{
           .epoch = 1, .capacity = worker.options().capacity, .attempts = {}}));
-  burdockrock::ClaimCommand stale = claim;
+  ClaimCommand stale = claim;
   stale.owner = "e2";
-  CHECK(Send(stale, DecodeClaim, carry_claim) ==
-        WorkerResult(burdockrock::StaleEpoch{.epoch = 1, .owner = "e1"}));
-
-  burdockrock::StartCommand start{
-      .epoch = 1,
-      .attempt = Attempt(0),
-      .resources = {.processors_milli = 3000, .memory_mb = 1},
-      .payload = "sleep_ms=5",
-      .lease = kLease,
-      .hold = true};
-  const auto carry_start = [&](const StartCommand& it) {
-    CHECK(it.hold);
-    CHECK(it.lease == kLease);
-    return worker.Start(it, Time(0));
-  };
-  CHECK(Send(start, DecodeStart, carry_start) == WorkerResult(StartDone{}));
+  CHECK(Send(stale, worker, Time(0)) ==
+        WorkerResult(StaleEpoch{.epoch = 1, .owner = "e1"}));
+
+  StartCommand start{.epoch = 1,
+                     .attempt = Attempt(0),
+                     .resources = {.processors_milli = 3000, .memory_mb = 1},
+                     .payload = "sleep_ms=5",
+                     .lease = kLease,
+                     .hold = true};
+  CHECK(Send(start, worker, Time(0)) == WorkerResult(StartDone{}));
   start.attempt = Attempt(1);
-  CHECK(Send(start, DecodeStart, carry_start) ==
+  CHECK(Send(start, worker, Time(0)) ==
         WorkerResult(StartRefused{.reason = "no_room"}));
 
-  const burdockrock::RenewCommand renew{.epoch = 1,
-                                        .lease = kLease,
-                                        .wait = Duration(0),
-                                        .version = 0,
-                                        .acknowledge = {},
-                                        .go = {Attempt(0)}};
-  const auto carry_renew = [&](const RenewCommand& it) {
-    return worker.Renew(it, std::chrono::seconds(1));
-  };
-  const WorkerResult renewed = Send(renew, DecodeRenew, carry_renew);
-  REQUIRE(std::holds_alternative<RenewDone>(renewed));
-  REQUIRE(std::get<RenewDone>(renewed).attempts.size() == 1);
-  CHECK(std::get<RenewDone>(renewed).attempts[0].state ==
-        AttemptState::kRunning);
-
-  const burdockrock::StopCommand stop{.epoch = 1, .attempts = {Attempt(0)}};
-  const auto carry_stop = [&](const StopCommand& it) {
-    return worker.Stop(it, std::chrono::seconds(1));
-  };
-  CHECK(Send(stop, DecodeStop, carry_stop) ==
+  const RenewCommand renew{.epoch = 1,
+                           .lease = kLease,
+                           .wait = Duration(0),
+                           .version = 0,
+                           .acknowledge = {},
+                           .go = {Attempt(0)}};
+  const auto renewed = std::get<RenewDone>(Send(renew, worker, second));
+  REQUIRE(renewed.attempts.size() == 1);
+  CHECK(renewed.attempts[0].state == AttemptState::kRunning);
+
+  const StopCommand stop{.epoch = 1, .attempts = {Attempt(0)}};
+  CHECK(Send(stop, worker, second) ==
         WorkerResult(StopDone{.stopped = {Attempt(0)}}));
-  const WorkerResult ended = Send(renew, DecodeRenew, carry_renew);
-  REQUIRE(std::holds_alternative<RenewDone>(ended));
-  CHECK(std::get<RenewDone>(ended).attempts.at(0).outcome == Outcome::kStopped);
+  const auto ended = std::get<RenewDone>(Send(renew, worker, second));
+  CHECK(ended.attempts.at(0).outcome == Outcome::kStopped);
 }
 
-TEST_CASE("The codecs agree on runs") {
+TEST_CASE("Runs cross the wire") {
   WorkerModel worker = MakeWorker();
   worker.Claim({.epoch = 1, .owner = "e1", .incarnation = ""}, Time(0));
   const RunCommand run{.epoch = 1,
@@ -129,19 +114,14 @@
                        .resources = {},
                        .payload = "fail=1;answer=closed",
                        .lease = kLease};
-  const auto carry = [&](const StartCommand& it) {
-    RunAnswer answer;
-    worker.Run(it, Time(0), [&](const RunAnswer& ended) { answer = ended; });
-    return answer;
-  };
-  CHECK(Send(run, DecodeRun, carry) ==
-        WorkerResult(burdockrock::RunEnded{.outcome = Outcome::kFailed,
-                                           .answer = "closed"}));
-  CHECK(Send(run, DecodeRun, carry) ==
+  CHECK(
+      Send(run, worker, Time(0)) ==
+      WorkerResult(RunEnded{.outcome = Outcome::kFailed, .answer = "closed"}));
+  CHECK(Send(run, worker, Time(0)) ==
         WorkerResult(StartRefused{.reason = "already_ended"}));
 }
 
-TEST_CASE("The codecs agree on calls to the platform and their answers") {
+TEST_CASE("Calls to the platform and their answers cross the wire") {
   PlatformStore store({});
   InstanceInfo minion;
   minion.id = "m1";
--- a/Tests/standin/worker_model.cc
+++ b/Tests/standin/worker_model.cc
@@ -11,10 +11,7 @@
 // twice does not run them again.
 constexpr std::size_t kMaxRemembered = 8192;
 constexpr int kFullPercent = 100;
-
-AttemptId TaskOf(const AttemptId& attempt) {
-  return AttemptId{.job = attempt.job, .task = attempt.task, .number = 0};
-}
+constexpr std::uint32_t kMaxPercent = 1000;
 
 Resources UseOf(const Resources& declared, const Payload& payload) {
   Resources use = declared;
@@ -37,34 +34,37 @@
 WorkerModel::WorkerModel(WorkerOptions options)
     : options_(std::move(options)) {}
 
-ClaimAnswer WorkerModel::Claim(const ClaimCommand& command, Time now) {
+std::optional<WorkerResult> WorkerModel::Claim(const ClaimCommand& command,
+                                               Time now) {
   Advance(now);
   if (!Reaches(command.owner)) {
-    return NoAnswer{};
+    return std::nullopt;
   }
   const bool repeated =
       command.epoch != 0 && command.epoch == epoch_ && command.owner == owner_;
   if (command.epoch <= epoch_ && !repeated) {
     ++stale_commands_;
-    return Refuse(Refusal::kStaleEpoch);
+    return in_force();
   }
   epoch_ = command.epoch;
   owner_ = command.owner;
   owners_[epoch_] = owner_;
   if (LosesAnswer()) {
-    return NoAnswer{};
+    return std::nullopt;
   }
-  return Claimed{
-      .epoch = epoch_, .capacity = options_.capacity, .attempts = Reports(now)};
+  return ClaimAccepted{
+      .epoch = epoch_, .capacity = options_.capacity, .attempts = Reports()};
 }
 
-StartAnswer WorkerModel::Start(const StartCommand& command, Time now) {
+std::optional<WorkerResult> WorkerModel::Start(const StartCommand& command,
+                                               Time now) {
   Advance(now);
   if (!ReachesWith(command.epoch)) {
-    return NoAnswer{};
+    return std::nullopt;
   }
-  if (auto refused = CheckStart(command)) {
-    return *refused;
+  if (auto refused =
+          CheckStart(command.epoch, command.attempt, command.resources)) {
+    return refused;
   }
   if (Find(command.attempt) == nullptr) {
     Attempt& attempt = Place(command, now);
@@ -74,18 +74,19 @@
     Advance(now);
   }
   if (LosesAnswer()) {
-    return NoAnswer{};
+    return std::nullopt;
   }
-  return Started{};
+  return StartDone{};
 }
 
-void WorkerModel::Run(const StartCommand& command, Time now, RunDone done) {
+void WorkerModel::Run(const RunCommand& command, Time now, RunDone done) {
   Advance(now);
   if (!ReachesWith(command.epoch)) {
     return;
   }
-  if (auto refused = CheckStart(command)) {
-    AnswerRun(std::move(done), *refused);
+  if (auto refused =
+          CheckStart(command.epoch, command.attempt, command.resources)) {
+    AnswerRun(std::move(done), *std::move(refused));
     HandOutAnswers();
     return;
   }
@@ -104,13 +105,14 @@
   }
 }
 
-RenewAnswer WorkerModel::Renew(const RenewCommand& command, Time now) {
+std::optional<WorkerResult> WorkerModel::Renew(const RenewCommand& command,
+                                               Time now) {
   Advance(now);
   if (!ReachesWith(command.epoch)) {
-    return NoAnswer{};
+    return std::nullopt;
   }
   if (!Accepts(command.epoch)) {
-    return Refuse(Refusal::kStaleEpoch);
+    return in_force();
   }
   ExtendLeases(command.lease, now);
   for (const AttemptId& id : command.acknowledge) {
@@ -123,35 +125,36 @@
     }
   }
   Advance(now);
-  return AnswerRenew(command, now);
+  return AnswerRenew(command);
 }
 
 bool WorkerModel::RenewWaits(const RenewCommand& command) const {
   return command.epoch == epoch_ && command.version == version_;
 }
 
-RenewAnswer WorkerModel::AnswerRenew(const RenewCommand& command,
-                                     Time now) const {
+std::optional<WorkerResult> WorkerModel::AnswerRenew(
+    const RenewCommand& command) const {
   if (!ReachesWith(command.epoch)) {
-    return NoAnswer{};
+    return std::nullopt;
   }
   if (command.epoch != epoch_) {
-    return Refuse(Refusal::kStaleEpoch);
+    return in_force();
   }
-  return Renewed{.version = version_,
-                 .attempts = Reports(now),
-                 .usage = Scale(reported_usage_, faults_.usage_percent)};
+  return RenewDone{.version = version_,
+                   .attempts = Reports(),
+                   .usage = Scale(reported_usage_, faults_.usage_percent)};
 }
 
-StopAnswer WorkerModel::Stop(const StopCommand& command, Time now) {
+std::optional<WorkerResult> WorkerModel::Stop(const StopCommand& command,
+                                              Time now) {
   Advance(now);
   if (!ReachesWith(command.epoch)) {
-    return NoAnswer{};
+    return std::nullopt;
   }
   if (!Accepts(command.epoch)) {
-    return Refuse(Refusal::kStaleEpoch);
+    return in_force();
   }
-  Stopped answer;
+  StopDone answer;
   for (const AttemptId& id : command.attempts) {
     Attempt* attempt = Find(id);
     if (attempt == nullptr && !ended_.contains(id)) {
@@ -160,46 +163,51 @@
     if (attempt != nullptr && attempt->state != AttemptState::kEnded) {
       End(*attempt, Outcome::kStopped, now);
     }
-    answer.attempts.push_back(id);
+    answer.stopped.push_back(id);
   }
   HandOutAnswers();
   if (LosesAnswer()) {
-    return NoAnswer{};
+    return std::nullopt;
   }
   return answer;
 }
 
-ThrottleAnswer WorkerModel::Throttle(const ThrottleCommand& command, Time now) {
-  Advance(now);
-  if (!ReachesWith(command.epoch)) {
-    return NoAnswer{};
+std::optional<WorkerResult> WorkerModel::Apply(const WorkerCommand& command,
+                                               Time now) {
+  if (const auto* claim = std::get_if<ClaimCommand>(&command)) {
+    return Claim(*claim, now);
   }
-  if (!Accepts(command.epoch)) {
-    return Refuse(Refusal::kStaleEpoch);
+  if (const auto* start = std::get_if<StartCommand>(&command)) {
+    return Start(*start, now);
   }
-  Attempt* attempt = Find(command.attempt);
-  if (attempt == nullptr || attempt->state == AttemptState::kEnded) {
-    return Refuse(Refusal::kNotFound);
+  if (const auto* renew = std::get_if<RenewCommand>(&command)) {
+    return Renew(*renew, now);
   }
-  attempt->run.SetPercent(command.percent, now);
-  SetDue(*attempt);
-  return Throttled{};
+  return Stop(std::get<StopCommand>(command), now);
 }
 
-CheckpointAnswer WorkerModel::Checkpoint(const CheckpointCommand& command,
-                                         Time now) {
-  Advance(now);
-  if (!ReachesWith(command.epoch)) {
-    return NoAnswer{};
+std::optional<WorkResult> WorkerModel::Throttle(const ThrottleCommand& command,
+                                                Time now) {
+  std::optional<WorkResult> refusal;
+  Attempt* attempt = FindLive(command.epoch, command.attempt, now, refusal);
+  if (attempt == nullptr) {
+    return refusal;
   }
-  if (!Accepts(command.epoch)) {
-    return Refuse(Refusal::kStaleEpoch);
-  }
-  const Attempt* attempt = Find(command.attempt);
-  if (attempt == nullptr || attempt->state == AttemptState::kEnded) {
-    return Refuse(Refusal::kNotFound);
+  attempt->run.SetPercent(std::min(command.percent, kMaxPercent), now);
+  SetDue(*attempt);
+  return WorkDone{.done = attempt->run.DoneAt(now)};
+}
+
+std::optional<WorkResult> WorkerModel::Checkpoint(
+    const CheckpointCommand& command,
+    Time now) {
+  std::optional<WorkResult> refusal;
+  const Attempt* attempt =
+      FindLive(command.epoch, command.attempt, now, refusal);
+  if (attempt == nullptr) {
+    return refusal;
   }
-  return Checkpointed{.done = attempt->run.DoneAt(now)};
+  return WorkDone{.done = attempt->run.DoneAt(now)};
 }
 
 void WorkerModel::Crash(bool forget_epoch, Time now) {
@@ -263,31 +271,29 @@
   return false;
 }
 
-Refused WorkerModel::Refuse(Refusal reason) const {
-  return {.reason = reason, .epoch = epoch_, .owner = owner_};
-}
-
-std::optional<Refused> WorkerModel::CheckStart(const StartCommand& command) {
-  if (!Accepts(command.epoch)) {
-    return Refuse(Refusal::kStaleEpoch);
+std::optional<WorkerResult> WorkerModel::CheckStart(
+    Epoch epoch,
+    const AttemptId& id,
+    const Resources& resources) {
+  if (!Accepts(epoch)) {
+    return in_force();
   }
-  if (ended_.contains(command.attempt)) {
-    return Refuse(Refusal::kAlreadyEnded);
+  if (ended_.contains(id)) {
+    return StartRefused{.reason = "already_ended"};
   }
-  const Attempt* attempt = Find(command.attempt);
+  const Attempt* attempt = Find(id);
   if (attempt != nullptr && attempt->state == AttemptState::kEnded) {
-    return Refuse(Refusal::kAlreadyEnded);
+    return StartRefused{.reason = "already_ended"};
   }
-  if (attempt == nullptr &&
-      !Fits(taken_ + command.resources, options_.capacity)) {
+  if (attempt == nullptr && !Fits(taken_ + resources, options_.capacity)) {
     ++overcommit_attempts_;
-    return Refuse(Refusal::kNoRoom);
+    return StartRefused{.reason = "no_room"};
   }
   return std::nullopt;
 }
 
-WorkerModel::Attempt& WorkerModel::Place(const StartCommand& command,
-                                         Time now) {
+template <typename Command>
+WorkerModel::Attempt& WorkerModel::Place(const Command& command, Time now) {
   const std::uint64_t serial = ++last_serial_;
   Attempt& attempt = attempts_[serial];
   serials_[command.attempt] = serial;
@@ -298,7 +304,6 @@
   attempt.key =
       attempt.payload.key.empty() ? command.payload : attempt.payload.key;
   attempt.use = UseOf(command.resources, attempt.payload);
-  attempt.arrived = now;
   attempt.lease_until = now + command.lease;
   taken_ += attempt.resources;
   ++live_;
@@ -324,8 +329,6 @@
     attempt.payload.fail = true;
   }
   using_ += attempt.use;
-  std::uint32_t& tasks = live_tasks_[TaskOf(attempt.id)];
-  max_live_per_task_ = std::max(max_live_per_task_, ++tasks);
   if (options_.recorder != nullptr) {
     options_.recorder->Started(options_.id, attempt.id, attempt.key,
                                !attempt.payload.key.empty(), now);
@@ -340,10 +343,6 @@
   --live_;
   if (attempt.state == AttemptState::kRunning) {
     using_ -= attempt.use;
-    const auto it = live_tasks_.find(TaskOf(attempt.id));
-    if (--it->second == 0) {
-      live_tasks_.erase(it);
-    }
     executions_.push_back({.attempt = attempt.id,
                            .started = attempt.began,
                            .ended = now,
@@ -403,7 +402,7 @@
   serials_.erase(it);
 }
 
-void WorkerModel::AnswerRun(RunDone done, RunAnswer answer) {
+void WorkerModel::AnswerRun(RunDone done, WorkerResult answer) {
   ready_answers_.push_back(
       {.done = std::move(done), .answer = std::move(answer)});
 }
@@ -438,22 +437,42 @@
   sampled_at_ = now;
 }
 
+WorkerModel::Attempt* WorkerModel::FindLive(
+    Epoch epoch,
+    const AttemptId& id,
+    Time now,
+    std::optional<WorkResult>& refusal) {
+  Advance(now);
+  if (!ReachesWith(epoch)) {
+    return nullptr;
+  }
+  if (!Accepts(epoch)) {
+    refusal = in_force();
+    return nullptr;
+  }
+  Attempt* attempt = Find(id);
+  if (attempt == nullptr || attempt->state == AttemptState::kEnded) {
+    refusal = NoAttempt{};
+    return nullptr;
+  }
+  return attempt;
+}
+
 WorkerModel::Attempt* WorkerModel::Find(const AttemptId& id) {
   const auto it = serials_.find(id);
   return it == serials_.end() ? nullptr : &attempts_.at(it->second);
 }
 
-std::vector<WorkerReport> WorkerModel::Reports(Time now) const {
-  std::vector<WorkerReport> reports;
+std::vector<AttemptReport> WorkerModel::Reports() const {
+  std::vector<AttemptReport> reports;
   reports.reserve(attempts_.size());
   for (const auto& [serial, it] : attempts_) {
     const bool ended = it.state == AttemptState::kEnded;
-    reports.push_back({.report = {.attempt = it.id,
-                                  .resources = it.resources,
-                                  .state = it.state,
-                                  .outcome = it.outcome,
-                                  .answer = ended ? it.payload.answer : ""},
-                       .age = now - it.arrived});
+    reports.push_back({.attempt = it.id,
+                       .resources = it.resources,
+                       .state = it.state,
+                       .outcome = it.outcome,
+                       .answer = ended ? it.payload.answer : ""});
   }
   return reports;
 }
--- a/Tests/standin/worker_model.h
+++ b/Tests/standin/worker_model.h
@@ -14,15 +14,16 @@
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "model/attempt.h"
 #include "model/resources.h"
 #include "model/time.h"
+#include "model/worker_message.h"
 #include "standin/attempt_run.h"
 #include "standin/execution_recorder.h"
 #include "standin/payload.h"
-#include "standin/worker_messages.h"
 
 namespace burdockrock::standin {
 
@@ -67,34 +68,69 @@
   auto operator<=>(const Execution&) const = default;
 };
 
+// `percent` of full speed from now on, 1000 at most; 0 stands still.
+struct ThrottleCommand {
+  Epoch epoch = 0;
+  AttemptId attempt{};
+  std::uint32_t percent = 100;
+  auto operator<=>(const ThrottleCommand&) const = default;
+};
+
+struct CheckpointCommand {
+  Epoch epoch = 0;
+  AttemptId attempt{};
+  auto operator<=>(const CheckpointCommand&) const = default;
+};
+
+// Answers throttles and checkpoints: the attempt's work until now, as time at
+// full speed.
+struct WorkDone {
+  Duration done{0};
+  auto operator<=>(const WorkDone&) const = default;
+};
+
+// No such attempt runs or is held.
+struct NoAttempt {
+  auto operator<=>(const NoAttempt&) const = default;
+};
+
+using WorkResult = std::variant<WorkDone, StaleEpoch, NoAttempt>;
+
+// Each command gives no result when it is not answered; it may or may not have
+// taken effect then.
 class WorkerModel {
  public:
-  using RunDone = std::function<void(const RunAnswer&)>;
+  using RunDone = std::function<void(const WorkerResult&)>;
 
   explicit WorkerModel(WorkerOptions options);
 
   // Each command first carries out what was due by `now`. Commands with an
   // epoch that this worker has not accepted as its highest are refused.
-  ClaimAnswer Claim(const ClaimCommand& command, Time now);
-  StartAnswer Start(const StartCommand& command, Time now);
+  std::optional<WorkerResult> Claim(const ClaimCommand& command, Time now);
+  std::optional<WorkerResult> Start(const StartCommand& command, Time now);
 
   // Calls `done` once, possibly at once, or never when the command or its
   // answer is lost. The answer to a run that ends while the worker is paused
   // waits for Advance after the pause. A second run of the same attempt waits
   // for the first.
-  void Run(const StartCommand& command, Time now, RunDone done);
+  void Run(const RunCommand& command, Time now, RunDone done);
 
   // Renews and answers with the state now, whatever `wait` is.
-  RenewAnswer Renew(const RenewCommand& command, Time now);
+  std::optional<WorkerResult> Renew(const RenewCommand& command, Time now);
 
   // For a caller that holds a renewal: true while it is to wait on.
   bool RenewWaits(const RenewCommand& command) const;
   // The answer to a held renewal; renews nothing.
-  RenewAnswer AnswerRenew(const RenewCommand& command, Time now) const;
+  std::optional<WorkerResult> AnswerRenew(const RenewCommand& command) const;
+
+  std::optional<WorkerResult> Stop(const StopCommand& command, Time now);
+
+  // Any command but a run.
+  std::optional<WorkerResult> Apply(const WorkerCommand& command, Time now);
 
-  StopAnswer Stop(const StopCommand& command, Time now);
-  ThrottleAnswer Throttle(const ThrottleCommand& command, Time now);
-  CheckpointAnswer Checkpoint(const CheckpointCommand& command, Time now);
+  std::optional<WorkResult> Throttle(const ThrottleCommand& command, Time now);
+  std::optional<WorkResult> Checkpoint(const CheckpointCommand& command,
+                                       Time now);
 
   // Loses all attempts. The highest epoch is kept unless `forget_epoch`.
   void Crash(bool forget_epoch, Time now);
@@ -107,6 +143,7 @@
   const WorkerOptions& options() const { return options_; }
   Epoch epoch() const { return epoch_; }
   const std::string& owner() const { return owner_; }
+  StaleEpoch in_force() const { return {.epoch = epoch_, .owner = owner_}; }
   Resources taken() const { return taken_; }
   std::size_t live() const { return live_; }
 
@@ -114,8 +151,6 @@
   std::uint64_t overcommit_attempts() const { return overcommit_attempts_; }
   std::uint64_t stale_commands() const { return stale_commands_; }
   std::uint64_t lapsed_leases() const { return lapsed_leases_; }
-  // The most attempts of one task that were live here at the same moment.
-  std::uint32_t max_live_per_task() const { return max_live_per_task_; }
   const std::deque<Execution>& executions() const { return executions_; }
 
  private:
@@ -130,7 +165,6 @@
     Outcome outcome = Outcome::kNone;
     AttemptRun run{Duration(0), 0};
     bool reported_until_acknowledged = true;  // came by Start
-    Time arrived{0};
     Time began{0};
     Time lease_until{0};
     Time due = Time::min();  // of its entry in due_; least: has none
@@ -139,28 +173,37 @@
   using Due = std::pair<Time, std::uint64_t>;  // the attempt's serial
   struct ReadyAnswer {
     RunDone done;
-    RunAnswer answer;
+    WorkerResult answer;
   };
 
   bool Reaches(const std::string& owner) const;
   bool ReachesWith(Epoch epoch) const;
   bool LosesAnswer();
   bool Accepts(Epoch epoch);
-  Refused Refuse(Refusal reason) const;
-  std::optional<Refused> CheckStart(const StartCommand& command);
-  Attempt& Place(const StartCommand& command, Time now);
+  std::optional<WorkerResult> CheckStart(Epoch epoch,
+                                         const AttemptId& id,
+                                         const Resources& resources);
+  // `Command` is StartCommand or RunCommand.
+  template <typename Command>
+  Attempt& Place(const Command& command, Time now);
+  // The live attempt that a throttle or checkpoint is for; otherwise `refusal`
+  // is set, or stays empty when the command did not arrive.
+  Attempt* FindLive(Epoch epoch,
+                    const AttemptId& id,
+                    Time now,
+                    std::optional<WorkResult>& refusal);
   AttemptRun PlanRun(const Attempt& attempt) const;
   void Begin(Attempt& attempt, Time now);
   void End(Attempt& attempt, Outcome outcome, Time now);
   void Remember(const AttemptId& id);
   void SetDue(Attempt& attempt);
   void Acknowledge(const AttemptId& id);
-  void AnswerRun(RunDone done, RunAnswer answer);
+  void AnswerRun(RunDone done, WorkerResult answer);
   void HandOutAnswers();
   void ExtendLeases(Duration lease, Time now);
   void SampleUsage(Time now);
   Attempt* Find(const AttemptId& id);
-  std::vector<WorkerReport> Reports(Time now) const;
+  std::vector<AttemptReport> Reports() const;
 
   WorkerOptions options_;
   WorkerFaults faults_;
@@ -170,7 +213,6 @@
   std::map<std::uint64_t, Attempt> attempts_;  // by serial
   std::unordered_map<AttemptId, std::uint64_t, AttemptIdHash> serials_;
   std::set<Due> due_;
-  std::unordered_map<AttemptId, std::uint32_t, AttemptIdHash> live_tasks_;
   std::unordered_set<AttemptId, AttemptIdHash> ended_;
   std::deque<AttemptId> ended_order_;
   std::deque<Execution> executions_;
@@ -186,7 +228,6 @@
   std::uint64_t overcommit_attempts_ = 0;
   std::uint64_t stale_commands_ = 0;
   std::uint64_t lapsed_leases_ = 0;
-  std::uint32_t max_live_per_task_ = 0;
 };
 
 }  // namespace burdockrock::standin
--- a/Tests/standin/worker_model_test.cc
+++ b/Tests/standin/worker_model_test.cc
@@ -1,5 +1,6 @@
 #include "standin/worker_model.h"
 
+#include <optional>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -37,22 +38,36 @@
 }
 
 void ClaimAs(WorkerModel& worker, Epoch epoch, const std::string& owner) {
-  const ClaimAnswer answer =
-      worker.Claim({.epoch = epoch, .owner = owner}, Time(0));
-  REQUIRE(std::holds_alternative<Claimed>(answer));
-}
-
-template <class Answer>
-Refusal ReasonOf(const Answer& answer) {
-  const auto* refused = std::get_if<Refused>(&answer);
+  const auto answer = worker.Claim(
+      {.epoch = epoch, .owner = owner, .incarnation = ""}, Time(0));
+  REQUIRE(std::holds_alternative<ClaimAccepted>(answer.value()));
+}
+
+// "stale_epoch", or why a start or run was refused.
+std::string ReasonOf(const std::optional<WorkerResult>& answer) {
+  REQUIRE(answer);
+  if (const auto* stale = std::get_if<StaleEpoch>(&*answer)) {
+    CHECK_FALSE(stale->owner.empty());
+    return "stale_epoch";
+  }
+  const auto* refused = std::get_if<StartRefused>(&*answer);
   REQUIRE(refused != nullptr);
   return refused->reason;
 }
 
-Renewed StateOf(WorkerModel& worker, Time now, const RenewCommand& command) {
-  const RenewAnswer answer = worker.Renew(command, now);
-  REQUIRE(std::holds_alternative<Renewed>(answer));
-  return std::get<Renewed>(answer);
+RenewDone StateOf(WorkerModel& worker, Time now, const RenewCommand& command) {
+  const auto answer = worker.Renew(command, now);
+  REQUIRE(std::holds_alternative<RenewDone>(answer.value()));
+  return std::get<RenewDone>(*answer);
+}
+
+RunCommand RunOf(const AttemptId& attempt, const std::string& payload = "") {
+  const StartCommand it = StartOf(attempt, payload);
+  return {.epoch = it.epoch,
+          .attempt = it.attempt,
+          .resources = it.resources,
+          .payload = it.payload,
+          .lease = it.lease};
 }
 
 }  // namespace
@@ -64,16 +79,16 @@
   WorkerModel worker(Options());
   ClaimAs(worker, 1, "e1");
   worker.Start(StartOf(Attempt(0)), Time(0));
-  const ClaimAnswer second =
-      worker.Claim({.epoch = 2, .owner = "e2"}, seconds(1));
-  CHECK(std::get<Claimed>(second).attempts.size() == 1);
+  const auto second =
+      worker.Claim({.epoch = 2, .owner = "e2", .incarnation = ""}, seconds(1));
+  CHECK(std::get<ClaimAccepted>(second.value()).attempts.size() == 1);
   CHECK(ReasonOf(worker.Start(StartOf(Attempt(1)), seconds(2))) ==
-        Refusal::kStaleEpoch);
-  CHECK(ReasonOf(worker.Renew(Renewal(), seconds(2))) == Refusal::kStaleEpoch);
+        "stale_epoch");
+  CHECK(ReasonOf(worker.Renew(Renewal(), seconds(2))) == "stale_epoch");
   CHECK(ReasonOf(worker.Stop({.epoch = 1, .attempts = {Attempt(0)}},
-                             seconds(2))) == Refusal::kStaleEpoch);
-  CHECK(ReasonOf(worker.Claim({.epoch = 1, .owner = "e1"}, seconds(2))) ==
-        Refusal::kStaleEpoch);
+                             seconds(2))) == "stale_epoch");
+  CHECK(ReasonOf(worker.Claim({.epoch = 1, .owner = "e1", .incarnation = ""},
+                              seconds(2))) == "stale_epoch");
   CHECK(worker.live() == 1);
   CHECK(worker.stale_commands() == 4);
   ClaimAs(worker, 2, "e2");
@@ -86,11 +101,10 @@
   held.hold = true;
   worker.Start(held, Time(0));
   worker.Start(StartOf(Attempt(1), "sleep_ms=50"), Time(0));
-  CHECK(ReasonOf(worker.Start(StartOf(Attempt(2)), Time(0))) ==
-        Refusal::kNoRoom);
+  CHECK(ReasonOf(worker.Start(StartOf(Attempt(2)), Time(0))) == "no_room");
   CHECK(worker.overcommit_attempts() == 1);
   CHECK(worker.Start(StartOf(Attempt(2)), milliseconds(50)) ==
-        StartAnswer(Started{}));
+        WorkerResult(StartDone{}));
 }
 
 TEST_CASE("An attempt whose lease lapses is stopped by the worker") {
@@ -100,9 +114,9 @@
   CHECK(worker.NextEventTime() == kLease);
   StateOf(worker, seconds(5), Renewal());
   CHECK(worker.NextEventTime() == seconds(15));
-  const Renewed state = StateOf(worker, seconds(15), Renewal());
+  const RenewDone state = StateOf(worker, seconds(15), Renewal());
   REQUIRE(state.attempts.size() == 1);
-  CHECK(state.attempts[0].report.outcome == Outcome::kLeaseLapsed);
+  CHECK(state.attempts[0].outcome == Outcome::kLeaseLapsed);
   CHECK(worker.taken() == Resources{});
 }
 
@@ -119,10 +133,10 @@
   go.go = {Attempt(0)};
   StateOf(worker, seconds(1), go);
   CHECK(recorder.live() == 1);
-  const Renewed state = StateOf(worker, milliseconds(1100), Renewal());
+  const RenewDone state = StateOf(worker, milliseconds(1100), Renewal());
   REQUIRE(state.attempts.size() == 1);
-  CHECK(state.attempts[0].report.outcome == Outcome::kDone);
-  CHECK(state.attempts[0].report.answer == "packed");
+  CHECK(state.attempts[0].outcome == Outcome::kDone);
+  CHECK(state.attempts[0].answer == "packed");
 }
 
 TEST_CASE("An ended attempt is reported until acknowledged, and never again") {
@@ -139,7 +153,7 @@
   CHECK(StateOf(worker, seconds(1), renewal).attempts.size() == 1);
   renewal.acknowledge = {Attempt(0)};
   CHECK(StateOf(worker, seconds(1), renewal).attempts.empty());
-  CHECK(ReasonOf(worker.Start(start, seconds(1))) == Refusal::kAlreadyEnded);
+  CHECK(ReasonOf(worker.Start(start, seconds(1))) == "already_ended");
 }
 
 // Symptom: a task runs twice although one attempt was made.
@@ -150,8 +164,9 @@
   WorkerModel worker(Options(&recorder));
   ClaimAs(worker, 1, "e1");
   worker.faults().lose_answers = 1;
-  CHECK(worker.Start(StartOf(Attempt(0)), Time(0)) == StartAnswer(NoAnswer{}));
-  CHECK(worker.Start(StartOf(Attempt(0)), Time(0)) == StartAnswer(Started{}));
+  CHECK(worker.Start(StartOf(Attempt(0)), Time(0)) == std::nullopt);
+  CHECK(worker.Start(StartOf(Attempt(0)), Time(0)) ==
+        WorkerResult(StartDone{}));
   CHECK(worker.live() == 1);
   CHECK(recorder.executions() == 1);
 }
@@ -176,10 +191,10 @@
 TEST_CASE("A run answers when it ends and is then forgotten") {
   WorkerModel worker(Options());
   ClaimAs(worker, 1, "e1");
-  std::vector<RunAnswer> answers;
-  const auto keep = [&](const RunAnswer& it) { answers.push_back(it); };
-  worker.Run(StartOf(Attempt(0), "sleep_ms=20"), Time(0), keep);
-  worker.Run(StartOf(Attempt(0), "sleep_ms=20"), milliseconds(5), keep);
+  std::vector<WorkerResult> answers;
+  const auto keep = [&](const WorkerResult& it) { answers.push_back(it); };
+  worker.Run(RunOf(Attempt(0), "sleep_ms=20"), Time(0), keep);
+  worker.Run(RunOf(Attempt(0), "sleep_ms=20"), milliseconds(5), keep);
   CHECK(StateOf(worker, milliseconds(10), Renewal()).attempts.size() == 1);
   worker.faults().paused = true;
   worker.Advance(milliseconds(20));
@@ -187,17 +202,17 @@
   worker.faults().paused = false;
   worker.Advance(milliseconds(30));
   const RunEnded ended{.outcome = Outcome::kDone, .answer = "ok:sleep_ms=20"};
-  CHECK(answers == std::vector<RunAnswer>{ended, ended});
+  CHECK(answers == std::vector<WorkerResult>{ended, ended});
   CHECK(StateOf(worker, milliseconds(30), Renewal()).attempts.empty());
-  worker.Run(StartOf(Attempt(0)), milliseconds(30), keep);
-  CHECK(ReasonOf(answers.back()) == Refusal::kAlreadyEnded);
+  worker.Run(RunOf(Attempt(0)), milliseconds(30), keep);
+  CHECK(ReasonOf(answers.back()) == "already_ended");
 }
 
 TEST_CASE("Commands of an owner whose link is cut do not arrive") {
   WorkerModel worker(Options());
   ClaimAs(worker, 1, "e1");
   worker.faults().cut_owners = {"e1"};
-  CHECK(worker.Start(StartOf(Attempt(0)), Time(0)) == StartAnswer(NoAnswer{}));
+  CHECK(worker.Start(StartOf(Attempt(0)), Time(0)) == std::nullopt);
   CHECK(worker.live() == 0);
   ClaimAs(worker, 2, "e2");
 }
@@ -207,9 +222,9 @@
   ClaimAs(worker, 1, "e1");
   worker.faults().black_hole = true;
   worker.Start(StartOf(Attempt(0), "sleep_ms=100"), Time(0));
-  const Renewed state = StateOf(worker, Time(0), Renewal());
+  const RenewDone state = StateOf(worker, Time(0), Renewal());
   REQUIRE(state.attempts.size() == 1);
-  CHECK(state.attempts[0].report.outcome == Outcome::kFailed);
+  CHECK(state.attempts[0].outcome == Outcome::kFailed);
 }
 
 TEST_CASE("Throttling delays the end, and a crash loses all attempts") {
@@ -221,7 +236,7 @@
   CHECK(worker.NextEventTime() == milliseconds(1500));
   CHECK(worker.Checkpoint({.epoch = 1, .attempt = Attempt(0)},
                           milliseconds(700)) ==
-        CheckpointAnswer(Checkpointed{.done = milliseconds(600)}));
+        WorkResult(WorkDone{.done = milliseconds(600)}));
   worker.Crash(false, milliseconds(800));
   CHECK(worker.NextEventTime() == kForever);
   CHECK(StateOf(worker, milliseconds(800), Renewal()).attempts.empty());
--- a/Tests/standin/worker_server.cc
+++ b/Tests/standin/worker_server.cc
@@ -1,26 +1,56 @@
 #include "standin/worker_server.h"
 
 #include <algorithm>
-#include <array>
-#include <string_view>
 #include <utility>
 
-#include "net/address.h"
-#include "net/json.h"
-#include "standin/worker_codec.h"
+#include "wire/caller_status.h"
+#include "wire/value_reader.h"
+#include "wire/value_writer.h"
+#include "wire/worker_codec.h"
+
+namespace burdockrock {
+
+template <>
+struct FieldsOf<standin::ThrottleCommand> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("epoch", it.epoch);
+    codec.Field("attempt", it.attempt);
+    codec.Field("percent", it.percent);
+  }
+};
+
+template <>
+struct FieldsOf<standin::CheckpointCommand> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("epoch", it.epoch);
+    codec.Field("attempt", it.attempt);
+  }
+};
+
+template <>
+struct FieldsOf<standin::WorkDone> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("done_ms", it.done);
+  }
+};
+
+}  // namespace burdockrock
 
 namespace burdockrock::standin {
 
 namespace {
 
-constexpr int kNotFound = 404;
-constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
-
-HttpResponse NotFoundResponse() {
-  return HttpResponse{.status = kNotFound,
-                      .body = "{}",
-                      .content_type = "application/json",
-                      .retry_after = std::nullopt};
+HttpResponse Encode(const WorkResult& result) {
+  if (const auto* stale = std::get_if<StaleEpoch>(&result)) {
+    return EncodeWorkerAnswer(WorkerCommandKind::kStop, *stale, *stale);
+  }
+  if (const auto* it = std::get_if<WorkDone>(&result)) {
+    return JsonResponse(WriteValue(*it));
+  }
+  return JsonResponse(Json::objectValue, kNotFoundStatus);
 }
 
 }  // namespace
@@ -29,42 +59,22 @@
                            InstanceInfo info,
                            WorkerOptions options,
                            DelayQueue& delays)
-    : io_(io),
+    : ServerBase(io, delays),
       info_(std::move(info)),
-      worker_(std::move(options)),
-      delays_(delays),
-      timer_(io) {}
+      worker_(std::move(options)) {}
 
 std::optional<NetError> WorkerServer::Listen() {
-  const auto address = ParseAddress(info_.address);
-  if (const auto* error = std::get_if<NetError>(&address)) {
-    return *error;
-  }
-  const auto& endpoint = std::get<TcpEndpoint>(address);
-  HttpServerOptions options;
-  options.address = endpoint.address().to_string();
-  options.port = endpoint.port();
-  options.max_body_bytes = kMaxBodyBytes;
-  server_ = std::make_unique<HttpServer>(
-      io_, options, [this](HttpRequest request, HttpServer::Responder respond) {
-        OnRequest({std::move(request), std::move(respond)});
-      });
-  const auto listening = server_->Listen();
-  if (const auto* error = std::get_if<NetError>(&listening)) {
-    return *error;
-  }
-  return std::nullopt;
+  return ListenOn(info_.address,
+                  [this](HttpRequest request, HttpServer::Responder respond) {
+                    OnRequest({std::move(request), std::move(respond)});
+                  });
 }
 
-void WorkerServer::Close() {
-  server_.reset();
-  ++closes_;
+void WorkerServer::Crash(bool forget_epoch) {
+  StopListening();
+  ++crashes_;
   calls_in_pause_.clear();
   renewals_.clear();
-}
-
-void WorkerServer::Crash(bool forget_epoch) {
-  Close();
   worker_.Crash(forget_epoch, MonotonicNow());
 }
 
@@ -76,7 +86,7 @@
       Dispatch(it, now);
     }
   }
-  Pump(now);
+  OnTime(now);
 }
 
 void WorkerServer::OnRequest(Call call) {
@@ -84,120 +94,85 @@
     calls_in_pause_.push_back(std::move(call));
     return;
   }
-  if (faults_.slow <= Duration(0)) {
-    const Time now = MonotonicNow();
-    Dispatch(call, now);
-    Pump(now);
-    return;
-  }
-  delays_.After(faults_.slow, [this, call = std::move(call), at = closes_] {
-    if (at != closes_) {
+  delays().After(faults().slow, [this, call = std::move(call), at = crashes_] {
+    if (at != crashes_) {
       return;
     }
     const Time now = MonotonicNow();
     Dispatch(call, now);
-    Pump(now);
+    OnTime(now);
   });
 }
 
-WorkerServer::Route WorkerServer::FindRoute(const HttpRequest& request) {
-  static const std::array<std::pair<std::string_view, Route>, 7> kRoutes = {{
-      {"/v1/run", &WorkerServer::Run},
-      {"/v1/start", &WorkerServer::CarryOut<DecodeStart, &WorkerModel::Start>},
-      {"/v1/renew", &WorkerServer::Renew},
-      {"/v1/stop", &WorkerServer::CarryOut<DecodeStop, &WorkerModel::Stop>},
-      {"/v1/claim", &WorkerServer::CarryOut<DecodeClaim, &WorkerModel::Claim>},
-      {"/v1/throttle",
-       &WorkerServer::CarryOut<DecodeThrottle, &WorkerModel::Throttle>},
-      {"/v1/checkpoint",
-       &WorkerServer::CarryOut<DecodeCheckpoint, &WorkerModel::Checkpoint>},
-  }};
-  if (request.method != "POST") {
-    return nullptr;
-  }
-  for (const auto& [path, route] : kRoutes) {
-    if (path == request.path) {
-      return route;
-    }
-  }
-  return nullptr;
-}
-
 void WorkerServer::Dispatch(const Call& call, Time now) {
-  const Route route = FindRoute(call.request);
-  if (route == nullptr) {
-    Answer(call.respond, NotFoundResponse());
+  if (call.request.path == "/v1/throttle") {
+    CarryOut(call, &WorkerModel::Throttle, now);
     return;
   }
-  const auto body = ParseJson(call.request.body);
-  if (const auto* error = std::get_if<JsonError>(&body)) {
-    Answer(call.respond, EncodeError({error->message}));
+  if (call.request.path == "/v1/checkpoint") {
+    CarryOut(call, &WorkerModel::Checkpoint, now);
     return;
   }
-  (this->*route)(call, std::get<Json::Value>(body), now);
+  const auto command = DecodeWorkerCommand(call.request);
+  if (const auto* error = std::get_if<DecodeError>(&command)) {
+    Answer(call.respond, ErrorResponse(ToString(*error)));
+    return;
+  }
+  CarryOut(std::get<WorkerCommand>(command), call.respond, now);
 }
 
-template <auto decode, auto method>
-void WorkerServer::CarryOut(const Call& call,
-                            const Json::Value& body,
+void WorkerServer::CarryOut(const WorkerCommand& command,
+                            const HttpServer::Responder& respond,
                             Time now) {
-  const auto command = decode(body);
-  if (const auto* error = std::get_if<CodecError>(&command)) {
-    Answer(call.respond, EncodeError(*error));
+  if (const auto* run = std::get_if<RunCommand>(&command)) {
+    worker_.Run(*run, now, [this, respond](const WorkerResult& result) {
+      Answer(respond, EncodeWorkerAnswer(WorkerCommandKind::kRun, result,
+                                         worker_.in_force()));
+    });
     return;
   }
-  Answer(call.respond, Encode((worker_.*method)(std::get<0>(command), now)));
-}
-
-void WorkerServer::Run(const Call& call, const Json::Value& body, Time now) {
-  const auto command = DecodeRun(body);
-  if (const auto* error = std::get_if<CodecError>(&command)) {
-    Answer(call.respond, EncodeError(*error));
+  const auto result = worker_.Apply(command, now);
+  const auto* renew = std::get_if<RenewCommand>(&command);
+  const bool renewed =
+      renew != nullptr && result && std::holds_alternative<RenewDone>(*result);
+  if (renewed && worker_.RenewWaits(*renew) && renew->wait > Duration(0)) {
+    renewals_.push_back(
+        {.command = *renew, .respond = respond, .deadline = now + renew->wait});
     return;
   }
-  worker_.Run(std::get<StartCommand>(command), now,
-              [this, respond = call.respond](const RunAnswer& answer) {
-                Answer(respond, Encode(answer));
-              });
+  Answer(respond, Encode(command, result));
 }
 
-void WorkerServer::Renew(const Call& call, const Json::Value& body, Time now) {
-  const auto decoded = DecodeRenew(body);
-  if (const auto* error = std::get_if<CodecError>(&decoded)) {
-    Answer(call.respond, EncodeError(*error));
+template <typename Command>
+void WorkerServer::CarryOut(
+    const Call& call,
+    std::optional<WorkResult> (WorkerModel::*method)(const Command&, Time),
+    Time now) {
+  const auto command = DecodeText<Command>(call.request.body);
+  if (const auto* error = std::get_if<DecodeError>(&command)) {
+    Answer(call.respond, ErrorResponse(ToString(*error)));
     return;
   }
-  const auto& command = std::get<RenewCommand>(decoded);
-  const RenewAnswer answer = worker_.Renew(command, now);
-  const bool renewed = std::holds_alternative<Renewed>(answer);
-  if (renewed && worker_.RenewWaits(command) && command.wait > Duration(0)) {
-    renewals_.push_back({.command = command,
-                         .respond = call.respond,
-                         .deadline = now + command.wait});
-    return;
-  }
-  Answer(call.respond, Encode(answer));
+  const auto result = (worker_.*method)(std::get<Command>(command), now);
+  Answer(call.respond,
+         result ? std::optional(standin::Encode(*result)) : std::nullopt);
 }
 
-void WorkerServer::Answer(const HttpServer::Responder& respond,
-                          std::optional<HttpResponse> response) {
-  if (!response) {
-    delays_.Lose(respond);
-    return;
-  }
-  if (faults_.garbage_answers > 0) {
-    --faults_.garbage_answers;
-    response->body = "{garbage";
+std::optional<HttpResponse> WorkerServer::Encode(
+    const WorkerCommand& command,
+    const std::optional<WorkerResult>& result) const {
+  if (!result) {
+    return std::nullopt;
   }
-  respond(std::move(*response));
+  return EncodeWorkerAnswer(KindOf(command), *result, worker_.in_force());
 }
 
-void WorkerServer::Pump(Time now) {
+void WorkerServer::OnTime(Time now) {
   worker_.Advance(now);
   if (!worker_.faults().paused) {
     AnswerHeldRenewals(now);
   }
-  Arm();
+  ArmForNext();
 }
 
 void WorkerServer::AnswerHeldRenewals(Time now) {
@@ -206,30 +181,20 @@
       ++it;
       continue;
     }
-    Answer(it->respond, Encode(worker_.AnswerRenew(it->command, now)));
+    Answer(it->respond, Encode(it->command, worker_.AnswerRenew(it->command)));
     it = renewals_.erase(it);
   }
 }
 
 // While the worker is paused held renewals don't wake it; SetPaused does.
-void WorkerServer::Arm() {
+void WorkerServer::ArmForNext() {
   Time next = worker_.NextEventTime();
   if (!worker_.faults().paused) {
     for (const HeldRenewal& it : renewals_) {
       next = std::min(next, it.deadline);
     }
   }
-  if (next >= armed_for_) {
-    return;
-  }
-  armed_for_ = next;
-  timer_.expires_at(std::chrono::steady_clock::time_point(next));
-  timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      armed_for_ = kForever;
-      Pump(MonotonicNow());
-    }
-  });
+  Arm(next);
 }
 
 }  // namespace burdockrock::standin
--- a/Tests/wire/worker_codec_test.cc
+++ b/Tests/wire/worker_codec_test.cc
@@ -70,51 +70,79 @@
     CHECK(request.method == "POST");
     CHECK(request.path == it.path);
     CHECK(request.body == it.body);
+    const auto read = DecodeWorkerCommand(request);
+    REQUIRE(std::holds_alternative<WorkerCommand>(read));
+    CHECK(std::get<WorkerCommand>(read) == it.command);
+    CHECK(KindOf(it.command) == KindOf(std::get<WorkerCommand>(read)));
   }
 }
 
-TEST_CASE("answers of workers are read") {
+TEST_CASE("answers of workers take the form that the protocol gives") {
   const std::string report =
-      R"({"attempt":"j/1/2","resources":{"memory_mb":64},"state":"ended",)"
-      R"("outcome":"done","answer":"ok","age_ms":12})";
+      R"("answer":"ok","attempt":"j/1/2","outcome":"done",)"
+      R"("resources":{"memory_mb":64},"state":"ended"})";
   const AttemptReport expected{.attempt = {.job = "j", .task = 1, .number = 2},
                                .resources = {.memory_mb = 64},
                                .state = AttemptState::kEnded,
                                .outcome = Outcome::kDone,
                                .answer = "ok"};
-  CHECK(
-      Decode(WorkerCommandKind::kClaim, 200,
-             R"({"accepted":true,"epoch":3,"capacity":{"memory_mb":128},)"
-             R"("attempts":[)" +
-                 report + "]}") ==
-      WorkerResult(ClaimAccepted{
-          .epoch = 3, .capacity = {.memory_mb = 128}, .attempts = {expected}}));
-  CHECK(Decode(WorkerCommandKind::kStart, 200, R"({"started":true})") ==
-        WorkerResult(StartDone()));
-  CHECK(Decode(WorkerCommandKind::kRun, 200,
-               R"({"outcome":"failed","answer":"why"})") ==
-        WorkerResult(RunEnded{.outcome = Outcome::kFailed, .answer = "why"}));
-  CHECK(Decode(WorkerCommandKind::kRenew, 200,
-               R"({"version":4,"attempts":[)" + report +
-                   R"(],"usage":{"memory_mb":60}})") ==
-        WorkerResult(RenewDone{
-            .version = 4, .attempts = {expected}, .usage = {.memory_mb = 60}}));
-  CHECK(Decode(WorkerCommandKind::kStop, 200, R"({"stopped":["j/1/2"]})") ==
-        WorkerResult(StopDone{.stopped = {expected.attempt}}));
+  const StaleEpoch stale{.epoch = 8, .owner = "e2"};
+  const std::string reason =
+      R"({"epoch":8,"owner":"e2","reason":"stale_epoch"})";
+  using Kind = WorkerCommandKind;
+  struct Case {
+    Kind kind;
+    WorkerResult result;
+    std::string body;
+    int status = 200;
+  };
+  const std::vector<Case> cases = {
+      {Kind::kClaim,
+       ClaimAccepted{
+           .epoch = 3, .capacity = {.memory_mb = 128}, .attempts = {expected}},
+       R"({"accepted":true,"attempts":[{)" + report +
+           R"(],"capacity":{"memory_mb":128},"epoch":3})"},
+      {Kind::kStart, StartDone(), R"({"started":true})"},
+      {Kind::kRun, RunEnded{.outcome = Outcome::kFailed, .answer = "why"},
+       R"({"answer":"why","outcome":"failed"})"},
+      {Kind::kRenew,
+       RenewDone{
+           .version = 4, .attempts = {expected}, .usage = {.memory_mb = 60}},
+       R"({"attempts":[{)" + report +
+           R"(],"usage":{"memory_mb":60},"version":4})"},
+      {Kind::kStop, StopDone{.stopped = {expected.attempt}},
+       R"({"stopped":["j/1/2"]})"},
+      {Kind::kClaim, stale, R"({"accepted":false,"epoch":8,"owner":"e2"})",
+       409},
+      {Kind::kStart, stale, reason, 409},
+      {Kind::kRun, stale, reason, 409},
+      {Kind::kRenew, stale, reason, 409},
+      {Kind::kStop, stale, reason, 409},
+      {Kind::kStart, StartRefused{.reason = "no_room"},
+       R"({"epoch":8,"owner":"e2","reason":"no_room"})", 409},
+  };
+  for (const Case& it : cases) {
+    CAPTURE(it.body);
+    CHECK(Decode(it.kind, it.status, it.body) == it.result);
+    const HttpResponse written = EncodeWorkerAnswer(it.kind, it.result, stale);
+    CHECK(written.status == it.status);
+    CHECK(written.body == it.body);
+  }
+  // The age of a report may be there and is not read.
+  CHECK(Decode(Kind::kRenew, 200,
+               R"({"attempts":[{"age_ms":12,)" + report +
+                   R"(],"usage":{"memory_mb":60},"version":4})") ==
+        cases[3].result);
 }
 
-TEST_CASE("refusals of workers are read") {
-  const WorkerResult stale = StaleEpoch{.epoch = 8, .owner = "e2"};
-  const std::string body = R"({"reason":"stale_epoch","epoch":8,"owner":"e2"})";
-  CHECK(Decode(WorkerCommandKind::kClaim, 409,
-               R"({"accepted":false,"epoch":8,"owner":"e2"})") == stale);
-  CHECK(Decode(WorkerCommandKind::kStart, 409, body) == stale);
-  CHECK(Decode(WorkerCommandKind::kRun, 409, body) == stale);
-  CHECK(Decode(WorkerCommandKind::kRenew, 409, body) == stale);
-  CHECK(Decode(WorkerCommandKind::kStop, 409, body) == stale);
-  CHECK(Decode(WorkerCommandKind::kStart, 409,
-               R"({"reason":"no_room","epoch":8,"owner":"e1"})") ==
-        WorkerResult(StartRefused{.reason = "no_room"}));
+TEST_CASE("what is no command is refused") {
+  for (const HttpRequest& it : std::vector<HttpRequest>{
+           {.method = "GET", .path = "/v1/stop"},
+           {.method = "POST", .path = "/v1/none", .body = "{}"},
+           {.method = "POST", .path = "/v1/stop", .body = "{"},
+           {.method = "POST", .path = "/v1/stop", .body = R"({"epoch":1})"}}) {
+    CHECK(std::holds_alternative<DecodeError>(DecodeWorkerCommand(it)));
+  }
 }
 
 TEST_CASE("what can't be read may have taken effect") {
