--- a/Tests/placement/decision_bench.cc
+++ b/Tests/placement/decision_bench.cc
@@ -69,7 +69,9 @@
   running.pop_back();
 }
 
-Costs Measure(BenchReport& report, BenchPolicy policy, std::size_t workers) {
+Costs Measure(bench::BenchReport& report,
+              BenchPolicy policy,
+              std::size_t workers) {
   const BenchPlacer placer = MakeBenchPlacer(policy, MakeFleet(workers, kSeed));
   OvernightMix mix(kSeed);
   std::mt19937 random(kSeed);
@@ -103,33 +105,33 @@
     return fmt::format("decision_{}.{}.{}", figure, BenchPolicyName(policy),
                        workers);
   };
-  report.Add(name("p50"), At(times, 0.50), "us");
-  report.Add(name("p99"), costs.p99_us, "us");
-  report.Add(name("rate"), 1e6 * kDecisions / time_sum, "decisions/s");
+  report.Add({name("p50"), At(times, 0.50), "us"});
+  report.Add({name("p99"), costs.p99_us, "us"});
+  report.Add({name("rate"), 1e6 * kDecisions / time_sum, "decisions/s"});
   if (step_sum > 0) {
-    report.Add(name("steps_mean"), costs.mean_steps, "nodes");
-    report.Add(name("steps_worst"), At(steps, 1.0), "nodes",
-               {.at_most = kMostSteps});
+    report.Add({name("steps_mean"), costs.mean_steps, "nodes"});
+    report.Add({name("steps_worst"), At(steps, 1.0), "nodes",
+                bench::AtMost(kMostSteps)});
   }
   return costs;
 }
 
-void ReportGrowth(BenchReport& report,
+void ReportGrowth(bench::BenchReport& report,
                   BenchPolicy policy,
                   const Costs& smallest,
                   const Costs& largest) {
   const char* const name = BenchPolicyName(policy);
-  report.Add(fmt::format("decision_p99_growth.{}", name),
-             largest.p99_us / smallest.p99_us, "ratio",
-             {.at_most = kSizeGrowth / kTimeMargin});
-  report.Add(fmt::format("decision_steps_growth.{}", name),
-             largest.mean_steps / smallest.mean_steps, "ratio",
-             {.at_most = kSizeGrowth / kStepsMargin});
+  report.Add({fmt::format("decision_p99_growth.{}", name),
+              largest.p99_us / smallest.p99_us, "ratio",
+              bench::AtMost(kSizeGrowth / kTimeMargin)});
+  report.Add({fmt::format("decision_steps_growth.{}", name),
+              largest.mean_steps / smallest.mean_steps, "ratio",
+              bench::AtMost(kSizeGrowth / kStepsMargin)});
 }
 
 }  // namespace
 
-void RunDecisionBench(BenchReport& report) {
+void RunDecisionBench(bench::BenchReport& report) {
   double first_fit_p99 = 0;
   double pack_p99 = 0;
   for (const BenchPolicy policy : kBenchPolicies) {
@@ -147,8 +149,8 @@
       ReportGrowth(report, policy, costs.front(), costs.back());
     }
   }
-  report.Add("decision_p99.pack_over_first_fit.15000", pack_p99 / first_fit_p99,
-             "ratio", {.at_most = 1.0});
+  report.Add({"decision_p99.pack_over_first_fit.15000",
+              pack_p99 / first_fit_p99, "ratio", bench::AtMost(1.0)});
 }
 
 }  // namespace burdockrock
--- a/Tests/placement/decision_bench.h
+++ b/Tests/placement/decision_bench.h
@@ -2,11 +2,11 @@
 #ifndef BURDOCKROCK_TESTS_PLACEMENT_DECISION_BENCH_H_
 #define BURDOCKROCK_TESTS_PLACEMENT_DECISION_BENCH_H_
 
-#include "bench_report.h"
+#include "bench/bench_report.h"
 
 namespace burdockrock {
 
-void RunDecisionBench(BenchReport& report);
+void RunDecisionBench(bench::BenchReport& report);
 
 }  // namespace burdockrock
 
--- a/Tests/placement/packing_bench.cc
+++ b/Tests/placement/packing_bench.cc
@@ -6,14 +6,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include <fmt/format.h>
 
+#include "bench/bench_report.h"
 #include "bench_placer.h"
-#include "bench_report.h"
 #include "decision_bench.h"
 #include "overnight_mix.h"
 
@@ -91,23 +92,24 @@
   return mean;
 }
 
-void RunFill(BenchReport& report) {
+void RunFill(bench::BenchReport& report) {
   std::map<BenchPolicy, Shares> shares;
   for (const BenchPolicy policy : kBenchPolicies) {
     shares[policy] = MeanFill(policy);
     for (std::size_t it = 0; it < kMeasured; ++it) {
       const bool bounded = policy == BenchPolicy::kPack && it == 0;
-      report.Add(
-          fmt::format("fill.{}.{}", BenchPolicyName(policy), DimensionName(it)),
-          shares[policy][it], "share",
-          bounded ? Bound{.at_least = kLeastScarcest} : Bound{});
+      report.Add({fmt::format("fill.{}.{}", BenchPolicyName(policy),
+                              DimensionName(it)),
+                  shares[policy][it], "share",
+                  bounded ? std::optional(bench::AtLeast(kLeastScarcest))
+                          : std::nullopt});
     }
   }
   for (std::size_t it = 0; it < kMeasured; ++it) {
     const double lead =
         shares[BenchPolicy::kPack][it] - shares[BenchPolicy::kFirstFit][it];
-    report.Add(fmt::format("fill_lead_on_first_fit.{}", DimensionName(it)),
-               lead, "share", {.at_least = kLeastLeadOnFirstFit});
+    report.Add({fmt::format("fill_lead_on_first_fit.{}", DimensionName(it)),
+                lead, "share", bench::AtLeast(kLeastLeadOnFirstFit)});
   }
 }
 
@@ -162,7 +164,7 @@
   }
 }
 
-void RunChurn(BenchReport& report) {
+void RunChurn(bench::BenchReport& report) {
   for (const std::int64_t percent : kChurnPercents) {
     for (const BenchPolicy policy : kBenchPolicies) {
       Refusals refusals;
@@ -171,11 +173,13 @@
       }
       const char* const name = BenchPolicyName(policy);
       const bool bounded = policy == BenchPolicy::kPack;
-      report.Add(fmt::format("churn_refused_gangs.{}.{}", name, percent),
-                 refusals.refused_gangs / refusals.gangs, "share",
-                 bounded ? Bound{.at_most = kMostRefusedGangs} : Bound{});
-      report.Add(fmt::format("churn_refused_large.{}.{}", name, percent),
-                 refusals.refused_large_tasks / refusals.large_tasks, "share");
+      report.Add({fmt::format("churn_refused_gangs.{}.{}", name, percent),
+                  refusals.refused_gangs / refusals.gangs, "share",
+                  bounded ? std::optional(bench::AtMost(kMostRefusedGangs))
+                          : std::nullopt});
+      report.Add({fmt::format("churn_refused_large.{}.{}", name, percent),
+                  refusals.refused_large_tasks / refusals.large_tasks,
+                  "share"});
     }
   }
 }
@@ -185,9 +189,9 @@
 }  // namespace burdockrock
 
 int main() {
-  burdockrock::BenchReport report;
+  burdockrock::bench::BenchReport report;
   burdockrock::RunFill(report);
   burdockrock::RunChurn(report);
   burdockrock::RunDecisionBench(report);
-  return report.exit_code();
+  return report.ExitCode();
 }
