--- a/Source/scheduler/jobs.h
+++ b/Source/scheduler/jobs.h
@@ -107,6 +107,14 @@
   bool ready = false;    // open for writing
 };
 
+// A caller's question that was passed to the writer of a job's journal.
+struct OpenAsk {
+  ReplyId reply = 0;
+  std::string id;
+  bool cancel = false;
+  Time until{0};
+};
+
 struct Jobs {
   std::unordered_map<std::string, Job> jobs;
   std::map<std::string, Journal> journals;  // that this process writes
@@ -125,7 +133,7 @@
   // Stops that came before their offers; value: when to forget.
   std::map<AttemptId, Time> stopped_early;
   std::uint64_t next_ask = 1;
-  std::map<std::uint64_t, ReplyId> asks;
+  std::map<std::uint64_t, OpenAsk> asks;
 };
 
 Job* FindJob(Context& context, const std::string& id);
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "scheduler/attempt_news.h"
 #include "scheduler/context.h"
+#include "scheduler/job_status.h"
 #include "scheduler/request_admission.h"
 #include "scheduler/tasks.h"
 
@@ -444,6 +445,7 @@
   std::erase_if(state.jobs.moved,
                 [&](const auto& it) { return it.second < context.now(); });
   ForgetOldForwards(context);
+  ExpireAsks(context);
   context.After(kOfferRepeat, TimerKind::kOffers);
 }
 
--- a/Source/scheduler/work_queries.cc
+++ b/Source/scheduler/work_queries.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration kAskRetryAfter = std::chrono::seconds(2);
+constexpr Duration kAskPatience = std::chrono::seconds(2);
 
 void AnswerNotFound(Context& context, ReplyId reply, const std::string& id) {
   context.Answer(
@@ -25,7 +26,10 @@
                const std::string& writer) {
   Jobs& jobs = context.state().jobs;
   const std::uint64_t ask = jobs.next_ask++;
-  jobs.asks.emplace(ask, asked.reply);
+  jobs.asks.emplace(ask, OpenAsk{.reply = asked.reply,
+                                 .id = asked.id,
+                                 .cancel = asked.cancel,
+                                 .until = context.now() + kAskPatience});
   context.Send(writer,
                AskWork{.ask = ask, .id = asked.id, .cancel = asked.cancel});
 }
@@ -86,19 +90,45 @@
                                    .status = *JobStatus(context, ask.id)});
 }
 
+// The writer may have died with the question: the caller hears that it has to
+// ask again instead of nothing. A cancel may have been taken.
+void ExpireAsks(Context& context) {
+  Jobs& jobs = context.state().jobs;
+  for (auto it = jobs.asks.begin(); it != jobs.asks.end();) {
+    const OpenAsk& ask = it->second;
+    if (context.now() < ask.until) {
+      ++it;
+      continue;
+    }
+    Verdict verdict = NotRun{.reason = Reason::kNotReady,
+                             .detail =
+                                 "the writer of the job's journal does "
+                                 "not answer; ask again",
+                             .retry_after = kAskRetryAfter};
+    if (ask.cancel) {
+      verdict = MayHaveRun{.reason = Reason::kOwnerLost,
+                           .detail =
+                               "the writer of the job's journal does not "
+                               "answer; cancel again"};
+    }
+    context.Answer(ask.reply, WorkAnswer{.id = ask.id, .verdict = verdict});
+    it = jobs.asks.erase(it);
+  }
+}
+
 void OnAskWorkAnswer(Context& context, const AskWorkAnswer& answer) {
   Jobs& jobs = context.state().jobs;
   const auto it = jobs.asks.find(answer.ask);
   if (it == jobs.asks.end()) {
     return;  // doubled
   }
-  const ReplyId reply = it->second;
+  const OpenAsk ask = it->second;
   jobs.asks.erase(it);
   if (!answer.found) {
-    AnswerNotFound(context, reply, answer.status.id);
+    AnswerNotFound(context, ask.reply, ask.id);
     return;
   }
-  context.Answer(reply, answer.status);
+  context.Answer(ask.reply, answer.status);
 }
 
 }  // namespace burdockrock
--- a/Tests/scheduler/entry_failure_test.cc
+++ b/Tests/scheduler/entry_failure_test.cc
@@ -189,4 +189,27 @@
   CHECK(group.Violations() == "");
 }
 
+// Symptom: a caller that asks for a job's status gets no answer at all.
+// Sequence: the entry that writes the job's journal dies; before its peers
+// notice, one of them passes a question on to it.
+// Cause: the question was kept without an end.
+TEST_CASE("a question for a writer that died is answered soon") {
+  EntryGroup group({.entries = {2}, .workers = 2});
+  REQUIRE(Settle(group));
+  const std::string job =
+      AcceptedJob(group, "d0-e0", LongJob(JobKind::kBatch, 2));
+  group.Run(seconds(1));
+  group.Pause("d0-e0");
+  const ReplyId status = group.Ask("d0-e1", job, false);
+  const ReplyId cancel = group.Ask("d0-e1", job, true);
+  group.Run(seconds(4));
+  const auto told = group.VerdictOf(status);
+  REQUIRE(told);
+  REQUIRE(std::holds_alternative<NotRun>(*told));
+  CHECK(std::get<NotRun>(*told).retry_after > Duration(0));
+  const auto cancelled = group.VerdictOf(cancel);
+  REQUIRE(cancelled);
+  CHECK(std::holds_alternative<MayHaveRun>(*cancelled));
+}
+
 }  // namespace burdockrock
