Process: Asks a peer for the job of an entry instance that was killed

Timing process_kill showed that it waited 30 s for a batch that had ended 3.8 s after the kill. The status call, sent before the peer had noticed the death, was passed on to the dead entry instance and never answered; nothing asks again or gives up.

--- a/Tests/process/run_processes.py
+++ b/Tests/process/run_processes.py
@@ -106,6 +106,23 @@
     check_nothing_doubled(cluster)
 
 
+def check_status(cluster):
+    """Symptom: whoever asks for a job's status waits in vain.
+
+    Events: an entry instance with an accepted batch is killed, and another one
+    is asked for the batch before it has noticed.
+    Cause if it fails: that one passes the question on to the dead one, and
+    neither asks again nor gives up when no answer comes.
+    """
+    cluster.start_serving()
+    job_id = cluster.submit_job(FIRST, batch(40, 1500))
+    wait_until_running(cluster, FIRST, job_id, 5)
+    cluster.kill(FIRST, signal.SIGKILL)
+    cluster.wait_for_exit(FIRST)
+    status, body = call(cluster.callers[SECOND], "GET", f"/v1/jobs/{job_id}")
+    check(status in (200, 503), f"{SECOND} answered {status} {body}")
+
+
 def check_pause(cluster):
     """Symptom: a task runs in two places.
 
@@ -160,7 +177,7 @@
 
 
 CASES = {"serve": check_serve, "config": check_config, "kill": check_kill,
-         "pause": check_pause, "stop": check_stop}
+         "status": check_status, "pause": check_pause, "stop": check_stop}
 
 
 def print_logs(cluster):
