--- a/Source/scheduler/job_records.cc
+++ b/Source/scheduler/job_records.cc
@@ -117,14 +117,16 @@
 void ApplyEnd(Jobs& jobs, const LogRecord& record) {
   Job* job = nullptr;
   Task* task = FindTask(jobs, ParseTaskKey(record.key, kEndPrefix), &job);
-  const auto value = ParseObject(record.body);
-  if (task == nullptr || !value || !(*value)["outcome"].isString()) {
+  const auto parsed = ParseJson(record.body);
+  const auto* value = std::get_if<Json::Value>(&parsed);
+  const bool is_end = value != nullptr && value->isArray() &&
+                      value->size() == 2 && (*value)[0].isString() &&
+                      (*value)[1].isString();
+  if (task == nullptr || !is_end) {
     return;
   }
-  task->state =
-      ParseEnd((*value)["outcome"].asString()).value_or(TaskState::kFailed);
-  const Json::Value answer = (*value)["answer"];
-  task->answer = answer.isString() ? answer.asString() : "";
+  task->state = ParseEnd((*value)[0].asString()).value_or(TaskState::kFailed);
+  task->answer = (*value)[1].asString();
   --job->open;
 }
 
@@ -163,19 +165,23 @@
 
 LogRecord RecordOfJob(const Job& job) {
   Json::Value value(Json::objectValue);
-  value["spec"] = JobSpecToJson(job.spec);
   if (job.finished) {
+    // Only its status is asked for from here on.
+    JobSpec spec = job.spec;
+    spec.payload.clear();
+    value["spec"] = JobSpecToJson(spec);
     value["finished"] = true;
+  } else {
+    value["spec"] = JobSpecToJson(job.spec);
   }
   return {.key = kJobPrefix + job.id, .kind = "job", .body = WriteJson(value)};
 }
 
 LogRecord RecordOfEnd(const Job& job, std::uint32_t task) {
-  Json::Value value(Json::objectValue);
-  value["outcome"] = NameOfEnd(job.tasks[task].end);
-  if (!job.tasks[task].answer.empty()) {
-    value["answer"] = job.tasks[task].answer;
-  }
+  // An array, as each quote of a member's name would be escaped twice.
+  Json::Value value(Json::arrayValue);
+  value.append(NameOfEnd(job.tasks[task].end));
+  value.append(job.tasks[task].answer);
   return {.key = TaskKey(kEndPrefix, job, task),
           .kind = "end",
           .body = WriteJson(value)};
