Tests: Loses a minion's answer and a claim's for longer

A minion's lost answer showed only at the request's deadline, since the run's own limit is an hour, and a claim that may stand was given up at the deadline too. Change: the connection to the minion ends after the run, and the claim is tried with a deadline of 30 seconds as well.

--- a/Tests/scheduler/claim_failure_test.cc
+++ b/Tests/scheduler/claim_failure_test.cc
@@ -163,26 +163,32 @@
 // entry refuses the request; the platform is back and the caller retries.
 // Cause: the claim stands for work that was never dispatched.
 TEST_CASE("a claim that may stand is released when its request is refused") {
-  EntryGroup group({.entries = {2}, .workers = 1, .minions = 2});
-  REQUIRE(Settle(group));
-  group.Submit("d0-e0", PermitRequest("before"));
-  group.Run(seconds(2));
-  group.platform().faults().lose_answers = 1;
-  const ReplyId first = group.Submit("d0-e0", PermitRequest("p1"));
-  group.RunUntil([&] { return group.platform().faults().lose_answers == 0; },
-                 seconds(1));
-  group.platform().faults().down = true;
-  REQUIRE(RunUntilAnswered(group, first));
-  CHECK(NotRunReason(group, first) != Reason::kNone);
-  CHECK(group.recorder().ExecutionsOf("p1") == 0);
-  group.Run(seconds(10));
-  group.platform().faults().down = false;
-  group.Run(seconds(15));
-  const ReplyId retry = group.Submit("d0-e1", PermitRequest("p1"));
-  REQUIRE(RunUntilAnswered(group, retry));
-  CHECK(group.VerdictOf(retry) == Verdict(Ran{.answer = "permit"}));
-  CHECK(group.recorder().ExecutionsOf("p1") == 1);
-  CHECK(group.Violations() == "");
+  for (const Duration deadline : {seconds(2), seconds(30)}) {
+    EntryGroup group({.entries = {2}, .workers = 1, .minions = 2});
+    REQUIRE(Settle(group));
+    group.Submit("d0-e0", PermitRequest("before"));
+    group.Run(seconds(2));
+    group.platform().faults().lose_answers = 1;
+    Request request = PermitRequest("p1");
+    request.deadline = deadline;
+    const ReplyId first = group.Submit("d0-e0", request);
+    REQUIRE(group.RunUntil(
+        [&] { return group.platform().faults().lose_answers == 0; },
+        seconds(1)));
+    group.platform().faults().down = true;
+    REQUIRE(group.RunUntil([&] { return group.AnswerTo(first) != nullptr; },
+                           seconds(40)));
+    CHECK(NotRunReason(group, first) != Reason::kNone);
+    CHECK(group.recorder().ExecutionsOf("p1") == 0);
+    group.Run(seconds(10));
+    group.platform().faults().down = false;
+    group.Run(seconds(15));
+    const ReplyId retry = group.Submit("d0-e1", PermitRequest("p1"));
+    REQUIRE(RunUntilAnswered(group, retry));
+    CHECK(group.VerdictOf(retry) == Verdict(Ran{.answer = "permit"}));
+    CHECK(group.recorder().ExecutionsOf("p1") == 1);
+    CHECK(group.Violations() == "");
+  }
 }
 
 // Symptom: a permit is written twice, or its caller hears "not run" though it
@@ -195,7 +201,20 @@
   for (const char* it : {"d0-m0", "d0-m1"}) {
     group.worker(it).faults().lose_answers = 1;
   }
+  CallId run = 0;
+  group.on_effect = [&](const std::string&, const Effect& effect) {
+    const auto* call = std::get_if<CallWorker>(&effect);
+    if (call != nullptr && std::holds_alternative<RunCommand>(call->command)) {
+      run = call->call;
+    }
+  };
   const ReplyId first = group.Submit("d0-e0", PermitRequest("p1"));
+  REQUIRE(
+      group.RunUntil([&] { return group.recorder().live() == 1; }, seconds(1)));
+  group.Run(milliseconds(400));
+  group.Inject("d0-e0", WorkerAnswered{
+                            .call = run,
+                            .result = WorkerUnreachable{.message = "closed"}});
   REQUIRE(RunUntilAnswered(group, first));
   CHECK(MayHaveRunSaid(group, first));
   const ReplyId retry = group.Submit("d0-e1", PermitRequest("p1"));
