--- a/Tests/scheduler/job_failure_test.cc
+++ b/Tests/scheduler/job_failure_test.cc
@@ -137,23 +137,27 @@
 // journal; it claims workers back and goes on with what waits in its memory.
 // Cause: it has nothing to write, and so does not hear that it was replaced.
 TEST_CASE("a writer whose peers can't hear it does not go on beside them") {
-  EntryGroup group({.entries = {3}, .workers = 6});
-  REQUIRE(Settle(group));
-  const std::string first =
-      AcceptJob(group, "d0-e1", JobOf(JobKind::kBatch, 48, 25'000));
-  group.Run(seconds(1));
-  JobSpec spec = JobOf(JobKind::kBatch, 6, 40'000);
-  spec.resources.processors_milli = 8'000;
-  const std::string job = AcceptJob(group, "d0-e0", spec);
-  group.CutPeers("d0-e0", "d0-e1", true);
-  group.CutPeers("d0-e0", "d0-e2", true);
-  group.Run(seconds(60));
-  group.CutPeers("d0-e0", "d0-e1", false);
-  group.CutPeers("d0-e0", "d0-e2", false);
-  CHECK(RunUntilDone(group, first, seconds(600)));
-  CHECK(RunUntilDone(group, job, seconds(600)));
-  CHECK(Overcommits(group) == 0);
-  CHECK(group.Violations() == "");
+  // When workers change hands depends on the seed.
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    EntryGroup group({.entries = {3}, .workers = 6, .seed = seed});
+    REQUIRE(Settle(group));
+    const std::string first =
+        AcceptJob(group, "d0-e1", JobOf(JobKind::kBatch, 48, 25'000));
+    group.Run(seconds(1));
+    JobSpec spec = JobOf(JobKind::kBatch, 6, 40'000);
+    spec.resources.processors_milli = 8'000;
+    const std::string job = AcceptJob(group, "d0-e0", spec);
+    group.CutPeers("d0-e0", "d0-e1", true);
+    group.CutPeers("d0-e0", "d0-e2", true);
+    group.Run(seconds(60));
+    group.CutPeers("d0-e0", "d0-e1", false);
+    group.CutPeers("d0-e0", "d0-e2", false);
+    CHECK(RunUntilDone(group, first, seconds(600)));
+    CHECK(RunUntilDone(group, job, seconds(600)));
+    CHECK(Overcommits(group) == 0);
+    CHECK(group.Violations() == "");
+  }
 }
 
 // Symptom: a gang that starts as its domain is cut off runs in part, or never.
@@ -207,8 +211,10 @@
   std::vector<std::string> jobs;
   jobs.push_back(AcceptJob(group, "d0-e0", LongJob(JobKind::kBatch, 30)));
   group.Run(seconds(2));
+  constexpr std::size_t kWave = 40;
   std::vector<ReplyId> replies;
-  for (int it = 0; it < 40; ++it) {
+  replies.reserve(kWave);
+  for (std::size_t it = 0; it < kWave; ++it) {
     replies.push_back(group.Submit("d0-e" + std::to_string(it % 3),
                                    LongJob(JobKind::kBatch, 100)));
   }
--- a/Tests/scheduler/worker_failure_test.cc
+++ b/Tests/scheduler/worker_failure_test.cc
@@ -103,8 +103,10 @@
   REQUIRE(Settle(group));
   JobSpec bad = SmallJob(JobKind::kBatch, 100);
   bad.payload = "sleep_ms=50;fail=1";
+  constexpr std::size_t kBadJobs = 6;
   std::vector<std::string> jobs;
-  for (int it = 0; it < 6; ++it) {
+  jobs.reserve(kBadJobs);
+  for (std::size_t it = 0; it < kBadJobs; ++it) {
     jobs.push_back(AcceptJob(group, "d0-e0", bad));
   }
   std::size_t most = 0;
