Tests: Captures no structured bindings

Cause: the linter's compiler refuses to capture a structured binding in the lambda that the test library's capture makes, so that two test files could not be checked. Change: the elements are named as plain references. The cases and their checks are the same.

--- a/Tests/scheduler/asked_requests.h
+++ b/Tests/scheduler/asked_requests.h
@@ -57,7 +57,9 @@
   // "ran" was run once and has its own answer. Counts the "not run" by reason.
   std::map<Reason, int> Check() const {
     std::map<Reason, int> refused;
-    for (const auto& [reply, key] : asked_) {
+    for (const auto& it : asked_) {
+      const ReplyId reply = it.first;
+      const std::string& key = it.second;
       CAPTURE(key);
       const auto verdict = group_.VerdictOf(reply);
       REQUIRE(verdict);
--- a/Tests/scheduler/leaving_failure_test.cc
+++ b/Tests/scheduler/leaving_failure_test.cc
@@ -140,9 +140,9 @@
   }
   group.Drain("d0-e0");
   group.Run(milliseconds(300));
-  for (const auto& [id, entry] : group.state("d0-e0").requests.entries) {
-    CAPTURE(entry.request.payload);
-    CHECK(entry.state == RequestState::kRunning);
+  for (const auto& it : group.state("d0-e0").requests.entries) {
+    CAPTURE(it.first);
+    CHECK(it.second.state == RequestState::kRunning);
   }
   CHECK(group.now() - asked_at < seconds(1));
   CHECK(group.RunUntil([&] { return !group.IsUp("d0-e0"); }, seconds(60)));
