Tests: Reserves the replies of the cancellation wave

Cause: the linter asks for the capacity before the loop in the test of a planned stop during a wave of cancellations, and treats it as an error. The case and its checks are the same.

--- a/Tests/scheduler/leaving_failure_test.cc
+++ b/Tests/scheduler/leaving_failure_test.cc
@@ -157,6 +157,7 @@
   EntryGroup group({.entries = {3}, .workers = 4});
   REQUIRE(Settle(group));
   std::vector<ReplyId> replies;
+  replies.reserve(30);
   for (int it = 0; it < 30; ++it) {
     replies.push_back(group.Submit("d0-e0", LongJob(JobKind::kBatch, 4)));
   }
