Scheduler: Finds a black hole that meets few jobs

Cause: a worker that fails every task at once looks empty and draws the next; quarantine waits for failures of three distinct jobs, and a flood of one job's tasks gives it only one. Change: a failure counts by task when at least two other workers have run tasks of the same job twice as long.

--- a/Source/scheduler/health.cc
+++ b/Source/scheduler/health.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::uint32_t kMaxProbeShift = 5;
+constexpr int kOutlastFactor = 2;
+constexpr Duration kOutlastLeast = std::chrono::milliseconds(1);
+constexpr std::size_t kOutlastWorkers = 2;
 
 bool LooksBad(const Context& context, const WorkerHealth& health) {
   const HealthPolicy& policy = context.policy().health;
@@ -65,6 +68,35 @@
 
 }  // namespace
 
+std::string FailureName(const Context& context,
+                        const WorkerRecord& worker,
+                        const AttemptId& attempt) {
+  const Ownership& ownership = context.state().ownership;
+  const auto failed = worker.bookings.find(attempt);
+  if (failed == worker.bookings.end()) {
+    return attempt.job;
+  }
+  const Duration ran = context.now() - failed->second.confirmed;
+  std::set<std::string> outlasting;
+  for (const auto& [other, holder] : ownership.holders) {
+    if (other.job != attempt.job || holder == worker.info.id) {
+      continue;
+    }
+    const auto& bookings = ownership.workers.at(holder).bookings;
+    const auto booking = bookings.find(other);
+    const bool runs = booking != bookings.end() &&
+                      booking->second.confirmed != Time(0) &&
+                      booking->second.state == AttemptState::kRunning;
+    if (runs && context.now() - booking->second.confirmed >=
+                    ran * kOutlastFactor + kOutlastLeast) {
+      outlasting.insert(holder);
+    }
+  }
+  return outlasting.size() >= kOutlastWorkers
+             ? attempt.job + "/" + std::to_string(attempt.task)
+             : attempt.job;
+}
+
 void NoteEnd(Context& context,
              WorkerRecord& worker,
              const std::string& job,
--- a/Source/scheduler/health.h
+++ b/Source/scheduler/health.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "model/attempt.h"
 #include "model/time.h"
 
 namespace burdockrock {
@@ -35,6 +36,16 @@
 
 inline constexpr std::size_t kHealthWindow = 20;
 
+// The name that the failure of an attempt counts under. As a rule that is its
+// job: all failures of one job are one, since the job may be wrong. But when
+// other tasks of it have run at least twice as long on other workers, the job
+// is not what fails so fast, and each of its tasks speaks against this worker
+// by itself. Else a black hole that meets few jobs draws task after task of
+// them before it has failed enough distinct jobs.
+std::string FailureName(const Context& context,
+                        const WorkerRecord& worker,
+                        const AttemptId& attempt);
+
 // An attempt of `job` ended on the worker. A job already judged bad is not
 // counted against it.
 void NoteEnd(Context& context,
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -295,8 +295,11 @@
   if (is_judged) {
     Task* task = nullptr;
     const Job* job = JobOfAttempt(context, report.attempt, &task);
-    NoteEnd(context, worker, report.attempt.job,
-            report.outcome == Outcome::kFailed, job != nullptr && job->bad);
+    const bool failed = report.outcome == Outcome::kFailed;
+    NoteEnd(context, worker,
+            failed ? FailureName(context, worker, report.attempt)
+                   : report.attempt.job,
+            failed, job != nullptr && job->bad);
   }
   TellWriter(context, worker, booking);
 }
--- a/Tests/scheduler/worker_failure_test.cc
+++ b/Tests/scheduler/worker_failure_test.cc
@@ -284,4 +284,29 @@
   CHECK(group.Violations() == "");
 }
 
+// Symptom: most tasks of all jobs fail though one worker only is broken.
+// Sequence: a worker fails every task at once, so that it always has room and
+// draws the next one.
+// Cause: by room alone it is the best choice each time.
+TEST_CASE("a black hole draws little until it is quarantined") {
+  EntryGroup group({.entries = {1}, .workers = 6});
+  REQUIRE(Settle(group));
+  group.worker("d0-w2").faults().black_hole = true;
+  std::vector<std::string> jobs;
+  for (int it = 0; it < 12; ++it) {
+    jobs.push_back(AcceptJob(group, "d0-e0", SmallJob(JobKind::kBatch, 40)));
+  }
+  for (const std::string& it : jobs) {
+    CHECK(RunUntilEnded(group, it, seconds(120)));
+    CHECK(group.StatusOf(it)->done == 40);
+  }
+  const auto quarantined = group.LinesOf(EventNumber::kWorkerQuarantined);
+  REQUIRE(!quarantined.empty());
+  const std::size_t drawn = group.worker("d0-w2").executions().size();
+  MESSAGE("starts drawn by the black hole: " << drawn << " of "
+                                             << group.recorder().executions());
+  CHECK(drawn <= group.recorder().executions() / 10);
+  CHECK(group.Violations() == "");
+}
+
 }  // namespace burdockrock
