--- a/Source/net/json.cc
+++ b/Source/net/json.cc
@@ -96,7 +96,7 @@
 }  // namespace
 
 std::variant<Json::Value, JsonError> ParseJson(std::string_view text) {
-  thread_local const auto reader = MakeReader();
+  thread_local const auto kReader = MakeReader();
   if (const auto fault = FindJsonTextFault(text)) {
     return ToError(text, *fault);
   }
@@ -104,7 +104,7 @@
   std::string report;
   try {
     const char* begin = text.data();
-    if (!reader->parse(begin, begin + text.size(), &value, &report)) {
+    if (!kReader->parse(begin, begin + text.size(), &value, &report)) {
       return ToError(report);
     }
   } catch (const std::exception&) {
@@ -115,12 +115,12 @@
 }
 
 std::string WriteJson(const Json::Value& value) {
-  thread_local const auto writer = MakeWriter();
+  thread_local const auto kWriter = MakeWriter();
   thread_local StringAppender appender;
   thread_local std::ostream stream(&appender);
   std::string text;
   appender.set_target(&text);
-  writer->write(value, &stream);
+  kWriter->write(value, &stream);
   return text;
 }
 
--- a/Tests/scheduler/worker_failure_test.cc
+++ b/Tests/scheduler/worker_failure_test.cc
@@ -292,8 +292,10 @@
   EntryGroup group({.entries = {1}, .workers = 6});
   REQUIRE(Settle(group));
   group.worker("d0-w2").faults().black_hole = true;
+  constexpr std::size_t kJobs = 12;
   std::vector<std::string> jobs;
-  for (int it = 0; it < 12; ++it) {
+  jobs.reserve(kJobs);
+  for (std::size_t it = 0; it < kJobs; ++it) {
     jobs.push_back(AcceptJob(group, "d0-e0", SmallJob(JobKind::kBatch, 40)));
   }
   for (const std::string& it : jobs) {
