--- a/Source/cli/command_table.cc
+++ b/Source/cli/command_table.cc
@@ -6,7 +6,7 @@
 
 const std::vector<Command>& CommandTable() {
   static const std::vector<Command> kTable = {
-      ServeCommand(),     SubmitCommand(),      StatusCommand(),
+      ServeCommand(),     PlatformCommand(), SubmitCommand(),      StatusCommand(),
       CancelCommand(),    ConfigCheckCommand(), ConfigPutCommand(),
       ConfigGetCommand(), ConfigDiffCommand(),  DrainCommand(),
       DumpCommand(),      VersionCommand(),     HelpCommand(),
--- a/Source/cli/command_table.h
+++ b/Source/cli/command_table.h
@@ -28,6 +28,7 @@
 Command DrainCommand();
 Command DumpCommand();
 Command HelpCommand();
+Command PlatformCommand();
 Command ServeCommand();
 Command StatusCommand();
 Command SubmitCommand();
--- /dev/null
+++ b/Source/engine/adoption.cc
@@ -0,0 +1,330 @@
+#include "engine/adoption.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "engine/catalog.h"
+#include "engine/job_runs.h"
+#include "engine/job_table.h"
+#include "engine/membership.h"
+#include "engine/record_writer.h"
+#include "engine/store_calls.h"
+#include "engine/worker_list.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A worker whose entry lapsed in an outage of the store is listed again within
+// about two seconds. Until then a process that has just started can't know of
+// it, nor of what runs there.
+constexpr Duration kListSettled = milliseconds(2300);
+
+struct OwnedName {
+  std::string owner;
+  std::string job;
+};
+
+std::optional<OwnedName> ParseOwnedKey(std::string_view key) {
+  if (!key.starts_with(kOwnedPrefix)) {
+    return std::nullopt;
+  }
+  key.remove_prefix(kOwnedPrefix.size());
+  const std::size_t slash = key.find('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return OwnedName{.owner = std::string(key.substr(0, slash)),
+                   .job = std::string(key.substr(slash + 1))};
+}
+
+void ReadScan(Context& context, const std::string& prefix, OrphanScan& scan) {
+  scan.in_flight = true;
+  AskStore(context, StoreRange{.prefix = prefix, .after = scan.after},
+           ForOrphans{.prefix = prefix});
+}
+
+void BeginScan(Context& context, const std::string& prefix) {
+  OrphanScan& scan = context.state.scans[prefix];
+  if (!scan.in_flight) {
+    scan.after.clear();
+    ReadScan(context, prefix, scan);
+  }
+}
+
+void NoteOrphan(Context& context, const OwnedName& name) {
+  const bool owned =
+      name.owner == context.self() ||
+      FindMember(context.state, name.owner) != nullptr ||
+      context.state.jobs.contains(name.job) ||
+      ChooseMember(context.state, name.job, {}) != context.self();
+  if (owned || context.state.orphans.contains(name.job)) {
+    return;
+  }
+  context.state.orphans[name.job] = Orphan{.owner = name.owner};
+  WantRecord(context, name.job);
+  WantSpec(context, name.job);
+}
+
+enum class OrphanStep { kWait, kAdopt, kForget };
+
+OrphanStep NextStep(Context& context, const std::string& id,
+                    const Orphan& orphan) {
+  if (orphan.writing) {
+    return OrphanStep::kWait;
+  }
+  const CatalogEntry& entry = context.state.catalog[id];
+  if (entry.reading_record || entry.want_record) {
+    return OrphanStep::kWait;
+  }
+  const bool gone = entry.absent || (entry.record &&
+                                     IsFinal(entry.record->state));
+  if (gone) {
+    return OrphanStep::kForget;
+  }
+  if (!entry.record || !entry.spec) {
+    WantRecord(context, id);
+    WantSpec(context, id);
+    return OrphanStep::kWait;
+  }
+  const bool owned = entry.record->owner == context.self() ||
+                     FindMember(context.state, entry.record->owner) != nullptr;
+  return owned ? OrphanStep::kForget : OrphanStep::kAdopt;
+}
+
+JobRecord AdoptedRecord(const Context& context, const CatalogEntry& entry) {
+  JobRecord record = *entry.record;
+  record.owner = context.self();
+  ++record.generation;
+  ++record.write;
+  return record;
+}
+
+void WriteAdoption(Context& context, const std::string& id, Orphan& orphan) {
+  orphan.writing = true;
+  const CatalogEntry& entry = context.state.catalog[id];
+  QueueChange(
+      context,
+      Change{.kind = ChangeKind::kAdoptJob,
+             .job = id,
+             .conditions = {{.key = JobKey(id),
+                             .revision = entry.record_revision}},
+             .puts = {{.key = JobKey(id),
+                       .value = EncodeJob(AdoptedRecord(context, entry))},
+                      {.key = OwnedKey(context.self(), id), .value = "1"}},
+             .removes = {OwnedKey(entry.record->owner, id)}});
+}
+
+void RestoreStep(const std::string& marks, StepRun& step) {
+  for (std::size_t it = 0; it < step.tasks.size(); ++it) {
+    Task& task = step.tasks[it];
+    const char mark = it < marks.size() ? marks[it] : FailureMark(0);
+    if (mark == kDoneMark) {
+      task.phase = TaskPhase::kDone;
+      ++step.done;
+    } else {
+      task.phase = TaskPhase::kUnknown;
+      task.failures = FailuresOf(mark);
+    }
+  }
+}
+
+Job RestoreJob(const Context& context, const std::string& id,
+               const CatalogEntry& entry) {
+  const JobRecord record = AdoptedRecord(context, entry);
+  Job job = MakeJob(id, *entry.spec, record.queue);
+  job.generation = record.generation;
+  job.accepted_ms = record.accepted_ms;
+  job.created = context.now;
+  job.stored = true;
+  job.recovering = true;
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    // Also of occurrences that the record does not know: they may have begun
+    // after it was written.
+    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+      const auto it = std::find_if(
+          record.occurrences.begin(), record.occurrences.end(),
+          [k](const OccurrenceRecord& o) { return o.number == k; });
+      const bool known = it != record.occurrences.end() &&
+                         s < it->steps.size();
+      RestoreStep(known ? it->steps[s] : std::string(), StepAt(job, k, s));
+    }
+  }
+  job.started = record.state == JobState::kRunning;
+  return job;
+}
+
+// Everything that can run the job was heard of.
+void FinishRecovery(Context& context, Job& job) {
+  job.recovering = false;
+  ForEachTask(job, [&](const TaskName&, Task& task) {
+    if (task.phase == TaskPhase::kUnknown) {
+      task.phase = TaskPhase::kWaiting;
+      task.since = context.now;
+    }
+  });
+  context.state.placement_due = true;
+  CompleteIfDone(context, job);
+}
+
+void DriveRecovery(Context& context) {
+  AdoptQuery query;
+  const bool list_settled = HasPassed(
+      context.now, context.state.members.registered_at, kListSettled);
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    if (!job.recovering) {
+      continue;
+    }
+    std::erase_if(job.uncovered, [&](const std::string& worker) {
+      return FindWorker(context.state, worker) == nullptr;
+    });
+    if (job.uncovered.empty() && list_settled) {
+      FinishRecovery(context, job);
+    } else if (HasPassed(context.now, job.asked_at, kAdoptRepeat)) {
+      job.asked_at = context.now;
+      query.jobs.push_back({.job = id, .generation = job.generation});
+    }
+  }
+  if (query.jobs.empty()) {
+    return;
+  }
+  for (const std::string& it : OtherMembers(context)) {
+    Send(context, it, query);
+  }
+  Send(context, context.self(), query);
+}
+
+bool SpeaksFor(const Context& context, const std::string& from,
+               const CoveredWorker& covered) {
+  const auto view = context.state.view.find(covered.worker);
+  const bool newest = view == context.state.view.end() ||
+                      covered.fence >= view->second.fence;
+  const ListedWorker* worker = FindWorker(context.state, covered.worker);
+  const bool expected =
+      worker == nullptr ||
+      ChooseMember(context.state, covered.worker, worker->info.domain) == from;
+  return covered.gone || (newest && expected);
+}
+
+}  // namespace
+
+void ScanOrphansOf(Context& context, const std::string& incarnation) {
+  BeginScan(context, OwnedKey(incarnation, ""));
+}
+
+void ScanAllOrphans(Context& context) {
+  context.state.scanned_at = context.now;
+  BeginScan(context, std::string(kOwnedPrefix));
+}
+
+void OnOrphanPage(Context& context, const std::string& prefix,
+                  const StoreAnswer& answer) {
+  const auto it = context.state.scans.find(prefix);
+  if (it == context.state.scans.end()) {
+    return;
+  }
+  const auto* page = std::get_if<StoreDone>(&answer);
+  if (page == nullptr) {
+    // The regular scan comes to it again.
+    context.state.scans.erase(it);
+    context.state.scanned_at = context.now - kOrphanScan + kStoreRetry;
+    return;
+  }
+  for (const StoreItem& item : page->items) {
+    if (const auto name = ParseOwnedKey(item.key)) {
+      NoteOrphan(context, *name);
+    }
+  }
+  if (page->more && !page->items.empty()) {
+    it->second.after = page->items.back().key;
+    ReadScan(context, prefix, it->second);
+  } else {
+    context.state.scans.erase(it);
+  }
+}
+
+void DriveAdoption(Context& context) {
+  const bool ready = IsRegistered(context.state) && !context.state.stop.asked;
+  if (ready && HasPassed(context.now, context.state.scanned_at, kOrphanScan)) {
+    ScanAllOrphans(context);
+  }
+  std::vector<std::string> forgotten;
+  for (auto& [id, orphan] : context.state.orphans) {
+    const OrphanStep step = NextStep(context, id, orphan);
+    if (step == OrphanStep::kAdopt && ready) {
+      WriteAdoption(context, id, orphan);
+    } else if (step == OrphanStep::kForget) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const std::string& it : forgotten) {
+    context.state.orphans.erase(it);
+  }
+  DriveRecovery(context);
+}
+
+void OnAdopted(Context& context, const std::string& id,
+               std::uint64_t revision) {
+  context.state.orphans.erase(id);
+  const CatalogEntry& entry = context.state.catalog[id];
+  if (!entry.record || !entry.spec || context.state.jobs.contains(id)) {
+    return;
+  }
+  Job job = RestoreJob(context, id, entry);
+  job.revision = revision;
+  job.stored_version = job.version;
+  for (const auto& [worker, it] : context.state.workers) {
+    job.uncovered.insert(worker);
+  }
+  ++context.state.totals.adopted;
+  context.Log(EventNumber::kJobAdopted,
+              {{"job", id},
+               {"from", entry.record->owner},
+               {"generation", std::to_string(job.generation)},
+               {"revision", std::to_string(revision)}});
+  context.state.catalog.erase(id);
+  context.state.active.insert(id);
+  context.state.jobs.emplace(id, std::move(job));
+}
+
+void OnAdoptConflict(Context& context, const std::string& id) {
+  const auto it = context.state.orphans.find(id);
+  if (it != context.state.orphans.end()) {
+    it->second.writing = false;
+    WantRecord(context, id);
+  }
+}
+
+void OnAdoptReport(Context& context, const std::string& from,
+                   const AdoptReport& report) {
+  for (const RunReport& it : report.runs) {
+    OnRunReport(context, it);
+  }
+  for (const EndReport& it : report.ends) {
+    OnEndReport(context, from, it);
+  }
+  for (const std::string& id : report.jobs) {
+    Job* job = FindJob(context.state, id);
+    if (job == nullptr || !job->recovering) {
+      continue;
+    }
+    for (const CoveredWorker& it : report.covered) {
+      if (SpeaksFor(context, from, it)) {
+        job->uncovered.erase(it.worker);
+      }
+    }
+  }
+}
+
+void OnWorkerFound(Context& context, const std::string& worker) {
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    if (job.recovering) {
+      job.uncovered.insert(worker);
+    }
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/catalog.cc
@@ -0,0 +1,147 @@
+#include "engine/catalog.h"
+
+#include "engine/questions.h"
+#include "engine/store_calls.h"
+#include "engine/worker_runs.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// An owner that is gone is replaced within a second or so.
+constexpr Duration kRecordAge = milliseconds(400);
+// Entries that nobody asked for are forgotten.
+constexpr Duration kKept = milliseconds(60'000);
+
+std::size_t ReadsInFlight(const State& state) {
+  std::size_t n = 0;
+  for (const auto& [call, purpose] : state.store.calls) {
+    const bool read = std::holds_alternative<ForJobRead>(purpose) ||
+                      std::holds_alternative<ForSpecRead>(purpose);
+    n += read ? 1 : 0;
+  }
+  return n;
+}
+
+const StoreItem* ItemOf(const StoreAnswer& answer) {
+  const auto* done = std::get_if<StoreDone>(&answer);
+  return done == nullptr || done->items.empty() ? nullptr : &done->items[0];
+}
+
+bool IsAbsent(const StoreAnswer& answer) {
+  return std::holds_alternative<StoreAbsent>(answer);
+}
+
+// Runs and ends on own workers learn from it whose they are.
+void TellKnown(Context& context, const std::string& job,
+               const CatalogEntry& entry) {
+  const auto it = context.state.known.find(job);
+  if (it == context.state.known.end()) {
+    return;
+  }
+  KnownJob& known = it->second;
+  if (entry.absent) {
+    known.ended = true;
+    return;
+  }
+  if (entry.record->generation >= known.generation) {
+    known.owner = entry.record->owner;
+    known.generation = entry.record->generation;
+    known.ended = IsFinal(entry.record->state);
+  }
+}
+
+}  // namespace
+
+void WantRecord(Context& context, const std::string& job) {
+  if (job.empty()) {
+    return;
+  }
+  CatalogEntry& entry = context.state.catalog[job];
+  entry.used = context.now;
+  entry.want_record = true;
+}
+
+void WantSpec(Context& context, const std::string& job) {
+  CatalogEntry& entry = context.state.catalog[job];
+  entry.used = context.now;
+  if (entry.spec) {
+    DescribeRuns(context, job, *entry.spec);
+  } else {
+    entry.want_spec = true;
+  }
+}
+
+void DriveCatalog(Context& context) {
+  std::size_t reads = ReadsInFlight(context.state);
+  for (auto& [job, entry] : context.state.catalog) {
+    if (reads >= kMaxReadsInFlight) {
+      return;
+    }
+    if (entry.want_record && !entry.reading_record &&
+        HasPassed(context.now, entry.read_at, kRecordAge)) {
+      entry.want_record = false;
+      entry.reading_record = true;
+      entry.read_at = context.now;
+      ++reads;
+      AskStore(context, StoreRead{.key = JobKey(job)}, ForJobRead{.job = job});
+    }
+    if (entry.want_spec && !entry.reading_spec) {
+      entry.want_spec = false;
+      entry.reading_spec = true;
+      ++reads;
+      AskStore(context, StoreRead{.key = SpecKey(job)},
+               ForSpecRead{.job = job});
+    }
+  }
+  std::erase_if(context.state.catalog, [&](const auto& it) {
+    const CatalogEntry& entry = it.second;
+    return !entry.reading_record && !entry.reading_spec &&
+           HasPassed(context.now, entry.used, kKept);
+  });
+}
+
+void OnJobRead(Context& context, const std::string& job,
+               const StoreAnswer& answer) {
+  CatalogEntry& entry = context.state.catalog[job];
+  entry.reading_record = false;
+  if (const StoreItem* item = ItemOf(answer)) {
+    auto decoded = DecodeJob(item->value);
+    if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+      context.Log(EventNumber::kPlatformMalformed,
+                  {{"key", item->key}, {"problem", ToString(*error)}});
+      return;
+    }
+    entry.record = std::get<JobRecord>(std::move(decoded));
+    entry.record_revision = item->revision;
+    entry.absent = false;
+  } else if (IsAbsent(answer)) {
+    entry.record.reset();
+    entry.absent = true;
+  } else {
+    entry.want_record = true;
+    return;
+  }
+  TellKnown(context, job, entry);
+  OnRecordKnown(context, job);
+}
+
+void OnSpecRead(Context& context, const std::string& job,
+                const StoreAnswer& answer) {
+  CatalogEntry& entry = context.state.catalog[job];
+  entry.reading_spec = false;
+  if (const StoreItem* item = ItemOf(answer)) {
+    auto decoded = DecodeSpec(item->value);
+    if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+      context.Log(EventNumber::kPlatformMalformed,
+                  {{"key", item->key}, {"problem", ToString(*error)}});
+      return;
+    }
+    entry.spec = std::get<JobSpec>(std::move(decoded));
+    DescribeRuns(context, job, *entry.spec);
+  } else if (!IsAbsent(answer)) {
+    entry.want_spec = true;
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/catalog.h
@@ -0,0 +1,27 @@
+// What the store says of jobs that this instance does not own.
+#ifndef BURDOCKROCK_ENGINE_CATALOG_H_
+#define BURDOCKROCK_ENGINE_CATALOG_H_
+
+#include <string>
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+// Reads the job's record (again), unless it was read just now.
+void WantRecord(Context& context, const std::string& job);
+
+// Reads the job's spec, unless it is known.
+void WantSpec(Context& context, const std::string& job);
+
+// Starts reads, and forgets what nobody used for long.
+void DriveCatalog(Context& context);
+
+void OnJobRead(Context& context, const std::string& job,
+               const StoreAnswer& answer);
+void OnSpecRead(Context& context, const std::string& job,
+                const StoreAnswer& answer);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_CATALOG_H_
--- /dev/null
+++ b/Source/engine/context.cc
@@ -0,0 +1,19 @@
+#include "engine/context.h"
+
+#include "engine/membership.h"
+
+namespace burdockrock::engine {
+
+void Send(Context& context, const std::string& to, PeerMessage message) {
+  if (to == context.self()) {
+    context.state.inbox.push_back(std::move(message));
+    return;
+  }
+  if (const MemberRecord* member = FindMember(context.state, to)) {
+    context.Emit(SendPeer{.to = to,
+                          .address = member->address,
+                          .message = std::move(message)});
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/job.h
@@ -0,0 +1,111 @@
+// A job as its owner sees it.
+#ifndef BURDOCKROCK_ENGINE_JOB_H_
+#define BURDOCKROCK_ENGINE_JOB_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "engine/job_model.h"
+#include "engine/peer_message.h"
+#include "engine/record.h"
+#include "model/time.h"
+
+namespace burdockrock::engine {
+
+enum class TaskPhase {
+  kUnknown,  // after an adoption: it may run somewhere
+  kWaiting,
+  kOffered,
+  kRunning,
+  kDone,
+};
+
+struct Task {
+  TaskPhase phase = TaskPhase::kWaiting;
+  std::uint64_t run = 0;  // the last one that was offered
+  std::uint64_t ended_run = 0;  // ends up to this one are counted
+  std::uint32_t failures = 0;
+  std::string worker{};
+  std::string checkpoint{};
+  std::string avoid{};  // the worker where it failed or stood still last
+  Time since{0};        // in its phase
+  Time heard{0};        // of its run, last
+  Time retry_at{0};
+  bool booked = false;  // a gang's: its room is kept
+  bool stopping = false;
+  // Copies of a step that allows them run under the same name, later runs.
+};
+
+struct StepTicket {
+  std::string text{};
+  Time expires{0};
+};
+
+struct StepRun {
+  std::vector<Task> tasks{};
+  std::uint32_t done = 0;
+  std::map<std::string, StepTicket> tickets{};  // by worker
+  std::set<std::string> denied{};               // workers
+  Time asked_at = Time::min();                  // for advice, last
+  Time ready_at = kForever;                     // its turn came
+  std::uint64_t gang_run = 0;         // of all members
+  std::uint64_t gang_failed_run = 0;  // counted as a failure
+  std::uint64_t gang_started = 0;     // the run whose start was ordered
+};
+
+struct Occurrence {
+  std::vector<StepRun> steps{};
+  bool begun = false;
+  std::int64_t due_ms = 0;
+};
+
+// An end that the worker may forget once the progress is stored.
+struct UnstoredEnd {
+  std::string from{};  // the member that told it
+  StoredEnd end{};
+  std::uint64_t version = 0;
+};
+
+// Who asked for a cancel: a caller of this instance, or a member's.
+struct Canceller {
+  std::string member{};  // empty: a caller here
+  std::uint64_t call = 0;
+};
+
+struct Job {
+  std::string id{};
+  JobSpec spec{};
+  std::string queue{};
+  std::uint64_t generation = 0;
+  std::int64_t accepted_ms = 0;
+  Time created{0};  // here
+  bool stored = false;      // the store has it
+  JobState state = JobState::kQueued;        // as this owner sees it
+  JobState stored_state = JobState::kQueued; // as callers may be told
+  bool started = false;     // a task has started
+  std::vector<Occurrence> occurrences{};
+  std::uint64_t revision = 0;  // of its record
+  std::uint64_t version = 1;        // of the progress, rises with each change
+  std::uint64_t stored_version = 0;
+  std::uint64_t writing_version = 0;  // 0: none in flight
+  JobState writing_state = JobState::kQueued;
+  Time changed_at = kForever;  // the oldest change that is not stored
+  bool urgent_write = false;
+  std::vector<UnstoredEnd> unstored{};
+  // After an adoption.
+  bool recovering = false;
+  std::set<std::string> uncovered{};  // workers that were not heard of yet
+  Time asked_at = Time::min();
+  // Callers that wait for its creation or its cancel to be stored.
+  std::vector<std::uint64_t> submitters{};
+  std::vector<Canceller> cancellers{};
+  bool cancel_wanted = false;  // before it was stored
+  Time ended_at = kForever;
+};
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_JOB_H_
--- /dev/null
+++ b/Source/engine/job_progress.cc
@@ -0,0 +1,244 @@
+#include "engine/job_progress.h"
+
+#include <map>
+#include <utility>
+
+#include "engine/job_table.h"
+#include "engine/questions.h"
+#include "engine/record_writer.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+OccurrenceRecord RecordOf(const Job& job, std::uint32_t number) {
+  OccurrenceRecord record{.number = number};
+  for (const StepRun& step : job.occurrences[number].steps) {
+    std::string marks;
+    for (const Task& task : step.tasks) {
+      marks += task.phase == TaskPhase::kDone ? kDoneMark
+                                              : FailureMark(task.failures);
+    }
+    record.steps.push_back(std::move(marks));
+  }
+  return record;
+}
+
+void QueueSave(Context& context, Job& job) {
+  job.writing_version = job.version;
+  job.writing_state = job.state;
+  job.changed_at = kForever;
+  job.urgent_write = false;
+  Change change{.kind = ChangeKind::kSaveJob,
+                .job = job.id,
+                .version = job.version,
+                .conditions = {{.key = JobKey(job.id),
+                                .revision = job.revision}},
+                .puts = {{.key = JobKey(job.id),
+                          .value = EncodeJob(RecordOf(context, job))}}};
+  if (IsFinal(job.state)) {
+    change.removes.push_back(OwnedKey(context.self(), job.id));
+  }
+  QueueChange(context, std::move(change));
+}
+
+void ConfirmEnds(Context& context, Job& job) {
+  std::map<std::string, EndsStored> by_member;
+  std::erase_if(job.unstored, [&](const UnstoredEnd& it) {
+    if (it.version > job.stored_version) {
+      return false;
+    }
+    by_member[it.from].ends.push_back(it.end);
+    return true;
+  });
+  for (auto& [member, stored] : by_member) {
+    Send(context, member, std::move(stored));
+  }
+}
+
+// The store's record of an ended job is kept as long as callers may ask.
+void QueueForget(Context& context, const Job& job) {
+  QueueChange(context, Change{.kind = ChangeKind::kForgetJob,
+                              .job = job.id,
+                              .conditions = {{.key = JobKey(job.id),
+                                              .revision = job.revision}},
+                              .removes = {JobKey(job.id), SpecKey(job.id)}});
+}
+
+void ForgetEnded(Context& context) {
+  // Twice as long as callers may rely on: their clock and ours differ.
+  const Duration kept = 2 * context.state.options.bounds.state_kept;
+  std::vector<std::string> old;
+  for (const auto& [id, job] : context.state.jobs) {
+    const bool ended = IsFinal(job.stored_state) && job.unstored.empty() &&
+                       job.stored_version == job.version;
+    if (ended && HasPassed(context.now, job.ended_at, kept)) {
+      old.push_back(id);
+    }
+  }
+  for (const std::string& it : old) {
+    QueueForget(context, context.state.jobs.at(it));
+    context.state.jobs.erase(it);
+  }
+}
+
+}  // namespace
+
+JobRecord RecordOf(const Context& context, const Job& job) {
+  JobRecord record{.owner = context.self(),
+                   .generation = job.generation,
+                   .write = job.version,
+                   .state = job.state,
+                   .queue = job.queue,
+                   .accepted_ms = job.accepted_ms};
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    if (!job.occurrences[k].steps.empty()) {
+      record.occurrences.push_back(RecordOf(job, k));
+    }
+  }
+  return record;
+}
+
+void QueueCreation(Context& context, const Job& job) {
+  QueueChange(
+      context,
+      Change{.kind = ChangeKind::kCreateJob,
+             .job = job.id,
+             .version = job.version,
+             .conditions = {{.key = JobKey(job.id), .revision = 0}},
+             .puts = {{.key = JobKey(job.id),
+                       .value = EncodeJob(RecordOf(context, job))},
+                      {.key = SpecKey(job.id), .value = EncodeSpec(job.spec)},
+                      {.key = OwnedKey(context.self(), job.id),
+                       .value = "1"}}});
+}
+
+void DriveProgress(Context& context) {
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    const bool changed = job.version > job.stored_version;
+    if (!job.stored || !changed || job.writing_version != 0) {
+      continue;
+    }
+    if (job.urgent_write ||
+        HasPassed(context.now, job.changed_at, kProgressInterval)) {
+      QueueSave(context, job);
+    }
+  }
+  ForgetEnded(context);
+}
+
+void OnCreated(Context& context, const std::string& id,
+               std::uint64_t revision) {
+  Job* job = FindJob(context.state, id);
+  if (job == nullptr) {
+    return;
+  }
+  job->stored = true;
+  job->revision = revision;
+  job->stored_version = 1;
+  context.state.digest.waiting_changed = true;
+  context.state.placement_due = true;
+  ++context.state.totals.accepted;
+  context.Log(EventNumber::kJobAccepted,
+              {{"job", id},
+               {"queue", job->queue},
+               {"revision", std::to_string(revision)},
+               {"after_ms",
+                std::to_string(ToMilliseconds(context.now - job->created))}});
+  for (const std::uint64_t it : std::exchange(job->submitters, {})) {
+    context.Emit(AnswerCaller{.call = it, .answer = JobAccepted{}});
+  }
+  if (job->cancel_wanted) {
+    EndJob(context, *job, JobState::kCancelled, "caller");
+  }
+}
+
+// Another instance has taken the same job, or this one in an earlier life.
+void OnCreateConflict(Context& context, const std::string& id,
+                      const StoreItem& item) {
+  Job* job = FindJob(context.state, id);
+  if (job == nullptr) {
+    return;
+  }
+  context.Log(EventNumber::kJobRepeated,
+              {{"job", id}, {"revision", std::to_string(item.revision)}});
+  for (const std::uint64_t it : std::exchange(job->submitters, {})) {
+    context.Emit(AnswerCaller{.call = it, .answer = JobAccepted{}});
+  }
+  const std::vector<Canceller> cancellers = std::move(job->cancellers);
+  context.state.active.erase(id);
+  context.state.jobs.erase(id);
+  RouteCancellers(context, id, cancellers);
+}
+
+void OnSaved(Context& context, const std::string& id, std::uint64_t version,
+             std::uint64_t revision) {
+  Job* job = FindJob(context.state, id);
+  if (job == nullptr) {
+    return;
+  }
+  job->revision = revision;
+  job->stored_version = version;
+  job->writing_version = 0;
+  job->stored_state = job->writing_state;
+  ConfirmEnds(context, *job);
+  if (!IsFinal(job->stored_state)) {
+    return;
+  }
+  for (const Canceller& it : std::exchange(job->cancellers, {})) {
+    AnswerCancel(context, it, job->stored_state);
+  }
+  context.state.digest.waiting_changed = true;
+}
+
+void OnSaveConflict(Context& context, const std::string& id,
+                    const StoreItem& item) {
+  Job* job = FindJob(context.state, id);
+  if (job == nullptr) {
+    return;
+  }
+  job->writing_version = 0;
+  auto decoded = DecodeJob(item.value);
+  const auto* record = std::get_if<JobRecord>(&decoded);
+  if (item.revision != 0 && record != nullptr &&
+      record->owner == context.self() &&
+      record->generation == job->generation) {
+    // An own write that was taken for lost.
+    job->revision = item.revision;
+    job->urgent_write = true;
+    return;
+  }
+  DropJob(context, id, item.revision == 0 ? "no record" : "adopted");
+}
+
+void DropJob(Context& context, const std::string& id, const char* cause) {
+  Job* job = FindJob(context.state, id);
+  if (job == nullptr) {
+    return;
+  }
+  context.Log(EventNumber::kJobLost, {{"job", id},
+                                      {"generation",
+                                       std::to_string(job->generation)},
+                                      {"cause", cause}});
+  const std::vector<Canceller> cancellers = std::move(job->cancellers);
+  context.state.active.erase(id);
+  context.state.jobs.erase(id);
+  RouteCancellers(context, id, cancellers);
+}
+
+void ConfirmWhenStored(Context& context, Job& job, const std::string& from,
+                       const EndReport& report) {
+  if (report.sequence == 0) {
+    return;
+  }
+  job.unstored.push_back(
+      {.from = from,
+       .end = {.worker = report.worker, .sequence = report.sequence},
+       .version = job.version});
+  if (job.stored_version >= job.version) {
+    ConfirmEnds(context, job);
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/job_runs.cc
@@ -0,0 +1,369 @@
+#include "engine/job_runs.h"
+
+#include <algorithm>
+#include <map>
+
+#include "engine/job_progress.h"
+#include "engine/job_table.h"
+#include "engine/membership.h"
+#include "engine/worker_list.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+bool IsOut(const Task& task) {
+  return task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
+}
+
+void Requeue(Context& context, Task& task, Duration pause) {
+  task.phase = TaskPhase::kWaiting;
+  task.since = context.now;
+  task.retry_at = context.now + pause;
+  task.worker.clear();
+  task.booked = false;
+  task.stopping = false;
+  context.state.placement_due = true;
+}
+
+void MarkStarted(Context& context, Job& job) {
+  if (!job.started) {
+    job.started = true;
+    context.state.digest.waiting_changed = true;
+  }
+}
+
+void MarkRunning(Context& context, Job& job, Task& task) {
+  if (task.phase != TaskPhase::kRunning) {
+    task.phase = TaskPhase::kRunning;
+    task.since = context.now;
+    MarkStarted(context, job);
+  }
+  task.heard = context.now;
+}
+
+struct Place {
+  Job& job;
+  Task& task;
+  TaskName name;
+  const StepSpec& spec;
+};
+
+std::optional<Place> Find(Context& context, const std::string& task) {
+  const auto name = ParseTaskName(task);
+  if (!name) {
+    return std::nullopt;
+  }
+  Job* job = FindJob(context.state, name->job);
+  Task* found = job == nullptr ? nullptr : FindTask(*job, *name);
+  if (found == nullptr) {
+    return std::nullopt;
+  }
+  return Place{.job = *job,
+               .task = *found,
+               .name = *name,
+               .spec = job->spec.steps[name->step]};
+}
+
+// A member of a gang will not run: the others' room and runs are given back,
+// and all of them begin anew together.
+void BreakGang(Context& context, const Place& place) {
+  StepRun& step = StepAt(place.job, place.name.occurrence, place.name.step);
+  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+    TaskName name = place.name;
+    name.index = it;
+    StopTask(context, place.job, name, step.tasks[it]);
+  }
+}
+
+void OnRefused(Context& context, const Place& place, const OfferAnswer& answer) {
+  ++context.state.totals.offers_refused;
+  if (answer.outcome == OfferOutcome::kBadTicket) {
+    StepAt(place.job, place.name.occurrence, place.name.step)
+        .tickets.erase(answer.worker);
+  }
+  if (answer.outcome == OfferOutcome::kInvalid) {
+    context.Log(EventNumber::kStartRefused,
+                {{"task", answer.task},
+                 {"worker", answer.worker},
+                 {"cause", OfferOutcomeName(answer.outcome)}});
+  }
+  // A run as high ended there: its end may still be on its way.
+  const Duration pause = answer.outcome == OfferOutcome::kOldRun ||
+                                 answer.outcome == OfferOutcome::kOldOwner
+                             ? kOfferRepeat
+                             : kRefusedPause;
+  Requeue(context, place.task, pause);
+  if (place.spec.gang) {
+    BreakGang(context, place);
+  }
+}
+
+void MarkDone(Context& context, const Place& place) {
+  StepRun& step = StepAt(place.job, place.name.occurrence, place.name.step);
+  const auto finish = [&](Task& task, std::uint32_t index) {
+    if (task.phase == TaskPhase::kDone) {
+      return;
+    }
+    TaskName name = place.name;
+    name.index = index;
+    StopTask(context, place.job, name, task);
+    task.phase = TaskPhase::kDone;
+    task.since = context.now;
+    ++step.done;
+  };
+  if (place.spec.gang) {
+    for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+      finish(step.tasks[it], it);
+    }
+  } else {
+    finish(place.task, place.name.index);
+  }
+  context.state.placement_due = true;
+}
+
+// Counts a failed run: of a gang once, however many members say so.
+std::uint32_t CountFailure(const Place& place, std::uint64_t run) {
+  if (!place.spec.gang) {
+    return ++place.task.failures;
+  }
+  StepRun& step = StepAt(place.job, place.name.occurrence, place.name.step);
+  Task& first = step.tasks.front();
+  if (step.gang_failed_run < run) {
+    step.gang_failed_run = run;
+    ++first.failures;
+  }
+  return first.failures;
+}
+
+void OnFailed(Context& context, const Place& place, const EndReport& report) {
+  const std::uint32_t failures = CountFailure(place, report.run);
+  place.task.avoid = report.worker;
+  const QueuePolicy* queue =
+      FindQueueByName(context.state.configuration, place.job.queue);
+  const bool last = queue != nullptr && !place.spec.lasting &&
+                    failures >= queue->max_attempts;
+  if (last) {
+    EndJob(context, place.job, JobState::kFailed, "attempts used up");
+  }
+}
+
+void ApplyNewEnd(Context& context, const Place& place,
+                 const EndReport& report) {
+  Task& task = place.task;
+  MarkStarted(context, place.job);
+  if (!report.checkpoint.empty()) {
+    task.checkpoint = report.checkpoint;
+  }
+  const bool lasts = place.spec.lasting;
+  if (report.how == RunEnd::kDone && !lasts) {
+    task.ended_run = std::max(task.ended_run, report.run);
+    MarkDone(context, place);
+    MarkChanged(context, place.job, false);
+    CompleteIfDone(context, place.job);
+    return;
+  }
+  if (report.run <= task.ended_run) {
+    return;
+  }
+  task.ended_run = report.run;
+  if (report.how == RunEnd::kFailed) {
+    OnFailed(context, place, report);
+  }
+  MarkChanged(context, place.job, false);
+  if (report.run == task.run && IsOut(task)) {
+    Requeue(context, task, kFailedPause);
+    if (place.spec.gang) {
+      BreakGang(context, place);
+    }
+  }
+}
+
+// Whom to ask about a run at the worker.
+std::string OwnerOfWorker(const Context& context, const std::string& worker) {
+  const auto view = context.state.view.find(worker);
+  if (view != context.state.view.end() &&
+      FindMember(context.state, view->second.owner) != nullptr) {
+    return view->second.owner;
+  }
+  const ListedWorker* listed = FindWorker(context.state, worker);
+  return ChooseMember(context.state, worker,
+                      listed == nullptr ? "" : listed->info.domain);
+}
+
+void CheckTask(Context& context, const TaskName& name, Task& task,
+               std::map<std::string, RunQueries>& queries) {
+  const Duration patience =
+      task.phase == TaskPhase::kOffered ? kOfferRepeat : kRunCheck;
+  if (!IsOut(task) || !HasPassed(context.now, task.heard, patience)) {
+    return;
+  }
+  task.heard = context.now - patience + kOfferRepeat;
+  const std::string owner = OwnerOfWorker(context, task.worker);
+  if (!owner.empty()) {
+    queries[owner].runs.push_back(
+        {.task = ToString(name), .run = task.run, .worker = task.worker});
+  }
+}
+
+void DriveStops(Context& context, Job& job) {
+  ForEachTask(job, [&](const TaskName& name, Task& task) {
+    if (task.stopping && HasPassed(context.now, task.heard, kOfferRepeat)) {
+      StopTask(context, job, name, task);
+    }
+  });
+}
+
+// Nothing of the job is out and all of it is stored.
+bool IsSettled(Job& job) {
+  if (!IsFinal(job.stored_state) || !job.unstored.empty() ||
+      job.stored_version != job.version) {
+    return false;
+  }
+  bool out = false;
+  ForEachTask(job, [&](const TaskName&, const Task& task) {
+    out = out || IsOut(task);
+  });
+  return !out;
+}
+
+}  // namespace
+
+void OnOfferAnswers(Context& context, const OfferAnswers& answers) {
+  for (const OfferAnswer& it : answers.answers) {
+    const auto place = Find(context, it.task);
+    if (!place || place->task.run != it.run || place->task.worker != it.worker ||
+        !IsOut(place->task)) {
+      continue;
+    }
+    if (it.outcome == OfferOutcome::kStarted) {
+      MarkRunning(context, place->job, place->task);
+    } else if (it.outcome == OfferOutcome::kBooked) {
+      place->task.booked = true;
+      place->task.heard = context.now;
+      context.state.placement_due = true;
+    } else {
+      OnRefused(context, *place, it);
+    }
+  }
+}
+
+void OnEndReport(Context& context, const std::string& from,
+                 const EndReport& report) {
+  const auto place = Find(context, report.task);
+  if (!place) {
+    return;
+  }
+  if (place->task.phase == TaskPhase::kDone || IsFinal(place->job.state)) {
+    // It counts no more; only that its run is over does.
+    if (report.run == place->task.run && IsOut(place->task)) {
+      Requeue(context, place->task, Duration(0));
+    }
+  } else {
+    ApplyNewEnd(context, *place, report);
+  }
+  ConfirmWhenStored(context, place->job, from, report);
+}
+
+void OnEndReports(Context& context, const std::string& from,
+                  const EndReports& reports) {
+  for (const EndReport& it : reports.ends) {
+    OnEndReport(context, from, it);
+  }
+}
+
+void OnRunReport(Context& context, const RunReport& report) {
+  const auto place = Find(context, report.task);
+  if (!place || place->task.phase == TaskPhase::kDone) {
+    return;
+  }
+  Task& task = place->task;
+  if (!report.checkpoint.empty()) {
+    task.checkpoint = report.checkpoint;
+  }
+  const bool adopted = task.phase == TaskPhase::kUnknown ||
+                       (place->job.recovering && report.run > task.run);
+  if (adopted && report.state != RunState::kAbsent) {
+    task.run = report.run;
+    task.worker = report.worker;
+    task.phase = TaskPhase::kOffered;
+    StepRun& step = StepAt(place->job, place->name.occurrence,
+                           place->name.step);
+    step.gang_run = std::max(step.gang_run, report.run);
+  }
+  if (task.run != report.run || !IsOut(task)) {
+    return;
+  }
+  switch (report.state) {
+    case RunState::kRunning:
+      MarkRunning(context, place->job, task);
+      break;
+    case RunState::kPending:
+      task.heard = context.now;
+      break;
+    case RunState::kAbsent:
+      context.Log(EventNumber::kAttemptLost,
+                  {{"task", report.task},
+                   {"run", std::to_string(report.run)},
+                   {"worker", report.worker}});
+      Requeue(context, task, Duration(0));
+      if (place->spec.gang) {
+        BreakGang(context, *place);
+      }
+      break;
+  }
+}
+
+void OnRunReports(Context& context, const RunReports& reports) {
+  for (const RunReport& it : reports.runs) {
+    OnRunReport(context, it);
+  }
+}
+
+void OnWorkerLost(Context& context, const std::string& worker) {
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    job.uncovered.erase(worker);
+    ForEachTask(job, [&](const TaskName& name, Task& task) {
+      if (!IsOut(task) || task.worker != worker) {
+        return;
+      }
+      context.Log(EventNumber::kAttemptLost,
+                  {{"task", ToString(name)},
+                   {"run", std::to_string(task.run)},
+                   {"worker", worker}});
+      Requeue(context, task, Duration(0));
+      const StepSpec& spec = job.spec.steps[name.step];
+      if (spec.gang) {
+        BreakGang(context,
+                  Place{.job = job, .task = task, .name = name, .spec = spec});
+      }
+    });
+  }
+}
+
+void DriveJobs(Context& context) {
+  std::map<std::string, RunQueries> queries;
+  std::vector<std::string> settled;
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    if (!IsFinal(job.state)) {
+      BeginOccurrences(context, job);
+    }
+    ForEachTask(job, [&](const TaskName& name, Task& task) {
+      CheckTask(context, name, task, queries);
+    });
+    DriveStops(context, job);
+    if (IsSettled(job)) {
+      settled.push_back(id);
+    }
+  }
+  for (const std::string& it : settled) {
+    context.state.active.erase(it);
+  }
+  for (auto& [owner, runs] : queries) {
+    Send(context, owner, std::move(runs));
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/job_runs.h
@@ -0,0 +1,29 @@
+// What becomes of the own jobs' runs.
+#ifndef BURDOCKROCK_ENGINE_JOB_RUNS_H_
+#define BURDOCKROCK_ENGINE_JOB_RUNS_H_
+
+#include <string>
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+void OnOfferAnswers(Context& context, const OfferAnswers& answers);
+void OnEndReports(Context& context, const std::string& from,
+                  const EndReports& reports);
+void OnRunReports(Context& context, const RunReports& reports);
+
+// One of them, also as part of an adoption.
+void OnEndReport(Context& context, const std::string& from,
+                 const EndReport& report);
+void OnRunReport(Context& context, const RunReport& report);
+
+// All that ran at the worker has ended.
+void OnWorkerLost(Context& context, const std::string& worker);
+
+// Asks about runs that were not heard of, repeats stops, begins occurrences.
+void DriveJobs(Context& context);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_JOB_RUNS_H_
--- /dev/null
+++ b/Source/engine/job_table.cc
@@ -0,0 +1,149 @@
+#include "engine/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "engine/run_ends.h"
+#include "engine/worker_list.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// More runs than one owner can come to: 1,000 starts of one task.
+constexpr std::uint64_t kRunsPerOwner = 1000;
+
+}  // namespace
+
+Job* FindJob(State& state, const std::string& id) {
+  const auto it = state.jobs.find(id);
+  return it == state.jobs.end() ? nullptr : &it->second;
+}
+
+Task* FindTask(Job& job, const TaskName& name) {
+  if (name.occurrence >= job.occurrences.size() ||
+      name.step >= job.spec.steps.size() ||
+      name.index >= job.spec.steps[name.step].count) {
+    return nullptr;
+  }
+  return &StepAt(job, name.occurrence, name.step).tasks[name.index];
+}
+
+Job MakeJob(std::string id, JobSpec spec, std::string queue) {
+  Job job{.id = std::move(id),
+          .spec = std::move(spec),
+          .queue = std::move(queue),
+          .generation = 1};
+  job.occurrences.resize(job.spec.occurrences());
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    job.occurrences[k].due_ms =
+        job.spec.repetitions == 0
+            ? 0
+            : job.spec.first_due_ms + k * job.spec.interval_ms;
+  }
+  return job;
+}
+
+StepRun& StepAt(Job& job, std::uint32_t occurrence, std::uint32_t step) {
+  auto& steps = job.occurrences[occurrence].steps;
+  if (steps.empty()) {
+    steps.resize(job.spec.steps.size());
+    for (std::size_t it = 0; it < steps.size(); ++it) {
+      steps[it].tasks.resize(job.spec.steps[it].count);
+    }
+  }
+  return steps[step];
+}
+
+JobState ShownState(const Job& job) {
+  if (IsFinal(job.stored_state)) {
+    return job.stored_state;
+  }
+  return job.started ? JobState::kRunning : JobState::kQueued;
+}
+
+void MarkChanged(Context& context, Job& job, bool urgent) {
+  ++job.version;
+  job.changed_at = std::min(job.changed_at, context.now);
+  job.urgent_write = job.urgent_write || urgent;
+}
+
+void BeginOccurrences(Context& context, Job& job) {
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    Occurrence& it = job.occurrences[k];
+    if (it.begun || it.due_ms > context.wall_ms) {
+      continue;
+    }
+    it.begun = true;
+    StepAt(job, k, 0);
+    context.state.placement_due = true;
+  }
+}
+
+bool IsStepDone(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
+  const auto& steps = job.occurrences[occurrence].steps;
+  return !steps.empty() && steps[step].done == job.spec.steps[step].count;
+}
+
+bool IsStepReady(const Job& job, std::uint32_t occurrence,
+                 std::uint32_t step) {
+  const auto& after = job.spec.steps[step].after;
+  return job.occurrences[occurrence].begun &&
+         std::all_of(after.begin(), after.end(), [&](std::uint32_t it) {
+           return IsStepDone(job, occurrence, it);
+         });
+}
+
+std::uint64_t NextRun(const Job& job, std::uint64_t last) {
+  return std::max(last, (job.generation - 1) * kRunsPerOwner) + 1;
+}
+
+void EndJob(Context& context, Job& job, JobState state, const char* cause) {
+  if (IsFinal(job.state)) {
+    return;
+  }
+  job.state = state;
+  job.ended_at = context.now;
+  context.state.totals.completed += state == JobState::kCompleted ? 1 : 0;
+  context.state.totals.failed += state == JobState::kFailed ? 1 : 0;
+  context.Log(EventNumber::kJobEnded, {{"job", job.id},
+                                       {"state", JobStateName(state)},
+                                       {"cause", cause}});
+  MarkChanged(context, job, true);
+  ForEachTask(job, [&](const TaskName& name, Task& task) {
+    StopTask(context, job, name, task);
+  });
+}
+
+void CompleteIfDone(Context& context, Job& job) {
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+      if (!IsStepDone(job, k, s)) {
+        return;
+      }
+    }
+  }
+  EndJob(context, job, JobState::kCompleted, "all tasks done");
+}
+
+void StopTask(Context& context, Job& job, const TaskName& name, Task& task) {
+  const bool out =
+      task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
+  if (!out) {
+    return;
+  }
+  task.stopping = true;
+  task.heard = context.now;
+  const auto view = context.state.view.find(task.worker);
+  const std::string owner =
+      view == context.state.view.end() ? "" : view->second.owner;
+  if (!owner.empty()) {
+    Send(context, owner,
+         TaskStops{.stops = {{.task = ToString(name),
+                              .run = task.run,
+                              .worker = task.worker,
+                              .generation = job.generation}}});
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/limits.h
@@ -0,0 +1,127 @@
+// The engine's own times and limits. Each says where its figure comes from.
+#ifndef BURDOCKROCK_ENGINE_LIMITS_H_
+#define BURDOCKROCK_ENGINE_LIMITS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "model/time.h"
+
+namespace burdockrock::engine {
+
+using std::chrono::milliseconds;
+
+// Registration of an entry instance.
+
+// A dead instance's workers must have a new owner before their leases (6 s,
+// renewed at least every 2 s) run out: 2.5 s leave 1.5 s for the claims.
+inline constexpr Duration kMemberTtl = milliseconds(2500);
+// Three renewals a lifetime: two may be lost.
+inline constexpr Duration kMemberRenewal = milliseconds(800);
+// An instance whose registration vanished in a store's outage is back in well
+// under a second; taking its work over meanwhile would cost two moves.
+inline constexpr Duration kRejoinGrace = milliseconds(2000);
+// For so long after the last failed call the store counts as unsteady.
+inline constexpr Duration kStoreUnsteady = milliseconds(3000);
+// An owner stops renewing its workers when it could not reach the store for so
+// long: longer than the outages to be borne (10 s), since running work must
+// outlast them, and the bound after which an unreachable worker's runs are
+// known to have ended.
+inline constexpr Duration kMaxWithoutStore = milliseconds(12'000);
+// Between two raises of the own fence.
+inline constexpr Duration kRaiseInterval = milliseconds(300);
+
+// Store.
+
+// The store answers in 4 ms, slowed down 60 times in 240.
+inline constexpr Duration kStoreTimeout = milliseconds(700);
+inline constexpr Duration kStoreRetry = milliseconds(150);
+// A connection that went silent shows only by the missing answer of its watch;
+// configurations must be in force 2 s after they were stored.
+inline constexpr Duration kWatchWait = milliseconds(1200);
+inline constexpr Duration kWatchSlack = milliseconds(400);
+// Entries in one transaction, by the platform's interface.
+inline constexpr std::size_t kMaxTransactionEntries = 32;
+// Two hide the store's latency; more would spread the same changes thinner.
+inline constexpr std::size_t kMaxTransactionsInFlight = 2;
+// A submission whose write got no answer is told so after this long, well
+// before its caller's 3 s are over, so that it can ask another instance.
+inline constexpr Duration kSubmitPatience = milliseconds(1200);
+// Ends are confirmed to their workers in batches of this age.
+inline constexpr Duration kProgressInterval = milliseconds(700);
+inline constexpr std::size_t kMaxReadsInFlight = 16;
+
+// Workers.
+
+// The longest a hold may wait for an end, by the platform's interface 2 s.
+inline constexpr Duration kHoldWait = milliseconds(1500);
+inline constexpr Duration kHoldSlack = milliseconds(700);
+// Pause between two holds: ends that come within it share one look. At three
+// ends a second and worker it saves little and delays an end by 20 ms.
+inline constexpr Duration kHoldPause = milliseconds(40);
+inline constexpr Duration kHoldRetry = milliseconds(150);
+// A worker that has not answered for so long is only looked at, its lease is
+// no longer renewed: so the time is known when all that ran there has ended.
+inline constexpr Duration kRenewWithoutAnswer = milliseconds(1500);
+inline constexpr Duration kOrderTimeout = milliseconds(500);
+inline constexpr Duration kOrderRetry = milliseconds(100);
+// A start that got no answer for so long is withdrawn.
+inline constexpr Duration kStartPatience = milliseconds(1200);
+// Room booked for a gang is given back after this long without a start.
+inline constexpr Duration kBookingTime = milliseconds(2000);
+// No new tasks after a worker said that it is unhealthy.
+inline constexpr Duration kUnhealthyPause = milliseconds(1000);
+// The worker's clock may be 2% slow.
+inline constexpr double kClockDrift = 1.02;
+inline constexpr Duration kLeaseMargin = milliseconds(300);
+// Ends are told to the job's owner again after this long.
+inline constexpr Duration kEndRepeat = milliseconds(600);
+// A worker that is gone is told to the peers for so long.
+inline constexpr Duration kGoneTold = milliseconds(20'000);
+
+// A worker that left the list is remembered for so long: past the longest time
+// in which something may still run there (kMaxWithoutStore and a lease).
+inline constexpr Duration kUnlistedKept = milliseconds(25'000);
+// Runs on a draining worker are moved this long before it may leave.
+inline constexpr Duration kLeaveMargin = milliseconds(900);
+// Failures in a row, of different jobs, after which a worker gets no work for a
+// while: 4 at a failure rate of 0.1 hit one sound worker in 10,000 rows.
+inline constexpr std::uint32_t kMaxFailuresInRow = 4;
+inline constexpr Duration kQuarantine = milliseconds(6000);
+
+// Jobs.
+
+// Offers that got no answer are asked about after this long.
+inline constexpr Duration kOfferRepeat = milliseconds(500);
+// Runs that were not heard of for so long are asked about.
+inline constexpr Duration kRunCheck = milliseconds(3000);
+// A refused task looks for room again after this long at the earliest.
+inline constexpr Duration kRefusedPause = milliseconds(20);
+inline constexpr Duration kFailedPause = milliseconds(50);
+inline constexpr Duration kAdoptRepeat = milliseconds(250);
+inline constexpr Duration kPeerAnswer = milliseconds(400);
+// A caller's question is given up after this long; callers wait 3 s.
+inline constexpr Duration kQuestionPatience = milliseconds(1500);
+// Scan for jobs whose owner is gone, should a member's end have been missed.
+inline constexpr Duration kOrphanScan = milliseconds(5000);
+
+// Digests and housekeeping.
+
+inline constexpr Duration kDigestInterval = milliseconds(50);
+inline constexpr Duration kDigestRefresh = milliseconds(1000);
+inline constexpr Duration kTick = milliseconds(25);
+// Between two rounds of placement.
+inline constexpr Duration kPlacementInterval = milliseconds(3);
+
+// Advice.
+
+// A ticket is not used in the last part of its life: the order takes time.
+inline constexpr Duration kTicketMargin = milliseconds(350);
+inline constexpr Duration kAdviceTimeout = milliseconds(3000);
+inline constexpr Duration kAdviceRetry = milliseconds(200);
+inline constexpr std::size_t kMaxAdvised = 30;
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_LIMITS_H_
--- /dev/null
+++ b/Source/engine/membership.cc
@@ -0,0 +1,389 @@
+#include "engine/membership.h"
+
+#include <cmath>
+#include <limits>
+
+#include <xxhash.h>
+
+#include "engine/adoption.h"
+#include "engine/store_calls.h"
+#include "engine/worker_owner.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+std::string IncarnationOf(std::string_view key) {
+  return std::string(key.substr(kMemberPrefix.size()));
+}
+
+bool IsSelf(const Context& context, const std::string& incarnation) {
+  return incarnation == context.self();
+}
+
+void GrantLease(Context& context) {
+  MembersState& members = context.state.members;
+  members.granting = true;
+  const Duration ttl =
+      std::max(kMemberTtl, context.state.options.bounds.min_lease_ttl);
+  AskStore(context, StoreLeaseGrant{.ttl = ttl}, ForLeaseGrant{});
+}
+
+// An earlier incarnation of this machine is surely gone: its entry goes with
+// the new registration instead of after its lease.
+std::vector<std::string> EarlierIncarnations(const Context& context) {
+  std::vector<std::string> keys;
+  for (const auto& [incarnation, member] : context.state.members.present) {
+    const bool same_node =
+        member.record.node == context.state.options.self.node;
+    if (same_node && !IsSelf(context, incarnation)) {
+      keys.push_back(MemberKey(incarnation));
+    }
+  }
+  return keys;
+}
+
+void Register(Context& context) {
+  MembersState& members = context.state.members;
+  members.registering = true;
+  const std::string key = MemberKey(context.self());
+  AskStore(context,
+           StoreTransaction{
+               .conditions = {{.key = key, .revision = 0}},
+               .puts = {{.key = key,
+                         .value = EncodeMember(context.state.options.self),
+                         .lease = members.lease}},
+               .removes = EarlierIncarnations(context)},
+           ForRegistration{});
+}
+
+void Raise(Context& context) {
+  MembersState& members = context.state.members;
+  members.raising = true;
+  members.raise_wanted = false;
+  members.raised_at = context.now;
+  const std::string key = MemberKey(context.self());
+  AskStore(
+      context,
+      StoreTransaction{
+          .conditions = {{.key = key, .revision = members.fence}},
+          .puts = {{.key = key,
+                    .value = EncodeMember(context.state.options.self),
+                    .lease = members.lease}}},
+      ForRaise{});
+}
+
+void SetFence(Context& context, std::uint64_t fence) {
+  MembersState& members = context.state.members;
+  members.fence = std::max(members.fence, fence);
+  members.present[context.self()] = Member{
+      .record = context.state.options.self, .fence = members.fence};
+  ReviewOwnership(context);
+}
+
+void DriveRegistration(Context& context) {
+  MembersState& members = context.state.members;
+  if (members.lease == 0) {
+    if (!members.granting && context.now >= members.renew_at) {
+      GrantLease(context);
+    }
+    return;
+  }
+  const bool members_read =
+      context.state.watches[static_cast<std::size_t>(WatchedList::kMembers)]
+          .complete;
+  if (members.fence == 0 && !members.registering && members_read) {
+    Register(context);
+  }
+  if (!members.renewing && context.now >= members.renew_at) {
+    members.renewing = true;
+    AskStore(context, StoreLeaseRenew{.lease = members.lease},
+             ForLeaseRenewal{.lease = members.lease});
+  }
+}
+
+void DepartMembers(Context& context) {
+  auto& departed = context.state.members.departed;
+  std::vector<std::string> gone;
+  for (auto& [incarnation, it] : departed) {
+    if (it.gone_at <= context.now && it.gone_at != Time::min()) {
+      it.gone_at = Time::min();
+      gone.push_back(incarnation);
+    }
+  }
+  for (const std::string& it : gone) {
+    context.Log(EventNumber::kPeerSilent, {{"peer", it}});
+    ScanOrphansOf(context, it);
+  }
+  if (!gone.empty()) {
+    ReviewOwnership(context);
+  }
+}
+
+double Score(std::string_view member, std::string_view key,
+             std::uint32_t weight) {
+  const XXH64_hash_t seed = XXH64(member.data(), member.size(), 0);
+  const XXH64_hash_t hash = XXH64(key.data(), key.size(), seed);
+  // To (0, 1]; the weighted form of rendezvous hashing.
+  const double unit = (static_cast<double>(hash >> 11U) + 1) / 0x1p53;
+  return -static_cast<double>(weight) / std::log(unit);
+}
+
+struct Candidates {
+  std::map<std::string_view, const Member*> by_node{};
+
+  void Add(const Member& member) {
+    const Member*& place = by_node[member.record.node];
+    if (place == nullptr || member.fence > place->fence) {
+      place = &member;
+    }
+  }
+};
+
+Candidates MembersOf(const State& state, std::string_view domain) {
+  Candidates candidates;
+  const auto add = [&](const Member& member) {
+    if (domain.empty() || member.record.domain == domain) {
+      candidates.Add(member);
+    }
+  };
+  for (const auto& [incarnation, it] : state.members.present) {
+    add(it);
+  }
+  for (const auto& [incarnation, it] : state.members.departed) {
+    if (it.gone_at != Time::min()) {
+      add(it.member);
+    }
+  }
+  return candidates;
+}
+
+}  // namespace
+
+void DriveMembership(Context& context) {
+  if (!context.state.stop.released) {
+    DriveRegistration(context);
+  }
+  MembersState& members = context.state.members;
+  const bool may_raise =
+      members.raise_wanted && members.fence != 0 && !members.raising &&
+      HasPassed(context.now, members.raised_at, kRaiseInterval);
+  if (may_raise && !context.state.stop.released) {
+    Raise(context);
+  }
+  DepartMembers(context);
+}
+
+void OnMemberItem(Context& context, const StoreItem& item) {
+  auto decoded = DecodeMember(item.value);
+  if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+    context.Log(EventNumber::kPlatformMalformed,
+                {{"key", item.key}, {"problem", ToString(*error)}});
+    return;
+  }
+  const std::string incarnation = IncarnationOf(item.key);
+  MembersState& members = context.state.members;
+  Member& member = members.present[incarnation];
+  const bool is_new = member.fence == 0;
+  member.record = std::get<MemberRecord>(std::move(decoded));
+  member.fence = std::max(member.fence, item.revision);
+  members.departed.erase(incarnation);
+  if (IsSelf(context, incarnation)) {
+    // The answer to the registration was lost, but it took effect.
+    SetFence(context, item.revision);
+    return;
+  }
+  if (!is_new) {
+    return;
+  }
+  context.Log(EventNumber::kPeerUp, {{"peer", incarnation},
+                                     {"domain", member.record.domain}});
+  context.state.digest.refreshed_at = Time::min();
+  // The machine runs one process: an earlier one is gone for certain.
+  for (auto& [id, it] : members.departed) {
+    if (it.member.record.node == member.record.node &&
+        it.gone_at != Time::min()) {
+      it.gone_at = context.now;
+    }
+  }
+  ReviewOwnership(context);
+}
+
+void OnMemberRemoved(Context& context, const std::string& key) {
+  MembersState& members = context.state.members;
+  const auto node = members.present.extract(IncarnationOf(key));
+  if (node.empty()) {
+    return;
+  }
+  if (IsSelf(context, node.key())) {
+    LoseRegistration(context, "removed");
+    return;
+  }
+  const bool replaced = std::any_of(
+      members.present.begin(), members.present.end(), [&](const auto& it) {
+        return it.second.record.node == node.mapped().record.node;
+      });
+  const Duration grace = !replaced && StoreIsUnsteady(context)
+                             ? kRejoinGrace
+                             : Duration(0);
+  context.state.digest.waiting.erase(node.key());
+  members.departed[node.key()] = DepartedMember{
+      .member = node.mapped(), .gone_at = context.now + grace};
+}
+
+void OnLeaseGranted(Context& context, const StoreAnswer& answer) {
+  MembersState& members = context.state.members;
+  members.granting = false;
+  if (const auto* done = std::get_if<StoreDone>(&answer)) {
+    members.lease = done->lease;
+    members.renew_at = context.now + kMemberRenewal;
+    return;
+  }
+  members.renew_at = context.now + kStoreRetry;
+}
+
+void OnLeaseRenewed(Context& context, std::uint64_t lease,
+                    const StoreAnswer& answer) {
+  MembersState& members = context.state.members;
+  if (lease != members.lease) {
+    return;
+  }
+  members.renewing = false;
+  if (std::holds_alternative<StoreDone>(answer)) {
+    members.renew_at = context.now + kMemberRenewal;
+    members.last_contact = context.now;
+  } else if (std::holds_alternative<StoreAbsent>(answer)) {
+    LoseRegistration(context, "lease ended");
+  } else {
+    members.renew_at = context.now + kStoreRetry;
+  }
+}
+
+void OnRegistered(Context& context, const StoreAnswer& answer) {
+  MembersState& members = context.state.members;
+  members.registering = false;
+  if (const auto* done = std::get_if<StoreDone>(&answer)) {
+    members.registered_at = context.now;
+    members.last_contact = context.now;
+    context.Log(EventNumber::kRegistered,
+                {{"fence", std::to_string(done->revision)}});
+    SetFence(context, done->revision);
+    return;
+  }
+  if (const auto* conflict = std::get_if<StoreConflict>(&answer)) {
+    // An earlier try whose answer was lost has taken effect.
+    for (const StoreItem& it : conflict->items) {
+      if (it.key == MemberKey(context.self()) && it.revision != 0) {
+        SetFence(context, it.revision);
+      }
+    }
+    return;
+  }
+  if (std::holds_alternative<StoreAbsent>(answer)) {
+    LoseRegistration(context, "lease ended before it was used");
+  }
+}
+
+void OnRaised(Context& context, const StoreAnswer& answer) {
+  MembersState& members = context.state.members;
+  members.raising = false;
+  if (const auto* done = std::get_if<StoreDone>(&answer)) {
+    SetFence(context, done->revision);
+    return;
+  }
+  if (const auto* conflict = std::get_if<StoreConflict>(&answer)) {
+    for (const StoreItem& it : conflict->items) {
+      if (it.key != MemberKey(context.self())) {
+        continue;
+      }
+      if (it.revision == 0) {
+        LoseRegistration(context, "gone");
+      } else {
+        SetFence(context, it.revision);
+      }
+    }
+    return;
+  }
+  if (std::holds_alternative<StoreAbsent>(answer)) {
+    LoseRegistration(context, "lease ended");
+    return;
+  }
+  members.raise_wanted = true;
+}
+
+void LoseRegistration(Context& context, const char* cause) {
+  MembersState& members = context.state.members;
+  if (members.lease == 0 && members.fence == 0) {
+    return;
+  }
+  context.Log(EventNumber::kRegistrationLost, {{"cause", cause}});
+  members.lease = 0;
+  members.fence = 0;
+  members.renewing = false;
+  members.renew_at = context.now;
+  members.present.erase(context.self());
+}
+
+void WantRaise(Context& context) {
+  context.state.members.raise_wanted = true;
+}
+
+void Deregister(Context& context) {
+  MembersState& members = context.state.members;
+  context.state.stop.released = true;
+  if (members.lease == 0) {
+    return;
+  }
+  AskStore(context, StoreLeaseEnd{.lease = members.lease}, ForNothing{});
+  members.lease = 0;
+  members.fence = 0;
+  members.present.erase(context.self());
+}
+
+bool IsRegistered(const State& state) {
+  return state.members.fence != 0;
+}
+
+const MemberRecord* FindMember(const State& state,
+                               const std::string& incarnation) {
+  const auto it = state.members.present.find(incarnation);
+  if (it != state.members.present.end()) {
+    return &it->second.record;
+  }
+  const auto gone = state.members.departed.find(incarnation);
+  if (gone != state.members.departed.end() &&
+      gone->second.gone_at != Time::min()) {
+    return &gone->second.member.record;
+  }
+  return nullptr;
+}
+
+std::string ChooseMember(const State& state, std::string_view key,
+                         std::string_view domain) {
+  Candidates candidates = MembersOf(state, domain);
+  if (candidates.by_node.empty() && !domain.empty()) {
+    candidates = MembersOf(state, {});
+  }
+  std::string best;
+  double best_score = -std::numeric_limits<double>::infinity();
+  for (const auto& [node, member] : candidates.by_node) {
+    const double score = Score(node, key, member->record.weight);
+    if (score > best_score) {
+      best_score = score;
+      best = member->record.incarnation;
+    }
+  }
+  return best;
+}
+
+std::vector<std::string> OtherMembers(const Context& context) {
+  std::vector<std::string> others;
+  for (const auto& [incarnation, it] : context.state.members.present) {
+    if (incarnation != context.self()) {
+      others.push_back(incarnation);
+    }
+  }
+  return others;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/options.h
@@ -0,0 +1,56 @@
+// What the engine is told about its deployment, and the limits it keeps.
+#ifndef BURDOCKROCK_ENGINE_OPTIONS_H_
+#define BURDOCKROCK_ENGINE_OPTIONS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "engine/configuration.h"
+#include "engine/record.h"
+#include "model/time.h"
+
+namespace burdockrock::engine {
+
+// What went wrong with a document of the store, for the log.
+struct DocumentFault {
+  std::string problem{};
+};
+
+// How the platform's own documents in the store are read.
+struct StoreDocuments {
+  std::string worker_prefix = "worker/";
+  std::string configuration_key = "configuration";
+  std::function<std::variant<WorkerInfo, DocumentFault>(
+      std::string_view id, std::string_view text)>
+      decode_worker{};
+  std::function<std::variant<Configuration, DocumentFault>(
+      std::string_view text)>
+      decode_configuration{};
+};
+
+// The platform's bounds, from the process's settings.
+struct Bounds {
+  Duration max_hold = std::chrono::milliseconds(6000);  // longest lease
+  Duration stop_timeout = std::chrono::milliseconds(400);
+  Duration drain_time = std::chrono::milliseconds(2000);
+  Duration state_kept = std::chrono::seconds(120);  // of an ended job
+  Duration min_lease_ttl = std::chrono::seconds(1);
+  Duration grace = std::chrono::seconds(6);  // from the stop signal to the kill
+
+  auto operator<=>(const Bounds&) const = default;
+};
+
+struct EngineOptions {
+  MemberRecord self{};
+  Bounds bounds{};
+  StoreDocuments documents{};
+  std::uint64_t seed = 1;
+};
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_OPTIONS_H_
--- /dev/null
+++ b/Source/engine/owned_worker.h
@@ -0,0 +1,95 @@
+// A worker that this entry instance owns: what runs there and what ended.
+#ifndef BURDOCKROCK_ENGINE_OWNED_WORKER_H_
+#define BURDOCKROCK_ENGINE_OWNED_WORKER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "engine/calls.h"
+#include "engine/configuration.h"
+#include "engine/job_model.h"
+#include "engine/peer_message.h"
+#include "model/time.h"
+
+namespace burdockrock::engine {
+
+enum class RunPhase {
+  kBooked,    // its room is kept for a gang
+  kStarting,  // ordered, not answered
+  kRunning,
+  kStopping,
+};
+
+// One run at a worker, or one that may be there.
+struct LocalRun {
+  std::uint64_t run = 0;
+  RunPhase phase = RunPhase::kStarting;
+  StepSpec spec{};
+  bool described = true;  // false: what it takes is not known yet
+  std::string owner{};    // of its job, an incarnation
+  std::uint64_t generation = 0;
+  std::string payload{};
+  std::string ticket{};
+  std::string checkpoint{};
+  std::uint32_t priority = 0;
+  Time since{0};           // in its phase
+  Time ordered = Time::min();    // the last order was sent
+  bool order_in_flight = false;
+  bool stop_answered = false;
+  Time confirmed = Time::min();  // the worker said that it has it
+  bool answer_offer = false;     // the job's owner waits for an answer
+  std::uint32_t percent = 0;     // as the worker lists it
+  std::int64_t figure = 0;
+  std::uint32_t pace = 100;
+  Time over_since = kForever;  // its tail is above its target
+};
+
+struct LocalEnd {
+  EndedRow row{};
+  Time told = Time::min();
+  bool stored = false;
+};
+
+struct OwnedWorker {
+  WorkerInfo info{};
+  std::uint64_t fence = 0;      // 0: not claimed yet
+  bool claimed = false;         // a hold with `fence` was answered
+  bool hold_in_flight = false;
+  Time hold_sent{0};
+  Time hold_at{0};              // the next one
+  Time answered = Time::min();  // the last answer to a hold
+  Time silent_since{0};         // the first hold without an answer; 0: none
+  // All that runs there has ended by then, should no more be renewed.
+  Time lease_bound{0};
+  std::int64_t clock_offset_ms = 0;  // worker's clock less ours
+  std::int64_t lease_until_ms = 0;   // asked for last; on the worker's clock
+  std::uint64_t seen = 0;            // highest end listed
+  std::uint64_t acknowledged = 0;    // ends up to here are stored
+  std::map<std::string, LocalRun> runs{};  // by task
+  std::map<std::uint64_t, LocalEnd> ends{};
+  std::uint64_t version = 0;  // of the room, for digests
+  Time unhealthy_until = Time::min();
+  std::uint32_t recent_failures = 0;  // in a row, of different jobs
+  std::string failed_job{};
+  Time quarantine_until = Time::min();
+};
+
+struct GoneWorker {
+  std::uint64_t fence = 0;
+  Time since{0};
+};
+
+// What is known of a job with runs or ends on own workers.
+struct KnownJob {
+  std::string owner{};           // an incarnation; empty: not known
+  std::uint64_t generation = 0;  // lower ones' offers are refused
+  bool ended = false;            // the store says that it has ended
+  // Runs of which the owner was told that they are not here, by task.
+  std::map<std::string, std::uint64_t> refused{};
+  Time heard{0};
+};
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_OWNED_WORKER_H_
--- /dev/null
+++ b/Source/engine/pacing.cc
@@ -0,0 +1,82 @@
+#include "engine/pacing.h"
+
+#include <algorithm>
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A tail above this share of its target counts as disturbed: the figure is
+// rough, and it takes a while until a slower pace shows.
+constexpr double kDisturbed = 0.85;
+// Below this share for kCalm the filling tasks get faster again.
+constexpr double kUndisturbed = 0.6;
+constexpr Duration kCalm = milliseconds(1500);
+constexpr std::uint32_t kFullPace = 100;
+constexpr std::uint32_t kRaise = 25;
+
+struct Strain {
+  bool disturbed = false;
+  bool calm = true;
+};
+
+Strain StrainOf(const OwnedWorker& worker) {
+  Strain strain;
+  for (const auto& [task, run] : worker.runs) {
+    const bool serves = run.spec.lasting && run.spec.tail_target > Duration(0);
+    if (!serves || run.phase != RunPhase::kRunning) {
+      continue;
+    }
+    const double share = static_cast<double>(run.figure) /
+                         static_cast<double>(
+                             ToMilliseconds(run.spec.tail_target));
+    strain.disturbed = strain.disturbed || share > kDisturbed;
+    strain.calm = strain.calm && share < kUndisturbed;
+  }
+  return strain;
+}
+
+void SetPace(Context& context, const std::string& id, OwnedWorker& worker,
+             const std::string& task, LocalRun& run, std::uint32_t pace) {
+  if (run.pace == pace) {
+    return;
+  }
+  context.Log(EventNumber::kPaced, {{"task", task},
+                                    {"worker", id},
+                                    {"from", std::to_string(run.pace)},
+                                    {"to", std::to_string(pace)}});
+  run.pace = pace;
+  run.over_since = context.now;
+  context.Emit(CallWorker{.worker = id,
+                          .address = worker.info.address,
+                          .request = PaceRun{.task = task,
+                                             .run = run.run,
+                                             .percent = pace,
+                                             .fence = worker.fence},
+                          .timeout = kOrderTimeout});
+}
+
+}  // namespace
+
+// Down at once to a quarter and then to nothing, up again step by step: a task
+// that serves may be above its target for a few seconds only.
+void ReviewPace(Context& context, const std::string& id, OwnedWorker& worker) {
+  const Strain strain = StrainOf(worker);
+  for (auto& [task, run] : worker.runs) {
+    if (!run.spec.filling || run.phase != RunPhase::kRunning) {
+      continue;
+    }
+    const bool settled =
+        run.over_since == kForever ||
+        HasPassed(context.now, run.over_since, milliseconds(600));
+    if (strain.disturbed && settled) {
+      SetPace(context, id, worker, task, run, run.pace > kRaise ? kRaise : 0);
+    } else if (strain.calm && run.pace < kFullPace &&
+               HasPassed(context.now, run.over_since, kCalm)) {
+      SetPace(context, id, worker, task, run,
+              std::min(run.pace + kRaise, kFullPace));
+    }
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/peer_fields.h
@@ -0,0 +1,262 @@
+// The members of the messages between entry instances in JSON.
+#ifndef BURDOCKROCK_ENGINE_PEER_FIELDS_H_
+#define BURDOCKROCK_ENGINE_PEER_FIELDS_H_
+
+#include "engine/peer_message.h"
+#include "engine/record_fields.h"
+
+namespace burdockrock {
+
+template <>
+struct EnumText<engine::OfferOutcome> {
+  static constexpr engine::OfferOutcome kLast = engine::OfferOutcome::kStopped;
+  static constexpr auto* kName = &engine::OfferOutcomeName;
+};
+
+template <>
+struct EnumText<engine::RunState> {
+  static constexpr engine::RunState kLast = engine::RunState::kAbsent;
+  static constexpr auto* kName = &engine::RunStateName;
+};
+
+template <>
+struct EnumText<engine::JobQuestion> {
+  static constexpr engine::JobQuestion kLast = engine::JobQuestion::kCancel;
+  static constexpr auto* kName = &engine::JobQuestionName;
+};
+
+template <>
+struct FieldsOf<engine::WorkerRoom> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Optional("fence", it.fence, std::uint64_t{0});
+    codec.Optional("version", it.version, std::uint64_t{0});
+    codec.Field("free", it.free);
+    codec.Optional("accepting", it.accepting, false);
+    codec.Optional("gone", it.gone, false);
+  }
+};
+
+template <>
+struct FieldsOf<engine::QueueWaiting> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("queue", it.queue);
+    codec.Optional("jobs", it.jobs, std::uint32_t{0});
+  }
+};
+
+template <>
+struct FieldsOf<engine::RoomDigest> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("workers", it.workers, std::vector<engine::WorkerRoom>());
+    codec.Optional("waiting", it.waiting, std::vector<engine::QueueWaiting>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::OfferedTask> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("index", it.index, std::uint32_t{0});
+    codec.Optional("run", it.run, std::uint64_t{0});
+    codec.Field("worker", it.worker);
+    codec.Optional("ticket", it.ticket, std::string());
+    codec.Optional("checkpoint", it.checkpoint, std::string());
+  }
+};
+
+template <>
+struct FieldsOf<engine::TaskOffer> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("job", it.job);
+    codec.Optional("generation", it.generation, std::uint64_t{0});
+    codec.Optional("occurrence", it.occurrence, std::uint32_t{0});
+    codec.Optional("step", it.step, std::uint32_t{0});
+    codec.Optional("payload", it.payload, std::string());
+    codec.Field("spec", it.spec);
+    codec.Optional("priority", it.priority, std::uint32_t{0});
+    codec.Optional("book_only", it.book_only, false);
+    codec.Optional("tasks", it.tasks, std::vector<engine::OfferedTask>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::OfferAnswer> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("task", it.task);
+    codec.Optional("run", it.run, std::uint64_t{0});
+    codec.Field("worker", it.worker);
+    codec.Field("outcome", it.outcome);
+  }
+};
+
+template <>
+struct FieldsOf<engine::OfferAnswers> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("answers", it.answers, std::vector<engine::OfferAnswer>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::TaskStop> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("task", it.task);
+    codec.Optional("run", it.run, std::uint64_t{0});
+    codec.Field("worker", it.worker);
+    codec.Optional("generation", it.generation, std::uint64_t{0});
+  }
+};
+
+template <>
+struct FieldsOf<engine::TaskStops> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("stops", it.stops, std::vector<engine::TaskStop>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::EndReport> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Optional("sequence", it.sequence, std::uint64_t{0});
+    codec.Field("task", it.task);
+    codec.Optional("run", it.run, std::uint64_t{0});
+    codec.Field("how", it.how);
+    codec.Optional("checkpoint", it.checkpoint, std::string());
+  }
+};
+
+template <>
+struct FieldsOf<engine::EndReports> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("ends", it.ends, std::vector<engine::EndReport>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::StoredEnd> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Optional("sequence", it.sequence, std::uint64_t{0});
+  }
+};
+
+template <>
+struct FieldsOf<engine::EndsStored> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("ends", it.ends, std::vector<engine::StoredEnd>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::RunQuery> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("task", it.task);
+    codec.Optional("run", it.run, std::uint64_t{0});
+    codec.Field("worker", it.worker);
+  }
+};
+
+template <>
+struct FieldsOf<engine::RunQueries> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("runs", it.runs, std::vector<engine::RunQuery>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::RunReport> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("task", it.task);
+    codec.Optional("run", it.run, std::uint64_t{0});
+    codec.Field("worker", it.worker);
+    codec.Field("state", it.state);
+    codec.Optional("checkpoint", it.checkpoint, std::string());
+  }
+};
+
+template <>
+struct FieldsOf<engine::RunReports> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("runs", it.runs, std::vector<engine::RunReport>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::JobGeneration> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("job", it.job);
+    codec.Optional("generation", it.generation, std::uint64_t{0});
+  }
+};
+
+template <>
+struct FieldsOf<engine::AdoptQuery> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("jobs", it.jobs, std::vector<engine::JobGeneration>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::CoveredWorker> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Optional("fence", it.fence, std::uint64_t{0});
+    codec.Optional("gone", it.gone, false);
+  }
+};
+
+template <>
+struct FieldsOf<engine::AdoptReport> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("jobs", it.jobs, std::vector<std::string>());
+    codec.Optional("runs", it.runs, std::vector<engine::RunReport>());
+    codec.Optional("ends", it.ends, std::vector<engine::EndReport>());
+    codec.Optional("covered", it.covered,
+                   std::vector<engine::CoveredWorker>());
+  }
+};
+
+template <>
+struct FieldsOf<engine::JobQuery> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("call", it.call, std::uint64_t{0});
+    codec.Field("question", it.question);
+    codec.Field("job", it.job);
+  }
+};
+
+template <>
+struct FieldsOf<engine::JobReply> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("call", it.call, std::uint64_t{0});
+    codec.Optional("known", it.known, false);
+    codec.Field("state", it.state);
+  }
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_ENGINE_PEER_FIELDS_H_
--- /dev/null
+++ b/Source/engine/peer_message.h
@@ -0,0 +1,257 @@
+// What entry instances tell each other. Each message can be repeated and lost:
+// the sender repeats it until it sees the effect.
+#ifndef BURDOCKROCK_ENGINE_PEER_MESSAGE_H_
+#define BURDOCKROCK_ENGINE_PEER_MESSAGE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "engine/job_model.h"
+#include "model/resources.h"
+#include "model/time.h"
+
+namespace burdockrock::engine {
+
+// Free room of one owned worker.
+struct WorkerRoom {
+  std::string worker{};
+  std::uint64_t fence = 0;    // of the owner; the highest one is right
+  std::uint64_t version = 0;  // rises with each change at this owner
+  Resources free{};
+  bool accepting = false;  // takes new tasks
+  bool gone = false;       // all that ran there has ended
+
+  auto operator<=>(const WorkerRoom&) const = default;
+};
+
+struct QueueWaiting {
+  std::string queue{};
+  std::uint32_t jobs = 0;  // accepted, no task has started
+
+  auto operator<=>(const QueueWaiting&) const = default;
+};
+
+struct RoomDigest {
+  std::vector<WorkerRoom> workers{};
+  std::vector<QueueWaiting> waiting{};
+
+  auto operator<=>(const RoomDigest&) const = default;
+};
+
+// One task of an offer.
+struct OfferedTask {
+  std::uint32_t index = 0;
+  std::uint64_t run = 0;
+  std::string worker{};
+  std::string ticket{};
+  std::string checkpoint{};
+
+  auto operator<=>(const OfferedTask&) const = default;
+};
+
+// The job's owner asks the workers' owner to start tasks of one step.
+struct TaskOffer {
+  std::string job{};
+  std::uint64_t generation = 0;  // of the job's owner
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::string payload{};
+  StepSpec spec{};
+  std::uint32_t priority = 0;
+  bool book_only = false;  // keep the room, start later
+  std::vector<OfferedTask> tasks{};
+
+  auto operator<=>(const TaskOffer&) const = default;
+};
+
+enum class OfferOutcome {
+  kStarted,
+  kBooked,
+  kNoRoom,
+  kNotOwner,     // the worker has another owner, or none yet
+  kNotServing,   // it drains or fails its health check
+  kBadTicket,
+  kOldRun,       // a run as high as this one ended there already
+  kOldOwner,     // the job has a newer owner
+  kInvalid,      // the worker refuses the order itself
+  kStopped,      // stopped before it had started
+};
+
+const char* OfferOutcomeName(OfferOutcome outcome);
+
+struct OfferAnswer {
+  std::string task{};
+  std::uint64_t run = 0;
+  std::string worker{};
+  OfferOutcome outcome = OfferOutcome::kStarted;
+
+  auto operator<=>(const OfferAnswer&) const = default;
+};
+
+struct OfferAnswers {
+  std::vector<OfferAnswer> answers{};
+
+  auto operator<=>(const OfferAnswers&) const = default;
+};
+
+struct TaskStop {
+  std::string task{};
+  std::uint64_t run = 0;
+  std::string worker{};
+  std::uint64_t generation = 0;
+
+  auto operator<=>(const TaskStop&) const = default;
+};
+
+struct TaskStops {
+  std::vector<TaskStop> stops{};
+
+  auto operator<=>(const TaskStops&) const = default;
+};
+
+// `sequence` 0: the run was lost with its worker; nobody waits for word that
+// the end is stored.
+struct EndReport {
+  std::string worker{};
+  std::uint64_t sequence = 0;
+  std::string task{};
+  std::uint64_t run = 0;
+  RunEnd how = RunEnd::kDone;
+  std::string checkpoint{};
+
+  auto operator<=>(const EndReport&) const = default;
+};
+
+struct EndReports {
+  std::vector<EndReport> ends{};
+
+  auto operator<=>(const EndReports&) const = default;
+};
+
+struct StoredEnd {
+  std::string worker{};
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const StoredEnd&) const = default;
+};
+
+// The job's owner has the ends in the store: the worker may forget them.
+struct EndsStored {
+  std::vector<StoredEnd> ends{};
+
+  auto operator<=>(const EndsStored&) const = default;
+};
+
+struct RunQuery {
+  std::string task{};
+  std::uint64_t run = 0;
+  std::string worker{};
+
+  auto operator<=>(const RunQuery&) const = default;
+};
+
+// The job's owner has not heard of these runs for long.
+struct RunQueries {
+  std::vector<RunQuery> runs{};
+
+  auto operator<=>(const RunQueries&) const = default;
+};
+
+enum class RunState {
+  kRunning,
+  kPending,  // ordered, not answered yet, or being stopped
+  kAbsent,   // not there and never will be
+};
+
+const char* RunStateName(RunState state);
+
+struct RunReport {
+  std::string task{};
+  std::uint64_t run = 0;
+  std::string worker{};
+  RunState state = RunState::kPending;
+  std::string checkpoint{};
+
+  auto operator<=>(const RunReport&) const = default;
+};
+
+struct RunReports {
+  std::vector<RunReport> runs{};
+
+  auto operator<=>(const RunReports&) const = default;
+};
+
+struct JobGeneration {
+  std::string job{};
+  std::uint64_t generation = 0;
+
+  auto operator<=>(const JobGeneration&) const = default;
+};
+
+// A new owner of jobs asks what of them runs. From then on the receiver
+// refuses offers of lower generations.
+struct AdoptQuery {
+  std::vector<JobGeneration> jobs{};
+
+  auto operator<=>(const AdoptQuery&) const = default;
+};
+
+struct CoveredWorker {
+  std::string worker{};
+  std::uint64_t fence = 0;  // with which the sender owns it
+  bool gone = false;
+
+  auto operator<=>(const CoveredWorker&) const = default;
+};
+
+// All runs and ends of the jobs asked for, and the workers of which that is
+// all.
+struct AdoptReport {
+  std::vector<std::string> jobs{};
+  std::vector<RunReport> runs{};
+  std::vector<EndReport> ends{};
+  std::vector<CoveredWorker> covered{};
+
+  auto operator<=>(const AdoptReport&) const = default;
+};
+
+enum class JobQuestion { kState, kCancel };
+
+const char* JobQuestionName(JobQuestion question);
+
+// A caller's question about a job, to the job's owner.
+struct JobQuery {
+  std::uint64_t call = 0;  // the asker's
+  JobQuestion question = JobQuestion::kState;
+  std::string job{};
+
+  auto operator<=>(const JobQuery&) const = default;
+};
+
+struct JobReply {
+  std::uint64_t call = 0;
+  bool known = false;  // the replier owns the job
+  JobState state = JobState::kQueued;
+
+  auto operator<=>(const JobReply&) const = default;
+};
+
+using PeerMessage = std::variant<RoomDigest,
+                                 TaskOffer,
+                                 OfferAnswers,
+                                 TaskStops,
+                                 EndReports,
+                                 EndsStored,
+                                 RunQueries,
+                                 RunReports,
+                                 AdoptQuery,
+                                 AdoptReport,
+                                 JobQuery,
+                                 JobReply>;
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_PEER_MESSAGE_H_
--- /dev/null
+++ b/Source/engine/placement_rule.cc
@@ -0,0 +1,64 @@
+#include "engine/placement_rule.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A task whose data is on another rack takes 2 to 3 times as long; no packing
+// outweighs that.
+constexpr double kOtherRack = 10;
+// The worker where it failed last is taken when there is no other.
+constexpr double kAvoided = 5;
+// An offer across failure domains costs 3 ms and its bytes; a hundredth of a
+// worker's room packed better is worth more.
+constexpr double kOtherDomain = 0.01;
+// Of two dimensions that are left in unlike shares one can't be used.
+constexpr double kUnbalanced = 0.5;
+
+double ShareLeft(std::int64_t free, std::int64_t need, std::int64_t capacity) {
+  return capacity <= 0 ? 0
+                       : static_cast<double>(free - need) /
+                             static_cast<double>(capacity);
+}
+
+}  // namespace
+
+bool MayRunOn(const StepSpec& step, const WorkerInfo& worker) {
+  const bool label = step.label.empty() || HasLabel(worker, step.label);
+  return label && Fits(RoomOf(step), worker.capacity);
+}
+
+bool HasRoomNow(const PlacementNeed& need, const Candidate& candidate) {
+  if (!need.rack.empty() && candidate.worker->rack() != need.rack) {
+    return false;
+  }
+  Resources room = need.room;
+  room.processors_milli += static_cast<std::int64_t>(
+      need.reserve *
+      static_cast<double>(candidate.worker->capacity.processors_milli));
+  return Fits(room, candidate.free);
+}
+
+double PlacementCost(const PlacementNeed& need, const Candidate& candidate) {
+  const Resources& capacity = candidate.worker->capacity;
+  const double processors =
+      ShareLeft(candidate.free.processors_milli, need.room.processors_milli,
+                capacity.processors_milli);
+  const double memory = ShareLeft(candidate.free.memory_mb,
+                                  need.room.memory_mb, capacity.memory_mb);
+  double cost = std::min(processors, memory) +
+                kUnbalanced * std::abs(processors - memory);
+  if (!need.step->rack.empty() &&
+      !HasLabel(*candidate.worker, need.step->rack)) {
+    cost += kOtherRack;
+  }
+  if (candidate.worker->id == need.avoid) {
+    cost += kAvoided;
+  }
+  return cost + (candidate.own_domain ? 0 : kOtherDomain);
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/placement_rule.h
@@ -0,0 +1,44 @@
+// Which worker a task goes to. A pure function of what is known of the workers.
+#ifndef BURDOCKROCK_ENGINE_PLACEMENT_RULE_H_
+#define BURDOCKROCK_ENGINE_PLACEMENT_RULE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "engine/configuration.h"
+#include "engine/job_model.h"
+#include "model/resources.h"
+
+namespace burdockrock::engine {
+
+// A worker as one round of placement sees it.
+struct Candidate {
+  const WorkerInfo* worker = nullptr;
+  Resources free{};
+  bool own_domain = false;
+};
+
+struct PlacementNeed {
+  const StepSpec* step = nullptr;
+  Resources room{};
+  // Kept free for work that goes first, as a share of the worker's processors.
+  double reserve = 0;
+  std::string avoid{};  // a worker, unless there is no other
+  std::string rack{};   // only there; empty: anywhere
+};
+
+// Whether the task may ever run on the worker.
+bool MayRunOn(const StepSpec& step, const WorkerInfo& worker);
+
+// Whether it has room now.
+bool HasRoomNow(const PlacementNeed& need, const Candidate& candidate);
+
+// Lower is better: how much room is left over in a way that other tasks can't
+// use, and how far data and orders travel.
+double PlacementCost(const PlacementNeed& need, const Candidate& candidate);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_PLACEMENT_RULE_H_
--- /dev/null
+++ b/Source/engine/placing.cc
@@ -0,0 +1,364 @@
+#include "engine/placing.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "engine/job_table.h"
+#include "engine/membership.h"
+#include "engine/placement_rule.h"
+#include "engine/worker_list.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Waiting tasks look for room again after this long though nothing was heard.
+constexpr Duration kIdleRound = milliseconds(100);
+
+// Share of each worker's processors that a queue leaves free for those that go
+// before it, so that short urgent tasks need not wait for long ones to end.
+constexpr double kReservePerPriority = 0.06;
+
+struct Round {
+  Context& context;
+  std::map<std::string, std::vector<Candidate>> by_service{};
+  // By the workers' owner.
+  std::map<std::string, std::vector<TaskOffer>> offers{};
+};
+
+std::vector<Candidate> CandidatesOf(Context& context,
+                                    const std::string& service) {
+  std::vector<Candidate> candidates;
+  for (const auto& [id, listed] : context.state.workers) {
+    const auto view = context.state.view.find(id);
+    const bool usable =
+        listed.listed && !listed.info.draining &&
+        listed.info.service == service && view != context.state.view.end() &&
+        view->second.accepting && !view->second.gone &&
+        FindMember(context.state, view->second.owner) != nullptr;
+    if (usable) {
+      candidates.push_back(
+          {.worker = &listed.info,
+           .free = view->second.free,
+           .own_domain =
+               listed.info.domain == context.state.options.self.domain});
+    }
+  }
+  return candidates;
+}
+
+std::vector<Candidate>& Candidates(Round& round, const std::string& service) {
+  const auto it = round.by_service.find(service);
+  if (it != round.by_service.end()) {
+    return it->second;
+  }
+  return round.by_service[service] = CandidatesOf(round.context, service);
+}
+
+// Tasks of the step on each worker.
+std::map<std::string, std::uint32_t> CountPlaced(const StepRun& step) {
+  std::map<std::string, std::uint32_t> placed;
+  for (const Task& it : step.tasks) {
+    if (!it.worker.empty() && it.phase != TaskPhase::kDone) {
+      ++placed[it.worker];
+    }
+  }
+  return placed;
+}
+
+bool HasTicket(const Context& context, const ReadyStep& ready,
+               const std::string& worker) {
+  if (!ready.queue->advice) {
+    return true;
+  }
+  const auto it = ready.run().tickets.find(worker);
+  return it != ready.run().tickets.end() &&
+         it->second.expires > context.now + kTicketMargin;
+}
+
+struct Choice {
+  const Context& context;
+  const ReadyStep& ready;
+  std::map<std::string, std::uint32_t> placed;
+};
+
+Candidate* Choose(const Choice& choice, std::vector<Candidate>& candidates,
+                  const PlacementNeed& need) {
+  const StepSpec& spec = choice.ready.spec();
+  Candidate* best = nullptr;
+  double best_cost = 0;
+  for (Candidate& it : candidates) {
+    if (!HasRoomNow(need, it) || !MayRunOn(spec, *it.worker) ||
+        !HasTicket(choice.context, choice.ready, it.worker->id)) {
+      continue;
+    }
+    const auto placed = choice.placed.find(it.worker->id);
+    if (spec.spread != 0 && placed != choice.placed.end() &&
+        placed->second >= spec.spread) {
+      continue;
+    }
+    const double cost = PlacementCost(need, it);
+    if (best == nullptr || cost < best_cost) {
+      best = &it;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+TaskOffer& OfferTo(Round& round, const ReadyStep& ready,
+                   const std::string& owner, bool book_only) {
+  std::vector<TaskOffer>& offers = round.offers[owner];
+  const auto it = std::find_if(
+      offers.begin(), offers.end(), [&](const TaskOffer& offer) {
+        return offer.job == ready.job->id && offer.step == ready.step &&
+               offer.occurrence == ready.occurrence &&
+               offer.book_only == book_only;
+      });
+  if (it != offers.end()) {
+    return *it;
+  }
+  return offers.emplace_back(TaskOffer{.job = ready.job->id,
+                                       .generation = ready.job->generation,
+                                       .occurrence = ready.occurrence,
+                                       .step = ready.step,
+                                       .payload = ready.job->spec.payload,
+                                       .spec = ready.spec(),
+                                       .priority = ready.queue->priority,
+                                       .book_only = book_only});
+}
+
+void AddOffer(Round& round, const ReadyStep& ready, std::uint32_t index,
+              Task& task, bool book_only) {
+  const std::string& owner = round.context.state.view[task.worker].owner;
+  const auto ticket = ready.run().tickets.find(task.worker);
+  ++round.context.state.totals.offers;
+  OfferTo(round, ready, owner, book_only)
+      .tasks.push_back({.index = index,
+                        .run = task.run,
+                        .worker = task.worker,
+                        .ticket = ticket == ready.run().tickets.end()
+                                      ? std::string()
+                                      : ticket->second.text,
+                        .checkpoint = task.checkpoint});
+}
+
+void Assign(Round& round, const Resources& room, Candidate& candidate,
+            Task& task, std::uint64_t run) {
+  candidate.free -= room;
+  round.context.state.view[candidate.worker->id].free -= room;
+  task.phase = TaskPhase::kOffered;
+  task.run = run;
+  task.worker = candidate.worker->id;
+  task.since = round.context.now;
+  task.heard = round.context.now;
+  task.booked = false;
+}
+
+PlacementNeed NeedOf(const ReadyStep& ready) {
+  return {.step = &ready.spec(),
+          .room = RoomOf(ready.spec()),
+          .reserve = kReservePerPriority *
+                     static_cast<double>(ready.queue->priority)};
+}
+
+void PlaceSingles(Round& round, const ReadyStep& ready) {
+  Choice choice{.context = round.context,
+                .ready = ready,
+                .placed = CountPlaced(ready.run())};
+  std::vector<Candidate>& candidates =
+      Candidates(round, ready.queue->service);
+  PlacementNeed need = NeedOf(ready);
+  std::vector<Task>& tasks = ready.run().tasks;
+  for (std::uint32_t it = 0; it < tasks.size(); ++it) {
+    Task& task = tasks[it];
+    if (task.phase != TaskPhase::kWaiting ||
+        task.retry_at > round.context.now) {
+      continue;
+    }
+    need.avoid = task.avoid;
+    Candidate* best = Choose(choice, candidates, need);
+    if (best == nullptr) {
+      return;  // the others need as much
+    }
+    ++choice.placed[best->worker->id];
+    Assign(round, need.room, *best, task, NextRun(*ready.job, task.run));
+    AddOffer(round, ready, it, task, false);
+  }
+}
+
+bool AllIn(const StepRun& step, TaskPhase phase) {
+  return std::all_of(step.tasks.begin(), step.tasks.end(),
+                     [phase](const Task& it) { return it.phase == phase; });
+}
+
+// Workers for all members, in the order of the tasks; nothing if not all fit.
+std::vector<Candidate*> FitGang(const Round& round, const ReadyStep& ready,
+                                std::vector<Candidate>& candidates,
+                                const std::string& rack) {
+  Choice choice{.context = round.context, .ready = ready, .placed = {}};
+  PlacementNeed need = NeedOf(ready);
+  need.rack = rack;
+  std::vector<Candidate*> chosen;
+  for (std::size_t it = 0; it < ready.run().tasks.size(); ++it) {
+    Candidate* best = Choose(choice, candidates, need);
+    if (best == nullptr) {
+      break;
+    }
+    ++choice.placed[best->worker->id];
+    best->free -= need.room;
+    chosen.push_back(best);
+  }
+  for (Candidate* it : chosen) {
+    it->free += need.room;
+  }
+  if (chosen.size() < ready.run().tasks.size()) {
+    chosen.clear();
+  }
+  return chosen;
+}
+
+std::vector<Candidate*> FitGangAnywhere(const Round& round,
+                                        const ReadyStep& ready,
+                                        std::vector<Candidate>& candidates) {
+  if (!ready.spec().same_rack) {
+    return FitGang(round, ready, candidates, {});
+  }
+  std::set<std::string> racks;
+  for (const Candidate& it : candidates) {
+    racks.insert(it.worker->rack());
+  }
+  for (const std::string& it : racks) {
+    auto chosen = FitGang(round, ready, candidates, it);
+    if (!chosen.empty()) {
+      return chosen;
+    }
+  }
+  return {};
+}
+
+void BookGang(Round& round, const ReadyStep& ready) {
+  StepRun& step = ready.run();
+  for (const Task& it : step.tasks) {
+    if (it.retry_at > round.context.now) {
+      return;
+    }
+  }
+  const auto chosen = FitGangAnywhere(
+      round, ready, Candidates(round, ready.queue->service));
+  if (chosen.empty()) {
+    return;
+  }
+  std::uint64_t last = step.gang_run;
+  for (const Task& it : step.tasks) {
+    last = std::max(last, it.run);
+  }
+  step.gang_run = NextRun(*ready.job, last);
+  // All members resume from the same point.
+  std::string checkpoint;
+  for (const Task& it : step.tasks) {
+    checkpoint = std::max(checkpoint, it.checkpoint);
+  }
+  const Resources room = RoomOf(ready.spec());
+  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+    step.tasks[it].checkpoint = checkpoint;
+    Assign(round, room, *chosen[it], step.tasks[it], step.gang_run);
+    AddOffer(round, ready, it, step.tasks[it], true);
+  }
+}
+
+// Once all room is booked all members are started at once: members that come
+// late let those before them wait, and end when it takes too long.
+void StartGang(Round& round, const ReadyStep& ready) {
+  StepRun& step = ready.run();
+  const bool all_booked =
+      std::all_of(step.tasks.begin(), step.tasks.end(),
+                  [](const Task& it) { return it.booked; });
+  if (!all_booked || step.gang_started == step.gang_run) {
+    return;
+  }
+  step.gang_started = step.gang_run;
+  round.context.Log(EventNumber::kGangStarted,
+                    {{"job", ready.job->id},
+                     {"step", std::to_string(ready.step)},
+                     {"run", std::to_string(step.gang_run)},
+                     {"tasks", std::to_string(step.tasks.size())}});
+  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+    step.tasks[it].heard = round.context.now;
+    AddOffer(round, ready, it, step.tasks[it], false);
+  }
+}
+
+void PlaceGang(Round& round, const ReadyStep& ready) {
+  if (AllIn(ready.run(), TaskPhase::kWaiting)) {
+    BookGang(round, ready);
+  } else if (AllIn(ready.run(), TaskPhase::kOffered)) {
+    StartGang(round, ready);
+  }
+}
+
+void AddReadySteps(Context& context, Job& job, const QueuePolicy& queue,
+                   std::vector<ReadyStep>& out) {
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+      if (IsStepDone(job, k, s) || !IsStepReady(job, k, s)) {
+        continue;
+      }
+      StepRun& step = StepAt(job, k, s);
+      step.ready_at = std::min(step.ready_at, context.now);
+      out.push_back(
+          {.job = &job, .occurrence = k, .step = s, .queue = &queue});
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<ReadyStep> ReadySteps(Context& context) {
+  std::vector<ReadyStep> steps;
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    const QueuePolicy* queue =
+        FindQueueByName(context.state.configuration, job.queue);
+    if (queue != nullptr && !IsFinal(job.state)) {
+      AddReadySteps(context, job, *queue, steps);
+    }
+  }
+  std::sort(steps.begin(), steps.end(),
+            [](const ReadyStep& left, const ReadyStep& right) {
+              return std::tuple(left.queue->priority, left.run().ready_at) <
+                     std::tuple(right.queue->priority, right.run().ready_at);
+            });
+  return steps;
+}
+
+void DrivePlacement(Context& context) {
+  const Duration pause =
+      context.state.placement_due ? kPlacementInterval : kIdleRound;
+  if (!HasPassed(context.now, context.state.placed_at, pause) ||
+      !IsRegistered(context.state)) {
+    return;
+  }
+  context.state.placement_due = false;
+  context.state.placed_at = context.now;
+  Round round{.context = context};
+  for (const ReadyStep& it : ReadySteps(context)) {
+    if (!it.job->stored) {
+      continue;
+    }
+    if (it.spec().gang) {
+      PlaceGang(round, it);
+    } else {
+      PlaceSingles(round, it);
+    }
+  }
+  for (auto& [owner, offers] : round.offers) {
+    for (TaskOffer& it : offers) {
+      Send(context, owner, std::move(it));
+    }
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/planned_stop.cc
@@ -0,0 +1,72 @@
+#include "engine/planned_stop.h"
+
+#include "engine/membership.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Progress that can't be stored in this time is learned from the workers by
+// whoever adopts the jobs.
+constexpr Duration kFlushTime = milliseconds(1200);
+// The others claim the workers meanwhile, while late messages are answered.
+constexpr Duration kLinger = milliseconds(800);
+
+bool IsFlushed(const State& state) {
+  if (!state.writer.queue.empty() || !state.writer.in_flight.empty() ||
+      !state.callers.empty()) {
+    return false;
+  }
+  for (const std::string& id : state.active) {
+    const Job& job = state.jobs.at(id);
+    if (!job.submitters.empty() || !job.cancellers.empty()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Progress is stored at once instead of at its time.
+void HurryProgress(State& state) {
+  for (const std::string& id : state.active) {
+    Job& job = state.jobs.at(id);
+    job.urgent_write = job.urgent_write || job.version > job.stored_version;
+  }
+}
+
+}  // namespace
+
+void BeginStop(Context& context) {
+  StopState& stop = context.state.stop;
+  if (stop.asked) {
+    return;
+  }
+  stop.asked = true;
+  stop.since = context.now;
+  context.Log(EventNumber::kDrainStarted,
+              {{"jobs", std::to_string(context.state.active.size())},
+               {"workers", std::to_string(context.state.owned.size())}});
+  HurryProgress(context.state);
+}
+
+void DriveStop(Context& context) {
+  StopState& stop = context.state.stop;
+  if (!stop.asked || stop.ended) {
+    return;
+  }
+  const bool late = HasPassed(context.now, stop.since, kFlushTime);
+  if (!stop.released && (IsFlushed(context.state) || late)) {
+    context.Log(EventNumber::kHandedOver,
+                {{"jobs", std::to_string(context.state.active.size())}});
+    Deregister(context);
+    stop.since = context.now;
+    return;
+  }
+  if (stop.released && HasPassed(context.now, stop.since, kLinger)) {
+    stop.ended = true;
+    context.Log(EventNumber::kDrainComplete, {});
+    context.Emit(EndProcess{});
+  }
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/planned_stop.h
@@ -0,0 +1,14 @@
+// The planned stop: everything is stored and handed over before the end.
+#ifndef BURDOCKROCK_ENGINE_PLANNED_STOP_H_
+#define BURDOCKROCK_ENGINE_PLANNED_STOP_H_
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+void BeginStop(Context& context);
+void DriveStop(Context& context);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_PLANNED_STOP_H_
--- /dev/null
+++ b/Source/engine/questions.cc
@@ -0,0 +1,372 @@
+#include "engine/questions.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "engine/catalog.h"
+#include "engine/job_progress.h"
+#include "engine/job_table.h"
+#include "engine/membership.h"
+#include "engine/record_writer.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Longer ids would not fit into the keys of the store.
+constexpr std::size_t kMaxJobIdBytes = 64;
+// An outage of the store that has begun lasts longer than this as a rule, and
+// another entry instance may still reach it.
+constexpr Duration kRetryAfter = milliseconds(1000);
+
+void Answer(Context& context, std::uint64_t call, CallerAnswer answer) {
+  context.Emit(AnswerCaller{.call = call, .answer = std::move(answer)});
+}
+
+void Refuse(Context& context, std::uint64_t call, const std::string& job,
+            std::string cause) {
+  ++context.state.totals.refused;
+  context.Log(EventNumber::kRequestRefused, {{"job", job}, {"cause", cause}});
+  Answer(context, call,
+         NotNow{.detail = std::move(cause), .retry_after = kRetryAfter});
+}
+
+bool IsJobId(std::string_view id) {
+  return !id.empty() && id.size() <= kMaxJobIdBytes &&
+         std::all_of(id.begin(), id.end(), [](char it) {
+           return (it >= '0' && it <= '9') || (it >= 'a' && it <= 'z') ||
+                  (it >= 'A' && it <= 'Z') || it == '-' || it == '_';
+         });
+}
+
+// A task that fits on no worker of the service, even an empty one.
+std::optional<SpecFault> CheckSizes(const State& state, const JobSpec& spec,
+                                    const std::string& service) {
+  Resources most;
+  for (const auto& [id, it] : state.workers) {
+    if (it.info.service == service) {
+      const Resources& has = it.info.capacity;
+      most.processors_milli =
+          std::max(most.processors_milli, has.processors_milli);
+      most.memory_mb = std::max(most.memory_mb, has.memory_mb);
+      most.accelerators = std::max(most.accelerators, has.accelerators);
+    }
+  }
+  if (most == Resources()) {
+    return std::nullopt;
+  }
+  for (std::size_t it = 0; it < spec.steps.size(); ++it) {
+    const Resources room = RoomOf(spec.steps[it]);
+    if (!Fits(room, most)) {
+      return SpecFault{.path = fmt::format("steps[{}]", it),
+                       .problem = DescribeMisfit(room, most),
+                       .allowed = "what the largest worker has"};
+    }
+  }
+  return std::nullopt;
+}
+
+void Create(Context& context, std::uint64_t call, const std::string& id,
+            const QueuePolicy& queue, JobSpec spec) {
+  Job job = MakeJob(id, std::move(spec), queue.name);
+  job.created = context.now;
+  job.accepted_ms = context.wall_ms;
+  job.submitters.push_back(call);
+  QueueCreation(context, job);
+  context.state.active.insert(id);
+  context.state.jobs.emplace(id, std::move(job));
+}
+
+void OnSubmit(Context& context, std::uint64_t call, const std::string& id,
+              const QueuePolicy& queue, JobSpec spec) {
+  ++context.state.totals.submitted;
+  if (Job* job = FindJob(context.state, id)) {
+    if (job->stored) {
+      return Answer(context, call, JobAccepted{});
+    }
+    job->submitters.push_back(call);
+    return;
+  }
+  if (context.state.stop.asked) {
+    return Refuse(context, call, id, "this entry instance stops");
+  }
+  if (!IsRegistered(context.state) || !context.state.store.healthy) {
+    return Refuse(context, call, id, "the store can't be reached");
+  }
+  auto fault = CheckSpec(spec);
+  if (!fault) {
+    fault = CheckSizes(context.state, spec, queue.service);
+  }
+  if (fault) {
+    context.Log(EventNumber::kMalformedRequest, {{"job", id},
+                                                 {"field", fault->path},
+                                                 {"problem", fault->problem}});
+    return Answer(context, call, BadRequest{.fault = *fault});
+  }
+  Create(context, call, id, queue, std::move(spec));
+}
+
+void BeginCancel(Context& context, Job& job, Canceller canceller) {
+  if (IsFinal(job.stored_state)) {
+    return AnswerCancel(context, canceller, job.stored_state);
+  }
+  job.cancellers.push_back(std::move(canceller));
+  if (!job.stored) {
+    job.cancel_wanted = true;
+    return;
+  }
+  EndJob(context, job, JobState::kCancelled, "caller");
+}
+
+void Ask(Context& context, std::uint64_t id, WaitingCaller& caller,
+         const std::string& owner) {
+  caller.asked = owner;
+  caller.asked_at = context.now;
+  Send(context, owner,
+       JobQuery{.call = id,
+                .question = caller.question == CallerQuestion::kCancel
+                                ? JobQuestion::kCancel
+                                : JobQuestion::kState,
+                .job = caller.job});
+}
+
+// True when the caller was answered.
+bool AnswerFromRecord(Context& context, WaitingCaller& caller,
+                      const CatalogEntry& entry) {
+  if (entry.absent) {
+    Answer(context, caller.call, NoSuchJob{});
+    return true;
+  }
+  if (entry.record && IsFinal(entry.record->state)) {
+    if (caller.question == CallerQuestion::kCancel) {
+      Answer(context, caller.call, CancelTaken{});
+    } else {
+      Answer(context, caller.call, JobShown{.state = entry.record->state});
+    }
+    return true;
+  }
+  return false;
+}
+
+// True when the caller was answered.
+bool Advance(Context& context, std::uint64_t id, WaitingCaller& caller) {
+  if (Job* job = FindJob(context.state, caller.job)) {
+    if (caller.question == CallerQuestion::kState) {
+      Answer(context, caller.call, JobShown{.state = ShownState(*job)});
+    } else {
+      BeginCancel(context, *job, Canceller{.call = caller.call});
+    }
+    return true;
+  }
+  const CatalogEntry& entry = context.state.catalog[caller.job];
+  const bool read = entry.record || entry.absent;
+  const bool fresh = read && !entry.reading_record && !entry.want_record;
+  if (caller.read_again || !fresh) {
+    caller.read_again = false;
+    WantRecord(context, caller.job);
+    return false;
+  }
+  if (AnswerFromRecord(context, caller, entry)) {
+    return true;
+  }
+  const std::string& owner = entry.record->owner;
+  if (FindMember(context.state, owner) == nullptr) {
+    WantRecord(context, caller.job);  // until somebody has adopted it
+    return false;
+  }
+  if (caller.asked != owner ||
+      HasPassed(context.now, caller.asked_at, kPeerAnswer)) {
+    Ask(context, id, caller, owner);
+  }
+  return false;
+}
+
+void OnQuestion(Context& context, std::uint64_t call, CallerQuestion question,
+                const std::string& job) {
+  const std::uint64_t id = ++context.state.last_question;
+  WaitingCaller caller{.call = call,
+                       .question = question,
+                       .job = job,
+                       .give_up = context.now + kQuestionPatience};
+  // A job that its owner was known for is asked about there at once.
+  const auto entry = context.state.catalog.find(job);
+  caller.read_again =
+      entry == context.state.catalog.end() || !entry->second.record;
+  if (!Advance(context, id, caller)) {
+    context.state.callers.emplace(id, std::move(caller));
+  }
+}
+
+void GiveUp(Context& context, const WaitingCaller& caller) {
+  const CatalogEntry& entry = context.state.catalog[caller.job];
+  if (caller.question == CallerQuestion::kState && entry.record) {
+    // The owner can't be reached; what it stored last is true.
+    Answer(context, caller.call, JobShown{.state = entry.record->state});
+    return;
+  }
+  context.Log(EventNumber::kQuestionUnanswered, {{"job", caller.job}});
+  Answer(context, caller.call,
+         NotKnown{.detail = "the job's owner or the store can't be reached"});
+}
+
+void OnWaiting(Context& context, std::uint64_t call,
+               const QueuePolicy& queue) {
+  std::uint32_t jobs = CountWaiting(context.state, queue.name);
+  for (const auto& [member, queues] : context.state.digest.waiting) {
+    const auto it = queues.find(queue.name);
+    jobs += it == queues.end() ? 0 : it->second;
+  }
+  Answer(context, call, WaitingShown{.jobs = jobs});
+}
+
+// Submissions that the store has not answered.
+void DriveSubmitters(Context& context) {
+  const bool well =
+      context.state.store.healthy && IsRegistered(context.state);
+  std::vector<std::string> withdrawn;
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    if (job.stored || job.submitters.empty()) {
+      continue;
+    }
+    if (!well && WithdrawChange(context, ChangeKind::kCreateJob, id)) {
+      for (const std::uint64_t it : job.submitters) {
+        Refuse(context, it, id, "the store can't be reached");
+      }
+      withdrawn.push_back(id);
+    } else if (HasPassed(context.now, job.created, kSubmitPatience)) {
+      for (const std::uint64_t it : std::exchange(job.submitters, {})) {
+        context.Log(EventNumber::kQuestionUnanswered, {{"job", id}});
+        Answer(context, it, NotKnown{.detail = "the store has not answered"});
+      }
+    }
+  }
+  for (const std::string& it : withdrawn) {
+    context.state.active.erase(it);
+    context.state.jobs.erase(it);
+  }
+}
+
+}  // namespace
+
+void OnCallerAsked(Context& context, const CallerAsked& asked) {
+  const CallerRequest& request = asked.request;
+  if (context.state.configuration.version == 0) {
+    return Refuse(context, asked.call, request.path, "no configuration yet");
+  }
+  const QueuePolicy* queue =
+      FindQueue(context.state.configuration, request.host, request.path);
+  if (queue == nullptr) {
+    return Answer(context, asked.call, NoSuchQueue{});
+  }
+  const std::string id = request.path.substr(queue->prefix.size());
+  if (request.question == CallerQuestion::kWaiting) {
+    return OnWaiting(context, asked.call, *queue);
+  }
+  if (!IsJobId(id)) {
+    return Answer(
+        context, asked.call,
+        BadRequest{.fault = {.path = "id",
+                             .problem = fmt::format("'{}' is no job's id", id),
+                             .allowed = "1 to 64 letters, digits, - and _"}});
+  }
+  if (request.question == CallerQuestion::kSubmit) {
+    return OnSubmit(context, asked.call, id, *queue, request.spec);
+  }
+  OnQuestion(context, asked.call, request.question, id);
+}
+
+void OnJobQuery(Context& context, const std::string& from,
+                const JobQuery& query) {
+  Job* job = FindJob(context.state, query.job);
+  if (job == nullptr) {
+    return Send(context, from, JobReply{.call = query.call});
+  }
+  if (query.question == JobQuestion::kCancel) {
+    return BeginCancel(context, *job,
+                       Canceller{.member = from, .call = query.call});
+  }
+  Send(context, from,
+       JobReply{.call = query.call, .known = true, .state = ShownState(*job)});
+}
+
+void OnJobReply(Context& context, const JobReply& reply) {
+  const auto it = context.state.callers.find(reply.call);
+  if (it == context.state.callers.end()) {
+    return;
+  }
+  if (!reply.known) {
+    it->second.read_again = true;
+    it->second.asked.clear();
+    return;
+  }
+  if (it->second.question == CallerQuestion::kCancel) {
+    Answer(context, it->second.call, CancelTaken{});
+  } else {
+    Answer(context, it->second.call, JobShown{.state = reply.state});
+  }
+  context.state.callers.erase(it);
+}
+
+void OnRecordKnown(Context& context, const std::string& job) {
+  std::vector<std::uint64_t> answered;
+  for (auto& [id, caller] : context.state.callers) {
+    if (caller.job == job && Advance(context, id, caller)) {
+      answered.push_back(id);
+    }
+  }
+  for (const std::uint64_t it : answered) {
+    context.state.callers.erase(it);
+  }
+}
+
+void DriveCallers(Context& context) {
+  std::vector<std::uint64_t> answered;
+  for (auto& [id, caller] : context.state.callers) {
+    if (Advance(context, id, caller)) {
+      answered.push_back(id);
+    } else if (context.now >= caller.give_up) {
+      GiveUp(context, caller);
+      answered.push_back(id);
+    }
+  }
+  for (const std::uint64_t it : answered) {
+    context.state.callers.erase(it);
+  }
+  DriveSubmitters(context);
+}
+
+void AnswerCancel(Context& context, const Canceller& canceller,
+                  JobState state) {
+  if (canceller.member.empty()) {
+    return Answer(context, canceller.call, CancelTaken{});
+  }
+  Send(context, canceller.member,
+       JobReply{.call = canceller.call, .known = true, .state = state});
+}
+
+void RouteCancellers(Context& context, const std::string& job,
+                     const std::vector<Canceller>& cancellers) {
+  for (const Canceller& it : cancellers) {
+    if (it.member.empty()) {
+      OnQuestion(context, it.call, CallerQuestion::kCancel, job);
+    } else {
+      Send(context, it.member, JobReply{.call = it.call});
+    }
+  }
+}
+
+std::uint32_t CountWaiting(const State& state, const std::string& queue) {
+  std::uint32_t n = 0;
+  for (const std::string& id : state.active) {
+    const Job& job = state.jobs.at(id);
+    const bool waits = job.stored && !job.started && !IsFinal(job.state) &&
+                       job.queue == queue;
+    n += waits ? 1 : 0;
+  }
+  return n;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/questions.h
@@ -0,0 +1,35 @@
+// Callers' requests: submissions, states, cancels, lengths of queues.
+#ifndef BURDOCKROCK_ENGINE_QUESTIONS_H_
+#define BURDOCKROCK_ENGINE_QUESTIONS_H_
+
+#include <string>
+#include <vector>
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+void OnCallerAsked(Context& context, const CallerAsked& asked);
+void OnJobQuery(Context& context, const std::string& from,
+                const JobQuery& query);
+void OnJobReply(Context& context, const JobReply& reply);
+
+// The store has told of the job: those who wait for it can go on.
+void OnRecordKnown(Context& context, const std::string& job);
+
+// Gives up and asks again, as due.
+void DriveCallers(Context& context);
+
+void AnswerCancel(Context& context, const Canceller& canceller,
+                  JobState state);
+
+// The job is another instance's now: whoever waits for its cancel asks there.
+void RouteCancellers(Context& context, const std::string& job,
+                     const std::vector<Canceller>& cancellers);
+
+// Jobs of the queue that were accepted here and have not begun.
+std::uint32_t CountWaiting(const State& state, const std::string& queue);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_QUESTIONS_H_
--- /dev/null
+++ b/Source/engine/record.cc
@@ -0,0 +1,77 @@
+#include "engine/record.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "engine/record_fields.h"
+#include "net/json.h"
+#include "wire/value_reader.h"
+#include "wire/value_writer.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+constexpr std::uint32_t kDigits = 10;
+constexpr std::uint32_t kMaxMark = 35;  // 'z'
+
+}  // namespace
+
+std::string MemberKey(std::string_view incarnation) {
+  return fmt::format("{}{}", kMemberPrefix, incarnation);
+}
+
+std::string SpecKey(std::string_view job) {
+  return fmt::format("{}{}", kSpecPrefix, job);
+}
+
+std::string JobKey(std::string_view job) {
+  return fmt::format("{}{}", kJobPrefix, job);
+}
+
+std::string OwnedKey(std::string_view incarnation, std::string_view job) {
+  return fmt::format("{}{}/{}", kOwnedPrefix, incarnation, job);
+}
+
+char FailureMark(std::uint32_t failures) {
+  const std::uint32_t capped = std::min(failures, kMaxMark);
+  return static_cast<char>(capped < kDigits ? '0' + capped
+                                            : 'a' + (capped - kDigits));
+}
+
+std::uint32_t FailuresOf(char mark) {
+  if (mark >= '0' && mark <= '9') {
+    return static_cast<std::uint32_t>(mark - '0');
+  }
+  if (mark >= 'a' && mark <= 'z') {
+    return static_cast<std::uint32_t>(mark - 'a') + kDigits;
+  }
+  return 0;
+}
+
+std::string EncodeSpec(const JobSpec& spec) {
+  return WriteJson(WriteValue(spec));
+}
+
+std::string EncodeMember(const MemberRecord& record) {
+  return WriteJson(WriteValue(record));
+}
+
+std::string EncodeJob(const JobRecord& record) {
+  return WriteJson(WriteValue(record));
+}
+
+std::variant<JobSpec, DecodeError> DecodeSpec(std::string_view text) {
+  return DecodeText<JobSpec>(text);
+}
+
+std::variant<MemberRecord, DecodeError> DecodeMember(std::string_view text) {
+  return DecodeText<MemberRecord>(text);
+}
+
+std::variant<JobRecord, DecodeError> DecodeJob(std::string_view text) {
+  return DecodeText<JobRecord>(text);
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/record.h
@@ -0,0 +1,77 @@
+// What the store keeps of a job, and under which keys.
+#ifndef BURDOCKROCK_ENGINE_RECORD_H_
+#define BURDOCKROCK_ENGINE_RECORD_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "engine/job_model.h"
+#include "wire/decode_error.h"
+
+namespace burdockrock::engine {
+
+// Keys: `member/INCARNATION` an entry instance that lives (leased);
+// `spec/JOB` a JobSpec, never changed; `job/JOB` a JobRecord;
+// `owned/INCARNATION/JOB` an index of the jobs that have not ended, by owner.
+inline constexpr std::string_view kMemberPrefix = "member/";
+inline constexpr std::string_view kSpecPrefix = "spec/";
+inline constexpr std::string_view kJobPrefix = "job/";
+inline constexpr std::string_view kOwnedPrefix = "owned/";
+
+std::string MemberKey(std::string_view incarnation);
+std::string SpecKey(std::string_view job);
+std::string JobKey(std::string_view job);
+std::string OwnedKey(std::string_view incarnation, std::string_view job);
+
+// A live entry instance, as it registers itself.
+struct MemberRecord {
+  std::string incarnation{};
+  std::string node{};  // the machine; a later incarnation has the same
+  std::string domain{};
+  std::string address{};  // where it listens for peers
+  std::uint32_t weight = 1;  // its share of workers and jobs
+
+  auto operator<=>(const MemberRecord&) const = default;
+};
+
+// The tasks of one occurrence: a text a step, a character a task: 'D' done,
+// else the number of runs that ended failed, '0' to '9' and then 'a' to 'z'.
+struct OccurrenceRecord {
+  std::uint32_t number = 0;
+  std::vector<std::string> steps{};
+
+  auto operator<=>(const OccurrenceRecord&) const = default;
+};
+
+inline constexpr char kDoneMark = 'D';
+char FailureMark(std::uint32_t failures);
+std::uint32_t FailuresOf(char mark);
+
+// Who owns a job and how far it got.
+struct JobRecord {
+  std::string owner{};           // an incarnation
+  std::uint64_t generation = 0;  // rises with each change of the owner
+  std::uint64_t write = 0;       // tells the owner's own writes apart
+  JobState state = JobState::kQueued;
+  std::string queue{};
+  std::int64_t accepted_ms = 0;  // wall time since 1970
+  std::vector<OccurrenceRecord> occurrences{};  // those that have begun
+
+  auto operator<=>(const JobRecord&) const = default;
+};
+
+std::string EncodeSpec(const JobSpec& spec);
+std::string EncodeMember(const MemberRecord& record);
+std::string EncodeJob(const JobRecord& record);
+
+std::variant<JobSpec, DecodeError> DecodeSpec(std::string_view text);
+std::variant<MemberRecord, DecodeError> DecodeMember(std::string_view text);
+std::variant<JobRecord, DecodeError> DecodeJob(std::string_view text);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_RECORD_H_
--- /dev/null
+++ b/Source/engine/record_fields.h
@@ -0,0 +1,101 @@
+// The members of the engine's records in JSON.
+#ifndef BURDOCKROCK_ENGINE_RECORD_FIELDS_H_
+#define BURDOCKROCK_ENGINE_RECORD_FIELDS_H_
+
+#include <string>
+#include <vector>
+
+#include "engine/job_model.h"
+#include "engine/record.h"
+#include "wire/enum_text.h"
+#include "wire/fields.h"
+#include "wire/work_fields.h"
+
+namespace burdockrock {
+
+template <>
+struct EnumText<engine::JobState> {
+  static constexpr engine::JobState kLast = engine::JobState::kCancelled;
+  static constexpr auto* kName = &engine::JobStateName;
+};
+
+template <>
+struct EnumText<engine::RunEnd> {
+  static constexpr engine::RunEnd kLast = engine::RunEnd::kAlone;
+  static constexpr auto* kName = &engine::RunEndName;
+};
+
+template <>
+struct FieldsOf<engine::StepSpec> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("count", it.count, std::uint32_t{1});
+    codec.Field("each", it.each);
+    codec.Optional("estimate_ms", it.estimate, Duration(0));
+    codec.Optional("after", it.after, std::vector<std::uint32_t>());
+    codec.Optional("checkpointing", it.checkpointing, false);
+    codec.Optional("gang", it.gang, false);
+    codec.Optional("same_rack", it.same_rack, false);
+    codec.OptionalName("label", it.label);
+    codec.OptionalName("rack", it.rack);
+    codec.Optional("spread", it.spread, std::uint32_t{0});
+    codec.Optional("concurrent", it.concurrent, false);
+    codec.Optional("lasting", it.lasting, false);
+    codec.Optional("filling", it.filling, false);
+    codec.OptionalName("image", it.image);
+    codec.Optional("tail_target_ms", it.tail_target, Duration(0));
+    codec.Optional("may_miss", it.may_miss, std::uint32_t{0});
+  }
+};
+
+template <>
+struct FieldsOf<engine::JobSpec> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("payload", it.payload, std::string());
+    codec.Field("steps", it.steps);
+    codec.Optional("repetitions", it.repetitions, std::uint32_t{0});
+    codec.Optional("first_due_ms", it.first_due_ms, std::int64_t{0});
+    codec.Optional("interval_ms", it.interval_ms, std::int64_t{0});
+  }
+};
+
+template <>
+struct FieldsOf<engine::MemberRecord> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Name("incarnation", it.incarnation);
+    codec.Name("node", it.node);
+    codec.Name("domain", it.domain);
+    codec.Name("address", it.address);
+    codec.Optional("weight", it.weight, std::uint32_t{1});
+  }
+};
+
+template <>
+struct FieldsOf<engine::OccurrenceRecord> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("number", it.number, std::uint32_t{0});
+    codec.Field("steps", it.steps);
+  }
+};
+
+template <>
+struct FieldsOf<engine::JobRecord> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Name("owner", it.owner);
+    codec.Field("generation", it.generation);
+    codec.Field("write", it.write);
+    codec.Field("state", it.state);
+    codec.Name("queue", it.queue);
+    codec.Field("accepted_ms", it.accepted_ms);
+    codec.Optional("occurrences", it.occurrences,
+                   std::vector<engine::OccurrenceRecord>());
+  }
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_ENGINE_RECORD_FIELDS_H_
--- /dev/null
+++ b/Source/engine/record_writer.cc
@@ -0,0 +1,193 @@
+#include "engine/record_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "engine/adoption.h"
+#include "engine/job_progress.h"
+#include "engine/membership.h"
+#include "engine/store_calls.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Every transaction is bound to the own registration: an instance that the
+// others take for gone must not write any more, or a job that it accepts
+// meanwhile would be missed by those that take its work over.
+StoreCondition OwnCondition(const Context& context) {
+  return {.key = MemberKey(context.self()),
+          .revision = context.state.members.fence};
+}
+
+Batch TakeBatch(Context& context) {
+  Batch batch{.fence = context.state.members.fence};
+  std::deque<Change>& queue = context.state.writer.queue;
+  std::size_t entries = 1;
+  while (!queue.empty() &&
+         entries + queue.front().entries() <= kMaxTransactionEntries) {
+    entries += queue.front().entries();
+    batch.changes.push_back(std::move(queue.front()));
+    queue.pop_front();
+  }
+  return batch;
+}
+
+StoreTransaction TransactionOf(const Context& context, const Batch& batch) {
+  StoreTransaction transaction{.conditions = {OwnCondition(context)}};
+  for (const Change& it : batch.changes) {
+    transaction.conditions.insert(transaction.conditions.end(),
+                                  it.conditions.begin(), it.conditions.end());
+    transaction.puts.insert(transaction.puts.end(), it.puts.begin(),
+                            it.puts.end());
+    transaction.removes.insert(transaction.removes.end(), it.removes.begin(),
+                               it.removes.end());
+  }
+  return transaction;
+}
+
+void OnChangeDone(Context& context, const Change& change,
+                  std::uint64_t revision) {
+  switch (change.kind) {
+    case ChangeKind::kCreateJob:
+      return OnCreated(context, change.job, revision);
+    case ChangeKind::kSaveJob:
+      return OnSaved(context, change.job, change.version, revision);
+    case ChangeKind::kAdoptJob:
+      return OnAdopted(context, change.job, revision);
+    case ChangeKind::kForgetJob:
+      return;
+  }
+}
+
+void OnChangeConflict(Context& context, const Change& change,
+                      const StoreItem& item) {
+  switch (change.kind) {
+    case ChangeKind::kCreateJob:
+      return OnCreateConflict(context, change.job, item);
+    case ChangeKind::kSaveJob:
+      return OnSaveConflict(context, change.job, item);
+    case ChangeKind::kAdoptJob:
+      return OnAdoptConflict(context, change.job);
+    case ChangeKind::kForgetJob:
+      return;
+  }
+}
+
+using Items = std::map<std::string, StoreItem>;
+
+StoreItem ItemAt(const Items& items, const std::string& key) {
+  const auto it = items.find(key);
+  return it == items.end() ? StoreItem{.key = key} : it->second;
+}
+
+// The first condition that does not hold.
+std::optional<StoreItem> Failed(const Change& change, const Items& items) {
+  for (const StoreCondition& it : change.conditions) {
+    StoreItem item = ItemAt(items, it.key);
+    if (item.revision != it.revision) {
+      return item;
+    }
+  }
+  return std::nullopt;
+}
+
+// What an earlier try of the same change would have left there.
+bool IsOwnWrite(const Change& change, const StoreItem& item) {
+  return std::any_of(change.puts.begin(), change.puts.end(),
+                     [&](const StorePut& put) {
+                       return put.key == item.key && put.value == item.value;
+                     });
+}
+
+void Requeue(Context& context, std::vector<Change> changes) {
+  std::deque<Change>& queue = context.state.writer.queue;
+  for (auto it = changes.rbegin(); it != changes.rend(); ++it) {
+    queue.push_front(std::move(*it));
+  }
+}
+
+void OnConflict(Context& context, Batch batch, const StoreConflict& conflict) {
+  Items items;
+  for (const StoreItem& it : conflict.items) {
+    items[it.key] = it;
+  }
+  const StoreItem own = ItemAt(items, MemberKey(context.self()));
+  if (own.revision == 0) {
+    LoseRegistration(context, "not in the store");
+  }
+  std::vector<Change> again;
+  for (Change& it : batch.changes) {
+    const auto failed = Failed(it, items);
+    if (!failed) {
+      again.push_back(std::move(it));
+    } else if (it.may_be_done && IsOwnWrite(it, *failed)) {
+      context.Log(EventNumber::kLostAnswerSettled,
+                  {{"job", it.job}, {"outcome", "written"}});
+      OnChangeDone(context, it, failed->revision);
+    } else {
+      OnChangeConflict(context, it, *failed);
+    }
+  }
+  Requeue(context, std::move(again));
+}
+
+}  // namespace
+
+void QueueChange(Context& context, Change change) {
+  context.state.writer.queue.push_back(std::move(change));
+}
+
+void DriveWriter(Context& context) {
+  WriterState& writer = context.state.writer;
+  // While the fence is being raised a transaction would be bound to the old one.
+  const bool raising = context.state.members.raising;
+  while (!writer.queue.empty() && IsRegistered(context.state) && !raising &&
+         context.now >= writer.retry_at &&
+         writer.in_flight.size() < kMaxTransactionsInFlight) {
+    Batch batch = TakeBatch(context);
+    const std::uint64_t id = ++writer.last_batch;
+    AskStore(context, TransactionOf(context, batch), ForBatch{.batch = id});
+    writer.in_flight.emplace(id, std::move(batch));
+  }
+}
+
+void OnBatchAnswer(Context& context, std::uint64_t batch,
+                   const StoreAnswer& answer) {
+  auto node = context.state.writer.in_flight.extract(batch);
+  if (node.empty()) {
+    return;
+  }
+  Batch sent = std::move(node.mapped());
+  if (const auto* done = std::get_if<StoreDone>(&answer)) {
+    for (const Change& it : sent.changes) {
+      OnChangeDone(context, it, done->revision);
+    }
+    return;
+  }
+  if (const auto* conflict = std::get_if<StoreConflict>(&answer)) {
+    return OnConflict(context, std::move(sent), *conflict);
+  }
+  if (std::holds_alternative<StoreUnknown>(answer)) {
+    for (Change& it : sent.changes) {
+      it.may_be_done = true;
+    }
+  }
+  context.state.writer.retry_at = context.now + kStoreRetry;
+  Requeue(context, std::move(sent.changes));
+}
+
+bool WithdrawChange(Context& context, ChangeKind kind,
+                    const std::string& job) {
+  std::deque<Change>& queue = context.state.writer.queue;
+  const auto it = std::find_if(queue.begin(), queue.end(), [&](const Change& c) {
+    return c.kind == kind && c.job == job && !c.may_be_done;
+  });
+  if (it == queue.end()) {
+    return false;
+  }
+  queue.erase(it);
+  return true;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/reducer.cc
@@ -0,0 +1,168 @@
+#include "engine/reducer.h"
+
+#include <utility>
+
+#include "engine/adoption.h"
+#include "engine/advice.h"
+#include "engine/catalog.h"
+#include "engine/digests.h"
+#include "engine/job_progress.h"
+#include "engine/job_runs.h"
+#include "engine/membership.h"
+#include "engine/placing.h"
+#include "engine/planned_stop.h"
+#include "engine/questions.h"
+#include "engine/record_writer.h"
+#include "engine/run_ends.h"
+#include "engine/store_calls.h"
+#include "engine/watches.h"
+#include "engine/worker_list.h"
+#include "engine/worker_owner.h"
+#include "engine/worker_runs.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Handles a peer's message by its type.
+struct PeerVisitor {
+  Context& context;
+  const std::string& from;
+
+  void operator()(const RoomDigest& it) { OnRoomDigest(context, from, it); }
+  void operator()(const TaskOffer& it) { OnTaskOffer(context, from, it); }
+  void operator()(const OfferAnswers& it) { OnOfferAnswers(context, it); }
+  void operator()(const TaskStops& it) { OnTaskStops(context, from, it); }
+  void operator()(const EndReports& it) { OnEndReports(context, from, it); }
+  void operator()(const EndsStored& it) { OnEndsStored(context, it); }
+  void operator()(const RunQueries& it) { OnRunQueries(context, from, it); }
+  void operator()(const RunReports& it) { OnRunReports(context, it); }
+  void operator()(const AdoptQuery& it) { OnAdoptQuery(context, from, it); }
+  void operator()(const AdoptReport& it) { OnAdoptReport(context, from, it); }
+  void operator()(const JobQuery& it) { OnJobQuery(context, from, it); }
+  void operator()(const JobReply& it) { OnJobReply(context, it); }
+};
+
+// Hands the store's answer to whoever asked.
+struct PurposeVisitor {
+  Context& context;
+  const StoreAnswer& answer;
+
+  void operator()(const ForWatch& it) {
+    OnWatchAnswer(context, it.list, answer);
+  }
+  void operator()(const ForLeaseGrant&) { OnLeaseGranted(context, answer); }
+  void operator()(const ForLeaseRenewal& it) {
+    OnLeaseRenewed(context, it.lease, answer);
+  }
+  void operator()(const ForRegistration&) { OnRegistered(context, answer); }
+  void operator()(const ForRaise&) { OnRaised(context, answer); }
+  void operator()(const ForBatch& it) {
+    OnBatchAnswer(context, it.batch, answer);
+  }
+  void operator()(const ForJobRead& it) { OnJobRead(context, it.job, answer); }
+  void operator()(const ForSpecRead& it) {
+    OnSpecRead(context, it.job, answer);
+  }
+  void operator()(const ForOrphans& it) {
+    OnOrphanPage(context, it.prefix, answer);
+  }
+  void operator()(const ForNothing&) {}
+};
+
+struct EventVisitor {
+  Context& context;
+
+  void operator()(const Started&) {
+    context.state.members.last_contact = context.now;
+  }
+  void operator()(const TimePassed&) {}
+  void operator()(const CallerAsked& it) { OnCallerAsked(context, it); }
+  void operator()(const StoreAnswered& it) {
+    if (auto purpose = TakeStoreCall(context, it)) {
+      std::visit(PurposeVisitor{context, it.answer}, *purpose);
+    }
+  }
+  void operator()(const WorkerAnswered& it) {
+    if (std::holds_alternative<HoldWorker>(it.request)) {
+      OnHoldAnswer(context, it);
+    } else if (!std::holds_alternative<PaceRun>(it.request)) {
+      OnOrderAnswer(context, it);
+    }
+  }
+  void operator()(const AdviceAnswered& it) { OnAdviceAnswered(context, it); }
+  void operator()(const PeerSaid& it) {
+    std::visit(PeerVisitor{context, it.from}, it.message);
+  }
+  void operator()(const StopAsked&) { BeginStop(context); }
+  void operator()(const BoundsChanged& it) {
+    context.state.options.bounds = it.bounds;
+  }
+};
+
+// What the instance tells itself, as long as it goes on.
+void DrainInbox(Context& context) {
+  auto& inbox = context.state.inbox;
+  while (!inbox.empty()) {
+    const PeerMessage message = std::move(inbox.front());
+    inbox.pop_front();
+    std::visit(PeerVisitor{context, context.self()}, message);
+  }
+}
+
+void Drive(Context& context) {
+  DriveMembership(context);
+  DriveWatches(context);
+  DriveWorkerList(context);
+  DriveWorkers(context);
+  DriveEnds(context);
+  DrainInbox(context);
+  DriveJobs(context);
+  DriveCallers(context);
+  DriveAdoption(context);
+  DriveCatalog(context);
+  DrainInbox(context);
+  DriveAdvice(context);
+  DrivePlacement(context);
+  DrainInbox(context);
+  DriveProgress(context);
+  DriveWriter(context);
+  DriveDigests(context);
+  DriveStop(context);
+  DrainInbox(context);
+}
+
+}  // namespace
+
+State MakeState(EngineOptions options) {
+  State state;
+  state.random.seed(options.seed);
+  state.options = std::move(options);
+  return state;
+}
+
+Effects Step(State& state, const Event& event) {
+  Effects effects;
+  Context context{.state = state,
+                  .effects = effects,
+                  .now = event.now,
+                  .wall_ms = event.wall_ms};
+  std::visit(EventVisitor{context}, event.body);
+  DrainInbox(context);
+  Drive(context);
+  return effects;
+}
+
+Time NextTime(const State& state, Time now) {
+  if (state.placement_due) {
+    return now + kPlacementInterval;
+  }
+  return now + kTick;
+}
+
+bool IsReady(const State& state) {
+  return state.configuration.version != 0 && IsRegistered(state) &&
+         ListsAreRead(state) && !state.stop.asked;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/run_ends.cc
@@ -0,0 +1,191 @@
+#include "engine/run_ends.h"
+
+#include <map>
+#include <utility>
+
+#include "engine/catalog.h"
+#include "engine/membership.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Workers that fail all that they start take work as fast as they fail it. A
+// row of failures of different jobs, with no success between, tells them from
+// one bad job.
+void NoteOutcome(Context& context, const std::string& id, OwnedWorker& worker,
+                 const EndedRow& row, const std::string& job) {
+  if (row.how == RunEnd::kDone) {
+    worker.recent_failures = 0;
+    return;
+  }
+  if (row.how != RunEnd::kFailed || worker.failed_job == job) {
+    return;
+  }
+  worker.failed_job = job;
+  if (++worker.recent_failures < kMaxFailuresInRow) {
+    return;
+  }
+  // One more failure after the quarantine brings the next one.
+  worker.recent_failures = kMaxFailuresInRow - 1;
+  worker.quarantine_until = context.now + kQuarantine;
+  context.Log(EventNumber::kWorkerQuarantined,
+              {{"worker", id}, {"failures", std::to_string(kMaxFailuresInRow)}});
+}
+
+// Ends that are stored, or of jobs that nobody owns any more, are forgotten by
+// the worker with the next hold; only the first ones on.
+void Acknowledge(OwnedWorker& worker) {
+  while (!worker.ends.empty() && worker.ends.begin()->second.stored) {
+    worker.acknowledged = worker.ends.begin()->first;
+    worker.ends.erase(worker.ends.begin());
+  }
+}
+
+EndReport MakeReport(const std::string& worker, const EndedRow& row) {
+  return {.worker = worker,
+          .sequence = row.sequence,
+          .task = row.task,
+          .run = row.run,
+          .how = row.how,
+          .checkpoint = row.checkpoint};
+}
+
+std::string JobOf(const std::string& task) {
+  const auto name = ParseTaskName(task);
+  return name ? name->job : std::string();
+}
+
+}  // namespace
+
+bool ApplyEnd(Context& context, const std::string& id, OwnedWorker& worker,
+              const EndedRow& row) {
+  if (row.sequence <= worker.seen) {
+    return false;
+  }
+  worker.seen = row.sequence;
+  const std::string job = JobOf(row.task);
+  worker.ends[row.sequence] = LocalEnd{.row = row};
+  NoteOutcome(context, id, worker, row, job);
+  const auto run = worker.runs.find(row.task);
+  if (run != worker.runs.end() && run->second.run <= row.run) {
+    if (run->second.answer_offer) {
+      // It started and ended before the order was answered: the end itself
+      // tells the job's owner.
+      run->second.answer_offer = false;
+    }
+    worker.runs.erase(run);
+  }
+  context.Log(EventNumber::kRunEnded, {{"task", row.task},
+                                       {"run", std::to_string(row.run)},
+                                       {"worker", id},
+                                       {"how", RunEndName(row.how)}});
+  return true;
+}
+
+void DriveEnds(Context& context) {
+  std::map<std::string, EndReports> by_owner;
+  for (auto& [id, worker] : context.state.owned) {
+    for (auto& [sequence, end] : worker.ends) {
+      if (end.stored || !HasPassed(context.now, end.told, kEndRepeat)) {
+        continue;
+      }
+      end.told = context.now;
+      const std::string job = JobOf(end.row.task);
+      const KnownJob& known = context.state.known[job];
+      if (known.ended || job.empty()) {
+        end.stored = true;
+        continue;
+      }
+      const std::string owner = OwnerOfJob(context.state, job);
+      if (owner.empty()) {
+        WantRecord(context, job);
+        continue;
+      }
+      by_owner[owner].ends.push_back(MakeReport(id, end.row));
+    }
+    Acknowledge(worker);
+  }
+  for (auto& [owner, reports] : by_owner) {
+    Send(context, owner, std::move(reports));
+  }
+}
+
+void OnEndsStored(Context& context, const EndsStored& stored) {
+  for (const StoredEnd& it : stored.ends) {
+    const auto worker = context.state.owned.find(it.worker);
+    if (worker == context.state.owned.end()) {
+      continue;
+    }
+    const auto end = worker->second.ends.find(it.sequence);
+    if (end != worker->second.ends.end()) {
+      end->second.stored = true;
+    }
+    Acknowledge(worker->second);
+  }
+}
+
+bool RepeatEndsOf(OwnedWorker& worker, const std::string& task) {
+  bool found = false;
+  for (auto& [sequence, end] : worker.ends) {
+    if (end.row.task == task) {
+      end.told = Time::min();
+      found = true;
+    }
+  }
+  return found;
+}
+
+void AddEndsOfJobs(const std::string& id, OwnedWorker& worker,
+                   const std::set<std::string>& jobs,
+                   std::vector<EndReport>& out) {
+  for (auto& [sequence, end] : worker.ends) {
+    if (jobs.contains(JobOf(end.row.task))) {
+      // The owner before may have said so without a successor knowing it.
+      end.stored = false;
+      out.push_back(MakeReport(id, end.row));
+    }
+  }
+}
+
+void ReportLostRun(Context& context, const std::string& id,
+                   const std::string& task, const LocalRun& run) {
+  const std::string owner = OwnerOfJob(context.state, JobOf(task));
+  if (owner.empty()) {
+    return;  // an adopter asks what runs, and learns that it does not
+  }
+  ++context.state.totals.lost_runs;
+  Send(context, owner,
+       EndReports{.ends = {{.worker = id,
+                            .task = task,
+                            .run = run.run,
+                            .how = RunEnd::kLapsed,
+                            .checkpoint = run.checkpoint}}});
+}
+
+void ReportLostRuns(Context& context, const std::string& id,
+                    const OwnedWorker& worker) {
+  for (const auto& [sequence, end] : worker.ends) {
+    const std::string owner = OwnerOfJob(context.state, JobOf(end.row.task));
+    if (!end.stored && !owner.empty()) {
+      Send(context, owner, EndReports{.ends = {MakeReport(id, end.row)}});
+    }
+  }
+  for (const auto& [task, run] : worker.runs) {
+    ReportLostRun(context, id, task, run);
+  }
+}
+
+std::string OwnerOfJob(const State& state, const std::string& job) {
+  if (state.jobs.contains(job)) {
+    return state.options.self.incarnation;
+  }
+  const auto it = state.known.find(job);
+  if (it == state.known.end() ||
+      FindMember(state, it->second.owner) == nullptr) {
+    return {};
+  }
+  return it->second.owner;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/state.h
@@ -0,0 +1,282 @@
+// All that the engine's reducer knows.
+#ifndef BURDOCKROCK_ENGINE_STATE_H_
+#define BURDOCKROCK_ENGINE_STATE_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "engine/calls.h"
+#include "engine/configuration.h"
+#include "engine/job.h"
+#include "engine/limits.h"
+#include "engine/options.h"
+#include "engine/owned_worker.h"
+#include "engine/peer_message.h"
+#include "engine/record.h"
+#include "model/time.h"
+
+namespace burdockrock::engine {
+
+// Store calls and what they are for.
+
+enum class WatchedList { kMembers, kWorkers, kConfiguration };
+inline constexpr std::size_t kWatchedLists = 3;
+
+struct ForWatch {
+  WatchedList list = WatchedList::kMembers;
+};
+struct ForLeaseGrant {};
+struct ForLeaseRenewal {
+  std::uint64_t lease = 0;
+};
+struct ForRegistration {};
+struct ForRaise {};
+struct ForBatch {
+  std::uint64_t batch = 0;
+};
+struct ForJobRead {
+  std::string job{};
+};
+struct ForSpecRead {
+  std::string job{};
+};
+struct ForOrphans {
+  std::string prefix{};
+};
+struct ForNothing {};
+
+using StorePurpose = std::variant<ForWatch,
+                                  ForLeaseGrant,
+                                  ForLeaseRenewal,
+                                  ForRegistration,
+                                  ForRaise,
+                                  ForBatch,
+                                  ForJobRead,
+                                  ForSpecRead,
+                                  ForOrphans,
+                                  ForNothing>;
+
+struct StoreState {
+  std::uint64_t last_call = 0;
+  std::map<std::uint64_t, StorePurpose> calls{};
+  Time last_answer{0};             // of any kind but none
+  Time last_trouble = Time::min();  // refused or unanswered
+  bool healthy = false;            // the last call was answered
+  std::uint64_t total_calls = 0;
+};
+
+// One list that is followed: read in pages, then watched.
+struct Watch {
+  bool in_flight = false;
+  bool reading = true;      // pages, not changes
+  std::uint64_t revision = 0;
+  std::uint64_t read_revision = 0;  // of the first page
+  std::string after{};
+  std::set<std::string> seen{};  // keys in the pages so far
+  bool complete = false;    // was read whole at least once
+  Time retry_at{0};
+};
+
+// Members.
+
+struct Member {
+  MemberRecord record{};
+  std::uint64_t fence = 0;  // the registration's revision
+};
+
+struct DepartedMember {
+  Member member{};
+  Time gone_at = kForever;  // from then on its work is taken over
+};
+
+struct MembersState {
+  std::uint64_t lease = 0;
+  Time renew_at{0};
+  bool renewing = false;
+  bool granting = false;
+  bool registering = false;
+  bool raising = false;
+  bool raise_wanted = false;
+  Time raised_at = Time::min();
+  std::uint64_t fence = 0;  // 0: not registered
+  Time registered_at{0};
+  Time last_contact{0};     // with the store, as a registered member
+  std::map<std::string, Member> present{};  // by incarnation
+  std::map<std::string, DepartedMember> departed{};
+};
+
+// A worker of the platform's list. One that left it is remembered for a while:
+// it may only have lost its path to the store, and runs on.
+struct ListedWorker {
+  WorkerInfo info{};
+  bool listed = true;
+  Time unlisted_at{0};
+  Time draining_since = kForever;
+};
+
+// The room of all workers as their owners tell it.
+struct RoomView {
+  std::string owner{};  // an incarnation
+  std::uint64_t fence = 0;
+  std::uint64_t version = 0;
+  Resources free{};
+  bool accepting = false;
+  bool gone = false;
+  Time heard{0};
+};
+
+// Group commit.
+
+enum class ChangeKind { kCreateJob, kSaveJob, kAdoptJob, kForgetJob };
+
+struct Change {
+  ChangeKind kind = ChangeKind::kSaveJob;
+  std::string job{};
+  std::uint64_t version = 0;  // of the job's progress that it holds
+  std::vector<StoreCondition> conditions{};
+  std::vector<StorePut> puts{};
+  std::vector<std::string> removes{};
+  bool may_be_done = false;  // an earlier try got no answer
+
+  std::size_t entries() const {
+    return conditions.size() + puts.size() + removes.size();
+  }
+};
+
+struct Batch {
+  std::vector<Change> changes{};
+  std::uint64_t fence = 0;
+};
+
+struct WriterState {
+  std::deque<Change> queue{};
+  std::map<std::uint64_t, Batch> in_flight{};
+  std::uint64_t last_batch = 0;
+  Time retry_at{0};
+};
+
+// What the store says of jobs of other owners.
+struct CatalogEntry {
+  std::optional<JobSpec> spec{};
+  std::optional<JobRecord> record{};
+  std::uint64_t record_revision = 0;
+  bool absent = false;  // the store has no such job
+  bool reading_record = false;
+  bool reading_spec = false;
+  bool want_record = false;
+  bool want_spec = false;
+  Time read_at = Time::min();  // the record, last
+  Time used{0};
+};
+
+// A caller that waits for the answer to a question about a job.
+struct WaitingCaller {
+  std::uint64_t call = 0;
+  CallerQuestion question = CallerQuestion::kState;
+  std::string job{};
+  Time give_up{0};
+  std::string asked{};  // the member that was asked last
+  Time asked_at = Time::min();
+  bool read_again = true;  // the store, before somebody is asked
+};
+
+// Adoption of jobs whose owner is gone.
+struct OrphanScan {
+  bool in_flight = false;
+  std::string after{};
+};
+
+struct Orphan {
+  std::string owner{};  // that is gone
+  bool writing = false;
+};
+
+// A ticket to run one step's tasks on one worker.
+struct Ticket {
+  std::string text{};
+  Time expires{0};
+};
+
+struct AdviceState {
+  bool in_flight = false;
+  std::string job{};
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  Time asked{0};
+  Time retry_at{0};
+  std::uint64_t calls = 0;
+};
+
+struct DigestState {
+  std::set<std::string> changed{};  // workers
+  bool waiting_changed = false;
+  Time sent_at = Time::min();
+  Time refreshed_at = Time::min();
+  // Told by the peers, by incarnation and queue.
+  std::map<std::string, std::map<std::string, std::uint32_t>> waiting{};
+};
+
+struct StopState {
+  bool asked = false;
+  Time since{0};
+  bool released = false;  // the registration is ended
+  bool ended = false;
+};
+
+// Totals for the metrics.
+struct Totals {
+  std::uint64_t submitted = 0;
+  std::uint64_t accepted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t offers = 0;
+  std::uint64_t offers_refused = 0;
+  std::uint64_t starts = 0;
+  std::uint64_t holds = 0;
+  std::uint64_t adopted = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t lost_runs = 0;
+};
+
+struct State {
+  EngineOptions options{};
+  std::mt19937_64 random{1};
+  StoreState store{};
+  std::array<Watch, kWatchedLists> watches{};
+  MembersState members{};
+  Configuration configuration{};
+  std::map<std::string, ListedWorker> workers{};  // by id
+  std::map<std::string, OwnedWorker> owned{};
+  std::map<std::string, GoneWorker> gone{};
+  std::map<std::string, RoomView> view{};
+  std::unordered_map<std::string, KnownJob> known{};  // of runs on own workers
+  std::unordered_map<std::string, CatalogEntry> catalog{};
+  std::map<std::string, Job> jobs{};
+  std::set<std::string> active{};  // jobs that have not ended
+  WriterState writer{};
+  std::map<std::uint64_t, WaitingCaller> callers{};
+  std::uint64_t last_question = 0;
+  std::map<std::string, Orphan> orphans{};
+  std::map<std::string, OrphanScan> scans{};  // by prefix
+  Time scanned_at = Time::min();
+  AdviceState advice{};
+  DigestState digest{};
+  StopState stop{};
+  std::deque<PeerMessage> inbox{};  // from this instance to itself
+  bool placement_due = false;
+  Time placed_at = Time::min();
+  Totals totals{};
+};
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_STATE_H_
--- /dev/null
+++ b/Source/engine/store_calls.cc
@@ -0,0 +1,62 @@
+#include "engine/store_calls.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+void NoteTrouble(Context& context, const std::string& detail) {
+  StoreState& store = context.state.store;
+  store.last_trouble = context.now;
+  if (store.healthy) {
+    store.healthy = false;
+    context.Log(EventNumber::kPlatformUnreachable, {{"problem", detail}});
+  }
+}
+
+void NoteHealth(Context& context) {
+  StoreState& store = context.state.store;
+  store.last_answer = context.now;
+  if (!store.healthy) {
+    store.healthy = true;
+    context.Log(EventNumber::kPlatformBack, {});
+  }
+}
+
+}  // namespace
+
+void AskStore(Context& context, StoreRequest request, StorePurpose purpose,
+              Duration timeout) {
+  StoreState& store = context.state.store;
+  const std::uint64_t call = ++store.last_call;
+  ++store.total_calls;
+  store.calls.emplace(call, std::move(purpose));
+  context.Emit(CallStore{
+      .call = call, .request = std::move(request), .timeout = timeout});
+}
+
+std::optional<StorePurpose> TakeStoreCall(Context& context,
+                                          const StoreAnswered& event) {
+  const auto node = context.state.store.calls.extract(event.call);
+  if (node.empty()) {
+    return std::nullopt;
+  }
+  // A watch may be cut off without any fault of the store.
+  const bool watching = std::holds_alternative<ForWatch>(node.mapped());
+  if (const auto* refused = std::get_if<StoreRefused>(&event.answer)) {
+    NoteTrouble(context, refused->detail);
+  } else if (const auto* unknown = std::get_if<StoreUnknown>(&event.answer)) {
+    if (!watching) {
+      NoteTrouble(context, unknown->detail);
+    }
+  } else {
+    NoteHealth(context);
+  }
+  return std::move(node.mapped());
+}
+
+bool StoreIsUnsteady(const Context& context) {
+  return !HasPassed(context.now, context.state.store.last_trouble,
+                    kStoreUnsteady);
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/watches.cc
@@ -0,0 +1,197 @@
+#include "engine/watches.h"
+
+#include <algorithm>
+
+#include "engine/membership.h"
+#include "engine/store_calls.h"
+#include "engine/worker_list.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+std::string PrefixOf(const State& state, WatchedList list) {
+  switch (list) {
+    case WatchedList::kMembers:
+      return std::string(kMemberPrefix);
+    case WatchedList::kWorkers:
+      return state.options.documents.worker_prefix;
+    case WatchedList::kConfiguration:
+      break;
+  }
+  return state.options.documents.configuration_key;
+}
+
+void OnConfigurationItem(Context& context, const StoreItem& item) {
+  const StoreDocuments& documents = context.state.options.documents;
+  if (item.key != documents.configuration_key) {
+    return;
+  }
+  auto decoded = documents.decode_configuration(item.value);
+  if (const auto* fault = std::get_if<DocumentFault>(&decoded)) {
+    context.Log(EventNumber::kConfigurationInvalid,
+                {{"problem", fault->problem}});
+    return;
+  }
+  auto& configuration = std::get<Configuration>(decoded);
+  // A page that was read before a change can come after the change's event.
+  if (configuration.version <= context.state.configuration.version) {
+    return;
+  }
+  context.Log(EventNumber::kConfigurationApplied,
+              {{"version", std::to_string(configuration.version)},
+               {"revision", std::to_string(item.revision)},
+               {"queues", std::to_string(configuration.queues.size())}});
+  context.state.configuration = std::move(configuration);
+  context.state.placement_due = true;
+}
+
+void OnItem(Context& context, WatchedList list, const StoreItem& item) {
+  switch (list) {
+    case WatchedList::kMembers:
+      return OnMemberItem(context, item);
+    case WatchedList::kWorkers:
+      return OnWorkerItem(context, item);
+    case WatchedList::kConfiguration:
+      return OnConfigurationItem(context, item);
+  }
+}
+
+void OnRemoved(Context& context, WatchedList list, const std::string& key) {
+  switch (list) {
+    case WatchedList::kMembers:
+      return OnMemberRemoved(context, key);
+    case WatchedList::kWorkers:
+      return OnWorkerRemoved(context, key);
+    case WatchedList::kConfiguration:
+      return;  // the last configuration stays in force
+  }
+}
+
+// Keys that are known and were in none of the pages.
+void RemoveUnseen(Context& context, WatchedList list,
+                  const std::set<std::string>& seen) {
+  std::vector<std::string> missing;
+  if (list == WatchedList::kMembers) {
+    for (const auto& [incarnation, member] : context.state.members.present) {
+      missing.push_back(MemberKey(incarnation));
+    }
+  } else if (list == WatchedList::kWorkers) {
+    for (const auto& [id, worker] : context.state.workers) {
+      if (worker.listed) {
+        missing.push_back(context.state.options.documents.worker_prefix + id);
+      }
+    }
+  }
+  std::erase_if(missing,
+                [&](const std::string& key) { return seen.contains(key); });
+  for (const std::string& it : missing) {
+    OnRemoved(context, list, it);
+  }
+}
+
+void OnPage(Context& context, WatchedList list, const StoreDone& page) {
+  Watch& watch = context.state.watches.at(static_cast<std::size_t>(list));
+  if (watch.after.empty()) {
+    watch.read_revision = page.revision;
+  }
+  for (const StoreItem& it : page.items) {
+    watch.seen.insert(it.key);
+    OnItem(context, list, it);
+  }
+  if (page.more && !page.items.empty()) {
+    watch.after = page.items.back().key;
+    return;
+  }
+  watch.reading = false;
+  watch.complete = true;
+  watch.after.clear();
+  watch.revision = watch.read_revision;
+  RemoveUnseen(context, list, std::exchange(watch.seen, {}));
+}
+
+void OnChanges(Context& context, WatchedList list, const StoreDone& changes) {
+  Watch& watch = context.state.watches.at(static_cast<std::size_t>(list));
+  watch.revision = std::max(watch.revision, changes.revision);
+  // Of one key only the last change counts; an item's and a removal's order is
+  // told by the revisions.
+  std::map<std::string, std::uint64_t> removed(changes.removed.begin(),
+                                               changes.removed.end());
+  for (const StoreItem& it : changes.items) {
+    OnItem(context, list, it);
+    const auto gone = removed.find(it.key);
+    if (gone != removed.end() && gone->second < it.revision) {
+      removed.erase(gone);
+    }
+  }
+  for (const auto& [key, revision] : removed) {
+    OnRemoved(context, list, key);
+  }
+}
+
+void StartRead(Context& context, WatchedList list, Watch& watch) {
+  watch.in_flight = true;
+  AskStore(context,
+           StoreRange{.prefix = PrefixOf(context.state, list),
+                      .after = watch.after},
+           ForWatch{.list = list});
+}
+
+void StartWatch(Context& context, WatchedList list, Watch& watch) {
+  watch.in_flight = true;
+  AskStore(context,
+           StoreWatch{.prefix = PrefixOf(context.state, list),
+                      .after = watch.revision,
+                      .wait = kWatchWait},
+           ForWatch{.list = list}, kWatchWait + kWatchSlack);
+}
+
+// The history is gone, or the read is stale: what changed meanwhile can only be
+// learned by reading all again.
+void ReadAgain(Watch& watch) {
+  watch.reading = true;
+  watch.after.clear();
+  watch.seen.clear();
+}
+
+}  // namespace
+
+void DriveWatches(Context& context) {
+  for (std::size_t it = 0; it < kWatchedLists; ++it) {
+    Watch& watch = context.state.watches.at(it);
+    const auto list = static_cast<WatchedList>(it);
+    if (watch.in_flight || context.now < watch.retry_at) {
+      continue;
+    }
+    if (watch.reading) {
+      StartRead(context, list, watch);
+    } else {
+      StartWatch(context, list, watch);
+    }
+  }
+}
+
+void OnWatchAnswer(Context& context, WatchedList list,
+                   const StoreAnswer& answer) {
+  Watch& watch = context.state.watches.at(static_cast<std::size_t>(list));
+  watch.in_flight = false;
+  if (const auto* done = std::get_if<StoreDone>(&answer)) {
+    if (watch.reading) {
+      OnPage(context, list, *done);
+    } else {
+      OnChanges(context, list, *done);
+    }
+  } else if (std::holds_alternative<StoreAbsent>(answer)) {
+    ReadAgain(watch);
+  } else {
+    watch.retry_at = context.now + kStoreRetry;
+  }
+  DriveWatches(context);
+}
+
+bool ListsAreRead(const State& state) {
+  return std::all_of(state.watches.begin(), state.watches.end(),
+                     [](const Watch& watch) { return watch.complete; });
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/worker_list.cc
@@ -0,0 +1,89 @@
+#include "engine/worker_list.h"
+
+#include "engine/adoption.h"
+#include "engine/worker_owner.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Another life of the worker answers at the address: the earlier one has ended
+// with all that ran there.
+void EndEarlierLives(Context& context, const WorkerInfo& info) {
+  std::vector<std::string> ended;
+  for (const auto& [id, it] : context.state.workers) {
+    if (id != info.id && it.info.address == info.address) {
+      ended.push_back(id);
+    }
+  }
+  for (const std::string& it : ended) {
+    context.state.workers.erase(it);
+    WorkerIsGone(context, it, "replaced");
+  }
+}
+
+}  // namespace
+
+void OnWorkerItem(Context& context, const StoreItem& item) {
+  const StoreDocuments& documents = context.state.options.documents;
+  const std::string id = item.key.substr(documents.worker_prefix.size());
+  auto decoded = documents.decode_worker(id, item.value);
+  if (const auto* fault = std::get_if<DocumentFault>(&decoded)) {
+    context.Log(EventNumber::kPlatformMalformed,
+                {{"key", item.key}, {"problem", fault->problem}});
+    return;
+  }
+  const auto& info = std::get<WorkerInfo>(decoded);
+  const bool is_new = !context.state.workers.contains(id);
+  if (is_new) {
+    EndEarlierLives(context, info);
+  }
+  ListedWorker& worker = context.state.workers[id];
+  const bool changed = is_new || worker.info != info || !worker.listed;
+  worker.listed = true;
+  if (info.draining && !worker.info.draining) {
+    worker.draining_since = context.now;
+    context.Log(EventNumber::kWorkerLeaving, {{"worker", id}});
+  }
+  worker.info = info;
+  if (!changed) {
+    return;
+  }
+  const auto owned = context.state.owned.find(id);
+  if (owned != context.state.owned.end()) {
+    owned->second.info = info;
+    RoomChanged(context, id);
+  }
+  context.state.placement_due = true;
+  OnWorkerFound(context, id);
+  ReviewOwnership(context);
+}
+
+void OnWorkerRemoved(Context& context, const std::string& key) {
+  const StoreDocuments& documents = context.state.options.documents;
+  const std::string id = key.substr(documents.worker_prefix.size());
+  const auto it = context.state.workers.find(id);
+  if (it == context.state.workers.end() || !it->second.listed) {
+    return;
+  }
+  it->second.listed = false;
+  it->second.unlisted_at = context.now;
+  context.Log(EventNumber::kWorkerRemoved, {{"worker", id}});
+  if (context.state.owned.contains(id)) {
+    RoomChanged(context, id);
+  }
+}
+
+void DriveWorkerList(Context& context) {
+  std::erase_if(context.state.workers, [&](const auto& it) {
+    return !it.second.listed && !context.state.owned.contains(it.first) &&
+           HasPassed(context.now, it.second.unlisted_at, kUnlistedKept);
+  });
+}
+
+const ListedWorker* FindWorker(const State& state, const std::string& id) {
+  const auto it = state.workers.find(id);
+  return it == state.workers.end() ? nullptr : &it->second;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/worker_list.h
@@ -0,0 +1,20 @@
+// The platform's list of workers.
+#ifndef BURDOCKROCK_ENGINE_WORKER_LIST_H_
+#define BURDOCKROCK_ENGINE_WORKER_LIST_H_
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+void OnWorkerItem(Context& context, const StoreItem& item);
+void OnWorkerRemoved(Context& context, const std::string& key);
+
+// Forgets workers that left the list long ago.
+void DriveWorkerList(Context& context);
+
+// Null when it is not known (any more).
+const ListedWorker* FindWorker(const State& state, const std::string& id);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_WORKER_LIST_H_
--- /dev/null
+++ b/Source/engine/worker_owner.cc
@@ -0,0 +1,275 @@
+#include "engine/worker_owner.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "engine/job_runs.h"
+#include "engine/membership.h"
+#include "engine/run_ends.h"
+#include "engine/worker_list.h"
+#include "engine/worker_runs.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+Duration Drifted(Duration span) {
+  return std::chrono::duration_cast<Duration>(span * kClockDrift);
+}
+
+std::int64_t WorkerClock(const Context& context, const OwnedWorker& worker) {
+  return ToMilliseconds(context.now) + worker.clock_offset_ms;
+}
+
+void BeginClaim(Context& context, const WorkerInfo& info) {
+  OwnedWorker& worker = context.state.owned[info.id];
+  worker.info = info;
+  worker.hold_at = context.now;
+  // The owner before may renew the leases for as long as it reaches the worker
+  // and has not given up on the store.
+  worker.lease_bound = context.now + kMaxWithoutStore +
+                       Drifted(context.state.options.bounds.max_hold) +
+                       kLeaseMargin;
+}
+
+bool IsSilent(const OwnedWorker& worker) {
+  return worker.silent_since != Time(0);
+}
+
+bool MayRenew(const Context& context, const OwnedWorker& worker) {
+  const bool silent =
+      IsSilent(worker) &&
+      HasPassed(context.now, worker.silent_since, kRenewWithoutAnswer);
+  const bool alone = HasPassed(
+      context.now, context.state.members.last_contact, kMaxWithoutStore);
+  return worker.claimed && !silent && !alone;
+}
+
+// Renewed often enough that the next hold may get lost.
+void SendHold(Context& context, const std::string& id, OwnedWorker& worker) {
+  HoldWorker hold{.acknowledged = worker.acknowledged};
+  if (!worker.claimed) {
+    if (context.state.members.fence <= worker.fence) {
+      // Refused with this one already.
+      WantRaise(context);
+      worker.hold_at = context.now + kHoldRetry;
+      return;
+    }
+    worker.fence = context.state.members.fence;
+  }
+  hold.fence = worker.fence;
+  if (MayRenew(context, worker)) {
+    hold.lease_until_ms = NextLease(context, worker);
+    hold.wait = kHoldWait;
+  }
+  worker.hold_in_flight = true;
+  worker.hold_sent = context.now;
+  ++context.state.totals.holds;
+  context.Emit(CallWorker{.worker = id,
+                          .address = worker.info.address,
+                          .request = hold,
+                          .timeout = hold.wait + kHoldSlack});
+}
+
+void OnHeld(Context& context, const std::string& id, OwnedWorker& worker,
+            const WorkerDone& done, Time asked) {
+  worker.answered = context.now;
+  const bool was_silent = IsSilent(worker);
+  worker.silent_since = Time(0);
+  worker.clock_offset_ms = done.clock_ms - ToMilliseconds(context.now);
+  const bool claimed_now = !worker.claimed;
+  if (claimed_now) {
+    worker.claimed = true;
+    worker.lease_bound =
+        context.now + Drifted(context.state.options.bounds.max_hold) +
+        kLeaseMargin;
+    context.Log(EventNumber::kWorkerClaimed,
+                {{"worker", id},
+                 {"fence", std::to_string(worker.fence)},
+                 {"running", std::to_string(done.running.size())},
+                 {"ended", std::to_string(done.ended.size())}});
+  }
+  // A worker that was only looked at needs its lease renewed at once.
+  const bool renew_now = claimed_now || was_silent;
+  worker.hold_at = context.now + (renew_now ? Duration(0) : kHoldPause);
+  ApplyListing(context, id, worker, done, asked);
+  if (renew_now) {
+    RoomChanged(context, id);
+  }
+}
+
+// A gone worker is told to the peers as long as one may believe in it.
+void TellGone(Context& context, const std::string& id, std::uint64_t fence) {
+  context.state.gone[id] = GoneWorker{.fence = fence, .since = context.now};
+  context.state.digest.changed.insert(id);
+}
+
+void ForgetGone(Context& context) {
+  std::erase_if(context.state.gone, [&](const auto& it) {
+    return HasPassed(context.now, it.second.since, kGoneTold);
+  });
+}
+
+}  // namespace
+
+void ReviewOwnership(Context& context) {
+  if (!IsRegistered(context.state) || context.state.stop.asked) {
+    return;
+  }
+  for (const auto& [id, it] : context.state.workers) {
+    const bool mine =
+        ChooseMember(context.state, id, it.info.domain) == context.self();
+    if (mine && !context.state.owned.contains(id)) {
+      BeginClaim(context, it.info);
+    }
+  }
+}
+
+void DriveWorkers(Context& context) {
+  std::vector<std::string> gone;
+  for (auto& [id, worker] : context.state.owned) {
+    if (IsSilent(worker) && context.now >= worker.lease_bound) {
+      gone.push_back(id);
+      continue;
+    }
+    if (!worker.hold_in_flight && context.now >= worker.hold_at) {
+      SendHold(context, id, worker);
+    }
+    DriveRuns(context, id, worker);
+  }
+  for (const std::string& it : gone) {
+    context.state.workers.erase(it);
+    WorkerIsGone(context, it, "silent past its leases");
+  }
+  ForgetGone(context);
+}
+
+void OnHoldAnswer(Context& context, const WorkerAnswered& event) {
+  const auto it = context.state.owned.find(event.worker);
+  const auto& hold = std::get<HoldWorker>(event.request);
+  if (it == context.state.owned.end() || it->second.fence != hold.fence) {
+    return;
+  }
+  OwnedWorker& worker = it->second;
+  worker.hold_in_flight = false;
+  if (const auto* done = std::get_if<WorkerDone>(&event.answer)) {
+    OnHeld(context, event.worker, worker, *done, event.asked);
+    return;
+  }
+  worker.hold_at = context.now + kHoldRetry;
+  if (!IsSilent(worker)) {
+    worker.silent_since = worker.hold_sent;
+    RoomChanged(context, event.worker);
+  }
+  const auto* refused = std::get_if<WorkerRefused>(&event.answer);
+  if (refused == nullptr) {
+    const auto& unreached = std::get<WorkerUnreached>(event.answer);
+    context.Log(EventNumber::kWorkerSilent,
+                {{"worker", event.worker}, {"problem", unreached.detail}});
+    return;
+  }
+  if (refused->kind == WorkerRefusalKind::kReplaced) {
+    WorkerIsGone(context, event.worker, "another life answers");
+  } else if (refused->kind == WorkerRefusalKind::kFenced) {
+    context.Log(EventNumber::kClaimRefused,
+                {{"worker", event.worker},
+                 {"fence", std::to_string(hold.fence)}});
+    if (worker.claimed) {
+      LoseWorker(context, event.worker);
+    } else {
+      WantRaise(context);
+    }
+  }
+}
+
+void LoseWorker(Context& context, const std::string& id) {
+  const auto node = context.state.owned.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  context.Log(EventNumber::kOwnershipLost,
+              {{"worker", id},
+               {"fence", std::to_string(node.mapped().fence)}});
+  for (const auto& [task, run] : node.mapped().runs) {
+    const bool never_ran =
+        run.phase == RunPhase::kBooked ||
+        (run.phase == RunPhase::kStarting && run.ordered == Time::min());
+    if (run.answer_offer && never_ran) {
+      AnswerOffer(context, run.owner, id, task, run.run,
+                  OfferOutcome::kNotOwner);
+    }
+  }
+  context.state.digest.changed.erase(id);
+}
+
+void WorkerIsGone(Context& context, const std::string& id, const char* cause) {
+  const auto node = context.state.owned.extract(id);
+  if (!node.empty()) {
+    context.Log(EventNumber::kWorkerGone,
+                {{"worker", id},
+                 {"cause", cause},
+                 {"runs", std::to_string(node.mapped().runs.size())}});
+    ReportLostRuns(context, id, node.mapped());
+    TellGone(context, id, node.mapped().fence);
+  }
+  RoomView& view = context.state.view[id];
+  view.gone = true;
+  view.accepting = false;
+  OnWorkerLost(context, id);
+}
+
+void RoomChanged(Context& context, const std::string& id) {
+  const auto it = context.state.owned.find(id);
+  if (it == context.state.owned.end() || !it->second.claimed) {
+    return;
+  }
+  OwnedWorker& worker = it->second;
+  ++worker.version;
+  context.state.digest.changed.insert(id);
+  RoomView& view = context.state.view[id];
+  view = RoomView{.owner = context.self(),
+                  .fence = worker.fence,
+                  .version = worker.version,
+                  .free = FreeRoom(worker),
+                  .accepting = Accepts(context, worker),
+                  .heard = context.now};
+  context.state.placement_due = true;
+}
+
+bool Accepts(const Context& context, const OwnedWorker& worker) {
+  const ListedWorker* listed = FindWorker(context.state, worker.info.id);
+  const bool described =
+      std::all_of(worker.runs.begin(), worker.runs.end(),
+                  [](const auto& it) { return it.second.described; });
+  return listed != nullptr && listed->listed && !listed->info.draining &&
+         worker.claimed && described && !IsSilent(worker) &&
+         worker.lease_until_ms != 0 &&
+         context.now >= worker.unhealthy_until &&
+         context.now >= worker.quarantine_until;
+}
+
+Resources FreeRoom(const OwnedWorker& worker) {
+  Resources free = worker.info.capacity;
+  for (const auto& [task, run] : worker.runs) {
+    free -= RoomOf(run.spec);
+  }
+  return free;
+}
+
+std::int64_t NextLease(Context& context, OwnedWorker& worker) {
+  const Duration max_hold = context.state.options.bounds.max_hold;
+  worker.lease_bound =
+      std::max(worker.lease_bound,
+               context.now + Drifted(max_hold) + kLeaseMargin);
+  worker.lease_until_ms =
+      WorkerClock(context, worker) + ToMilliseconds(max_hold);
+  return worker.lease_until_ms;
+}
+
+OwnedWorker* FindClaimed(State& state, const std::string& id) {
+  const auto it = state.owned.find(id);
+  const bool claimed = it != state.owned.end() && it->second.claimed;
+  return claimed ? &it->second : nullptr;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/worker_owner.h
@@ -0,0 +1,43 @@
+// Owning workers: claims, leases, and when a worker is gone for certain.
+#ifndef BURDOCKROCK_ENGINE_WORKER_OWNER_H_
+#define BURDOCKROCK_ENGINE_WORKER_OWNER_H_
+
+#include <string>
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+// Begins to claim the workers that this instance should own. Those that it
+// should no longer own it keeps until their new owner has claimed them.
+void ReviewOwnership(Context& context);
+
+// Renews, claims and gives up workers, as due.
+void DriveWorkers(Context& context);
+
+void OnHoldAnswer(Context& context, const WorkerAnswered& event);
+
+// Another owner has a higher fence. All that ran there is the new owner's now.
+void LoseWorker(Context& context, const std::string& id);
+
+// All that ran there has ended.
+void WorkerIsGone(Context& context, const std::string& id, const char* cause);
+
+// The worker's room or whether it takes tasks has changed.
+void RoomChanged(Context& context, const std::string& id);
+
+// Whether new tasks may start there.
+bool Accepts(const Context& context, const OwnedWorker& worker);
+
+Resources FreeRoom(const OwnedWorker& worker);
+
+// Until when a lease that is asked for now may last, on the worker's clock.
+// Notes in the worker by when all that runs there would have ended.
+std::int64_t NextLease(Context& context, OwnedWorker& worker);
+
+// Null when it is not owned, or not claimed yet.
+OwnedWorker* FindClaimed(State& state, const std::string& id);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_WORKER_OWNER_H_
--- a/Source/net/http_client_connection.cc
+++ b/Source/net/http_client_connection.cc
@@ -73,6 +73,9 @@
   if (!request.body.empty()) {
     message.set(http::field::content_type, "application/json");
   }
+  for (const auto& [name, value] : request.headers) {
+    message.set(name, value);
+  }
   message.body() = std::move(request.body);
   message.prepare_payload();
   head_only_ = request.method == "HEAD";
--- a/Source/net/http_message.h
+++ b/Source/net/http_message.h
@@ -13,11 +13,14 @@
 // The empty initialisers let designated ones leave members out without a
 // warning.
 
-// `path` and `query` are decoded: they hold no percent escapes.
+// `path` and `query` are decoded: they hold no percent escapes. Names of
+// headers are in lower case; the client sets Host, Content-Type and
+// Content-Length itself, unless they are given.
 struct HttpRequest {
   std::string method = "GET";
   std::string path{};
   std::map<std::string, std::string> query{};
+  std::map<std::string, std::string> headers{};
   std::string body{};
   auto operator<=>(const HttpRequest&) const = default;
 };
--- a/Source/net/http_session.cc
+++ b/Source/net/http_session.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
@@ -33,6 +34,17 @@
   return fmt::format("{}:{}", remote.address().to_string(), remote.port());
 }
 
+std::map<std::string, std::string> HeadersOf(const http::fields& fields) {
+  std::map<std::string, std::string> headers;
+  for (const auto& it : fields) {
+    std::string name(it.name_string().data(), it.name_string().size());
+    boost::algorithm::to_lower(name);
+    headers.emplace(std::move(name),
+                    std::string(it.value().data(), it.value().size()));
+  }
+  return headers;
+}
+
 std::uint32_t ClampTo32(std::size_t bytes) {
   constexpr std::size_t kMax = std::numeric_limits<std::uint32_t>::max();
   return static_cast<std::uint32_t>(std::min(bytes, kMax));
@@ -186,6 +198,7 @@
       .method = std::string(message.method_string()),
       .path = std::move(target->path),
       .query = std::move(target->query),
+      .headers = HeadersOf(message),
       .body = std::move(message.body()),
   };
   phase_ = Phase::kRunning;
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -16,6 +16,7 @@
   kSettingsRefused = 104,
   kListening = 105,
   kDumpServed = 106,
+  kSettingsReloaded = 107,
 
   // Callers
   kMalformedRequest = 201,
@@ -27,6 +28,8 @@
   kJobAccepted = 207,
   kJobEnded = 208,
   kCancel = 209,
+  kJobRepeated = 210,
+  kQuestionUnanswered = 211,
 
   // Membership and ownership
   kPeerUp = 301,
@@ -40,6 +43,10 @@
   kWorkerRemoved = 309,
   kPeerMalformed = 310,
   kWorkerMalformed = 311,
+  kRegistered = 312,
+  kRegistrationLost = 313,
+  kWorkerLeaving = 314,
+  kWorkerGone = 315,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
@@ -51,6 +58,9 @@
   kLogAdopted = 407,
   kLogCompacted = 408,
   kWriteBudgetReached = 409,
+  kAdviceFailed = 410,
+  kJobAdopted = 411,
+  kJobLost = 412,
 
   // Tasks
   kAttemptLost = 501,
@@ -61,6 +71,9 @@
   kWorkerReleased = 506,
   kJobJudgedBad = 507,
   kQuarantineCapReached = 508,
+  kRunEnded = 509,
+  kStartRefused = 510,
+  kPaced = 511,
 
   // Configuration
   kConfigurationApplied = 601,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -28,6 +28,26 @@
 inline constexpr std::string_view kControlMessagesTotal =
     "burdockrock_control_messages_total";
 inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
+inline constexpr std::string_view kHoldsTotal =
+    "burdockrock_holds_total";
+inline constexpr std::string_view kOffersTotal =
+    "burdockrock_offers_total";
+inline constexpr std::string_view kOffersRefusedTotal =
+    "burdockrock_offers_refused_total";
+inline constexpr std::string_view kSubmissionsTotal =
+    "burdockrock_submissions_total";
+inline constexpr std::string_view kJobsAcceptedTotal =
+    "burdockrock_jobs_accepted_total";
+inline constexpr std::string_view kJobsRefusedTotal =
+    "burdockrock_jobs_refused_total";
+inline constexpr std::string_view kJobsCompletedTotal =
+    "burdockrock_jobs_completed_total";
+inline constexpr std::string_view kJobsFailedTotal =
+    "burdockrock_jobs_failed_total";
+inline constexpr std::string_view kJobsAdoptedTotal =
+    "burdockrock_jobs_adopted_total";
+inline constexpr std::string_view kRunsLostTotal =
+    "burdockrock_runs_lost_total";
 inline constexpr std::string_view kAnswersTotal = "burdockrock_answers_total";
 inline constexpr std::string_view kQueueLength = "burdockrock_queue_length";
 inline constexpr std::string_view kOwnedWorkers = "burdockrock_owned_workers";
@@ -49,6 +69,26 @@
      "Messages sent and received for control"},
     {kStartsTotal, MetricKind::kCounter, "",
      "Attempts started on workers and minions"},
+    {kHoldsTotal, MetricKind::kCounter, "",
+     "Looks at own workers, each also renews their leases"},
+    {kOffersTotal, MetricKind::kCounter, "",
+     "Tasks offered to the owners of workers"},
+    {kOffersRefusedTotal, MetricKind::kCounter, "",
+     "Offered tasks that the owner of the worker refused"},
+    {kSubmissionsTotal, MetricKind::kCounter, "",
+     "Jobs that callers handed in, repetitions counted"},
+    {kJobsAcceptedTotal, MetricKind::kCounter, "",
+     "Jobs that the store took"},
+    {kJobsRefusedTotal, MetricKind::kCounter, "",
+     "Requests of callers that were refused"},
+    {kJobsCompletedTotal, MetricKind::kCounter, "",
+     "Own jobs that completed"},
+    {kJobsFailedTotal, MetricKind::kCounter, "",
+     "Own jobs that failed"},
+    {kJobsAdoptedTotal, MetricKind::kCounter, "",
+     "Jobs taken over from owners that are gone"},
+    {kRunsLostTotal, MetricKind::kCounter, "",
+     "Runs that were lost with their worker or lease"},
     {kAnswersTotal, MetricKind::kCounter, "verdict",
      "Answers given to callers"},
     {kQueueLength, MetricKind::kGauge, "urgency",
--- /dev/null
+++ b/Source/runtime/engine_dump.cc
@@ -0,0 +1,121 @@
+#include "runtime/engine_dump.h"
+
+#include <fmt/format.h>
+
+#include "engine/job_table.h"
+
+namespace burdockrock {
+
+namespace {
+
+Json::Value DumpMembers(const engine::State& state) {
+  Json::Value out(Json::objectValue);
+  out["fence"] = Json::UInt64(state.members.fence);
+  for (const auto& [incarnation, it] : state.members.present) {
+    Json::Value member(Json::objectValue);
+    member["node"] = it.record.node;
+    member["domain"] = it.record.domain;
+    member["fence"] = Json::UInt64(it.fence);
+    out["present"][incarnation] = member;
+  }
+  return out;
+}
+
+Json::Value DumpWorker(const engine::OwnedWorker& worker) {
+  Json::Value out(Json::objectValue);
+  out["fence"] = Json::UInt64(worker.fence);
+  out["claimed"] = worker.claimed;
+  out["acknowledged"] = Json::UInt64(worker.acknowledged);
+  out["unstored_ends"] = Json::UInt64(worker.ends.size());
+  for (const auto& [task, run] : worker.runs) {
+    out["runs"][task] = Json::UInt64(run.run);
+  }
+  return out;
+}
+
+Json::Value DumpJob(const engine::Job& job) {
+  Json::Value out(Json::objectValue);
+  out["queue"] = job.queue;
+  out["state"] = engine::JobStateName(engine::ShownState(job));
+  out["generation"] = Json::UInt64(job.generation);
+  out["version"] = Json::UInt64(job.version);
+  out["stored_version"] = Json::UInt64(job.stored_version);
+  out["recovering"] = job.recovering;
+  std::map<engine::TaskPhase, unsigned> phases;
+  for (const auto& occurrence : job.occurrences) {
+    for (const auto& step : occurrence.steps) {
+      for (const auto& task : step.tasks) {
+        ++phases[task.phase];
+      }
+    }
+  }
+  out["unknown"] = phases[engine::TaskPhase::kUnknown];
+  out["waiting"] = phases[engine::TaskPhase::kWaiting];
+  out["offered"] = phases[engine::TaskPhase::kOffered];
+  out["running"] = phases[engine::TaskPhase::kRunning];
+  out["done"] = phases[engine::TaskPhase::kDone];
+  return out;
+}
+
+void Raise(Metrics& metrics, std::string_view name, std::uint64_t total) {
+  metrics.GetCounter(name).RaiseTo(static_cast<double>(total));
+}
+
+void SetPacked(Metrics& metrics, const engine::State& state) {
+  Resources capacity;
+  Resources granted;
+  for (const auto& [id, worker] : state.owned) {
+    capacity += worker.info.capacity;
+    for (const auto& [task, run] : worker.runs) {
+      granted += engine::RoomOf(run.spec);
+    }
+  }
+  const DimensionArray all = ToArray(capacity);
+  const DimensionArray used = ToArray(granted);
+  for (std::size_t it = 0; it < kDimensionCount; ++it) {
+    if (all[it] > 0) {
+      metrics.Set(kPackedRatio,
+                  {{.name = "dimension", .value = DimensionName(it)}},
+                  static_cast<double>(used[it]) /
+                      static_cast<double>(all[it]));
+    }
+  }
+}
+
+}  // namespace
+
+Json::Value DumpEngine(const engine::State& state) {
+  Json::Value out(Json::objectValue);
+  out["members"] = DumpMembers(state);
+  out["configuration"] = Json::UInt64(state.configuration.version);
+  out["store_healthy"] = state.store.healthy;
+  out["listed_workers"] = Json::UInt64(state.workers.size());
+  for (const auto& [id, worker] : state.owned) {
+    out["workers"][id] = DumpWorker(worker);
+  }
+  for (const std::string& id : state.active) {
+    out["jobs"][id] = DumpJob(state.jobs.at(id));
+  }
+  out["orphans"] = Json::UInt64(state.orphans.size());
+  return out;
+}
+
+void SetEngineMetrics(Metrics& metrics, const engine::State& state) {
+  const engine::Totals& totals = state.totals;
+  Raise(metrics, kPlatformCallsTotal, state.store.total_calls);
+  Raise(metrics, kStartsTotal, totals.starts);
+  Raise(metrics, kHoldsTotal, totals.holds);
+  Raise(metrics, kOffersTotal, totals.offers);
+  Raise(metrics, kOffersRefusedTotal, totals.offers_refused);
+  Raise(metrics, kSubmissionsTotal, totals.submitted);
+  Raise(metrics, kJobsAcceptedTotal, totals.accepted);
+  Raise(metrics, kJobsRefusedTotal, totals.refused);
+  Raise(metrics, kJobsCompletedTotal, totals.completed);
+  Raise(metrics, kJobsFailedTotal, totals.failed);
+  Raise(metrics, kJobsAdoptedTotal, totals.adopted);
+  Raise(metrics, kRunsLostTotal, totals.lost_runs);
+  metrics.Set(kOwnedWorkers, {}, static_cast<double>(state.owned.size()));
+  SetPacked(metrics, state);
+}
+
+}  // namespace burdockrock
