--- /dev/null
+++ b/Source/runtime/engine_instance.cc
@@ -0,0 +1,180 @@
+#include "runtime/engine_instance.h"
+
+#include <chrono>
+#include <utility>
+
+#include "net/json.h"
+#include "observe/process_usage.h"
+#include "runtime/engine_dump.h"
+#include "runtime/server_address.h"
+
+namespace burdockrock {
+
+namespace {
+
+constexpr int kOkStatus = 200;
+constexpr int kBadRequestStatus = 400;
+constexpr int kNotFoundStatus = 404;
+
+constexpr Duration kHousekeepingPeriod = std::chrono::seconds(1);
+// A client that no call used for one to two sweeps is dropped.
+constexpr std::uint64_t kHousekeepingsPerSweep = 30;
+
+constexpr std::size_t kMaxPeerBodyBytes = 2'097'152;
+constexpr std::size_t kMaxOperatorBodyBytes = 4096;
+constexpr std::size_t kMaxConnections = 256;
+
+}  // namespace
+
+EngineInstance::EngineInstance(boost::asio::io_context& io,
+                               EngineInstanceOptions options)
+    : io_(io),
+      options_(std::move(options)),
+      logger_({.format = options_.log_format,
+               .minimum = options_.log_level,
+               .instance = options_.engine.self.node,
+               .sink = options_.log_sink}),
+      peer_client_(io, options_.engine.self.incarnation),
+      shell_(io, engine::MakeState(options_.engine), MakeHooks()),
+      peer_server_(
+          {.on_message =
+               [this](engine::PeerSaid it) { shell_.Handle(std::move(it)); },
+           .log = [this](const LogLine& it) { logger_.Write(it); }}),
+      housekeeping_timer_(io) {}
+
+std::optional<NetError> EngineInstance::Start() {
+  const engine::MemberRecord& self = options_.engine.self;
+  logger_.Write({.number = EventNumber::kStarted,
+                 .fields = {{"incarnation", self.incarnation},
+                            {"domain", self.domain}}});
+  if (auto error = Listen(
+          peer_http_, options_.peers_address, kMaxPeerBodyBytes,
+          [this](const HttpRequest& request, const HttpResponder& responder) {
+            OnPeerRequest(request, responder);
+          })) {
+    return error;
+  }
+  if (auto error = Listen(
+          metrics_http_, options_.metrics_address, kMaxOperatorBodyBytes,
+          [this](const HttpRequest& request, const HttpResponder& responder) {
+            OnOperatorRequest(request, responder);
+          })) {
+    return error;
+  }
+  ArmHousekeeping();
+  shell_.Handle(engine::Started());
+  return std::nullopt;
+}
+
+void EngineInstance::Drain() {
+  logger_.Write(
+      {.number = EventNumber::kStopping, .fields = {{"cause", "signal"}}});
+  shell_.Handle(engine::StopAsked());
+}
+
+EngineShellHooks EngineInstance::MakeHooks() {
+  return {
+      .edges = options_.edges,
+      .send_peer =
+          [this](const engine::SendPeer& it) { peer_client_.Send(it); },
+      .write_log =
+          [this](const engine::WriteLog& it) { logger_.Write(it.line); },
+      .end_process =
+          [this] {
+            logger_.Write({.number = EventNumber::kStopped});
+            logger_.Flush();
+            options_.on_stopped();
+          },
+      .step_took =
+          [this](Duration took) {
+            metrics_.Observe(kStepSeconds, {},
+                             std::chrono::duration<double>(took).count());
+          },
+  };
+}
+
+std::optional<NetError> EngineInstance::Listen(
+    std::optional<HttpServer>& server, const std::string& address,
+    std::size_t max_body_bytes, HttpServer::Handler handler) {
+  HttpServerOptions wanted;
+  wanted.max_body_bytes = max_body_bytes;
+  wanted.max_connections = kMaxConnections;
+  wanted.on_problem = [this](const HttpServerProblem& it) {
+    logger_.Write({.number = EventNumber::kPeerMalformed,
+                   .fields = {{"remote", it.remote}, {"problem", it.detail}}});
+  };
+  auto options = WithAddress(std::move(wanted), address);
+  if (auto* error = std::get_if<NetError>(&options)) {
+    return std::move(*error);
+  }
+  server.emplace(io_, std::get<HttpServerOptions>(std::move(options)),
+                 std::move(handler));
+  auto port = server->Listen();
+  if (auto* error = std::get_if<NetError>(&port)) {
+    return std::move(*error);
+  }
+  logger_.Write({.number = EventNumber::kListening,
+                 .fields = {{"address", address}}});
+  return std::nullopt;
+}
+
+void EngineInstance::OnPeerRequest(const HttpRequest& request,
+                                   const HttpResponder& responder) {
+  HttpResponse response;
+  if (request.path != "/rpc" || request.method != "POST") {
+    response.status = kNotFoundStatus;
+  } else {
+    response.body = peer_server_.HandleBody(request.body);
+    response.status = response.body.empty() ? kOkStatus : kBadRequestStatus;
+  }
+  responder(std::move(response));
+}
+
+void EngineInstance::OnOperatorRequest(const HttpRequest& request,
+                                       const HttpResponder& responder) {
+  HttpResponse response;
+  if (request.path == "/metrics") {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = MetricsText();
+  } else if (request.path == "/state") {
+    logger_.Write({.number = EventNumber::kDumpServed});
+    response.body = WriteJson(DumpEngine(shell_.state()));
+  } else {
+    response.status = kNotFoundStatus;
+  }
+  responder(std::move(response));
+}
+
+std::string EngineInstance::MetricsText() {
+  SetEngineMetrics(metrics_, shell_.state());
+  const EdgeTraffic sent = peer_client_.traffic();
+  const EdgeTraffic received = peer_server_.traffic();
+  const Labels peer = {{.name = "edge", .value = "peer"}};
+  metrics_.GetCounter(kControlMessagesTotal, peer)
+      .RaiseTo(static_cast<double>(sent.messages + received.messages));
+  metrics_.GetCounter(kControlBytesTotal, peer)
+      .RaiseTo(static_cast<double>(sent.bytes + received.bytes));
+  if (const auto usage = ReadProcessUsage()) {
+    metrics_.Set(kResidentBytes, {},
+                 static_cast<double>(usage->resident_bytes));
+    metrics_.GetCounter(kProcessorSecondsTotal)
+        .RaiseTo(usage->processor_seconds);
+  }
+  return metrics_.ToText();
+}
+
+void EngineInstance::ArmHousekeeping() {
+  housekeeping_timer_.expires_after(kHousekeepingPeriod);
+  housekeeping_timer_.async_wait([this](boost::system::error_code ec) {
+    if (ec) {
+      return;
+    }
+    logger_.Flush();
+    if (++housekeepings_ % kHousekeepingsPerSweep == 0) {
+      peer_client_.Sweep();
+    }
+    ArmHousekeeping();
+  });
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/runtime/engine_peers.h
@@ -0,0 +1,77 @@
+// Messages between the engines of entry instances, over HTTP and JSON-RPC.
+#ifndef BURDOCKROCK_RUNTIME_ENGINE_PEERS_H_
+#define BURDOCKROCK_RUNTIME_ENGINE_PEERS_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <jsonrpccpp/server.h>
+
+#include "engine/event.h"
+#include "observe/log.h"
+#include "runtime/client_pool.h"
+#include "runtime/edge_traffic.h"
+#include "runtime/peer_server.h"
+
+namespace burdockrock {
+
+// Sends what the engine says, in order and one batch at a time for each peer.
+// What can't be delivered in time is dropped: the engine repeats it.
+class EnginePeerClient {
+ public:
+  EnginePeerClient(boost::asio::io_context& io, std::string incarnation);
+
+  void Send(const engine::SendPeer& send);
+  void Sweep() { pool_.Sweep(); }
+  EdgeTraffic traffic() const;
+
+ private:
+  struct Link {
+    std::deque<std::string> waiting;  // notifications
+    std::size_t waiting_bytes = 0;
+    bool in_flight = false;
+  };
+
+  void Flush(const std::string& address);
+  void FlushSoon(const std::string& address);
+
+  boost::asio::io_context& io_;
+  std::string incarnation_;
+  ClientPool pool_;
+  std::map<std::string, Link> links_;  // by address
+  std::uint64_t messages_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+struct EnginePeerServerOptions {
+  std::function<void(engine::PeerSaid)> on_message{};
+  std::function<void(const LogLine&)> log{};
+};
+
+// A garbled message is an error to its sender alone: the others of its batch
+// are taken.
+class EnginePeerServer : private PeerConnector,
+                         private jsonrpc::AbstractServer<EnginePeerServer> {
+ public:
+  explicit EnginePeerServer(EnginePeerServerOptions options);
+
+  // `body` is one notification or a batch. Returns the errors for its sender,
+  // empty if there are none.
+  std::string HandleBody(const std::string& body);
+
+  EdgeTraffic traffic() const { return traffic_; }
+
+ private:
+  void HandleNotificationCall(jsonrpc::Procedure& procedure,
+                              const Json::Value& params) override;
+
+  EnginePeerServerOptions options_;
+  EdgeTraffic traffic_;
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_RUNTIME_ENGINE_PEERS_H_
--- /dev/null
+++ b/Source/runtime/engine_shell.cc
@@ -0,0 +1,79 @@
+#include "runtime/engine_shell.h"
+
+#include <utility>
+
+#include "runtime/clock.h"
+
+namespace burdockrock {
+
+EngineShell::EngineShell(boost::asio::io_context& io,
+                         engine::State state,
+                         EngineShellHooks hooks)
+    : state_(std::move(state)), hooks_(std::move(hooks)), timer_(io) {}
+
+void EngineShell::Handle(engine::EventBody event) {
+  queue_.push_back(std::move(event));
+  if (running_) {
+    return;
+  }
+  running_ = true;
+  while (!queue_.empty()) {
+    engine::EventBody next = std::move(queue_.front());
+    queue_.pop_front();
+    Apply(std::move(next));
+  }
+  running_ = false;
+  ArmTimer();
+}
+
+void EngineShell::Apply(engine::EventBody event) {
+  const Time start = SteadyNow();
+  const engine::Effects effects = engine::Step(
+      state_, engine::Event{.now = start,
+                            .wall_ms = static_cast<std::int64_t>(
+                                WallMicroseconds() / 1000),
+                            .body = std::move(event)});
+  hooks_.step_took(SteadyNow() - start);
+  for (const engine::Effect& it : effects) {
+    CarryOut(it);
+  }
+}
+
+void EngineShell::CarryOut(const engine::Effect& effect) const {
+  struct Visitor {
+    const EngineShellHooks& hooks;
+    void operator()(const engine::AnswerCaller& it) {
+      hooks.edges.answer_caller(it);
+    }
+    void operator()(const engine::CallStore& it) { hooks.edges.call_store(it); }
+    void operator()(const engine::CallWorker& it) {
+      hooks.edges.call_worker(it);
+    }
+    void operator()(const engine::CallAdvice& it) {
+      hooks.edges.call_advice(it);
+    }
+    void operator()(const engine::SendPeer& it) { hooks.send_peer(it); }
+    void operator()(const engine::WriteLog& it) { hooks.write_log(it); }
+    void operator()(const engine::EndProcess&) { hooks.end_process(); }
+  };
+  std::visit(Visitor{hooks_}, effect);
+}
+
+// Set only when it has to fire earlier than it would: that is cheaper than
+// setting it anew after each event.
+void EngineShell::ArmTimer() {
+  const Time next = engine::NextTime(state_, SteadyNow());
+  if (next >= armed_for_) {
+    return;
+  }
+  armed_for_ = next;
+  timer_.expires_at(std::chrono::steady_clock::time_point(next));
+  timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      armed_for_ = kForever;
+      Handle(engine::TimePassed());
+    }
+  });
+}
+
+}  // namespace burdockrock
