Cli: Takes the metrics port as a ranged number

Cause: ranges are checked for 64-bit flags only, so port 0 was taken. Before: cli_test failed on the case that refuses it. After: it passes.

--- a/Source/cli/platform.cc
+++ b/Source/cli/platform.cc
@@ -6,7 +6,7 @@
 DEFINE_string(platform_settings, "",
               "The settings file that the platform fills in; the environment "
               "names it if it is not given");
-DEFINE_int32(metrics_port, 9464, "The port of metrics and state dumps");
+DEFINE_int64(metrics_port, 9464, "The port of metrics and state dumps");
 
 namespace burdockrock {
 
