Engine: Confirms the ownership of jobs after a lost registration

Cause: an instance that the store turned away for 9 s lost its registration, its jobs were adopted, and when it came back it offered their tasks again to an instance that had joined since and knew no newer generation. Ruled out: late orders of a former owner of the worker, which its fence refuses. Change: after a lost registration nothing of a job starts until a write to its record has confirmed the owner.

--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -94,6 +94,9 @@
   JobState writing_state = JobState::kQueued;
   Time changed_at = kForever;  // the oldest change that is not stored
   bool urgent_write = false;
+  // False after the registration was lost: somebody may have adopted the job,
+  // which the next write to the store tells.
+  bool verified = true;
   std::vector<UnstoredEnd> unstored{};
   // After an adoption.
   bool recovering = false;
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -182,6 +182,8 @@
   job->stored_version = version;
   job->writing_version = 0;
   job->stored_state = job->writing_state;
+  job->verified = job->verified || version == job->version;
+  context.state.placement_due = true;
   ConfirmEnds(context, *job);
   if (!IsFinal(job->stored_state)) {
     return;
@@ -212,6 +214,14 @@
   DropJob(context, id, item.revision == 0 ? "no record" : "adopted");
 }
 
+void DoubtOwnership(Context& context) {
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
+    job.verified = false;
+    MarkChanged(context, job, true);
+  }
+}
+
 void DropJob(Context& context, const std::string& id, const char* cause) {
   Job* job = FindJob(context.state, id);
   if (job == nullptr) {
--- a/Source/engine/membership.cc
+++ b/Source/engine/membership.cc
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "engine/adoption.h"
+#include "engine/job_progress.h"
 #include "engine/store_calls.h"
 #include "engine/worker_owner.h"
 
@@ -322,6 +323,7 @@
   members.renewing = false;
   members.renew_at = context.now;
   members.present.erase(context.self());
+  DoubtOwnership(context);
 }
 
 void WantRaise(Context& context) {
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -345,7 +345,7 @@
   context.state.placed_at = context.now;
   Round round{.context = context};
   for (const ReadyStep& it : ReadySteps(context)) {
-    if (!it.job->stored) {
+    if (!it.job->stored || !it.job->verified) {
       continue;
     }
     if (it.spec().gang) {
