Engine: Waits for the listing when a start is refused as old, and counts ends once

Symptom: TWICE on the permits site, jobs shown as failed too early, a task started after its last attempt. Cause one: a start whose answer was lost had run and ended; its repetition was refused as old, and the owner of the job took that for a free task. Cause two: a new owner of a job counted ends again that the former owner had stored but the worker still listed. Change: such a refusal counts as a confirmation and the next listing tells the end; the record of a job names the runs that its marks count.

--- a/Source/engine/adoption.cc
+++ b/Source/engine/adoption.cc
@@ -130,6 +130,22 @@
   }
 }
 
+void RestoreEnded(const OccurrenceRecord& record, Job& job) {
+  for (const EndedRuns& it : record.ended) {
+    Task* task = FindTask(job, {.occurrence = record.number,
+                                .step = it.step,
+                                .index = it.index});
+    if (task == nullptr) {
+      continue;
+    }
+    task->ended_runs.insert(it.runs.begin(), it.runs.end());
+    if (job.spec.steps[it.step].gang && !it.runs.empty()) {
+      StepRun& step = StepAt(job, record.number, it.step);
+      step.gang_failed_run = std::max(step.gang_failed_run, it.runs.back());
+    }
+  }
+}
+
 Job RestoreJob(const Context& context, const std::string& id,
                const CatalogEntry& entry) {
   const JobRecord record = AdoptedRecord(context, entry);
@@ -151,6 +167,9 @@
       RestoreStep(known ? it->steps[s] : std::string(), StepAt(job, k, s));
     }
   }
+  for (const OccurrenceRecord& it : record.occurrences) {
+    RestoreEnded(it, job);
+  }
   job.started = record.state == JobState::kRunning;
   return job;
 }
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -26,7 +26,7 @@
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
   std::uint64_t run = 0;  // the last one that was offered
-  std::uint64_t ended_run = 0;  // ends up to this one are counted
+  std::set<std::uint64_t> ended_runs{};  // counted; the last few
   std::uint32_t failures = 0;
   std::string worker{};
   std::string checkpoint{};
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -13,11 +13,19 @@
 
 OccurrenceRecord RecordOf(const Job& job, std::uint32_t number) {
   OccurrenceRecord record{.number = number};
-  for (const StepRun& step : job.occurrences[number].steps) {
+  const auto& steps = job.occurrences[number].steps;
+  for (std::uint32_t s = 0; s < steps.size(); ++s) {
     std::string marks;
-    for (const Task& task : step.tasks) {
-      marks += task.phase == TaskPhase::kDone ? kDoneMark
-                                              : FailureMark(task.failures);
+    for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+      const Task& task = steps[s].tasks[i];
+      const bool done = task.phase == TaskPhase::kDone;
+      marks += done ? kDoneMark : FailureMark(task.failures);
+      if (!done && !task.ended_runs.empty()) {
+        record.ended.push_back({.step = s,
+                                .index = i,
+                                .runs = {task.ended_runs.begin(),
+                                         task.ended_runs.end()}});
+      }
     }
     record.steps.push_back(std::move(marks));
   }
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -42,6 +42,9 @@
   task.heard = context.now;
 }
 
+// Ends come again within seconds, in which a task does not end so often.
+constexpr std::size_t kEndedRunsKept = 16;
+
 struct Place {
   Job& job;
   Task& task;
@@ -157,16 +160,17 @@
   }
   const bool lasts = place.spec.lasting;
   if (report.how == RunEnd::kDone && !lasts) {
-    task.ended_run = std::max(task.ended_run, report.run);
     MarkDone(context, place);
     MarkChanged(context, place.job, false);
     CompleteIfDone(context, place.job);
     return;
   }
-  if (report.run <= task.ended_run) {
+  if (!task.ended_runs.insert(report.run).second) {
     return;
   }
-  task.ended_run = report.run;
+  if (task.ended_runs.size() > kEndedRunsKept) {
+    task.ended_runs.erase(task.ended_runs.begin());
+  }
   if (report.how == RunEnd::kFailed) {
     OnFailed(context, place, report);
   }
--- a/Source/engine/record.h
+++ b/Source/engine/record.h
@@ -38,11 +38,23 @@
   auto operator<=>(const MemberRecord&) const = default;
 };
 
+// Runs of one task that have ended and are counted in its marks. Workers list
+// an end until it is acknowledged, so that a new owner of the job hears of it
+// again.
+struct EndedRuns {
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  std::vector<std::uint64_t> runs{};
+
+  auto operator<=>(const EndedRuns&) const = default;
+};
+
 // The tasks of one occurrence: a text a step, a character a task: 'D' done,
 // else the number of runs that ended failed, '0' to '9' and then 'a' to 'z'.
 struct OccurrenceRecord {
   std::uint32_t number = 0;
   std::vector<std::string> steps{};
+  std::vector<EndedRuns> ended{};  // of tasks that are not done
 
   auto operator<=>(const OccurrenceRecord&) const = default;
 };
--- a/Source/engine/record_fields.h
+++ b/Source/engine/record_fields.h
@@ -72,12 +72,23 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::EndedRuns> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("step", it.step, std::uint32_t{0});
+    codec.Optional("index", it.index, std::uint32_t{0});
+    codec.Field("runs", it.runs);
+  }
+};
+
 template <>
 struct FieldsOf<engine::OccurrenceRecord> {
   template <typename Codec, typename Value>
   static void Visit(Codec& codec, Value& it) {
     codec.Optional("number", it.number, std::uint32_t{0});
     codec.Field("steps", it.steps);
+    codec.Optional("ended", it.ended, std::vector<engine::EndedRuns>());
   }
 };
 
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -146,10 +146,13 @@
   // answered with "not here", its run may have a successor elsewhere.
   const auto& refused = context.state.known[offer.job].refused;
   const auto last = refused.find(task);
-  if ((last != refused.end() && offered.run <= last->second) ||
-      HasEndOf(*worker, task, offered.run)) {
+  if (last != refused.end() && offered.run <= last->second) {
     return OfferOutcome::kOldRun;
   }
+  if (HasEndOf(*worker, task, offered.run)) {
+    RepeatEndsOf(*worker, task);
+    return std::nullopt;  // the end itself is the answer
+  }
   if (!Accepts(context, *worker)) {
     return OfferOutcome::kNotServing;
   }
@@ -220,6 +223,12 @@
   if (kind == WorkerRefusalKind::kLate) {
     return;  // repeated with the next lease
   }
+  if (kind == WorkerRefusalKind::kOldRun) {
+    // An earlier try of this order, unanswered, has started it, and it has
+    // ended. Answering "refused" would make the job's owner start a task again
+    // that may be done: the next listing tells how it ended.
+    return Confirm(context, id, task, run);
+  }
   context.Log(EventNumber::kStartRefused, {{"task", task},
                                            {"run", std::to_string(run.run)},
                                            {"worker", id},
@@ -227,8 +236,6 @@
   if (kind == WorkerRefusalKind::kUnhealthy) {
     worker.unhealthy_until = context.now + kUnhealthyPause;
   }
-  // An earlier try of this order, unanswered, may have started and ended it:
-  // then the end is in the next listing.
   AnswerIfAsked(context, id, task, run, OutcomeOf(kind));
   RemoveRun(context, id, worker, task);
 }
