Engine: Shares out the asking for advice, answers state questions with the news, prefers fast workers

Three causes, each found in the timelines of job_ended: callers were told 'running' 2 ms before the end was known and asked again 250 ms later; short calls for advice waited behind calls of half a second; tasks ran on workers that take 1.25 times their estimates. Ruled out: the store (11 ms a submission) and the hops (6 ms to the start). Change: a state question about a job that may just have ended waits up to 70 ms; advice is asked ahead, by the instance with the shortest wait, long calls apart from short ones, again only where a task would start; urgent tasks go to workers that were fast.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -16,14 +16,34 @@
 // only some of them are allowed, and some for those without room.
 constexpr std::size_t kSpareNames = 6;
 constexpr std::size_t kNamesPerTask = 2;
-// A step whose allowed workers are full asks about others after this long.
-constexpr Duration kWiden = milliseconds(400);
+// Calls that take this long are made by other instances than shorter ones.
+constexpr Duration kLongCall = milliseconds(100);
+// One instance in so many, rounded up, makes no long calls: short ones, 20 a
+// second and in bursts 50, fill half to one and a half instances' turns, and
+// must not wait.
+constexpr std::size_t kMembersPerShortCaller = 3;
+// An answer that does not come this long after it was due is asked for again.
+constexpr Duration kReplySlack = milliseconds(1500);
+// A step's tickets are asked for this long before its turn, beside the time
+// that the call takes.
+constexpr Duration kAhead = milliseconds(400);
+// Between two questions about one step, beside the time of a decision.
+constexpr Duration kWiden = milliseconds(150);
+// A call for a step that was asked about before must let so many tasks start,
+// as far as can be expected: waiting steps would otherwise take all turns.
+constexpr double kMinStarts = 1;
+// The chance that a worker of which nothing is known may run the step; the
+// queues' policies allow 0.35 to 0.7 of them.
+constexpr double kAllowedShare = 0.4;
+// Short calls go to an instance that also makes long ones when they would wait
+// longer than this at the others.
+constexpr Duration kShortWait = milliseconds(80);
 
 struct Named {
   std::string id;
   bool allowed = false;  // from an earlier answer, its ticket has lapsed
   bool has_room = false;
-  double cost = 0;
+  double fits = 0;  // tasks that have room now
 };
 
 std::size_t CountWaiting(const StepRun& step) {
@@ -34,30 +54,24 @@
       }));
 }
 
-bool HasValidTicket(const Context& context, const StepRun& step) {
-  return std::any_of(step.tickets.begin(), step.tickets.end(),
-                     [&](const auto& it) {
-                       return it.second.expires >
-                              context.now + kTicketMargin;
-                     });
-}
-
 bool NeedsAdvice(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
-  if (!ready.queue->advice || CountWaiting(step) == 0) {
+  if (!ready.queue->advice || step.asking || CountWaiting(step) == 0) {
     return false;
   }
-  if (!HasValidTicket(context, step)) {
-    return true;
-  }
   return HasPassed(context.now, step.asked_at,
                    kWiden + ready.queue->advice->decision);
 }
 
+bool IsValid(const Context& context, const StepTicket& ticket) {
+  return ticket.expires > context.now + kTicketMargin;
+}
+
 std::vector<Named> NamesFor(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
   const PlacementNeed need{.step = &ready.spec(),
-                           .room = RoomOf(ready.spec())};
+                           .room = RoomOf(ready.spec()),
+                           .reserve = ReserveOf(*ready.queue)};
   std::vector<Named> names;
   for (const auto& [id, listed] : context.state.workers) {
     const auto view = context.state.view.find(id);
@@ -76,11 +90,18 @@
         .own_domain =
             listed.info.domain == context.state.options.self.domain};
     const auto ticket = step.tickets.find(id);
+    const bool has_room = HasRoomNow(need, candidate);
+    const bool known = ticket != step.tickets.end();
+    // Asking again makes sense only where a task would start at once.
+    const bool asked = step.advised_at != kForever;
+    if ((known && IsValid(context, ticket->second)) || (asked && !has_room)) {
+      continue;
+    }
     names.push_back({.id = id,
-                     .allowed = ticket != step.tickets.end(),
-                     .has_room = HasRoomNow(need, candidate),
-                     .cost = -static_cast<double>(CountFitting(
-                                 need.room, candidate.free))});
+                     .allowed = known,
+                     .has_room = has_room,
+                     .fits = static_cast<double>(
+                         CountFitting(need.room, candidate.free))});
   }
   return names;
 }
@@ -93,49 +114,141 @@
   std::stable_sort(names.begin(), names.end(),
                    [](const Named& left, const Named& right) {
                      return std::tuple(!left.has_room, !left.allowed,
-                                       left.cost) <
+                                       -left.fits) <
                             std::tuple(!right.has_room, !right.allowed,
-                                       right.cost);
+                                       -right.fits);
                    });
   const std::size_t wanted =
       std::min(kMaxAdvised,
                kSpareNames + kNamesPerTask * CountWaiting(ready.run()));
   std::vector<std::string> chosen;
+  double starts = 0;
   for (const Named& it : names) {
     if (chosen.size() < wanted) {
       chosen.push_back(it.id);
+      starts += it.fits * (it.allowed ? 1 : kAllowedShare);
     }
   }
+  const bool asked = ready.run().advised_at != kForever;
+  if (asked && starts < kMinStarts) {
+    chosen.clear();
+  }
   return chosen;
 }
 
+Duration ExpectedTime(const AdvicePolicy& policy, std::size_t workers) {
+  return policy.decision + policy.each * static_cast<std::int64_t>(workers);
+}
+
+Duration LeadOf(const QueuePolicy& queue) {
+  return queue.advice ? kAhead + ExpectedTime(*queue.advice, kMaxAdvised)
+                      : Duration(0);
+}
+
+struct Callers {
+  std::vector<std::string> for_short{};  // make no long calls
+  std::vector<std::string> for_all{};
+};
+
+Callers CallersOf(const Context& context) {
+  std::vector<std::string> members = OtherMembers(context);
+  members.push_back(context.self());
+  std::sort(members.begin(), members.end());
+  const std::size_t short_callers =
+      (members.size() + kMembersPerShortCaller - 1) / kMembersPerShortCaller;
+  if (members.size() <= short_callers) {
+    return {.for_short = members, .for_all = members};
+  }
+  const auto middle =
+      members.begin() + static_cast<std::ptrdiff_t>(short_callers);
+  return {.for_short = {members.begin(), middle},
+          .for_all = {middle, members.end()}};
+}
+
+Duration WaitAt(const Context& context, const std::string& member) {
+  const AdviceState& advice = context.state.advice;
+  if (member == context.self()) {
+    return AdviceWait(context.state);
+  }
+  const auto told = advice.waits.find(member);
+  Duration wait = told == advice.waits.end() ? Duration(0) : told->second;
+  for (const auto& [call, question] : advice.questions) {
+    if (question.member == member) {
+      wait += question.expected;
+    }
+  }
+  return wait;
+}
+
+struct ShortestWait {
+  std::string member{};
+  Duration wait = kForever;
+};
+
+// This instance itself among equals, which saves the way.
+ShortestWait FindShortestWait(const Context& context,
+                              const std::vector<std::string>& members) {
+  ShortestWait best;
+  for (const std::string& it : members) {
+    const Duration wait = WaitAt(context, it);
+    const bool better = wait < best.wait || (wait == best.wait &&
+                                             it == context.self());
+    if (better) {
+      best = {.member = it, .wait = wait};
+    }
+  }
+  return best;
+}
+
+std::string ChooseCaller(const Context& context, Duration expected) {
+  const Callers callers = CallersOf(context);
+  const ShortestWait all = FindShortestWait(context, callers.for_all);
+  if (expected >= kLongCall) {
+    return all.member;
+  }
+  const ShortestWait best = FindShortestWait(context, callers.for_short);
+  return best.wait <= std::max(kShortWait, all.wait) ? best.member
+                                                     : all.member;
+}
+
 void AskFor(Context& context, const ReadyStep& ready,
             std::vector<std::string> workers) {
   AdviceState& advice = context.state.advice;
-  advice.in_flight = true;
-  advice.job = ready.job->id;
-  advice.occurrence = ready.occurrence;
-  advice.step = ready.step;
-  advice.asked = context.now;
-  ++advice.calls;
+  const Duration expected =
+      ExpectedTime(*ready.queue->advice, workers.size());
+  const std::string member = ChooseCaller(context, expected);
+  const std::uint64_t call = ++advice.last_call;
   ready.run().asked_at = context.now;
-  context.Emit(CallAdvice{
-      .request = {.step = StepName({.job = ready.job->id,
-                                    .occurrence = ready.occurrence,
-                                    .step = ready.step}),
-                  .workers = std::move(workers)},
-      .timeout = kAdviceTimeout});
+  ready.run().asking = true;
+  const TaskName step{.job = ready.job->id,
+                      .occurrence = ready.occurrence,
+                      .step = ready.step};
+  Send(context, member,
+       AdviceAsk{.call = call,
+                 .step = StepName(step),
+                 .priority = ready.queue->priority,
+                 .expected = expected,
+                 .workers = workers});
+  advice.questions.emplace(
+      call, AdviceQuestion{.step = step,
+                           .member = member,
+                           .workers = std::move(workers),
+                           .expected = expected,
+                           .give_up = context.now + WaitAt(context, member) +
+                                      expected + kReplySlack});
 }
 
-void TakeTickets(Context& context, StepRun& step, const AdvicePolicy& policy,
-                 const AdviceRequest& request, const AdviceGiven& given) {
+void TakeTickets(Time now, StepRun& step, const AdvicePolicy& policy,
+                 const std::vector<std::string>& asked,
+                 const AdviceReply& given) {
+  step.advised_at = std::min(step.advised_at, now);
   std::set<std::string> allowed;
-  for (const Allowed& it : given.allowed) {
+  for (const AdvisedWorker& it : given.allowed) {
     allowed.insert(it.worker);
     step.tickets[it.worker] = StepTicket{
-        .text = it.ticket, .expires = context.now + policy.valid};
+        .text = it.ticket, .expires = now + policy.valid};
   }
-  for (const std::string& it : request.workers) {
+  for (const std::string& it : asked) {
     if (!allowed.contains(it)) {
       step.denied.insert(it);
       step.tickets.erase(it);
@@ -143,46 +256,121 @@
   }
 }
 
+// The step that was asked for is free to be asked for again.
+StepRun* EndQuestion(Context& context, const AdviceQuestion& question) {
+  Job* job = FindJob(context.state, question.step.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  StepRun& step = StepAt(*job, question.step.occurrence, question.step.step);
+  step.asking = false;
+  return &step;
+}
+
+void GiveUpQuestions(Context& context) {
+  std::erase_if(context.state.advice.questions, [&](const auto& it) {
+    if (context.now < it.second.give_up) {
+      return false;
+    }
+    EndQuestion(context, it.second);
+    return true;
+  });
+}
+
+// The most urgent one, and of these the first.
+std::deque<AdviceTurn>::iterator NextTurn(std::deque<AdviceTurn>& turns) {
+  return std::min_element(turns.begin(), turns.end(),
+                          [](const AdviceTurn& left, const AdviceTurn& right) {
+                            return left.ask.priority < right.ask.priority;
+                          });
+}
+
 }  // namespace
 
 void DriveAdvice(Context& context) {
-  AdviceState& advice = context.state.advice;
-  if (advice.in_flight || context.now < advice.retry_at ||
-      !IsRegistered(context.state)) {
+  if (!IsRegistered(context.state)) {
     return;
   }
-  for (const ReadyStep& it : ReadySteps(context)) {
+  GiveUpQuestions(context);
+  for (const ReadyStep& it : ReadySteps(context, LeadOf)) {
     if (!NeedsAdvice(context, it)) {
       continue;
     }
     std::vector<std::string> workers = Chosen(context, it);
     if (!workers.empty()) {
-      return AskFor(context, it, std::move(workers));
+      AskFor(context, it, std::move(workers));
+    } else {
+      it.run().asked_at = context.now;
     }
-    it.run().asked_at = context.now;
   }
 }
 
-void OnAdviceAnswered(Context& context, const AdviceAnswered& event) {
+void DriveAdviceTurns(Context& context) {
   AdviceState& advice = context.state.advice;
-  advice.in_flight = false;
-  if (const auto* failed = std::get_if<AdviceFailed>(&event.answer)) {
-    advice.retry_at = context.now + kAdviceRetry;
-    context.Log(EventNumber::kAdviceFailed,
-                {{"step", event.request.step}, {"problem", failed->detail}});
+  if (advice.in_flight || advice.turns.empty() ||
+      context.now < advice.retry_at) {
+    return;
+  }
+  const auto next = NextTurn(advice.turns);
+  advice.in_flight = std::move(*next);
+  advice.turns.erase(next);
+  context.Emit(CallAdvice{.request = {.step = advice.in_flight->ask.step,
+                                      .workers = advice.in_flight->ask.workers},
+                          .timeout = kAdviceTimeout});
+}
+
+void OnAdviceAsk(Context& context, const std::string& from,
+                 const AdviceAsk& ask) {
+  context.state.advice.turns.push_back(
+      {.from = from, .ask = ask, .arrived = context.now});
+}
+
+void OnAdviceReply(Context& context, const AdviceReply& reply) {
+  auto node = context.state.advice.questions.extract(reply.call);
+  if (node.empty()) {
     return;
   }
-  Job* job = FindJob(context.state, advice.job);
+  const AdviceQuestion& question = node.mapped();
+  StepRun* step = EndQuestion(context, question);
+  const Job* job = FindJob(context.state, question.step.job);
   const QueuePolicy* queue =
       job == nullptr ? nullptr
                      : FindQueueByName(context.state.configuration, job->queue);
-  if (queue == nullptr || !queue->advice) {
+  if (reply.failed || step == nullptr || queue == nullptr || !queue->advice) {
     return;
   }
-  TakeTickets(context, StepAt(*job, advice.occurrence, advice.step),
-              *queue->advice, event.request,
-              std::get<AdviceGiven>(event.answer));
+  TakeTickets(context.now, *step, *queue->advice, question.workers, reply);
   context.state.placement_due = true;
 }
 
+void OnAdviceAnswered(Context& context, const AdviceAnswered& event) {
+  AdviceState& advice = context.state.advice;
+  if (!advice.in_flight) {
+    return;
+  }
+  const AdviceTurn turn = *std::exchange(advice.in_flight, std::nullopt);
+  AdviceReply reply{.call = turn.ask.call};
+  if (const auto* failed = std::get_if<AdviceFailed>(&event.answer)) {
+    advice.retry_at = context.now + kAdviceRetry;
+    reply.failed = true;
+    context.Log(EventNumber::kAdviceFailed,
+                {{"step", event.request.step}, {"problem", failed->detail}});
+  } else {
+    for (const Allowed& it : std::get<AdviceGiven>(event.answer).allowed) {
+      reply.allowed.push_back({.worker = it.worker, .ticket = it.ticket});
+    }
+  }
+  Send(context, turn.from, std::move(reply));
+}
+
+Duration AdviceWait(const State& state) {
+  const AdviceState& advice = state.advice;
+  Duration wait =
+      advice.in_flight ? advice.in_flight->ask.expected : Duration(0);
+  for (const AdviceTurn& it : advice.turns) {
+    wait += it.ask.expected;
+  }
+  return wait;
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/advice.h
+++ b/Source/engine/advice.h
@@ -1,15 +1,30 @@
-// Asks the advice service which workers may run a step, ahead of its turn.
+// Asks the advice service which workers may run a step, ahead of its turn. The
+// service serves one call at a time for each entry instance, and calls take 20
+// to 600 ms by queue: so the asking is shared out over all instances, and short
+// calls do not wait behind long ones.
 #ifndef BURDOCKROCK_ENGINE_ADVICE_H_
 #define BURDOCKROCK_ENGINE_ADVICE_H_
 
+#include <string>
+
 #include "engine/context.h"
 
 namespace burdockrock::engine {
 
+// Asks for the own jobs' steps.
 void DriveAdvice(Context& context);
 
+// Makes the next call to the service.
+void DriveAdviceTurns(Context& context);
+
+void OnAdviceAsk(Context& context, const std::string& from,
+                 const AdviceAsk& ask);
+void OnAdviceReply(Context& context, const AdviceReply& reply);
 void OnAdviceAnswered(Context& context, const AdviceAnswered& event);
 
+// How long one more call would wait here.
+Duration AdviceWait(const State& state);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_ADVICE_H_
--- a/Source/engine/digests.cc
+++ b/Source/engine/digests.cc
@@ -1,5 +1,6 @@
 #include "engine/digests.h"
 
+#include "engine/advice.h"
 #include "engine/job_runs.h"
 #include "engine/membership.h"
 #include "engine/questions.h"
@@ -16,7 +17,8 @@
                       .fence = worker->fence,
                       .version = worker->version,
                       .free = FreeRoom(*worker),
-                      .accepting = Accepts(context, *worker)};
+                      .accepting = Accepts(context, *worker),
+                      .slowness = worker->speed.slowness()};
   }
   const auto gone = context.state.gone.find(id);
   if (gone == context.state.gone.end()) {
@@ -73,7 +75,7 @@
       (!changed || !HasPassed(context.now, state.sent_at, kDigestInterval))) {
     return;
   }
-  RoomDigest digest;
+  RoomDigest digest{.advice_wait = AdviceWait(context.state)};
   AddRooms(context, refresh ? AllOwn(context.state) : state.changed, digest);
   if (refresh || state.waiting_changed) {
     AddWaiting(context.state, digest);
@@ -105,6 +107,7 @@
                     .free = it.free,
                     .accepting = it.accepting,
                     .gone = it.gone,
+                    .slowness = it.slowness,
                     .heard = context.now};
     if (it.gone) {
       context.state.workers.erase(it.worker);
@@ -112,6 +115,7 @@
     }
     context.state.placement_due = true;
   }
+  context.state.advice.waits[from] = digest.advice_wait;
   for (const QueueWaiting& it : digest.waiting) {
     context.state.digest.waiting[from][it.queue] = it.jobs;
   }
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -50,7 +50,13 @@
   std::map<std::string, StepTicket> tickets{};  // by worker
   std::set<std::string> denied{};               // workers
   Time asked_at = Time::min();                  // for advice, last
-  Time ready_at = kForever;                     // its turn came
+  bool asking = false;
+  // For the log, what it waited for. kForever: not yet.
+  Time ready_at = kForever;    // its turn came
+  Time advised_at = kForever;  // first tickets
+  Time first_start = kForever;
+  Time last_start = kForever;
+  Time done_at = kForever;
   std::uint64_t gang_run = 0;         // of all members
   std::uint64_t gang_failed_run = 0;  // counted as a failure
   std::uint64_t gang_started = 0;     // the run whose start was ordered
@@ -69,10 +75,11 @@
   std::uint64_t version = 0;
 };
 
-// Who asked for a cancel: a caller of this instance, or a member's.
-struct Canceller {
+// Who waits for a word about a job: a caller of this instance, or a member's.
+struct Asker {
   std::string member{};  // empty: a caller here
   std::uint64_t call = 0;
+  Time until = kForever;  // is answered by then, whatever is known
 };
 
 struct Job {
@@ -104,7 +111,9 @@
   Time asked_at = Time::min();
   // Callers that wait for its creation or its cancel to be stored.
   std::vector<std::uint64_t> submitters{};
-  std::vector<Canceller> cancellers{};
+  std::vector<Asker> cancellers{};
+  // Asked for the state while the end may be on its way.
+  std::vector<Asker> watchers{};
   bool cancel_wanted = false;  // before it was stored
   Time ended_at = kForever;
 };
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -174,7 +174,8 @@
   for (const std::uint64_t it : std::exchange(job->submitters, {})) {
     context.Emit(AnswerCaller{.call = it, .answer = JobAccepted{}});
   }
-  const std::vector<Canceller> cancellers = std::move(job->cancellers);
+  AnswerWatchers(context, *job, true);
+  const std::vector<Asker> cancellers = std::move(job->cancellers);
   context.state.active.erase(id);
   context.state.jobs.erase(id);
   RouteCancellers(context, id, cancellers);
@@ -196,7 +197,8 @@
   if (!IsFinal(job->stored_state)) {
     return;
   }
-  for (const Canceller& it : std::exchange(job->cancellers, {})) {
+  AnswerWatchers(context, *job, true);
+  for (const Asker& it : std::exchange(job->cancellers, {})) {
     AnswerCancel(context, it, job->stored_state);
   }
   context.state.digest.waiting_changed = true;
@@ -239,7 +241,8 @@
                                       {"generation",
                                        std::to_string(job->generation)},
                                       {"cause", cause}});
-  const std::vector<Canceller> cancellers = std::move(job->cancellers);
+  AnswerWatchers(context, *job, true);
+  const std::vector<Asker> cancellers = std::move(job->cancellers);
   context.state.active.erase(id);
   context.state.jobs.erase(id);
   RouteCancellers(context, id, cancellers);
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -33,8 +33,10 @@
   }
 }
 
-void MarkRunning(Context& context, Job& job, Task& task) {
+void MarkRunning(Context& context, Job& job, StepRun& step, Task& task) {
   if (task.phase != TaskPhase::kRunning) {
+    step.first_start = std::min(step.first_start, context.now);
+    step.last_start = context.now;
     task.phase = TaskPhase::kRunning;
     task.since = context.now;
     MarkStarted(context, job);
@@ -47,6 +49,7 @@
 
 struct Place {
   Job& job;
+  StepRun& step;
   Task& task;
   TaskName name;
   const StepSpec& spec;
@@ -63,6 +66,7 @@
     return std::nullopt;
   }
   return Place{.job = *job,
+               .step = StepAt(*job, name->occurrence, name->step),
                .task = *found,
                .name = *name,
                .spec = job->spec.steps[name->step]};
@@ -71,7 +75,7 @@
 // A member of a gang will not run: the others' room and runs are given back,
 // and all of them begin anew together.
 void BreakGang(Context& context, const Place& place) {
-  StepRun& step = StepAt(place.job, place.name.occurrence, place.name.step);
+  StepRun& step = place.step;
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     TaskName name = place.name;
     name.index = it;
@@ -82,8 +86,7 @@
 void OnRefused(Context& context, const Place& place, const OfferAnswer& answer) {
   ++context.state.totals.offers_refused;
   if (answer.outcome == OfferOutcome::kBadTicket) {
-    StepAt(place.job, place.name.occurrence, place.name.step)
-        .tickets.erase(answer.worker);
+    place.step.tickets.erase(answer.worker);
   }
   if (answer.outcome == OfferOutcome::kInvalid) {
     context.Log(EventNumber::kStartRefused,
@@ -103,7 +106,7 @@
 }
 
 void MarkDone(Context& context, const Place& place) {
-  StepRun& step = StepAt(place.job, place.name.occurrence, place.name.step);
+  StepRun& step = place.step;
   const auto finish = [&](Task& task, std::uint32_t index) {
     if (task.phase == TaskPhase::kDone) {
       return;
@@ -122,6 +125,9 @@
   } else {
     finish(place.task, place.name.index);
   }
+  if (step.done == step.tasks.size()) {
+    step.done_at = context.now;
+  }
   context.state.placement_due = true;
 }
 
@@ -130,7 +136,7 @@
   if (!place.spec.gang) {
     return ++place.task.failures;
   }
-  StepRun& step = StepAt(place.job, place.name.occurrence, place.name.step);
+  StepRun& step = place.step;
   Task& first = step.tasks.front();
   if (step.gang_failed_run < run) {
     step.gang_failed_run = run;
@@ -241,7 +247,7 @@
       continue;
     }
     if (it.outcome == OfferOutcome::kStarted) {
-      MarkRunning(context, place->job, place->task);
+      MarkRunning(context, place->job, place->step, place->task);
     } else if (it.outcome == OfferOutcome::kBooked) {
       place->task.booked = true;
       place->task.heard = context.now;
@@ -291,16 +297,14 @@
     task.run = report.run;
     task.worker = report.worker;
     task.phase = TaskPhase::kOffered;
-    StepRun& step = StepAt(place->job, place->name.occurrence,
-                           place->name.step);
-    step.gang_run = std::max(step.gang_run, report.run);
+    place->step.gang_run = std::max(place->step.gang_run, report.run);
   }
   if (task.run != report.run || !IsOut(task)) {
     return;
   }
   switch (report.state) {
     case RunState::kRunning:
-      MarkRunning(context, place->job, task);
+      MarkRunning(context, place->job, place->step, task);
       break;
     case RunState::kPending:
       task.heard = context.now;
@@ -339,8 +343,11 @@
       Requeue(context, task, Duration(0));
       const StepSpec& spec = job.spec.steps[name.step];
       if (spec.gang) {
-        BreakGang(context,
-                  Place{.job = job, .task = task, .name = name, .spec = spec});
+        BreakGang(context, Place{.job = job,
+                                 .step = StepAt(job, name.occurrence, name.step),
+                                 .task = task,
+                                 .name = name,
+                                 .spec = spec});
       }
     });
   }
--- a/Source/engine/job_table.cc
+++ b/Source/engine/job_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "engine/run_ends.h"
 #include "engine/worker_list.h"
 
@@ -13,6 +15,27 @@
 // More runs than one owner can come to: 1,000 starts of one task.
 constexpr std::uint64_t kRunsPerOwner = 1000;
 
+std::string Span(const Job& job, Time at) {
+  return at == kForever
+             ? "-"
+             : std::to_string(ToMilliseconds(at - job.created));
+}
+
+// For each step the milliseconds from the submission to its turn, its first
+// advice, its first and last start, and its end.
+std::string Timeline(const Job& job) {
+  std::string text;
+  for (const Occurrence& occurrence : job.occurrences) {
+    for (const StepRun& it : occurrence.steps) {
+      text += fmt::format("{}{}/{}/{}/{}/{}", text.empty() ? "" : ";",
+                          Span(job, it.ready_at), Span(job, it.advised_at),
+                          Span(job, it.first_start), Span(job, it.last_start),
+                          Span(job, it.done_at));
+    }
+  }
+  return text;
+}
+
 }  // namespace
 
 Job* FindJob(State& state, const std::string& id) {
@@ -108,7 +131,9 @@
   context.state.totals.failed += state == JobState::kFailed ? 1 : 0;
   context.Log(EventNumber::kJobEnded, {{"job", job.id},
                                        {"state", JobStateName(state)},
-                                       {"cause", cause}});
+                                       {"cause", cause},
+                                       {"queue", job.queue},
+                                       {"timeline", Timeline(job)}});
   MarkChanged(context, job, true);
   ForEachTask(job, [&](const TaskName& name, Task& task) {
     StopTask(context, job, name, task);
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -103,6 +103,11 @@
 inline constexpr Duration kPeerAnswer = milliseconds(400);
 // A caller's question is given up after this long; callers wait 3 s.
 inline constexpr Duration kQuestionPatience = milliseconds(1500);
+// A question for the state of a job that may just have ended is answered when
+// the news is in, at most so much later. From its worker to the store an end
+// takes up to kHoldPause, two hops and a write, and callers who are told
+// "running" a few ms too early ask again only after 250 ms.
+inline constexpr Duration kStateNews = milliseconds(70);
 // Scan for jobs whose owner is gone, should a member's end have been missed.
 inline constexpr Duration kOrphanScan = milliseconds(5000);
 
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -10,6 +10,7 @@
 #include "engine/configuration.h"
 #include "engine/job_model.h"
 #include "engine/peer_message.h"
+#include "engine/speed_estimate.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
@@ -69,6 +70,7 @@
   std::map<std::string, LocalRun> runs{};  // by task
   std::map<std::uint64_t, LocalEnd> ends{};
   std::uint64_t version = 0;  // of the room, for digests
+  SpeedEstimate speed{};
   Time unhealthy_until = Time::min();
   std::uint32_t recent_failures = 0;  // in a row, of different jobs
   std::string failed_job{};
--- a/Source/engine/peer_codec.cc
+++ b/Source/engine/peer_codec.cc
@@ -16,7 +16,7 @@
 constexpr auto kMethods = std::to_array<const char*>(
     {"room_digest", "task_offer", "offer_answers", "task_stops", "end_reports",
      "ends_stored", "run_queries", "run_reports", "adopt_query", "adopt_report",
-     "job_query", "job_reply"});
+     "job_query", "job_reply", "advice_ask", "advice_reply"});
 static_assert(kMethods.size() == std::variant_size_v<PeerMessage>);
 
 using DecodedMessage = std::variant<PeerMessage, DecodeError>;
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -35,6 +35,7 @@
     codec.Field("free", it.free);
     codec.Optional("accepting", it.accepting, false);
     codec.Optional("gone", it.gone, false);
+    codec.Optional("slowness", it.slowness, std::uint32_t{0});
   }
 };
 
@@ -53,6 +54,7 @@
   static void Visit(Codec& codec, Value& it) {
     codec.Optional("workers", it.workers, std::vector<engine::WorkerRoom>());
     codec.Optional("waiting", it.waiting, std::vector<engine::QueueWaiting>());
+    codec.Optional("advice_wait_ms", it.advice_wait, Duration(0));
   }
 };
 
@@ -257,6 +259,38 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::AdviceAsk> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("call", it.call);
+    codec.Field("step", it.step);
+    codec.Optional("priority", it.priority, std::uint32_t{0});
+    codec.Optional("expected_ms", it.expected, Duration(0));
+    codec.Field("workers", it.workers);
+  }
+};
+
+template <>
+struct FieldsOf<engine::AdvisedWorker> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Field("ticket", it.ticket);
+  }
+};
+
+template <>
+struct FieldsOf<engine::AdviceReply> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("call", it.call);
+    codec.Optional("failed", it.failed, false);
+    codec.Optional("allowed", it.allowed,
+                   std::vector<engine::AdvisedWorker>());
+  }
+};
+
 }  // namespace burdockrock
 
 #endif  // BURDOCKROCK_ENGINE_PEER_FIELDS_H_
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -23,6 +23,8 @@
   Resources free{};
   bool accepting = false;  // takes new tasks
   bool gone = false;       // all that ran there has ended
+  // How long tasks take there, in hundredths of their estimates; 0: not known.
+  std::uint32_t slowness = 0;
 
   auto operator<=>(const WorkerRoom&) const = default;
 };
@@ -37,6 +39,7 @@
 struct RoomDigest {
   std::vector<WorkerRoom> workers{};
   std::vector<QueueWaiting> waiting{};
+  Duration advice_wait{0};  // until the sender would ask for more advice
 
   auto operator<=>(const RoomDigest&) const = default;
 };
@@ -239,6 +242,33 @@
   auto operator<=>(const JobReply&) const = default;
 };
 
+// Asks the receiver to ask the advice service: it serves one call at a time for
+// each entry instance.
+struct AdviceAsk {
+  std::uint64_t call = 0;  // the asker's
+  std::string step{};
+  std::uint32_t priority = 0;
+  Duration expected{0};  // how long the service will take
+  std::vector<std::string> workers{};
+
+  auto operator<=>(const AdviceAsk&) const = default;
+};
+
+struct AdvisedWorker {
+  std::string worker{};
+  std::string ticket{};
+
+  auto operator<=>(const AdvisedWorker&) const = default;
+};
+
+struct AdviceReply {
+  std::uint64_t call = 0;
+  bool failed = false;
+  std::vector<AdvisedWorker> allowed{};
+
+  auto operator<=>(const AdviceReply&) const = default;
+};
+
 using PeerMessage = std::variant<RoomDigest,
                                  TaskOffer,
                                  OfferAnswers,
@@ -250,7 +280,9 @@
                                  AdoptQuery,
                                  AdoptReport,
                                  JobQuery,
-                                 JobReply>;
+                                 JobReply,
+                                 AdviceAsk,
+                                 AdviceReply>;
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/placement_rule.cc
+++ b/Source/engine/placement_rule.cc
@@ -18,6 +18,14 @@
 // Of two dimensions that are left in unlike shares one can't be used.
 constexpr double kUnbalanced = 0.5;
 
+// A task that takes 1.25 times as long as on a mean worker misses an objective of
+// 1.5 times its chain as soon as anything else goes wrong.
+constexpr double kSlow = 2;
+// Of objectives: from the first on speed does not matter, below the second it
+// counts whole.
+constexpr double kRelaxedStretch = 2.2;
+constexpr double kTightStretch = 1.5;
+
 double ShareLeft(std::int64_t free, std::int64_t need, std::int64_t capacity) {
   return capacity <= 0 ? 0
                        : static_cast<double>(free - need) /
@@ -26,6 +34,12 @@
 
 }  // namespace
 
+double SpeedWeight(double stretch) {
+  return std::clamp(
+      (kRelaxedStretch - stretch) / (kRelaxedStretch - kTightStretch), 0.0,
+      1.0);
+}
+
 bool MayRunOn(const StepSpec& step, const WorkerInfo& worker) {
   const bool label = step.label.empty() || HasLabel(worker, step.label);
   return label && Fits(RoomOf(step), worker.capacity);
@@ -58,6 +72,7 @@
   if (candidate.worker->id == need.avoid) {
     cost += kAvoided;
   }
+  cost += need.speed_weight * kSlow * (candidate.slowness - 1);
   return cost + (candidate.own_domain ? 0 : kOtherDomain);
 }
 
--- a/Source/engine/placement_rule.h
+++ b/Source/engine/placement_rule.h
@@ -18,17 +18,24 @@
   const WorkerInfo* worker = nullptr;
   Resources free{};
   bool own_domain = false;
+  double slowness = 1;  // against the mean of the service's workers
 };
 
 struct PlacementNeed {
   const StepSpec* step = nullptr;
   Resources room{};
+  // How much a fast worker counts; 0: not at all.
+  double speed_weight = 0;
   // Kept free for work that goes first, as a share of the worker's processors.
   double reserve = 0;
   std::string avoid{};  // a worker, unless there is no other
   std::string rack{};   // only there; empty: anywhere
 };
 
+// Work with a tight objective goes to fast workers; work that has time leaves
+// them free.
+double SpeedWeight(double stretch);
+
 // Whether the task may ever run on the worker.
 bool MayRunOn(const StepSpec& step, const WorkerInfo& worker);
 
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -28,6 +28,20 @@
   std::map<std::string, std::vector<TaskOffer>> offers{};
 };
 
+// Estimates are off alike for all workers, so only the differences between them
+// count. A worker of which nothing is known yet counts as a mean one.
+void RelateSlowness(std::vector<Candidate>& candidates) {
+  double sum = 0;
+  double n = 0;
+  for (const Candidate& it : candidates) {
+    sum += it.slowness;
+    n += it.slowness > 0 ? 1 : 0;
+  }
+  for (Candidate& it : candidates) {
+    it.slowness = it.slowness > 0 ? it.slowness * n / sum : 1;
+  }
+}
+
 std::vector<Candidate> CandidatesOf(Context& context,
                                     const std::string& service) {
   std::vector<Candidate> candidates;
@@ -43,9 +57,11 @@
           {.worker = &listed.info,
            .free = view->second.free,
            .own_domain =
-               listed.info.domain == context.state.options.self.domain});
+               listed.info.domain == context.state.options.self.domain,
+           .slowness = static_cast<double>(view->second.slowness)});
     }
   }
+  RelateSlowness(candidates);
   return candidates;
 }
 
@@ -160,8 +176,8 @@
 PlacementNeed NeedOf(const ReadyStep& ready) {
   return {.step = &ready.spec(),
           .room = RoomOf(ready.spec()),
-          .reserve = kReservePerPriority *
-                     static_cast<double>(ready.queue->priority)};
+          .speed_weight = SpeedWeight(ready.queue->stretch),
+          .reserve = ReserveOf(*ready.queue)};
 }
 
 void PlaceSingles(Round& round, const ReadyStep& ready) {
@@ -299,31 +315,73 @@
   }
 }
 
+// All tasks of the step are out or done, and by their estimate the last ones
+// end within `lead`.
+bool EndsSoon(const Context& context, Job& job, std::uint32_t occurrence,
+              std::uint32_t number, Duration lead) {
+  const StepRun& step = StepAt(job, occurrence, number);
+  for (const Task& it : step.tasks) {
+    if (it.phase != TaskPhase::kRunning && it.phase != TaskPhase::kDone) {
+      return false;
+    }
+  }
+  return step.last_start != kForever &&
+         context.now + lead >=
+             step.last_start + job.spec.steps[number].estimate;
+}
+
+bool IsReadySoon(const Context& context, Job& job, std::uint32_t occurrence,
+                 std::uint32_t step, Duration lead) {
+  const auto& after = job.spec.steps[step].after;
+  return job.occurrences[occurrence].begun &&
+         std::all_of(after.begin(), after.end(), [&](std::uint32_t it) {
+           return IsStepDone(job, occurrence, it) ||
+                  EndsSoon(context, job, occurrence, it, lead);
+         });
+}
+
 void AddReadySteps(Context& context, Job& job, const QueuePolicy& queue,
-                   std::vector<ReadyStep>& out) {
+                   std::optional<Duration> lead, std::vector<ReadyStep>& out) {
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
     for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
-      if (IsStepDone(job, k, s) || !IsStepReady(job, k, s)) {
+      if (IsStepDone(job, k, s)) {
+        continue;
+      }
+      const bool ready = IsStepReady(job, k, s);
+      if (!ready && !(lead && IsReadySoon(context, job, k, s, *lead))) {
         continue;
       }
       StepRun& step = StepAt(job, k, s);
-      step.ready_at = std::min(step.ready_at, context.now);
-      out.push_back(
-          {.job = &job, .occurrence = k, .step = s, .queue = &queue});
+      if (ready) {
+        step.ready_at = std::min(step.ready_at, context.now);
+      }
+      out.push_back({.job = &job,
+                     .occurrence = k,
+                     .step = s,
+                     .queue = &queue,
+                     .ready = ready});
     }
   }
 }
 
 }  // namespace
 
-std::vector<ReadyStep> ReadySteps(Context& context) {
+double ReserveOf(const QueuePolicy& queue) {
+  return kReservePerPriority * static_cast<double>(queue.priority);
+}
+
+std::vector<ReadyStep> ReadySteps(
+    Context& context,
+    const std::function<Duration(const QueuePolicy&)>& lead) {
   std::vector<ReadyStep> steps;
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     const QueuePolicy* queue =
         FindQueueByName(context.state.configuration, job.queue);
     if (queue != nullptr && !IsFinal(job.state)) {
-      AddReadySteps(context, job, *queue, steps);
+      const auto span =
+          lead ? std::optional(lead(*queue)) : std::optional<Duration>();
+      AddReadySteps(context, job, *queue, span, steps);
     }
   }
   std::sort(steps.begin(), steps.end(),
--- a/Source/engine/placing.h
+++ b/Source/engine/placing.h
@@ -2,6 +2,7 @@
 #ifndef BURDOCKROCK_ENGINE_PLACING_H_
 #define BURDOCKROCK_ENGINE_PLACING_H_
 
+#include <functional>
 #include <vector>
 
 #include "engine/context.h"
@@ -14,13 +15,20 @@
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   const QueuePolicy* queue = nullptr;
+  bool ready = true;  // false: its turn comes soon
 
   const StepSpec& spec() const { return job->spec.steps[step]; }
   StepRun& run() const { return job->occurrences[occurrence].steps[step]; }
 };
 
-// In the order in which they are served.
-std::vector<ReadyStep> ReadySteps(Context& context);
+// In the order in which they are served. With `lead` also steps that all they
+// wait for is expected to be done that soon, as `lead` tells for their queue.
+std::vector<ReadyStep> ReadySteps(
+    Context& context,
+    const std::function<Duration(const QueuePolicy&)>& lead = nullptr);
+
+// Share of each worker's processors that tasks of the queue leave free.
+double ReserveOf(const QueuePolicy& queue);
 
 void DrivePlacement(Context& context);
 
--- a/Source/engine/questions.cc
+++ b/Source/engine/questions.cc
@@ -108,7 +108,46 @@
   Create(context, call, id, queue, std::move(spec));
 }
 
-void BeginCancel(Context& context, Job& job, Canceller canceller) {
+void TellState(Context& context, const Asker& asker, const Job& job) {
+  const JobState state = ShownState(job);
+  if (asker.member.empty()) {
+    return Answer(context, asker.call, JobShown{.state = state});
+  }
+  Send(context, asker.member,
+       JobReply{.call = asker.call, .known = true, .state = state});
+}
+
+// All that is left of the job runs, so that it may have ended by now.
+bool MayHaveEnded(const Job& job) {
+  if (!job.started || job.recovering || IsFinal(job.stored_state)) {
+    return false;
+  }
+  for (const Occurrence& occurrence : job.occurrences) {
+    if (!occurrence.begun) {
+      return false;
+    }
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      for (const Task& it : occurrence.steps[s].tasks) {
+        const bool may_be_done = it.phase == TaskPhase::kDone ||
+                                 it.phase == TaskPhase::kRunning;
+        if (!may_be_done || job.spec.steps[s].lasting) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
+void OnStateAsked(Context& context, Job& job, Asker asker) {
+  if (!MayHaveEnded(job)) {
+    return TellState(context, asker, job);
+  }
+  asker.until = context.now + kStateNews;
+  job.watchers.push_back(std::move(asker));
+}
+
+void BeginCancel(Context& context, Job& job, Asker canceller) {
   if (IsFinal(job.stored_state)) {
     return AnswerCancel(context, canceller, job.stored_state);
   }
@@ -154,9 +193,9 @@
 bool Advance(Context& context, std::uint64_t id, WaitingCaller& caller) {
   if (Job* job = FindJob(context.state, caller.job)) {
     if (caller.question == CallerQuestion::kState) {
-      Answer(context, caller.call, JobShown{.state = ShownState(*job)});
+      OnStateAsked(context, *job, Asker{.call = caller.call});
     } else {
-      BeginCancel(context, *job, Canceller{.call = caller.call});
+      BeginCancel(context, *job, Asker{.call = caller.call});
     }
     return true;
   }
@@ -286,10 +325,9 @@
   }
   if (query.question == JobQuestion::kCancel) {
     return BeginCancel(context, *job,
-                       Canceller{.member = from, .call = query.call});
+                       Asker{.member = from, .call = query.call});
   }
-  Send(context, from,
-       JobReply{.call = query.call, .known = true, .state = ShownState(*job)});
+  OnStateAsked(context, *job, Asker{.member = from, .call = query.call});
 }
 
 void OnJobReply(Context& context, const JobReply& reply) {
@@ -335,10 +373,13 @@
   for (const std::uint64_t it : answered) {
     context.state.callers.erase(it);
   }
+  for (const std::string& it : context.state.active) {
+    AnswerWatchers(context, context.state.jobs.at(it), false);
+  }
   DriveSubmitters(context);
 }
 
-void AnswerCancel(Context& context, const Canceller& canceller,
+void AnswerCancel(Context& context, const Asker& canceller,
                   JobState state) {
   if (canceller.member.empty()) {
     return Answer(context, canceller.call, CancelTaken{});
@@ -347,9 +388,19 @@
        JobReply{.call = canceller.call, .known = true, .state = state});
 }
 
+void AnswerWatchers(Context& context, Job& job, bool all) {
+  std::erase_if(job.watchers, [&](const Asker& it) {
+    const bool due = all || context.now >= it.until;
+    if (due) {
+      TellState(context, it, job);
+    }
+    return due;
+  });
+}
+
 void RouteCancellers(Context& context, const std::string& job,
-                     const std::vector<Canceller>& cancellers) {
-  for (const Canceller& it : cancellers) {
+                     const std::vector<Asker>& cancellers) {
+  for (const Asker& it : cancellers) {
     if (it.member.empty()) {
       OnQuestion(context, it.call, CallerQuestion::kCancel, job);
     } else {
--- a/Source/engine/questions.h
+++ b/Source/engine/questions.h
@@ -20,12 +20,16 @@
 // Gives up and asks again, as due.
 void DriveCallers(Context& context);
 
-void AnswerCancel(Context& context, const Canceller& canceller,
+void AnswerCancel(Context& context, const Asker& canceller,
                   JobState state);
 
+// Tells the job's state to those who wait for news of it: all, or those whose
+// patience is over.
+void AnswerWatchers(Context& context, Job& job, bool all);
+
 // The job is another instance's now: whoever waits for its cancel asks there.
 void RouteCancellers(Context& context, const std::string& job,
-                     const std::vector<Canceller>& cancellers);
+                     const std::vector<Asker>& cancellers);
 
 // Jobs of the queue that were accepted here and have not begun.
 std::uint32_t CountWaiting(const State& state, const std::string& queue);
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -41,6 +41,8 @@
   void operator()(const AdoptReport& it) { OnAdoptReport(context, from, it); }
   void operator()(const JobQuery& it) { OnJobQuery(context, from, it); }
   void operator()(const JobReply& it) { OnJobReply(context, it); }
+  void operator()(const AdviceAsk& it) { OnAdviceAsk(context, from, it); }
+  void operator()(const AdviceReply& it) { OnAdviceReply(context, it); }
 };
 
 // Hands the store's answer to whoever asked.
@@ -123,6 +125,8 @@
   DriveCatalog(context);
   DrainInbox(context);
   DriveAdvice(context);
+  DrainInbox(context);
+  DriveAdviceTurns(context);
   DrivePlacement(context);
   DrainInbox(context);
   DriveProgress(context);
--- a/Source/engine/run_ends.cc
+++ b/Source/engine/run_ends.cc
@@ -68,7 +68,16 @@
   worker.ends[row.sequence] = LocalEnd{.row = row};
   NoteOutcome(context, id, worker, row, job);
   const auto run = worker.runs.find(row.task);
+  std::string took = "-";
+  std::string estimate = "-";
   if (run != worker.runs.end() && run->second.run <= row.run) {
+    took = std::to_string(ToMilliseconds(context.now - run->second.since));
+    estimate = std::to_string(ToMilliseconds(run->second.spec.estimate));
+    if (row.how == RunEnd::kDone && run->second.checkpoint.empty() &&
+        !run->second.spec.gang && !run->second.spec.filling) {
+      worker.speed.Add(context.now - run->second.since,
+                       run->second.spec.estimate);
+    }
     if (run->second.answer_offer) {
       // It started and ended before the order was answered: the end itself
       // tells the job's owner.
@@ -79,7 +88,9 @@
   context.Log(EventNumber::kRunEnded, {{"task", row.task},
                                        {"run", std::to_string(row.run)},
                                        {"worker", id},
-                                       {"how", RunEndName(row.how)}});
+                                       {"how", RunEndName(row.how)},
+                                       {"took_ms", took},
+                                       {"estimate_ms", estimate}});
   return true;
 }
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -131,6 +131,7 @@
   Resources free{};
   bool accepting = false;
   bool gone = false;
+  std::uint32_t slowness = 0;  // in hundredths of the estimates; 0: not known
   Time heard{0};
 };
 
@@ -200,20 +201,29 @@
   bool writing = false;
 };
 
-// A ticket to run one step's tasks on one worker.
-struct Ticket {
-  std::string text{};
-  Time expires{0};
+// A question for advice on an own job's step that is out.
+struct AdviceQuestion {
+  TaskName step{};       // its index does not count
+  std::string member{};  // that asks the service
+  std::vector<std::string> workers{};
+  Duration expected{0};
+  Time give_up{0};
+};
+
+// A call to the service that this instance makes for a member or itself.
+struct AdviceTurn {
+  std::string from{};
+  AdviceAsk ask{};
+  Time arrived{0};
 };
 
 struct AdviceState {
-  bool in_flight = false;
-  std::string job{};
-  std::uint32_t occurrence = 0;
-  std::uint32_t step = 0;
-  Time asked{0};
+  std::uint64_t last_call = 0;
+  std::map<std::uint64_t, AdviceQuestion> questions{};
+  std::deque<AdviceTurn> turns{};
+  std::optional<AdviceTurn> in_flight{};
   Time retry_at{0};
-  std::uint64_t calls = 0;
+  std::map<std::string, Duration> waits{};  // of the members, as they told
 };
 
 struct DigestState {
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -24,6 +24,8 @@
 void BeginClaim(Context& context, const WorkerInfo& info) {
   OwnedWorker& worker = context.state.owned[info.id];
   worker.info = info;
+  // What the owner before has learned.
+  worker.speed = SpeedEstimate(context.state.view[info.id].slowness);
   worker.hold_at = context.now;
   // The owner before may renew the leases for as long as it reaches the worker
   // and has not given up on the store.
@@ -232,6 +234,7 @@
                   .version = worker.version,
                   .free = FreeRoom(worker),
                   .accepting = Accepts(context, worker),
+                  .slowness = worker.speed.slowness(),
                   .heard = context.now};
   context.state.placement_due = true;
 }
