Engine: Asks for no advice that tickets at hand make needless

Ruled out: too few instances for long calls. Change: a step asks again only when the workers it has tickets for lack room, and for at least 0.3 of what waits.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -30,8 +30,10 @@
 // Between two questions about one step, beside the time of a decision.
 constexpr Duration kWiden = milliseconds(150);
 // A call for a step that was asked about before must let so many tasks start,
-// as far as can be expected: waiting steps would otherwise take all turns.
+// as far as can be expected, and this share of those that wait: waiting steps
+// would otherwise take all turns.
 constexpr double kMinStarts = 1;
+constexpr double kMinStartShare = 0.3;
 // The chance that a worker of which nothing is known may run the step; the
 // queues' policies allow 0.35 to 0.7 of them.
 constexpr double kAllowedShare = 0.4;
@@ -54,19 +56,44 @@
       }));
 }
 
+bool IsValid(const Context& context, const StepTicket& ticket) {
+  return ticket.expires > context.now + kTicketMargin;
+}
+
+// The workers with a ticket have room for all tasks that wait.
+bool HasEnough(const Context& context, const ReadyStep& ready) {
+  const auto waiting = static_cast<std::int64_t>(CountWaiting(ready.run()));
+  const Resources room = RoomOf(ready.spec());
+  std::int64_t fits = 0;
+  for (const auto& [worker, ticket] : ready.run().tickets) {
+    const auto view = context.state.view.find(worker);
+    if (IsValid(context, ticket) && view != context.state.view.end() &&
+        view->second.accepting) {
+      fits += CountFitting(room, view->second.free);
+    }
+  }
+  return fits >= waiting;
+}
+
+bool HasValidTicket(const Context& context, const StepRun& step) {
+  return std::any_of(
+      step.tickets.begin(), step.tickets.end(),
+      [&](const auto& it) { return IsValid(context, it.second); });
+}
+
 bool NeedsAdvice(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
   if (!ready.queue->advice || step.asking || CountWaiting(step) == 0) {
     return false;
   }
-  return HasPassed(context.now, step.asked_at,
+  if (!ready.ready && HasValidTicket(context, step)) {
+    return false;
+  }
+  return !HasEnough(context, ready) &&
+         HasPassed(context.now, step.asked_at,
                    kWiden + ready.queue->advice->decision);
 }
 
-bool IsValid(const Context& context, const StepTicket& ticket) {
-  return ticket.expires > context.now + kTicketMargin;
-}
-
 std::vector<Named> NamesFor(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
   const PlacementNeed need{.step = &ready.spec(),
@@ -130,7 +157,10 @@
     }
   }
   const bool asked = ready.run().advised_at != kForever;
-  if (asked && starts < kMinStarts) {
+  const double least = std::max(
+      kMinStarts, kMinStartShare *
+                      static_cast<double>(CountWaiting(ready.run())));
+  if (asked && starts < least) {
     chosen.clear();
   }
   return chosen;
