Engine: Answers questions about unknown jobs by one read of the store

Cause: a question asked at an instance that does not own the job asked for the record again while the first read was under way, took the answer for stale, and gave up after 1.5 s. Ruled out by the timelines: advice, room, speed of the workers, failed runs. Change: a record counts when its read began after the question.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -14,7 +14,7 @@
 
 // How many workers one call names: as many as the step has tasks, twice, since
 // only some of them are allowed, and some for those without room.
-constexpr std::size_t kSpareNames = 6;
+constexpr std::size_t kSpareNames = 10;
 constexpr std::size_t kNamesPerTask = 2;
 // Calls that take this long are made by other instances than shorter ones.
 constexpr Duration kLongCall = milliseconds(100);
@@ -46,6 +46,7 @@
   bool allowed = false;  // from an earlier answer, its ticket has lapsed
   bool has_room = false;
   double fits = 0;  // tasks that have room now
+  double rank = 0;  // lower is better
 };
 
 std::size_t CountWaiting(const StepRun& step) {
@@ -96,26 +97,15 @@
 
 std::vector<Named> NamesFor(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
-  const PlacementNeed need{.step = &ready.spec(),
-                           .room = RoomOf(ready.spec()),
-                           .reserve = ReserveOf(*ready.queue)};
+  const PlacementNeed need = NeedOf(ready);
   std::vector<Named> names;
-  for (const auto& [id, listed] : context.state.workers) {
-    const auto view = context.state.view.find(id);
-    const bool usable = listed.listed && !listed.info.draining &&
-                        listed.info.service == ready.queue->service &&
-                        view != context.state.view.end() &&
-                        !view->second.gone && view->second.accepting &&
-                        MayRunOn(ready.spec(), listed.info) &&
-                        !step.denied.contains(id);
-    if (!usable) {
+  for (const Candidate& candidate :
+       CandidatesOf(context, ready.queue->service)) {
+    const std::string& id = candidate.worker->id;
+    if (!MayRunOn(ready.spec(), *candidate.worker) ||
+        step.denied.contains(id)) {
       continue;
     }
-    const Candidate candidate{
-        .worker = &listed.info,
-        .free = view->second.free,
-        .own_domain =
-            listed.info.domain == context.state.options.self.domain};
     const auto ticket = step.tickets.find(id);
     const bool has_room = HasRoomNow(need, candidate);
     const bool known = ticket != step.tickets.end();
@@ -124,11 +114,16 @@
     if ((known && IsValid(context, ticket->second)) || (asked && !has_room)) {
       continue;
     }
+    const auto fits =
+        static_cast<double>(CountFitting(need.room, candidate.free));
     names.push_back({.id = id,
                      .allowed = known,
                      .has_room = has_room,
-                     .fits = static_cast<double>(
-                         CountFitting(need.room, candidate.free))});
+                     .fits = fits,
+                     // Work in a hurry wants fast workers; other work few.
+                     .rank = need.speed_weight > 0
+                                 ? PlacementCost(need, candidate)
+                                 : -fits});
   }
   return names;
 }
@@ -141,9 +136,9 @@
   std::stable_sort(names.begin(), names.end(),
                    [](const Named& left, const Named& right) {
                      return std::tuple(!left.has_room, !left.allowed,
-                                       -left.fits) <
+                                       left.rank) <
                             std::tuple(!right.has_room, !right.allowed,
-                                       -right.fits);
+                                       right.rank);
                    });
   const std::size_t wanted =
       std::min(kMaxAdvised,
--- a/Source/engine/catalog.cc
+++ b/Source/engine/catalog.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // An owner that is gone is replaced within a second or so.
-constexpr Duration kRecordAge = milliseconds(400);
+constexpr Duration kRecordAge = milliseconds(150);
 // Entries that nobody asked for are forgotten.
 constexpr Duration kKept = milliseconds(60'000);
 
@@ -122,6 +122,7 @@
     entry.want_record = true;
     return;
   }
+  entry.known_from = entry.read_at;
   TellKnown(context, job, entry);
   OnRecordKnown(context, job);
 }
--- a/Source/engine/placement_rule.cc
+++ b/Source/engine/placement_rule.cc
@@ -25,6 +25,8 @@
 // counts whole.
 constexpr double kRelaxedStretch = 2.2;
 constexpr double kTightStretch = 1.5;
+// Work that has time rather takes the slow workers.
+constexpr double kRelaxedWeight = -0.1;
 
 double ShareLeft(std::int64_t free, std::int64_t need, std::int64_t capacity) {
   return capacity <= 0 ? 0
@@ -36,8 +38,8 @@
 
 double SpeedWeight(double stretch) {
   return std::clamp(
-      (kRelaxedStretch - stretch) / (kRelaxedStretch - kTightStretch), 0.0,
-      1.0);
+      (kRelaxedStretch - stretch) / (kRelaxedStretch - kTightStretch),
+      kRelaxedWeight, 1.0);
 }
 
 bool MayRunOn(const StepSpec& step, const WorkerInfo& worker) {
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -7,7 +7,6 @@
 
 #include "engine/job_table.h"
 #include "engine/membership.h"
-#include "engine/placement_rule.h"
 #include "engine/worker_list.h"
 
 namespace burdockrock::engine {
@@ -42,29 +41,6 @@
   }
 }
 
-std::vector<Candidate> CandidatesOf(Context& context,
-                                    const std::string& service) {
-  std::vector<Candidate> candidates;
-  for (const auto& [id, listed] : context.state.workers) {
-    const auto view = context.state.view.find(id);
-    const bool usable =
-        listed.listed && !listed.info.draining &&
-        listed.info.service == service && view != context.state.view.end() &&
-        view->second.accepting && !view->second.gone &&
-        FindMember(context.state, view->second.owner) != nullptr;
-    if (usable) {
-      candidates.push_back(
-          {.worker = &listed.info,
-           .free = view->second.free,
-           .own_domain =
-               listed.info.domain == context.state.options.self.domain,
-           .slowness = static_cast<double>(view->second.slowness)});
-    }
-  }
-  RelateSlowness(candidates);
-  return candidates;
-}
-
 std::vector<Candidate>& Candidates(Round& round, const std::string& service) {
   const auto it = round.by_service.find(service);
   if (it != round.by_service.end()) {
@@ -173,13 +149,6 @@
   task.booked = false;
 }
 
-PlacementNeed NeedOf(const ReadyStep& ready) {
-  return {.step = &ready.spec(),
-          .room = RoomOf(ready.spec()),
-          .speed_weight = SpeedWeight(ready.queue->stretch),
-          .reserve = ReserveOf(*ready.queue)};
-}
-
 void PlaceSingles(Round& round, const ReadyStep& ready) {
   Choice choice{.context = round.context,
                 .ready = ready,
@@ -366,8 +335,35 @@
 
 }  // namespace
 
-double ReserveOf(const QueuePolicy& queue) {
-  return kReservePerPriority * static_cast<double>(queue.priority);
+std::vector<Candidate> CandidatesOf(const Context& context,
+                                    const std::string& service) {
+  std::vector<Candidate> candidates;
+  for (const auto& [id, listed] : context.state.workers) {
+    const auto view = context.state.view.find(id);
+    const bool usable =
+        listed.listed && !listed.info.draining &&
+        listed.info.service == service && view != context.state.view.end() &&
+        view->second.accepting && !view->second.gone &&
+        FindMember(context.state, view->second.owner) != nullptr;
+    if (usable) {
+      candidates.push_back(
+          {.worker = &listed.info,
+           .free = view->second.free,
+           .own_domain =
+               listed.info.domain == context.state.options.self.domain,
+           .slowness = static_cast<double>(view->second.slowness)});
+    }
+  }
+  RelateSlowness(candidates);
+  return candidates;
+}
+
+PlacementNeed NeedOf(const ReadyStep& ready) {
+  return {.step = &ready.spec(),
+          .room = RoomOf(ready.spec()),
+          .speed_weight = SpeedWeight(ready.queue->stretch),
+          .reserve = kReservePerPriority *
+                     static_cast<double>(ready.queue->priority)};
 }
 
 std::vector<ReadyStep> ReadySteps(
--- a/Source/engine/placing.h
+++ b/Source/engine/placing.h
@@ -3,9 +3,11 @@
 #define BURDOCKROCK_ENGINE_PLACING_H_
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "engine/context.h"
+#include "engine/placement_rule.h"
 
 namespace burdockrock::engine {
 
@@ -27,8 +29,12 @@
     Context& context,
     const std::function<Duration(const QueuePolicy&)>& lead = nullptr);
 
-// Share of each worker's processors that tasks of the queue leave free.
-double ReserveOf(const QueuePolicy& queue);
+// The service's workers that take tasks, with their room.
+std::vector<Candidate> CandidatesOf(const Context& context,
+                                    const std::string& service);
+
+// What one task of the step needs of a worker.
+PlacementNeed NeedOf(const ReadyStep& ready);
 
 void DrivePlacement(Context& context);
 
--- a/Source/engine/questions.cc
+++ b/Source/engine/questions.cc
@@ -201,10 +201,10 @@
   }
   const CatalogEntry& entry = context.state.catalog[caller.job];
   const bool read = entry.record || entry.absent;
-  const bool fresh = read && !entry.reading_record && !entry.want_record;
-  if (caller.read_again || !fresh) {
-    caller.read_again = false;
-    WantRecord(context, caller.job);
+  if (!read || entry.known_from < caller.read_from) {
+    if (!entry.reading_record || entry.read_at < caller.read_from) {
+      WantRecord(context, caller.job);
+    }
     return false;
   }
   if (AnswerFromRecord(context, caller, entry)) {
@@ -212,7 +212,7 @@
   }
   const std::string& owner = entry.record->owner;
   if (FindMember(context.state, owner) == nullptr) {
-    WantRecord(context, caller.job);  // until somebody has adopted it
+    caller.read_from = context.now;  // until somebody has adopted it
     return false;
   }
   if (caller.asked != owner ||
@@ -231,8 +231,9 @@
                        .give_up = context.now + kQuestionPatience};
   // A job that its owner was known for is asked about there at once.
   const auto entry = context.state.catalog.find(job);
-  caller.read_again =
-      entry == context.state.catalog.end() || !entry->second.record;
+  const bool cached =
+      entry != context.state.catalog.end() && entry->second.record;
+  caller.read_from = cached ? Time::min() : context.now;
   if (!Advance(context, id, caller)) {
     context.state.callers.emplace(id, std::move(caller));
   }
@@ -336,7 +337,7 @@
     return;
   }
   if (!reply.known) {
-    it->second.read_again = true;
+    it->second.read_from = context.now;
     it->second.asked.clear();
     return;
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -175,7 +175,8 @@
   bool reading_spec = false;
   bool want_record = false;
   bool want_spec = false;
-  Time read_at = Time::min();  // the record, last
+  Time read_at = Time::min();     // when the last read of the record began
+  Time known_from = Time::min();  // when the read began whose answer this is
   Time used{0};
 };
 
@@ -187,7 +188,8 @@
   Time give_up{0};
   std::string asked{};  // the member that was asked last
   Time asked_at = Time::min();
-  bool read_again = true;  // the store, before somebody is asked
+  // The record counts if its read began then or later.
+  Time read_from = Time::min();
 };
 
 // Adoption of jobs whose owner is gone.
