Engine: Pauses between watches of workers and between holds

Ruled out: transactions (35 a second) and renewals (9). Change: 600 ms between two answers of that watch; 100 ms between two holds.

--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -41,6 +41,10 @@
 // configurations must be in force 2 s after they were stored.
 inline constexpr Duration kWatchWait = milliseconds(1200);
 inline constexpr Duration kWatchSlack = milliseconds(400);
+// Between two answers of the watch of workers. Each worker's entry changes with
+// every heartbeat: without a pause the watch would answer 32 times a second for
+// 48 workers. A worker that leaves must get no new work 2 s later.
+inline constexpr Duration kWorkersPause = milliseconds(600);
 // Entries in one transaction, by the platform's interface.
 inline constexpr std::size_t kMaxTransactionEntries = 32;
 // Two hide the store's latency; more would spread the same changes thinner.
@@ -55,11 +59,12 @@
 // Workers.
 
 // The longest a hold may wait for an end, by the platform's interface 2 s.
-inline constexpr Duration kHoldWait = milliseconds(1500);
+inline constexpr Duration kHoldWait = milliseconds(1900);
 inline constexpr Duration kHoldSlack = milliseconds(700);
 // Pause between two holds: ends that come within it share one look. At three
-// ends a second and worker it saves little and delays an end by 20 ms.
-inline constexpr Duration kHoldPause = milliseconds(40);
+// ends a second and worker it saves a third of the looks, and delays an end by
+// 50 ms in the mean.
+inline constexpr Duration kHoldPause = milliseconds(100);
 inline constexpr Duration kHoldRetry = milliseconds(150);
 // A worker that has not answered for so long is only looked at, its lease is
 // no longer renewed: so the time is known when all that ran there has ended.
@@ -107,7 +112,7 @@
 // the news is in, at most so much later. From its worker to the store an end
 // takes up to kHoldPause, two hops and a write, and callers who are told
 // "running" a few ms too early ask again only after 250 ms.
-inline constexpr Duration kStateNews = milliseconds(70);
+inline constexpr Duration kStateNews = milliseconds(130);
 // Scan for jobs whose owner is gone, should a member's end have been missed.
 inline constexpr Duration kOrphanScan = milliseconds(5000);
 
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -22,6 +22,10 @@
   return state.options.documents.configuration_key;
 }
 
+Duration PauseOf(WatchedList list) {
+  return list == WatchedList::kWorkers ? kWorkersPause : Duration(0);
+}
+
 void OnConfigurationItem(Context& context, const StoreItem& item) {
   const StoreDocuments& documents = context.state.options.documents;
   if (item.key != documents.configuration_key) {
@@ -180,6 +184,7 @@
       OnPage(context, list, *done);
     } else {
       OnChanges(context, list, *done);
+      watch.retry_at = context.now + PauseOf(list);
     }
   } else if (std::holds_alternative<StoreAbsent>(answer)) {
     ReadAgain(watch);
