Engine: Stops what of an ended job is found running later

Cause: all instances lost power; a job was cancelled while its new owner had not yet heard what of it ran, and it counted as settled at once. Likewise runs of a job that had ended in the store were renewed for ever by their worker's new owner. Ruled out: lost stop orders, which are repeated. Change: a job is settled only after its recovery; its owner stops what it hears of; a worker's owner stops runs of jobs that the store shows as ended.

--- a/Source/engine/catalog.cc
+++ b/Source/engine/catalog.cc
@@ -42,13 +42,14 @@
   KnownJob& known = it->second;
   if (entry.absent) {
     known.ended = true;
-    return;
-  }
-  if (entry.record->generation >= known.generation) {
+  } else if (entry.record->generation >= known.generation) {
     known.owner = entry.record->owner;
     known.generation = entry.record->generation;
     known.ended = IsFinal(entry.record->state);
   }
+  if (known.ended) {
+    StopRunsOf(context, job);
+  }
 }
 
 }  // namespace
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -216,8 +216,14 @@
   }
 }
 
+// Runs of an ended job that were heard of only afterwards, as in an adoption,
+// have to be stopped too.
 void DriveStops(Context& context, Job& job) {
+  const bool ended = IsFinal(job.state);
   ForEachTask(job, [&](const TaskName& name, Task& task) {
+    if (ended && IsOut(task) && !task.stopping) {
+      StopTask(context, job, name, task);
+    }
     if (task.stopping && HasPassed(context.now, task.heard, kOfferRepeat)) {
       StopTask(context, job, name, task);
     }
@@ -227,7 +233,7 @@
 // Nothing of the job is out and all of it is stored.
 bool IsSettled(Job& job) {
   if (!IsFinal(job.stored_state) || !job.unstored.empty() ||
-      job.stored_version != job.version) {
+      job.recovering || job.stored_version != job.version) {
     return false;
   }
   bool out = false;
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -269,10 +269,6 @@
   return std::get_if<Order>(&event.request);
 }
 
-void FindOwner(Context& context, const std::string& job) {
-  WantRecord(context, job);
-}
-
 // A run that a former owner started.
 void AddFound(Context& context, OwnedWorker& worker, const RunningRow& row,
               const TaskName& name) {
@@ -289,7 +285,8 @@
   } else {
     WantSpec(context, name.job);
   }
-  FindOwner(context, name.job);
+  context.state.known[name.job].heard = context.now;
+  WantRecord(context, name.job);
 }
 
 void ApplyRunning(Context& context, const std::string& id, OwnedWorker& worker,
@@ -589,6 +586,17 @@
                                  .outcome = outcome}}});
 }
 
+void StopRunsOf(Context& context, const std::string& job) {
+  for (auto& [id, worker] : context.state.owned) {
+    for (auto& [task, run] : worker.runs) {
+      const auto name = ParseTaskName(task);
+      if (name && name->job == job && run.phase == RunPhase::kRunning) {
+        BeginStop(context, id, worker, task, run);
+      }
+    }
+  }
+}
+
 void DescribeRuns(Context& context, const std::string& job,
                   const JobSpec& spec) {
   for (auto& [id, worker] : context.state.owned) {
--- a/Source/engine/worker_runs.h
+++ b/Source/engine/worker_runs.h
@@ -36,6 +36,11 @@
 void DescribeRuns(Context& context, const std::string& job,
                   const JobSpec& spec);
 
+// The job has ended: what of it still runs here, nobody else stops. Without this
+// the runs of a cancelled job would go on for ever, their leases renewed, when
+// all instances lost power right after the cancel was acknowledged.
+void StopRunsOf(Context& context, const std::string& job);
+
 // Tells the job's owner what has become of a run. False when this instance
 // can't know.
 bool ReportRun(Context& context, const std::string& to, const RunQuery& query);
