--- a/Source/engine/adoption.cc
+++ b/Source/engine/adoption.cc
@@ -10,6 +10,7 @@
 #include "engine/membership.h"
 #include "engine/record_writer.h"
 #include "engine/store_calls.h"
+#include "engine/watches.h"
 #include "engine/worker_list.h"
 
 namespace burdockrock::engine {
@@ -189,8 +190,10 @@
 
 void DriveRecovery(Context& context) {
   AdoptQuery query;
-  const bool list_settled = HasPassed(
-      context.now, context.state.members.registered_at, kListSettled);
+  const bool list_settled =
+      ListsAreRead(context.state) &&
+      HasPassed(context.now, context.state.members.registered_at,
+                kListSettled);
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     if (!job.recovering) {
--- a/Source/engine/digests.cc
+++ b/Source/engine/digests.cc
@@ -109,6 +109,11 @@
                     .gone = it.gone,
                     .slowness = it.slowness,
                     .heard = context.now};
+    const auto owned = context.state.owned.find(it.worker);
+    if (owned != context.state.owned.end() && owned->second.claimed &&
+        owned->second.fence < it.fence) {
+      LoseWorker(context, it.worker);
+    }
     if (it.gone) {
       context.state.workers.erase(it.worker);
       OnWorkerLost(context, it.worker);
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -237,6 +237,12 @@
   if (job == nullptr) {
     return;
   }
+  // Ends on own workers must find the new owner.
+  if (const auto known = context.state.known.find(id);
+      known != context.state.known.end() &&
+      known->second.owner == context.self()) {
+    known->second.owner.clear();
+  }
   context.Log(EventNumber::kJobLost, {{"job", id},
                                       {"generation",
                                        std::to_string(job->generation)},
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -29,6 +29,12 @@
 // outlast them, and the bound after which an unreachable worker's runs are
 // known to have ended.
 inline constexpr Duration kMaxWithoutStore = milliseconds(12'000);
+// Instances that start together register within this time; who claims workers
+// before has to give most of them up again.
+inline constexpr Duration kClaimDelay = milliseconds(200);
+// Workers whose owner took them by a view of the members that was old are
+// claimed back after this long at the latest.
+inline constexpr Duration kOwnershipReview = milliseconds(500);
 // Between two raises of the own fence.
 inline constexpr Duration kRaiseInterval = milliseconds(300);
 
@@ -104,7 +110,7 @@
 // A refused task looks for room again after this long at the earliest.
 inline constexpr Duration kRefusedPause = milliseconds(20);
 inline constexpr Duration kFailedPause = milliseconds(50);
-inline constexpr Duration kAdoptRepeat = milliseconds(250);
+inline constexpr Duration kAdoptRepeat = milliseconds(120);
 inline constexpr Duration kPeerAnswer = milliseconds(400);
 // A caller's question is given up after this long; callers wait 3 s.
 inline constexpr Duration kQuestionPatience = milliseconds(1500);
--- a/Source/engine/membership.cc
+++ b/Source/engine/membership.cc
@@ -76,6 +76,12 @@
 
 void SetFence(Context& context, std::uint64_t fence) {
   MembersState& members = context.state.members;
+  if (members.fence == 0) {
+    members.registered_at = context.now;
+    members.last_contact = context.now;
+    ExtendDoubtedLeases(context);
+    context.Log(EventNumber::kRegistered, {{"fence", std::to_string(fence)}});
+  }
   members.fence = std::max(members.fence, fence);
   members.present[context.self()] = Member{
       .record = context.state.options.self, .fence = members.fence};
@@ -98,6 +104,7 @@
   }
   if (!members.renewing && context.now >= members.renew_at) {
     members.renewing = true;
+    members.renewal_sent = context.now;
     AskStore(context, StoreLeaseRenew{.lease = members.lease},
              ForLeaseRenewal{.lease = members.lease});
   }
@@ -251,8 +258,8 @@
   }
   members.renewing = false;
   if (std::holds_alternative<StoreDone>(answer)) {
-    members.renew_at = context.now + kMemberRenewal;
-    members.last_contact = context.now;
+    members.renew_at = members.renewal_sent + kMemberRenewal;
+    members.last_contact = members.renewal_sent;
   } else if (std::holds_alternative<StoreAbsent>(answer)) {
     LoseRegistration(context, "lease ended");
   } else {
@@ -264,10 +271,6 @@
   MembersState& members = context.state.members;
   members.registering = false;
   if (const auto* done = std::get_if<StoreDone>(&answer)) {
-    members.registered_at = context.now;
-    members.last_contact = context.now;
-    context.Log(EventNumber::kRegistered,
-                {{"fence", std::to_string(done->revision)}});
     SetFence(context, done->revision);
     return;
   }
@@ -324,6 +327,7 @@
   members.renew_at = context.now;
   members.present.erase(context.self());
   DoubtOwnership(context);
+  DoubtWorkers(context);
 }
 
 void WantRaise(Context& context) {
@@ -342,6 +346,12 @@
   members.present.erase(context.self());
 }
 
+bool IsSurelyRegistered(const Context& context) {
+  return IsRegistered(context.state) &&
+         !HasPassed(context.now, context.state.members.last_contact,
+                    kMemberTtl);
+}
+
 bool IsRegistered(const State& state) {
   return state.members.fence != 0;
 }
--- a/Source/engine/membership.h
+++ b/Source/engine/membership.h
@@ -32,6 +32,11 @@
 
 bool IsRegistered(const State& state);
 
+// No other member can have taken this one for gone: its registration was
+// renewed within its lifetime. An instance that has just woken up from a freeze
+// still believes in its registration.
+bool IsSurelyRegistered(const Context& context);
+
 // Null when it is not a member, or has departed for good.
 const MemberRecord* FindMember(const State& state,
                                const std::string& incarnation);
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "engine/calls.h"
 #include "engine/configuration.h"
@@ -49,9 +50,21 @@
 struct LocalEnd {
   EndedRow row{};
   Time told = Time::min();
+  std::uint32_t tellings = 0;
   bool stored = false;
 };
 
+// A question about a run that is not here. A former owner of the worker that
+// does not know yet that it is one must not answer it: the run may have been
+// started by the present one. So the answer waits until the worker has taken
+// a call with the own fence that was made after the question came.
+struct OpenQuestion {
+  std::string from{};
+  std::string task{};
+  std::uint64_t run = 0;
+  Time came{0};
+};
+
 struct OwnedWorker {
   WorkerInfo info{};
   std::uint64_t fence = 0;      // 0: not claimed yet
@@ -60,6 +73,13 @@
   Time hold_sent{0};
   Time hold_at{0};              // the next one
   Time answered = Time::min();  // the last answer to a hold
+  Time proven = Time::min();    // the latest time at which it was surely owned
+  bool proof_wanted = false;
+  bool proof_in_flight = false;
+  std::vector<OpenQuestion> questions{};
+  // The registration was lost since the worker answered: others may have
+  // claimed it and renewed its leases.
+  bool doubted = false;
   Time silent_since{0};         // the first hold without an answer; 0: none
   // All that runs there has ended by then, should no more be renewed.
   Time lease_bound{0};
@@ -87,6 +107,7 @@
   std::string owner{};           // an incarnation; empty: not known
   std::uint64_t generation = 0;  // lower ones' offers are refused
   bool ended = false;            // the store says that it has ended
+  Time adopted{0};  // when its present owner first asked what runs
   // Runs of which the owner was told that they are not here, by task.
   std::map<std::string, std::uint64_t> refused{};
   Time heard{0};
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -65,6 +65,7 @@
     codec.Optional("index", it.index, std::uint32_t{0});
     codec.Optional("run", it.run, std::uint64_t{0});
     codec.Field("worker", it.worker);
+    codec.Optional("fence", it.fence, std::uint64_t{0});
     codec.Optional("ticket", it.ticket, std::string());
     codec.Optional("checkpoint", it.checkpoint, std::string());
   }
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -49,6 +49,10 @@
   std::uint32_t index = 0;
   std::uint64_t run = 0;
   std::string worker{};
+  // Of the worker's owner, as the sender knows it. An offer that was held up on
+  // its way until the worker was claimed again must not start what has a
+  // successor elsewhere by then.
+  std::uint64_t fence = 0;
   std::string ticket{};
   std::string checkpoint{};
 
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -124,13 +124,15 @@
 
 void AddOffer(Round& round, const ReadyStep& ready, std::uint32_t index,
               Task& task, bool book_only) {
-  const std::string& owner = round.context.state.view[task.worker].owner;
+  const RoomView& view = round.context.state.view[task.worker];
+  const std::string& owner = view.owner;
   const auto ticket = ready.run().tickets.find(task.worker);
   ++round.context.state.totals.offers;
   OfferTo(round, ready, owner, book_only)
       .tasks.push_back({.index = index,
                         .run = task.run,
                         .worker = task.worker,
+                        .fence = view.fence,
                         .ticket = ticket == ready.run().tickets.end()
                                       ? std::string()
                                       : ticket->second.text,
--- a/Source/engine/run_ends.cc
+++ b/Source/engine/run_ends.cc
@@ -33,6 +33,16 @@
               {{"worker", id}, {"failures", std::to_string(kMaxFailuresInRow)}});
 }
 
+// Whoever was the owner of the job may not be it any more, and does not know
+// the end's job: after so many tellings without an answer the store is asked.
+// Otherwise the end would be told to the wrong one for ever.
+constexpr std::uint32_t kTellingsPerRead = 3;
+
+std::string JobOf(const std::string& task) {
+  const auto name = ParseTaskName(task);
+  return name ? name->job : std::string();
+}
+
 // Ends that are stored, or of jobs that nobody owns any more, are forgotten by
 // the worker with the next hold; only the first ones on.
 void Acknowledge(OwnedWorker& worker) {
@@ -51,11 +61,6 @@
           .checkpoint = row.checkpoint};
 }
 
-std::string JobOf(const std::string& task) {
-  const auto name = ParseTaskName(task);
-  return name ? name->job : std::string();
-}
-
 }  // namespace
 
 bool ApplyEnd(Context& context, const std::string& id, OwnedWorker& worker,
@@ -102,6 +107,9 @@
         continue;
       }
       end.told = context.now;
+      if (++end.tellings % kTellingsPerRead == 0) {
+        WantRecord(context, JobOf(end.row.task));
+      }
       const std::string job = JobOf(end.row.task);
       const KnownJob& known = context.state.known[job];
       if (known.ended || job.empty()) {
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -102,6 +102,7 @@
   std::uint64_t lease = 0;
   Time renew_at{0};
   bool renewing = false;
+  Time renewal_sent{0};
   bool granting = false;
   bool registering = false;
   bool raising = false;
@@ -109,7 +110,9 @@
   Time raised_at = Time::min();
   std::uint64_t fence = 0;  // 0: not registered
   Time registered_at{0};
-  Time last_contact{0};     // with the store, as a registered member
+  // The registration was surely valid then: a renewal that was sent then has
+  // been answered.
+  Time last_contact{0};
   std::map<std::string, Member> present{};  // by incarnation
   std::map<std::string, DepartedMember> departed{};
 };
@@ -268,6 +271,7 @@
   Configuration configuration{};
   std::map<std::string, ListedWorker> workers{};  // by id
   std::map<std::string, OwnedWorker> owned{};
+  Time ownership_reviewed = Time::min();
   std::map<std::string, GoneWorker> gone{};
   std::map<std::string, RoomView> view{};
   std::unordered_map<std::string, KnownJob> known{};  // of runs on own workers
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -21,17 +21,20 @@
   return ToMilliseconds(context.now) + worker.clock_offset_ms;
 }
 
+// Another owner may renew the leases for as long as it reaches the worker and
+// has not given up on the store.
+Time ForeignLeaseBound(const Context& context) {
+  return context.now + kMaxWithoutStore +
+         Drifted(context.state.options.bounds.max_hold) + kLeaseMargin;
+}
+
 void BeginClaim(Context& context, const WorkerInfo& info) {
   OwnedWorker& worker = context.state.owned[info.id];
   worker.info = info;
   // What the owner before has learned.
   worker.speed = SpeedEstimate(context.state.view[info.id].slowness);
   worker.hold_at = context.now;
-  // The owner before may renew the leases for as long as it reaches the worker
-  // and has not given up on the store.
-  worker.lease_bound = context.now + kMaxWithoutStore +
-                       Drifted(context.state.options.bounds.max_hold) +
-                       kLeaseMargin;
+  worker.lease_bound = ForeignLeaseBound(context);
 }
 
 bool IsSilent(const OwnedWorker& worker) {
@@ -47,6 +50,17 @@
   return worker.claimed && !silent && !alone;
 }
 
+// Members may have come since the claim began. Going on would take the worker
+// from its rightful owner, which has a lower fence, and nobody would notice.
+void DropStaleClaims(Context& context) {
+  std::erase_if(context.state.owned, [&](const auto& it) {
+    const OwnedWorker& worker = it.second;
+    return !worker.claimed && !worker.hold_in_flight &&
+           ChooseMember(context.state, it.first, worker.info.domain) !=
+               context.self();
+  });
+}
+
 // Renewed often enough that the next hold may get lost.
 void SendHold(Context& context, const std::string& id, OwnedWorker& worker) {
   HoldWorker hold{.acknowledged = worker.acknowledged};
@@ -61,8 +75,12 @@
   }
   hold.fence = worker.fence;
   if (MayRenew(context, worker)) {
+    const bool first = worker.lease_until_ms == 0;
     hold.lease_until_ms = NextLease(context, worker);
     hold.wait = kHoldWait;
+    if (first) {
+      RoomChanged(context, id);  // it can take tasks from now on
+    }
   }
   worker.hold_in_flight = true;
   worker.hold_sent = context.now;
@@ -73,9 +91,28 @@
                           .timeout = hold.wait + kHoldSlack});
 }
 
+// A look beside the hold that waits, to learn whether the worker is still owned.
+void SendProof(Context& context, const std::string& id, OwnedWorker& worker) {
+  worker.proof_wanted = false;
+  worker.proof_in_flight = true;
+  ++context.state.totals.holds;
+  context.Emit(CallWorker{.worker = id,
+                          .address = worker.info.address,
+                          .request = HoldWorker{.fence = worker.fence,
+                                                .acknowledged =
+                                                    worker.acknowledged},
+                          .timeout = kHoldSlack});
+}
+
+bool IsProof(const HoldWorker& hold) {
+  return hold.lease_until_ms == 0 && hold.wait == Duration(0);
+}
+
 void OnHeld(Context& context, const std::string& id, OwnedWorker& worker,
             const WorkerDone& done, Time asked) {
   worker.answered = context.now;
+  worker.proven = std::max(worker.proven, asked);
+  worker.doubted = false;
   const bool was_silent = IsSilent(worker);
   worker.silent_since = Time(0);
   worker.clock_offset_ms = done.clock_ms - ToMilliseconds(context.now);
@@ -95,11 +132,29 @@
   const bool renew_now = claimed_now || was_silent;
   worker.hold_at = context.now + (renew_now ? Duration(0) : kHoldPause);
   ApplyListing(context, id, worker, done, asked);
+  AnswerQuestions(context, id, worker);
   if (renew_now) {
     RoomChanged(context, id);
   }
 }
 
+void OnProof(Context& context, const WorkerAnswered& event) {
+  OwnedWorker& worker = context.state.owned.at(event.worker);
+  if (const auto* done = std::get_if<WorkerDone>(&event.answer)) {
+    worker.proven = std::max(worker.proven, event.asked);
+    ApplyListing(context, event.worker, worker, *done, event.asked);
+    AnswerQuestions(context, event.worker, worker);
+    return;
+  }
+  const WorkerRefusalKind kind =
+      std::get<WorkerRefused>(event.answer).kind;
+  if (kind == WorkerRefusalKind::kFenced) {
+    LoseWorker(context, event.worker);
+  } else if (kind == WorkerRefusalKind::kReplaced) {
+    WorkerIsGone(context, event.worker, "another life answers");
+  }
+}
+
 // A gone worker is told to the peers as long as one may believe in it.
 void TellGone(Context& context, const std::string& id, std::uint64_t fence) {
   context.state.gone[id] = GoneWorker{.fence = fence, .since = context.now};
@@ -115,9 +170,12 @@
 }  // namespace
 
 void ReviewOwnership(Context& context) {
-  if (!IsRegistered(context.state) || context.state.stop.asked) {
+  const bool settled = HasPassed(
+      context.now, context.state.members.registered_at, kClaimDelay);
+  if (!IsRegistered(context.state) || context.state.stop.asked || !settled) {
     return;
   }
+  context.state.ownership_reviewed = context.now;
   for (const auto& [id, it] : context.state.workers) {
     const bool mine =
         ChooseMember(context.state, id, it.info.domain) == context.self();
@@ -128,9 +186,18 @@
 }
 
 void DriveWorkers(Context& context) {
+  DropStaleClaims(context);
+  if (HasPassed(context.now, context.state.ownership_reviewed,
+                kOwnershipReview)) {
+    ReviewOwnership(context);
+  }
   std::vector<std::string> gone;
   for (auto& [id, worker] : context.state.owned) {
-    if (IsSilent(worker) && context.now >= worker.lease_bound) {
+    if (worker.claimed && worker.proof_wanted && !worker.proof_in_flight) {
+      SendProof(context, id, worker);
+    }
+    if (IsSilent(worker) && IsSurelyRegistered(context) &&
+        context.now >= worker.lease_bound) {
       gone.push_back(id);
       continue;
     }
@@ -153,6 +220,14 @@
     return;
   }
   OwnedWorker& worker = it->second;
+  if (worker.claimed && worker.proof_in_flight && IsProof(hold) &&
+      event.asked != worker.hold_sent) {
+    worker.proof_in_flight = false;
+    if (!std::holds_alternative<WorkerUnreached>(event.answer)) {
+      return OnProof(context, event);
+    }
+    return;
+  }
   worker.hold_in_flight = false;
   if (const auto* done = std::get_if<WorkerDone>(&event.answer)) {
     OnHeld(context, event.worker, worker, *done, event.asked);
@@ -184,6 +259,21 @@
   }
 }
 
+void DoubtWorkers(Context& context) {
+  for (auto& [id, worker] : context.state.owned) {
+    worker.doubted = true;
+  }
+}
+
+void ExtendDoubtedLeases(Context& context) {
+  for (auto& [id, worker] : context.state.owned) {
+    if (worker.doubted) {
+      worker.lease_bound =
+          std::max(worker.lease_bound, ForeignLeaseBound(context));
+    }
+  }
+}
+
 void LoseWorker(Context& context, const std::string& id) {
   const auto node = context.state.owned.extract(id);
   if (node.empty()) {
@@ -226,9 +316,12 @@
     return;
   }
   OwnedWorker& worker = it->second;
+  RoomView& view = context.state.view[id];
+  if (view.fence > worker.fence) {
+    return;  // another owner has said so; the worker will too
+  }
   ++worker.version;
   context.state.digest.changed.insert(id);
-  RoomView& view = context.state.view[id];
   view = RoomView{.owner = context.self(),
                   .fence = worker.fence,
                   .version = worker.version,
--- a/Source/engine/worker_owner.h
+++ b/Source/engine/worker_owner.h
@@ -17,6 +17,13 @@
 
 void OnHoldAnswer(Context& context, const WorkerAnswered& event);
 
+// The own registration was lost.
+void DoubtWorkers(Context& context);
+
+// The registration is back. Workers that have not answered since it was lost
+// may have been renewed by other owners in between.
+void ExtendDoubtedLeases(Context& context);
+
 // Another owner has a higher fence. All that ran there is the new owner's now.
 void LoseWorker(Context& context, const std::string& id);
 
--- a/Source/engine/worker_runs.h
+++ b/Source/engine/worker_runs.h
@@ -41,9 +41,13 @@
 // all instances lost power right after the cancel was acknowledged.
 void StopRunsOf(Context& context, const std::string& job);
 
-// Tells the job's owner what has become of a run. False when this instance
-// can't know.
-bool ReportRun(Context& context, const std::string& to, const RunQuery& query);
+// Tells a job's owner what has become of a run, at once or as soon as it is
+// certain; nothing when this instance can't know.
+void ReportRun(Context& context, const std::string& to, const RunQuery& query);
+
+// The worker is surely owned now: questions that came before are answered.
+void AnswerQuestions(Context& context, const std::string& id,
+                     OwnedWorker& worker);
 
 }  // namespace burdockrock::engine
 
--- /dev/null
+++ b/Tests/engine/fake_store.h
@@ -0,0 +1,76 @@
+// A key-value store with leases and watches, in virtual time.
+#ifndef BURDOCKROCK_TESTS_ENGINE_FAKE_STORE_H_
+#define BURDOCKROCK_TESTS_ENGINE_FAKE_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "engine/calls.h"
+#include "model/time.h"
+
+namespace burdockrock::engine {
+
+class FakeStore {
+ public:
+  // Nothing when a watch has to wait.
+  std::optional<StoreAnswer> Handle(Time now, const StoreRequest& request);
+
+  // Ends the leases whose time is over. Called before each Handle.
+  void Expire(Time now);
+
+  // As an operator or a worker writes; no condition.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+
+  // Takes away all keys that begin with `prefix`, with their leases.
+  void Revoke(const std::string& prefix);
+
+  // Watches of older revisions find their history gone.
+  void ForgetHistory() { oldest_ = revision_; }
+
+  std::vector<std::string> Keys(const std::string& prefix) const;
+  std::string ValueOf(const std::string& key) const;
+  std::uint64_t transactions() const { return transactions_; }
+
+ private:
+  struct Lease {
+    Duration ttl{0};
+    Time ends{0};
+  };
+  struct Entry {
+    StoreItem item{};
+    std::uint64_t lease = 0;
+  };
+  struct Change {
+    std::uint64_t revision = 0;
+    std::string key{};
+    bool removed = false;
+  };
+
+  std::optional<StoreAnswer> Answer(Time now, const StoreRead& it);
+  std::optional<StoreAnswer> Answer(Time now, const StoreRange& it);
+  std::optional<StoreAnswer> Answer(Time now, const StoreWatch& it);
+  std::optional<StoreAnswer> Answer(Time now, const StoreTransaction& it);
+  std::optional<StoreAnswer> Answer(Time now, const StoreLeaseGrant& it);
+  std::optional<StoreAnswer> Answer(Time now, const StoreLeaseRenew& it);
+  std::optional<StoreAnswer> Answer(Time now, const StoreLeaseEnd& it);
+  void Write(const std::string& key, const std::string& value,
+             std::uint64_t lease);
+  void Erase(const std::string& key);
+  void EraseLeased(std::uint64_t lease);
+
+  std::uint64_t revision_ = 100;
+  std::uint64_t oldest_ = 0;
+  std::uint64_t last_lease_ = 0;
+  std::uint64_t transactions_ = 0;
+  std::map<std::string, Entry> entries_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::vector<Change> history_;
+};
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_TESTS_ENGINE_FAKE_STORE_H_
--- /dev/null
+++ b/Tests/engine/fake_worker.cc
@@ -0,0 +1,175 @@
+#include "engine/fake_worker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockrock::engine {
+
+namespace {
+
+constexpr Duration kMaxHold = std::chrono::milliseconds(6000);
+constexpr Duration kStopTime = std::chrono::milliseconds(100);
+
+WorkerAnswer Done(Time now) {
+  return WorkerDone{.clock_ms = ToMilliseconds(now)};
+}
+
+}  // namespace
+
+FakeWorker::FakeWorker(WorkerInfo info, std::vector<SeenRun>& seen)
+    : info_(std::move(info)), seen_(seen) {}
+
+std::optional<WorkerAnswer> FakeWorker::Handle(Time now,
+                                               const WorkerRequest& request) {
+  Advance(now);
+  return std::visit([&](const auto& it) { return Answer(now, it); }, request);
+}
+
+void FakeWorker::Advance(Time now) {
+  std::vector<std::pair<Time, std::string>> due;
+  for (const auto& [task, run] : runs_) {
+    const Time ends = std::min(run.ends, lease_ends_);
+    if (ends <= now) {
+      due.emplace_back(ends, task);
+    }
+  }
+  std::sort(due.begin(), due.end());
+  for (const auto& [at, task] : due) {
+    const Run& run = runs_[task];
+    End(at, task, run.ends <= at ? run.how : RunEnd::kLapsed);
+  }
+  if (lease_ends_ < now) {
+    for (auto& [sequence, end] : ends_) {
+      end.lapsed = true;
+    }
+  }
+}
+
+void FakeWorker::Crash(Time now, const std::string& new_id) {
+  Advance(now);
+  for (const auto& [task, run] : runs_) {
+    seen_[run.seen].ended = now;
+  }
+  runs_.clear();
+  ends_.clear();
+  last_run_.clear();
+  fence_ = 0;
+  last_end_ = 0;
+  info_.id = new_id;
+}
+
+std::optional<WorkerAnswer> FakeWorker::Answer(Time now,
+                                               const HoldWorker& it) {
+  if (IsFenced(it.fence)) {
+    return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
+  }
+  Renew(now, it.lease_until_ms);
+  for (auto& [sequence, end] : ends_) {
+    if (sequence <= it.acknowledged && !end.lapsed) {
+      seen_[end.seen].acknowledged = now;
+    }
+  }
+  std::erase_if(ends_, [&](const auto& end) {
+    return end.first <= it.acknowledged;
+  });
+  if (ends_.empty() && it.wait > Duration(0)) {
+    return std::nullopt;
+  }
+  WorkerDone done{.clock_ms = ToMilliseconds(now)};
+  for (const auto& [task, run] : runs_) {
+    done.running.push_back({.task = task, .run = run.number});
+  }
+  for (const auto& [sequence, end] : ends_) {
+    done.ended.push_back(end.row);
+  }
+  return done;
+}
+
+std::optional<WorkerAnswer> FakeWorker::Answer(Time now, const StartRun& it) {
+  if (IsFenced(it.fence)) {
+    return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
+  }
+  if (it.lease_until_ms <= ToMilliseconds(now)) {
+    return WorkerRefused{.kind = WorkerRefusalKind::kLate};
+  }
+  Renew(now, it.lease_until_ms);
+  const auto there = runs_.find(it.task);
+  if (there != runs_.end() && there->second.number == it.run) {
+    return Done(now);
+  }
+  if (last_run_.contains(it.task) && it.run <= last_run_[it.task]) {
+    return WorkerRefused{.kind = WorkerRefusalKind::kOldRun};
+  }
+  const RunPlan planned = plan(it.task, it.run);
+  seen_.push_back({.task = it.task,
+                   .run = it.run,
+                   .worker = info_.id,
+                   .payload = it.payload,
+                   .checkpoint = it.checkpoint,
+                   .began = now});
+  runs_[it.task] = Run{.number = it.run,
+                       .seen = seen_.size() - 1,
+                       .ends = planned.endless ? kForever : now + planned.takes,
+                       .how = planned.how};
+  NotePeak();
+  return Done(now);
+}
+
+std::optional<WorkerAnswer> FakeWorker::Answer(Time now, const StopRun& it) {
+  if (IsFenced(it.fence)) {
+    return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
+  }
+  const auto run = runs_.find(it.task);
+  if (run != runs_.end() && run->second.number == it.run) {
+    run->second.stopping = true;
+    run->second.ends = std::min(run->second.ends, now + kStopTime);
+    run->second.how = RunEnd::kStopped;
+  } else {
+    last_run_[it.task] = std::max(last_run_[it.task], it.run);
+  }
+  return Done(now);
+}
+
+std::optional<WorkerAnswer> FakeWorker::Answer(Time now, const PaceRun& it) {
+  if (IsFenced(it.fence)) {
+    return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
+  }
+  return Done(now);
+}
+
+bool FakeWorker::IsFenced(std::uint64_t fence) {
+  if (fence < fence_) {
+    return true;
+  }
+  fence_ = fence;
+  return false;
+}
+
+void FakeWorker::End(Time now, const std::string& task, RunEnd how) {
+  const auto node = runs_.extract(task);
+  const Run& run = node.mapped();
+  seen_[run.seen].ended = now;
+  seen_[run.seen].how = how;
+  last_run_[task] = std::max(last_run_[task], run.number);
+  const std::uint64_t sequence = ++last_end_;
+  ends_[sequence] = {.row = {.sequence = sequence,
+                             .task = task,
+                             .run = run.number,
+                             .how = how},
+                     .seen = run.seen};
+}
+
+void FakeWorker::Renew(Time now, std::int64_t until_ms) {
+  const Time until = std::chrono::milliseconds(until_ms);
+  lease_ends_ = std::max(lease_ends_, std::min(until, now + kMaxHold));
+}
+
+void FakeWorker::NotePeak() {
+  std::int64_t used = 0;
+  for (const auto& [task, run] : runs_) {
+    used += processors(task);
+  }
+  peak_ = std::max(peak_, used);
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Tests/engine/fleet.cc
@@ -0,0 +1,468 @@
+#include "engine/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kStoreWay = milliseconds(2);
+constexpr Duration kWorkerWay = milliseconds(1);
+constexpr Duration kPeerWay = milliseconds(1);
+constexpr Duration kPoll = milliseconds(10);
+constexpr Duration kLateBy = milliseconds(3000);
+constexpr const char* kQueue = "q";
+
+// "address|domain|service|processors|draining"
+std::string WorkerText(const WorkerInfo& info) {
+  return fmt::format("{}|{}|{}|{}|{}", info.address, info.domain, info.service,
+                     info.capacity.processors_milli, info.draining ? 1 : 0);
+}
+
+std::vector<std::string> Split(std::string_view text) {
+  std::vector<std::string> parts(1);
+  for (const char it : text) {
+    if (it == '|') {
+      parts.emplace_back();
+    } else {
+      parts.back() += it;
+    }
+  }
+  return parts;
+}
+
+std::variant<WorkerInfo, DocumentFault> ReadWorker(std::string_view id,
+                                                   std::string_view text) {
+  const auto parts = Split(text);
+  if (parts.size() != 5) {
+    return DocumentFault{.problem = "not a worker"};
+  }
+  return WorkerInfo{.id = std::string(id),
+                    .address = parts[0],
+                    .domain = parts[1],
+                    .service = parts[2],
+                    .capacity = {.processors_milli = std::stoll(parts[3]),
+                                 .memory_mb = 1'000'000},
+                    .draining = parts[4] == "1"};
+}
+
+}  // namespace
+
+Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
+  configuration_.services = {{.name = "s"}};
+  QueuePolicy queue{.name = kQueue,
+                    .host = "h",
+                    .prefix = "/q/",
+                    .service = "s",
+                    .max_attempts = 3,
+                    .stretch = 2};
+  if (options_.advice) {
+    queue.advice = AdvicePolicy{.decision = milliseconds(20),
+                                .each = milliseconds(1),
+                                .valid = milliseconds(2500)};
+  }
+  SetQueue(queue);
+  for (std::size_t it = 0; it < options_.workers; ++it) {
+    const std::string name = fmt::format("w{}", it);
+    workers_[name] = std::make_unique<FakeWorker>(
+        WorkerInfo{.id = name + "-1",
+                   .address = name,
+                   .domain = options_.domains[it % options_.domains.size()],
+                   .service = "s",
+                   .capacity = {.processors_milli = options_.processors_milli,
+                                .memory_mb = 1'000'000}},
+        seen);
+    ListWorker(*workers_[name]);
+  }
+  for (std::size_t it = 0; it < options_.instances; ++it) {
+    const std::string name = fmt::format("n{}", it);
+    nodes_[name].domain = options_.domains[it % options_.domains.size()];
+    nodes_[name].address = name;
+    Start(name);
+  }
+}
+
+void Fleet::Settle() {
+  REQUIRE(RunUntil(
+      [&] {
+        std::size_t owned = 0;
+        for (const auto& [name, node] : nodes_) {
+          if (!IsReady(*node.state)) {
+            return false;
+          }
+          for (const auto& [id, worker] : node.state->owned) {
+            owned += worker.claimed ? 1 : 0;
+          }
+        }
+        return owned >= workers_.size();
+      },
+      std::chrono::seconds(10)));
+  Run(std::chrono::seconds(1));
+}
+
+void Fleet::Run(Duration span) {
+  const Time until = now_ + span;
+  while (!queue_.empty() && queue_.top().at <= until) {
+    const Due due = queue_.top();
+    queue_.pop();
+    now_ = due.at;
+    due.run();
+  }
+  now_ = until;
+}
+
+bool Fleet::RunUntil(const std::function<bool()>& holds, Duration span) {
+  const Time until = now_ + span;
+  while (!holds()) {
+    if (now_ >= until) {
+      return false;
+    }
+    Run(kPoll);
+  }
+  return true;
+}
+
+void Fleet::Kill(const std::string& node) {
+  ++nodes_.at(node).life;
+  nodes_.at(node).state.reset();
+}
+
+void Fleet::Start(const std::string& name) {
+  Node& node = nodes_.at(name);
+  ++node.life;
+  EngineOptions options{
+      .self = {.incarnation = fmt::format("{}-{}", name, node.life),
+               .node = name,
+               .domain = node.domain,
+               .address = node.address},
+      .seed = options_.seed + node.life};
+  options.documents.decode_worker = ReadWorker;
+  options.documents.decode_configuration =
+      [this](std::string_view) -> std::variant<Configuration, DocumentFault> {
+    return configuration_;
+  };
+  node.state = std::make_unique<State>(MakeState(std::move(options)));
+  Deliver(name, node.life, Started());
+  Tick(name, node.life);
+}
+
+void Fleet::StopPlanned(const std::string& node) {
+  Deliver(node, nodes_.at(node).life, StopAsked());
+}
+
+bool Fleet::IsUp(const std::string& node) const {
+  return nodes_.at(node).state != nullptr;
+}
+
+void Fleet::Freeze(const std::string& node, Duration span) {
+  nodes_.at(node).frozen_until = now_ + span;
+}
+
+std::uint64_t Fleet::Ask(const std::string& node, CallerRequest request) {
+  const std::uint64_t call = ++last_call_;
+  Deliver(node, nodes_.at(node).life,
+          CallerAsked{.call = call, .request = std::move(request)});
+  return call;
+}
+
+std::uint64_t Fleet::Submit(const std::string& node, const std::string& job,
+                            JobSpec spec) {
+  return Ask(node, {.question = CallerQuestion::kSubmit,
+                    .host = "h",
+                    .path = "/q/" + job,
+                    .spec = std::move(spec)});
+}
+
+std::uint64_t Fleet::AskState(const std::string& node, const std::string& job) {
+  return Ask(node, {.question = CallerQuestion::kState,
+                    .host = "h",
+                    .path = "/q/" + job});
+}
+
+std::uint64_t Fleet::Cancel(const std::string& node, const std::string& job) {
+  return Ask(node, {.question = CallerQuestion::kCancel,
+                    .host = "h",
+                    .path = "/q/" + job});
+}
+
+std::optional<JobState> Fleet::StateOf(const std::string& node,
+                                       const std::string& job) {
+  const std::uint64_t call = AskState(node, job);
+  RunUntil([&] { return answers.contains(call); }, std::chrono::seconds(3));
+  const auto it = answers.find(call);
+  const auto* shown =
+      it == answers.end() ? nullptr : std::get_if<JobShown>(&it->second);
+  return shown == nullptr ? std::nullopt : std::optional(shown->state);
+}
+
+void Fleet::SetQueue(const QueuePolicy& queue) {
+  ++configuration_.version;
+  configuration_.queues = {queue};
+  store.Put("configuration", std::to_string(configuration_.version));
+}
+
+const State& Fleet::state(const std::string& node) const {
+  return *nodes_.at(node).state;
+}
+
+std::vector<std::string> Fleet::nodes() const {
+  std::vector<std::string> names;
+  for (const auto& [name, node] : nodes_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::vector<std::string> Fleet::worker_names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, worker] : workers_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+void Fleet::At(Time at, std::function<void()> run) {
+  queue_.push({.at = at, .number = ++last_number_, .run = std::move(run)});
+}
+
+void Fleet::Deliver(const std::string& name, std::uint64_t life,
+                    EventBody body) {
+  Node& node = nodes_.at(name);
+  if (node.life != life || !node.state) {
+    return;
+  }
+  if (node.frozen_until > now_) {
+    return At(node.frozen_until, [this, name, life, body = std::move(body)] {
+      Deliver(name, life, body);
+    });
+  }
+  const Effects effects = Step(
+      *node.state, Event{.now = now_,
+                         .wall_ms = ToMilliseconds(now_),
+                         .body = std::move(body)});
+  for (const Effect& it : effects) {
+    CarryOut(name, it);
+  }
+}
+
+void Fleet::Tick(const std::string& name, std::uint64_t life) {
+  At(now_ + kPoll / 2, [this, name, life] {
+    const Node& node = nodes_.at(name);
+    if (node.life == life && node.state) {
+      Deliver(name, life, TimePassed());
+      Tick(name, life);
+    }
+  });
+}
+
+void Fleet::CarryOut(const std::string& node, const Effect& effect) {
+  struct Visitor {
+    Fleet& fleet;
+    const std::string& node;
+    void operator()(const AnswerCaller& it) {
+      fleet.answers[it.call] = it.answer;
+    }
+    void operator()(const CallStore& it) { fleet.CallTheStore(node, it); }
+    void operator()(const CallWorker& it) { fleet.CallTheWorker(node, it); }
+    void operator()(const CallAdvice& it) { fleet.CallTheAdvice(node, it); }
+    void operator()(const SendPeer& it) { fleet.SendThePeer(node, it); }
+    void operator()(const WriteLog& it) { fleet.log.push_back(it.line); }
+    void operator()(const EndProcess&) { fleet.Kill(node); }
+  };
+  std::visit(Visitor{*this, node}, effect);
+}
+
+void Fleet::CallTheStore(const std::string& node, const CallStore& call) {
+  const std::uint64_t life = nodes_.at(node).life;
+  const StoreFault fault = store_fault(node, call.request);
+  const auto answer = [this, node, life, id = call.call](StoreAnswer it) {
+    Deliver(node, life, StoreAnswered{.call = id, .answer = std::move(it)});
+  };
+  if (fault == StoreFault::kRefuse) {
+    return At(now_ + 2 * kStoreWay,
+              [answer] { answer(StoreRefused{.detail = "503"}); });
+  }
+  if (fault != StoreFault::kNone) {
+    At(now_ + call.timeout,
+       [answer] { answer(StoreUnknown{.detail = "no answer"}); });
+  }
+  if (fault == StoreFault::kSilent) {
+    return;
+  }
+  At(now_ + kStoreWay, [this, node, life, call, answer, fault] {
+    if (const auto* watch = std::get_if<StoreWatch>(&call.request)) {
+      return AnswerWatch(node, life, call, now_ + watch->wait);
+    }
+    const auto result = store.Handle(now_, call.request);
+    if (fault == StoreFault::kNone) {
+      At(now_ + kStoreWay, [answer, result] { answer(*result); });
+    }
+  });
+}
+
+void Fleet::AnswerWatch(const std::string& node, std::uint64_t life,
+                        const CallStore& call, Time until) {
+  auto result = store.Handle(now_, call.request);
+  if (!result && now_ >= until) {
+    result = StoreDone{.revision = std::get<StoreWatch>(call.request).after};
+  }
+  if (!result) {
+    return At(now_ + kPoll, [this, node, life, call, until] {
+      AnswerWatch(node, life, call, until);
+    });
+  }
+  At(now_ + kStoreWay, [this, node, life, call, result] {
+    Deliver(node, life, StoreAnswered{.call = call.call, .answer = *result});
+  });
+}
+
+void Fleet::CallTheWorker(const std::string& node, const CallWorker& call) {
+  const std::uint64_t life = nodes_.at(node).life;
+  FakeWorker* target = FindWorkerAt(call.address);
+  const OrderFault fault =
+      target == nullptr ? OrderFault::kUnreached
+                        : order_fault(node, call.address, call.request);
+  const Time asked = now_;
+  const auto answer = [this, node, life, call, asked](WorkerAnswer it) {
+    Deliver(node, life, WorkerAnswered{.worker = call.worker,
+                                       .request = call.request,
+                                       .answer = std::move(it),
+                                       .asked = asked});
+  };
+  if (fault != OrderFault::kNone) {
+    At(now_ + call.timeout, [answer] { answer(WorkerUnreached()); });
+  }
+  if (fault == OrderFault::kUnreached) {
+    return;
+  }
+  const Duration way =
+      fault == OrderFault::kLate ? kLateBy : kWorkerWay;
+  At(now_ + way, [this, node, life, call, asked, answer, fault, target] {
+    if (target->info().id != call.worker) {
+      return answer(WorkerRefused{.kind = WorkerRefusalKind::kReplaced});
+    }
+    const auto* hold = std::get_if<HoldWorker>(&call.request);
+    if (hold != nullptr && fault == OrderFault::kNone) {
+      return AnswerHold(node, life, call, asked, now_ + hold->wait);
+    }
+    const auto result = target->Handle(now_, call.request);
+    if (fault == OrderFault::kNone) {
+      At(now_ + kWorkerWay, [answer, result] { answer(*result); });
+    }
+  });
+}
+
+void Fleet::AnswerHold(const std::string& node, std::uint64_t life,
+                       const CallWorker& call, Time asked, Time until) {
+  FakeWorker* target = FindWorkerAt(call.address);
+  HoldWorker hold = std::get<HoldWorker>(call.request);
+  std::optional<WorkerAnswer> result;
+  if (target->info().id != call.worker) {
+    result = WorkerRefused{.kind = WorkerRefusalKind::kReplaced};
+  } else {
+    hold.wait = now_ >= until ? Duration(0) : hold.wait;
+    result = target->Handle(now_, hold);
+  }
+  if (!result) {
+    return At(now_ + kPoll, [this, node, life, call, asked, until] {
+      AnswerHold(node, life, call, asked, until);
+    });
+  }
+  At(now_ + kWorkerWay, [this, node, life, call, asked, result] {
+    Deliver(node, life, WorkerAnswered{.worker = call.worker,
+                                       .request = call.request,
+                                       .answer = *result,
+                                       .asked = asked});
+  });
+}
+
+void Fleet::CallTheAdvice(const std::string& node, const CallAdvice& call) {
+  const std::uint64_t life = nodes_.at(node).life;
+  AdviceGiven given;
+  for (const std::string& it : call.request.workers) {
+    given.allowed.push_back({.worker = it, .ticket = "t"});
+  }
+  At(now_ + milliseconds(20), [this, node, life, call, given] {
+    Deliver(node, life,
+            AdviceAnswered{.request = call.request, .answer = given});
+  });
+}
+
+void Fleet::SendThePeer(const std::string& node, const SendPeer& send) {
+  if (is_cut(node, send.address)) {
+    return;
+  }
+  const State& from = *nodes_.at(node).state;
+  const std::string incarnation = from.options.self.incarnation;
+  const std::uint64_t life = nodes_.at(send.address).life;
+  At(now_ + kPeerWay, [this, send, incarnation, life] {
+    Deliver(send.address, life,
+            PeerSaid{.from = incarnation, .message = send.message});
+  });
+}
+
+void Fleet::ListWorker(const FakeWorker& worker) {
+  store.Put("worker/" + worker.info().id, WorkerText(worker.info()));
+}
+
+FakeWorker* Fleet::FindWorkerAt(const std::string& address) {
+  const auto it = workers_.find(address);
+  return it == workers_.end() ? nullptr : it->second.get();
+}
+
+JobSpec OneStep(std::uint32_t count, std::int64_t processors_milli) {
+  return {.payload = "p",
+          .steps = {{.count = count,
+                     .each = {.processors_milli = processors_milli},
+                     .estimate = milliseconds(500)}}};
+}
+
+JobSpec Chain(std::uint32_t steps, std::uint32_t count) {
+  JobSpec spec = OneStep(count);
+  for (std::uint32_t it = 1; it < steps; ++it) {
+    StepSpec step = spec.steps.front();
+    step.after = {it - 1};
+    spec.steps.push_back(step);
+  }
+  return spec;
+}
+
+void CheckPromises(Fleet& fleet) {
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).Advance(fleet.now());
+    CHECK(fleet.worker(it).peak() <=
+          fleet.worker(it).info().capacity.processors_milli);
+  }
+  std::map<std::string, std::vector<const SeenRun*>> by_task;
+  for (const SeenRun& it : fleet.seen) {
+    by_task[it.task].push_back(&it);
+  }
+  for (const auto& [task, runs] : by_task) {
+    for (std::size_t i = 1; i < runs.size(); ++i) {
+      for (std::size_t j = 0; j < i; ++j) {
+        INFO("task " << task << " runs " << runs[j]->run << " and "
+                     << runs[i]->run);
+        CHECK(runs[j]->ended <= runs[i]->began);
+        CHECK(runs[j]->run < runs[i]->run);
+        const bool done = runs[j]->how == RunEnd::kDone &&
+                          runs[j]->acknowledged != kForever;
+        CHECK_FALSE(done);
+      }
+    }
+  }
+}
+
+std::size_t CountRuns(const Fleet& fleet, const std::string& job) {
+  return static_cast<std::size_t>(std::count_if(
+      fleet.seen.begin(), fleet.seen.end(), [&](const SeenRun& it) {
+        return it.task.starts_with(job + ".");
+      }));
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Tests/engine/fleet.h
@@ -0,0 +1,150 @@
+// Several engines with a store, workers and an advice service, in virtual time,
+// and the faults between them.
+#ifndef BURDOCKROCK_TESTS_ENGINE_FLEET_H_
+#define BURDOCKROCK_TESTS_ENGINE_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "engine/event.h"
+#include "engine/fake_store.h"
+#include "engine/fake_worker.h"
+#include "engine/reducer.h"
+#include "engine/state.h"
+
+namespace burdockrock::engine {
+
+enum class StoreFault { kNone, kRefuse, kSilent, kLoseAnswer };
+enum class OrderFault {
+  kNone,
+  kUnreached,   // nothing arrives
+  kLoseAnswer,  // it is carried out
+  kLate,        // no answer, and carried out 3 s later
+};
+
+struct FleetOptions {
+  std::vector<std::string> domains = {"a", "b", "c"};
+  std::size_t instances = 3;  // one a domain, in turn
+  std::size_t workers = 6;    // likewise
+  std::int64_t processors_milli = 8000;
+  bool advice = false;
+  std::uint64_t seed = 1;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(FleetOptions options = {});
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  // Until all instances are ready, then settled for a second.
+  void Settle();
+  void Run(Duration span);
+
+  // False if it did not hold in time.
+  bool RunUntil(const std::function<bool()>& holds, Duration span);
+
+  void Kill(const std::string& node);
+  void Start(const std::string& node);  // also again, with an empty memory
+  void StopPlanned(const std::string& node);
+  bool IsUp(const std::string& node) const;
+  void Freeze(const std::string& node, Duration span);
+
+  // Returns the call's number; its answer appears in `answers`.
+  std::uint64_t Ask(const std::string& node, CallerRequest request);
+  std::uint64_t Submit(const std::string& node, const std::string& job,
+                       JobSpec spec);
+  std::uint64_t AskState(const std::string& node, const std::string& job);
+  std::uint64_t Cancel(const std::string& node, const std::string& job);
+
+  // The last answer to the question for the job's state, asked now; what it
+  // says within 3 s.
+  std::optional<JobState> StateOf(const std::string& node,
+                                  const std::string& job);
+
+  void SetQueue(const QueuePolicy& queue);
+
+  Time now() const { return now_; }
+  const State& state(const std::string& node) const;
+  FakeWorker& worker(const std::string& name) { return *workers_.at(name); }
+  std::vector<std::string> nodes() const;
+  std::vector<std::string> worker_names() const;
+
+  FakeStore store{};
+  std::vector<SeenRun> seen{};
+  std::map<std::uint64_t, CallerAnswer> answers{};
+  std::vector<LogLine> log{};
+
+  std::function<StoreFault(const std::string& node, const StoreRequest&)>
+      store_fault = [](const std::string&, const StoreRequest&) {
+        return StoreFault::kNone;
+      };
+  std::function<OrderFault(const std::string& node, const std::string& worker,
+                           const WorkerRequest&)>
+      order_fault = [](const std::string&, const std::string&,
+                       const WorkerRequest&) { return OrderFault::kNone; };
+  std::function<bool(const std::string& from, const std::string& to)> is_cut =
+      [](const std::string&, const std::string&) { return false; };
+
+ private:
+  struct Node {
+    std::string domain{};
+    std::string address{};
+    std::uint64_t life = 0;
+    std::unique_ptr<State> state{};
+    Time frozen_until{0};
+  };
+  struct Due {
+    Time at{0};
+    std::uint64_t number = 0;
+    std::function<void()> run{};
+    bool operator>(const Due& other) const {
+      return std::tie(at, number) > std::tie(other.at, other.number);
+    }
+  };
+
+  void At(Time at, std::function<void()> run);
+  void Deliver(const std::string& node, std::uint64_t life, EventBody body);
+  void CarryOut(const std::string& node, const Effect& effect);
+  void CallTheStore(const std::string& node, const CallStore& call);
+  void CallTheWorker(const std::string& node, const CallWorker& call);
+  void CallTheAdvice(const std::string& node, const CallAdvice& call);
+  void SendThePeer(const std::string& node, const SendPeer& send);
+  void AnswerWatch(const std::string& node, std::uint64_t life,
+                   const CallStore& call, Time until);
+  void AnswerHold(const std::string& node, std::uint64_t life,
+                  const CallWorker& call, Time asked, Time until);
+  void ListWorker(const FakeWorker& worker);
+  FakeWorker* FindWorkerAt(const std::string& address);
+  void Tick(const std::string& node, std::uint64_t life);
+
+  FleetOptions options_;
+  Time now_ = std::chrono::seconds(1000);
+  std::uint64_t last_number_ = 0;
+  std::uint64_t last_call_ = 0;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> queue_;
+  std::map<std::string, Node> nodes_;
+  std::map<std::string, std::unique_ptr<FakeWorker>> workers_;
+  Configuration configuration_;
+};
+
+// A job of one step of equal tasks.
+JobSpec OneStep(std::uint32_t count, std::int64_t processors_milli = 1000);
+
+// The end of `OneStep`, `steps` times one after the other.
+JobSpec Chain(std::uint32_t steps, std::uint32_t count);
+
+// What every run must keep: no task runs twice at once, none starts after its
+// end `done` was acknowledged, and no worker gets more than it has.
+void CheckPromises(Fleet& fleet);
+
+std::size_t CountRuns(const Fleet& fleet, const std::string& job);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_TESTS_ENGINE_FLEET_H_
--- /dev/null
+++ b/Tests/engine/path_test.cc
@@ -0,0 +1,218 @@
+// Jobs of steps from submission to completion, without faults.
+#include <doctest/doctest.h>
+
+#include "engine/fleet.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("A job is stored before it is acknowledged, runs and completes") {
+  Fleet fleet;
+  fleet.Settle();
+  const std::uint64_t call = fleet.Submit("n0", "j1", OneStep(6));
+  REQUIRE(fleet.RunUntil([&] { return fleet.answers.contains(call); },
+                         seconds(1)));
+  CHECK(std::holds_alternative<JobAccepted>(fleet.answers[call]));
+  CHECK(fleet.store.Keys("job/j1").size() == 1);
+  CHECK(fleet.store.Keys("spec/j1").size() == 1);
+  fleet.Run(seconds(2));
+  for (const std::string& it : fleet.nodes()) {
+    CHECK(fleet.StateOf(it, "j1") == JobState::kCompleted);
+  }
+  CHECK(CountRuns(fleet, "j1") == 6);
+  CHECK(fleet.seen.front().payload == "p");
+  CheckPromises(fleet);
+}
+
+TEST_CASE("A step starts only after all tasks it waits for are done") {
+  Fleet fleet({.advice = true});
+  fleet.Settle();
+  fleet.Submit("n1", "j1", Chain(3, 4));
+  fleet.Run(seconds(6));
+  CHECK(fleet.StateOf("n0", "j1") == JobState::kCompleted);
+  std::map<char, Time> last_end;
+  std::map<char, Time> first_start;
+  for (const SeenRun& it : fleet.seen) {
+    const char step = it.task.at(5);  // "j1.0.STEP.INDEX"
+    last_end[step] = std::max(last_end[step], it.ended);
+    first_start.try_emplace(step, it.began);
+  }
+  CHECK(first_start['1'] >= last_end['0']);
+  CHECK(first_start['2'] >= last_end['1']);
+  CheckPromises(fleet);
+}
+
+TEST_CASE("Tasks that don't fit wait, and no worker gets more than it has") {
+  Fleet fleet({.workers = 3, .processors_milli = 2000});
+  fleet.Settle();
+  fleet.Submit("n0", "j1", OneStep(20));
+  fleet.Submit("n1", "j2", OneStep(20));
+  fleet.Run(seconds(12));
+  CHECK(fleet.StateOf("n2", "j1") == JobState::kCompleted);
+  CHECK(fleet.StateOf("n2", "j2") == JobState::kCompleted);
+  CheckPromises(fleet);
+}
+
+TEST_CASE("A submission repeated anywhere finds the first job") {
+  Fleet fleet;
+  fleet.Settle();
+  const std::uint64_t first = fleet.Submit("n0", "j1", OneStep(2));
+  const std::uint64_t same_time = fleet.Submit("n1", "j1", OneStep(2));
+  fleet.Run(seconds(3));
+  const std::uint64_t later = fleet.Submit("n2", "j1", OneStep(2));
+  fleet.Run(seconds(3));
+  for (const std::uint64_t it : {first, same_time, later}) {
+    CHECK(std::holds_alternative<JobAccepted>(fleet.answers[it]));
+  }
+  CHECK(CountRuns(fleet, "j1") == 2);
+}
+
+TEST_CASE("A failed task is tried again until its attempts are used up") {
+  Fleet fleet;
+  fleet.Settle();
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string&, std::uint64_t) {
+      return RunPlan{.takes = milliseconds(100), .how = RunEnd::kFailed};
+    };
+  }
+  fleet.Submit("n0", "j1", OneStep(1));
+  fleet.Run(seconds(4));
+  CHECK(fleet.StateOf("n1", "j1") == JobState::kFailed);
+  CHECK(CountRuns(fleet, "j1") == 3);
+}
+
+TEST_CASE("A cancelled job's runs are stopped and nothing of it starts") {
+  Fleet fleet;
+  fleet.Settle();
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string&, std::uint64_t) {
+      return RunPlan{.endless = true};
+    };
+  }
+  fleet.Submit("n0", "j1", OneStep(4));
+  fleet.Run(seconds(1));
+  const std::uint64_t call = fleet.Cancel("n2", "j1");
+  fleet.Run(seconds(1));
+  CHECK(std::holds_alternative<CancelTaken>(fleet.answers[call]));
+  CHECK(fleet.StateOf("n1", "j1") == JobState::kCancelled);
+  for (const SeenRun& it : fleet.seen) {
+    CHECK(it.how == RunEnd::kStopped);
+  }
+}
+
+TEST_CASE("All members of a gang start at once, or none") {
+  Fleet fleet({.workers = 3, .processors_milli = 2000});
+  fleet.Settle();
+  fleet.Submit("n1", "busy", OneStep(4));
+  fleet.Run(milliseconds(100));
+  JobSpec gang = OneStep(5);
+  gang.steps.front().gang = true;
+  fleet.Submit("n0", "gang", gang);
+  fleet.Run(seconds(4));
+  CHECK(fleet.StateOf("n0", "gang") == JobState::kCompleted);
+  Time first = kForever;
+  Time last{0};
+  for (const SeenRun& it : fleet.seen) {
+    if (it.task.starts_with("gang.")) {
+      first = std::min(first, it.began);
+      last = std::max(last, it.began);
+    }
+  }
+  CHECK(last - first < milliseconds(20));
+  CheckPromises(fleet);
+}
+
+TEST_CASE("A lasting task is restarted however it ends") {
+  Fleet fleet;
+  fleet.Settle();
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string&, std::uint64_t run) {
+      return RunPlan{.takes = milliseconds(200),
+                     .how = RunEnd::kFailed,
+                     .endless = run > 6};
+    };
+  }
+  JobSpec spec = OneStep(1);
+  spec.steps.front().lasting = true;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(seconds(8));
+  CHECK(fleet.StateOf("n0", "j1") == JobState::kRunning);
+  CHECK(CountRuns(fleet, "j1") == 7);
+  CheckPromises(fleet);
+}
+
+TEST_CASE("Occurrences begin at their times and not before") {
+  Fleet fleet;
+  fleet.Settle();
+  JobSpec spec = OneStep(1);
+  spec.repetitions = 3;
+  spec.first_due_ms = ToMilliseconds(fleet.now()) + 1000;
+  spec.interval_ms = 700;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(seconds(5));
+  CHECK(fleet.StateOf("n0", "j1") == JobState::kCompleted);
+  REQUIRE(fleet.seen.size() == 3);
+  for (std::size_t it = 0; it < 3; ++it) {
+    const auto due = spec.first_due_ms +
+                     static_cast<std::int64_t>(it) * spec.interval_ms;
+    CHECK(ToMilliseconds(fleet.seen[it].began) >= due);
+    CHECK(ToMilliseconds(fleet.seen[it].began) < due + 200);
+  }
+}
+
+TEST_CASE("At most so many tasks of a step run on one worker") {
+  Fleet fleet;
+  fleet.Settle();
+  JobSpec spec = OneStep(12);
+  spec.steps.front().spread = 2;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(seconds(3));
+  std::map<std::string, int> by_worker;
+  for (const SeenRun& it : fleet.seen) {
+    ++by_worker[it.worker];
+  }
+  for (const auto& [worker, n] : by_worker) {
+    CHECK(n <= 2);
+  }
+}
+
+TEST_CASE("The number of waiting jobs is known everywhere") {
+  Fleet fleet({.workers = 1, .processors_milli = 1000});
+  fleet.Settle();
+  for (int it = 0; it < 4; ++it) {
+    fleet.Submit("n" + std::to_string(it % 3), "j" + std::to_string(it),
+                 OneStep(5));
+  }
+  fleet.Run(milliseconds(1800));
+  const std::uint64_t call = fleet.Ask(
+      "n0", {.question = CallerQuestion::kWaiting, .host = "h", .path = "/q/"});
+  fleet.Run(milliseconds(100));
+  const auto* shown = std::get_if<WaitingShown>(&fleet.answers[call]);
+  REQUIRE(shown != nullptr);
+  CHECK(shown->jobs >= 1);
+  CHECK(shown->jobs <= 3);
+}
+
+TEST_CASE("Wrong submissions are refused with the field that is wrong") {
+  Fleet fleet;
+  fleet.Settle();
+  JobSpec spec = Chain(2, 1);
+  spec.steps[0].after = {1};
+  const std::uint64_t call = fleet.Submit("n0", "j1", spec);
+  const auto* bad = std::get_if<BadRequest>(&fleet.answers[call]);
+  REQUIRE(bad != nullptr);
+  CHECK(bad->fault.path == "steps[0].after[0]");
+  const std::uint64_t large = fleet.Submit("n0", "j2", OneStep(1, 99'000));
+  CHECK(std::holds_alternative<BadRequest>(fleet.answers[large]));
+  const std::uint64_t nowhere = fleet.Ask(
+      "n0", {.question = CallerQuestion::kState, .host = "x", .path = "/q/j"});
+  CHECK(std::holds_alternative<NoSuchQueue>(fleet.answers[nowhere]));
+}
+
+}  // namespace
+
+}  // namespace burdockrock::engine
