--- a/Source/cli/platform.cc
+++ b/Source/cli/platform.cc
@@ -3,7 +3,8 @@
 #include "cli/command_table.h"
 #include "platform/serve.h"
 
-DEFINE_string(platform_settings, "",
+DEFINE_string(platform_settings,
+              "",
               "The settings file that the platform fills in; the environment "
               "names it if it is not given");
 DEFINE_int64(metrics_port, 9464, "The port of metrics and state dumps");
--- a/Source/engine/adoption.cc
+++ b/Source/engine/adoption.cc
@@ -70,7 +70,8 @@
 
 enum class OrphanStep { kWait, kAdopt, kForget };
 
-OrphanStep NextStep(Context& context, const std::string& id,
+OrphanStep NextStep(Context& context,
+                    const std::string& id,
                     const Orphan& orphan) {
   if (orphan.writing) {
     return OrphanStep::kWait;
@@ -79,8 +80,8 @@
   if (entry.reading_record || entry.want_record) {
     return OrphanStep::kWait;
   }
-  const bool gone = entry.absent || (entry.record &&
-                                     IsFinal(entry.record->state));
+  const bool gone =
+      entry.absent || (entry.record && IsFinal(entry.record->state));
   if (gone) {
     return OrphanStep::kForget;
   }
@@ -133,9 +134,8 @@
 
 void RestoreEnded(const OccurrenceRecord& record, Job& job) {
   for (const EndedRuns& it : record.ended) {
-    Task* task = FindTask(job, {.occurrence = record.number,
-                                .step = it.step,
-                                .index = it.index});
+    Task* task = FindTask(
+        job, {.occurrence = record.number, .step = it.step, .index = it.index});
     if (task == nullptr) {
       continue;
     }
@@ -147,7 +147,8 @@
   }
 }
 
-Job RestoreJob(const Context& context, const std::string& id,
+Job RestoreJob(const Context& context,
+               const std::string& id,
                const CatalogEntry& entry) {
   const JobRecord record = AdoptedRecord(context, entry);
   Job job = MakeJob(id, *entry.spec, record.queue);
@@ -163,8 +164,7 @@
       const auto it = std::find_if(
           record.occurrences.begin(), record.occurrences.end(),
           [k](const OccurrenceRecord& o) { return o.number == k; });
-      const bool known = it != record.occurrences.end() &&
-                         s < it->steps.size();
+      const bool known = it != record.occurrences.end() && s < it->steps.size();
       RestoreStep(known ? it->steps[s] : std::string(), StepAt(job, k, s));
     }
   }
@@ -192,8 +192,7 @@
   AdoptQuery query;
   const bool list_settled =
       ListsAreRead(context.state) &&
-      HasPassed(context.now, context.state.members.registered_at,
-                kListSettled);
+      HasPassed(context.now, context.state.members.registered_at, kListSettled);
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     if (!job.recovering) {
@@ -218,11 +217,12 @@
   Send(context, context.self(), query);
 }
 
-bool SpeaksFor(const Context& context, const std::string& from,
+bool SpeaksFor(const Context& context,
+               const std::string& from,
                const CoveredWorker& covered) {
   const auto view = context.state.view.find(covered.worker);
-  const bool newest = view == context.state.view.end() ||
-                      covered.fence >= view->second.fence;
+  const bool newest =
+      view == context.state.view.end() || covered.fence >= view->second.fence;
   const ListedWorker* worker = FindWorker(context.state, covered.worker);
   const bool expected =
       worker == nullptr ||
@@ -241,7 +241,8 @@
   BeginScan(context, std::string(kOwnedPrefix));
 }
 
-void OnOrphanPage(Context& context, const std::string& prefix,
+void OnOrphanPage(Context& context,
+                  const std::string& prefix,
                   const StoreAnswer& answer) {
   const auto it = context.state.scans.find(prefix);
   if (it == context.state.scans.end()) {
@@ -287,7 +288,8 @@
   DriveRecovery(context);
 }
 
-void OnAdopted(Context& context, const std::string& id,
+void OnAdopted(Context& context,
+               const std::string& id,
                std::uint64_t revision) {
   context.state.orphans.erase(id);
   const CatalogEntry& entry = context.state.catalog[id];
@@ -319,7 +321,8 @@
   }
 }
 
-void OnAdoptReport(Context& context, const std::string& from,
+void OnAdoptReport(Context& context,
+                   const std::string& from,
                    const AdoptReport& report) {
   for (const RunReport& it : report.runs) {
     OnRunReport(context, it);
--- a/Source/engine/adoption.h
+++ b/Source/engine/adoption.h
@@ -15,17 +15,18 @@
 // the end of a member have been missed.
 void ScanAllOrphans(Context& context);
 
-void OnOrphanPage(Context& context, const std::string& prefix,
+void OnOrphanPage(Context& context,
+                  const std::string& prefix,
                   const StoreAnswer& answer);
 
 // Writes adoptions, asks the members what runs.
 void DriveAdoption(Context& context);
 
-void OnAdopted(Context& context, const std::string& id,
-               std::uint64_t revision);
+void OnAdopted(Context& context, const std::string& id, std::uint64_t revision);
 void OnAdoptConflict(Context& context, const std::string& id);
 
-void OnAdoptReport(Context& context, const std::string& from,
+void OnAdoptReport(Context& context,
+                   const std::string& from,
                    const AdoptReport& report);
 
 // A worker was listed that an adopted job's runs may be on.
--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -133,16 +133,13 @@
   // Equal ones in another order each time, so that not all steps ask for the
   // same workers.
   std::shuffle(names.begin(), names.end(), context.state.random);
-  std::stable_sort(names.begin(), names.end(),
-                   [](const Named& left, const Named& right) {
-                     return std::tuple(!left.has_room, !left.allowed,
-                                       left.rank) <
-                            std::tuple(!right.has_room, !right.allowed,
-                                       right.rank);
-                   });
-  const std::size_t wanted =
-      std::min(kMaxAdvised,
-               kSpareNames + kNamesPerTask * CountWaiting(ready.run()));
+  std::stable_sort(
+      names.begin(), names.end(), [](const Named& left, const Named& right) {
+        return std::tuple(!left.has_room, !left.allowed, left.rank) <
+               std::tuple(!right.has_room, !right.allowed, right.rank);
+      });
+  const std::size_t wanted = std::min(
+      kMaxAdvised, kSpareNames + kNamesPerTask * CountWaiting(ready.run()));
   std::vector<std::string> chosen;
   double starts = 0;
   for (const Named& it : names) {
@@ -152,9 +149,9 @@
     }
   }
   const bool asked = ready.run().advised_at != kForever;
-  const double least = std::max(
-      kMinStarts, kMinStartShare *
-                      static_cast<double>(CountWaiting(ready.run())));
+  const double least =
+      std::max(kMinStarts,
+               kMinStartShare * static_cast<double>(CountWaiting(ready.run())));
   if (asked && starts < least) {
     chosen.clear();
   }
@@ -216,8 +213,8 @@
   ShortestWait best;
   for (const std::string& it : members) {
     const Duration wait = WaitAt(context, it);
-    const bool better = wait < best.wait || (wait == best.wait &&
-                                             it == context.self());
+    const bool better =
+        wait < best.wait || (wait == best.wait && it == context.self());
     if (better) {
       best = {.member = it, .wait = wait};
     }
@@ -232,22 +229,20 @@
     return all.member;
   }
   const ShortestWait best = FindShortestWait(context, callers.for_short);
-  return best.wait <= std::max(kShortWait, all.wait) ? best.member
-                                                     : all.member;
+  return best.wait <= std::max(kShortWait, all.wait) ? best.member : all.member;
 }
 
-void AskFor(Context& context, const ReadyStep& ready,
+void AskFor(Context& context,
+            const ReadyStep& ready,
             std::vector<std::string> workers) {
   AdviceState& advice = context.state.advice;
-  const Duration expected =
-      ExpectedTime(*ready.queue->advice, workers.size());
+  const Duration expected = ExpectedTime(*ready.queue->advice, workers.size());
   const std::string member = ChooseCaller(context, expected);
   const std::uint64_t call = ++advice.last_call;
   ready.run().asked_at = context.now;
   ready.run().asking = true;
-  const TaskName step{.job = ready.job->id,
-                      .occurrence = ready.occurrence,
-                      .step = ready.step};
+  const TaskName step{
+      .job = ready.job->id, .occurrence = ready.occurrence, .step = ready.step};
   Send(context, member,
        AdviceAsk{.call = call,
                  .step = StepName(step),
@@ -263,15 +258,17 @@
                                       expected + kReplySlack});
 }
 
-void TakeTickets(Time now, StepRun& step, const AdvicePolicy& policy,
+void TakeTickets(Time now,
+                 StepRun& step,
+                 const AdvicePolicy& policy,
                  const std::vector<std::string>& asked,
                  const AdviceReply& given) {
   step.advised_at = std::min(step.advised_at, now);
   std::set<std::string> allowed;
   for (const AdvisedWorker& it : given.allowed) {
     allowed.insert(it.worker);
-    step.tickets[it.worker] = StepTicket{
-        .text = it.ticket, .expires = now + policy.valid};
+    step.tickets[it.worker] =
+        StepTicket{.text = it.ticket, .expires = now + policy.valid};
   }
   for (const std::string& it : asked) {
     if (!allowed.contains(it)) {
@@ -344,7 +341,8 @@
                           .timeout = kAdviceTimeout});
 }
 
-void OnAdviceAsk(Context& context, const std::string& from,
+void OnAdviceAsk(Context& context,
+                 const std::string& from,
                  const AdviceAsk& ask) {
   context.state.advice.turns.push_back(
       {.from = from, .ask = ask, .arrived = context.now});
--- a/Source/engine/advice.h
+++ b/Source/engine/advice.h
@@ -17,7 +17,8 @@
 // Makes the next call to the service.
 void DriveAdviceTurns(Context& context);
 
-void OnAdviceAsk(Context& context, const std::string& from,
+void OnAdviceAsk(Context& context,
+                 const std::string& from,
                  const AdviceAsk& ask);
 void OnAdviceReply(Context& context, const AdviceReply& reply);
 void OnAdviceAnswered(Context& context, const AdviceAnswered& event);
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -96,8 +96,8 @@
 struct StoreDone {
   std::vector<StoreItem> items{};  // read; of a watch, revision 0 in none
   std::vector<std::pair<std::string, std::uint64_t>> removed{};  // of a watch
-  bool more = false;               // of a range: there are more pages
-  std::uint64_t revision = 0;      // of the store, or of the transaction
+  bool more = false;           // of a range: there are more pages
+  std::uint64_t revision = 0;  // of the store, or of the transaction
   std::uint64_t lease = 0;
   auto operator<=>(const StoreDone&) const = default;
 };
@@ -125,11 +125,8 @@
   auto operator<=>(const StoreUnknown&) const = default;
 };
 
-using StoreAnswer = std::variant<StoreDone,
-                                 StoreConflict,
-                                 StoreAbsent,
-                                 StoreRefused,
-                                 StoreUnknown>;
+using StoreAnswer = std::
+    variant<StoreDone, StoreConflict, StoreAbsent, StoreRefused, StoreUnknown>;
 
 // Workers.
 
@@ -137,7 +134,7 @@
 // what runs and what ended.
 struct HoldWorker {
   std::uint64_t fence = 0;
-  std::uint64_t acknowledged = 0;  // ends up to here may be forgotten
+  std::uint64_t acknowledged = 0;   // ends up to here may be forgotten
   std::int64_t lease_until_ms = 0;  // on the worker's clock; 0: no renewal
   Duration wait{0};                 // for an end
   auto operator<=>(const HoldWorker&) const = default;
@@ -192,16 +189,16 @@
 
 // The worker took the order.
 struct WorkerDone {
-  std::int64_t clock_ms = 0;  // the worker's steady clock
+  std::int64_t clock_ms = 0;          // the worker's steady clock
   std::vector<RunningRow> running{};  // of a hold
   std::vector<EndedRow> ended{};      // of a hold
   auto operator<=>(const WorkerDone&) const = default;
 };
 
 enum class WorkerRefusalKind {
-  kFenced,     // another owner has a higher fence
-  kOldRun,     // a run as high ended there
-  kLate,       // the lease would already have ended
+  kFenced,  // another owner has a higher fence
+  kOldRun,  // a run as high ended there
+  kLate,    // the lease would already have ended
   kNoRoom,
   kBadTicket,
   kInvalid,
--- a/Source/engine/catalog.cc
+++ b/Source/engine/catalog.cc
@@ -33,7 +33,8 @@
 }
 
 // Runs and ends on own workers learn from it whose they are.
-void TellKnown(Context& context, const std::string& job,
+void TellKnown(Context& context,
+               const std::string& job,
                const CatalogEntry& entry) {
   const auto it = context.state.known.find(job);
   if (it == context.state.known.end()) {
@@ -102,7 +103,8 @@
   });
 }
 
-void OnJobRead(Context& context, const std::string& job,
+void OnJobRead(Context& context,
+               const std::string& job,
                const StoreAnswer& answer) {
   CatalogEntry& entry = context.state.catalog[job];
   entry.reading_record = false;
@@ -128,7 +130,8 @@
   OnRecordKnown(context, job);
 }
 
-void OnSpecRead(Context& context, const std::string& job,
+void OnSpecRead(Context& context,
+                const std::string& job,
                 const StoreAnswer& answer) {
   CatalogEntry& entry = context.state.catalog[job];
   entry.reading_spec = false;
--- a/Source/engine/catalog.h
+++ b/Source/engine/catalog.h
@@ -17,9 +17,11 @@
 // Starts reads, and forgets what nobody used for long.
 void DriveCatalog(Context& context);
 
-void OnJobRead(Context& context, const std::string& job,
+void OnJobRead(Context& context,
+               const std::string& job,
                const StoreAnswer& answer);
-void OnSpecRead(Context& context, const std::string& job,
+void OnSpecRead(Context& context,
+                const std::string& job,
                 const StoreAnswer& answer);
 
 }  // namespace burdockrock::engine
--- a/Source/engine/configuration.cc
+++ b/Source/engine/configuration.cc
@@ -20,11 +20,9 @@
 
 const QueuePolicy* FindQueueByName(const Configuration& configuration,
                                    std::string_view name) {
-  const auto it =
-      std::find_if(configuration.queues.begin(), configuration.queues.end(),
-                   [name](const QueuePolicy& queue) {
-                     return queue.name == name;
-                   });
+  const auto it = std::find_if(
+      configuration.queues.begin(), configuration.queues.end(),
+      [name](const QueuePolicy& queue) { return queue.name == name; });
   return it == configuration.queues.end() ? nullptr : &*it;
 }
 
--- a/Source/engine/configuration.h
+++ b/Source/engine/configuration.h
@@ -31,8 +31,8 @@
   std::string service{};
   std::uint32_t priority = 0;  // 0 goes first
   std::uint32_t max_attempts = 1;
-  double stretch = 1;     // objective, as a multiple of the longest chain
-  Duration latency{0};    // added to the objective
+  double stretch = 1;   // objective, as a multiple of the longest chain
+  Duration latency{0};  // added to the objective
   std::optional<AdvicePolicy> advice{};
 
   auto operator<=>(const QueuePolicy&) const = default;
--- a/Source/engine/context.cc
+++ b/Source/engine/context.cc
@@ -10,9 +10,8 @@
     return;
   }
   if (const MemberRecord* member = FindMember(context.state, to)) {
-    context.Emit(SendPeer{.to = to,
-                          .address = member->address,
-                          .message = std::move(message)});
+    context.Emit(SendPeer{
+        .to = to, .address = member->address, .message = std::move(message)});
   }
 }
 
--- a/Source/engine/context.h
+++ b/Source/engine/context.h
@@ -26,9 +26,7 @@
         .line = LogLine{.number = number, .fields = std::move(fields)}});
   }
 
-  const std::string& self() const {
-    return state.options.self.incarnation;
-  }
+  const std::string& self() const { return state.options.self.incarnation; }
 };
 
 // Sends to a member; to this instance itself at once. Dropped when the member
--- a/Source/engine/digests.cc
+++ b/Source/engine/digests.cc
@@ -24,8 +24,7 @@
   if (gone == context.state.gone.end()) {
     return std::nullopt;
   }
-  return WorkerRoom{
-      .worker = id, .fence = gone->second.fence, .gone = true};
+  return WorkerRoom{.worker = id, .fence = gone->second.fence, .gone = true};
 }
 
 // Room that is overbooked for a moment, as after a takeover, shows as none.
@@ -36,7 +35,8 @@
   free.slots = 0;
 }
 
-void AddRooms(Context& context, const std::set<std::string>& workers,
+void AddRooms(Context& context,
+              const std::set<std::string>& workers,
               RoomDigest& digest) {
   for (const std::string& it : workers) {
     if (auto room = RoomOfWorker(context, it)) {
@@ -91,7 +91,8 @@
   }
 }
 
-void OnRoomDigest(Context& context, const std::string& from,
+void OnRoomDigest(Context& context,
+                  const std::string& from,
                   const RoomDigest& digest) {
   for (const WorkerRoom& it : digest.workers) {
     RoomView& view = context.state.view[it.worker];
--- a/Source/engine/digests.h
+++ b/Source/engine/digests.h
@@ -10,7 +10,8 @@
 
 void DriveDigests(Context& context);
 
-void OnRoomDigest(Context& context, const std::string& from,
+void OnRoomDigest(Context& context,
+                  const std::string& from,
                   const RoomDigest& digest);
 
 }  // namespace burdockrock::engine
--- a/Source/engine/event.h
+++ b/Source/engine/event.h
@@ -65,7 +65,7 @@
                                BoundsChanged>;
 
 struct Event {
-  Time now{0};           // steady
+  Time now{0};               // steady
   std::int64_t wall_ms = 0;  // since 1970; may jump
   EventBody body{};
 };
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -25,7 +25,7 @@
 
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
-  std::uint64_t run = 0;  // the last one that was offered
+  std::uint64_t run = 0;                 // the last one that was offered
   std::set<std::uint64_t> ended_runs{};  // counted; the last few
   std::uint32_t failures = 0;
   std::string worker{};
@@ -88,14 +88,14 @@
   std::string queue{};
   std::uint64_t generation = 0;
   std::int64_t accepted_ms = 0;
-  Time created{0};  // here
-  bool stored = false;      // the store has it
-  JobState state = JobState::kQueued;        // as this owner sees it
-  JobState stored_state = JobState::kQueued; // as callers may be told
-  bool started = false;     // a task has started
+  Time created{0};                            // here
+  bool stored = false;                        // the store has it
+  JobState state = JobState::kQueued;         // as this owner sees it
+  JobState stored_state = JobState::kQueued;  // as callers may be told
+  bool started = false;                       // a task has started
   std::vector<Occurrence> occurrences{};
   std::uint64_t revision = 0;  // of its record
-  std::uint64_t version = 1;        // of the progress, rises with each change
+  std::uint64_t version = 1;   // of the progress, rises with each change
   std::uint64_t stored_version = 0;
   std::uint64_t writing_version = 0;  // 0: none in flight
   JobState writing_state = JobState::kQueued;
--- a/Source/engine/job_model.h
+++ b/Source/engine/job_model.h
@@ -36,9 +36,9 @@
 
 // A group of like tasks of a job.
 struct StepSpec {
-  std::uint32_t count = 1;  // tasks
-  Resources each{};         // what one task takes
-  Duration estimate{0};     // rough run time of one task
+  std::uint32_t count = 1;             // tasks
+  Resources each{};                    // what one task takes
+  Duration estimate{0};                // rough run time of one task
   std::vector<std::uint32_t> after{};  // earlier steps that must be done first
   bool checkpointing = false;
   bool gang = false;           // all tasks run together or none
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -21,10 +21,10 @@
       const bool done = task.phase == TaskPhase::kDone;
       marks += done ? kDoneMark : FailureMark(task.failures);
       if (!done && !task.ended_runs.empty()) {
-        record.ended.push_back({.step = s,
-                                .index = i,
-                                .runs = {task.ended_runs.begin(),
-                                         task.ended_runs.end()}});
+        record.ended.push_back(
+            {.step = s,
+             .index = i,
+             .runs = {task.ended_runs.begin(), task.ended_runs.end()}});
       }
     }
     record.steps.push_back(std::move(marks));
@@ -37,13 +37,13 @@
   job.writing_state = job.state;
   job.changed_at = kForever;
   job.urgent_write = false;
-  Change change{.kind = ChangeKind::kSaveJob,
-                .job = job.id,
-                .version = job.version,
-                .conditions = {{.key = JobKey(job.id),
-                                .revision = job.revision}},
-                .puts = {{.key = JobKey(job.id),
-                          .value = EncodeJob(RecordOf(context, job))}}};
+  Change change{
+      .kind = ChangeKind::kSaveJob,
+      .job = job.id,
+      .version = job.version,
+      .conditions = {{.key = JobKey(job.id), .revision = job.revision}},
+      .puts = {
+          {.key = JobKey(job.id), .value = EncodeJob(RecordOf(context, job))}}};
   if (IsFinal(job.state)) {
     change.removes.push_back(OwnedKey(context.self(), job.id));
   }
@@ -66,11 +66,12 @@
 
 // The store's record of an ended job is kept as long as callers may ask.
 void QueueForget(Context& context, const Job& job) {
-  QueueChange(context, Change{.kind = ChangeKind::kForgetJob,
-                              .job = job.id,
-                              .conditions = {{.key = JobKey(job.id),
-                                              .revision = job.revision}},
-                              .removes = {JobKey(job.id), SpecKey(job.id)}});
+  QueueChange(
+      context,
+      Change{.kind = ChangeKind::kForgetJob,
+             .job = job.id,
+             .conditions = {{.key = JobKey(job.id), .revision = job.revision}},
+             .removes = {JobKey(job.id), SpecKey(job.id)}});
 }
 
 void ForgetEnded(Context& context) {
@@ -110,15 +111,15 @@
 void QueueCreation(Context& context, const Job& job) {
   QueueChange(
       context,
-      Change{.kind = ChangeKind::kCreateJob,
-             .job = job.id,
-             .version = job.version,
-             .conditions = {{.key = JobKey(job.id), .revision = 0}},
-             .puts = {{.key = JobKey(job.id),
-                       .value = EncodeJob(RecordOf(context, job))},
-                      {.key = SpecKey(job.id), .value = EncodeSpec(job.spec)},
-                      {.key = OwnedKey(context.self(), job.id),
-                       .value = "1"}}});
+      Change{
+          .kind = ChangeKind::kCreateJob,
+          .job = job.id,
+          .version = job.version,
+          .conditions = {{.key = JobKey(job.id), .revision = 0}},
+          .puts = {{.key = JobKey(job.id),
+                    .value = EncodeJob(RecordOf(context, job))},
+                   {.key = SpecKey(job.id), .value = EncodeSpec(job.spec)},
+                   {.key = OwnedKey(context.self(), job.id), .value = "1"}}});
 }
 
 void DriveProgress(Context& context) {
@@ -136,7 +137,8 @@
   ForgetEnded(context);
 }
 
-void OnCreated(Context& context, const std::string& id,
+void OnCreated(Context& context,
+               const std::string& id,
                std::uint64_t revision) {
   Job* job = FindJob(context.state, id);
   if (job == nullptr) {
@@ -163,7 +165,8 @@
 }
 
 // Another instance has taken the same job, or this one in an earlier life.
-void OnCreateConflict(Context& context, const std::string& id,
+void OnCreateConflict(Context& context,
+                      const std::string& id,
                       const StoreItem& item) {
   Job* job = FindJob(context.state, id);
   if (job == nullptr) {
@@ -181,7 +184,9 @@
   RouteCancellers(context, id, cancellers);
 }
 
-void OnSaved(Context& context, const std::string& id, std::uint64_t version,
+void OnSaved(Context& context,
+             const std::string& id,
+             std::uint64_t version,
              std::uint64_t revision) {
   Job* job = FindJob(context.state, id);
   if (job == nullptr) {
@@ -204,7 +209,8 @@
   context.state.digest.waiting_changed = true;
 }
 
-void OnSaveConflict(Context& context, const std::string& id,
+void OnSaveConflict(Context& context,
+                    const std::string& id,
                     const StoreItem& item) {
   Job* job = FindJob(context.state, id);
   if (job == nullptr) {
@@ -243,10 +249,10 @@
       known->second.owner == context.self()) {
     known->second.owner.clear();
   }
-  context.Log(EventNumber::kJobLost, {{"job", id},
-                                      {"generation",
-                                       std::to_string(job->generation)},
-                                      {"cause", cause}});
+  context.Log(EventNumber::kJobLost,
+              {{"job", id},
+               {"generation", std::to_string(job->generation)},
+               {"cause", cause}});
   AnswerWatchers(context, *job, true);
   const std::vector<Asker> cancellers = std::move(job->cancellers);
   context.state.active.erase(id);
@@ -254,7 +260,9 @@
   RouteCancellers(context, id, cancellers);
 }
 
-void ConfirmWhenStored(Context& context, Job& job, const std::string& from,
+void ConfirmWhenStored(Context& context,
+                       Job& job,
+                       const std::string& from,
                        const EndReport& report) {
   if (report.sequence == 0) {
     return;
--- a/Source/engine/job_progress.h
+++ b/Source/engine/job_progress.h
@@ -14,13 +14,16 @@
 // Queues the progress that is due to be stored.
 void DriveProgress(Context& context);
 
-void OnCreated(Context& context, const std::string& id,
-               std::uint64_t revision);
-void OnCreateConflict(Context& context, const std::string& id,
+void OnCreated(Context& context, const std::string& id, std::uint64_t revision);
+void OnCreateConflict(Context& context,
+                      const std::string& id,
                       const StoreItem& item);
-void OnSaved(Context& context, const std::string& id, std::uint64_t version,
+void OnSaved(Context& context,
+             const std::string& id,
+             std::uint64_t version,
              std::uint64_t revision);
-void OnSaveConflict(Context& context, const std::string& id,
+void OnSaveConflict(Context& context,
+                    const std::string& id,
                     const StoreItem& item);
 
 // The registration was lost: the jobs may be others' by now. Nothing of them is
@@ -33,7 +36,9 @@
 
 // An end is in the job's progress; its worker may forget it once that is
 // stored.
-void ConfirmWhenStored(Context& context, Job& job, const std::string& from,
+void ConfirmWhenStored(Context& context,
+                       Job& job,
+                       const std::string& from,
                        const EndReport& report);
 
 JobRecord RecordOf(const Context& context, const Job& job);
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -83,7 +83,9 @@
   }
 }
 
-void OnRefused(Context& context, const Place& place, const OfferAnswer& answer) {
+void OnRefused(Context& context,
+               const Place& place,
+               const OfferAnswer& answer) {
   ++context.state.totals.offers_refused;
   if (answer.outcome == OfferOutcome::kBadTicket) {
     place.step.tickets.erase(answer.worker);
@@ -157,7 +159,8 @@
   }
 }
 
-void ApplyNewEnd(Context& context, const Place& place,
+void ApplyNewEnd(Context& context,
+                 const Place& place,
                  const EndReport& report) {
   Task& task = place.task;
   MarkStarted(context, place.job);
@@ -201,7 +204,9 @@
                       listed == nullptr ? "" : listed->info.domain);
 }
 
-void CheckTask(Context& context, const TaskName& name, Task& task,
+void CheckTask(Context& context,
+               const TaskName& name,
+               Task& task,
                std::map<std::string, RunQueries>& queries) {
   const Duration patience =
       task.phase == TaskPhase::kOffered ? kOfferRepeat : kRunCheck;
@@ -232,8 +237,8 @@
 
 // Nothing of the job is out and all of it is stored.
 bool IsSettled(Job& job) {
-  if (!IsFinal(job.stored_state) || !job.unstored.empty() ||
-      job.recovering || job.stored_version != job.version) {
+  if (!IsFinal(job.stored_state) || !job.unstored.empty() || job.recovering ||
+      job.stored_version != job.version) {
     return false;
   }
   bool out = false;
@@ -248,8 +253,8 @@
 void OnOfferAnswers(Context& context, const OfferAnswers& answers) {
   for (const OfferAnswer& it : answers.answers) {
     const auto place = Find(context, it.task);
-    if (!place || place->task.run != it.run || place->task.worker != it.worker ||
-        !IsOut(place->task)) {
+    if (!place || place->task.run != it.run ||
+        place->task.worker != it.worker || !IsOut(place->task)) {
       continue;
     }
     if (it.outcome == OfferOutcome::kStarted) {
@@ -264,7 +269,8 @@
   }
 }
 
-void OnEndReport(Context& context, const std::string& from,
+void OnEndReport(Context& context,
+                 const std::string& from,
                  const EndReport& report) {
   const auto place = Find(context, report.task);
   if (!place) {
@@ -281,7 +287,8 @@
   ConfirmWhenStored(context, place->job, from, report);
 }
 
-void OnEndReports(Context& context, const std::string& from,
+void OnEndReports(Context& context,
+                  const std::string& from,
                   const EndReports& reports) {
   for (const EndReport& it : reports.ends) {
     OnEndReport(context, from, it);
@@ -342,18 +349,18 @@
       if (!IsOut(task) || task.worker != worker) {
         return;
       }
-      context.Log(EventNumber::kAttemptLost,
-                  {{"task", ToString(name)},
-                   {"run", std::to_string(task.run)},
-                   {"worker", worker}});
+      context.Log(EventNumber::kAttemptLost, {{"task", ToString(name)},
+                                              {"run", std::to_string(task.run)},
+                                              {"worker", worker}});
       Requeue(context, task, Duration(0));
       const StepSpec& spec = job.spec.steps[name.step];
       if (spec.gang) {
-        BreakGang(context, Place{.job = job,
-                                 .step = StepAt(job, name.occurrence, name.step),
-                                 .task = task,
-                                 .name = name,
-                                 .spec = spec});
+        BreakGang(context,
+                  Place{.job = job,
+                        .step = StepAt(job, name.occurrence, name.step),
+                        .task = task,
+                        .name = name,
+                        .spec = spec});
       }
     });
   }
--- a/Source/engine/job_runs.h
+++ b/Source/engine/job_runs.h
@@ -9,12 +9,14 @@
 namespace burdockrock::engine {
 
 void OnOfferAnswers(Context& context, const OfferAnswers& answers);
-void OnEndReports(Context& context, const std::string& from,
+void OnEndReports(Context& context,
+                  const std::string& from,
                   const EndReports& reports);
 void OnRunReports(Context& context, const RunReports& reports);
 
 // One of them, also as part of an adoption.
-void OnEndReport(Context& context, const std::string& from,
+void OnEndReport(Context& context,
+                 const std::string& from,
                  const EndReport& report);
 void OnRunReport(Context& context, const RunReport& report);
 
--- a/Source/engine/job_table.cc
+++ b/Source/engine/job_table.cc
@@ -16,9 +16,8 @@
 constexpr std::uint64_t kRunsPerOwner = 1000;
 
 std::string Span(const Job& job, Time at) {
-  return at == kForever
-             ? "-"
-             : std::to_string(ToMilliseconds(at - job.created));
+  return at == kForever ? "-"
+                        : std::to_string(ToMilliseconds(at - job.created));
 }
 
 // For each step the milliseconds from the submission to its turn, its first
@@ -108,8 +107,7 @@
   return !steps.empty() && steps[step].done == job.spec.steps[step].count;
 }
 
-bool IsStepReady(const Job& job, std::uint32_t occurrence,
-                 std::uint32_t step) {
+bool IsStepReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
   const auto& after = job.spec.steps[step].after;
   return job.occurrences[occurrence].begun &&
          std::all_of(after.begin(), after.end(), [&](std::uint32_t it) {
--- a/Source/engine/membership.cc
+++ b/Source/engine/membership.cc
@@ -64,14 +64,13 @@
   members.raise_wanted = false;
   members.raised_at = context.now;
   const std::string key = MemberKey(context.self());
-  AskStore(
-      context,
-      StoreTransaction{
-          .conditions = {{.key = key, .revision = members.fence}},
-          .puts = {{.key = key,
-                    .value = EncodeMember(context.state.options.self),
-                    .lease = members.lease}}},
-      ForRaise{});
+  AskStore(context,
+           StoreTransaction{
+               .conditions = {{.key = key, .revision = members.fence}},
+               .puts = {{.key = key,
+                         .value = EncodeMember(context.state.options.self),
+                         .lease = members.lease}}},
+           ForRaise{});
 }
 
 void SetFence(Context& context, std::uint64_t fence) {
@@ -83,8 +82,8 @@
     context.Log(EventNumber::kRegistered, {{"fence", std::to_string(fence)}});
   }
   members.fence = std::max(members.fence, fence);
-  members.present[context.self()] = Member{
-      .record = context.state.options.self, .fence = members.fence};
+  members.present[context.self()] =
+      Member{.record = context.state.options.self, .fence = members.fence};
   ReviewOwnership(context);
 }
 
@@ -128,7 +127,8 @@
   }
 }
 
-double Score(std::string_view member, std::string_view key,
+double Score(std::string_view member,
+             std::string_view key,
              std::uint32_t weight) {
   const XXH64_hash_t seed = XXH64(member.data(), member.size(), 0);
   const XXH64_hash_t hash = XXH64(key.data(), key.size(), seed);
@@ -204,8 +204,8 @@
   if (!is_new) {
     return;
   }
-  context.Log(EventNumber::kPeerUp, {{"peer", incarnation},
-                                     {"domain", member.record.domain}});
+  context.Log(EventNumber::kPeerUp,
+              {{"peer", incarnation}, {"domain", member.record.domain}});
   context.state.digest.refreshed_at = Time::min();
   // The machine runs one process: an earlier one is gone for certain.
   for (auto& [id, it] : members.departed) {
@@ -231,12 +231,11 @@
       members.present.begin(), members.present.end(), [&](const auto& it) {
         return it.second.record.node == node.mapped().record.node;
       });
-  const Duration grace = !replaced && StoreIsUnsteady(context)
-                             ? kRejoinGrace
-                             : Duration(0);
+  const Duration grace =
+      !replaced && StoreIsUnsteady(context) ? kRejoinGrace : Duration(0);
   context.state.digest.waiting.erase(node.key());
-  members.departed[node.key()] = DepartedMember{
-      .member = node.mapped(), .gone_at = context.now + grace};
+  members.departed[node.key()] =
+      DepartedMember{.member = node.mapped(), .gone_at = context.now + grace};
 }
 
 void OnLeaseGranted(Context& context, const StoreAnswer& answer) {
@@ -250,7 +249,8 @@
   members.renew_at = context.now + kStoreRetry;
 }
 
-void OnLeaseRenewed(Context& context, std::uint64_t lease,
+void OnLeaseRenewed(Context& context,
+                    std::uint64_t lease,
                     const StoreAnswer& answer) {
   MembersState& members = context.state.members;
   if (lease != members.lease) {
@@ -370,7 +370,8 @@
   return nullptr;
 }
 
-std::string ChooseMember(const State& state, std::string_view key,
+std::string ChooseMember(const State& state,
+                         std::string_view key,
                          std::string_view domain) {
   Candidates candidates = MembersOf(state, domain);
   if (candidates.by_node.empty() && !domain.empty()) {
--- a/Source/engine/membership.h
+++ b/Source/engine/membership.h
@@ -16,7 +16,8 @@
 void OnMemberRemoved(Context& context, const std::string& key);
 
 void OnLeaseGranted(Context& context, const StoreAnswer& answer);
-void OnLeaseRenewed(Context& context, std::uint64_t lease,
+void OnLeaseRenewed(Context& context,
+                    std::uint64_t lease,
                     const StoreAnswer& answer);
 void OnRegistered(Context& context, const StoreAnswer& answer);
 void OnRaised(Context& context, const StoreAnswer& answer);
@@ -44,7 +45,8 @@
 // The member that should own `key` among those of `domain`, or among all when
 // none is there or `domain` is empty. Each machine counts once. Empty when
 // there is no member.
-std::string ChooseMember(const State& state, std::string_view key,
+std::string ChooseMember(const State& state,
+                         std::string_view key,
                          std::string_view domain);
 
 // Members that are present or still counted, without this instance.
--- a/Source/engine/options.h
+++ b/Source/engine/options.h
@@ -24,8 +24,8 @@
 struct StoreDocuments {
   std::string worker_prefix = "worker/";
   std::string configuration_key = "configuration";
-  std::function<std::variant<WorkerInfo, DocumentFault>(
-      std::string_view id, std::string_view text)>
+  std::function<std::variant<WorkerInfo, DocumentFault>(std::string_view id,
+                                                        std::string_view text)>
       decode_worker{};
   std::function<std::variant<Configuration, DocumentFault>(
       std::string_view text)>
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -35,8 +35,8 @@
   std::string ticket{};
   std::string checkpoint{};
   std::uint32_t priority = 0;
-  Time since{0};           // in its phase
-  Time ordered = Time::min();    // the last order was sent
+  Time since{0};               // in its phase
+  Time ordered = Time::min();  // the last order was sent
   bool order_in_flight = false;
   bool stop_answered = false;
   Time confirmed = Time::min();  // the worker said that it has it
@@ -67,8 +67,8 @@
 
 struct OwnedWorker {
   WorkerInfo info{};
-  std::uint64_t fence = 0;      // 0: not claimed yet
-  bool claimed = false;         // a hold with `fence` was answered
+  std::uint64_t fence = 0;  // 0: not claimed yet
+  bool claimed = false;     // a hold with `fence` was answered
   bool hold_in_flight = false;
   Time hold_sent{0};
   Time hold_at{0};              // the next one
@@ -80,7 +80,7 @@
   // The registration was lost since the worker answered: others may have
   // claimed it and renewed its leases.
   bool doubted = false;
-  Time silent_since{0};         // the first hold without an answer; 0: none
+  Time silent_since{0};  // the first hold without an answer; 0: none
   // All that runs there has ended by then, should no more be renewed.
   Time lease_bound{0};
   std::int64_t clock_offset_ms = 0;  // worker's clock less ours
@@ -107,7 +107,7 @@
   std::string owner{};           // an incarnation; empty: not known
   std::uint64_t generation = 0;  // lower ones' offers are refused
   bool ended = false;            // the store says that it has ended
-  Time adopted{0};  // when its present owner first asked what runs
+  Time adopted{0};               // when its present owner first asked what runs
   // Runs of which the owner was told that they are not here, by task.
   std::map<std::string, std::uint64_t> refused{};
   Time heard{0};
--- a/Source/engine/pacing.cc
+++ b/Source/engine/pacing.cc
@@ -27,17 +27,21 @@
     if (!serves || run.phase != RunPhase::kRunning) {
       continue;
     }
-    const double share = static_cast<double>(run.figure) /
-                         static_cast<double>(
-                             ToMilliseconds(run.spec.tail_target));
+    const double share =
+        static_cast<double>(run.figure) /
+        static_cast<double>(ToMilliseconds(run.spec.tail_target));
     strain.disturbed = strain.disturbed || share > kDisturbed;
     strain.calm = strain.calm && share < kUndisturbed;
   }
   return strain;
 }
 
-void SetPace(Context& context, const std::string& id, OwnedWorker& worker,
-             const std::string& task, LocalRun& run, std::uint32_t pace) {
+void SetPace(Context& context,
+             const std::string& id,
+             OwnedWorker& worker,
+             const std::string& task,
+             LocalRun& run,
+             std::uint32_t pace) {
   if (run.pace == pace) {
     return;
   }
--- a/Source/engine/peer_codec.cc
+++ b/Source/engine/peer_codec.cc
@@ -32,7 +32,8 @@
 }
 
 template <std::size_t... kIndices>
-DecodedMessage DecodeAny(std::size_t index, const Json::Value& value,
+DecodedMessage DecodeAny(std::size_t index,
+                         const Json::Value& value,
                          std::index_sequence<kIndices...>) {
   DecodedMessage decoded;
   ((index == kIndices ? (decoded = DecodeAs<kIndices>(value), true) : false) ||
@@ -60,7 +61,8 @@
 }
 
 std::variant<PeerMessage, DecodeError> DecodePeerMessage(
-    std::string_view method, const Json::Value& params) {
+    std::string_view method,
+    const Json::Value& params) {
   for (std::size_t it = 0; it < kMethods.size(); ++it) {
     if (method == kMethods[it]) {
       return DecodeAny(it, params["message"],
--- a/Source/engine/peer_codec.h
+++ b/Source/engine/peer_codec.h
@@ -23,7 +23,8 @@
 
 // `params` of the method with this name.
 std::variant<PeerMessage, DecodeError> DecodePeerMessage(
-    std::string_view method, const Json::Value& params);
+    std::string_view method,
+    const Json::Value& params);
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -235,8 +235,7 @@
     codec.Optional("jobs", it.jobs, std::vector<std::string>());
     codec.Optional("runs", it.runs, std::vector<engine::RunReport>());
     codec.Optional("ends", it.ends, std::vector<engine::EndReport>());
-    codec.Optional("covered", it.covered,
-                   std::vector<engine::CoveredWorker>());
+    codec.Optional("covered", it.covered, std::vector<engine::CoveredWorker>());
   }
 };
 
@@ -287,8 +286,7 @@
   static void Visit(Codec& codec, Value& it) {
     codec.Field("call", it.call);
     codec.Optional("failed", it.failed, false);
-    codec.Optional("allowed", it.allowed,
-                   std::vector<engine::AdvisedWorker>());
+    codec.Optional("allowed", it.allowed, std::vector<engine::AdvisedWorker>());
   }
 };
 
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -78,13 +78,13 @@
   kStarted,
   kBooked,
   kNoRoom,
-  kNotOwner,     // the worker has another owner, or none yet
-  kNotServing,   // it drains or fails its health check
+  kNotOwner,    // the worker has another owner, or none yet
+  kNotServing,  // it drains or fails its health check
   kBadTicket,
-  kOldRun,       // a run as high as this one ended there already
-  kOldOwner,     // the job has a newer owner
-  kInvalid,      // the worker refuses the order itself
-  kStopped,      // stopped before it had started
+  kOldRun,    // a run as high as this one ended there already
+  kOldOwner,  // the job has a newer owner
+  kInvalid,   // the worker refuses the order itself
+  kStopped,   // stopped before it had started
 };
 
 const char* OfferOutcomeName(OfferOutcome outcome);
--- a/Source/engine/placement_rule.cc
+++ b/Source/engine/placement_rule.cc
@@ -18,8 +18,8 @@
 // Of two dimensions that are left in unlike shares one can't be used.
 constexpr double kUnbalanced = 0.5;
 
-// A task that takes 1.25 times as long as on a mean worker misses an objective of
-// 1.5 times its chain as soon as anything else goes wrong.
+// A task that takes 1.25 times as long as on a mean worker misses an objective
+// of 1.5 times its chain as soon as anything else goes wrong.
 constexpr double kSlow = 2;
 // Of objectives: from the first on speed does not matter, below the second it
 // counts whole.
@@ -29,9 +29,9 @@
 constexpr double kRelaxedWeight = -0.1;
 
 double ShareLeft(std::int64_t free, std::int64_t need, std::int64_t capacity) {
-  return capacity <= 0 ? 0
-                       : static_cast<double>(free - need) /
-                             static_cast<double>(capacity);
+  return capacity <= 0
+             ? 0
+             : static_cast<double>(free - need) / static_cast<double>(capacity);
 }
 
 }  // namespace
@@ -63,8 +63,8 @@
   const double processors =
       ShareLeft(candidate.free.processors_milli, need.room.processors_milli,
                 capacity.processors_milli);
-  const double memory = ShareLeft(candidate.free.memory_mb,
-                                  need.room.memory_mb, capacity.memory_mb);
+  const double memory = ShareLeft(candidate.free.memory_mb, need.room.memory_mb,
+                                  capacity.memory_mb);
   double cost = std::min(processors, memory) +
                 kUnbalanced * std::abs(processors - memory);
   if (!need.step->rack.empty() &&
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -60,7 +60,8 @@
   return placed;
 }
 
-bool HasTicket(const Context& context, const ReadyStep& ready,
+bool HasTicket(const Context& context,
+               const ReadyStep& ready,
                const std::string& worker) {
   if (!ready.queue->advice) {
     return true;
@@ -76,7 +77,8 @@
   std::map<std::string, std::uint32_t> placed;
 };
 
-Candidate* Choose(const Choice& choice, std::vector<Candidate>& candidates,
+Candidate* Choose(const Choice& choice,
+                  std::vector<Candidate>& candidates,
                   const PlacementNeed& need) {
   const StepSpec& spec = choice.ready.spec();
   Candidate* best = nullptr;
@@ -100,11 +102,13 @@
   return best;
 }
 
-TaskOffer& OfferTo(Round& round, const ReadyStep& ready,
-                   const std::string& owner, bool book_only) {
+TaskOffer& OfferTo(Round& round,
+                   const ReadyStep& ready,
+                   const std::string& owner,
+                   bool book_only) {
   std::vector<TaskOffer>& offers = round.offers[owner];
-  const auto it = std::find_if(
-      offers.begin(), offers.end(), [&](const TaskOffer& offer) {
+  const auto it =
+      std::find_if(offers.begin(), offers.end(), [&](const TaskOffer& offer) {
         return offer.job == ready.job->id && offer.step == ready.step &&
                offer.occurrence == ready.occurrence &&
                offer.book_only == book_only;
@@ -122,8 +126,11 @@
                                        .book_only = book_only});
 }
 
-void AddOffer(Round& round, const ReadyStep& ready, std::uint32_t index,
-              Task& task, bool book_only) {
+void AddOffer(Round& round,
+              const ReadyStep& ready,
+              std::uint32_t index,
+              Task& task,
+              bool book_only) {
   const RoomView& view = round.context.state.view[task.worker];
   const std::string& owner = view.owner;
   const auto ticket = ready.run().tickets.find(task.worker);
@@ -139,8 +146,11 @@
                         .checkpoint = task.checkpoint});
 }
 
-void Assign(Round& round, const Resources& room, Candidate& candidate,
-            Task& task, std::uint64_t run) {
+void Assign(Round& round,
+            const Resources& room,
+            Candidate& candidate,
+            Task& task,
+            std::uint64_t run) {
   candidate.free -= room;
   round.context.state.view[candidate.worker->id].free -= room;
   task.phase = TaskPhase::kOffered;
@@ -155,8 +165,7 @@
   Choice choice{.context = round.context,
                 .ready = ready,
                 .placed = CountPlaced(ready.run())};
-  std::vector<Candidate>& candidates =
-      Candidates(round, ready.queue->service);
+  std::vector<Candidate>& candidates = Candidates(round, ready.queue->service);
   PlacementNeed need = NeedOf(ready);
   std::vector<Task>& tasks = ready.run().tasks;
   for (std::uint32_t it = 0; it < tasks.size(); ++it) {
@@ -182,7 +191,8 @@
 }
 
 // Workers for all members, in the order of the tasks; nothing if not all fit.
-std::vector<Candidate*> FitGang(const Round& round, const ReadyStep& ready,
+std::vector<Candidate*> FitGang(const Round& round,
+                                const ReadyStep& ready,
                                 std::vector<Candidate>& candidates,
                                 const std::string& rack) {
   Choice choice{.context = round.context, .ready = ready, .placed = {}};
@@ -233,8 +243,8 @@
       return;
     }
   }
-  const auto chosen = FitGangAnywhere(
-      round, ready, Candidates(round, ready.queue->service));
+  const auto chosen =
+      FitGangAnywhere(round, ready, Candidates(round, ready.queue->service));
   if (chosen.empty()) {
     return;
   }
@@ -260,9 +270,8 @@
 // late let those before them wait, and end when it takes too long.
 void StartGang(Round& round, const ReadyStep& ready) {
   StepRun& step = ready.run();
-  const bool all_booked =
-      std::all_of(step.tasks.begin(), step.tasks.end(),
-                  [](const Task& it) { return it.booked; });
+  const bool all_booked = std::all_of(step.tasks.begin(), step.tasks.end(),
+                                      [](const Task& it) { return it.booked; });
   if (!all_booked || step.gang_started == step.gang_run) {
     return;
   }
@@ -288,8 +297,11 @@
 
 // All tasks of the step are out or done, and by their estimate the last ones
 // end within `lead`.
-bool EndsSoon(const Context& context, Job& job, std::uint32_t occurrence,
-              std::uint32_t number, Duration lead) {
+bool EndsSoon(const Context& context,
+              Job& job,
+              std::uint32_t occurrence,
+              std::uint32_t number,
+              Duration lead) {
   const StepRun& step = StepAt(job, occurrence, number);
   for (const Task& it : step.tasks) {
     if (it.phase != TaskPhase::kRunning && it.phase != TaskPhase::kDone) {
@@ -301,8 +313,11 @@
              step.last_start + job.spec.steps[number].estimate;
 }
 
-bool IsReadySoon(const Context& context, Job& job, std::uint32_t occurrence,
-                 std::uint32_t step, Duration lead) {
+bool IsReadySoon(const Context& context,
+                 Job& job,
+                 std::uint32_t occurrence,
+                 std::uint32_t step,
+                 Duration lead) {
   const auto& after = job.spec.steps[step].after;
   return job.occurrences[occurrence].begun &&
          std::all_of(after.begin(), after.end(), [&](std::uint32_t it) {
@@ -311,8 +326,11 @@
          });
 }
 
-void AddReadySteps(Context& context, Job& job, const QueuePolicy& queue,
-                   std::optional<Duration> lead, std::vector<ReadyStep>& out) {
+void AddReadySteps(Context& context,
+                   Job& job,
+                   const QueuePolicy& queue,
+                   std::optional<Duration> lead,
+                   std::vector<ReadyStep>& out) {
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
     for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
       if (IsStepDone(job, k, s)) {
@@ -364,8 +382,8 @@
   return {.step = &ready.spec(),
           .room = RoomOf(ready.spec()),
           .speed_weight = SpeedWeight(ready.queue->stretch),
-          .reserve = kReservePerPriority *
-                     static_cast<double>(ready.queue->priority)};
+          .reserve =
+              kReservePerPriority * static_cast<double>(ready.queue->priority)};
 }
 
 std::vector<ReadyStep> ReadySteps(
--- a/Source/engine/questions.cc
+++ b/Source/engine/questions.cc
@@ -25,7 +25,9 @@
   context.Emit(AnswerCaller{.call = call, .answer = std::move(answer)});
 }
 
-void Refuse(Context& context, std::uint64_t call, const std::string& job,
+void Refuse(Context& context,
+            std::uint64_t call,
+            const std::string& job,
             std::string cause) {
   ++context.state.totals.refused;
   context.Log(EventNumber::kRequestRefused, {{"job", job}, {"cause", cause}});
@@ -42,7 +44,8 @@
 }
 
 // A task that fits on no worker of the service, even an empty one.
-std::optional<SpecFault> CheckSizes(const State& state, const JobSpec& spec,
+std::optional<SpecFault> CheckSizes(const State& state,
+                                    const JobSpec& spec,
                                     const std::string& service) {
   Resources most;
   for (const auto& [id, it] : state.workers) {
@@ -68,8 +71,11 @@
   return std::nullopt;
 }
 
-void Create(Context& context, std::uint64_t call, const std::string& id,
-            const QueuePolicy& queue, JobSpec spec) {
+void Create(Context& context,
+            std::uint64_t call,
+            const std::string& id,
+            const QueuePolicy& queue,
+            JobSpec spec) {
   Job job = MakeJob(id, std::move(spec), queue.name);
   job.created = context.now;
   job.accepted_ms = context.wall_ms;
@@ -79,8 +85,11 @@
   context.state.jobs.emplace(id, std::move(job));
 }
 
-void OnSubmit(Context& context, std::uint64_t call, const std::string& id,
-              const QueuePolicy& queue, JobSpec spec) {
+void OnSubmit(Context& context,
+              std::uint64_t call,
+              const std::string& id,
+              const QueuePolicy& queue,
+              JobSpec spec) {
   ++context.state.totals.submitted;
   if (Job* job = FindJob(context.state, id)) {
     if (job->stored) {
@@ -100,9 +109,9 @@
     fault = CheckSizes(context.state, spec, queue.service);
   }
   if (fault) {
-    context.Log(EventNumber::kMalformedRequest, {{"job", id},
-                                                 {"field", fault->path},
-                                                 {"problem", fault->problem}});
+    context.Log(
+        EventNumber::kMalformedRequest,
+        {{"job", id}, {"field", fault->path}, {"problem", fault->problem}});
     return Answer(context, call, BadRequest{.fault = *fault});
   }
   Create(context, call, id, queue, std::move(spec));
@@ -128,8 +137,8 @@
     }
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       for (const Task& it : occurrence.steps[s].tasks) {
-        const bool may_be_done = it.phase == TaskPhase::kDone ||
-                                 it.phase == TaskPhase::kRunning;
+        const bool may_be_done =
+            it.phase == TaskPhase::kDone || it.phase == TaskPhase::kRunning;
         if (!may_be_done || job.spec.steps[s].lasting) {
           return false;
         }
@@ -159,7 +168,9 @@
   EndJob(context, job, JobState::kCancelled, "caller");
 }
 
-void Ask(Context& context, std::uint64_t id, WaitingCaller& caller,
+void Ask(Context& context,
+         std::uint64_t id,
+         WaitingCaller& caller,
          const std::string& owner) {
   caller.asked = owner;
   caller.asked_at = context.now;
@@ -172,7 +183,8 @@
 }
 
 // True when the caller was answered.
-bool AnswerFromRecord(Context& context, WaitingCaller& caller,
+bool AnswerFromRecord(Context& context,
+                      WaitingCaller& caller,
                       const CatalogEntry& entry) {
   if (entry.absent) {
     Answer(context, caller.call, NoSuchJob{});
@@ -222,7 +234,9 @@
   return false;
 }
 
-void OnQuestion(Context& context, std::uint64_t call, CallerQuestion question,
+void OnQuestion(Context& context,
+                std::uint64_t call,
+                CallerQuestion question,
                 const std::string& job) {
   const std::uint64_t id = ++context.state.last_question;
   WaitingCaller caller{.call = call,
@@ -251,8 +265,7 @@
          NotKnown{.detail = "the job's owner or the store can't be reached"});
 }
 
-void OnWaiting(Context& context, std::uint64_t call,
-               const QueuePolicy& queue) {
+void OnWaiting(Context& context, std::uint64_t call, const QueuePolicy& queue) {
   std::uint32_t jobs = CountWaiting(context.state, queue.name);
   for (const auto& [member, queues] : context.state.digest.waiting) {
     const auto it = queues.find(queue.name);
@@ -263,8 +276,7 @@
 
 // Submissions that the store has not answered.
 void DriveSubmitters(Context& context) {
-  const bool well =
-      context.state.store.healthy && IsRegistered(context.state);
+  const bool well = context.state.store.healthy && IsRegistered(context.state);
   std::vector<std::string> withdrawn;
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
@@ -318,7 +330,8 @@
   OnQuestion(context, asked.call, request.question, id);
 }
 
-void OnJobQuery(Context& context, const std::string& from,
+void OnJobQuery(Context& context,
+                const std::string& from,
                 const JobQuery& query) {
   Job* job = FindJob(context.state, query.job);
   if (job == nullptr) {
@@ -380,8 +393,7 @@
   DriveSubmitters(context);
 }
 
-void AnswerCancel(Context& context, const Asker& canceller,
-                  JobState state) {
+void AnswerCancel(Context& context, const Asker& canceller, JobState state) {
   if (canceller.member.empty()) {
     return Answer(context, canceller.call, CancelTaken{});
   }
@@ -399,7 +411,8 @@
   });
 }
 
-void RouteCancellers(Context& context, const std::string& job,
+void RouteCancellers(Context& context,
+                     const std::string& job,
                      const std::vector<Asker>& cancellers) {
   for (const Asker& it : cancellers) {
     if (it.member.empty()) {
@@ -414,8 +427,8 @@
   std::uint32_t n = 0;
   for (const std::string& id : state.active) {
     const Job& job = state.jobs.at(id);
-    const bool waits = job.stored && !job.started && !IsFinal(job.state) &&
-                       job.queue == queue;
+    const bool waits =
+        job.stored && !job.started && !IsFinal(job.state) && job.queue == queue;
     n += waits ? 1 : 0;
   }
   return n;
--- a/Source/engine/questions.h
+++ b/Source/engine/questions.h
@@ -10,7 +10,8 @@
 namespace burdockrock::engine {
 
 void OnCallerAsked(Context& context, const CallerAsked& asked);
-void OnJobQuery(Context& context, const std::string& from,
+void OnJobQuery(Context& context,
+                const std::string& from,
                 const JobQuery& query);
 void OnJobReply(Context& context, const JobReply& reply);
 
@@ -20,15 +21,15 @@
 // Gives up and asks again, as due.
 void DriveCallers(Context& context);
 
-void AnswerCancel(Context& context, const Asker& canceller,
-                  JobState state);
+void AnswerCancel(Context& context, const Asker& canceller, JobState state);
 
 // Tells the job's state to those who wait for news of it: all, or those whose
 // patience is over.
 void AnswerWatchers(Context& context, Job& job, bool all);
 
 // The job is another instance's now: whoever waits for its cancel asks there.
-void RouteCancellers(Context& context, const std::string& job,
+void RouteCancellers(Context& context,
+                     const std::string& job,
                      const std::vector<Asker>& cancellers);
 
 // Jobs of the queue that were accepted here and have not begun.
--- a/Source/engine/record.h
+++ b/Source/engine/record.h
@@ -32,7 +32,7 @@
   std::string incarnation{};
   std::string node{};  // the machine; a later incarnation has the same
   std::string domain{};
-  std::string address{};  // where it listens for peers
+  std::string address{};     // where it listens for peers
   std::uint32_t weight = 1;  // its share of workers and jobs
 
   auto operator<=>(const MemberRecord&) const = default;
@@ -70,7 +70,7 @@
   std::uint64_t write = 0;       // tells the owner's own writes apart
   JobState state = JobState::kQueued;
   std::string queue{};
-  std::int64_t accepted_ms = 0;  // wall time since 1970
+  std::int64_t accepted_ms = 0;                 // wall time since 1970
   std::vector<OccurrenceRecord> occurrences{};  // those that have begun
 
   auto operator<=>(const JobRecord&) const = default;
--- a/Source/engine/record_writer.cc
+++ b/Source/engine/record_writer.cc
@@ -46,7 +46,8 @@
   return transaction;
 }
 
-void OnChangeDone(Context& context, const Change& change,
+void OnChangeDone(Context& context,
+                  const Change& change,
                   std::uint64_t revision) {
   switch (change.kind) {
     case ChangeKind::kCreateJob:
@@ -60,7 +61,8 @@
   }
 }
 
-void OnChangeConflict(Context& context, const Change& change,
+void OnChangeConflict(Context& context,
+                      const Change& change,
                       const StoreItem& item) {
   switch (change.kind) {
     case ChangeKind::kCreateJob:
@@ -140,7 +142,8 @@
 
 void DriveWriter(Context& context) {
   WriterState& writer = context.state.writer;
-  // While the fence is being raised a transaction would be bound to the old one.
+  // While the fence is being raised a transaction would be bound to the old
+  // one.
   const bool raising = context.state.members.raising;
   while (!writer.queue.empty() && IsRegistered(context.state) && !raising &&
          context.now >= writer.retry_at &&
@@ -152,7 +155,8 @@
   }
 }
 
-void OnBatchAnswer(Context& context, std::uint64_t batch,
+void OnBatchAnswer(Context& context,
+                   std::uint64_t batch,
                    const StoreAnswer& answer) {
   auto node = context.state.writer.in_flight.extract(batch);
   if (node.empty()) {
@@ -177,12 +181,12 @@
   Requeue(context, std::move(sent.changes));
 }
 
-bool WithdrawChange(Context& context, ChangeKind kind,
-                    const std::string& job) {
+bool WithdrawChange(Context& context, ChangeKind kind, const std::string& job) {
   std::deque<Change>& queue = context.state.writer.queue;
-  const auto it = std::find_if(queue.begin(), queue.end(), [&](const Change& c) {
-    return c.kind == kind && c.job == job && !c.may_be_done;
-  });
+  const auto it =
+      std::find_if(queue.begin(), queue.end(), [&](const Change& c) {
+        return c.kind == kind && c.job == job && !c.may_be_done;
+      });
   if (it == queue.end()) {
     return false;
   }
--- a/Source/engine/record_writer.h
+++ b/Source/engine/record_writer.h
@@ -11,7 +11,8 @@
 // Sends what waits.
 void DriveWriter(Context& context);
 
-void OnBatchAnswer(Context& context, std::uint64_t batch,
+void OnBatchAnswer(Context& context,
+                   std::uint64_t batch,
                    const StoreAnswer& answer);
 
 // Takes back a change that was never sent. False when it may be in the store.
--- a/Source/engine/run_ends.cc
+++ b/Source/engine/run_ends.cc
@@ -13,8 +13,11 @@
 // Workers that fail all that they start take work as fast as they fail it. A
 // row of failures of different jobs, with no success between, tells them from
 // one bad job.
-void NoteOutcome(Context& context, const std::string& id, OwnedWorker& worker,
-                 const EndedRow& row, const std::string& job) {
+void NoteOutcome(Context& context,
+                 const std::string& id,
+                 OwnedWorker& worker,
+                 const EndedRow& row,
+                 const std::string& job) {
   if (row.how == RunEnd::kDone) {
     worker.recent_failures = 0;
     return;
@@ -29,8 +32,9 @@
   // One more failure after the quarantine brings the next one.
   worker.recent_failures = kMaxFailuresInRow - 1;
   worker.quarantine_until = context.now + kQuarantine;
-  context.Log(EventNumber::kWorkerQuarantined,
-              {{"worker", id}, {"failures", std::to_string(kMaxFailuresInRow)}});
+  context.Log(
+      EventNumber::kWorkerQuarantined,
+      {{"worker", id}, {"failures", std::to_string(kMaxFailuresInRow)}});
 }
 
 // Whoever was the owner of the job may not be it any more, and does not know
@@ -63,7 +67,9 @@
 
 }  // namespace
 
-bool ApplyEnd(Context& context, const std::string& id, OwnedWorker& worker,
+bool ApplyEnd(Context& context,
+              const std::string& id,
+              OwnedWorker& worker,
               const EndedRow& row) {
   if (row.sequence <= worker.seen) {
     return false;
@@ -155,7 +161,8 @@
   return found;
 }
 
-void AddEndsOfJobs(const std::string& id, OwnedWorker& worker,
+void AddEndsOfJobs(const std::string& id,
+                   OwnedWorker& worker,
                    const std::set<std::string>& jobs,
                    std::vector<EndReport>& out) {
   for (auto& [sequence, end] : worker.ends) {
@@ -167,8 +174,10 @@
   }
 }
 
-void ReportLostRun(Context& context, const std::string& id,
-                   const std::string& task, const LocalRun& run) {
+void ReportLostRun(Context& context,
+                   const std::string& id,
+                   const std::string& task,
+                   const LocalRun& run) {
   const std::string owner = OwnerOfJob(context.state, JobOf(task));
   if (owner.empty()) {
     return;  // an adopter asks what runs, and learns that it does not
@@ -182,7 +191,8 @@
                             .checkpoint = run.checkpoint}}});
 }
 
-void ReportLostRuns(Context& context, const std::string& id,
+void ReportLostRuns(Context& context,
+                    const std::string& id,
                     const OwnedWorker& worker) {
   for (const auto& [sequence, end] : worker.ends) {
     const std::string owner = OwnerOfJob(context.state, JobOf(end.row.task));
--- a/Source/engine/run_ends.h
+++ b/Source/engine/run_ends.h
@@ -11,7 +11,9 @@
 namespace burdockrock::engine {
 
 // True when the end is new.
-bool ApplyEnd(Context& context, const std::string& id, OwnedWorker& worker,
+bool ApplyEnd(Context& context,
+              const std::string& id,
+              OwnedWorker& worker,
               const EndedRow& row);
 
 // Tells the jobs' owners of ends that they have not confirmed.
@@ -24,14 +26,18 @@
 bool RepeatEndsOf(OwnedWorker& worker, const std::string& task);
 
 // Adds all ends of the jobs that the worker still lists.
-void AddEndsOfJobs(const std::string& id, OwnedWorker& worker,
+void AddEndsOfJobs(const std::string& id,
+                   OwnedWorker& worker,
                    const std::set<std::string>& jobs,
                    std::vector<EndReport>& out);
 
 // The run is not there any more, and no end says why.
-void ReportLostRun(Context& context, const std::string& id,
-                   const std::string& task, const LocalRun& run);
-void ReportLostRuns(Context& context, const std::string& id,
+void ReportLostRun(Context& context,
+                   const std::string& id,
+                   const std::string& task,
+                   const LocalRun& run);
+void ReportLostRuns(Context& context,
+                    const std::string& id,
                     const OwnedWorker& worker);
 
 // The owner of a job with runs or ends here; empty when it is not known or no
--- a/Source/engine/speed_estimate.cc
+++ b/Source/engine/speed_estimate.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Estimates are off by 20 to 90%: after so many runs the mean of them is good to
-// a tenth or a third.
+// Estimates are off by 20 to 90%: after so many runs the mean of them is good
+// to a tenth or a third.
 constexpr std::uint32_t kMinSamples = 4;
 // A worker that turns slow shows after about this many runs.
 constexpr double kMemory = 12;
@@ -28,10 +28,9 @@
   if (took <= Duration(0) || estimate <= Duration(0)) {
     return;
   }
-  const double ratio =
-      std::clamp(static_cast<double>(took.count()) /
-                     static_cast<double>(estimate.count()),
-                 1 / kMaxRatio, kMaxRatio);
+  const double ratio = std::clamp(
+      static_cast<double>(took.count()) / static_cast<double>(estimate.count()),
+      1 / kMaxRatio, kMaxRatio);
   ++samples_;
   const double weight = 1 / std::min(static_cast<double>(samples_), kMemory);
   log_ratio_ += weight * (std::log(ratio) - log_ratio_);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -68,21 +68,21 @@
 struct StoreState {
   std::uint64_t last_call = 0;
   std::map<std::uint64_t, StorePurpose> calls{};
-  Time last_answer{0};             // of any kind but none
+  Time last_answer{0};              // of any kind but none
   Time last_trouble = Time::min();  // refused or unanswered
-  bool healthy = false;            // the last call was answered
+  bool healthy = false;             // the last call was answered
   std::uint64_t total_calls = 0;
 };
 
 // One list that is followed: read in pages, then watched.
 struct Watch {
   bool in_flight = false;
-  bool reading = true;      // pages, not changes
+  bool reading = true;  // pages, not changes
   std::uint64_t revision = 0;
   std::uint64_t read_revision = 0;  // of the first page
   std::string after{};
   std::set<std::string> seen{};  // keys in the pages so far
-  bool complete = false;    // was read whole at least once
+  bool complete = false;         // was read whole at least once
   Time retry_at{0};
 };
 
--- a/Source/engine/store_calls.cc
+++ b/Source/engine/store_calls.cc
@@ -24,7 +24,9 @@
 
 }  // namespace
 
-void AskStore(Context& context, StoreRequest request, StorePurpose purpose,
+void AskStore(Context& context,
+              StoreRequest request,
+              StorePurpose purpose,
               Duration timeout) {
   StoreState& store = context.state.store;
   const std::uint64_t call = ++store.last_call;
--- a/Source/engine/store_calls.h
+++ b/Source/engine/store_calls.h
@@ -6,7 +6,9 @@
 
 namespace burdockrock::engine {
 
-void AskStore(Context& context, StoreRequest request, StorePurpose purpose,
+void AskStore(Context& context,
+              StoreRequest request,
+              StorePurpose purpose,
               Duration timeout = kStoreTimeout);
 
 // Takes the call's purpose out of the state and notes how the store is.
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -73,7 +73,8 @@
 }
 
 // Keys that are known and were in none of the pages.
-void RemoveUnseen(Context& context, WatchedList list,
+void RemoveUnseen(Context& context,
+                  WatchedList list,
                   const std::set<std::string>& seen) {
   std::vector<std::string> missing;
   if (list == WatchedList::kMembers) {
@@ -135,10 +136,10 @@
 
 void StartRead(Context& context, WatchedList list, Watch& watch) {
   watch.in_flight = true;
-  AskStore(context,
-           StoreRange{.prefix = PrefixOf(context.state, list),
-                      .after = watch.after},
-           ForWatch{.list = list});
+  AskStore(
+      context,
+      StoreRange{.prefix = PrefixOf(context.state, list), .after = watch.after},
+      ForWatch{.list = list});
 }
 
 void StartWatch(Context& context, WatchedList list, Watch& watch) {
@@ -175,7 +176,8 @@
   }
 }
 
-void OnWatchAnswer(Context& context, WatchedList list,
+void OnWatchAnswer(Context& context,
+                   WatchedList list,
                    const StoreAnswer& answer) {
   Watch& watch = context.state.watches.at(static_cast<std::size_t>(list));
   watch.in_flight = false;
--- a/Source/engine/watches.h
+++ b/Source/engine/watches.h
@@ -9,7 +9,8 @@
 // Starts what is due: the next page, the next watch, a retry.
 void DriveWatches(Context& context);
 
-void OnWatchAnswer(Context& context, WatchedList list,
+void OnWatchAnswer(Context& context,
+                   WatchedList list,
                    const StoreAnswer& answer);
 
 // All lists were read whole at least once.
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -45,8 +45,8 @@
   const bool silent =
       IsSilent(worker) &&
       HasPassed(context.now, worker.silent_since, kRenewWithoutAnswer);
-  const bool alone = HasPassed(
-      context.now, context.state.members.last_contact, kMaxWithoutStore);
+  const bool alone = HasPassed(context.now, context.state.members.last_contact,
+                               kMaxWithoutStore);
   return worker.claimed && !silent && !alone;
 }
 
@@ -91,25 +91,29 @@
                           .timeout = hold.wait + kHoldSlack});
 }
 
-// A look beside the hold that waits, to learn whether the worker is still owned.
+// A look beside the hold that waits, to learn whether the worker is still
+// owned.
 void SendProof(Context& context, const std::string& id, OwnedWorker& worker) {
   worker.proof_wanted = false;
   worker.proof_in_flight = true;
   ++context.state.totals.holds;
-  context.Emit(CallWorker{.worker = id,
-                          .address = worker.info.address,
-                          .request = HoldWorker{.fence = worker.fence,
-                                                .acknowledged =
-                                                    worker.acknowledged},
-                          .timeout = kHoldSlack});
+  context.Emit(
+      CallWorker{.worker = id,
+                 .address = worker.info.address,
+                 .request = HoldWorker{.fence = worker.fence,
+                                       .acknowledged = worker.acknowledged},
+                 .timeout = kHoldSlack});
 }
 
 bool IsProof(const HoldWorker& hold) {
   return hold.lease_until_ms == 0 && hold.wait == Duration(0);
 }
 
-void OnHeld(Context& context, const std::string& id, OwnedWorker& worker,
-            const WorkerDone& done, Time asked) {
+void OnHeld(Context& context,
+            const std::string& id,
+            OwnedWorker& worker,
+            const WorkerDone& done,
+            Time asked) {
   worker.answered = context.now;
   worker.proven = std::max(worker.proven, asked);
   worker.doubted = false;
@@ -119,9 +123,9 @@
   const bool claimed_now = !worker.claimed;
   if (claimed_now) {
     worker.claimed = true;
-    worker.lease_bound =
-        context.now + Drifted(context.state.options.bounds.max_hold) +
-        kLeaseMargin;
+    worker.lease_bound = context.now +
+                         Drifted(context.state.options.bounds.max_hold) +
+                         kLeaseMargin;
     context.Log(EventNumber::kWorkerClaimed,
                 {{"worker", id},
                  {"fence", std::to_string(worker.fence)},
@@ -146,8 +150,7 @@
     AnswerQuestions(context, event.worker, worker);
     return;
   }
-  const WorkerRefusalKind kind =
-      std::get<WorkerRefused>(event.answer).kind;
+  const WorkerRefusalKind kind = std::get<WorkerRefused>(event.answer).kind;
   if (kind == WorkerRefusalKind::kFenced) {
     LoseWorker(context, event.worker);
   } else if (kind == WorkerRefusalKind::kReplaced) {
@@ -170,8 +173,8 @@
 }  // namespace
 
 void ReviewOwnership(Context& context) {
-  const bool settled = HasPassed(
-      context.now, context.state.members.registered_at, kClaimDelay);
+  const bool settled =
+      HasPassed(context.now, context.state.members.registered_at, kClaimDelay);
   if (!IsRegistered(context.state) || context.state.stop.asked || !settled) {
     return;
   }
@@ -248,9 +251,9 @@
   if (refused->kind == WorkerRefusalKind::kReplaced) {
     WorkerIsGone(context, event.worker, "another life answers");
   } else if (refused->kind == WorkerRefusalKind::kFenced) {
-    context.Log(EventNumber::kClaimRefused,
-                {{"worker", event.worker},
-                 {"fence", std::to_string(hold.fence)}});
+    context.Log(
+        EventNumber::kClaimRefused,
+        {{"worker", event.worker}, {"fence", std::to_string(hold.fence)}});
     if (worker.claimed) {
       LoseWorker(context, event.worker);
     } else {
@@ -280,8 +283,7 @@
     return;
   }
   context.Log(EventNumber::kOwnershipLost,
-              {{"worker", id},
-               {"fence", std::to_string(node.mapped().fence)}});
+              {{"worker", id}, {"fence", std::to_string(node.mapped().fence)}});
   for (const auto& [task, run] : node.mapped().runs) {
     const bool never_ran =
         run.phase == RunPhase::kBooked ||
@@ -339,8 +341,7 @@
                   [](const auto& it) { return it.second.described; });
   return listed != nullptr && listed->listed && !listed->info.draining &&
          worker.claimed && described && !IsSilent(worker) &&
-         worker.lease_until_ms != 0 &&
-         context.now >= worker.unhealthy_until &&
+         worker.lease_until_ms != 0 && context.now >= worker.unhealthy_until &&
          context.now >= worker.quarantine_until;
 }
 
@@ -354,9 +355,8 @@
 
 std::int64_t NextLease(Context& context, OwnedWorker& worker) {
   const Duration max_hold = context.state.options.bounds.max_hold;
-  worker.lease_bound =
-      std::max(worker.lease_bound,
-               context.now + Drifted(max_hold) + kLeaseMargin);
+  worker.lease_bound = std::max(worker.lease_bound,
+                                context.now + Drifted(max_hold) + kLeaseMargin);
   worker.lease_until_ms =
       WorkerClock(context, worker) + ToMilliseconds(max_hold);
   return worker.lease_until_ms;
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -13,26 +13,32 @@
 
 namespace {
 
-void OrderStart(Context& context, const std::string& id, OwnedWorker& worker,
-                const std::string& task, LocalRun& run) {
+void OrderStart(Context& context,
+                const std::string& id,
+                OwnedWorker& worker,
+                const std::string& task,
+                LocalRun& run) {
   run.ordered = context.now;
   run.order_in_flight = true;
   ++context.state.totals.starts;
-  context.Emit(CallWorker{.worker = id,
-                          .address = worker.info.address,
-                          .request =
-                              StartRun{.task = task,
-                                       .run = run.run,
-                                       .payload = run.payload,
-                                       .ticket = run.ticket,
-                                       .checkpoint = run.checkpoint,
-                                       .fence = worker.fence,
-                                       .lease_until_ms = worker.lease_until_ms},
-                          .timeout = kOrderTimeout});
-}
-
-void OrderStop(Context& context, const std::string& id, OwnedWorker& worker,
-               const std::string& task, LocalRun& run) {
+  context.Emit(
+      CallWorker{.worker = id,
+                 .address = worker.info.address,
+                 .request = StartRun{.task = task,
+                                     .run = run.run,
+                                     .payload = run.payload,
+                                     .ticket = run.ticket,
+                                     .checkpoint = run.checkpoint,
+                                     .fence = worker.fence,
+                                     .lease_until_ms = worker.lease_until_ms},
+                 .timeout = kOrderTimeout});
+}
+
+void OrderStop(Context& context,
+               const std::string& id,
+               OwnedWorker& worker,
+               const std::string& task,
+               LocalRun& run) {
   run.ordered = context.now;
   run.order_in_flight = true;
   context.Emit(CallWorker{
@@ -47,14 +53,19 @@
   run.since = context.now;
 }
 
-void RemoveRun(Context& context, const std::string& id, OwnedWorker& worker,
+void RemoveRun(Context& context,
+               const std::string& id,
+               OwnedWorker& worker,
                const std::string& task) {
   worker.runs.erase(task);
   RoomChanged(context, id);
 }
 
-void BeginStop(Context& context, const std::string& id, OwnedWorker& worker,
-               const std::string& task, LocalRun& run) {
+void BeginStop(Context& context,
+               const std::string& id,
+               OwnedWorker& worker,
+               const std::string& task,
+               LocalRun& run) {
   if (run.phase == RunPhase::kStopping) {
     return;
   }
@@ -64,7 +75,8 @@
 }
 
 // The offer can't be taken because of what is known of the job: whose it is.
-bool IsStale(Context& context, const std::string& from,
+bool IsStale(Context& context,
+             const std::string& from,
              const TaskOffer& offer) {
   KnownJob& known = context.state.known[offer.job];
   const bool member =
@@ -78,7 +90,8 @@
   return false;
 }
 
-bool HasEndOf(const OwnedWorker& worker, const std::string& task,
+bool HasEndOf(const OwnedWorker& worker,
+              const std::string& task,
               std::uint64_t run) {
   for (const auto& [sequence, end] : worker.ends) {
     if (end.row.task == task && end.row.run >= run) {
@@ -160,18 +173,18 @@
     return OfferOutcome::kNoRoom;
   }
   LocalRun& run = worker->runs[task];
-  run = LocalRun{.run = offered.run,
-                 .phase = offer.book_only ? RunPhase::kBooked
-                                          : RunPhase::kStarting,
-                 .spec = offer.spec,
-                 .owner = from,
-                 .generation = offer.generation,
-                 .payload = offer.payload,
-                 .ticket = offered.ticket,
-                 .checkpoint = offered.checkpoint,
-                 .priority = offer.priority,
-                 .since = context.now,
-                 .answer_offer = !offer.book_only};
+  run = LocalRun{
+      .run = offered.run,
+      .phase = offer.book_only ? RunPhase::kBooked : RunPhase::kStarting,
+      .spec = offer.spec,
+      .owner = from,
+      .generation = offer.generation,
+      .payload = offer.payload,
+      .ticket = offered.ticket,
+      .checkpoint = offered.checkpoint,
+      .priority = offer.priority,
+      .since = context.now,
+      .answer_offer = !offer.book_only};
   RoomChanged(context, offered.worker);
   if (offer.book_only) {
     return OfferOutcome::kBooked;
@@ -180,15 +193,19 @@
   return std::nullopt;
 }
 
-void AnswerIfAsked(Context& context, const std::string& id,
-                   const std::string& task, LocalRun& run,
+void AnswerIfAsked(Context& context,
+                   const std::string& id,
+                   const std::string& task,
+                   LocalRun& run,
                    OfferOutcome outcome) {
   if (std::exchange(run.answer_offer, false)) {
     AnswerOffer(context, run.owner, id, task, run.run, outcome);
   }
 }
 
-void Confirm(Context& context, const std::string& id, const std::string& task,
+void Confirm(Context& context,
+             const std::string& id,
+             const std::string& task,
              LocalRun& run) {
   run.confirmed = context.now;
   if (run.phase == RunPhase::kStarting) {
@@ -217,9 +234,12 @@
   return OfferOutcome::kInvalid;
 }
 
-void OnStartRefused(Context& context, const std::string& id,
-                    OwnedWorker& worker, const std::string& task,
-                    LocalRun& run, WorkerRefusalKind kind) {
+void OnStartRefused(Context& context,
+                    const std::string& id,
+                    OwnedWorker& worker,
+                    const std::string& task,
+                    LocalRun& run,
+                    WorkerRefusalKind kind) {
   if (kind == WorkerRefusalKind::kLate) {
     return;  // repeated with the next lease
   }
@@ -240,8 +260,11 @@
   RemoveRun(context, id, worker, task);
 }
 
-void OnStartAnswer(Context& context, const WorkerAnswered& event,
-                   OwnedWorker& worker, LocalRun& run, const StartRun& order) {
+void OnStartAnswer(Context& context,
+                   const WorkerAnswered& event,
+                   OwnedWorker& worker,
+                   LocalRun& run,
+                   const StartRun& order) {
   if (std::holds_alternative<WorkerDone>(event.answer)) {
     Confirm(context, event.worker, order.task, run);
     return;
@@ -253,11 +276,12 @@
   }
 }
 
-void OnStopAnswer(Context& context, const WorkerAnswered& event,
+void OnStopAnswer(Context& context,
+                  const WorkerAnswered& event,
                   LocalRun& run) {
   const auto* refused = std::get_if<WorkerRefused>(&event.answer);
-  const bool old = refused != nullptr &&
-                   refused->kind == WorkerRefusalKind::kOldRun;
+  const bool old =
+      refused != nullptr && refused->kind == WorkerRefusalKind::kOldRun;
   if (std::holds_alternative<WorkerDone>(event.answer) || old) {
     run.stop_answered = true;
     run.confirmed = context.now;
@@ -270,7 +294,9 @@
 }
 
 // A run that a former owner started.
-void AddFound(Context& context, OwnedWorker& worker, const RunningRow& row,
+void AddFound(Context& context,
+              OwnedWorker& worker,
+              const RunningRow& row,
               const TaskName& name) {
   LocalRun& run = worker.runs[row.task];
   run = LocalRun{.run = row.run,
@@ -289,7 +315,9 @@
   WantRecord(context, name.job);
 }
 
-void ApplyRunning(Context& context, const std::string& id, OwnedWorker& worker,
+void ApplyRunning(Context& context,
+                  const std::string& id,
+                  OwnedWorker& worker,
                   const RunningRow& row) {
   auto it = worker.runs.find(row.task);
   if (it == worker.runs.end() || it->second.run < row.run) {
@@ -315,8 +343,10 @@
 // Runs that the worker had, and that its listing lacks, have ended; their end
 // stands in the listing or was acknowledged. A listing that was asked for
 // before the run was confirmed does not speak of it.
-void RemoveUnlisted(Context& context, const std::string& id,
-                    OwnedWorker& worker, const WorkerDone& listing,
+void RemoveUnlisted(Context& context,
+                    const std::string& id,
+                    OwnedWorker& worker,
+                    const WorkerDone& listing,
                     Time asked) {
   std::set<std::string> listed;
   for (const RunningRow& it : listing.running) {
@@ -356,10 +386,13 @@
   return HasPassed(context.now, listed->draining_since, left);
 }
 
-void DriveRun(Context& context, const std::string& id, OwnedWorker& worker,
-              const std::string& task, LocalRun& run) {
-  if (run.order_in_flight || !HasPassed(context.now, run.ordered,
-                                        kOrderRetry)) {
+void DriveRun(Context& context,
+              const std::string& id,
+              OwnedWorker& worker,
+              const std::string& task,
+              LocalRun& run) {
+  if (run.order_in_flight ||
+      !HasPassed(context.now, run.ordered, kOrderRetry)) {
     return;
   }
   if (run.phase == RunPhase::kStarting) {
@@ -374,8 +407,7 @@
 }
 
 // A later offer of the run, should it have been overtaken, is refused.
-void SayAbsent(Context& context, const std::string& to,
-               const RunQuery& query) {
+void SayAbsent(Context& context, const std::string& to, const RunQuery& query) {
   if (const auto name = ParseTaskName(query.task)) {
     std::uint64_t& refused = context.state.known[name->job].refused[query.task];
     refused = std::max(refused, query.run);
@@ -389,7 +421,8 @@
 
 }  // namespace
 
-void OnTaskOffer(Context& context, const std::string& from,
+void OnTaskOffer(Context& context,
+                 const std::string& from,
                  const TaskOffer& offer) {
   const bool stale = IsStale(context, from, offer);
   for (const OfferedTask& it : offer.tasks) {
@@ -397,16 +430,16 @@
                                                .occurrence = offer.occurrence,
                                                .step = offer.step,
                                                .index = it.index});
-    const auto outcome =
-        stale ? OfferOutcome::kOldOwner
-              : TakeOffered(context, from, offer, it, task);
+    const auto outcome = stale ? OfferOutcome::kOldOwner
+                               : TakeOffered(context, from, offer, it, task);
     if (outcome) {
       AnswerOffer(context, from, it.worker, task, it.run, *outcome);
     }
   }
 }
 
-void OnTaskStops(Context& context, const std::string& from,
+void OnTaskStops(Context& context,
+                 const std::string& from,
                  const TaskStops& stops) {
   for (const TaskStop& it : stops.stops) {
     OwnedWorker* worker = FindClaimed(context.state, it.worker);
@@ -435,8 +468,7 @@
   }
 }
 
-void ReportRun(Context& context, const std::string& to,
-               const RunQuery& query) {
+void ReportRun(Context& context, const std::string& to, const RunQuery& query) {
   OwnedWorker* worker = FindClaimed(context.state, query.worker);
   if (worker == nullptr) {
     if (context.state.gone.contains(query.worker)) {
@@ -460,13 +492,12 @@
     return;  // the end itself says more
   }
   worker->proof_wanted = true;
-  worker->questions.push_back({.from = to,
-                               .task = query.task,
-                               .run = query.run,
-                               .came = context.now});
+  worker->questions.push_back(
+      {.from = to, .task = query.task, .run = query.run, .came = context.now});
 }
 
-void AnswerQuestions(Context& context, const std::string& id,
+void AnswerQuestions(Context& context,
+                     const std::string& id,
                      OwnedWorker& worker) {
   std::vector<OpenQuestion> open;
   for (const OpenQuestion& it : std::exchange(worker.questions, {})) {
@@ -485,14 +516,16 @@
   worker.questions = std::move(open);
 }
 
-void OnRunQueries(Context& context, const std::string& from,
+void OnRunQueries(Context& context,
+                  const std::string& from,
                   const RunQueries& queries) {
   for (const RunQuery& it : queries.runs) {
     ReportRun(context, from, it);
   }
 }
 
-void OnAdoptQuery(Context& context, const std::string& from,
+void OnAdoptQuery(Context& context,
+                  const std::string& from,
                   const AdoptQuery& query) {
   AdoptReport report;
   std::set<std::string> jobs;
@@ -540,8 +573,7 @@
     AddEndsOfJobs(id, worker, jobs, report.ends);
   }
   for (const auto& [id, it] : context.state.gone) {
-    report.covered.push_back(
-        {.worker = id, .fence = it.fence, .gone = true});
+    report.covered.push_back({.worker = id, .fence = it.fence, .gone = true});
   }
   Send(context, from, std::move(report));
 }
@@ -580,8 +612,11 @@
   }
 }
 
-void ApplyListing(Context& context, const std::string& id, OwnedWorker& worker,
-                  const WorkerDone& listing, Time asked) {
+void ApplyListing(Context& context,
+                  const std::string& id,
+                  OwnedWorker& worker,
+                  const WorkerDone& listing,
+                  Time asked) {
   bool ended = false;
   for (const EndedRow& it : listing.ended) {
     ended = ApplyEnd(context, id, worker, it) || ended;
@@ -618,9 +653,12 @@
   }
 }
 
-void AnswerOffer(Context& context, const std::string& to,
-                 const std::string& worker, const std::string& task,
-                 std::uint64_t run, OfferOutcome outcome) {
+void AnswerOffer(Context& context,
+                 const std::string& to,
+                 const std::string& worker,
+                 const std::string& task,
+                 std::uint64_t run,
+                 OfferOutcome outcome) {
   Send(context, to,
        OfferAnswers{.answers = {{.task = task,
                                  .run = run,
@@ -639,7 +677,8 @@
   }
 }
 
-void DescribeRuns(Context& context, const std::string& job,
+void DescribeRuns(Context& context,
+                  const std::string& job,
                   const JobSpec& spec) {
   for (auto& [id, worker] : context.state.owned) {
     bool changed = false;
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -76,8 +76,7 @@
     if (all[it] > 0) {
       metrics.Set(kPackedRatio,
                   {{.name = "dimension", .value = DimensionName(it)}},
-                  static_cast<double>(used[it]) /
-                      static_cast<double>(all[it]));
+                  static_cast<double>(used[it]) / static_cast<double>(all[it]));
     }
   }
 }
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -44,9 +44,9 @@
 
 std::optional<NetError> EngineInstance::Start() {
   const engine::MemberRecord& self = options_.engine.self;
-  logger_.Write({.number = EventNumber::kStarted,
-                 .fields = {{"incarnation", self.incarnation},
-                            {"domain", self.domain}}});
+  logger_.Write(
+      {.number = EventNumber::kStarted,
+       .fields = {{"incarnation", self.incarnation}, {"domain", self.domain}}});
   if (auto error = Listen(
           peer_http_, options_.peers_address, kMaxPeerBodyBytes,
           [this](const HttpRequest& request, const HttpResponder& responder) {
@@ -94,8 +94,10 @@
 }
 
 std::optional<NetError> EngineInstance::Listen(
-    std::optional<HttpServer>& server, const std::string& address,
-    std::size_t max_body_bytes, HttpServer::Handler handler) {
+    std::optional<HttpServer>& server,
+    const std::string& address,
+    std::size_t max_body_bytes,
+    HttpServer::Handler handler) {
   HttpServerOptions wanted;
   wanted.max_body_bytes = max_body_bytes;
   wanted.max_connections = kMaxConnections;
@@ -113,8 +115,8 @@
   if (auto* error = std::get_if<NetError>(&port)) {
     return std::move(*error);
   }
-  logger_.Write({.number = EventNumber::kListening,
-                 .fields = {{"address", address}}});
+  logger_.Write(
+      {.number = EventNumber::kListening, .fields = {{"address", address}}});
   return std::nullopt;
 }
 
--- a/Source/runtime/engine_shell.cc
+++ b/Source/runtime/engine_shell.cc
@@ -28,11 +28,11 @@
 
 void EngineShell::Apply(engine::EventBody event) {
   const Time start = SteadyNow();
-  const engine::Effects effects = engine::Step(
-      state_, engine::Event{.now = start,
-                            .wall_ms = static_cast<std::int64_t>(
-                                WallMicroseconds() / 1000),
-                            .body = std::move(event)});
+  const engine::Effects effects =
+      engine::Step(state_, engine::Event{.now = start,
+                                         .wall_ms = static_cast<std::int64_t>(
+                                             WallMicroseconds() / 1000),
+                                         .body = std::move(event)});
   hooks_.step_took(SteadyNow() - start);
   for (const engine::Effect& it : effects) {
     CarryOut(it);
--- a/Tests/engine/chaos_test.cc
+++ b/Tests/engine/chaos_test.cc
@@ -81,10 +81,10 @@
     const std::string job = "j" + std::to_string(round);
     const std::string node = AnyNode();
     if (fleet_.IsUp(node)) {
-      calls_[job] = fleet_.Submit(
-          node, job,
-          Chain(static_cast<std::uint32_t>(Pick(1, 3)),
-                static_cast<std::uint32_t>(Pick(1, 6))));
+      calls_[job] =
+          fleet_.Submit(node, job,
+                        Chain(static_cast<std::uint32_t>(Pick(1, 3)),
+                              static_cast<std::uint32_t>(Pick(1, 6))));
     }
   }
 
@@ -154,9 +154,8 @@
     CheckPromises(fleet_);
     for (const auto& [job, call] : calls_) {
       const auto answer = fleet_.answers.find(call);
-      const bool accepted =
-          answer != fleet_.answers.end() &&
-          std::holds_alternative<JobAccepted>(answer->second);
+      const bool accepted = answer != fleet_.answers.end() &&
+                            std::holds_alternative<JobAccepted>(answer->second);
       const bool refused = answer != fleet_.answers.end() &&
                            std::holds_alternative<NotNow>(answer->second);
       INFO("job " << job);
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -155,8 +155,8 @@
   fleet.Submit("n0", "j1", OneStep(3));
   fleet.Run(seconds(1));
   const std::uint64_t call = fleet.Cancel("n0", "j1");
-  REQUIRE(fleet.RunUntil([&] { return fleet.answers.contains(call); },
-                         seconds(1)));
+  REQUIRE(
+      fleet.RunUntil([&] { return fleet.answers.contains(call); }, seconds(1)));
   for (const std::string& it : fleet.nodes()) {
     fleet.Kill(it);
     fleet.Start(it);
@@ -383,7 +383,8 @@
 // Symptom: a task runs at two workers at once.
 // Sequence: a worker is cut off with its runs and works on.
 // Cause would be: starting them elsewhere before its leases have run out.
-TEST_CASE("Runs on a worker that is cut off are started again after its lease") {
+TEST_CASE(
+    "Runs on a worker that is cut off are started again after its lease") {
   Fleet fleet;
   fleet.Settle();
   PlanAll(fleet, {.endless = true});
--- a/Tests/engine/fake_store.cc
+++ b/Tests/engine/fake_store.cc
@@ -159,11 +159,12 @@
   return StoreDone{};
 }
 
-void FakeStore::Write(const std::string& key, const std::string& value,
+void FakeStore::Write(const std::string& key,
+                      const std::string& value,
                       std::uint64_t lease) {
-  entries_[key] = Entry{
-      .item = {.key = key, .value = value, .revision = revision_},
-      .lease = lease};
+  entries_[key] =
+      Entry{.item = {.key = key, .value = value, .revision = revision_},
+            .lease = lease};
   history_.push_back({.revision = revision_, .key = key});
 }
 
--- a/Tests/engine/fake_store.h
+++ b/Tests/engine/fake_store.h
@@ -57,7 +57,8 @@
   std::optional<StoreAnswer> Answer(Time now, const StoreLeaseGrant& it);
   std::optional<StoreAnswer> Answer(Time now, const StoreLeaseRenew& it);
   std::optional<StoreAnswer> Answer(Time now, const StoreLeaseEnd& it);
-  void Write(const std::string& key, const std::string& value,
+  void Write(const std::string& key,
+             const std::string& value,
              std::uint64_t lease);
   void Erase(const std::string& key);
   void EraseLeased(std::uint64_t lease);
--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -58,8 +58,7 @@
   info_.id = new_id;
 }
 
-std::optional<WorkerAnswer> FakeWorker::Answer(Time now,
-                                               const HoldWorker& it) {
+std::optional<WorkerAnswer> FakeWorker::Answer(Time now, const HoldWorker& it) {
   if (IsFenced(it.fence)) {
     return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
   }
@@ -69,9 +68,8 @@
       seen_[end.seen].acknowledged = now;
     }
   }
-  std::erase_if(ends_, [&](const auto& end) {
-    return end.first <= it.acknowledged;
-  });
+  std::erase_if(ends_,
+                [&](const auto& end) { return end.first <= it.acknowledged; });
   if (ends_.empty() && it.wait > Duration(0)) {
     return std::nullopt;
   }
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -171,7 +171,8 @@
   return call;
 }
 
-std::uint64_t Fleet::Submit(const std::string& node, const std::string& job,
+std::uint64_t Fleet::Submit(const std::string& node,
+                            const std::string& job,
                             JobSpec spec) {
   return Ask(node, {.question = CallerQuestion::kSubmit,
                     .host = "h",
@@ -180,15 +181,15 @@
 }
 
 std::uint64_t Fleet::AskState(const std::string& node, const std::string& job) {
-  return Ask(node, {.question = CallerQuestion::kState,
-                    .host = "h",
-                    .path = "/q/" + job});
+  return Ask(
+      node,
+      {.question = CallerQuestion::kState, .host = "h", .path = "/q/" + job});
 }
 
 std::uint64_t Fleet::Cancel(const std::string& node, const std::string& job) {
-  return Ask(node, {.question = CallerQuestion::kCancel,
-                    .host = "h",
-                    .path = "/q/" + job});
+  return Ask(
+      node,
+      {.question = CallerQuestion::kCancel, .host = "h", .path = "/q/" + job});
 }
 
 std::optional<JobState> Fleet::StateOf(const std::string& node,
@@ -231,7 +232,8 @@
   queue_.push({.at = at, .number = ++last_number_, .run = std::move(run)});
 }
 
-void Fleet::Deliver(const std::string& name, std::uint64_t life,
+void Fleet::Deliver(const std::string& name,
+                    std::uint64_t life,
                     EventBody body) {
   Node& node = nodes_.at(name);
   if (node.life != life || !node.state) {
@@ -242,10 +244,10 @@
       Deliver(name, life, body);
     });
   }
-  const Effects effects = Step(
-      *node.state, Event{.now = now_,
-                         .wall_ms = ToMilliseconds(now_),
-                         .body = std::move(body)});
+  const Effects effects =
+      Step(*node.state, Event{.now = now_,
+                              .wall_ms = ToMilliseconds(now_),
+                              .body = std::move(body)});
   for (const Effect& it : effects) {
     CarryOut(name, it);
   }
@@ -306,8 +308,10 @@
   });
 }
 
-void Fleet::AnswerWatch(const std::string& node, std::uint64_t life,
-                        const CallStore& call, Time until) {
+void Fleet::AnswerWatch(const std::string& node,
+                        std::uint64_t life,
+                        const CallStore& call,
+                        Time until) {
   auto result = store.Handle(now_, call.request);
   if (!result && now_ >= until) {
     result = StoreDone{.revision = std::get<StoreWatch>(call.request).after};
@@ -325,15 +329,16 @@
 void Fleet::CallTheWorker(const std::string& node, const CallWorker& call) {
   const std::uint64_t life = nodes_.at(node).life;
   FakeWorker* target = FindWorkerAt(call.address);
-  const OrderFault fault =
-      target == nullptr ? OrderFault::kUnreached
-                        : order_fault(node, call.address, call.request);
+  const OrderFault fault = target == nullptr
+                               ? OrderFault::kUnreached
+                               : order_fault(node, call.address, call.request);
   const Time asked = now_;
   const auto answer = [this, node, life, call, asked](WorkerAnswer it) {
-    Deliver(node, life, WorkerAnswered{.worker = call.worker,
-                                       .request = call.request,
-                                       .answer = std::move(it),
-                                       .asked = asked});
+    Deliver(node, life,
+            WorkerAnswered{.worker = call.worker,
+                           .request = call.request,
+                           .answer = std::move(it),
+                           .asked = asked});
   };
   if (fault != OrderFault::kNone) {
     At(now_ + call.timeout, [answer] { answer(WorkerUnreached()); });
@@ -341,8 +346,7 @@
   if (fault == OrderFault::kUnreached) {
     return;
   }
-  const Duration way =
-      fault == OrderFault::kLate ? kLateBy : kWorkerWay;
+  const Duration way = fault == OrderFault::kLate ? kLateBy : kWorkerWay;
   At(now_ + way, [this, node, life, call, asked, answer, fault, target] {
     if (target->info().id != call.worker) {
       return answer(WorkerRefused{.kind = WorkerRefusalKind::kReplaced});
@@ -358,8 +362,11 @@
   });
 }
 
-void Fleet::AnswerHold(const std::string& node, std::uint64_t life,
-                       const CallWorker& call, Time asked, Time until) {
+void Fleet::AnswerHold(const std::string& node,
+                       std::uint64_t life,
+                       const CallWorker& call,
+                       Time asked,
+                       Time until) {
   FakeWorker* target = FindWorkerAt(call.address);
   HoldWorker hold = std::get<HoldWorker>(call.request);
   std::optional<WorkerAnswer> result;
@@ -375,10 +382,11 @@
     });
   }
   At(now_ + kWorkerWay, [this, node, life, call, asked, result] {
-    Deliver(node, life, WorkerAnswered{.worker = call.worker,
-                                       .request = call.request,
-                                       .answer = *result,
-                                       .asked = asked});
+    Deliver(node, life,
+            WorkerAnswered{.worker = call.worker,
+                           .request = call.request,
+                           .answer = *result,
+                           .asked = asked});
   });
 }
 
@@ -450,8 +458,8 @@
                      << runs[i]->run);
         CHECK(runs[j]->ended <= runs[i]->began);
         CHECK(runs[j]->run < runs[i]->run);
-        const bool done = runs[j]->how == RunEnd::kDone &&
-                          runs[j]->acknowledged != kForever;
+        const bool done =
+            runs[j]->how == RunEnd::kDone && runs[j]->acknowledged != kForever;
         CHECK_FALSE(done);
       }
     }
@@ -460,9 +468,8 @@
 
 std::size_t CountRuns(const Fleet& fleet, const std::string& job) {
   return static_cast<std::size_t>(std::count_if(
-      fleet.seen.begin(), fleet.seen.end(), [&](const SeenRun& it) {
-        return it.task.starts_with(job + ".");
-      }));
+      fleet.seen.begin(), fleet.seen.end(),
+      [&](const SeenRun& it) { return it.task.starts_with(job + "."); }));
 }
 
 }  // namespace burdockrock::engine
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -57,7 +57,8 @@
 
   // Returns the call's number; its answer appears in `answers`.
   std::uint64_t Ask(const std::string& node, CallerRequest request);
-  std::uint64_t Submit(const std::string& node, const std::string& job,
+  std::uint64_t Submit(const std::string& node,
+                       const std::string& job,
                        JobSpec spec);
   std::uint64_t AskState(const std::string& node, const std::string& job);
   std::uint64_t Cancel(const std::string& node, const std::string& job);
@@ -84,9 +85,11 @@
       store_fault = [](const std::string&, const StoreRequest&) {
         return StoreFault::kNone;
       };
-  std::function<OrderFault(const std::string& node, const std::string& worker,
+  std::function<OrderFault(const std::string& node,
+                           const std::string& worker,
                            const WorkerRequest&)>
-      order_fault = [](const std::string&, const std::string&,
+      order_fault = [](const std::string&,
+                       const std::string&,
                        const WorkerRequest&) { return OrderFault::kNone; };
   std::function<bool(const std::string& from, const std::string& to)> is_cut =
       [](const std::string&, const std::string&) { return false; };
@@ -115,10 +118,15 @@
   void CallTheWorker(const std::string& node, const CallWorker& call);
   void CallTheAdvice(const std::string& node, const CallAdvice& call);
   void SendThePeer(const std::string& node, const SendPeer& send);
-  void AnswerWatch(const std::string& node, std::uint64_t life,
-                   const CallStore& call, Time until);
-  void AnswerHold(const std::string& node, std::uint64_t life,
-                  const CallWorker& call, Time asked, Time until);
+  void AnswerWatch(const std::string& node,
+                   std::uint64_t life,
+                   const CallStore& call,
+                   Time until);
+  void AnswerHold(const std::string& node,
+                  std::uint64_t life,
+                  const CallWorker& call,
+                  Time asked,
+                  Time until);
   void ListWorker(const FakeWorker& worker);
   FakeWorker* FindWorkerAt(const std::string& address);
   void Tick(const std::string& node, std::uint64_t life);
--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -14,8 +14,8 @@
   Fleet fleet;
   fleet.Settle();
   const std::uint64_t call = fleet.Submit("n0", "j1", OneStep(6));
-  REQUIRE(fleet.RunUntil([&] { return fleet.answers.contains(call); },
-                         seconds(1)));
+  REQUIRE(
+      fleet.RunUntil([&] { return fleet.answers.contains(call); }, seconds(1)));
   CHECK(std::holds_alternative<JobAccepted>(fleet.answers[call]));
   CHECK(fleet.store.Keys("job/j1").size() == 1);
   CHECK(fleet.store.Keys("spec/j1").size() == 1);
@@ -157,8 +157,8 @@
   CHECK(fleet.StateOf("n0", "j1") == JobState::kCompleted);
   REQUIRE(fleet.seen.size() == 3);
   for (std::size_t it = 0; it < 3; ++it) {
-    const auto due = spec.first_due_ms +
-                     static_cast<std::int64_t>(it) * spec.interval_ms;
+    const auto due =
+        spec.first_due_ms + static_cast<std::int64_t>(it) * spec.interval_ms;
     CHECK(ToMilliseconds(fleet.seen[it].began) >= due);
     CHECK(ToMilliseconds(fleet.seen[it].began) < due + 200);
   }
