Engine: Adopts a job only while its owner's registration is absent

Cause: an instance with an old view of the members adopted a job whose owner had registered again and confirmed its ownership just before; that owner never heard of it. Change: the adoption's transaction requires that the owner's registration is absent; an owner whose offers are refused as old, or whose recovery takes over 3 s, writes the record to learn whose the job is.

--- a/Source/engine/adoption.cc
+++ b/Source/engine/adoption.cc
@@ -108,14 +108,18 @@
   const CatalogEntry& entry = context.state.catalog[id];
   QueueChange(
       context,
-      Change{.kind = ChangeKind::kAdoptJob,
-             .job = id,
-             .conditions = {{.key = JobKey(id),
-                             .revision = entry.record_revision}},
-             .puts = {{.key = JobKey(id),
-                       .value = EncodeJob(AdoptedRecord(context, entry))},
-                      {.key = OwnedKey(context.self(), id), .value = "1"}},
-             .removes = {OwnedKey(entry.record->owner, id)}});
+      Change{
+          .kind = ChangeKind::kAdoptJob,
+          .job = id,
+          // The former owner may be back, which this instance learns later
+          // than the store does.
+          .conditions = {{.key = JobKey(id), .revision = entry.record_revision},
+                         {.key = MemberKey(entry.record->owner),
+                          .revision = 0}},
+          .puts = {{.key = JobKey(id),
+                    .value = EncodeJob(AdoptedRecord(context, entry))},
+                   {.key = OwnedKey(context.self(), id), .value = "1"}},
+          .removes = {OwnedKey(entry.record->owner, id)}});
 }
 
 void RestoreStep(const std::string& marks, StepRun& step) {
@@ -204,6 +208,12 @@
     if (job.uncovered.empty() && list_settled) {
       FinishRecovery(context, job);
     } else if (HasPassed(context.now, job.asked_at, kAdoptRepeat)) {
+      if (job.version == job.stored_version &&
+          HasPassed(context.now, job.confirmed_at, kOwnershipDoubt)) {
+        // Nobody answers a former owner's questions.
+        job.confirmed_at = context.now;
+        MarkChanged(context, job, true);
+      }
       job.asked_at = context.now;
       query.jobs.push_back({.job = id, .generation = job.generation});
     }
@@ -299,6 +309,7 @@
   Job job = RestoreJob(context, id, entry);
   job.revision = revision;
   job.stored_version = job.version;
+  job.confirmed_at = context.now;
   for (const auto& [worker, it] : context.state.workers) {
     job.uncovered.insert(worker);
   }
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -101,6 +101,7 @@
   JobState writing_state = JobState::kQueued;
   Time changed_at = kForever;  // the oldest change that is not stored
   bool urgent_write = false;
+  Time confirmed_at{0};  // a write of the record was last asked for or done
   // False after the registration was lost: somebody may have adopted the job,
   // which the next write to the store tells.
   bool verified = true;
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -194,6 +194,7 @@
   }
   job->revision = revision;
   job->stored_version = version;
+  job->confirmed_at = context.now;
   job->writing_version = 0;
   job->stored_state = job->writing_state;
   job->verified = job->verified || version == job->version;
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -96,6 +96,10 @@
                  {"worker", answer.worker},
                  {"cause", OfferOutcomeName(answer.outcome)}});
   }
+  if (answer.outcome == OfferOutcome::kOldOwner &&
+      place.job.version == place.job.stored_version) {
+    MarkChanged(context, place.job, true);  // the store knows whose it is
+  }
   // A run as high ended there: its end may still be on its way.
   const Duration pause = answer.outcome == OfferOutcome::kOldRun ||
                                  answer.outcome == OfferOutcome::kOldOwner
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -111,6 +111,9 @@
 inline constexpr Duration kRefusedPause = milliseconds(20);
 inline constexpr Duration kFailedPause = milliseconds(50);
 inline constexpr Duration kAdoptRepeat = milliseconds(120);
+// An adopted job whose runs are not all known after this long is written again,
+// to learn whether it has another owner by now.
+inline constexpr Duration kOwnershipDoubt = milliseconds(3000);
 inline constexpr Duration kPeerAnswer = milliseconds(400);
 // A caller's question is given up after this long; callers wait 3 s.
 inline constexpr Duration kQuestionPatience = milliseconds(1500);
--- a/Source/engine/record_writer.cc
+++ b/Source/engine/record_writer.cc
@@ -36,8 +36,13 @@
 StoreTransaction TransactionOf(const Context& context, const Batch& batch) {
   StoreTransaction transaction{.conditions = {OwnCondition(context)}};
   for (const Change& it : batch.changes) {
-    transaction.conditions.insert(transaction.conditions.end(),
-                                  it.conditions.begin(), it.conditions.end());
+    for (const StoreCondition& condition : it.conditions) {
+      // Several changes may depend on the same key.
+      auto& all = transaction.conditions;
+      if (std::find(all.begin(), all.end(), condition) == all.end()) {
+        all.push_back(condition);
+      }
+    }
     transaction.puts.insert(transaction.puts.end(), it.puts.begin(),
                             it.puts.end());
     transaction.removes.insert(transaction.removes.end(), it.removes.begin(),
