Lint: Mends five findings in the engine's codec and tests

Cause: clang refuses structured bindings that a lambda of a test macro captures, and a folded expression whose result is unused. No behaviour changes.

--- a/Source/engine/peer_codec.cc
+++ b/Source/engine/peer_codec.cc
@@ -31,16 +31,17 @@
   return PeerMessage(std::get<Message>(std::move(decoded)));
 }
 
+using Decoder = DecodedMessage (*)(const Json::Value&);
+
 template <std::size_t... kIndices>
-DecodedMessage DecodeAny(std::size_t index,
-                         const Json::Value& value,
-                         std::index_sequence<kIndices...>) {
-  DecodedMessage decoded;
-  ((index == kIndices ? (decoded = DecodeAs<kIndices>(value), true) : false) ||
-   ...);
-  return decoded;
+constexpr auto MakeDecoders(std::index_sequence<kIndices...> /*indices*/) {
+  return std::array<Decoder, sizeof...(kIndices)>{&DecodeAs<kIndices>...};
 }
 
+// In the order of kMethods.
+constexpr auto kDecoders =
+    MakeDecoders(std::make_index_sequence<kMethods.size()>());
+
 }  // namespace
 
 std::span<const char* const> PeerMethods() {
@@ -65,8 +66,7 @@
     const Json::Value& params) {
   for (std::size_t it = 0; it < kMethods.size(); ++it) {
     if (method == kMethods[it]) {
-      return DecodeAny(it, params["message"],
-                       std::make_index_sequence<kMethods.size()>());
+      return kDecoders.at(it)(params["message"]);
     }
   }
   return DecodeError{.problem = "there is no method " + std::string(method)};
--- a/Tests/engine/chaos_test.cc
+++ b/Tests/engine/chaos_test.cc
@@ -152,8 +152,9 @@
 
   void CheckAll() {
     CheckPromises(fleet_);
-    for (const auto& [job, call] : calls_) {
-      const auto answer = fleet_.answers.find(call);
+    for (const auto& it : calls_) {
+      const std::string& job = it.first;
+      const auto answer = fleet_.answers.find(it.second);
       const bool accepted = answer != fleet_.answers.end() &&
                             std::holds_alternative<JobAccepted>(answer->second);
       const bool refused = answer != fleet_.answers.end() &&
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -449,20 +449,15 @@
   }
   std::map<std::string, std::vector<const SeenRun*>> by_task;
   for (const SeenRun& it : fleet.seen) {
-    by_task[it.task].push_back(&it);
-  }
-  for (const auto& [task, runs] : by_task) {
-    for (std::size_t i = 1; i < runs.size(); ++i) {
-      for (std::size_t j = 0; j < i; ++j) {
-        INFO("task " << task << " runs " << runs[j]->run << " and "
-                     << runs[i]->run);
-        CHECK(runs[j]->ended <= runs[i]->began);
-        CHECK(runs[j]->run < runs[i]->run);
-        const bool done =
-            runs[j]->how == RunEnd::kDone && runs[j]->acknowledged != kForever;
-        CHECK_FALSE(done);
-      }
+    for (const SeenRun* before : by_task[it.task]) {
+      INFO("task " << it.task << " runs " << before->run << " and " << it.run);
+      CHECK(before->ended <= it.began);
+      CHECK(before->run < it.run);
+      const bool done =
+          before->how == RunEnd::kDone && before->acknowledged != kForever;
+      CHECK_FALSE(done);
     }
+    by_task[it.task].push_back(&it);
   }
 }
 
