Engine: Asks the members about a job while the store is away

Cause: only the store was asked whose a job is. Ruled out: the peers, which were in reach. Change: while the store is away all members are asked; the owner answers. Before: the new test failed.

--- a/Source/engine/questions.cc
+++ b/Source/engine/questions.cc
@@ -182,6 +182,22 @@
                 .job = caller.job});
 }
 
+// While the store can't be reached, nothing tells whose the job is; its owner
+// does, if it can be reached. An instance that the store turns away would
+// otherwise have no answer for its callers for as long as that lasts.
+void AskAllWithoutStore(Context& context,
+                        std::uint64_t id,
+                        WaitingCaller& caller) {
+  if (context.state.store.healthy ||
+      !HasPassed(context.now, caller.asked_at, kPeerAnswer)) {
+    return;
+  }
+  for (const std::string& it : OtherMembers(context)) {
+    Ask(context, id, caller, it);
+  }
+  caller.asked.clear();
+}
+
 // True when the caller was answered.
 bool AnswerFromRecord(Context& context,
                       WaitingCaller& caller,
@@ -217,6 +233,7 @@
     if (!entry.reading_record || entry.read_at < caller.read_from) {
       WantRecord(context, caller.job);
     }
+    AskAllWithoutStore(context, id, caller);
     return false;
   }
   if (AnswerFromRecord(context, caller, entry)) {
@@ -350,8 +367,10 @@
     return;
   }
   if (!reply.known) {
-    it->second.read_from = context.now;
-    it->second.asked.clear();
+    if (!it->second.asked.empty()) {  // it was taken for the owner
+      it->second.read_from = context.now;
+      it->second.asked.clear();
+    }
     return;
   }
   if (it->second.question == CallerQuestion::kCancel) {
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -188,6 +188,25 @@
   CHECK(std::holds_alternative<NoSuchJob>(fleet.answers[unknown]));
 }
 
+// Symptom: callers got no answer about their jobs at one instance for 9 s.
+// Sequence: the store turns the instance away; the job belongs to another one.
+// Cause: only the store was asked whose the job is.
+TEST_CASE("An instance that the store turns away asks the other members") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(9)});
+  fleet.Submit("n0", "j1", Chain(2, 1));
+  fleet.store_fault = [](const std::string& node, const StoreRequest&) {
+    return node == "n1" ? StoreFault::kRefuse : StoreFault::kNone;
+  };
+  fleet.Run(seconds(2));
+  const std::uint64_t call = fleet.AskState("n1", "j1");
+  fleet.Run(milliseconds(100));
+  REQUIRE(fleet.answers.contains(call));
+  CHECK(fleet.answers[call] ==
+        CallerAnswer(JobShown{.state = JobState::kRunning}));
+}
+
 // Symptom: callers were told "running" 2 ms before the end was known, and the
 // next time they asked was 250 ms later.
 // Sequence: the last run ends; the caller asks; the end is on its way.
