Engine: Answers no questions of a job's former owner about its runs

Cause: the store was silent to the job's owner, the job was adopted and the end stored; the former owner asked the worker's owner for the run, heard that it was not there, and started the task on a worker of its own that nobody had claimed. Ruled out: the proof of ownership, which the answer had. Change: who is not the job's owner, as far as is known, gets no answer.

--- a/Source/engine/run_questions.cc
+++ b/Source/engine/run_questions.cc
@@ -25,9 +25,24 @@
                             .state = RunState::kAbsent}}});
 }
 
+// A former owner of the job that does not know yet that it is one must not hear
+// that a run is not here: the present owner has stored its end, and the former
+// one would start the task again on a worker that it still holds.
+bool HasOtherOwner(const State& state,
+                   const std::string& asker,
+                   const std::string& task) {
+  const auto name = ParseTaskName(task);
+  const auto known = name ? state.known.find(name->job) : state.known.end();
+  return known != state.known.end() && !known->second.owner.empty() &&
+         known->second.owner != asker;
+}
+
 }  // namespace
 
 void ReportRun(Context& context, const std::string& to, const RunQuery& query) {
+  if (HasOtherOwner(context.state, to, query.task)) {
+    return;
+  }
   OwnedWorker* worker = FindClaimed(context.state, query.worker);
   if (worker == nullptr) {
     if (context.state.gone.contains(query.worker)) {
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -262,6 +262,28 @@
   CheckPromises(fleet);
 }
 
+// Symptom: a task ran again on a worker of an instance that had lost its job.
+// Sequence: the store is silent to an instance; its job is adopted, a run's end
+// is stored and acknowledged; the former owner asks the worker's owner for the
+// run, hears that it is not there, and starts the task on a worker of its own,
+// which nobody has claimed yet.
+// Cause: a question of a former owner was answered.
+TEST_CASE("A former owner of a job is not told that a run is gone") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.Submit("n0", "j1", Chain(2, 12));
+  fleet.Run(milliseconds(300));
+  const std::string n0 = "n0-1";
+  const std::string task = fleet.seen.front().task;
+  const std::uint64_t queries = fleet.CountReports();
+  fleet.Tell("n1", "n2-1",
+             AdoptQuery{.jobs = {{.job = "j1", .generation = 2}}});
+  fleet.Tell("n1", n0,
+             RunQueries{.runs = {{.task = task, .run = 9, .worker = "w1-1"}}});
+  fleet.Run(milliseconds(200));
+  CHECK(fleet.CountReports() == queries);
+}
+
 TEST_CASE("All instances lose power: nothing is lost and nothing doubled") {
   Fleet fleet;
   fleet.Settle();
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -202,6 +202,13 @@
   return shown == nullptr ? std::nullopt : std::optional(shown->state);
 }
 
+void Fleet::Tell(const std::string& node,
+                 const std::string& from,
+                 PeerMessage message) {
+  Deliver(node, nodes_.at(node).life,
+          PeerSaid{.from = from, .message = std::move(message)});
+}
+
 void Fleet::SetQueue(const QueuePolicy& queue) {
   ++configuration_.version;
   configuration_.queues = {queue};
@@ -403,6 +410,7 @@
 }
 
 void Fleet::SendThePeer(const std::string& node, const SendPeer& send) {
+  reports_ += std::holds_alternative<RunReports>(send.message) ? 1 : 0;
   if (is_cut(node, send.address)) {
     return;
   }
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -68,6 +68,14 @@
   std::optional<JobState> StateOf(const std::string& node,
                                   const std::string& job);
 
+  // As if the member `from` had said so.
+  void Tell(const std::string& node,
+            const std::string& from,
+            PeerMessage message);
+
+  // Reports about runs that instances have sent to each other.
+  std::uint64_t CountReports() const { return reports_; }
+
   void SetQueue(const QueuePolicy& queue);
 
   Time now() const { return now_; }
@@ -135,6 +143,7 @@
   Time now_ = std::chrono::seconds(1000);
   std::uint64_t last_number_ = 0;
   std::uint64_t last_call_ = 0;
+  std::uint64_t reports_ = 0;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> queue_;
   std::map<std::string, Node> nodes_;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers_;
