--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -36,7 +36,6 @@
   Time retry_at{0};
   bool booked = false;  // a gang's: its room is kept
   bool stopping = false;
-  // Copies of a step that allows them run under the same name, later runs.
 };
 
 struct StepTicket {
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -42,6 +42,9 @@
 
 // The store answers in 4 ms, slowed down 60 times in 240.
 inline constexpr Duration kStoreTimeout = milliseconds(700);
+// After a call that failed: soon enough to be back within a second of the end
+// of an outage, seldom enough that 40 instances stay far below the store's
+// rates.
 inline constexpr Duration kStoreRetry = milliseconds(150);
 // A connection that went silent shows only by the missing answer of its watch;
 // configurations must be in force 2 s after they were stored.
@@ -60,12 +63,14 @@
 inline constexpr Duration kSubmitPatience = milliseconds(1200);
 // Ends are confirmed to their workers in batches of this age.
 inline constexpr Duration kProgressInterval = milliseconds(700);
+// Reads of other owners' jobs at once: a takeover reads some dozens of them.
 inline constexpr std::size_t kMaxReadsInFlight = 16;
 
 // Workers.
 
 // The longest a hold may wait for an end, by the platform's interface 2 s.
 inline constexpr Duration kHoldWait = milliseconds(1900);
+// An answer is late this long after the wait that was asked for.
 inline constexpr Duration kHoldSlack = milliseconds(700);
 // Pause between two holds: ends that come within it share one look. At three
 // ends a second and worker it saves a third of the looks, and delays an end by
@@ -75,6 +80,8 @@
 // A worker that has not answered for so long is only looked at, its lease is
 // no longer renewed: so the time is known when all that ran there has ended.
 inline constexpr Duration kRenewWithoutAnswer = milliseconds(1500);
+// Workers take an order in a few ms; orders without an answer are repeated, as
+// they do nothing the second time.
 inline constexpr Duration kOrderTimeout = milliseconds(500);
 inline constexpr Duration kOrderRetry = milliseconds(100);
 // A start that got no answer for so long is withdrawn.
@@ -107,13 +114,19 @@
 inline constexpr Duration kOfferRepeat = milliseconds(500);
 // Runs that were not heard of for so long are asked about.
 inline constexpr Duration kRunCheck = milliseconds(3000);
-// A refused task looks for room again after this long at the earliest.
+// A refused task looks for room again after this long at the earliest: the
+// digest that tells of the room that was missed is there by then.
 inline constexpr Duration kRefusedPause = milliseconds(20);
+// A failed task waits so that a worker that fails all at once does not get it
+// back before it is known.
 inline constexpr Duration kFailedPause = milliseconds(50);
+// The members are asked again what runs of an adopted job; proofs of ownership
+// take a few ms.
 inline constexpr Duration kAdoptRepeat = milliseconds(120);
 // An adopted job whose runs are not all known after this long is written again,
 // to learn whether it has another owner by now.
 inline constexpr Duration kOwnershipDoubt = milliseconds(3000);
+// A member that has not answered a question by then is asked again.
 inline constexpr Duration kPeerAnswer = milliseconds(400);
 // A caller's question is given up after this long; callers wait 3 s.
 inline constexpr Duration kQuestionPatience = milliseconds(1500);
@@ -127,8 +140,12 @@
 
 // Digests and housekeeping.
 
+// Changes of room are told together: one digest in place
+// of the several that a burst of starts would send.
 inline constexpr Duration kDigestInterval = milliseconds(50);
+// All rooms are told again, should a digest have been lost.
 inline constexpr Duration kDigestRefresh = milliseconds(1000);
+// The engine looks at what is due; no time of its own is finer than this.
 inline constexpr Duration kTick = milliseconds(25);
 // Between two rounds of placement.
 inline constexpr Duration kPlacementInterval = milliseconds(3);
@@ -137,8 +154,10 @@
 
 // A ticket is not used in the last part of its life: the order takes time.
 inline constexpr Duration kTicketMargin = milliseconds(350);
+// The longest call, 30 workers of the slowest queue, takes 650 ms.
 inline constexpr Duration kAdviceTimeout = milliseconds(3000);
 inline constexpr Duration kAdviceRetry = milliseconds(200);
+// Workers in one call: the objectives of the queues allow for one call of 30.
 inline constexpr std::size_t kMaxAdvised = 30;
 
 }  // namespace burdockrock::engine
