--- a/Source/cli/command_table.cc
+++ b/Source/cli/command_table.cc
@@ -6,10 +6,11 @@
 
 const std::vector<Command>& CommandTable() {
   static const std::vector<Command> kTable = {
-      ServeCommand(),     PlatformCommand(), SubmitCommand(),      StatusCommand(),
-      CancelCommand(),    ConfigCheckCommand(), ConfigPutCommand(),
-      ConfigGetCommand(), ConfigDiffCommand(),  DrainCommand(),
-      DumpCommand(),      VersionCommand(),     HelpCommand(),
+      ServeCommand(),     PlatformCommand(),  SubmitCommand(),
+      StatusCommand(),    CancelCommand(),    ConfigCheckCommand(),
+      ConfigPutCommand(), ConfigGetCommand(), ConfigDiffCommand(),
+      DrainCommand(),     DumpCommand(),      VersionCommand(),
+      HelpCommand(),
   };
   return kTable;
 }
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -28,10 +28,8 @@
 inline constexpr std::string_view kControlMessagesTotal =
     "burdockrock_control_messages_total";
 inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
-inline constexpr std::string_view kHoldsTotal =
-    "burdockrock_holds_total";
-inline constexpr std::string_view kOffersTotal =
-    "burdockrock_offers_total";
+inline constexpr std::string_view kHoldsTotal = "burdockrock_holds_total";
+inline constexpr std::string_view kOffersTotal = "burdockrock_offers_total";
 inline constexpr std::string_view kOffersRefusedTotal =
     "burdockrock_offers_refused_total";
 inline constexpr std::string_view kSubmissionsTotal =
@@ -77,14 +75,11 @@
      "Offered tasks that the owner of the worker refused"},
     {kSubmissionsTotal, MetricKind::kCounter, "",
      "Jobs that callers handed in, repetitions counted"},
-    {kJobsAcceptedTotal, MetricKind::kCounter, "",
-     "Jobs that the store took"},
+    {kJobsAcceptedTotal, MetricKind::kCounter, "", "Jobs that the store took"},
     {kJobsRefusedTotal, MetricKind::kCounter, "",
      "Requests of callers that were refused"},
-    {kJobsCompletedTotal, MetricKind::kCounter, "",
-     "Own jobs that completed"},
-    {kJobsFailedTotal, MetricKind::kCounter, "",
-     "Own jobs that failed"},
+    {kJobsCompletedTotal, MetricKind::kCounter, "", "Own jobs that completed"},
+    {kJobsFailedTotal, MetricKind::kCounter, "", "Own jobs that failed"},
     {kJobsAdoptedTotal, MetricKind::kCounter, "",
      "Jobs taken over from owners that are gone"},
     {kRunsLostTotal, MetricKind::kCounter, "",
