Engine: Moves runs that stand still and starts copies where steps allow them

Cause: a worker that hangs answers holds and starts, so its runs' leases were renewed for ever and it took new tasks; a step that allows copies waited for a silent worker's leases. Change: progress_rule.h judges a run by its own pace before, or by its estimate; it is moved once it has stood still for half of what moving throws away, a step that allows copies gets a copy at once, also when the worker can't be reached, and a worker with such a run gets no new tasks for 3 s. Before: three of the four new tests fail (the fourth guards the pause). After: 41 cases pass.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -7,6 +7,7 @@
 #include "engine/membership.h"
 #include "engine/placement_rule.h"
 #include "engine/placing.h"
+#include "engine/task_copies.h"
 
 namespace burdockrock::engine {
 
@@ -53,7 +54,7 @@
   return static_cast<std::size_t>(
       std::count_if(step.tasks.begin(), step.tasks.end(), [](const Task& it) {
         return it.phase == TaskPhase::kWaiting ||
-               it.phase == TaskPhase::kUnknown;
+               it.phase == TaskPhase::kUnknown || WaitsForCopy(it);
       }));
 }
 
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,15 @@
   kDone,
 };
 
+// A second run of a task whose step allows copies.
+struct TaskCopy {
+  std::uint64_t run = 0;
+  std::string worker{};
+  bool running = false;
+  bool stopping = false;
+  Time heard{0};
+};
+
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
   std::uint64_t run = 0;                 // the last one that was offered
@@ -36,6 +46,9 @@
   Time retry_at{0};
   bool booked = false;  // a gang's: its room is kept
   bool stopping = false;
+  std::optional<TaskCopy> copy{};
+  bool copy_wanted = false;
+  std::uint64_t last_copy = 0;  // the run of the copy before
 };
 
 struct StepTicket {
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -6,6 +6,7 @@
 #include "engine/job_progress.h"
 #include "engine/job_table.h"
 #include "engine/membership.h"
+#include "engine/task_copies.h"
 #include "engine/worker_list.h"
 
 namespace burdockrock::engine {
@@ -23,6 +24,7 @@
   task.worker.clear();
   task.booked = false;
   task.stopping = false;
+  task.copy_wanted = false;
   context.state.placement_due = true;
 }
 
@@ -111,7 +113,7 @@
   }
 }
 
-void MarkDone(Context& context, const Place& place) {
+void MarkDone(Context& context, const Place& place, std::uint64_t run) {
   StepRun& step = place.step;
   const auto finish = [&](Task& task, std::uint32_t index) {
     if (task.phase == TaskPhase::kDone) {
@@ -119,7 +121,11 @@
     }
     TaskName name = place.name;
     name.index = index;
-    StopTask(context, place.job, name, task);
+    if (task.copy) {
+      StopOther(context, place.job, name, task, run);
+    } else {
+      StopTask(context, place.job, name, task);
+    }
     task.phase = TaskPhase::kDone;
     task.since = context.now;
     ++step.done;
@@ -137,6 +143,18 @@
   context.state.placement_due = true;
 }
 
+// The run is there and does not go on.
+void OnStill(Context& context, const Place& place) {
+  place.task.heard = context.now;
+  if (place.spec.concurrent) {
+    return WantCopy(context, place.spec, place.task);
+  }
+  if (!place.task.stopping) {
+    place.task.avoid = place.task.worker;
+    StopTask(context, place.job, place.name, place.task);
+  }
+}
+
 // Counts a failed run: of a gang once, however many members say so.
 std::uint32_t CountFailure(const Place& place, std::uint64_t run) {
   if (!place.spec.gang) {
@@ -173,7 +191,7 @@
   }
   const bool lasts = place.spec.lasting;
   if (report.how == RunEnd::kDone && !lasts) {
-    MarkDone(context, place);
+    MarkDone(context, place, report.run);
     MarkChanged(context, place.job, false);
     CompleteIfDone(context, place.job);
     return;
@@ -188,7 +206,10 @@
     OnFailed(context, place, report);
   }
   MarkChanged(context, place.job, false);
-  if (report.run == task.run && IsOut(task)) {
+  if (IsCopy(task, report.run)) {
+    return OnCopyReport(context, task, RunState::kAbsent);
+  }
+  if (report.run == task.run && IsOut(task) && !PromoteCopy(context, task)) {
     Requeue(context, task, kFailedPause);
     if (place.spec.gang) {
       BreakGang(context, place);
@@ -196,18 +217,6 @@
   }
 }
 
-// Whom to ask about a run at the worker.
-std::string OwnerOfWorker(const Context& context, const std::string& worker) {
-  const auto view = context.state.view.find(worker);
-  if (view != context.state.view.end() &&
-      FindMember(context.state, view->second.owner) != nullptr) {
-    return view->second.owner;
-  }
-  const ListedWorker* listed = FindWorker(context.state, worker);
-  return ChooseMember(context.state, worker,
-                      listed == nullptr ? "" : listed->info.domain);
-}
-
 void CheckTask(Context& context,
                const TaskName& name,
                Task& task,
@@ -236,6 +245,9 @@
     if (task.stopping && HasPassed(context.now, task.heard, kOfferRepeat)) {
       StopTask(context, job, name, task);
     }
+    if (ended && task.copy && !task.copy->stopping) {
+      StopCopy(context, job, name, task);
+    }
   });
 }
 
@@ -247,16 +259,31 @@
   }
   bool out = false;
   ForEachTask(job, [&](const TaskName&, const Task& task) {
-    out = out || IsOut(task);
+    out = out || IsOut(task) || task.copy;
   });
   return !out;
 }
 
 }  // namespace
 
+std::string OwnerOfWorker(const Context& context, const std::string& worker) {
+  const auto view = context.state.view.find(worker);
+  if (view != context.state.view.end() &&
+      FindMember(context.state, view->second.owner) != nullptr) {
+    return view->second.owner;
+  }
+  const ListedWorker* listed = FindWorker(context.state, worker);
+  return ChooseMember(context.state, worker,
+                      listed == nullptr ? "" : listed->info.domain);
+}
+
 void OnOfferAnswers(Context& context, const OfferAnswers& answers) {
   for (const OfferAnswer& it : answers.answers) {
     const auto place = Find(context, it.task);
+    if (place && IsCopy(place->task, it.run)) {
+      OnCopyAnswer(context, place->task, it.outcome);
+      continue;
+    }
     if (!place || place->task.run != it.run ||
         place->task.worker != it.worker || !IsOut(place->task)) {
       continue;
@@ -282,7 +309,9 @@
   }
   if (place->task.phase == TaskPhase::kDone || IsFinal(place->job.state)) {
     // It counts no more; only that its run is over does.
-    if (report.run == place->task.run && IsOut(place->task)) {
+    if (IsCopy(place->task, report.run)) {
+      OnCopyReport(context, place->task, RunState::kAbsent);
+    } else if (report.run == place->task.run && IsOut(place->task)) {
       Requeue(context, place->task, Duration(0));
     }
   } else {
@@ -301,6 +330,9 @@
 
 void OnRunReport(Context& context, const RunReport& report) {
   const auto place = Find(context, report.task);
+  if (place && IsCopy(place->task, report.run)) {
+    return OnCopyReport(context, place->task, report.state);
+  }
   if (!place || place->task.phase == TaskPhase::kDone) {
     return;
   }
@@ -331,11 +363,20 @@
                   {{"task", report.task},
                    {"run", std::to_string(report.run)},
                    {"worker", report.worker}});
+      if (PromoteCopy(context, task)) {
+        break;
+      }
       Requeue(context, task, Duration(0));
       if (place->spec.gang) {
         BreakGang(context, *place);
       }
       break;
+    case RunState::kStill:
+      OnStill(context, *place);
+      break;
+    case RunState::kUnreached:
+      WantCopy(context, place->spec, task);
+      break;
   }
 }
 
@@ -350,12 +391,18 @@
     Job& job = context.state.jobs.at(id);
     job.uncovered.erase(worker);
     ForEachTask(job, [&](const TaskName& name, Task& task) {
+      if (task.copy && task.copy->worker == worker) {
+        OnCopyReport(context, task, RunState::kAbsent);
+      }
       if (!IsOut(task) || task.worker != worker) {
         return;
       }
       context.Log(EventNumber::kAttemptLost, {{"task", ToString(name)},
                                               {"run", std::to_string(task.run)},
                                               {"worker", worker}});
+      if (PromoteCopy(context, task)) {
+        return;
+      }
       Requeue(context, task, Duration(0));
       const StepSpec& spec = job.spec.steps[name.step];
       if (spec.gang) {
@@ -380,6 +427,7 @@
     }
     ForEachTask(job, [&](const TaskName& name, Task& task) {
       CheckTask(context, name, task, queries);
+      DriveCopy(context, job, name, task, queries);
     });
     DriveStops(context, job);
     if (IsSettled(job)) {
--- a/Source/engine/job_runs.h
+++ b/Source/engine/job_runs.h
@@ -20,6 +20,9 @@
                  const EndReport& report);
 void OnRunReport(Context& context, const RunReport& report);
 
+// Whom to ask about a run at the worker; empty if there is nobody.
+std::string OwnerOfWorker(const Context& context, const std::string& worker);
+
 // All that ran at the worker has ended.
 void OnWorkerLost(Context& context, const std::string& worker);
 
--- a/Source/engine/job_table.cc
+++ b/Source/engine/job_table.cc
@@ -157,14 +157,22 @@
   }
   task.stopping = true;
   task.heard = context.now;
-  const auto view = context.state.view.find(task.worker);
+  SendStop(context, job, name, task.worker, task.run);
+}
+
+void SendStop(Context& context,
+              const Job& job,
+              const TaskName& name,
+              const std::string& worker,
+              std::uint64_t run) {
+  const auto view = context.state.view.find(worker);
   const std::string owner =
       view == context.state.view.end() ? "" : view->second.owner;
   if (!owner.empty()) {
     Send(context, owner,
          TaskStops{.stops = {{.task = ToString(name),
-                              .run = task.run,
-                              .worker = task.worker,
+                              .run = run,
+                              .worker = worker,
                               .generation = job.generation}}});
   }
 }
--- a/Source/engine/job_table.h
+++ b/Source/engine/job_table.h
@@ -47,6 +47,13 @@
 // Orders the task's run to stop; repeated by DriveJobs until its end is known.
 void StopTask(Context& context, Job& job, const TaskName& name, Task& task);
 
+// One order to stop a run, to the owner of its worker.
+void SendStop(Context& context,
+              const Job& job,
+              const TaskName& name,
+              const std::string& worker,
+              std::uint64_t run);
+
 // Calls `each(TaskName, Task&)` for all tasks that were set up.
 template <typename Each>
 void ForEachTask(Job& job, Each each) {
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -11,6 +11,7 @@
 #include "engine/configuration.h"
 #include "engine/job_model.h"
 #include "engine/peer_message.h"
+#include "engine/progress_rule.h"
 #include "engine/speed_estimate.h"
 #include "model/time.h"
 
@@ -41,7 +42,8 @@
   bool stop_answered = false;
   Time confirmed = Time::min();  // the worker said that it has it
   bool answer_offer = false;     // the job's owner waits for an answer
-  std::uint32_t percent = 0;     // as the worker lists it
+  RunProgress progress{};
+  Time still_told = Time::min();  // that it stands still
   std::int64_t figure = 0;
   std::uint32_t pace = 100;
   Time over_since = kForever;  // its tail is above its target
@@ -97,6 +99,7 @@
   std::uint32_t recent_failures = 0;  // in a row, of different jobs
   std::string failed_job{};
   Time quarantine_until = Time::min();
+  Time still_until = Time::min();  // what runs there stood still
 };
 
 struct GoneWorker {
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -15,7 +15,7 @@
 
 template <>
 struct EnumText<engine::RunState> {
-  static constexpr engine::RunState kLast = engine::RunState::kAbsent;
+  static constexpr engine::RunState kLast = engine::RunState::kUnreached;
   static constexpr auto* kName = &engine::RunStateName;
 };
 
--- a/Source/engine/peer_message.cc
+++ b/Source/engine/peer_message.cc
@@ -12,8 +12,8 @@
 }
 
 const char* RunStateName(RunState state) {
-  static constexpr std::array<const char*, 3> kNames = {"running", "pending",
-                                                        "absent"};
+  static constexpr std::array<const char*, 5> kNames = {
+      "running", "pending", "absent", "still", "unreached"};
   return kNames.at(static_cast<std::size_t>(state));
 }
 
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -169,8 +169,10 @@
 
 enum class RunState {
   kRunning,
-  kPending,  // ordered, not answered yet, or being stopped
-  kAbsent,   // not there and never will be
+  kPending,    // ordered, not answered yet, or being stopped
+  kAbsent,     // not there and never will be
+  kStill,      // there, but its work does not go on
+  kUnreached,  // it was there; its worker can't be reached at the moment
 };
 
 const char* RunStateName(RunState state);
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -7,6 +7,7 @@
 
 #include "engine/job_table.h"
 #include "engine/membership.h"
+#include "engine/task_copies.h"
 #include "engine/worker_list.h"
 
 namespace burdockrock::engine {
@@ -56,6 +57,9 @@
     if (!it.worker.empty() && it.phase != TaskPhase::kDone) {
       ++placed[it.worker];
     }
+    if (it.copy) {
+      ++placed[it.copy->worker];
+    }
   }
   return placed;
 }
@@ -75,6 +79,7 @@
   const Context& context;
   const ReadyStep& ready;
   std::map<std::string, std::uint32_t> placed;
+  std::string not_on{};  // a worker; empty: any
 };
 
 Candidate* Choose(const Choice& choice,
@@ -84,7 +89,8 @@
   Candidate* best = nullptr;
   double best_cost = 0;
   for (Candidate& it : candidates) {
-    if (!HasRoomNow(need, it) || !MayRunOn(spec, *it.worker) ||
+    if (it.worker->id == choice.not_on || !HasRoomNow(need, it) ||
+        !MayRunOn(spec, *it.worker) ||
         !HasTicket(choice.context, choice.ready, it.worker->id)) {
       continue;
     }
@@ -126,24 +132,44 @@
                                        .book_only = book_only});
 }
 
+struct Attempt {
+  std::string worker{};
+  std::uint64_t run = 0;
+  std::string checkpoint{};
+};
+
 void AddOffer(Round& round,
               const ReadyStep& ready,
               std::uint32_t index,
-              Task& task,
+              const Attempt& attempt,
               bool book_only) {
-  const RoomView& view = round.context.state.view[task.worker];
+  const RoomView& view = round.context.state.view[attempt.worker];
   const std::string& owner = view.owner;
-  const auto ticket = ready.run().tickets.find(task.worker);
+  const auto ticket = ready.run().tickets.find(attempt.worker);
   ++round.context.state.totals.offers;
   OfferTo(round, ready, owner, book_only)
       .tasks.push_back({.index = index,
-                        .run = task.run,
-                        .worker = task.worker,
+                        .run = attempt.run,
+                        .worker = attempt.worker,
                         .fence = view.fence,
                         .ticket = ticket == ready.run().tickets.end()
                                       ? std::string()
                                       : ticket->second.text,
-                        .checkpoint = task.checkpoint});
+                        .checkpoint = attempt.checkpoint});
+}
+
+Attempt FirstOf(const Task& task) {
+  return {
+      .worker = task.worker, .run = task.run, .checkpoint = task.checkpoint};
+}
+
+std::uint64_t LastRun(const Task& task) {
+  return std::max(task.run, task.last_copy);
+}
+
+void TakeRoom(Round& round, const Resources& room, Candidate& candidate) {
+  candidate.free -= room;
+  round.context.state.view[candidate.worker->id].free -= room;
 }
 
 void Assign(Round& round,
@@ -151,8 +177,7 @@
             Candidate& candidate,
             Task& task,
             std::uint64_t run) {
-  candidate.free -= room;
-  round.context.state.view[candidate.worker->id].free -= room;
+  TakeRoom(round, room, candidate);
   task.phase = TaskPhase::kOffered;
   task.run = run;
   task.worker = candidate.worker->id;
@@ -180,8 +205,39 @@
       return;  // the others need as much
     }
     ++choice.placed[best->worker->id];
-    Assign(round, need.room, *best, task, NextRun(*ready.job, task.run));
-    AddOffer(round, ready, it, task, false);
+    Assign(round, need.room, *best, task, NextRun(*ready.job, LastRun(task)));
+    AddOffer(round, ready, it, FirstOf(task), false);
+  }
+}
+
+// Only where room is left by the tasks that wait: a copy may be needless.
+void PlaceCopies(Round& round, const ReadyStep& ready) {
+  std::vector<Task>& tasks = ready.run().tasks;
+  for (std::uint32_t it = 0; it < tasks.size(); ++it) {
+    Task& task = tasks[it];
+    if (!WaitsForCopy(task) || task.retry_at > round.context.now) {
+      continue;
+    }
+    Choice choice{.context = round.context,
+                  .ready = ready,
+                  .placed = CountPlaced(ready.run()),
+                  .not_on = task.worker};
+    const PlacementNeed need = NeedOf(ready);
+    Candidate* best =
+        Choose(choice, Candidates(round, ready.queue->service), need);
+    if (best == nullptr) {
+      continue;
+    }
+    TakeRoom(round, need.room, *best);
+    task.copy_wanted = false;
+    task.copy = TaskCopy{.run = NextRun(*ready.job, LastRun(task)),
+                         .worker = best->worker->id,
+                         .heard = round.context.now};
+    AddOffer(round, ready, it,
+             {.worker = task.copy->worker,
+              .run = task.copy->run,
+              .checkpoint = task.checkpoint},
+             false);
   }
 }
 
@@ -262,7 +318,7 @@
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     step.tasks[it].checkpoint = checkpoint;
     Assign(round, room, *chosen[it], step.tasks[it], step.gang_run);
-    AddOffer(round, ready, it, step.tasks[it], true);
+    AddOffer(round, ready, it, FirstOf(step.tasks[it]), true);
   }
 }
 
@@ -283,7 +339,7 @@
                      {"tasks", std::to_string(step.tasks.size())}});
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     step.tasks[it].heard = round.context.now;
-    AddOffer(round, ready, it, step.tasks[it], false);
+    AddOffer(round, ready, it, FirstOf(step.tasks[it]), false);
   }
 }
 
@@ -426,6 +482,7 @@
       PlaceGang(round, it);
     } else {
       PlaceSingles(round, it);
+      PlaceCopies(round, it);
     }
   }
   for (auto& [owner, offers] : round.offers) {
--- /dev/null
+++ b/Source/engine/run_progress.cc
@@ -0,0 +1,120 @@
+#include "engine/run_progress.h"
+
+#include <map>
+#include <utility>
+
+#include "engine/progress_rule.h"
+#include "engine/run_ends.h"
+#include "engine/worker_owner.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A worker that stood still is tried again after this long. Such states last
+// five to eight seconds; each try costs the tasks that it gets a second or two.
+constexpr Duration kStillPause = milliseconds(3000);
+// A run that stands still is reported again after this long, should the report
+// or the order that follows be lost.
+constexpr Duration kStillRepeat = milliseconds(1000);
+// What a stop of a checkpointing run throws away at the most.
+constexpr Duration kCheckpointLoss = milliseconds(100);
+constexpr std::uint32_t kFullPace = 100;
+
+using Reports = std::map<std::string, RunReports>;  // by the jobs' owners
+
+std::string OwnerOfRun(const Context& context,
+                       const std::string& task,
+                       const LocalRun& run) {
+  const auto name = ParseTaskName(task);
+  if (!run.owner.empty() || !name) {
+    return run.owner;
+  }
+  return OwnerOfJob(context.state, name->job);
+}
+
+// Tasks that fill may rightly get no processor at all, lasting ones have no
+// progress, and the members of a gang wait for each other at first.
+bool ShowsProgress(const LocalRun& run) {
+  const bool waits = run.spec.gang && run.progress.percent == 0;
+  return run.phase == RunPhase::kRunning && run.described &&
+         run.pace == kFullPace && !run.spec.lasting && !run.spec.filling &&
+         !waits;
+}
+
+Duration LostByMoving(const LocalRun& run) {
+  return run.spec.checkpointing ? kCheckpointLoss
+                                : run.progress.risen_at - run.since;
+}
+
+void AddReport(const Context& context,
+               const std::string& id,
+               const std::string& task,
+               const LocalRun& run,
+               RunState state,
+               Reports& reports) {
+  const std::string owner = OwnerOfRun(context, task, run);
+  if (!owner.empty()) {
+    reports[owner].runs.push_back({.task = task,
+                                   .run = run.run,
+                                   .worker = id,
+                                   .state = state,
+                                   .checkpoint = run.checkpoint});
+  }
+}
+
+void SendAll(Context& context, Reports reports) {
+  for (auto& [owner, it] : reports) {
+    Send(context, owner, std::move(it));
+  }
+}
+
+}  // namespace
+
+void ReviewProgress(Context& context,
+                    const std::string& id,
+                    OwnedWorker& worker) {
+  Reports reports;
+  bool still = false;
+  for (auto& [task, run] : worker.runs) {
+    if (!ShowsProgress(run) ||
+        !StandsStill(run.progress, context.now, run.spec.estimate)) {
+      continue;
+    }
+    still = true;
+    const bool move =
+        run.spec.concurrent ||
+        IsWorthMoving(run.progress, context.now, LostByMoving(run));
+    if (!move || !HasPassed(context.now, run.still_told, kStillRepeat)) {
+      continue;
+    }
+    run.still_told = context.now;
+    context.Log(EventNumber::kRunStandsStill,
+                {{"task", task},
+                 {"run", std::to_string(run.run)},
+                 {"worker", id},
+                 {"percent", std::to_string(run.progress.percent)},
+                 {"for_ms", std::to_string(ToMilliseconds(
+                                context.now - run.progress.risen_at))}});
+    AddReport(context, id, task, run, RunState::kStill, reports);
+  }
+  SendAll(context, std::move(reports));
+  if (still) {
+    worker.still_until = context.now + kStillPause;
+    RoomChanged(context, id);
+  }
+}
+
+void ReportUnreached(Context& context,
+                     const std::string& id,
+                     OwnedWorker& worker) {
+  Reports reports;
+  for (const auto& [task, run] : worker.runs) {
+    if (run.spec.concurrent && run.phase == RunPhase::kRunning) {
+      AddReport(context, id, task, run, RunState::kUnreached, reports);
+    }
+  }
+  SendAll(context, std::move(reports));
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/task_copies.cc
@@ -0,0 +1,125 @@
+#include "engine/task_copies.h"
+
+#include <utility>
+
+#include "engine/job_runs.h"
+#include "engine/job_table.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A copy that found no room or was refused is tried again after this long.
+constexpr Duration kCopyRetry = milliseconds(200);
+
+}  // namespace
+
+void WantCopy(Context& context, const StepSpec& spec, Task& task) {
+  if (!spec.concurrent || spec.gang || task.copy ||
+      task.phase != TaskPhase::kRunning) {
+    return;
+  }
+  task.copy_wanted = true;
+  context.state.placement_due = true;
+}
+
+bool WaitsForCopy(const Task& task) {
+  return task.copy_wanted && !task.copy && task.phase == TaskPhase::kRunning;
+}
+
+bool IsCopy(const Task& task, std::uint64_t run) {
+  return task.copy && task.copy->run == run;
+}
+
+void OnCopyAnswer(Context& context, Task& task, OfferOutcome outcome) {
+  if (outcome == OfferOutcome::kStarted) {
+    task.copy->running = true;
+    task.copy->heard = context.now;
+    return;
+  }
+  task.last_copy = task.copy->run;
+  task.copy.reset();
+  task.retry_at = context.now + kCopyRetry;
+}
+
+void OnCopyReport(Context& context, Task& task, RunState state) {
+  task.copy->heard = context.now;
+  if (state == RunState::kRunning) {
+    task.copy->running = true;
+  } else if (state == RunState::kAbsent) {
+    task.last_copy = task.copy->run;
+    task.copy.reset();
+  }
+}
+
+bool PromoteCopy(Context& context, Task& task) {
+  if (!task.copy || task.copy->stopping) {
+    return false;
+  }
+  const TaskCopy copy = *std::exchange(task.copy, std::nullopt);
+  task.phase = copy.running ? TaskPhase::kRunning : TaskPhase::kOffered;
+  task.run = copy.run;
+  task.worker = copy.worker;
+  task.since = context.now;
+  task.heard = copy.heard;
+  task.copy_wanted = false;
+  task.stopping = false;
+  return true;
+}
+
+void StopOther(Context& context,
+               const Job& job,
+               const TaskName& name,
+               Task& task,
+               std::uint64_t done_run) {
+  if (IsCopy(task, done_run)) {
+    const bool out =
+        task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
+    if (!out) {
+      task.copy.reset();
+      return;
+    }
+    task.copy =
+        TaskCopy{.run = task.run, .worker = task.worker, .heard = context.now};
+  }
+  StopCopy(context, job, name, task);
+}
+
+void StopCopy(Context& context,
+              const Job& job,
+              const TaskName& name,
+              Task& task) {
+  if (!task.copy) {
+    return;
+  }
+  task.copy->stopping = true;
+  task.copy->heard = context.now;
+  SendStop(context, job, name, task.copy->worker, task.copy->run);
+}
+
+void DriveCopy(Context& context,
+               const Job& job,
+               const TaskName& name,
+               Task& task,
+               std::map<std::string, RunQueries>& queries) {
+  if (!task.copy) {
+    return;
+  }
+  const Duration patience =
+      task.copy->running && !task.copy->stopping ? kRunCheck : kOfferRepeat;
+  if (!HasPassed(context.now, task.copy->heard, patience)) {
+    return;
+  }
+  if (task.copy->stopping) {
+    return StopCopy(context, job, name, task);
+  }
+  task.copy->heard = context.now - patience + kOfferRepeat;
+  const std::string owner = OwnerOfWorker(context, task.copy->worker);
+  if (!owner.empty()) {
+    queries[owner].runs.push_back({.task = ToString(name),
+                                   .run = task.copy->run,
+                                   .worker = task.copy->worker});
+  }
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/worker_listing.cc
+++ b/Source/engine/worker_listing.cc
@@ -7,6 +7,7 @@
 #include "engine/catalog.h"
 #include "engine/pacing.h"
 #include "engine/run_ends.h"
+#include "engine/run_progress.h"
 #include "engine/worker_owner.h"
 #include "engine/worker_runs.h"
 
@@ -25,7 +26,8 @@
                  .described = false,
                  .checkpoint = row.checkpoint,
                  .since = context.now,
-                 .confirmed = context.now};
+                 .confirmed = context.now,
+                 .progress = BeginProgress(context.now, row.percent)};
   const auto job = context.state.jobs.find(name.job);
   if (job != context.state.jobs.end()) {
     DescribeRuns(context, name.job, job->second.spec);
@@ -56,7 +58,9 @@
     return;
   }
   run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
-  run.percent = row.percent;
+  const bool first = run.progress.first_at < run.since;
+  run.progress = first ? BeginProgress(context.now, row.percent)
+                       : AddProgress(run.progress, context.now, row.percent);
   run.figure = row.figure;
   Confirm(context, id, row.task, run);
 }
@@ -117,6 +121,7 @@
     RoomChanged(context, id);
   }
   ReviewPace(context, id, worker);
+  ReviewProgress(context, id, worker);
 }
 
 void DescribeRuns(Context& context,
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -6,6 +6,7 @@
 #include "engine/job_runs.h"
 #include "engine/membership.h"
 #include "engine/run_ends.h"
+#include "engine/run_progress.h"
 #include "engine/run_questions.h"
 #include "engine/worker_list.h"
 #include "engine/worker_listing.h"
@@ -264,6 +265,7 @@
   if (!IsSilent(worker)) {
     worker.silent_since = worker.hold_sent;
     RoomChanged(context, event.worker);
+    ReportUnreached(context, event.worker, worker);
   }
   const auto* refused = std::get_if<WorkerRefused>(&event.answer);
   if (refused == nullptr) {
@@ -365,7 +367,8 @@
   return listed != nullptr && listed->listed && !listed->info.draining &&
          worker.claimed && described && !IsSilent(worker) &&
          worker.lease_until_ms != 0 && context.now >= worker.unhealthy_until &&
-         context.now >= worker.quarantine_until;
+         context.now >= worker.quarantine_until &&
+         context.now >= worker.still_until;
 }
 
 Resources FreeRoom(const OwnedWorker& worker) {
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -127,6 +127,9 @@
      "A worker refused to start a run"},
     {EventNumber::kPaced, Level::kInfo, "paced",
      "A filling task's pace was changed for the sake of tasks that serve"},
+    {EventNumber::kRunStandsStill, Level::kWarning, "run_stands_still",
+     "A run makes no progress though its worker answers; it is moved, or a "
+     "copy is started"},
     {EventNumber::kConfigurationApplied, Level::kInfo, "configuration_applied",
      "A configuration is in force in this process"},
     {EventNumber::kConfigurationRefusedOlder, Level::kWarning,
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -74,6 +74,7 @@
   kRunEnded = 509,
   kStartRefused = 510,
   kPaced = 511,
+  kRunStandsStill = 512,
 
   // Configuration
   kConfigurationApplied = 601,
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -471,6 +471,83 @@
   CheckPromises(fleet);
 }
 
+// Symptom: jobs are late by the seconds for which a worker stands still.
+// Sequence: a worker answers all calls, and what runs there does not go on.
+// Cause: the leases of such runs were renewed for ever.
+TEST_CASE("Runs that stand still are moved to other workers") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(2)});
+  fleet.Submit("n0", "j1", OneStep(12));
+  fleet.Run(milliseconds(600));
+  const std::string still = fleet.seen.front().worker.substr(0, 2);
+  fleet.worker(still).StandStill(fleet.now(), fleet.now() + seconds(30));
+  fleet.Run(seconds(8));
+  CHECK(fleet.StateOf("n1", "j1") == JobState::kCompleted);
+  CheckPromises(fleet);
+}
+
+// Symptom: a worker that stands still takes one task after the other.
+TEST_CASE("A worker that stands still gets no new tasks") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.worker("w0").StandStill(fleet.now(), fleet.now() + seconds(10));
+  for (int it = 0; it < 30; ++it) {
+    fleet.Submit("n" + std::to_string(it % 3), "j" + std::to_string(it),
+                 OneStep(6));
+    fleet.Run(milliseconds(250));
+  }
+  const auto there =
+      std::count_if(fleet.seen.begin(), fleet.seen.end(),
+                    [](const SeenRun& it) { return it.worker == "w0-1"; });
+  CHECK(there <= 16);  // two rounds of what it has room for
+  fleet.Run(seconds(12));
+  for (int it = 0; it < 30; ++it) {
+    CHECK(fleet.StateOf("n0", "j" + std::to_string(it)) ==
+          JobState::kCompleted);
+  }
+  CheckPromises(fleet);
+}
+
+// Symptom: a step that allows copies waits for a worker that is cut off until
+// the worker's leases have run out.
+TEST_CASE("A step that allows copies goes on without a worker that is silent") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(1)});
+  JobSpec spec = Chain(2, 12);
+  spec.steps[0].concurrent = true;
+  spec.steps[1].concurrent = true;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(milliseconds(500));
+  const std::string cut = fleet.seen.front().worker.substr(0, 2);
+  fleet.order_fault = [cut](const std::string&, const std::string& worker,
+                            const WorkerRequest&) {
+    return worker == cut ? OrderFault::kUnreached : OrderFault::kNone;
+  };
+  fleet.Run(milliseconds(5500));
+  CHECK(fleet.StateOf("n1", "j1") == JobState::kCompleted);
+}
+
+// Symptom: a copy runs on after the task is done, or the task counts twice.
+TEST_CASE("The first copy to finish counts, the others are stopped") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(3)});
+  JobSpec spec = Chain(2, 6);
+  spec.steps[0].concurrent = true;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(milliseconds(1500));
+  const std::string still = fleet.seen.front().worker.substr(0, 2);
+  fleet.worker(still).StandStill(fleet.now(), fleet.now() + seconds(8));
+  fleet.Run(seconds(12));
+  CHECK(fleet.StateOf("n1", "j1") == JobState::kCompleted);
+  CHECK(CountEnds(fleet, RunEnd::kStopped) >= 1);
+  for (const SeenRun& it : fleet.seen) {
+    CHECK(it.ended != kForever);
+  }
+}
+
 // Symptom: a task runs twice after a takeover.
 // Sequence: start orders get no answer and are carried out 3 s later; their
 // sender is killed meanwhile and the worker has a new owner.
--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -45,6 +45,25 @@
   }
 }
 
+void FakeWorker::StandStill(Time now, Time until) {
+  Advance(now);
+  for (auto& [task, run] : runs_) {
+    run.ends += run.ends == kForever ? Duration(0) : until - now;
+  }
+  still_until_ = until;
+}
+
+std::uint32_t FakeWorker::PercentOf(const Run& run, Time now) const {
+  constexpr std::uint32_t kAll = 100;
+  if (run.ends == kForever || run.takes == Duration(0)) {
+    return kAll;
+  }
+  const Duration left = run.ends - std::max(now, still_until_);
+  const double share = static_cast<double>((run.takes - left).count()) /
+                       static_cast<double>(run.takes.count());
+  return static_cast<std::uint32_t>(share * kAll);
+}
+
 void FakeWorker::Crash(Time now, const std::string& new_id) {
   Advance(now);
   for (const auto& [task, run] : runs_) {
@@ -75,7 +94,8 @@
   }
   WorkerDone done{.clock_ms = ToMilliseconds(now)};
   for (const auto& [task, run] : runs_) {
-    done.running.push_back({.task = task, .run = run.number});
+    done.running.push_back(
+        {.task = task, .run = run.number, .percent = PercentOf(run, now)});
   }
   for (const auto& [sequence, end] : ends_) {
     done.ended.push_back(end.row);
@@ -105,10 +125,13 @@
                    .payload = it.payload,
                    .checkpoint = it.checkpoint,
                    .began = now});
-  runs_[it.task] = Run{.number = it.run,
-                       .seen = seen_.size() - 1,
-                       .ends = planned.endless ? kForever : now + planned.takes,
-                       .how = planned.how};
+  runs_[it.task] =
+      Run{.number = it.run,
+          .seen = seen_.size() - 1,
+          .ends = planned.endless ? kForever
+                                  : std::max(now, still_until_) + planned.takes,
+          .takes = planned.takes,
+          .how = planned.how};
   NotePeak();
   return Done(now);
 }
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -46,6 +46,9 @@
   // Lets time pass: runs end, leases run out.
   void Advance(Time now);
 
+  // What runs there, and what is started meanwhile, makes no progress.
+  void StandStill(Time now, Time until);
+
   // The process is gone and another one comes with an empty memory.
   void Crash(Time now, const std::string& new_id);
 
@@ -66,10 +69,13 @@
     std::uint64_t number = 0;
     std::size_t seen = 0;
     Time ends = kForever;
+    Duration takes{0};
     RunEnd how = RunEnd::kDone;
     bool stopping = false;
   };
 
+  std::uint32_t PercentOf(const Run& run, Time now) const;
+
   std::optional<WorkerAnswer> Answer(Time now, const HoldWorker& it);
   std::optional<WorkerAnswer> Answer(Time now, const StartRun& it);
   std::optional<WorkerAnswer> Answer(Time now, const StopRun& it);
@@ -84,6 +90,7 @@
   std::uint64_t fence_ = 0;
   std::uint64_t last_end_ = 0;
   Time lease_ends_{0};
+  Time still_until_{0};
   std::map<std::string, Run> runs_;
   std::map<std::string, std::uint64_t> last_run_;
   struct ListedEnd {
