--- a/Source/cli/command_table.cc
+++ b/Source/cli/command_table.cc
@@ -9,8 +9,8 @@
       ServeCommand(),     PlatformCommand(),  SubmitCommand(),
       StatusCommand(),    CancelCommand(),    ConfigCheckCommand(),
       ConfigPutCommand(), ConfigGetCommand(), ConfigDiffCommand(),
-      DrainCommand(),     DumpCommand(),      VersionCommand(),
-      HelpCommand(),
+      QueuesPutCommand(), QueuesGetCommand(), DrainCommand(),
+      DumpCommand(),      VersionCommand(),   HelpCommand(),
   };
   return kTable;
 }
--- a/Source/cli/command_table.h
+++ b/Source/cli/command_table.h
@@ -29,6 +29,8 @@
 Command DumpCommand();
 Command HelpCommand();
 Command PlatformCommand();
+Command QueuesGetCommand();
+Command QueuesPutCommand();
 Command ServeCommand();
 Command StatusCommand();
 Command SubmitCommand();
--- a/Source/cli/status_text.cc
+++ b/Source/cli/status_text.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <optional>
+#include <string_view>
 
 #include <fmt/format.h>
 
@@ -18,6 +19,8 @@
                                      "done",   "failed",   "may_have_run"};
 constexpr std::array kEndStates = {WorkState::kFinished, WorkState::kFailed,
                                    WorkState::kCancelled};
+// Jobs of steps end so where flat ones are finished.
+constexpr std::string_view kCompleted = "completed";
 
 std::string AnswerText(const Json::Value& answer) {
   return answer.isString() ? answer.asString() : WriteJson(answer);
@@ -71,11 +74,12 @@
       return true;
     }
   }
-  return false;
+  return state == kCompleted;
 }
 
 bool IsFinished(const Json::Value& status) {
-  return StringMember(status, "state") == WorkStateName(WorkState::kFinished);
+  const std::string state = StringMember(status, "state");
+  return state == WorkStateName(WorkState::kFinished) || state == kCompleted;
 }
 
 }  // namespace burdockrock
--- a/Source/cli/submit.cc
+++ b/Source/cli/submit.cc
@@ -5,6 +5,7 @@
 #include "cli/entry_client.h"
 #include "cli/job_wait.h"
 #include "cli/progress.h"
+#include "cli/setting_report.h"
 #include "cli/submit_flags.h"
 #include "cli/submit_verdict.h"
 
@@ -31,7 +32,14 @@
   if (const auto fault = FindSubmitFault()) {
     return FailUsage(invocation.output, invocation.command, *fault);
   }
-  const Submission submission = SubmissionFromFlags();
+  auto from_file =
+      IsFromFile()
+          ? SubmissionFromFile()
+          : std::variant<Submission, SettingErrors>(SubmissionFromFlags());
+  if (const auto* errors = std::get_if<SettingErrors>(&from_file)) {
+    return FailSettings(invocation, *errors);
+  }
+  const auto& submission = std::get<Submission>(from_file);
   EntryClient client(invocation.io, EntriesFromFlag());
   const SubmitVerdict verdict = Send(invocation, client, submission);
   if (submission.wait && verdict.kind == VerdictKind::kAccepted) {
@@ -46,7 +54,7 @@
 
 Command SubmitCommand() {
   return {.name = "submit",
-          .summary = "Submits a request, service, batch or gang",
+          .summary = "Submits a request, service, batch, gang or job of steps",
           .flags = ClientFlags(SubmitFlags()),
           .run = Submit};
 }
--- a/Source/cli/submit_flags.cc
+++ b/Source/cli/submit_flags.cc
@@ -8,6 +8,8 @@
 #include <json/value.h>
 
 #include "cli/flag_parser.h"
+#include "config/json_text.h"
+#include "engine/job_codec.h"
 #include "model/resources.h"
 #include "model/work.h"
 #include "net/json.h"
@@ -41,6 +43,10 @@
               "--noidempotent");
 DEFINE_string(payload, "", "What to run");
 DEFINE_string(id, "", "The id of a request, to cancel it by; default: made");
+DEFINE_string(file,
+              "",
+              "A job of steps: a JSON file with id, queue, payload and steps; "
+              "no other flag describes it");
 DEFINE_bool(wait, false, "Wait for the end of a job");
 
 namespace burdockrock {
@@ -76,6 +82,17 @@
   return std::nullopt;
 }
 
+// A file describes the job whole.
+std::optional<std::string> FindFlagBesideFile() {
+  for (const FlagRule& it : SubmitFlags()) {
+    if (it.name != "file" && it.name != "wait" && IsFlagGiven(it.name)) {
+      return fmt::format("--{}: has no meaning with --file; leave it out",
+                         it.name);
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<std::string> CheckPayload(const std::string& value) {
   if (value.size() > kMaxPayloadBytes) {
     return fmt::format("{} bytes are too many", value.size());
@@ -175,11 +192,15 @@
        .check = CheckPayload,
        .allowed = fmt::format("at most {} bytes", kMaxPayloadBytes)},
       NameRule("id"),
+      {.name = "file", .value = "FILE"},
       {.name = "wait"},
   };
 }
 
 std::optional<std::string> FindSubmitFault() {
+  if (!FLAGS_file.empty()) {
+    return FindFlagBesideFile();
+  }
   if (!FLAGS_idempotent && FLAGS_key.empty()) {
     return "--key is missing; it is required with --noidempotent";
   }
@@ -198,6 +219,35 @@
   return FindForeignFlag(kJobOnlyFlags);
 }
 
+std::variant<Submission, SettingErrors> SubmissionFromFile() {
+  auto content = ReadSettingsFile(FLAGS_file);
+  if (auto* errors = std::get_if<SettingErrors>(&content)) {
+    return std::move(*errors);
+  }
+  const std::string body = WriteJson(std::get<Json::Value>(content));
+  const auto read = engine::ReadSubmission(body);
+  if (const auto* error = std::get_if<DecodeError>(&read)) {
+    return SettingErrors{
+        {FLAGS_file, error->path, error->problem, error->allowed}};
+  }
+  const auto& job = std::get<engine::CallerRequest>(read);
+  if (const auto fault = engine::CheckSpec(job.spec)) {
+    return SettingErrors{
+        {FLAGS_file, "$." + fault->path, fault->problem, fault->allowed}};
+  }
+  // Repeating it finds the first by its id.
+  return Submission{
+      .request = {.method = "POST", .path = "/v1/jobs", .body = body},
+      .is_job = true,
+      .idempotent = true,
+      .wait = FLAGS_wait,
+      .timeout = kAcceptTimeout};
+}
+
+bool IsFromFile() {
+  return !FLAGS_file.empty();
+}
+
 Submission SubmissionFromFlags() {
   const bool is_job = IsJob();
   return {.request = {.method = "POST",
--- a/Source/cli/submit_flags.h
+++ b/Source/cli/submit_flags.h
@@ -4,9 +4,11 @@
 
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "cli/command.h"
+#include "config/setting_error.h"
 #include "model/time.h"
 #include "net/http_message.h"
 
@@ -26,6 +28,12 @@
 // What is wrong with the flags taken together.
 std::optional<std::string> FindSubmitFault();
 
+// Whether a file describes the work.
+bool IsFromFile();
+
+// What the file asks for, or its faults.
+std::variant<Submission, SettingErrors> SubmissionFromFile();
+
 // The flags must be free of faults.
 Submission SubmissionFromFlags();
 
--- a/Source/config/process_settings.cc
+++ b/Source/config/process_settings.cc
@@ -46,6 +46,19 @@
   return kFields;
 }
 
+const Fields<StepsSettings>& StepsFields() {
+  static const Fields<StepsSettings> kFields = {
+      Required(
+          TextField("store", SettingType::kAddress, &StepsSettings::store)),
+      TextField("advice", SettingType::kAddress, &StepsSettings::advice),
+      Required(
+          TextField("peers", SettingType::kAddress, &StepsSettings::peers)),
+      Required(
+          TextField("metrics", SettingType::kAddress, &StepsSettings::metrics)),
+  };
+  return kFields;
+}
+
 const Fields<LimitSettings>& LimitFields() {
   static const Fields<LimitSettings> kFields = {
       IntegerField("max_body_bytes", &LimitSettings::max_body_bytes, 1'024,
@@ -78,6 +91,7 @@
           SectionField("listen", &ProcessSettings::listen, ListenFields())),
       Required(TextField("platform", SettingType::kAddress,
                          &ProcessSettings::platform)),
+      SectionField("steps", &ProcessSettings::steps, StepsFields()),
       ListField("peers", &ProcessSettings::peers, PeerFields(), kMaxPeers),
       SectionField("log", &ProcessSettings::log, LogFields()),
       SectionField("limits", &ProcessSettings::limits, LimitFields()),
@@ -99,6 +113,15 @@
                       settings.listen.peers + " is also $.listen.callers",
                       "an address of its own"});
   }
+  const StepsSettings& steps = settings.steps;
+  if (!steps.peers.empty() && !addresses.insert(steps.peers).second) {
+    errors.push_back({file, "$.steps.peers", steps.peers + " stands twice",
+                      "an address of its own"});
+  }
+  if (!steps.metrics.empty() && !addresses.insert(steps.metrics).second) {
+    errors.push_back({file, "$.steps.metrics", steps.metrics + " stands twice",
+                      "an address of its own"});
+  }
   for (std::size_t it = 0; it < settings.peers.size(); ++it) {
     const PeerSettings& peer = settings.peers[it];
     if (!ids.insert(peer.id).second) {
--- a/Source/config/process_settings.h
+++ b/Source/config/process_settings.h
@@ -59,6 +59,16 @@
   auto operator<=>(const LimitSettings&) const = default;
 };
 
+// Jobs of steps; off without a store.
+struct StepsSettings {
+  std::string store;    // transactions, watches and leases
+  std::string advice;   // the advice service; may be empty
+  std::string peers;    // where this process listens for its peers' messages
+  std::string metrics;  // where it serves their metrics and state
+
+  auto operator<=>(const StepsSettings&) const = default;
+};
+
 struct ProcessSettings {
   std::string instance;
   std::string domain;  // failure domain
@@ -66,6 +76,7 @@
   std::string rack;
   ListenSettings listen;
   std::string platform;
+  StepsSettings steps;
   std::vector<PeerSettings> peers;
   LogSettings log;
   LimitSettings limits;
--- /dev/null
+++ b/Source/engine/call_codec.h
@@ -0,0 +1,50 @@
+// The engine's calls to the store, to workers and to the advice service on
+// burdockrock's own wire: JSON-RPC 2.0 over HTTP, one call a body.
+//
+//   {"jsonrpc":"2.0","id":1,"method":"read","params":{"key":"job/7"}}
+//   {"jsonrpc":"2.0","id":1,"result":{"outcome":"absent","value":{}}}
+//
+// The methods of a store are read, range, watch, transaction, grant_lease,
+// renew_lease and end_lease; of a worker hold, start, stop and pace; of the
+// advice service advise.
+#ifndef BURDOCKROCK_ENGINE_CALL_CODEC_H_
+#define BURDOCKROCK_ENGINE_CALL_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "engine/calls.h"
+#include "net/http_message.h"
+#include "net/http_result.h"
+#include "wire/value_reader.h"
+
+namespace burdockrock::engine {
+
+// A call to one life of a worker.
+struct AddressedWorkerRequest {
+  std::string worker{};  // its id
+  WorkerRequest request{};
+  auto operator<=>(const AddressedWorkerRequest&) const = default;
+};
+
+HttpRequest EncodeStoreCall(const StoreRequest& request);
+HttpRequest EncodeWorkerCall(const std::string& worker,
+                             const WorkerRequest& request);
+HttpRequest EncodeAdviceCall(const AdviceRequest& request);
+
+// What is no answer of the protocol counts as unanswered.
+StoreAnswer DecodeStoreResult(const HttpResult& result);
+WorkerAnswer DecodeWorkerResult(const HttpResult& result);
+AdviceAnswer DecodeAdviceResult(const HttpResult& result);
+
+// The serving side, for stand-ins.
+Decoded<StoreRequest> DecodeStoreCall(std::string_view body);
+Decoded<AddressedWorkerRequest> DecodeWorkerCall(std::string_view body);
+Decoded<AdviceRequest> DecodeAdviceCall(std::string_view body);
+std::string EncodeStoreResult(const StoreAnswer& answer);
+std::string EncodeWorkerResult(const WorkerAnswer& answer);
+std::string EncodeAdviceResult(const AdviceAnswer& answer);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_CALL_CODEC_H_
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -92,12 +92,19 @@
                                   StoreLeaseRenew,
                                   StoreLeaseEnd>;
 
+struct StoreRemoval {
+  std::string key{};
+  std::uint64_t revision = 0;
+
+  auto operator<=>(const StoreRemoval&) const = default;
+};
+
 // The call was carried out. Which members count depends on the request.
 struct StoreDone {
-  std::vector<StoreItem> items{};  // read; of a watch, revision 0 in none
-  std::vector<std::pair<std::string, std::uint64_t>> removed{};  // of a watch
-  bool more = false;           // of a range: there are more pages
-  std::uint64_t revision = 0;  // of the store, or of the transaction
+  std::vector<StoreItem> items{};       // read; of a watch, revision 0 in none
+  std::vector<StoreRemoval> removed{};  // of a watch
+  bool more = false;                    // of a range: there are more pages
+  std::uint64_t revision = 0;           // of the store, or of the transaction
   std::uint64_t lease = 0;
   auto operator<=>(const StoreDone&) const = default;
 };
@@ -252,10 +259,13 @@
 
 enum class CallerQuestion { kSubmit, kState, kCancel, kWaiting };
 
+// It names its queue and job, or the host and path that tell them.
 struct CallerRequest {
   CallerQuestion question = CallerQuestion::kState;
   std::string host{};
   std::string path{};
+  std::string queue{};
+  std::string job{};
   JobSpec spec{};  // of a submission
   auto operator<=>(const CallerRequest&) const = default;
 };
@@ -270,6 +280,7 @@
 };
 
 struct CancelTaken {
+  JobState state = JobState::kCancelled;  // or how it had ended before
   auto operator<=>(const CancelTaken&) const = default;
 };
 
--- /dev/null
+++ b/Source/engine/documents.cc
@@ -0,0 +1,98 @@
+#include "engine/documents.h"
+
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "engine/call_fields.h"
+#include "net/json.h"
+#include "wire/value_writer.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+template <typename T>
+std::variant<T, DocumentFault> AsDocument(Decoded<T> decoded) {
+  if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+    return DocumentFault{.problem = ToString(*error)};
+  }
+  return std::get<T>(std::move(decoded));
+}
+
+std::optional<DecodeError> FindFault(const Configuration& configuration) {
+  std::set<std::string> services;
+  for (std::size_t it = 0; it < configuration.services.size(); ++it) {
+    const std::string& name = configuration.services[it].name;
+    if (!services.insert(name).second) {
+      return DecodeError{.path = fmt::format("$.services[{}].name", it),
+                         .problem = name + " stands twice",
+                         .allowed = "each name once"};
+    }
+  }
+  std::set<std::string> queues;
+  for (std::size_t it = 0; it < configuration.queues.size(); ++it) {
+    const QueuePolicy& queue = configuration.queues[it];
+    const std::string path = fmt::format("$.queues[{}]", it);
+    if (!queues.insert(queue.name).second) {
+      return DecodeError{.path = path + ".name",
+                         .problem = queue.name + " stands twice",
+                         .allowed = "each name once"};
+    }
+    if (!services.contains(queue.service)) {
+      return DecodeError{.path = path + ".service",
+                         .problem = queue.service + " is no service",
+                         .allowed = "a name of $.services"};
+    }
+    if (queue.max_attempts == 0) {
+      return DecodeError{.path = path + ".max_attempts",
+                         .problem = "is 0",
+                         .allowed = "1 or more"};
+    }
+    if (queue.stretch < 1) {
+      return DecodeError{
+          .path = path + ".stretch",
+          .problem = fmt::format("{} is too small", queue.stretch),
+          .allowed = "1 or more"};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+StoreDocuments OwnDocuments() {
+  return {
+      .worker_prefix = "worker/",
+      .configuration_key = "configuration",
+      .decode_worker =
+          [](std::string_view /*id*/, std::string_view text) {
+            return AsDocument(DecodeText<WorkerInfo>(text));
+          },
+      .decode_configuration =
+          [](std::string_view text) {
+            return AsDocument(ReadConfiguration(text));
+          },
+  };
+}
+
+std::string EncodeWorker(const WorkerInfo& worker) {
+  return WriteJson(WriteValue(worker));
+}
+
+std::string EncodeConfiguration(const Configuration& configuration) {
+  return WriteJson(WriteValue(configuration));
+}
+
+Decoded<Configuration> ReadConfiguration(std::string_view text) {
+  auto decoded = DecodeText<Configuration>(text);
+  if (const auto* configuration = std::get_if<Configuration>(&decoded)) {
+    if (auto fault = FindFault(*configuration)) {
+      return *std::move(fault);
+    }
+  }
+  return decoded;
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/questions.cc
+++ b/Source/engine/questions.cc
@@ -208,7 +208,7 @@
   }
   if (entry.record && IsFinal(entry.record->state)) {
     if (caller.question == CallerQuestion::kCancel) {
-      Answer(context, caller.call, CancelTaken{});
+      Answer(context, caller.call, CancelTaken{.state = entry.record->state});
     } else {
       Answer(context, caller.call, JobShown{.state = entry.record->state});
     }
@@ -318,33 +318,61 @@
   }
 }
 
+// What a request is about.
+struct Target {
+  const QueuePolicy* queue = nullptr;  // null: there is none such
+  std::string job{};
+};
+
+Target TargetOf(const Configuration& configuration,
+                const CallerRequest& request) {
+  if (!request.queue.empty() || !request.job.empty()) {
+    return {.queue = FindQueueByName(configuration, request.queue),
+            .job = request.job};
+  }
+  const QueuePolicy* queue =
+      FindQueue(configuration, request.host, request.path);
+  if (queue == nullptr) {
+    return {};
+  }
+  return {.queue = queue, .job = request.path.substr(queue->prefix.size())};
+}
+
+// A job that is named by its id alone needs none.
+bool NeedsQueue(const CallerRequest& request) {
+  const bool asks = request.question == CallerQuestion::kState ||
+                    request.question == CallerQuestion::kCancel;
+  return !asks || request.job.empty();
+}
+
 }  // namespace
 
 void OnCallerAsked(Context& context, const CallerAsked& asked) {
   const CallerRequest& request = asked.request;
   if (context.state.configuration.version == 0) {
-    return Refuse(context, asked.call, request.path, "no configuration yet");
+    return Refuse(context, asked.call, request.path + request.job,
+                  "no configuration yet");
   }
-  const QueuePolicy* queue =
-      FindQueue(context.state.configuration, request.host, request.path);
-  if (queue == nullptr) {
+  const Target target = TargetOf(context.state.configuration, request);
+  if (target.queue == nullptr && NeedsQueue(request)) {
     return Answer(context, asked.call, NoSuchQueue{});
   }
-  const std::string id = request.path.substr(queue->prefix.size());
   if (request.question == CallerQuestion::kWaiting) {
-    return OnWaiting(context, asked.call, *queue);
+    return OnWaiting(context, asked.call, *target.queue);
   }
-  if (!IsJobId(id)) {
+  if (!IsJobId(target.job)) {
     return Answer(
         context, asked.call,
-        BadRequest{.fault = {.path = "id",
-                             .problem = fmt::format("'{}' is no job's id", id),
-                             .allowed = "1 to 64 letters, digits, - and _"}});
+        BadRequest{
+            .fault = {.path = "id",
+                      .problem = fmt::format("'{}' is no job's id", target.job),
+                      .allowed = "1 to 64 letters, digits, - and _"}});
   }
   if (request.question == CallerQuestion::kSubmit) {
-    return OnSubmit(context, asked.call, id, *queue, request.spec);
+    return OnSubmit(context, asked.call, target.job, *target.queue,
+                    request.spec);
   }
-  OnQuestion(context, asked.call, request.question, id);
+  OnQuestion(context, asked.call, request.question, target.job);
 }
 
 void OnJobQuery(Context& context,
@@ -374,7 +402,7 @@
     return;
   }
   if (it->second.question == CallerQuestion::kCancel) {
-    Answer(context, it->second.call, CancelTaken{});
+    Answer(context, it->second.call, CancelTaken{.state = reply.state});
   } else {
     Answer(context, it->second.call, JobShown{.state = reply.state});
   }
@@ -414,7 +442,7 @@
 
 void AnswerCancel(Context& context, const Asker& canceller, JobState state) {
   if (canceller.member.empty()) {
-    return Answer(context, canceller.call, CancelTaken{});
+    return Answer(context, canceller.call, CancelTaken{.state = state});
   }
   Send(context, canceller.member,
        JobReply{.call = canceller.call, .known = true, .state = state});
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -120,8 +120,10 @@
   watch.revision = std::max(watch.revision, changes.revision);
   // Of one key only the last change counts; an item's and a removal's order is
   // told by the revisions.
-  std::map<std::string, std::uint64_t> removed(changes.removed.begin(),
-                                               changes.removed.end());
+  std::map<std::string, std::uint64_t> removed;
+  for (const StoreRemoval& it : changes.removed) {
+    removed[it.key] = it.revision;
+  }
   for (const StoreItem& it : changes.items) {
     OnItem(context, list, it);
     const auto gone = removed.find(it.key);
--- a/Source/runtime/caller_edge.cc
+++ b/Source/runtime/caller_edge.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "runtime/payload_bytes.h"
+#include "runtime/server_problem.h"
 #include "wire/caller_codec.h"
 #include "wire/caller_status.h"
 #include "wire/value_reader.h"
@@ -18,23 +19,6 @@
 constexpr Duration kFullRetryAfter = std::chrono::seconds(1);
 constexpr const char* kTextFormat = "text/plain; version=0.0.4; charset=utf-8";
 
-EventNumber EventOf(HttpServerProblemKind kind) {
-  switch (kind) {
-    case HttpServerProblemKind::kMalformed:
-      return EventNumber::kMalformedRequest;
-    case HttpServerProblemKind::kHeaderTooLarge:
-    case HttpServerProblemKind::kBodyTooLarge:
-      return EventNumber::kRequestTooLarge;
-    case HttpServerProblemKind::kSlowRequest:
-    case HttpServerProblemKind::kSlowReader:
-      return EventNumber::kSlowClientCut;
-    case HttpServerProblemKind::kTooManyConnections:
-    case HttpServerProblemKind::kAcceptFailed:
-      return EventNumber::kTooManyConnections;
-  }
-  return EventNumber::kMalformedRequest;
-}
-
 // Where the path begins with `prefix`, what follows it.
 std::string_view After(std::string_view path, std::string_view prefix) {
   return path.starts_with(prefix) ? path.substr(prefix.size())
--- /dev/null
+++ b/Source/runtime/engine_clients.cc
@@ -0,0 +1,88 @@
+#include "runtime/engine_clients.h"
+
+#include <chrono>
+#include <utility>
+
+#include "runtime/clock.h"
+
+namespace burdockrock {
+
+namespace {
+
+// A connection that can't be made in this time is tried anew: the system's own
+// repetition of a lost opening comes only after a second.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// Watches hold one each; transactions and reads share the others.
+constexpr std::size_t kStoreConnections = 8;
+constexpr std::size_t kWatchConnections = 4;
+constexpr std::size_t kMaxStoreAnswerBytes = 16'777'216;
+// One for the hold that waits, two for orders.
+constexpr std::size_t kWorkerConnections = 3;
+
+HttpClientOptions StoreClient(const std::string& address,
+                              std::size_t connections) {
+  return {.address = address,
+          .max_connections = connections,
+          .max_response_bytes = kMaxStoreAnswerBytes,
+          .connect_timeout = kConnectTimeout};
+}
+
+}  // namespace
+
+EngineClients::EngineClients(boost::asio::io_context& io,
+                             EngineClientsOptions options)
+    : options_(std::move(options)),
+      store_(io, StoreClient(options_.store, kStoreConnections)),
+      watches_(io, StoreClient(options_.store, kWatchConnections)),
+      workers_(io,
+               {.max_connections = kWorkerConnections,
+                .connect_timeout = kConnectTimeout}) {
+  if (!options_.advice.empty()) {
+    advice_ = std::make_unique<HttpClient>(
+        io, HttpClientOptions{.address = options_.advice,
+                              .max_connections = 1,
+                              .connect_timeout = kConnectTimeout});
+  }
+}
+
+void EngineClients::CallStore(const engine::CallStore& call) {
+  const bool waits = std::holds_alternative<engine::StoreWatch>(call.request);
+  HttpClient& client = waits ? watches_ : store_;
+  client.Send(
+      options_.codec.encode_store(call.request), call.timeout,
+      [this, call](const HttpResult& result) {
+        options_.on_event(engine::StoreAnswered{
+            .call = call.call,
+            .answer = options_.codec.decode_store(call.request, result)});
+      });
+}
+
+void EngineClients::CallWorker(const engine::CallWorker& call) {
+  workers_.Get(call.address)
+      .Send(options_.codec.encode_worker(call.worker, call.request),
+            call.timeout,
+            [this, worker = call.worker, request = call.request,
+             asked = SteadyNow()](const HttpResult& result) {
+              options_.on_event(engine::WorkerAnswered{
+                  .worker = worker,
+                  .request = request,
+                  .answer = options_.codec.decode_worker(result),
+                  .asked = asked});
+            });
+}
+
+void EngineClients::CallAdvice(const engine::CallAdvice& call) {
+  if (!advice_) {
+    return options_.on_event(engine::AdviceAnswered{
+        .request = call.request,
+        .answer = engine::AdviceFailed{.detail = "no advice service is set"}});
+  }
+  advice_->Send(options_.codec.encode_advice(call.request), call.timeout,
+                [this, request = call.request](const HttpResult& result) {
+                  options_.on_event(engine::AdviceAnswered{
+                      .request = request,
+                      .answer = options_.codec.decode_advice(result)});
+                });
+}
+
+}  // namespace burdockrock
--- /dev/null
+++ b/Source/runtime/engine_clients.h
@@ -0,0 +1,59 @@
+// The engine's calls to its store, its workers and its advice service over
+// HTTP. How they look on the wire is a codec's; there is one for burdockrock's
+// own protocol and one for the users' platform.
+#ifndef BURDOCKROCK_RUNTIME_ENGINE_CLIENTS_H_
+#define BURDOCKROCK_RUNTIME_ENGINE_CLIENTS_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "engine/event.h"
+#include "net/http_client.h"
+#include "net/http_result.h"
+#include "runtime/client_pool.h"
+
+namespace burdockrock {
+
+struct EngineCallCodec {
+  std::function<HttpRequest(const engine::StoreRequest&)> encode_store{};
+  std::function<engine::StoreAnswer(const engine::StoreRequest&,
+                                    const HttpResult&)>
+      decode_store{};
+  std::function<HttpRequest(const std::string& worker,
+                            const engine::WorkerRequest&)>
+      encode_worker{};
+  std::function<engine::WorkerAnswer(const HttpResult&)> decode_worker{};
+  std::function<HttpRequest(const engine::AdviceRequest&)> encode_advice{};
+  std::function<engine::AdviceAnswer(const HttpResult&)> decode_advice{};
+};
+
+struct EngineClientsOptions {
+  std::string store{};   // "IP:PORT"
+  std::string advice{};  // "IP:PORT"; empty: there is none
+  EngineCallCodec codec{};
+  std::function<void(engine::EventBody)> on_event{};
+};
+
+// Everything runs on the thread that runs the io_context.
+class EngineClients {
+ public:
+  EngineClients(boost::asio::io_context& io, EngineClientsOptions options);
+  EngineClients(const EngineClients&) = delete;
+  EngineClients& operator=(const EngineClients&) = delete;
+
+  void CallStore(const engine::CallStore& call);
+  void CallWorker(const engine::CallWorker& call);
+  void CallAdvice(const engine::CallAdvice& call);
+
+ private:
+  EngineClientsOptions options_;
+  HttpClient store_;
+  HttpClient watches_;
+  ClientPool workers_;
+  std::unique_ptr<HttpClient> advice_;
+};
+
+}  // namespace burdockrock
+
+#endif  // BURDOCKROCK_RUNTIME_ENGINE_CLIENTS_H_
--- a/Source/runtime/entry_instance.cc
+++ b/Source/runtime/entry_instance.cc
@@ -75,6 +75,7 @@
 void EntryInstance::Drain() {
   logger_.Write(
       {.number = EventNumber::kStopping, .fields = {{"cause", "signal"}}});
+  options_.on_drain();
   shell_.Handle(DrainAsked());
 }
 
@@ -98,7 +99,13 @@
   return {
       .max_waiting = static_cast<std::size_t>(
           options_.settings.limits.max_queued_requests),
-      .on_event = [this](EventBody it) { shell_.Handle(std::move(it)); },
+      .on_event =
+          [this](EventBody it) {
+            if (std::holds_alternative<DrainAsked>(it)) {
+              options_.on_drain();
+            }
+            shell_.Handle(std::move(it));
+          },
       .log = [this](const LogLine& it) { logger_.Write(it); },
       .dump = [this] { return DumpText(); },
       .health = [this] { return HealthText(); },
@@ -137,6 +144,9 @@
   }
   caller_http_.emplace(io_, std::get<HttpServerOptions>(std::move(options)),
                        [this](HttpRequest request, HttpResponder responder) {
+                         if (options_.other_work(request, responder)) {
+                           return;
+                         }
                          callers_.Handle(std::move(request),
                                          std::move(responder));
                        });
--- a/Source/runtime/entry_instance.h
+++ b/Source/runtime/entry_instance.h
@@ -31,6 +31,13 @@
   // Takes one line of the log. Default: standard error.
   std::function<void(std::string_view)> log_sink = nullptr;
 
+  // Takes a caller's request that is not this instance's; false if it is.
+  std::function<bool(const HttpRequest&, const HttpResponder&)> other_work =
+      [](const HttpRequest&, const HttpResponder&) { return false; };
+
+  // Called when the planned stop begins.
+  std::function<void()> on_drain = [] {};
+
   // Called when the planned stop is complete and all answers have left.
   std::function<void()> on_stopped = [] {};
 };
--- a/Source/runtime/serve.cc
+++ b/Source/runtime/serve.cc
@@ -3,6 +3,9 @@
 #include <csignal>
 #include <cstdio>
 #include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -13,9 +16,11 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "config/process_settings.h"
+#include "observe/standard_output.h"
 #include "runtime/clock.h"
 #include "runtime/entry_instance.h"
 #include "runtime/incarnation.h"
+#include "runtime/steps_instance.h"
 
 namespace burdockrock {
 
@@ -55,24 +60,91 @@
   bool draining_ = false;
 };
 
+// What identifies one run of the process.
+struct Life {
+  std::string incarnation;
+  std::uint64_t seed = 1;
+};
+
+Life BeginLife() {
+  const std::uint64_t now = WallMicroseconds();
+  const auto process_id = static_cast<std::uint32_t>(getpid());
+  return {.incarnation = MakeIncarnation(now, process_id),
+          .seed = now ^ (static_cast<std::uint64_t>(process_id) << 32U)};
+}
+
+// The entry instance, and beside it the one for jobs of steps where the
+// settings ask for it.
+class Process {
+ public:
+  Process(boost::asio::io_context& io, const ProcessSettings& settings)
+      : io_(io), instance_(io, MakeOptions(settings, BeginLife())) {}
+
+  std::optional<NetError> Start() {
+    auto error = steps_ ? steps_->Start() : std::nullopt;
+    return error ? error : instance_.Start();
+  }
+
+  void Drain() { instance_.Drain(); }
+
+ private:
+  EntryInstanceOptions MakeOptions(const ProcessSettings& settings,
+                                   const Life& life) {
+    const auto log_sink = [this](std::string_view line) {
+      output_.Write(line);
+    };
+    const auto on_stopped = [this] { OnOneStopped(); };
+    if (!settings.steps.store.empty()) {
+      ++running_;
+      steps_.emplace(io_, StepsInstanceOptions{.settings = settings,
+                                               .incarnation = life.incarnation,
+                                               .seed = life.seed,
+                                               .log_sink = log_sink,
+                                               .on_stopped = on_stopped});
+    }
+    return {
+        .settings = settings,
+        .incarnation = life.incarnation,
+        .seed = life.seed,
+        .log_sink = log_sink,
+        .other_work =
+            [this](const HttpRequest& request, const HttpResponder& responder) {
+              return steps_ && steps_->Handle(request, responder);
+            },
+        .on_drain = [this] { DrainSteps(); },
+        .on_stopped = on_stopped};
+  }
+
+  void DrainSteps() {
+    if (steps_) {
+      steps_->Drain();
+    }
+  }
+
+  void OnOneStopped() {
+    if (--running_ == 0) {
+      io_.stop();
+    }
+  }
+
+  boost::asio::io_context& io_;
+  StandardOutput output_;
+  int running_ = 1;  // instances that have not stopped
+  std::optional<StepsInstance> steps_;
+  EntryInstance instance_;
+};
+
 int Run(const ProcessSettings& settings) {
   // A peer that closes while it is written to would end the process by
   // SIGPIPE; the write's error is dealt with instead.
   std::signal(SIGPIPE, SIG_IGN);
-  const std::uint64_t now = WallMicroseconds();
-  const auto process_id = static_cast<std::uint32_t>(getpid());
-
   boost::asio::io_context io(1);
-  EntryInstance instance(
-      io, {.settings = settings,
-           .incarnation = MakeIncarnation(now, process_id),
-           .seed = now ^ (static_cast<std::uint64_t>(process_id) << 32U),
-           .on_stopped = [&io] { io.stop(); }});
-  if (const auto error = instance.Start()) {
+  Process process(io, settings);
+  if (const auto error = process.Start()) {
     fmt::print(stderr, "{}\n", error->message);
     return kFailed;
   }
-  const StopSignals signals(io, [&instance] { instance.Drain(); });
+  const StopSignals signals(io, [&process] { process.Drain(); });
   io.run();
   return 0;
 }
--- /dev/null
+++ b/Source/runtime/steps_instance.cc
@@ -0,0 +1,88 @@
+#include "runtime/steps_instance.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "engine/call_codec.h"
+#include "engine/documents.h"
+#include "engine/job_codec.h"
+
+namespace burdockrock {
+
+namespace {
+
+EngineCallCodec CallCodec() {
+  return {
+      .encode_store = engine::EncodeStoreCall,
+      .decode_store =
+          [](const engine::StoreRequest& /*request*/,
+             const HttpResult& result) {
+            return engine::DecodeStoreResult(result);
+          },
+      .encode_worker = engine::EncodeWorkerCall,
+      .decode_worker = engine::DecodeWorkerResult,
+      .encode_advice = engine::EncodeAdviceCall,
+      .decode_advice = engine::DecodeAdviceResult,
+  };
+}
+
+}  // namespace
+
+StepsInstance::StepsInstance(boost::asio::io_context& io,
+                             StepsInstanceOptions options)
+    : clients_(io,
+               {.store = options.settings.steps.store,
+                .advice = options.settings.steps.advice,
+                .codec = CallCodec(),
+                .on_event =
+                    [this](engine::EventBody it) {
+                      instance_.Handle(std::move(it));
+                    }}),
+      callers_({.codec = {.decode = engine::DecodeJobRequest,
+                          .encode = engine::EncodeJobAnswer},
+                .on_event =
+                    [this](engine::EventBody it) {
+                      instance_.Handle(std::move(it));
+                    },
+                .log = [this](const LogLine& it) { instance_.Log(it); }}),
+      instance_(io, MakeInstanceOptions(options)) {}
+
+bool StepsInstance::Handle(const HttpRequest& request,
+                           const HttpResponder& responder) {
+  if (!engine::IsJobRequest(request)) {
+    return false;
+  }
+  callers_.Handle(request, responder);
+  return true;
+}
+
+EngineInstanceOptions StepsInstance::MakeInstanceOptions(
+    const StepsInstanceOptions& options) {
+  const ProcessSettings& settings = options.settings;
+  return {
+      .engine = {.self = {.incarnation = fmt::format("{}-{}", settings.instance,
+                                                     options.incarnation),
+                          .node = settings.instance,
+                          .domain = settings.domain,
+                          .address = settings.steps.peers},
+                 .documents = engine::OwnDocuments(),
+                 .seed = options.seed},
+      .edges = {
+          .call_store =
+              [this](const engine::CallStore& it) { clients_.CallStore(it); },
+          .call_worker =
+              [this](const engine::CallWorker& it) { clients_.CallWorker(it); },
+          .call_advice =
+              [this](const engine::CallAdvice& it) { clients_.CallAdvice(it); },
+          .answer_caller =
+              [this](const engine::AnswerCaller& it) { callers_.Answer(it); }},
+      .peers_address = settings.steps.peers,
+      .metrics_address = settings.steps.metrics,
+      .log_format = settings.log.format,
+      .log_level = settings.log.level,
+      .log_sink = options.log_sink,
+      .on_stopped = options.on_stopped};
+}
+
+}  // namespace burdockrock
--- a/Source/wire/value_reader.cc
+++ b/Source/wire/value_reader.cc
@@ -70,6 +70,16 @@
   }
 }
 
+void ReadValue(const JsonPlace& place, double& out) {
+  const bool number = place.value().isNumeric();
+  if (!number || place.value().asDouble() < 0) {
+    place.Fail(place.Shown() + " is no number that is not negative",
+               "a number from 0");
+    return;
+  }
+  out = place.value().asDouble();
+}
+
 void ReadValue(const JsonPlace& place, bool& out) {
   if (!place.value().isBool()) {
     place.Fail(place.Shown() + " is not a boolean", "true or false");
--- a/Source/wire/value_reader.h
+++ b/Source/wire/value_reader.h
@@ -23,6 +23,7 @@
 void ReadValue(const JsonPlace& place, std::uint32_t& out);
 void ReadValue(const JsonPlace& place, std::uint64_t& out);
 void ReadValue(const JsonPlace& place, std::int64_t& out);
+void ReadValue(const JsonPlace& place, double& out);  // may have a fraction
 void ReadValue(const JsonPlace& place, bool& out);
 void ReadValue(const JsonPlace& place, std::string& out);
 void ReadValue(const JsonPlace& place, Duration& out);
--- a/Source/wire/value_writer.cc
+++ b/Source/wire/value_writer.cc
@@ -16,6 +16,10 @@
   return Json::Int64(value);
 }
 
+Json::Value WriteValue(double value) {
+  return value;
+}
+
 Json::Value WriteValue(bool value) {
   return value;
 }
--- a/Source/wire/value_writer.h
+++ b/Source/wire/value_writer.h
@@ -20,6 +20,7 @@
 Json::Value WriteValue(std::uint32_t value);
 Json::Value WriteValue(std::uint64_t value);
 Json::Value WriteValue(std::int64_t value);
+Json::Value WriteValue(double value);
 Json::Value WriteValue(bool value);
 Json::Value WriteValue(const std::string& value);
 Json::Value WriteValue(Duration value);
--- a/Tests/engine/fake_store.cc
+++ b/Tests/engine/fake_store.cc
@@ -93,7 +93,7 @@
   }
   for (const auto& [key, change] : last) {
     if (change.removed) {
-      done.removed.emplace_back(key, change.revision);
+      done.removed.push_back({.key = key, .revision = change.revision});
     } else if (const auto entry = entries_.find(key); entry != entries_.end()) {
       done.items.push_back(entry->second.item);
     }
--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -118,7 +118,7 @@
   if (last_run_.contains(it.task) && it.run <= last_run_[it.task]) {
     return WorkerRefused{.kind = WorkerRefusalKind::kOldRun};
   }
-  const RunPlan planned = plan(it.task, it.run);
+  const RunPlan planned = plan_order ? plan_order(it) : plan(it.task, it.run);
   seen_.push_back({.task = it.task,
                    .run = it.run,
                    .worker = info_.id,
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -57,6 +57,8 @@
 
   std::function<RunPlan(const std::string& task, std::uint64_t run)> plan =
       [](const std::string&, std::uint64_t) { return RunPlan(); };
+  // Asked instead, where it is set.
+  std::function<RunPlan(const StartRun& order)> plan_order{};
 
   // Most processors that were in use at once.
   std::int64_t peak() const { return peak_; }
--- a/Tests/platform/caller_codec_test.cc
+++ b/Tests/platform/caller_codec_test.cc
@@ -163,10 +163,10 @@
   CHECK(it.max_connections == 3200);
   const auto problem = [](const std::string& text) {
     const auto read = ReadSettings(text, "f.json");
-    REQUIRE(std::holds_alternative<SettingsFault>(read));
-    return std::get<SettingsFault>(read).problem;
+    REQUIRE(std::holds_alternative<SettingError>(read));
+    return ToString(std::get<SettingError>(read));
   };
-  CHECK(problem("{}").find("f.json: node is missing") == 0);
+  CHECK(problem("{}").find("f.json: node: is missing") == 0);
   CHECK(problem("{").find("f.json:") == 0);
   std::string wrong = good;
   wrong.replace(wrong.find("5000"), 4, "\"x\"");
--- a/Tests/platform/store_codec_test.cc
+++ b/Tests/platform/store_codec_test.cc
@@ -72,7 +72,7 @@
   REQUIRE(done.items.size() == 1);
   CHECK(done.items[0].value == "n");
   REQUIRE(done.removed.size() == 1);
-  CHECK(done.removed[0].first == "m/b");
+  CHECK(done.removed[0].key == "m/b");
   CHECK(done.revision == 413);
   DecodeAs<StoreAbsent>(StoreWatch{}, 410, "");
 }
--- a/Tests/process/cluster.py
+++ b/Tests/process/cluster.py
@@ -28,6 +28,17 @@
 WORKERS_PER_DOMAIN = 4
 MINIONS_PER_DOMAIN = 4
 
+STEPS_SERVICE = "grant-steps"
+QUEUES = {
+    "kind": "queues",
+    "services": [{"name": STEPS_SERVICE}],
+    "queues": [
+        {"name": "proposals", "service": STEPS_SERVICE, "max_attempts": 2,
+         "stretch": 2,
+         "advice": {"decision_ms": 1, "each_worker_ms": 0, "valid_ms": 2000}},
+        {"name": "watchers", "service": STEPS_SERVICE, "max_attempts": 2}],
+}
+
 # Short, so that a death is noticed within the time of a test.
 BASE = {
     "lease": {
@@ -116,6 +127,10 @@
         self._platform = finder.address()
         self.callers = {it: finder.address() for it in ENTRIES}
         self._peers = {it: finder.address() for it in ENTRIES}
+        self.steps_store = finder.address()
+        self._steps_advice = finder.address()
+        self._steps_peers = {it: finder.address() for it in ENTRIES}
+        self._steps_metrics = {it: finder.address() for it in ENTRIES}
         self._write_standin_settings(finder)
         self._write_entry_settings()
         finder.release()
@@ -147,6 +162,27 @@
         check(status == 200, f"the stand-in's counters: status {status}")
         return body
 
+    def steps_counters(self):
+        """The stand-in's counts of runs of jobs of steps."""
+        status, body = call(self.control, "GET", "/control/steps")
+        check(status == 200, f"the stand-in's steps counters: status {status}")
+        return body
+
+    def set_steps(self, **faults):
+        status, body = call(self.control, "POST", "/control",
+                            {"steps": faults})
+        check(status == 200, f"{faults}: {status} {body}")
+
+    def put_queues(self):
+        """Puts the queues of jobs of steps in force by the command line."""
+        queues = self._folder / "queues.json"
+        queues.write_text(json.dumps(QUEUES))
+        result = subprocess.run(
+            [self._programs / "burdockrock", "queues", "put", "--store",
+             self.steps_store, queues],
+            capture_output=True, text=True, check=False)
+        check(result.returncode == 0, f"queues put: {result.stderr}")
+
     def job(self, entry, job_id):
         """The job's status at one entry instance; {} while it knows none."""
         status, body = call(self.callers[entry], "GET", f"/v1/jobs/{job_id}")
@@ -256,9 +292,17 @@
             for domain in DOMAINS for it in range(MINIONS_PER_DOMAIN)]
         entries = [{"id": it, "domain": ENTRIES[it], "rack": "r",
                     "address": self._peers[it]} for it in ENTRIES]
+        steps_workers = [
+            instance("s", domain, it)
+            | {"service": STEPS_SERVICE,
+               "capacity": {"processors_milli": 8000, "memory_mb": 16384}}
+            for domain in DOMAINS for it in range(WORKERS_PER_DOMAIN)]
         self._write("standin", {
             "platform": {"listen": self._platform, "latency_ms": 2,
                          "lag_ms": 500},
+            "steps": {"store": self.steps_store,
+                      "advice": self._steps_advice,
+                      "workers": steps_workers},
             "control": self.control, "entries": entries, "workers": workers,
             "minions": minions})
 
@@ -270,6 +314,10 @@
             self._write(name, {
                 "kind": "process", "instance": name, "domain": domain,
                 "site": SITE, "platform": self._platform, "peers": peers,
+                "steps": {"store": self.steps_store,
+                          "advice": self._steps_advice,
+                          "peers": self._steps_peers[name],
+                          "metrics": self._steps_metrics[name]},
                 "listen": {"callers": self.callers[name],
                            "peers": self._peers[name]}})
 
--- a/Tests/process/run_processes.py
+++ b/Tests/process/run_processes.py
@@ -13,7 +13,8 @@
 from cluster import (BASE, ENTRIES, Cluster, TestFailure, call, check, end_of,
                      wait_until)
 
-FIRST, SECOND, THIRD = ENTRIES
+ENTRY_NAMES = list(ENTRIES)
+FIRST, SECOND, THIRD = ENTRY_NAMES
 LOG_TAIL_LINES = 40
 
 
@@ -176,7 +177,74 @@
     check_nothing_doubled(cluster)
 
 
-CASES = {"serve": check_serve, "config": check_config, "kill": check_kill,
+def steps_job(job_id, sleep_ms, queue="proposals"):
+    """Two parallel steps, and a gang after both."""
+    def step(count, **more):
+        return {"count": count, "estimate_ms": sleep_ms,
+                "each": {"processors_milli": 1000, "memory_mb": 256}} | more
+
+    return {"id": job_id, "queue": queue, "payload": f"sleep_ms={sleep_ms}",
+            "steps": [step(4), step(3),
+                      step(3, after=[0, 1], gang=True)]}
+
+
+def submit_steps(cluster, entry, job):
+    def accepted():
+        status, body = call(cluster.callers[entry], "POST", "/v1/jobs", job)
+        check(status in (0, 202, 503, 504), f"{status} {body}")
+        return status == 202
+
+    wait_until(f"{entry} accepts {job['id']}", accepted)
+
+
+def wait_until_steps_end(cluster, entry, job_id, state="completed"):
+    wait_until(f"{entry} says that {job_id} is {state}",
+               lambda: cluster.job(entry, job_id).get("state") == state)
+
+
+def check_steps(cluster):
+    """Symptom: a job of steps is lost, or its tasks run twice.
+
+    Events: jobs of steps are handed in twice each; while tasks run one owner is
+    stopped as planned and another one is killed; the store's answers get lost
+    and it refuses for a time; a worker leaves for good; a job is cancelled.
+    Cause if it fails: an adopter starts again what still runs, or forgets what
+    was stored; a repeated submission makes a second job.
+    """
+    cluster.start_serving()
+    cluster.put_queues()
+    jobs = [f"proposal-{it}" for it in range(6)]
+    for it, job_id in enumerate(jobs):
+        for entry in (ENTRY_NAMES[it % 3], ENTRY_NAMES[(it + 1) % 3]):
+            submit_steps(cluster, entry, steps_job(job_id, 1200))
+    submit_steps(cluster, SECOND, steps_job("watch", 3600000, "watchers"))
+    wait_until("tasks run",
+               lambda: cluster.steps_counters()["live"] >= 10)
+    cluster.kill(SECOND, signal.SIGTERM)
+    cluster.wait_for_exit(SECOND)
+    check(cluster.process(SECOND).returncode == 0,
+          end_of(cluster.process(SECOND)))
+    cluster.kill(FIRST, signal.SIGKILL)
+    cluster.wait_for_exit(FIRST)
+    cluster.set_steps(lose_answers=3)
+    cluster.set_steps(refuse=True)
+    status, _ = call(cluster.callers[THIRD], "POST", "/v1/jobs",
+                     steps_job("late", 10))
+    check(status in (202, 503, 504), f"while the store refuses: {status}")
+    cluster.set_steps(refuse=False)
+    cluster.set_steps(worker="banqiao-b-s0", gone=True)
+    for job_id in jobs:
+        wait_until_steps_end(cluster, THIRD, job_id)
+    status, _ = call(cluster.callers[THIRD], "DELETE", "/v1/jobs/watch")
+    check(status == 200, f"the cancel: {status}")
+    wait_until_steps_end(cluster, THIRD, "watch", "cancelled")
+    wait_until("nothing runs any more",
+               lambda: cluster.steps_counters()["live"] == 0)
+    check(cluster.steps_counters()["doubled"] == 0,
+          f"{cluster.steps_counters()}")
+
+
+CASES = {"steps": check_steps, "serve": check_serve, "config": check_config, "kill": check_kill,
          "status": check_status, "pause": check_pause, "stop": check_stop}
 
 
--- a/Tests/standin/standin_control.cc
+++ b/Tests/standin/standin_control.cc
@@ -117,6 +117,9 @@
 }  // namespace
 
 HttpResponse StandinControl::Handle(const HttpRequest& request) {
+  if (request.path == "/control/steps" && steps_ != nullptr) {
+    return JsonResponse(steps_->Counters());
+  }
   if (request.path != "/control") {
     return JsonResponse(Json::objectValue, kNotFoundStatus);
   }
@@ -142,14 +145,19 @@
   std::string target;
   Json::Value set(Json::objectValue);
   Json::Value cut;
+  Json::Value steps;
   std::string fault = ReadMembers(body, [&](const auto& keep) {
     keep("target", target);
     keep("set", set);
     keep("cut", cut);
+    keep("steps", steps);
   });
   if (!fault.empty()) {
     return fault;
   }
+  if (!steps.isNull()) {
+    return SetSteps(steps);
+  }
   if (!cut.isNull()) {
     return target.empty() && set.empty() ? Cut(cut)
                                          : "$.cut stands with $.target";
@@ -247,6 +255,49 @@
   return "";
 }
 
+std::string StandinControl::SetSteps(const Json::Value& set) {
+  if (steps_ == nullptr) {
+    return "$.steps: the settings have no section for steps";
+  }
+  StepsStoreServer::StoreFaults& store = steps_->store().store_faults();
+  std::string id;
+  std::optional<bool> silent;
+  std::optional<bool> draining;
+  std::optional<bool> gone;
+  std::optional<Duration> still;
+  std::string fault = ReadMembers(set, [&](const auto& keep) {
+    keep("down", store.down);
+    keep("refuse", store.refuse);
+    keep("lose_answers", store.lose_answers);
+    keep("worker", id);
+    keep("silent", silent);
+    keep("draining", draining);
+    keep("gone", gone);
+    keep("still_ms", still);
+  });
+  if (!fault.empty() || id.empty()) {
+    return fault;
+  }
+  StepsWorkerServer* worker = steps_->FindWorker(id);
+  if (worker == nullptr) {
+    return "$.steps.worker: there is no " + id;
+  }
+  const Time now = MonotonicNow();
+  worker->silent = silent.value_or(worker->silent);
+  if (still) {
+    worker->worker().StandStill(now, now + *still);
+  }
+  if (draining) {
+    steps_->List(id, *draining);
+  }
+  if (gone && *gone) {
+    worker->silent = true;
+    worker->worker().Crash(now, id + "-gone");
+    steps_->Unlist(id);
+  }
+  return "";
+}
+
 Json::Value StandinControl::Counters() const {
   const ExecutionRecorder& recorder = cluster_.recorder();
   std::uint64_t overcommit_attempts = 0;
--- a/Tests/standin/standin_control.h
+++ b/Tests/standin/standin_control.h
@@ -8,6 +8,7 @@
 
 #include "net/http_message.h"
 #include "standin/standin_cluster.h"
+#include "standin/steps_cluster.h"
 
 namespace burdockrock::standin {
 
@@ -24,13 +25,18 @@
 //     "speed_percent": N, "usage_percent": N, "leaving": bool, "gone": bool,
 //     "crash": bool, "forget_epoch": bool}}
 //   {"cut": {"from_owner": ENTRY, "target": INSTANCE, "cut": bool}}
+//   {"steps": {"down": bool, "refuse": bool, "lose_answers": N}} for the store
+//   of jobs of steps, or with "worker": ID and "silent", "draining", "gone",
+//   "still_ms" for one of their workers
+// GET /control/steps answers with the counters of jobs of steps.
 // A platform that is down takes no call and never answers; one that refuses
 // answers 429. Faults that are not named stay as they are. `forget_epoch` goes
 // with `crash`. Of entry instances only "leaving" and "gone" can be set.
 class StandinControl {
  public:
-  // `cluster` must outlive the control.
-  explicit StandinControl(StandinCluster& cluster) : cluster_(cluster) {}
+  // Both must outlive the control. Without `steps` there are no jobs of steps.
+  StandinControl(StandinCluster& cluster, StepsCluster* steps)
+      : cluster_(cluster), steps_(steps) {}
 
   HttpResponse Handle(const HttpRequest& request);
 
@@ -40,11 +46,13 @@
   std::string SetPlatform(const Json::Value& set);
   std::string SetInstance(const std::string& id, const Json::Value& set);
   std::string Cut(const Json::Value& cut);
+  std::string SetSteps(const Json::Value& set);
 
   Json::Value Counters() const;
   Json::Value PlatformCounters() const;
 
   StandinCluster& cluster_;
+  StepsCluster* steps_;
 };
 
 }  // namespace burdockrock::standin
--- a/Tests/standin/standin_main.cc
+++ b/Tests/standin/standin_main.cc
@@ -19,6 +19,7 @@
 #include "standin/standin_cluster.h"
 #include "standin/standin_control.h"
 #include "standin/standin_settings.h"
+#include "standin/steps_cluster.h"
 #include "wire/value_reader.h"
 
 DEFINE_string(settings, "", "the JSON file with the settings");
@@ -62,7 +63,14 @@
   if (const auto error = cluster.Listen()) {
     return Fail(error->message);
   }
-  StandinControl control(cluster);
+  std::optional<StepsCluster> steps;
+  if (!settings.steps.store.empty()) {
+    steps.emplace(io, settings.steps);
+    if (const auto error = steps->Listen()) {
+      return Fail(error->message);
+    }
+  }
+  StandinControl control(cluster, steps ? &*steps : nullptr);
   HttpServerOptions options;
   options.address = endpoint.address().to_string();
   options.port = endpoint.port();
@@ -79,6 +87,11 @@
   for (const std::string& it : cluster.Addresses()) {
     fmt::print("{}\n", it);
   }
+  if (steps) {
+    for (const std::string& it : steps->Addresses()) {
+      fmt::print("{}\n", it);
+    }
+  }
   fmt::print("ready\n");
   std::fflush(stdout);
   io.run();
--- a/Tests/standin/standin_settings.cc
+++ b/Tests/standin/standin_settings.cc
@@ -1,5 +1,6 @@
 #include "standin/standin_settings.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <utility>
@@ -45,6 +46,13 @@
   Duration lag{0};
 };
 
+struct Steps {
+  std::string store;
+  std::string advice;
+  std::vector<Member> workers;
+  std::vector<Group> generate;
+};
+
 struct Document {
   Platform platform;
   std::string control;
@@ -52,6 +60,7 @@
   std::vector<Member> workers;
   std::vector<Member> minions;
   std::vector<Group> generate;
+  std::optional<Steps> steps;
 };
 
 void ReadValue(const JsonPlace& place, Addresses& out) {
@@ -115,6 +124,17 @@
   }
 };
 
+template <>
+struct FieldsOf<standin::Steps> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("store", it.store);
+    codec.Optional("advice", it.advice, std::string());
+    codec.Optional("workers", it.workers, {});
+    codec.Optional("generate", it.generate, {});
+  }
+};
+
 template <>
 struct FieldsOf<standin::Document> {
   template <typename Codec, typename Value>
@@ -125,6 +145,7 @@
     codec.Optional("workers", it.workers, {});
     codec.Optional("minions", it.minions, {});
     codec.Optional("generate", it.generate, {});
+    codec.Optional("steps", it.steps, {});
   }
 };
 
@@ -148,7 +169,10 @@
     AddAll(document_.workers, InstanceRole::kWorker);
     AddAll(document_.minions, InstanceRole::kMinion);
     for (const Group& it : document_.generate) {
-      Generate(it);
+      Generate(it, [this](Member member) { Add(std::move(member)); });
+    }
+    if (document_.steps) {
+      AddSteps(*document_.steps);
     }
     if (error_) {
       return *std::move(error_);
@@ -184,7 +208,29 @@
         {.info = std::move(info), .default_run = run});
   }
 
-  void Generate(const Group& group) {
+  void AddSteps(const Steps& steps) {
+    settings_.steps.store = steps.store;
+    settings_.steps.advice = steps.advice;
+    for (const Member& it : steps.workers) {
+      AddStepsWorker(it);
+    }
+    for (const Group& it : steps.generate) {
+      Generate(it,
+               [this](Member member) { AddStepsWorker(std::move(member)); });
+    }
+  }
+
+  void AddStepsWorker(Member member) {
+    if (member.info.service.empty() || !member.capacity) {
+      error_ = {member.info.id, "has no service or capacity",
+                "both, for a worker of jobs of steps"};
+      return;
+    }
+    member.info.capacity = *member.capacity;
+    settings_.steps.workers.push_back({.info = std::move(member.info)});
+  }
+
+  void Generate(const Group& group, const std::function<void(Member)>& add) {
     if (group.count > kMaxCount || group.per_rack == 0 ||
         group.first_port > kMaxPort ||
         group.first_port + group.count > kMaxPort + 1) {
@@ -198,7 +244,7 @@
       info.id = fmt::format("{}{}", group.prefix, it + 1);
       info.rack = fmt::format("{}-r{}", info.domain, it / group.per_rack + 1);
       info.address = fmt::format("{}:{}", group.ip, group.first_port + it);
-      Add(std::move(member));
+      add(std::move(member));
     }
   }
 
--- a/Tests/standin/standin_settings.h
+++ b/Tests/standin/standin_settings.h
@@ -20,12 +20,20 @@
   Duration default_run{0};
 };
 
+// What jobs of steps need; off without a store.
+struct StepsSettings {
+  std::string store;   // "IP:PORT"
+  std::string advice;  // "IP:PORT"; may be empty
+  std::vector<InstanceSettings> workers;
+};
+
 struct StandinSettings {
   std::vector<std::string> platform_listen;  // "IP:PORT"
   Duration platform_latency{0};              // of each call
   Duration instances_lag{0};
   std::string control;  // "IP:PORT"
   std::vector<InstanceSettings> instances;
+  StepsSettings steps;
 };
 
 // Reads
@@ -34,7 +42,9 @@
 //    "workers": [{"id","domain","rack","address","capacity"}],
 //    "minions": [{.. as workers, "service","service_ms"}],
 //    "generate": [{"role","count","prefix","domain","per_rack","ip",
-//                 "first_port", "service", "service_ms", "capacity"}]}
+//                 "first_port", "service", "service_ms", "capacity"}],
+//    "steps": {"store": "IP:PORT", "advice": "IP:PORT",
+//              "workers": [..], "generate": [..]}}, with their service
 // A generated instance is PREFIX and its number from 1 on, in the rack
 // "DOMAIN-rN", on the next port.
 std::variant<StandinSettings, DecodeError> ReadStandinSettings(
--- /dev/null
+++ b/Tests/standin/steps_cluster.h
@@ -0,0 +1,53 @@
+// The store, the workers and the advice service of jobs of steps that one
+// process stands in for.
+#ifndef BURDOCKROCK_STANDIN_STEPS_CLUSTER_H_
+#define BURDOCKROCK_STANDIN_STEPS_CLUSTER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <json/value.h>
+#include <boost/asio/io_context.hpp>
+
+#include "net/net_error.h"
+#include "standin/standin_settings.h"
+#include "standin/steps_servers.h"
+
+namespace burdockrock::standin {
+
+class StepsCluster {
+ public:
+  StepsCluster(boost::asio::io_context& io, const StepsSettings& settings);
+
+  // Nothing when all addresses listen. The workers are listed in the store.
+  std::optional<NetError> Listen();
+
+  std::vector<std::string> Addresses() const;
+
+  // Starts, tasks that ran in two places at once, live runs.
+  Json::Value Counters();
+
+  StepsStoreServer& store() { return store_; }
+  // Null when there is no such worker.
+  StepsWorkerServer* FindWorker(const std::string& id) const;
+
+  // Writes the worker's entry in the store, or takes it out.
+  void List(const std::string& id, bool draining);
+  void Unlist(const std::string& id);
+
+ private:
+  std::string store_address_;
+  std::string advice_address_;
+  std::vector<engine::SeenRun> seen_;
+  DelayQueue delays_;
+  StepsStoreServer store_;
+  std::optional<StepsAdviceServer> advice_;
+  std::map<std::string, std::unique_ptr<StepsWorkerServer>> workers_;
+};
+
+}  // namespace burdockrock::standin
+
+#endif  // BURDOCKROCK_STANDIN_STEPS_CLUSTER_H_
--- /dev/null
+++ b/Tests/standin/steps_servers.cc
@@ -0,0 +1,190 @@
+#include "standin/steps_servers.h"
+
+#include <utility>
+
+#include "standin/payload.h"
+#include "wire/caller_status.h"
+
+namespace burdockrock::standin {
+
+namespace {
+
+// Between two looks for news.
+constexpr Duration kPoll = std::chrono::milliseconds(5);
+// Of a run whose payload does not say how long it takes.
+constexpr Duration kDefaultRun = std::chrono::milliseconds(200);
+
+HttpResponse JsonText(std::string body) {
+  return {.body = std::move(body)};
+}
+
+}  // namespace
+
+std::vector<std::pair<HttpServer::Responder, std::string>> HeldCalls::Take(
+    Time now) {
+  std::vector<std::pair<HttpServer::Responder, std::string>> answered;
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    if (auto answer = it->poll(now, now >= it->deadline)) {
+      answered.emplace_back(it->respond, *std::move(answer));
+      it = calls_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return answered;
+}
+
+StepsStoreServer::StepsStoreServer(boost::asio::io_context& io,
+                                   std::string address,
+                                   DelayQueue& delays)
+    : ServerBase(io, delays), address_(std::move(address)) {}
+
+std::optional<NetError> StepsStoreServer::Listen() {
+  return ListenOn(address_, [this](const HttpRequest& request,
+                                   const HttpServer::Responder& respond) {
+    delays().After(faults().slow,
+                   [this, request, respond] { OnRequest(request, respond); });
+  });
+}
+
+void StepsStoreServer::OnRequest(const HttpRequest& request,
+                                 const HttpServer::Responder& respond) {
+  if (store_faults_.down) {
+    return delays().Lose(respond);
+  }
+  if (store_faults_.refuse) {
+    return respond({.status = kUnavailableStatus});
+  }
+  const auto decoded = engine::DecodeStoreCall(request.body);
+  if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+    return respond(ErrorResponse(ToString(*error)));
+  }
+  const auto& call = std::get<engine::StoreRequest>(decoded);
+  if (const auto* watch = std::get_if<engine::StoreWatch>(&call)) {
+    held_.Add({.deadline = MonotonicNow() + watch->wait,
+               .respond = respond,
+               .poll = [this, watch = *watch](
+                           Time now, bool late) -> std::optional<std::string> {
+                 auto news = store_.Handle(now, watch);
+                 if (!news && late) {
+                   news = engine::StoreDone{.revision = watch.after};
+                 }
+                 return news ? std::optional(engine::EncodeStoreResult(*news))
+                             : std::nullopt;
+               }});
+    return OnTime(MonotonicNow());
+  }
+  const auto answer = store_.Handle(MonotonicNow(), call);
+  if (store_faults_.lose_answers > 0) {
+    --store_faults_.lose_answers;
+    return delays().Lose(respond);
+  }
+  Answer(respond, JsonText(engine::EncodeStoreResult(*answer)));
+}
+
+void StepsStoreServer::OnTime(Time now) {
+  store_.Expire(now);
+  for (auto& [respond, text] : held_.Take(now)) {
+    if (store_faults_.down) {
+      delays().Lose(respond);
+    } else {
+      Answer(respond, JsonText(std::move(text)));
+    }
+  }
+  if (!held_.empty()) {
+    Arm(now + kPoll);
+  }
+}
+
+StepsWorkerServer::StepsWorkerServer(boost::asio::io_context& io,
+                                     engine::WorkerInfo info,
+                                     std::vector<engine::SeenRun>& seen,
+                                     DelayQueue& delays)
+    : ServerBase(io, delays), worker_(std::move(info), seen) {
+  worker_.plan_order = [](const engine::StartRun& order) {
+    const Payload payload = ParsePayload(order.payload);
+    return engine::RunPlan{
+        .takes = payload.sleep.value_or(kDefaultRun),
+        .how = payload.fail ? engine::RunEnd::kFailed : engine::RunEnd::kDone};
+  };
+}
+
+std::optional<NetError> StepsWorkerServer::Listen() {
+  return ListenOn(
+      worker_.info().address,
+      [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+        delays().After(faults().slow, [this, request, respond] {
+          OnRequest(request, respond);
+        });
+      });
+}
+
+void StepsWorkerServer::OnRequest(const HttpRequest& request,
+                                  const HttpServer::Responder& respond) {
+  if (silent) {
+    return delays().Lose(respond);
+  }
+  const auto decoded = engine::DecodeWorkerCall(request.body);
+  if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+    return respond(ErrorResponse(ToString(*error)));
+  }
+  const auto& call = std::get<engine::AddressedWorkerRequest>(decoded);
+  const auto poll = [this, call](Time now,
+                                 bool late) -> std::optional<std::string> {
+    if (call.worker != worker_.info().id) {
+      return engine::EncodeWorkerResult(
+          engine::WorkerRefused{.kind = engine::WorkerRefusalKind::kReplaced});
+    }
+    engine::WorkerRequest order = call.request;
+    if (auto* hold = std::get_if<engine::HoldWorker>(&order); hold && late) {
+      hold->wait = Duration(0);
+    }
+    const auto answer = worker_.Handle(now, order);
+    return answer ? std::optional(engine::EncodeWorkerResult(*answer))
+                  : std::nullopt;
+  };
+  const Time now = MonotonicNow();
+  if (const auto answer = poll(now, false)) {
+    return Answer(respond, JsonText(*answer));
+  }
+  const auto& hold = std::get<engine::HoldWorker>(call.request);
+  held_.Add({.deadline = now + hold.wait, .respond = respond, .poll = poll});
+  Arm(now + kPoll);
+}
+
+void StepsWorkerServer::OnTime(Time now) {
+  worker_.Advance(now);
+  for (auto& [respond, text] : held_.Take(now)) {
+    if (silent) {
+      delays().Lose(respond);
+    } else {
+      Answer(respond, JsonText(std::move(text)));
+    }
+  }
+  if (!held_.empty()) {
+    Arm(now + kPoll);
+  }
+}
+
+StepsAdviceServer::StepsAdviceServer(boost::asio::io_context& io,
+                                     std::string address,
+                                     DelayQueue& delays)
+    : ServerBase(io, delays), address_(std::move(address)) {}
+
+std::optional<NetError> StepsAdviceServer::Listen() {
+  return ListenOn(address_, [this](const HttpRequest& request,
+                                   const HttpServer::Responder& respond) {
+    const auto decoded = engine::DecodeAdviceCall(request.body);
+    if (const auto* error = std::get_if<DecodeError>(&decoded)) {
+      return respond(ErrorResponse(ToString(*error)));
+    }
+    const auto& call = std::get<engine::AdviceRequest>(decoded);
+    engine::AdviceGiven given;
+    for (const std::string& it : call.workers) {
+      given.allowed.push_back({.worker = it, .ticket = call.step + "@" + it});
+    }
+    Answer(respond, JsonText(engine::EncodeAdviceResult(given)));
+  });
+}
+
+}  // namespace burdockrock::standin
--- /dev/null
+++ b/Tests/standin/steps_servers.h
@@ -0,0 +1,103 @@
+// Stand-ins of what jobs of steps need: a store with transactions, watches and
+// leases, workers with leases and fences, and an advice service, over HTTP.
+#ifndef BURDOCKROCK_STANDIN_STEPS_SERVERS_H_
+#define BURDOCKROCK_STANDIN_STEPS_SERVERS_H_
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "engine/call_codec.h"
+#include "engine/fake_store.h"
+#include "engine/fake_worker.h"
+#include "standin/server_base.h"
+
+namespace burdockrock::standin {
+
+// Calls that wait for news, as watches and holds do, until a deadline.
+struct HeldCall {
+  Time deadline{0};
+  HttpServer::Responder respond{};
+  // Nothing while there is no news; `late` at the deadline.
+  std::function<std::optional<std::string>(Time now, bool late)> poll{};
+};
+
+class HeldCalls {
+ public:
+  void Add(HeldCall call) { calls_.push_back(std::move(call)); }
+  // Takes out those that have an answer.
+  std::vector<std::pair<HttpServer::Responder, std::string>> Take(Time now);
+  bool empty() const { return calls_.empty(); }
+
+ private:
+  std::list<HeldCall> calls_;
+};
+
+class StepsStoreServer : public ServerBase {
+ public:
+  StepsStoreServer(boost::asio::io_context& io,
+                   std::string address,
+                   DelayQueue& delays);
+
+  std::optional<NetError> Listen();
+  engine::FakeStore& store() { return store_; }
+
+  struct StoreFaults {
+    bool down = false;    // takes no call and never answers
+    bool refuse = false;  // answers 503
+    std::uint32_t lose_answers = 0;
+  };
+  StoreFaults& store_faults() { return store_faults_; }
+
+ private:
+  void OnTime(Time now) override;
+  void OnRequest(const HttpRequest& request,
+                 const HttpServer::Responder& respond);
+
+  std::string address_;
+  engine::FakeStore store_;
+  StoreFaults store_faults_;
+  HeldCalls held_;
+};
+
+class StepsWorkerServer : public ServerBase {
+ public:
+  StepsWorkerServer(boost::asio::io_context& io,
+                    engine::WorkerInfo info,
+                    std::vector<engine::SeenRun>& seen,
+                    DelayQueue& delays);
+
+  std::optional<NetError> Listen();
+  engine::FakeWorker& worker() { return worker_; }
+  // Takes calls and does not answer.
+  bool silent = false;
+
+ private:
+  void OnTime(Time now) override;
+  void OnRequest(const HttpRequest& request,
+                 const HttpServer::Responder& respond);
+
+  engine::FakeWorker worker_;
+  HeldCalls held_;
+};
+
+// Allows every worker.
+class StepsAdviceServer : public ServerBase {
+ public:
+  StepsAdviceServer(boost::asio::io_context& io,
+                    std::string address,
+                    DelayQueue& delays);
+
+  std::optional<NetError> Listen();
+
+ private:
+  void OnTime(Time /*now*/) override {}
+
+  std::string address_;
+};
+
+}  // namespace burdockrock::standin
+
+#endif  // BURDOCKROCK_STANDIN_STEPS_SERVERS_H_
