--- a/Source/engine/job_model.cc
+++ b/Source/engine/job_model.cc
@@ -21,8 +21,8 @@
       return SpecFault{
           .path = fmt::format("steps[{}].after[{}]", number, it),
           .problem = fmt::format("{} is not an earlier step", step.after[it]),
-          .allowed = fmt::format("0 to {}, of an earlier step",
-                                 static_cast<long long>(number) - 1)};
+          .allowed = number == 0 ? "none, it is the first"
+                                 : fmt::format("0 to {}", number - 1)};
     }
   }
   return std::nullopt;
