--- a/Source/engine/calls.cc
+++ b/Source/engine/calls.cc
@@ -11,4 +11,16 @@
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
+const char* RefusalText(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::kStoreAway:
+      return "the store can't be reached";
+    case RefusalCause::kStopping:
+      return "this entry instance stops";
+    case RefusalCause::kNotReady:
+      return "no configuration yet";
+  }
+  return "";
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -302,8 +302,17 @@
   auto operator<=>(const BadRequest&) const = default;
 };
 
+enum class RefusalCause {
+  kStoreAway,  // nothing can be stored
+  kStopping,   // this entry instance is about to end
+  kNotReady,   // it has no configuration yet
+};
+
+const char* RefusalText(RefusalCause cause);
+
 // It has not run and never will; worth asking again after `retry_after`.
 struct NotNow {
+  RefusalCause cause = RefusalCause::kStoreAway;
   std::string detail{};
   Duration retry_after{0};
   auto operator<=>(const NotNow&) const = default;
--- a/Source/engine/job_codec.cc
+++ b/Source/engine/job_codec.cc
@@ -63,6 +63,18 @@
   return EncodeRefusal(kNotFoundStatus, Reason::kNotFound, problem, allowed);
 }
 
+Reason ReasonOf(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::kStoreAway:
+      return Reason::kPlatformDown;
+    case RefusalCause::kStopping:
+      return Reason::kDraining;
+    case RefusalCause::kNotReady:
+      return Reason::kNotReady;
+  }
+  return Reason::kNotReady;
+}
+
 struct Encoder {
   const CallerRequest& request;
 
@@ -99,8 +111,8 @@
   }
   HttpResponse operator()(const NotNow& it) {
     HttpResponse response =
-        EncodeRefusal(kUnavailableStatus, Reason::kPlatformDown,
-                      it.detail, "the same request later");
+        EncodeRefusal(kUnavailableStatus, ReasonOf(it.cause), it.detail,
+                      "the same request later");
     response.retry_after = std::chrono::ceil<std::chrono::seconds>(
         std::max<Duration>(it.retry_after, Duration(1)));
     return response;
--- a/Source/engine/questions.cc
+++ b/Source/engine/questions.cc
@@ -28,11 +28,14 @@
 void Refuse(Context& context,
             std::uint64_t call,
             const std::string& job,
-            std::string cause) {
+            RefusalCause cause) {
   ++context.state.totals.refused;
-  context.Log(EventNumber::kRequestRefused, {{"job", job}, {"cause", cause}});
+  context.Log(EventNumber::kRequestRefused,
+              {{"job", job}, {"cause", RefusalText(cause)}});
   Answer(context, call,
-         NotNow{.detail = std::move(cause), .retry_after = kRetryAfter});
+         NotNow{.cause = cause,
+                .detail = RefusalText(cause),
+                .retry_after = kRetryAfter});
 }
 
 bool IsJobId(std::string_view id) {
@@ -99,10 +102,10 @@
     return;
   }
   if (context.state.stop.asked) {
-    return Refuse(context, call, id, "this entry instance stops");
+    return Refuse(context, call, id, RefusalCause::kStopping);
   }
   if (!IsRegistered(context.state) || !context.state.store.healthy) {
-    return Refuse(context, call, id, "the store can't be reached");
+    return Refuse(context, call, id, RefusalCause::kStoreAway);
   }
   auto fault = CheckSpec(spec);
   if (!fault) {
@@ -302,7 +305,7 @@
     }
     if (!well && WithdrawChange(context, ChangeKind::kCreateJob, id)) {
       for (const std::uint64_t it : job.submitters) {
-        Refuse(context, it, id, "the store can't be reached");
+        Refuse(context, it, id, RefusalCause::kStoreAway);
       }
       withdrawn.push_back(id);
     } else if (HasPassed(context.now, job.created, kSubmitPatience)) {
@@ -351,7 +354,7 @@
   const CallerRequest& request = asked.request;
   if (context.state.configuration.version == 0) {
     return Refuse(context, asked.call, request.path + request.job,
-                  "no configuration yet");
+                  RefusalCause::kNotReady);
   }
   const Target target = TargetOf(context.state.configuration, request);
   if (target.queue == nullptr && NeedsQueue(request)) {
