Engine: Preempts, removes left records and takes the configuration's limits

Cause: urgent work waited behind long work that checkpoints; records of ended jobs whose owner was lost stayed for ever; the operators' bounds of requests were read and not applied. Tests: urgent work, and that work without checkpoints is not stopped; records; limits of the server and their codec.

--- a/Source/engine/configuration.h
+++ b/Source/engine/configuration.h
@@ -46,10 +46,21 @@
   auto operator<=>(const ServicePolicy&) const = default;
 };
 
+// Bounds of callers' requests.
+struct CallerLimits {
+  std::uint64_t max_header_bytes = 0;
+  std::uint64_t max_body_bytes = 0;
+  Duration read_timeout{0};  // for a whole request
+  Duration idle_timeout{0};  // of a connection without one
+
+  auto operator<=>(const CallerLimits&) const = default;
+};
+
 struct Configuration {
   std::uint64_t version = 0;  // 0: none was read yet
   std::vector<QueuePolicy> queues{};
   std::vector<ServicePolicy> services{};
+  std::optional<CallerLimits> limits{};  // nothing: those of the settings
 
   auto operator<=>(const Configuration&) const = default;
 };
--- a/Source/engine/digests.cc
+++ b/Source/engine/digests.cc
@@ -3,6 +3,7 @@
 #include "engine/advice.h"
 #include "engine/job_runs.h"
 #include "engine/membership.h"
+#include "engine/preemption.h"
 #include "engine/questions.h"
 #include "engine/worker_owner.h"
 
@@ -17,6 +18,7 @@
                       .fence = worker->fence,
                       .version = worker->version,
                       .free = FreeRoom(*worker),
+                      .yielding = YieldingRoom(*worker),
                       .accepting = Accepts(context, *worker),
                       .slowness = worker->speed.slowness()};
   }
@@ -106,6 +108,7 @@
                     .fence = it.fence,
                     .version = it.version,
                     .free = it.free,
+                    .yielding = it.yielding,
                     .accepting = it.accepting,
                     .gone = it.gone,
                     .slowness = it.slowness,
--- a/Source/engine/event.h
+++ b/Source/engine/event.h
@@ -105,6 +105,11 @@
   LogLine line{};
 };
 
+// The configuration's bounds of callers' requests are in force.
+struct ApplyLimits {
+  CallerLimits limits{};
+};
+
 // Everything is handed over; the process may end.
 struct EndProcess {};
 
@@ -114,6 +119,7 @@
                             CallAdvice,
                             SendPeer,
                             WriteLog,
+                            ApplyLimits,
                             EndProcess>;
 using Effects = std::vector<Effect>;
 
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -129,6 +129,7 @@
   std::vector<Asker> watchers{};
   bool cancel_wanted = false;  // before it was stored
   Time ended_at = kForever;
+  std::int64_t ended_ms = 0;  // wall time since 1970
 };
 
 }  // namespace burdockrock::engine
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -99,6 +99,7 @@
                    .write = job.version,
                    .state = job.state,
                    .queue = job.queue,
+                   .ended_ms = job.ended_ms,
                    .accepted_ms = job.accepted_ms};
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
     if (!job.occurrences[k].steps.empty()) {
--- a/Source/engine/job_table.cc
+++ b/Source/engine/job_table.cc
@@ -125,6 +125,7 @@
   }
   job.state = state;
   job.ended_at = context.now;
+  job.ended_ms = context.wall_ms;
   context.state.totals.completed += state == JobState::kCompleted ? 1 : 0;
   context.state.totals.failed += state == JobState::kFailed ? 1 : 0;
   context.Log(EventNumber::kJobEnded, {{"job", job.id},
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -18,8 +18,9 @@
 namespace burdockrock::engine {
 
 enum class RunPhase {
-  kBooked,    // its room is kept for a gang
-  kStarting,  // ordered, not answered
+  kBooked,        // its room is kept for a gang
+  kAwaitingRoom,  // runs are being stopped for it
+  kStarting,      // ordered, not answered
   kRunning,
   kStopping,
 };
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -33,6 +33,7 @@
     codec.Optional("fence", it.fence, std::uint64_t{0});
     codec.Optional("version", it.version, std::uint64_t{0});
     codec.Field("free", it.free);
+    codec.Optional("yielding", it.yielding, Resources());
     codec.Optional("accepting", it.accepting, false);
     codec.Optional("gone", it.gone, false);
     codec.Optional("slowness", it.slowness, std::uint32_t{0});
@@ -82,6 +83,7 @@
     codec.Optional("payload", it.payload, std::string());
     codec.Field("spec", it.spec);
     codec.Optional("priority", it.priority, std::uint32_t{0});
+    codec.Optional("preempts", it.preempts, false);
     codec.Optional("book_only", it.book_only, false);
     codec.Optional("tasks", it.tasks, std::vector<engine::OfferedTask>());
   }
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -21,6 +21,8 @@
   std::uint64_t fence = 0;    // of the owner; the highest one is right
   std::uint64_t version = 0;  // rises with each change at this owner
   Resources free{};
+  // Of runs that can be stopped for the most urgent work.
+  Resources yielding{};
   bool accepting = false;  // takes new tasks
   bool gone = false;       // all that ran there has ended
   // How long tasks take there, in hundredths of their estimates; 0: not known.
@@ -68,6 +70,7 @@
   std::string payload{};
   StepSpec spec{};
   std::uint32_t priority = 0;
+  bool preempts = false;   // runs of less urgent work may be stopped for it
   bool book_only = false;  // keep the room, start later
   std::vector<OfferedTask> tasks{};
 
--- a/Source/engine/placement_rule.h
+++ b/Source/engine/placement_rule.h
@@ -17,6 +17,7 @@
 struct Candidate {
   const WorkerInfo* worker = nullptr;
   Resources free{};
+  Resources yielding{};  // could be freed for the most urgent work
   bool own_domain = false;
   double slowness = 1;  // against the mean of the service's workers
 };
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -21,6 +21,9 @@
 // before it, so that short urgent tasks need not wait for long ones to end.
 constexpr double kReservePerPriority = 0.06;
 
+// The queues' objectives begin with 250 ms beside their work.
+constexpr Duration kPreemptAfter = milliseconds(150);
+
 struct Round {
   Context& context;
   std::map<std::string, std::vector<Candidate>> by_service{};
@@ -80,8 +83,20 @@
   const ReadyStep& ready;
   std::map<std::string, std::uint32_t> placed;
   std::string not_on{};  // a worker; empty: any
+  bool preempts = false;
 };
 
+bool HasRoom(const Choice& choice,
+             const PlacementNeed& need,
+             const Candidate& candidate) {
+  if (!choice.preempts) {
+    return HasRoomNow(need, candidate);
+  }
+  Candidate emptied = candidate;
+  emptied.free += candidate.yielding;
+  return HasRoomNow(need, emptied);
+}
+
 Candidate* Choose(const Choice& choice,
                   std::vector<Candidate>& candidates,
                   const PlacementNeed& need) {
@@ -89,7 +104,7 @@
   Candidate* best = nullptr;
   double best_cost = 0;
   for (Candidate& it : candidates) {
-    if (it.worker->id == choice.not_on || !HasRoomNow(need, it) ||
+    if (it.worker->id == choice.not_on || !HasRoom(choice, need, it) ||
         !MayRunOn(spec, *it.worker) ||
         !HasTicket(choice.context, choice.ready, it.worker->id)) {
       continue;
@@ -108,28 +123,33 @@
   return best;
 }
 
+enum class OfferKind { kStart, kPreemption, kBooking };
+
 TaskOffer& OfferTo(Round& round,
                    const ReadyStep& ready,
                    const std::string& owner,
-                   bool book_only) {
+                   OfferKind kind) {
   std::vector<TaskOffer>& offers = round.offers[owner];
   const auto it =
       std::find_if(offers.begin(), offers.end(), [&](const TaskOffer& offer) {
         return offer.job == ready.job->id && offer.step == ready.step &&
                offer.occurrence == ready.occurrence &&
-               offer.book_only == book_only;
+               offer.book_only == (kind == OfferKind::kBooking) &&
+               offer.preempts == (kind == OfferKind::kPreemption);
       });
   if (it != offers.end()) {
     return *it;
   }
-  return offers.emplace_back(TaskOffer{.job = ready.job->id,
-                                       .generation = ready.job->generation,
-                                       .occurrence = ready.occurrence,
-                                       .step = ready.step,
-                                       .payload = ready.job->spec.payload,
-                                       .spec = ready.spec(),
-                                       .priority = ready.queue->priority,
-                                       .book_only = book_only});
+  return offers.emplace_back(
+      TaskOffer{.job = ready.job->id,
+                .generation = ready.job->generation,
+                .occurrence = ready.occurrence,
+                .step = ready.step,
+                .payload = ready.job->spec.payload,
+                .spec = ready.spec(),
+                .priority = ready.queue->priority,
+                .preempts = kind == OfferKind::kPreemption,
+                .book_only = kind == OfferKind::kBooking});
 }
 
 struct Attempt {
@@ -142,12 +162,12 @@
               const ReadyStep& ready,
               std::uint32_t index,
               const Attempt& attempt,
-              bool book_only) {
+              OfferKind kind) {
   const RoomView& view = round.context.state.view[attempt.worker];
   const std::string& owner = view.owner;
   const auto ticket = ready.run().tickets.find(attempt.worker);
   ++round.context.state.totals.offers;
-  OfferTo(round, ready, owner, book_only)
+  OfferTo(round, ready, owner, kind)
       .tasks.push_back({.index = index,
                         .run = attempt.run,
                         .worker = attempt.worker,
@@ -186,6 +206,13 @@
   task.booked = false;
 }
 
+// Only the most urgent work, and only when it has waited: room that others are
+// about to give back costs nothing.
+bool MayPreempt(const Context& context, const ReadyStep& ready) {
+  return ready.queue->priority == 0 && ready.run().ready_at != kForever &&
+         HasPassed(context.now, ready.run().ready_at, kPreemptAfter);
+}
+
 void PlaceSingles(Round& round, const ReadyStep& ready) {
   Choice choice{.context = round.context,
                 .ready = ready,
@@ -200,13 +227,23 @@
       continue;
     }
     need.avoid = task.avoid;
+    choice.preempts = false;
     Candidate* best = Choose(choice, candidates, need);
+    if (best == nullptr && MayPreempt(round.context, ready)) {
+      choice.preempts = true;
+      best = Choose(choice, candidates, need);
+    }
     if (best == nullptr) {
       return;  // the others need as much
     }
     ++choice.placed[best->worker->id];
     Assign(round, need.room, *best, task, NextRun(*ready.job, LastRun(task)));
-    AddOffer(round, ready, it, FirstOf(task), false);
+    if (choice.preempts) {
+      best->yielding -= need.room;
+      round.context.state.view[task.worker].yielding -= need.room;
+    }
+    AddOffer(round, ready, it, FirstOf(task),
+             choice.preempts ? OfferKind::kPreemption : OfferKind::kStart);
   }
 }
 
@@ -237,7 +274,7 @@
              {.worker = task.copy->worker,
               .run = task.copy->run,
               .checkpoint = task.checkpoint},
-             false);
+             OfferKind::kStart);
   }
 }
 
@@ -318,7 +355,7 @@
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     step.tasks[it].checkpoint = checkpoint;
     Assign(round, room, *chosen[it], step.tasks[it], step.gang_run);
-    AddOffer(round, ready, it, FirstOf(step.tasks[it]), true);
+    AddOffer(round, ready, it, FirstOf(step.tasks[it]), OfferKind::kBooking);
   }
 }
 
@@ -339,7 +376,7 @@
                      {"tasks", std::to_string(step.tasks.size())}});
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     step.tasks[it].heard = round.context.now;
-    AddOffer(round, ready, it, FirstOf(step.tasks[it]), false);
+    AddOffer(round, ready, it, FirstOf(step.tasks[it]), OfferKind::kStart);
   }
 }
 
@@ -425,6 +462,7 @@
       candidates.push_back(
           {.worker = &listed.info,
            .free = view->second.free,
+           .yielding = view->second.yielding,
            .own_domain =
                listed.info.domain == context.state.options.self.domain,
            .slowness = static_cast<double>(view->second.slowness)});
--- a/Source/engine/record.h
+++ b/Source/engine/record.h
@@ -70,7 +70,8 @@
   std::uint64_t write = 0;       // tells the owner's own writes apart
   JobState state = JobState::kQueued;
   std::string queue{};
-  std::int64_t accepted_ms = 0;                 // wall time since 1970
+  std::int64_t ended_ms = 0;     // wall time since 1970; 0: not ended
+  std::int64_t accepted_ms = 0;  // wall time since 1970
   std::vector<OccurrenceRecord> occurrences{};  // those that have begun
 
   auto operator<=>(const JobRecord&) const = default;
--- a/Source/engine/record_fields.h
+++ b/Source/engine/record_fields.h
@@ -102,6 +102,7 @@
     codec.Field("state", it.state);
     codec.Name("queue", it.queue);
     codec.Field("accepted_ms", it.accepted_ms);
+    codec.Optional("ended_ms", it.ended_ms, std::int64_t{0});
     codec.Optional("occurrences", it.occurrences,
                    std::vector<engine::OccurrenceRecord>());
   }
--- /dev/null
+++ b/Source/engine/record_sweep.cc
@@ -0,0 +1,96 @@
+#include "engine/record_sweep.h"
+
+#include "engine/job_table.h"
+#include "engine/membership.h"
+#include "engine/record_writer.h"
+#include "engine/store_calls.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A record stays four minutes after its job's end; half a minute more does no
+// harm, and a sweep's stale reads cost a tenth of others.
+constexpr Duration kSweepInterval = milliseconds(30'000);
+// The wall clocks of instances differ, and may jump by seconds.
+constexpr Duration kClockMargin = milliseconds(60'000);
+// Of one page; the next sweep takes more.
+constexpr std::size_t kMaxRemovals = 100;
+
+constexpr const char* kDuty = "record sweep";
+
+void ReadPage(Context& context) {
+  SweepState& sweep = context.state.sweep;
+  sweep.in_flight = true;
+  AskStore(context,
+           StoreRange{.prefix = std::string(kJobPrefix),
+                      .after = sweep.after,
+                      .may_be_stale = true},
+           ForSweep{});
+}
+
+bool IsLeftOver(const Context& context, const JobRecord& record) {
+  const Duration kept = 2 * context.state.options.bounds.state_kept;
+  const std::int64_t gone_at =
+      record.ended_ms + ToMilliseconds(kept + kClockMargin);
+  return IsFinal(record.state) && context.wall_ms > gone_at &&
+         FindMember(context.state, record.owner) == nullptr;
+}
+
+void Remove(Context& context, const std::string& job, std::uint64_t revision) {
+  QueueChange(context,
+              Change{.kind = ChangeKind::kForgetJob,
+                     .job = job,
+                     .conditions = {{.key = JobKey(job), .revision = revision}},
+                     .removes = {JobKey(job), SpecKey(job)}});
+}
+
+void RemoveLeftOvers(Context& context, const std::vector<StoreItem>& items) {
+  std::size_t removed = 0;
+  for (const StoreItem& it : items) {
+    const auto decoded = DecodeJob(it.value);
+    const auto* record = std::get_if<JobRecord>(&decoded);
+    if (record == nullptr) {
+      context.Log(EventNumber::kPlatformMalformed,
+                  {{"key", it.key},
+                   {"problem", ToString(std::get<DecodeError>(decoded))}});
+      continue;
+    }
+    if (removed < kMaxRemovals && IsLeftOver(context, *record)) {
+      ++removed;
+      Remove(context, it.key.substr(kJobPrefix.size()), it.revision);
+    }
+  }
+}
+
+}  // namespace
+
+void DriveSweep(Context& context) {
+  SweepState& sweep = context.state.sweep;
+  const bool due = HasPassed(context.now, sweep.swept_at, kSweepInterval);
+  if (!due || sweep.in_flight || !IsRegistered(context.state) ||
+      context.state.stop.asked) {
+    return;
+  }
+  sweep.swept_at = context.now;
+  if (ChooseMember(context.state, kDuty, {}) == context.self()) {
+    sweep.after.clear();
+    ReadPage(context);
+  }
+}
+
+void OnSweepPage(Context& context, const StoreAnswer& answer) {
+  SweepState& sweep = context.state.sweep;
+  sweep.in_flight = false;
+  const auto* page = std::get_if<StoreDone>(&answer);
+  if (page == nullptr) {
+    return;  // the next sweep comes to it again
+  }
+  RemoveLeftOvers(context, page->items);
+  if (page->more && !page->items.empty()) {
+    sweep.after = page->items.back().key;
+    ReadPage(context);
+  }
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -12,6 +12,7 @@
 #include "engine/placing.h"
 #include "engine/planned_stop.h"
 #include "engine/questions.h"
+#include "engine/record_sweep.h"
 #include "engine/record_writer.h"
 #include "engine/run_ends.h"
 #include "engine/run_questions.h"
@@ -71,6 +72,7 @@
   void operator()(const ForOrphans& it) {
     OnOrphanPage(context, it.prefix, answer);
   }
+  void operator()(const ForSweep&) { OnSweepPage(context, answer); }
   void operator()(const ForNothing&) {}
 };
 
@@ -125,6 +127,7 @@
   DriveCallers(context);
   DriveAdoption(context);
   DriveCatalog(context);
+  DriveSweep(context);
   DrainInbox(context);
   DriveAdvice(context);
   DrainInbox(context);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -52,6 +52,7 @@
 struct ForOrphans {
   std::string prefix{};
 };
+struct ForSweep {};
 struct ForNothing {};
 
 using StorePurpose = std::variant<ForWatch,
@@ -63,6 +64,7 @@
                                   ForJobRead,
                                   ForSpecRead,
                                   ForOrphans,
+                                  ForSweep,
                                   ForNothing>;
 
 struct StoreState {
@@ -132,6 +134,7 @@
   std::uint64_t fence = 0;
   std::uint64_t version = 0;
   Resources free{};
+  Resources yielding{};
   bool accepting = false;
   bool gone = false;
   std::uint32_t slowness = 0;  // in hundredths of the estimates; 0: not known
@@ -206,6 +209,13 @@
   bool writing = false;
 };
 
+// Records of ended jobs without an owner are looked for.
+struct SweepState {
+  Time swept_at{0};  // not right after the start
+  bool in_flight = false;
+  std::string after{};
+};
+
 // A question for advice on an own job's step that is out.
 struct AdviceQuestion {
   TaskName step{};       // its index does not count
@@ -284,6 +294,7 @@
   std::map<std::string, Orphan> orphans{};
   std::map<std::string, OrphanScan> scans{};  // by prefix
   Time scanned_at = Time::min();
+  SweepState sweep{};
   AdviceState advice{};
   DigestState digest{};
   StopState stop{};
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -46,6 +46,12 @@
               {{"version", std::to_string(configuration.version)},
                {"revision", std::to_string(item.revision)},
                {"queues", std::to_string(configuration.queues.size())}});
+  const bool new_limits =
+      configuration.limits &&
+      configuration.limits != context.state.configuration.limits;
+  if (new_limits) {
+    context.Emit(ApplyLimits{.limits = *configuration.limits});
+  }
   context.state.configuration = std::move(configuration);
   context.state.placement_due = true;
 }
--- a/Source/engine/worker_offers.cc
+++ b/Source/engine/worker_offers.cc
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "engine/membership.h"
+#include "engine/preemption.h"
 #include "engine/run_ends.h"
 #include "engine/worker_owner.h"
 #include "engine/worker_runs.h"
@@ -54,6 +55,7 @@
       EnterPhase(context, run, RunPhase::kStarting);
       OrderStart(context, id, worker, task, run);
       return std::nullopt;
+    case RunPhase::kAwaitingRoom:
     case RunPhase::kStarting:
       run.answer_offer = true;
       return std::nullopt;
@@ -95,7 +97,10 @@
   if (!Accepts(context, *worker)) {
     return OfferOutcome::kNotServing;
   }
-  if (!Fits(RoomOf(offer.spec), FreeRoom(*worker))) {
+  const Resources room = RoomOf(offer.spec);
+  const bool fits = Fits(room, FreeRoom(*worker));
+  if (!fits &&
+      !(offer.preempts && MakeRoom(context, offered.worker, *worker, room))) {
     return OfferOutcome::kNoRoom;
   }
   LocalRun& run = worker->runs[task];
@@ -115,7 +120,11 @@
   if (offer.book_only) {
     return OfferOutcome::kBooked;
   }
-  OrderStart(context, offered.worker, *worker, task, run);
+  if (fits) {
+    OrderStart(context, offered.worker, *worker, task, run);
+  } else {
+    run.phase = RunPhase::kAwaitingRoom;
+  }
   return std::nullopt;
 }
 
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -5,6 +5,7 @@
 
 #include "engine/job_runs.h"
 #include "engine/membership.h"
+#include "engine/preemption.h"
 #include "engine/run_ends.h"
 #include "engine/run_progress.h"
 #include "engine/run_questions.h"
@@ -312,6 +313,7 @@
   for (const auto& [task, run] : node.mapped().runs) {
     const bool never_ran =
         run.phase == RunPhase::kBooked ||
+        run.phase == RunPhase::kAwaitingRoom ||
         (run.phase == RunPhase::kStarting && run.ordered == Time::min());
     if (run.answer_offer && never_ran) {
       AnswerOffer(context, run.owner, id, task, run.run,
@@ -353,6 +355,7 @@
                   .fence = worker.fence,
                   .version = worker.version,
                   .free = FreeRoom(worker),
+                  .yielding = YieldingRoom(worker),
                   .accepting = Accepts(context, worker),
                   .slowness = worker.speed.slowness(),
                   .heard = context.now};
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "engine/preemption.h"
 #include "engine/run_questions.h"
 #include "engine/worker_list.h"
 #include "engine/worker_owner.h"
@@ -222,7 +223,9 @@
                 {.task = it.task, .run = it.run, .worker = it.worker});
       continue;
     }
-    if (run->second.phase == RunPhase::kBooked) {
+    const bool not_ordered = run->second.phase == RunPhase::kBooked ||
+                             run->second.phase == RunPhase::kAwaitingRoom;
+    if (not_ordered) {
       AnswerOffer(context, from, it.worker, it.task, it.run,
                   OfferOutcome::kStopped);
       RemoveRun(context, it.worker, *worker, it.task);
@@ -286,6 +289,7 @@
   for (const std::string& it : expired) {
     RemoveRun(context, id, worker, it);
   }
+  DriveAwaiting(context, id, worker);
 }
 
 void AnswerOffer(Context& context,
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -61,6 +61,13 @@
   return bound.port();
 }
 
+void HttpServer::SetLimits(const HttpRequestLimits& limits) {
+  options_.max_header_bytes = limits.max_header_bytes;
+  options_.max_body_bytes = limits.max_body_bytes;
+  options_.read_timeout = limits.read_timeout;
+  options_.idle_timeout = limits.idle_timeout;
+}
+
 void HttpServer::StopAccepting() {
   stopping_ = true;
   boost::system::error_code ec;
--- a/Source/net/http_server.h
+++ b/Source/net/http_server.h
@@ -34,6 +34,9 @@
   // Gives the bound port.
   std::variant<std::uint16_t, NetError> Listen();
 
+  // For requests that begin from now on.
+  void SetLimits(const HttpRequestLimits& limits);
+
   // Takes no new connections. Open ones end after their running request, idle
   // ones after a short grace; a request that comes within it still reaches the
   // handler.
--- a/Source/net/http_server_options.h
+++ b/Source/net/http_server_options.h
@@ -31,6 +31,16 @@
   auto operator<=>(const HttpServerProblem&) const = default;
 };
 
+// Bounds of one request that may change while the server runs.
+struct HttpRequestLimits {
+  std::size_t max_header_bytes = 8192;
+  std::size_t max_body_bytes = 256U << 10U;  // 256 KiB
+  Duration read_timeout = std::chrono::seconds(10);
+  Duration idle_timeout = std::chrono::seconds(120);
+
+  auto operator<=>(const HttpRequestLimits&) const = default;
+};
+
 struct HttpServerOptions {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;                    // 0: the system chooses
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -130,6 +130,8 @@
     {EventNumber::kRunStandsStill, Level::kWarning, "run_stands_still",
      "A run makes no progress though its worker answers; it is moved, or a "
      "copy is started"},
+    {EventNumber::kPreempted, Level::kInfo, "preempted",
+     "A run is stopped for more urgent work and goes on from its checkpoint"},
     {EventNumber::kConfigurationApplied, Level::kInfo, "configuration_applied",
      "A configuration is in force in this process"},
     {EventNumber::kConfigurationRefusedOlder, Level::kWarning,
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -75,6 +75,7 @@
   kStartRefused = 510,
   kPaced = 511,
   kRunStandsStill = 512,
+  kPreempted = 513,
 
   // Configuration
   kConfigurationApplied = 601,
--- a/Source/runtime/engine_shell.cc
+++ b/Source/runtime/engine_shell.cc
@@ -54,6 +54,9 @@
     }
     void operator()(const engine::SendPeer& it) { hooks.send_peer(it); }
     void operator()(const engine::WriteLog& it) { hooks.write_log(it); }
+    void operator()(const engine::ApplyLimits& it) {
+      hooks.edges.apply_limits(it);
+    }
     void operator()(const engine::EndProcess&) { hooks.end_process(); }
   };
   std::visit(Visitor{hooks_}, effect);
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -548,6 +548,24 @@
   }
 }
 
+// Symptom: the store fills with records of jobs that ended long ago.
+// Sequence: the owner of a job that has ended is lost.
+// Cause: only the owner removed its records.
+TEST_CASE("Records of ended jobs go also when their owner is gone") {
+  Fleet fleet({.state_kept = seconds(20)});
+  fleet.Settle();
+  fleet.Submit("n0", "j1", OneStep(2));
+  fleet.Submit("n1", "j2", OneStep(2));
+  fleet.Run(seconds(3));
+  fleet.Kill("n0");
+  fleet.Run(seconds(60));
+  CHECK(fleet.StateOf("n1", "j1") == JobState::kCompleted);
+  CHECK(fleet.store.Keys("job/j2").empty());
+  fleet.Run(seconds(90));
+  CHECK(fleet.store.Keys("job/").empty());
+  CHECK(fleet.store.Keys("spec/").empty());
+}
+
 // Symptom: a task runs twice after a takeover.
 // Sequence: start orders get no answer and are carried out 3 s later; their
 // sender is killed meanwhile and the worker has a new owner.
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -141,6 +141,7 @@
                .node = name,
                .domain = node.domain,
                .address = node.address},
+      .bounds = {.state_kept = options_.state_kept},
       .seed = options_.seed + node.life};
   options.documents.decode_worker = ReadWorker;
   options.documents.decode_configuration =
@@ -215,6 +216,16 @@
   store.Put("configuration", std::to_string(configuration_.version));
 }
 
+void Fleet::AddQueue(const std::string& name, std::uint32_t priority) {
+  ++configuration_.version;
+  QueuePolicy queue = configuration_.queues.front();
+  queue.name = name;
+  queue.prefix = "/" + name + "/";
+  queue.priority = priority;
+  configuration_.queues.push_back(queue);
+  store.Put("configuration", std::to_string(configuration_.version));
+}
+
 const State& Fleet::state(const std::string& node) const {
   return *nodes_.at(node).state;
 }
@@ -282,6 +293,7 @@
     void operator()(const CallAdvice& it) { fleet.CallTheAdvice(node, it); }
     void operator()(const SendPeer& it) { fleet.SendThePeer(node, it); }
     void operator()(const WriteLog& it) { fleet.log.push_back(it.line); }
+    void operator()(const ApplyLimits&) {}
     void operator()(const EndProcess&) { fleet.Kill(node); }
   };
   std::visit(Visitor{*this, node}, effect);
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -33,6 +33,7 @@
   std::size_t workers = 6;    // likewise
   std::int64_t processors_milli = 8000;
   bool advice = false;
+  Duration state_kept = std::chrono::seconds(120);
   std::uint64_t seed = 1;
 };
 
@@ -77,6 +78,8 @@
   std::uint64_t CountReports() const { return reports_; }
 
   void SetQueue(const QueuePolicy& queue);
+  // Beside the others, with the path "/NAME/".
+  void AddQueue(const std::string& name, std::uint32_t priority);
 
   Time now() const { return now_; }
   const State& state(const std::string& node) const;
--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -180,6 +180,56 @@
   }
 }
 
+// Symptom: urgent work waits for as long as the long work that is there runs.
+TEST_CASE("Urgent work is started in the place of work that checkpoints") {
+  Fleet fleet({.workers = 3, .processors_milli = 4000});
+  fleet.Settle();
+  fleet.AddQueue("batch", 2);
+  fleet.Run(seconds(2));
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string& task, std::uint64_t) {
+      return RunPlan{.takes = task.starts_with("b") ? seconds(20)
+                                                    : milliseconds(300)};
+    };
+  }
+  JobSpec batch = OneStep(11);
+  batch.steps[0].checkpointing = true;
+  fleet.Ask("n0", {.question = CallerQuestion::kSubmit,
+                   .queue = "batch",
+                   .job = "b1",
+                   .spec = batch});
+  fleet.Run(seconds(1));
+  REQUIRE(CountRuns(fleet, "b1") >= 9);
+  fleet.Submit("n1", "j1", OneStep(6));
+  fleet.Run(seconds(2));
+  CHECK(fleet.StateOf("n2", "j1") == JobState::kCompleted);
+  fleet.Run(seconds(60));
+  CHECK(fleet.StateOf("n2", "b1") == JobState::kCompleted);
+  CheckPromises(fleet);
+}
+
+TEST_CASE("Work that does not checkpoint is not stopped for urgent work") {
+  Fleet fleet({.workers = 3, .processors_milli = 4000});
+  fleet.Settle();
+  fleet.AddQueue("batch", 2);
+  fleet.Run(seconds(2));
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string&, std::uint64_t) {
+      return RunPlan{.takes = seconds(3)};
+    };
+  }
+  fleet.Ask("n0", {.question = CallerQuestion::kSubmit,
+                   .queue = "batch",
+                   .job = "b1",
+                   .spec = OneStep(11)});
+  fleet.Run(seconds(1));
+  fleet.Submit("n1", "j1", OneStep(6));
+  fleet.Run(seconds(20));
+  CHECK(fleet.StateOf("n2", "j1") == JobState::kCompleted);
+  CHECK(CountRuns(fleet, "b1") == 11);
+  CheckPromises(fleet);
+}
+
 TEST_CASE("The number of waiting jobs is known everywhere") {
   Fleet fleet({.workers = 1, .processors_milli = 1000});
   fleet.Settle();
--- a/Tests/net/http_server_test.cc
+++ b/Tests/net/http_server_test.cc
@@ -119,6 +119,23 @@
   CHECK(echo.requests.empty());
 }
 
+TEST_CASE("Limits that change hold for the requests that follow") {
+  boost::asio::io_context io(1);
+  EchoServer echo(io, {.max_body_bytes = 1000});
+  Caller caller(io, {.address = AddressOf(echo.port)});
+  const HttpRequest request{
+      .method = "POST", .path = "/a", .body = std::string(500, 'b')};
+  caller.Send(request);
+  REQUIRE(RunUntil(io, [&] { return caller.results.size() == 1; }));
+  CHECK(caller.response(0).status == 200);
+  echo.server.SetLimits({.max_body_bytes = 100});
+  caller.Send({.path = "/b"});  // what was read ahead is under the old ones
+  REQUIRE(RunUntil(io, [&] { return caller.results.size() == 2; }));
+  caller.Send(request);
+  REQUIRE(RunUntil(io, [&] { return caller.results.size() == 3; }));
+  CHECK(caller.response(2).status == 413);
+}
+
 // Symptom: a client that sent a byte now and then kept its connection for
 // ever, because each byte began the timeout anew.
 TEST_CASE("A request that is not whole in time gets 408") {
--- a/Tests/platform/caller_codec_test.cc
+++ b/Tests/platform/caller_codec_test.cc
@@ -117,7 +117,7 @@
       R"("kind":"unsafe","target_latency_ms":250,"priority":2,"service":"s",)"
       R"("max_attempts":4,"stretch":1.5,"advice":{"decision_ms":23.5,)"
       R"("period_ms":0.32,"valid_ms":2500}}],"services":[{"name":"s",)"
-      R"("rejects_overload":true,"standby":false}],"limits":{}})");
+      R"("rejects_overload":true,"standby":false}],"limits":{"max_body_bytes":1000,"header_timeout_ms":3000}})");
   REQUIRE(std::holds_alternative<Configuration>(configuration));
   const auto& it = std::get<Configuration>(configuration);
   CHECK(it.version == 7);
@@ -128,6 +128,10 @@
   REQUIRE(it.queues[0].advice);
   CHECK(it.queues[0].advice->each == Duration(320));
   CHECK(it.services[0].guards_room);
+  REQUIRE(it.limits);
+  CHECK(it.limits->max_body_bytes == 1000);
+  CHECK(it.limits->max_header_bytes == 0);
+  CHECK(it.limits->read_timeout == milliseconds(3000));
   CHECK(std::holds_alternative<DocumentFault>(
       DecodeConfigurationDocument(R"({"version":-1})")));
   const auto worker = DecodeWorkerDocument(
