--- a/Source/config/process_settings.cc
+++ b/Source/config/process_settings.cc
@@ -51,6 +51,7 @@
       Required(
           TextField("store", SettingType::kAddress, &StepsSettings::store)),
       TextField("advice", SettingType::kAddress, &StepsSettings::advice),
+      TextField("machines", SettingType::kAddress, &StepsSettings::machines),
       Required(
           TextField("peers", SettingType::kAddress, &StepsSettings::peers)),
       Required(
--- a/Source/config/process_settings.h
+++ b/Source/config/process_settings.h
@@ -61,10 +61,11 @@
 
 // Jobs of steps; off without a store.
 struct StepsSettings {
-  std::string store;    // transactions, watches and leases
-  std::string advice;   // the advice service; may be empty
-  std::string peers;    // where this process listens for its peers' messages
-  std::string metrics;  // where it serves their metrics and state
+  std::string store;     // transactions, watches and leases
+  std::string advice;    // the advice service; may be empty
+  std::string machines;  // the service of machines; may be empty
+  std::string peers;     // where this process listens for its peers' messages
+  std::string metrics;   // where it serves their metrics and state
 
   auto operator<=>(const StepsSettings&) const = default;
 };
--- a/Source/engine/call_codec.cc
+++ b/Source/engine/call_codec.cc
@@ -27,6 +27,11 @@
 constexpr const char* kAdviceMethod = "advise";
 constexpr AlternativeNames<AdviceAnswer> kAdviceOutcomes = {"given", "failed"};
 
+constexpr AlternativeNames<MachineRequest> kMachineMethods = {"list", "upkeep",
+                                                              "move"};
+constexpr AlternativeNames<MachineAnswer> kMachineOutcomes = {
+    "page", "taken", "refused", "unanswered"};
+
 Json::Value Envelope() {
   Json::Value envelope(Json::objectValue);
   envelope["jsonrpc"] = Json::StaticString("2.0");
@@ -119,6 +124,14 @@
   return Post(Call(kAdviceMethod, WriteValue(request)));
 }
 
+HttpRequest EncodeMachineCall(const std::string& holder,
+                              const MachineRequest& request) {
+  Json::Value call =
+      Call(kMachineMethods[request.index()], WriteAlternative(request));
+  call["holder"] = holder;
+  return Post(call);
+}
+
 StoreAnswer DecodeStoreResult(const HttpResult& result) {
   auto read = ReadResult<StoreAnswer>(kStoreOutcomes, result);
   if (const auto* none = std::get_if<Unanswered>(&read)) {
@@ -146,6 +159,15 @@
   return std::get<AdviceAnswer>(std::move(read));
 }
 
+MachineAnswer DecodeMachineResult(const HttpResult& result) {
+  auto read = ReadResult<MachineAnswer>(kMachineOutcomes, result);
+  if (const auto* none = std::get_if<Unanswered>(&read)) {
+    return MachineUnanswered{.may_have_run = none->may_have_run,
+                             .detail = none->detail};
+  }
+  return std::get<MachineAnswer>(std::move(read));
+}
+
 Decoded<StoreRequest> DecodeStoreCall(std::string_view body) {
   const auto parsed = ParseObject(body);
   if (const auto* error = std::get_if<DecodeError>(&parsed)) {
@@ -182,6 +204,15 @@
   return DecodeValue<AdviceRequest>(std::get<Json::Value>(parsed)["params"]);
 }
 
+Decoded<MachineRequest> DecodeMachineCall(std::string_view body) {
+  const auto parsed = ParseObject(body);
+  if (const auto* error = std::get_if<DecodeError>(&parsed)) {
+    return *error;
+  }
+  return ReadCall<MachineRequest>(kMachineMethods,
+                                  std::get<Json::Value>(parsed));
+}
+
 std::string EncodeStoreResult(const StoreAnswer& answer) {
   return Result<StoreAnswer>(kStoreOutcomes, answer);
 }
@@ -194,4 +225,8 @@
   return Result<AdviceAnswer>(kAdviceOutcomes, answer);
 }
 
+std::string EncodeMachineResult(const MachineAnswer& answer) {
+  return Result<MachineAnswer>(kMachineOutcomes, answer);
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/call_codec.h
+++ b/Source/engine/call_codec.h
@@ -6,7 +6,7 @@
 //
 // The methods of a store are read, range, watch, transaction, grant_lease,
 // renew_lease and end_lease; of a worker hold, start, stop and pace; of the
-// advice service advise.
+// advice service advise; of the service of machines list, upkeep and move.
 #ifndef BURDOCKROCK_ENGINE_CALL_CODEC_H_
 #define BURDOCKROCK_ENGINE_CALL_CODEC_H_
 
@@ -31,19 +31,24 @@
 HttpRequest EncodeWorkerCall(const std::string& worker,
                              const WorkerRequest& request);
 HttpRequest EncodeAdviceCall(const AdviceRequest& request);
+HttpRequest EncodeMachineCall(const std::string& holder,
+                              const MachineRequest& request);
 
 // What is no answer of the protocol counts as unanswered.
 StoreAnswer DecodeStoreResult(const HttpResult& result);
 WorkerAnswer DecodeWorkerResult(const HttpResult& result);
 AdviceAnswer DecodeAdviceResult(const HttpResult& result);
+MachineAnswer DecodeMachineResult(const HttpResult& result);
 
 // The serving side, for stand-ins.
 Decoded<StoreRequest> DecodeStoreCall(std::string_view body);
 Decoded<AddressedWorkerRequest> DecodeWorkerCall(std::string_view body);
 Decoded<AdviceRequest> DecodeAdviceCall(std::string_view body);
+Decoded<MachineRequest> DecodeMachineCall(std::string_view body);
 std::string EncodeStoreResult(const StoreAnswer& answer);
 std::string EncodeWorkerResult(const WorkerAnswer& answer);
 std::string EncodeAdviceResult(const AdviceAnswer& answer);
+std::string EncodeMachineResult(const MachineAnswer& answer);
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/call_fields.h
+++ b/Source/engine/call_fields.h
@@ -307,6 +307,101 @@
   }
 };
 
+template <>
+struct EnumText<engine::MachineState> {
+  static constexpr engine::MachineState kLast = engine::MachineState::kDown;
+  static constexpr auto* kName = &engine::MachineStateName;
+};
+
+template <>
+struct EnumText<engine::MachineRefusalKind> {
+  static constexpr engine::MachineRefusalKind kLast =
+      engine::MachineRefusalKind::kTooMany;
+  static constexpr auto* kName = &engine::MachineRefusalName;
+};
+
+template <>
+struct FieldsOf<engine::ListMachines> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("page", it.page, std::string());
+  }
+};
+
+template <>
+struct FieldsOf<engine::BeginUpkeep> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("machine", it.machine);
+    codec.Field("wave", it.wave);
+    codec.Field("fence", it.fence);
+  }
+};
+
+template <>
+struct FieldsOf<engine::MoveMachine> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("machine", it.machine);
+    codec.Field("pool", it.pool);
+    codec.Field("fence", it.fence);
+  }
+};
+
+template <>
+struct FieldsOf<engine::Machine> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("name", it.name);
+    codec.Optional("pool", it.pool, std::string());
+    codec.Field("state", it.state);
+    codec.Optional("worker", it.worker, std::string());
+  }
+};
+
+template <>
+struct FieldsOf<engine::MachinePage> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("machines", it.machines, std::vector<engine::Machine>());
+    codec.Optional("next", it.next, std::string());
+  }
+};
+
+template <>
+struct FieldsOf<engine::MachineTaken> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& /*codec*/, Value& /*it*/) {}
+};
+
+template <>
+struct FieldsOf<engine::MachineRefused> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("kind", it.kind);
+  }
+};
+
+template <>
+struct FieldsOf<engine::MachineUnanswered> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("may_have_run", it.may_have_run, true);
+    codec.Optional("detail", it.detail, std::string());
+  }
+};
+
+template <>
+struct FieldsOf<engine::Wave> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("number", it.number);
+    codec.Field("machines", it.machines);
+    codec.Optional("time_ms", it.time, Duration(0));
+    codec.Optional("cap", it.cap, std::uint32_t{1});
+  }
+};
+
 template <>
 struct FieldsOf<engine::AdvicePolicy> {
   template <typename Codec, typename Value>
--- a/Source/engine/calls.cc
+++ b/Source/engine/calls.cc
@@ -23,4 +23,34 @@
   return "";
 }
 
+const char* MachineStateName(MachineState state) {
+  switch (state) {
+    case MachineState::kUp:
+      return "up";
+    case MachineState::kMoving:
+      return "moving";
+    case MachineState::kUpkeep:
+      return "upkeep";
+    case MachineState::kDown:
+      return "down";
+  }
+  return "";
+}
+
+const char* MachineRefusalName(MachineRefusalKind kind) {
+  switch (kind) {
+    case MachineRefusalKind::kFenced:
+      return "fenced";
+    case MachineRefusalKind::kBusy:
+      return "busy";
+    case MachineRefusalKind::kNotOfWave:
+      return "not_of_wave";
+    case MachineRefusalKind::kInvalid:
+      return "invalid";
+    case MachineRefusalKind::kTooMany:
+      return "too_many";
+  }
+  return "";
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -255,6 +255,80 @@
 
 using AdviceAnswer = std::variant<AdviceGiven, AdviceFailed>;
 
+// Machines: a worker is one life of a machine.
+
+enum class MachineState { kUp, kMoving, kUpkeep, kDown };
+
+const char* MachineStateName(MachineState state);
+
+struct Machine {
+  std::string name{};
+  std::string pool{};  // the service whose workers run there
+  MachineState state = MachineState::kUp;
+  std::string worker{};  // its present life; empty: none
+
+  auto operator<=>(const Machine&) const = default;
+};
+
+// One page; an empty `page` is the first.
+struct ListMachines {
+  std::string page{};
+  auto operator<=>(const ListMachines&) const = default;
+};
+
+// All that runs there ends at once, and a new life comes some seconds later.
+struct BeginUpkeep {
+  std::string machine{};
+  std::uint64_t wave = 0;
+  std::uint64_t fence = 0;
+  auto operator<=>(const BeginUpkeep&) const = default;
+};
+
+struct MoveMachine {
+  std::string machine{};
+  std::string pool{};
+  std::uint64_t fence = 0;
+  auto operator<=>(const MoveMachine&) const = default;
+};
+
+using MachineRequest = std::variant<ListMachines, BeginUpkeep, MoveMachine>;
+
+struct MachinePage {
+  std::vector<Machine> machines{};
+  std::string next{};  // empty: this was the last page
+  auto operator<=>(const MachinePage&) const = default;
+};
+
+// The order was carried out, now or before.
+struct MachineTaken {
+  auto operator<=>(const MachineTaken&) const = default;
+};
+
+enum class MachineRefusalKind {
+  kFenced,     // another instance used a higher fence there
+  kBusy,       // it is not up, or leaves
+  kNotOfWave,  // the wave does not name it
+  kInvalid,
+  kTooMany,  // calls at once
+};
+
+const char* MachineRefusalName(MachineRefusalKind kind);
+
+// Nothing was done.
+struct MachineRefused {
+  MachineRefusalKind kind = MachineRefusalKind::kInvalid;
+  auto operator<=>(const MachineRefused&) const = default;
+};
+
+struct MachineUnanswered {
+  bool may_have_run = true;
+  std::string detail{};
+  auto operator<=>(const MachineUnanswered&) const = default;
+};
+
+using MachineAnswer =
+    std::variant<MachinePage, MachineTaken, MachineRefused, MachineUnanswered>;
+
 // Callers.
 
 enum class CallerQuestion { kSubmit, kState, kCancel, kWaiting };
--- a/Source/engine/configuration.h
+++ b/Source/engine/configuration.h
@@ -89,6 +89,17 @@
   const std::string& rack() const;
 };
 
+// Upkeep that operators ask for: each machine goes down once, at most `cap` of
+// them at a time.
+struct Wave {
+  std::uint64_t number = 0;
+  std::vector<std::string> machines{};
+  Duration time{0};  // in which all of it is to be done
+  std::uint32_t cap = 1;
+
+  auto operator<=>(const Wave&) const = default;
+};
+
 bool HasLabel(const WorkerInfo& worker, std::string_view label);
 
 }  // namespace burdockrock::engine
--- a/Source/engine/documents.cc
+++ b/Source/engine/documents.cc
@@ -21,6 +21,13 @@
   return std::get<T>(std::move(decoded));
 }
 
+std::string EncodeStatus(std::uint64_t wave, bool completed) {
+  Json::Value status(Json::objectValue);
+  status["wave"] = Json::UInt64(wave);
+  status["state"] = Json::StaticString(completed ? "completed" : "running");
+  return WriteJson(status);
+}
+
 std::optional<DecodeError> FindFault(const Configuration& configuration) {
   std::set<std::string> services;
   for (std::size_t it = 0; it < configuration.services.size(); ++it) {
@@ -65,7 +72,10 @@
 StoreDocuments OwnDocuments() {
   return {
       .worker_prefix = "worker/",
-      .configuration_key = "configuration",
+      .operator_prefix = "operator/",
+      .configuration_key = "operator/configuration",
+      .wave_prefix = "operator/wave/",
+      .wave_status_prefix = "status/wave/",
       .decode_worker =
           [](std::string_view /*id*/, std::string_view text) {
             return AsDocument(DecodeText<WorkerInfo>(text));
@@ -74,6 +84,11 @@
           [](std::string_view text) {
             return AsDocument(ReadConfiguration(text));
           },
+      .decode_wave =
+          [](std::string_view text) {
+            return AsDocument(DecodeText<Wave>(text));
+          },
+      .encode_wave_status = EncodeStatus,
   };
 }
 
--- a/Source/engine/event.h
+++ b/Source/engine/event.h
@@ -42,6 +42,11 @@
   AdviceAnswer answer{};
 };
 
+struct MachinesAnswered {
+  MachineRequest request{};
+  MachineAnswer answer{};
+};
+
 struct PeerSaid {
   std::string from{};  // an incarnation
   PeerMessage message{};
@@ -60,6 +65,7 @@
                                StoreAnswered,
                                WorkerAnswered,
                                AdviceAnswered,
+                               MachinesAnswered,
                                PeerSaid,
                                StopAsked,
                                BoundsChanged>;
@@ -95,6 +101,12 @@
   Duration timeout{0};
 };
 
+struct CallMachines {
+  std::string holder{};  // who orders, for the service's own log
+  MachineRequest request{};
+  Duration timeout{0};
+};
+
 struct SendPeer {
   std::string to{};  // an incarnation
   std::string address{};
@@ -117,6 +129,7 @@
                             CallStore,
                             CallWorker,
                             CallAdvice,
+                            CallMachines,
                             SendPeer,
                             WriteLog,
                             ApplyLimits,
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -155,6 +155,31 @@
   }
 }
 
+// Lasting tasks serve somebody: at most as many of a step as its budget says,
+// and one where it says nothing, may be away at once.
+bool MayTakeAway(const Context& context, const Place& place) {
+  if (!place.spec.lasting) {
+    return true;
+  }
+  const Duration settle = context.state.options.bounds.settle_time;
+  std::uint32_t away = 0;
+  for (const Task& it : place.step.tasks) {
+    const bool at_work = it.phase == TaskPhase::kRunning && !it.stopping &&
+                         HasPassed(context.now, it.since, settle);
+    away += at_work ? 0 : 1;
+  }
+  return away < std::max(place.spec.may_miss, 1U);
+}
+
+// Its worker is to be emptied.
+void OnUnwanted(Context& context, const Place& place) {
+  place.task.heard = context.now;
+  if (!place.task.stopping && MayTakeAway(context, place)) {
+    place.task.avoid = place.task.worker;
+    StopTask(context, place.job, place.name, place.task);
+  }
+}
+
 // Counts a failed run: of a gang once, however many members say so.
 std::uint32_t CountFailure(const Place& place, std::uint64_t run) {
   if (!place.spec.gang) {
@@ -374,6 +399,9 @@
     case RunState::kStill:
       OnStill(context, *place);
       break;
+    case RunState::kUnwanted:
+      OnUnwanted(context, *place);
+      break;
     case RunState::kUnreached:
       WantCopy(context, place->spec, task);
       break;
--- a/Source/engine/options.h
+++ b/Source/engine/options.h
@@ -23,13 +23,21 @@
 // How the platform's own documents in the store are read.
 struct StoreDocuments {
   std::string worker_prefix = "worker/";
-  std::string configuration_key = "configuration";
+  // All that operators write begins so.
+  std::string operator_prefix = "operator/";
+  std::string configuration_key = "operator/configuration";
+  std::string wave_prefix = "operator/wave/";
+  std::string wave_status_prefix = "status/wave/";
   std::function<std::variant<WorkerInfo, DocumentFault>(std::string_view id,
                                                         std::string_view text)>
       decode_worker{};
   std::function<std::variant<Configuration, DocumentFault>(
       std::string_view text)>
       decode_configuration{};
+  std::function<std::variant<Wave, DocumentFault>(std::string_view text)>
+      decode_wave{};
+  std::function<std::string(std::uint64_t wave, bool completed)>
+      encode_wave_status{};
 };
 
 // The platform's bounds, from the process's settings.
@@ -40,6 +48,10 @@
   Duration state_kept = std::chrono::seconds(120);  // of an ended job
   Duration min_lease_ttl = std::chrono::seconds(1);
   Duration grace = std::chrono::seconds(6);  // from the stop signal to the kill
+  // Two instances that order machines in turn do so this far apart.
+  Duration duty_lease = std::chrono::seconds(3);
+  // A lasting task that has started is at work after this long at the latest.
+  Duration settle_time = std::chrono::milliseconds(4500);
   // Between two writes of a worker's entry in the store.
   Duration heartbeat = std::chrono::milliseconds(1500);
 
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -100,7 +100,8 @@
   std::uint32_t recent_failures = 0;  // in a row, of different jobs
   std::string failed_job{};
   Time quarantine_until = Time::min();
-  Time still_until = Time::min();  // what runs there stood still
+  Time still_until = Time::min();    // what runs there stood still
+  Time leaving_until = Time::min();  // its machine is to go down
 };
 
 struct GoneWorker {
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -292,6 +292,22 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::PrepareWorker> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+  }
+};
+
+template <>
+struct FieldsOf<engine::WorkerPrepared> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+  }
+};
+
 }  // namespace burdockrock
 
 #endif  // BURDOCKROCK_ENGINE_PEER_FIELDS_H_
--- a/Source/engine/peer_message.cc
+++ b/Source/engine/peer_message.cc
@@ -12,8 +12,8 @@
 }
 
 const char* RunStateName(RunState state) {
-  static constexpr std::array<const char*, 5> kNames = {
-      "running", "pending", "absent", "still", "unreached"};
+  static constexpr std::array<const char*, 6> kNames = {
+      "running", "pending", "absent", "still", "unwanted", "unreached"};
   return kNames.at(static_cast<std::size_t>(state));
 }
 
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -175,6 +175,7 @@
   kPending,    // ordered, not answered yet, or being stopped
   kAbsent,     // not there and never will be
   kStill,      // there, but its work does not go on
+  kUnwanted,   // it runs; its worker is to be emptied
   kUnreached,  // it was there; its worker can't be reached at the moment
 };
 
@@ -278,6 +279,20 @@
   auto operator<=>(const AdviceReply&) const = default;
 };
 
+// The worker's machine is to go down: its owner empties it.
+struct PrepareWorker {
+  std::string worker{};
+
+  auto operator<=>(const PrepareWorker&) const = default;
+};
+
+// Nothing runs there any more, and nothing new starts for a while.
+struct WorkerPrepared {
+  std::string worker{};
+
+  auto operator<=>(const WorkerPrepared&) const = default;
+};
+
 using PeerMessage = std::variant<RoomDigest,
                                  TaskOffer,
                                  OfferAnswers,
@@ -291,7 +306,9 @@
                                  JobQuery,
                                  JobReply,
                                  AdviceAsk,
-                                 AdviceReply>;
+                                 AdviceReply,
+                                 PrepareWorker,
+                                 WorkerPrepared>;
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -17,6 +17,7 @@
 #include "engine/run_ends.h"
 #include "engine/run_questions.h"
 #include "engine/store_calls.h"
+#include "engine/upkeep.h"
 #include "engine/watches.h"
 #include "engine/worker_list.h"
 #include "engine/worker_offers.h"
@@ -46,6 +47,10 @@
   void operator()(const JobReply& it) { OnJobReply(context, it); }
   void operator()(const AdviceAsk& it) { OnAdviceAsk(context, from, it); }
   void operator()(const AdviceReply& it) { OnAdviceReply(context, it); }
+  void operator()(const PrepareWorker& it) {
+    OnPrepareWorker(context, from, it);
+  }
+  void operator()(const WorkerPrepared& it) { OnWorkerPrepared(context, it); }
 };
 
 // Hands the store's answer to whoever asked.
@@ -73,6 +78,9 @@
     OnOrphanPage(context, it.prefix, answer);
   }
   void operator()(const ForSweep&) { OnSweepPage(context, answer); }
+  void operator()(const ForWaveStatus& it) {
+    OnWaveTold(context, it.wave, it.completed, answer);
+  }
   void operator()(const ForNothing&) {}
 };
 
@@ -97,6 +105,9 @@
     }
   }
   void operator()(const AdviceAnswered& it) { OnAdviceAnswered(context, it); }
+  void operator()(const MachinesAnswered& it) {
+    OnMachinesAnswered(context, it);
+  }
   void operator()(const PeerSaid& it) {
     std::visit(PeerVisitor{context, it.from}, it.message);
   }
@@ -128,6 +139,7 @@
   DriveAdoption(context);
   DriveCatalog(context);
   DriveSweep(context);
+  DriveUpkeep(context);
   DrainInbox(context);
   DriveAdvice(context);
   DrainInbox(context);
--- a/Source/engine/run_progress.cc
+++ b/Source/engine/run_progress.cc
@@ -117,4 +117,18 @@
   SendAll(context, std::move(reports));
 }
 
+void ReportUnwanted(Context& context,
+                    const std::string& id,
+                    OwnedWorker& worker) {
+  Reports reports;
+  for (const auto& [task, run] : worker.runs) {
+    const bool movable =
+        run.spec.lasting || run.spec.checkpointing || run.spec.filling;
+    if (movable && run.phase == RunPhase::kRunning) {
+      AddReport(context, id, task, run, RunState::kUnwanted, reports);
+    }
+  }
+  SendAll(context, std::move(reports));
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/run_progress.h
+++ b/Source/engine/run_progress.h
@@ -21,6 +21,12 @@
                      const std::string& id,
                      OwnedWorker& worker);
 
+// The worker is to be emptied: the owners of its runs' jobs move them when that
+// costs little and the steps' budgets allow it.
+void ReportUnwanted(Context& context,
+                    const std::string& id,
+                    OwnedWorker& worker);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_RUN_PROGRESS_H_
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -22,13 +22,14 @@
 #include "engine/owned_worker.h"
 #include "engine/peer_message.h"
 #include "engine/record.h"
+#include "engine/upkeep_rule.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
 
 // Store calls and what they are for.
 
-enum class WatchedList { kMembers, kWorkers, kConfiguration };
+enum class WatchedList { kMembers, kWorkers, kOperators };
 inline constexpr std::size_t kWatchedLists = 3;
 
 struct ForWatch {
@@ -53,6 +54,10 @@
   std::string prefix{};
 };
 struct ForSweep {};
+struct ForWaveStatus {
+  std::uint64_t wave = 0;
+  bool completed = false;
+};
 struct ForNothing {};
 
 using StorePurpose = std::variant<ForWatch,
@@ -65,6 +70,7 @@
                                   ForSpecRead,
                                   ForOrphans,
                                   ForSweep,
+                                  ForWaveStatus,
                                   ForNothing>;
 
 struct StoreState {
@@ -209,6 +215,21 @@
   bool writing = false;
 };
 
+// Waves of upkeep, and what this instance does for them while it is the one
+// that orders machines.
+struct UpkeepState {
+  std::map<std::uint64_t, WaveProgress> waves{};
+  Time held_since = kForever;  // the duty
+  bool in_flight = false;      // a call about machines
+  Time called_at{0};
+  Time retry_at{0};
+  Time list_asked = Time::min();
+  bool listed = false;  // since it has the duty
+  MachineList machines{};
+  MachineList reading{};
+  bool telling = false;
+};
+
 // Records of ended jobs without an owner are looked for.
 struct SweepState {
   Time swept_at{0};  // not right after the start
@@ -295,6 +316,7 @@
   std::map<std::string, OrphanScan> scans{};  // by prefix
   Time scanned_at = Time::min();
   SweepState sweep{};
+  UpkeepState upkeep{};
   AdviceState advice{};
   DigestState digest{};
   StopState stop{};
--- /dev/null
+++ b/Source/engine/upkeep.cc
@@ -0,0 +1,306 @@
+#include "engine/upkeep.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "engine/job_runs.h"
+#include "engine/membership.h"
+#include "engine/run_ends.h"
+#include "engine/run_progress.h"
+#include "engine/store_calls.h"
+#include "engine/upkeep_rule.h"
+#include "engine/worker_owner.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+constexpr const char* kDuty = "upkeep";
+// Listings are paid for; a machine is down for two seconds or more.
+constexpr Duration kListInterval = milliseconds(1000);
+constexpr Duration kMachineTimeout = milliseconds(1000);
+constexpr Duration kCallRetry = milliseconds(200);
+// The worker's owner is asked again.
+constexpr Duration kPrepareRepeat = milliseconds(500);
+// A machine that does not get empty in this time lets others go first: runs
+// take up to 15 s.
+constexpr Duration kPrepareTime = milliseconds(20'000);
+// For so long after the last message a worker takes nothing new.
+constexpr Duration kLeavingKept = milliseconds(1500);
+
+// Whoever orders machines has to be surely the only one: it must be registered,
+// and chosen for longer than another one may still believe that it is.
+bool HoldsDuty(Context& context) {
+  UpkeepState& upkeep = context.state.upkeep;
+  const bool chosen = IsSurelyRegistered(context) &&
+                      !context.state.stop.asked &&
+                      ChooseMember(context.state, kDuty, {}) == context.self();
+  if (!chosen) {
+    upkeep.held_since = kForever;
+    return false;
+  }
+  upkeep.held_since = std::min(upkeep.held_since, context.now);
+  return HasPassed(context.now, upkeep.held_since,
+                   context.state.options.bounds.duty_lease);
+}
+
+void Call(Context& context, MachineRequest request) {
+  UpkeepState& upkeep = context.state.upkeep;
+  upkeep.in_flight = true;
+  upkeep.called_at = context.now;
+  context.Emit(CallMachines{.holder = context.state.options.self.node,
+                            .request = std::move(request),
+                            .timeout = kMachineTimeout});
+}
+
+void TellWave(Context& context, std::uint64_t number, bool completed) {
+  const StoreDocuments& documents = context.state.options.documents;
+  UpkeepState& upkeep = context.state.upkeep;
+  upkeep.telling = true;
+  AskStore(
+      context,
+      StoreTransaction{
+          .conditions = {{.key = MemberKey(context.self()),
+                          .revision = context.state.members.fence}},
+          .puts = {{.key =
+                        documents.wave_status_prefix + std::to_string(number),
+                    .value = documents.encode_wave_status(number, completed)}}},
+      ForWaveStatus{.wave = number, .completed = completed});
+}
+
+void DriveStatus(Context& context, WaveProgress& progress) {
+  if (context.state.upkeep.telling) {
+    return;
+  }
+  if (!progress.running_told) {
+    TellWave(context, progress.wave.number, false);
+  } else if (!progress.completed_told && IsComplete(progress)) {
+    TellWave(context, progress.wave.number, true);
+  }
+}
+
+void Prepare(Context& context,
+             const std::string& name,
+             MachineProgress& machine) {
+  if (!HasPassed(context.now, machine.asked, kPrepareRepeat)) {
+    return;
+  }
+  machine.asked = context.now;
+  const std::string owner = OwnerOfWorker(context, machine.worker);
+  if (owner.empty()) {
+    context.Log(EventNumber::kUpkeepWaits,
+                {{"machine", name}, {"cause", "its worker has no owner"}});
+    return;
+  }
+  Send(context, owner, PrepareWorker{.worker = machine.worker});
+}
+
+// True when an order was sent.
+bool DriveMachine(Context& context,
+                  const WaveProgress& progress,
+                  const std::string& name,
+                  MachineProgress& machine) {
+  if (machine.phase != MachinePhase::kPreparing) {
+    return false;
+  }
+  if (HasPassed(context.now, machine.since, kPrepareTime)) {
+    context.Log(EventNumber::kUpkeepWaits,
+                {{"machine", name}, {"cause", "it did not get empty"}});
+    machine.phase = MachinePhase::kWaiting;
+    machine.since = context.now;
+    return false;
+  }
+  if (!machine.empty) {
+    Prepare(context, name, machine);
+    return false;
+  }
+  machine.phase = MachinePhase::kOrdered;
+  machine.since = context.now;
+  machine.taken = false;
+  context.Log(EventNumber::kUpkeepOrdered,
+              {{"machine", name},
+               {"wave", std::to_string(progress.wave.number)},
+               {"fence", std::to_string(context.state.members.fence)}});
+  Call(context, BeginUpkeep{.machine = name,
+                            .wave = progress.wave.number,
+                            .fence = context.state.members.fence});
+  return true;
+}
+
+void DriveWave(Context& context, WaveProgress& progress) {
+  const MachineList& list = context.state.upkeep.machines;
+  for (const std::string& it : NextMachines(progress, list)) {
+    progress.machines[it] = {.phase = MachinePhase::kPreparing,
+                             .since = context.now,
+                             .asked = Time::min(),
+                             .worker = list.at(it).worker};
+  }
+  for (auto& [name, machine] : progress.machines) {
+    if (!context.state.upkeep.in_flight &&
+        DriveMachine(context, progress, name, machine)) {
+      return;
+    }
+  }
+}
+
+void TakePage(Context& context, const MachinePage& page) {
+  UpkeepState& upkeep = context.state.upkeep;
+  for (const Machine& it : page.machines) {
+    upkeep.reading[it.name] = it;
+  }
+  if (!page.next.empty()) {
+    return Call(context, ListMachines{.page = page.next});
+  }
+  upkeep.machines = std::exchange(upkeep.reading, {});
+  upkeep.listed = true;
+  for (auto& [number, wave] : upkeep.waves) {
+    TakeListing(wave, upkeep.machines, upkeep.list_asked);
+  }
+}
+
+MachineProgress* FindOrdered(Context& context, const BeginUpkeep& order) {
+  const auto wave = context.state.upkeep.waves.find(order.wave);
+  if (wave == context.state.upkeep.waves.end()) {
+    return nullptr;
+  }
+  const auto it = wave->second.machines.find(order.machine);
+  return it == wave->second.machines.end() ? nullptr : &it->second;
+}
+
+void OnUpkeepAnswer(Context& context,
+                    const BeginUpkeep& order,
+                    const MachineAnswer& answer) {
+  MachineProgress* machine = FindOrdered(context, order);
+  if (machine == nullptr) {
+    return;
+  }
+  if (std::holds_alternative<MachineTaken>(answer)) {
+    machine->taken = true;
+    machine->since = context.now;
+    return;
+  }
+  const auto* refused = std::get_if<MachineRefused>(&answer);
+  if (refused == nullptr) {
+    return;  // it may be carried out yet; the listings will tell
+  }
+  context.Log(EventNumber::kUpkeepWaits,
+              {{"machine", order.machine},
+               {"cause", MachineRefusalName(refused->kind)}});
+  machine->phase = MachinePhase::kWaiting;
+  machine->since = context.now;
+  if (refused->kind == MachineRefusalKind::kFenced) {
+    WantRaise(context);
+  }
+}
+
+}  // namespace
+
+void OnWaveItem(Context& context, const StoreItem& item) {
+  const StoreDocuments& documents = context.state.options.documents;
+  if (!documents.decode_wave) {
+    return;
+  }
+  auto decoded = documents.decode_wave(item.value);
+  if (const auto* fault = std::get_if<DocumentFault>(&decoded)) {
+    context.Log(EventNumber::kPlatformMalformed,
+                {{"key", item.key}, {"problem", fault->problem}});
+    return;
+  }
+  auto& wave = std::get<Wave>(decoded);
+  const std::uint64_t number = wave.number;
+  if (context.state.upkeep.waves.contains(number)) {
+    return;
+  }
+  context.Log(EventNumber::kWaveSeen,
+              {{"wave", std::to_string(number)},
+               {"machines", std::to_string(wave.machines.size())},
+               {"cap", std::to_string(wave.cap)}});
+  context.state.upkeep.waves.emplace(number, BeginWave(std::move(wave)));
+}
+
+void DriveUpkeep(Context& context) {
+  UpkeepState& upkeep = context.state.upkeep;
+  const bool open =
+      std::any_of(upkeep.waves.begin(), upkeep.waves.end(),
+                  [](const auto& it) { return !it.second.completed_told; });
+  if (!open || !HoldsDuty(context)) {
+    upkeep.listed = false;
+    return;
+  }
+  if (!upkeep.in_flight && context.now >= upkeep.retry_at &&
+      HasPassed(context.now, upkeep.list_asked, kListInterval)) {
+    upkeep.list_asked = context.now;
+    upkeep.reading.clear();
+    Call(context, ListMachines{});
+  }
+  if (!upkeep.listed) {
+    return;
+  }
+  for (auto& [number, wave] : upkeep.waves) {
+    if (!wave.completed_told) {
+      DriveWave(context, wave);
+      DriveStatus(context, wave);
+    }
+  }
+}
+
+void OnMachinesAnswered(Context& context, const MachinesAnswered& event) {
+  UpkeepState& upkeep = context.state.upkeep;
+  upkeep.in_flight = false;
+  if (const auto* order = std::get_if<BeginUpkeep>(&event.request)) {
+    OnUpkeepAnswer(context, *order, event.answer);
+  } else if (const auto* page = std::get_if<MachinePage>(&event.answer)) {
+    TakePage(context, *page);
+  }
+  const auto* none = std::get_if<MachineUnanswered>(&event.answer);
+  if (none != nullptr) {
+    upkeep.retry_at = context.now + kCallRetry;
+    context.Log(EventNumber::kMachinesUnanswered, {{"problem", none->detail}});
+  }
+}
+
+void OnWaveTold(Context& context,
+                std::uint64_t wave,
+                bool completed,
+                const StoreAnswer& answer) {
+  context.state.upkeep.telling = false;
+  const auto it = context.state.upkeep.waves.find(wave);
+  if (it == context.state.upkeep.waves.end() ||
+      !std::holds_alternative<StoreDone>(answer)) {
+    return;  // told again
+  }
+  it->second.running_told = true;
+  it->second.completed_told = completed;
+  context.Log(EventNumber::kWaveTold,
+              {{"wave", std::to_string(wave)},
+               {"state", completed ? "completed" : "running"}});
+}
+
+void OnPrepareWorker(Context& context,
+                     const std::string& from,
+                     const PrepareWorker& message) {
+  OwnedWorker* worker = FindClaimed(context.state, message.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->leaving_until = context.now + kLeavingKept;
+  RoomChanged(context, message.worker);
+  if (worker->runs.empty() && worker->ends.empty()) {
+    return Send(context, from, WorkerPrepared{.worker = message.worker});
+  }
+  ReportUnwanted(context, message.worker, *worker);
+}
+
+void OnWorkerPrepared(Context& context, const WorkerPrepared& message) {
+  for (auto& [number, wave] : context.state.upkeep.waves) {
+    for (auto& [name, machine] : wave.machines) {
+      if (machine.phase == MachinePhase::kPreparing &&
+          machine.worker == message.worker) {
+        machine.empty = true;
+      }
+    }
+  }
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -4,6 +4,7 @@
 
 #include "engine/membership.h"
 #include "engine/store_calls.h"
+#include "engine/upkeep.h"
 #include "engine/worker_list.h"
 
 namespace burdockrock::engine {
@@ -16,10 +17,10 @@
       return std::string(kMemberPrefix);
     case WatchedList::kWorkers:
       return state.options.documents.worker_prefix;
-    case WatchedList::kConfiguration:
+    case WatchedList::kOperators:
       break;
   }
-  return state.options.documents.configuration_key;
+  return state.options.documents.operator_prefix;
 }
 
 Duration PauseOf(WatchedList list) {
@@ -28,9 +29,6 @@
 
 void OnConfigurationItem(Context& context, const StoreItem& item) {
   const StoreDocuments& documents = context.state.options.documents;
-  if (item.key != documents.configuration_key) {
-    return;
-  }
   auto decoded = documents.decode_configuration(item.value);
   if (const auto* fault = std::get_if<DocumentFault>(&decoded)) {
     context.Log(EventNumber::kConfigurationInvalid,
@@ -56,14 +54,23 @@
   context.state.placement_due = true;
 }
 
+void OnOperatorItem(Context& context, const StoreItem& item) {
+  const StoreDocuments& documents = context.state.options.documents;
+  if (item.key == documents.configuration_key) {
+    OnConfigurationItem(context, item);
+  } else if (item.key.starts_with(documents.wave_prefix)) {
+    OnWaveItem(context, item);
+  }
+}
+
 void OnItem(Context& context, WatchedList list, const StoreItem& item) {
   switch (list) {
     case WatchedList::kMembers:
       return OnMemberItem(context, item);
     case WatchedList::kWorkers:
       return OnWorkerItem(context, item);
-    case WatchedList::kConfiguration:
-      return OnConfigurationItem(context, item);
+    case WatchedList::kOperators:
+      return OnOperatorItem(context, item);
   }
 }
 
@@ -73,7 +80,7 @@
       return OnMemberRemoved(context, key);
     case WatchedList::kWorkers:
       return OnWorkerRemoved(context, key);
-    case WatchedList::kConfiguration:
+    case WatchedList::kOperators:
       return;  // the last configuration stays in force
   }
 }
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -371,7 +371,8 @@
          worker.claimed && described && !IsSilent(worker) &&
          worker.lease_until_ms != 0 && context.now >= worker.unhealthy_until &&
          context.now >= worker.quarantine_until &&
-         context.now >= worker.still_until;
+         context.now >= worker.still_until &&
+         context.now >= worker.leaving_until;
 }
 
 Resources FreeRoom(const OwnedWorker& worker) {
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -154,6 +154,16 @@
      "Workers, queue and log were handed over to other entry instances"},
     {EventNumber::kDrainComplete, Level::kInfo, "drain_complete",
      "Nothing is in progress any more and the process may be stopped"},
+    {EventNumber::kWaveSeen, Level::kInfo, "wave_seen",
+     "Operators ask for a wave of upkeep"},
+    {EventNumber::kUpkeepOrdered, Level::kInfo, "upkeep_ordered",
+     "An empty machine is sent down for its upkeep"},
+    {EventNumber::kUpkeepWaits, Level::kInfo, "upkeep_waits",
+     "A machine's upkeep can't begin now and is tried again"},
+    {EventNumber::kWaveTold, Level::kInfo, "wave_told",
+     "The store has the state of a wave of upkeep"},
+    {EventNumber::kMachinesUnanswered, Level::kWarning, "machines_unanswered",
+     "The service of machines gave no answer to a call"},
 });
 
 }  // namespace
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -88,6 +88,13 @@
   kDrainStarted = 701,
   kHandedOver = 702,
   kDrainComplete = 703,
+
+  // Upkeep of machines
+  kWaveSeen = 801,
+  kUpkeepOrdered = 802,
+  kUpkeepWaits = 803,
+  kWaveTold = 804,
+  kMachinesUnanswered = 805,
 };
 
 // What the catalogue says of one event.
--- a/Source/runtime/engine_clients.cc
+++ b/Source/runtime/engine_clients.cc
@@ -27,6 +27,18 @@
           .connect_timeout = kConnectTimeout};
 }
 
+// Null without an address.
+std::unique_ptr<HttpClient> OneCallAtATime(boost::asio::io_context& io,
+                                           const std::string& address) {
+  if (address.empty()) {
+    return nullptr;
+  }
+  return std::make_unique<HttpClient>(
+      io, HttpClientOptions{.address = address,
+                            .max_connections = 1,
+                            .connect_timeout = kConnectTimeout});
+}
+
 }  // namespace
 
 EngineClients::EngineClients(boost::asio::io_context& io,
@@ -37,12 +49,8 @@
       workers_(io,
                {.max_connections = kWorkerConnections,
                 .connect_timeout = kConnectTimeout}) {
-  if (!options_.advice.empty()) {
-    advice_ = std::make_unique<HttpClient>(
-        io, HttpClientOptions{.address = options_.advice,
-                              .max_connections = 1,
-                              .connect_timeout = kConnectTimeout});
-  }
+  advice_ = OneCallAtATime(io, options_.advice);
+  machines_ = OneCallAtATime(io, options_.machines);
 }
 
 void EngineClients::CallStore(const engine::CallStore& call) {
@@ -85,4 +93,20 @@
                 });
 }
 
+void EngineClients::CallMachines(const engine::CallMachines& call) {
+  if (!machines_) {
+    return options_.on_event(engine::MachinesAnswered{
+        .request = call.request,
+        .answer = engine::MachineUnanswered{
+            .may_have_run = false, .detail = "no service of machines is set"}});
+  }
+  machines_->Send(
+      options_.codec.encode_machines(call.holder, call.request), call.timeout,
+      [this, request = call.request](const HttpResult& result) {
+        options_.on_event(engine::MachinesAnswered{
+            .request = request,
+            .answer = options_.codec.decode_machines(request, result)});
+      });
+}
+
 }  // namespace burdockrock
--- a/Source/runtime/engine_clients.h
+++ b/Source/runtime/engine_clients.h
@@ -26,11 +26,18 @@
   std::function<engine::WorkerAnswer(const HttpResult&)> decode_worker{};
   std::function<HttpRequest(const engine::AdviceRequest&)> encode_advice{};
   std::function<engine::AdviceAnswer(const HttpResult&)> decode_advice{};
+  std::function<HttpRequest(const std::string& holder,
+                            const engine::MachineRequest&)>
+      encode_machines{};
+  std::function<engine::MachineAnswer(const engine::MachineRequest&,
+                                      const HttpResult&)>
+      decode_machines{};
 };
 
 struct EngineClientsOptions {
-  std::string store{};   // "IP:PORT"
-  std::string advice{};  // "IP:PORT"; empty: there is none
+  std::string store{};     // "IP:PORT"
+  std::string advice{};    // "IP:PORT"; empty: there is none
+  std::string machines{};  // "IP:PORT"; empty: there is none
   EngineCallCodec codec{};
   std::function<void(engine::EventBody)> on_event{};
 };
@@ -45,6 +52,7 @@
   void CallStore(const engine::CallStore& call);
   void CallWorker(const engine::CallWorker& call);
   void CallAdvice(const engine::CallAdvice& call);
+  void CallMachines(const engine::CallMachines& call);
 
  private:
   EngineClientsOptions options_;
@@ -52,6 +60,7 @@
   HttpClient watches_;
   ClientPool workers_;
   std::unique_ptr<HttpClient> advice_;
+  std::unique_ptr<HttpClient> machines_;
 };
 
 }  // namespace burdockrock
--- a/Source/runtime/engine_shell.cc
+++ b/Source/runtime/engine_shell.cc
@@ -52,6 +52,9 @@
     void operator()(const engine::CallAdvice& it) {
       hooks.edges.call_advice(it);
     }
+    void operator()(const engine::CallMachines& it) {
+      hooks.edges.call_machines(it);
+    }
     void operator()(const engine::SendPeer& it) { hooks.send_peer(it); }
     void operator()(const engine::WriteLog& it) { hooks.write_log(it); }
     void operator()(const engine::ApplyLimits& it) {
--- a/Source/runtime/engine_shell.h
+++ b/Source/runtime/engine_shell.h
@@ -18,6 +18,7 @@
   std::function<void(const engine::CallStore&)> call_store{};
   std::function<void(const engine::CallWorker&)> call_worker{};
   std::function<void(const engine::CallAdvice&)> call_advice{};
+  std::function<void(const engine::CallMachines&)> call_machines{};
   std::function<void(const engine::AnswerCaller&)> answer_caller{};
   std::function<void(const engine::ApplyLimits&)> apply_limits =
       [](const engine::ApplyLimits&) {};
--- a/Source/runtime/steps_instance.cc
+++ b/Source/runtime/steps_instance.cc
@@ -24,6 +24,12 @@
       .decode_worker = engine::DecodeWorkerResult,
       .encode_advice = engine::EncodeAdviceCall,
       .decode_advice = engine::DecodeAdviceResult,
+      .encode_machines = engine::EncodeMachineCall,
+      .decode_machines =
+          [](const engine::MachineRequest& /*request*/,
+             const HttpResult& result) {
+            return engine::DecodeMachineResult(result);
+          },
   };
 }
 
@@ -34,6 +40,7 @@
     : clients_(io,
                {.store = options.settings.steps.store,
                 .advice = options.settings.steps.advice,
+                .machines = options.settings.steps.machines,
                 .codec = CallCodec(),
                 .on_event =
                     [this](engine::EventBody it) {
@@ -75,6 +82,10 @@
               [this](const engine::CallWorker& it) { clients_.CallWorker(it); },
           .call_advice =
               [this](const engine::CallAdvice& it) { clients_.CallAdvice(it); },
+          .call_machines =
+              [this](const engine::CallMachines& it) {
+                clients_.CallMachines(it);
+              },
           .answer_caller =
               [this](const engine::AnswerCaller& it) { callers_.Answer(it); }},
       .peers_address = settings.steps.peers,
--- a/Tests/engine/codec_test.cc
+++ b/Tests/engine/codec_test.cc
@@ -106,6 +106,33 @@
   CHECK(DecodeAdviceResult(Ok(EncodeAdviceResult(advice))) == advice);
 }
 
+TEST_CASE("Each call about machines is read back as it was written") {
+  const MachineRequest requests[] = {
+      ListMachines{.page = "p2"},
+      BeginUpkeep{.machine = "m1", .wave = 3, .fence = 9},
+      MoveMachine{.machine = "m1", .pool = "s", .fence = 9},
+  };
+  for (const MachineRequest& it : requests) {
+    INFO("alternative " << it.index());
+    const auto read = DecodeMachineCall(EncodeMachineCall("n1", it).body);
+    CHECK(std::get<MachineRequest>(read) == it);
+  }
+  const MachineAnswer answers[] = {
+      MachinePage{.machines = {{.name = "m1",
+                                .pool = "s",
+                                .state = MachineState::kUpkeep,
+                                .worker = "w1"}},
+                  .next = "p3"},
+      MachineTaken{},
+      MachineRefused{.kind = MachineRefusalKind::kBusy},
+      MachineUnanswered{.may_have_run = false, .detail = "d"},
+  };
+  for (const MachineAnswer& it : answers) {
+    INFO("alternative " << it.index());
+    CHECK(DecodeMachineResult(Ok(EncodeMachineResult(it))) == it);
+  }
+}
+
 // Symptom: a garbled answer is taken for one, and a write for not done.
 TEST_CASE("An answer that is none counts as unanswered, with its cause") {
   for (const char* it : {"", "{", "{}", R"({"result":{}})",
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -68,24 +68,29 @@
                                 .valid = milliseconds(2500)};
   }
   SetQueue(queue);
-  for (std::size_t it = 0; it < options_.workers; ++it) {
-    const std::string name = fmt::format("w{}", it);
+  AddWorkers(options_.workers);
+  for (std::size_t it = 0; it < options_.instances; ++it) {
+    const std::string name = fmt::format("n{}", it);
+    nodes_[name].domain = options_.domains[it % options_.domains.size()];
+    nodes_[name].address = name;
+    Start(name);
+  }
+}
+
+void Fleet::AddWorkers(std::size_t count) {
+  for (std::size_t it = 0; it < count; ++it) {
+    const std::size_t number = workers_.size();
+    const std::string name = fmt::format("w{}", number);
     workers_[name] = std::make_unique<FakeWorker>(
         WorkerInfo{.id = name + "-1",
                    .address = name,
-                   .domain = options_.domains[it % options_.domains.size()],
+                   .domain = options_.domains[number % options_.domains.size()],
                    .service = "s",
                    .capacity = {.processors_milli = options_.processors_milli,
                                 .memory_mb = 1'000'000}},
         seen);
     ListWorker(*workers_[name]);
   }
-  for (std::size_t it = 0; it < options_.instances; ++it) {
-    const std::string name = fmt::format("n{}", it);
-    nodes_[name].domain = options_.domains[it % options_.domains.size()];
-    nodes_[name].address = name;
-    Start(name);
-  }
 }
 
 void Fleet::Settle() {
@@ -148,6 +153,12 @@
       [this](std::string_view) -> std::variant<Configuration, DocumentFault> {
     return configuration_;
   };
+  options.documents.decode_wave = [this](std::string_view) {
+    return std::variant<Wave, DocumentFault>(wave_);
+  };
+  options.documents.encode_wave_status = [](std::uint64_t, bool completed) {
+    return std::string(completed ? "completed" : "running");
+  };
   node.state = std::make_unique<State>(MakeState(std::move(options)));
   Deliver(name, node.life, Started());
   Tick(name, node.life);
@@ -213,7 +224,7 @@
 void Fleet::SetQueue(const QueuePolicy& queue) {
   ++configuration_.version;
   configuration_.queues = {queue};
-  store.Put("configuration", std::to_string(configuration_.version));
+  store.Put("operator/configuration", std::to_string(configuration_.version));
 }
 
 void Fleet::AddQueue(const std::string& name, std::uint32_t priority) {
@@ -223,7 +234,12 @@
   queue.prefix = "/" + name + "/";
   queue.priority = priority;
   configuration_.queues.push_back(queue);
-  store.Put("configuration", std::to_string(configuration_.version));
+  store.Put("operator/configuration", std::to_string(configuration_.version));
+}
+
+void Fleet::AskForWave(Wave wave) {
+  wave_ = std::move(wave);
+  store.Put("operator/wave/" + std::to_string(wave_.number), "wave");
 }
 
 const State& Fleet::state(const std::string& node) const {
@@ -291,6 +307,7 @@
     void operator()(const CallStore& it) { fleet.CallTheStore(node, it); }
     void operator()(const CallWorker& it) { fleet.CallTheWorker(node, it); }
     void operator()(const CallAdvice& it) { fleet.CallTheAdvice(node, it); }
+    void operator()(const CallMachines& it) { fleet.CallTheMachines(node, it); }
     void operator()(const SendPeer& it) { fleet.SendThePeer(node, it); }
     void operator()(const WriteLog& it) { fleet.log.push_back(it.line); }
     void operator()(const ApplyLimits&) {}
@@ -348,7 +365,7 @@
 void Fleet::CallTheWorker(const std::string& node, const CallWorker& call) {
   const std::uint64_t life = nodes_.at(node).life;
   FakeWorker* target = FindWorkerAt(call.address);
-  const OrderFault fault = target == nullptr
+  const OrderFault fault = target == nullptr || silent_.contains(call.address)
                                ? OrderFault::kUnreached
                                : order_fault(node, call.address, call.request);
   const Time asked = now_;
@@ -421,6 +438,71 @@
   });
 }
 
+void Fleet::CallTheMachines(const std::string& node, const CallMachines& call) {
+  const std::uint64_t life = nodes_.at(node).life;
+  const auto answer = [this, node, life, call](MachineAnswer it) {
+    Deliver(node, life,
+            MachinesAnswered{.request = call.request, .answer = std::move(it)});
+  };
+  const auto* order = std::get_if<BeginUpkeep>(&call.request);
+  if (order != nullptr && lose_machine_answers > 0) {
+    --lose_machine_answers;
+    At(now_ + milliseconds(2), [this, order = *order] { TakeDown(order); });
+    return At(now_ + call.timeout, [answer] { answer(MachineUnanswered()); });
+  }
+  At(now_ + milliseconds(2), [this, call, order, answer] {
+    const auto* upkeep = std::get_if<BeginUpkeep>(&call.request);
+    answer(upkeep != nullptr ? TakeDown(*upkeep) : ListTheMachines());
+  });
+}
+
+MachineAnswer Fleet::ListTheMachines() const {
+  MachinePage page;
+  for (const auto& [name, worker] : workers_) {
+    const auto down = down_until_.find(name);
+    const bool up = down == down_until_.end() || down->second <= now_;
+    page.machines.push_back(
+        {.name = name,
+         .pool = worker->info().service,
+         .state = up ? MachineState::kUp : MachineState::kUpkeep,
+         .worker = up ? worker->info().id : std::string()});
+  }
+  return page;
+}
+
+// The machine's worker is gone at once and another life comes 2 s later.
+MachineAnswer Fleet::TakeDown(const BeginUpkeep& order) {
+  const auto it = workers_.find(order.machine);
+  if (it == workers_.end()) {
+    return MachineRefused{.kind = MachineRefusalKind::kInvalid};
+  }
+  std::uint64_t& fence = machine_fences_[order.machine];
+  if (order.fence < fence) {
+    return MachineRefused{.kind = MachineRefusalKind::kFenced};
+  }
+  fence = order.fence;
+  if (down_until_.contains(order.machine)) {
+    return MachineTaken{};
+  }
+  FakeWorker& worker = *it->second;
+  std::size_t down = 1;
+  for (const auto& [name, until] : down_until_) {
+    down += until > now_ ? 1 : 0;
+  }
+  most_down = std::max(most_down, down);
+  upkeeps.push_back(order.machine);
+  down_until_[order.machine] = now_ + std::chrono::seconds(2);
+  const std::string old_id = worker.info().id;
+  worker.Crash(now_, order.machine + "-upkept");
+  silent_.insert(order.machine);
+  At(now_ + std::chrono::seconds(2), [this, &worker, old_id] {
+    silent_.erase(worker.info().address);
+    store.Remove("worker/" + old_id);
+    ListWorker(worker);
+  });
+  return MachineTaken{};
+}
+
 void Fleet::SendThePeer(const std::string& node, const SendPeer& send) {
   reports_ += std::holds_alternative<RunReports>(send.message) ? 1 : 0;
   if (is_cut(node, send.address)) {
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,10 +78,18 @@
   // Reports about runs that instances have sent to each other.
   std::uint64_t CountReports() const { return reports_; }
 
+  void AddWorkers(std::size_t count);
+
   void SetQueue(const QueuePolicy& queue);
   // Beside the others, with the path "/NAME/".
   void AddQueue(const std::string& name, std::uint32_t priority);
 
+  // Operators ask for upkeep; a machine has the name of its worker's address.
+  void AskForWave(Wave wave);
+  std::vector<std::string> upkeeps{};  // machines that went down, in order
+  std::size_t most_down = 0;           // at once
+  int lose_machine_answers = 0;        // of the next orders
+
   Time now() const { return now_; }
   const State& state(const std::string& node) const;
   FakeWorker& worker(const std::string& name) { return *workers_.at(name); }
@@ -128,6 +137,9 @@
   void CallTheStore(const std::string& node, const CallStore& call);
   void CallTheWorker(const std::string& node, const CallWorker& call);
   void CallTheAdvice(const std::string& node, const CallAdvice& call);
+  void CallTheMachines(const std::string& node, const CallMachines& call);
+  MachineAnswer ListTheMachines() const;
+  MachineAnswer TakeDown(const BeginUpkeep& order);
   void SendThePeer(const std::string& node, const SendPeer& send);
   void AnswerWatch(const std::string& node,
                    std::uint64_t life,
@@ -151,6 +163,10 @@
   std::map<std::string, Node> nodes_;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers_;
   Configuration configuration_;
+  Wave wave_;
+  std::map<std::string, Time> down_until_;
+  std::map<std::string, std::uint64_t> machine_fences_;
+  std::set<std::string> silent_;  // workers that answer nothing
 };
 
 // A job of one step of equal tasks.
