--- a/Source/engine/run_progress.cc
+++ b/Source/engine/run_progress.cc
@@ -33,11 +33,14 @@
   return OwnerOfJob(context.state, name->job);
 }
 
+// A run that no listing has shown since it started is not judged: the answer to
+// a hold can have been written before the start.
 // Tasks that fill may rightly get no processor at all, lasting ones have no
 // progress, and the members of a gang wait for each other at first.
 bool ShowsProgress(const LocalRun& run) {
   const bool waits = run.spec.gang && run.progress.percent == 0;
-  return run.phase == RunPhase::kRunning && run.described &&
+  const bool listed = run.progress.first_at >= run.since;
+  return listed && run.phase == RunPhase::kRunning && run.described &&
          run.pace == kFullPace && !run.spec.lasting && !run.spec.filling &&
          !waits;
 }
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -3,7 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include "engine/context.h"
 #include "engine/fleet.h"
+#include "engine/run_progress.h"
 
 namespace burdockrock::engine {
 
@@ -487,6 +489,32 @@
   CheckPromises(fleet);
 }
 
+// Symptom: on a quiet day runs are moved as if they stood still.
+// Sequence: a start is answered; then comes the answer to a hold that the
+// worker wrote before the start and that does not list the run. Cause: a run
+// that no listing has shown yet counted as without progress for ever.
+TEST_CASE("A run that was not listed yet does not count as standing still") {
+  State state = MakeState({.self = {.incarnation = "n0-1", .node = "n0"}});
+  Effects effects;
+  Context context{.state = state, .effects = effects, .now = seconds(100)};
+  OwnedWorker& worker = state.owned["w0"];
+  worker.claimed = true;
+  LocalRun& run = worker.runs["j1.0.0.0"];
+  run = LocalRun{.run = 1,
+                 .phase = RunPhase::kRunning,
+                 .spec = {.estimate = milliseconds(500)},
+                 .owner = "n0-1",
+                 .since = seconds(100) - milliseconds(5)};
+  ReviewProgress(context, "w0", worker);
+  CHECK(effects.empty());
+  CHECK(worker.still_until == Time::min());
+  // Listed, and without progress for long.
+  run.since = seconds(90);
+  run.progress = BeginProgress(seconds(91), 10);
+  ReviewProgress(context, "w0", worker);
+  CHECK(worker.still_until > context.now);
+}
+
 // Symptom: a worker that stands still takes one task after the other.
 TEST_CASE("A worker that stands still gets no new tasks") {
   Fleet fleet;
