--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -183,6 +183,12 @@
 // end `done` was acknowledged, and no worker gets more than it has.
 void CheckPromises(Fleet& fleet);
 
+// All workers run every task so.
+void PlanAll(Fleet& fleet, const RunPlan& plan);
+
+// Runs that ended so.
+std::size_t CountEnds(const Fleet& fleet, RunEnd how);
+
 std::size_t CountRuns(const Fleet& fleet, const std::string& job);
 
 }  // namespace burdockrock::engine
--- /dev/null
+++ b/Tests/engine/fleet_machines.cc
@@ -0,0 +1,118 @@
+// The fleet's service of machines: upkeep and standby pools.
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "engine/fleet.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kStandby = "standby";
+
+}  // namespace
+
+void Fleet::AddStandby(std::size_t count) {
+  ++configuration_.version;
+  configuration_.services.push_back({.name = kStandby, .standby = true});
+  store.Put("operator/configuration", std::to_string(configuration_.version));
+  for (std::size_t it = 0; it < count; ++it) {
+    AddWorkers(1);
+    FakeWorker& worker = *workers_.rbegin()->second;
+    worker.info().service = kStandby;
+    store.Remove("worker/" + worker.info().id);
+  }
+}
+
+void Fleet::AskForWave(Wave wave) {
+  wave_ = std::move(wave);
+  store.Put("operator/wave/" + std::to_string(wave_.number), "wave");
+}
+
+void Fleet::CallTheMachines(const std::string& node, const CallMachines& call) {
+  const std::uint64_t life = nodes_.at(node).life;
+  const auto answer = [this, node, life, call](MachineAnswer it) {
+    Deliver(node, life,
+            MachinesAnswered{.request = call.request, .answer = std::move(it)});
+  };
+  const auto* order = std::get_if<BeginUpkeep>(&call.request);
+  if (order != nullptr && lose_machine_answers > 0) {
+    --lose_machine_answers;
+    At(now_ + milliseconds(2), [this, order = *order] { TakeDown(order); });
+    return At(now_ + call.timeout, [answer] { answer(MachineUnanswered()); });
+  }
+  At(now_ + milliseconds(2), [this, call, order, answer] {
+    const auto* upkeep = std::get_if<BeginUpkeep>(&call.request);
+    const auto* move = std::get_if<MoveMachine>(&call.request);
+    answer(upkeep != nullptr ? TakeDown(*upkeep)
+           : move != nullptr ? Move(*move)
+                             : ListTheMachines());
+  });
+}
+
+MachineAnswer Fleet::ListTheMachines() const {
+  MachinePage page;
+  for (const auto& [name, worker] : workers_) {
+    const auto down = down_until_.find(name);
+    const bool up = down == down_until_.end() || down->second <= now_;
+    page.machines.push_back(
+        {.name = name,
+         .pool = worker->info().service,
+         .state = up ? MachineState::kUp : MachineState::kUpkeep,
+         .worker = up ? worker->info().id : std::string()});
+  }
+  return page;
+}
+
+// Its worker is gone, and one of the new pool comes 1.5 s later; machines in
+// standby are off.
+MachineAnswer Fleet::Move(const MoveMachine& order) {
+  FakeWorker& worker = *workers_.at(order.machine);
+  const std::string old_id = worker.info().id;
+  store.Remove("worker/" + old_id);
+  worker.Crash(now_, fmt::format("{}-moved{}", order.machine, ++moves));
+  worker.info().service = order.pool;
+  if (order.pool != kStandby) {
+    At(now_ + milliseconds(1500), [this, &worker] { ListWorker(worker); });
+  }
+  return MachineTaken{};
+}
+
+// The machine's worker is gone at once and another life comes 2 s later.
+MachineAnswer Fleet::TakeDown(const BeginUpkeep& order) {
+  const auto it = workers_.find(order.machine);
+  if (it == workers_.end()) {
+    return MachineRefused{.kind = MachineRefusalKind::kInvalid};
+  }
+  std::uint64_t& fence = machine_fences_[order.machine];
+  if (order.fence < fence) {
+    return MachineRefused{.kind = MachineRefusalKind::kFenced};
+  }
+  fence = order.fence;
+  if (down_until_.contains(order.machine)) {
+    return MachineTaken{};
+  }
+  FakeWorker& worker = *it->second;
+  std::size_t down = 1;
+  for (const auto& [name, until] : down_until_) {
+    down += until > now_ ? 1 : 0;
+  }
+  most_down = std::max(most_down, down);
+  upkeeps.push_back(order.machine);
+  down_until_[order.machine] = now_ + std::chrono::seconds(2);
+  const std::string old_id = worker.info().id;
+  worker.Crash(now_, order.machine + "-upkept");
+  silent_.insert(order.machine);
+  At(now_ + std::chrono::seconds(2), [this, &worker, old_id] {
+    silent_.erase(worker.info().address);
+    store.Remove("worker/" + old_id);
+    ListWorker(worker);
+  });
+  return MachineTaken{};
+}
+
+}  // namespace burdockrock::engine
--- a/Tests/engine/upkeep_test.cc
+++ b/Tests/engine/upkeep_test.cc
@@ -22,12 +22,6 @@
           .cap = cap};
 }
 
-std::size_t CountEnds(const Fleet& fleet, RunEnd how) {
-  return static_cast<std::size_t>(
-      std::count_if(fleet.seen.begin(), fleet.seen.end(),
-                    [how](const SeenRun& it) { return it.how == how; }));
-}
-
 TEST_CASE("Each machine of a wave goes down once, at most the cap at a time") {
   Fleet fleet;
   fleet.Settle();
@@ -47,11 +41,7 @@
 TEST_CASE("A machine goes down only when nothing runs there any more") {
   Fleet fleet;
   fleet.Settle();
-  for (const std::string& it : fleet.worker_names()) {
-    fleet.worker(it).plan = [](const std::string&, std::uint64_t) {
-      return RunPlan{.takes = milliseconds(2500)};
-    };
-  }
+  PlanAll(fleet, {.takes = milliseconds(2500)});
   for (int it = 0; it < 8; ++it) {
     fleet.Submit("n" + std::to_string(it % 3), "j" + std::to_string(it),
                  OneStep(8));
@@ -76,11 +66,7 @@
 TEST_CASE("No more lasting tasks are away at once than their step allows") {
   Fleet fleet({.workers = 8});
   fleet.Settle();
-  for (const std::string& it : fleet.worker_names()) {
-    fleet.worker(it).plan = [](const std::string&, std::uint64_t) {
-      return RunPlan{.endless = true};
-    };
-  }
+  PlanAll(fleet, {.endless = true});
   JobSpec spec = OneStep(6, 4000);
   spec.steps[0].lasting = true;
   spec.steps[0].spread = 1;
@@ -146,11 +132,7 @@
   fleet.AddStandby(2);
   fleet.Run(seconds(5));
   CHECK(fleet.moves == 0);
-  for (const std::string& it : fleet.worker_names()) {
-    fleet.worker(it).plan = [](const std::string&, std::uint64_t) {
-      return RunPlan{.takes = seconds(2)};
-    };
-  }
+  PlanAll(fleet, {.takes = seconds(2)});
   for (int it = 0; it < 20; ++it) {
     fleet.Submit("n0", "j" + std::to_string(it), OneStep(6));
   }
