Engine: Keeps all instances together within half of the store's rate of writes

Cause: nothing bounded the transactions of an instance but two in flight; under a flood of submissions seven instances could ask for several times the store's rate. Change: each instance takes an equal part of half of the rate, with bursts of four; what waits goes out in larger batches. Test: 200 submissions a second against a budget of 30 writes a second stay within it, and all complete.

--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -58,6 +58,11 @@
 inline constexpr std::size_t kMaxTransactionEntries = 32;
 // Two hide the store's latency; more would spread the same changes thinner.
 inline constexpr std::size_t kMaxTransactionsInFlight = 2;
+// Share of the store's rate of writes that all instances take together: the
+// other half is left for operators, workers and a deployment twice as large.
+inline constexpr double kWriteShare = 0.5;
+// Transactions that an instance which wrote little before may send at once.
+inline constexpr double kWriteBurst = 4;
 // A submission whose write got no answer is told so after this long, well
 // before its caller's 3 s are over, so that it can ask another instance.
 inline constexpr Duration kSubmitPatience = milliseconds(1200);
--- a/Source/engine/options.h
+++ b/Source/engine/options.h
@@ -52,6 +52,8 @@
   Duration duty_lease = std::chrono::seconds(3);
   // A lasting task that has started is at work after this long at the latest.
   Duration settle_time = std::chrono::milliseconds(4500);
+  // Write calls a second that the store takes from the whole deployment.
+  std::uint32_t store_writes = 400;
   // Between two writes of a worker's entry in the store.
   Duration heartbeat = std::chrono::milliseconds(1500);
 
--- a/Source/engine/record_writer.cc
+++ b/Source/engine/record_writer.cc
@@ -1,6 +1,7 @@
 #include "engine/record_writer.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "engine/adoption.h"
@@ -139,6 +140,26 @@
   Requeue(context, std::move(again));
 }
 
+// Each instance takes an equal part of the budget. A flood of changes waits in
+// the queue and goes out in larger batches; without this bound the store
+// refuses calls, also those of others, and every refused call is repeated.
+bool TakeAllowance(Context& context) {
+  WriterState& writer = context.state.writer;
+  const auto members = static_cast<double>(
+      std::max<std::size_t>(context.state.members.present.size(), 1));
+  const double rate =
+      kWriteShare * context.state.options.bounds.store_writes / members;
+  const std::chrono::duration<double> passed = context.now - writer.allowed_at;
+  writer.allowance =
+      std::min(kWriteBurst, writer.allowance + rate * passed.count());
+  writer.allowed_at = context.now;
+  if (writer.allowance < 1) {
+    return false;
+  }
+  --writer.allowance;
+  return true;
+}
+
 }  // namespace
 
 void QueueChange(Context& context, Change change) {
@@ -152,7 +173,8 @@
   const bool raising = context.state.members.raising;
   while (!writer.queue.empty() && IsRegistered(context.state) && !raising &&
          context.now >= writer.retry_at &&
-         writer.in_flight.size() < kMaxTransactionsInFlight) {
+         writer.in_flight.size() < kMaxTransactionsInFlight &&
+         TakeAllowance(context)) {
     Batch batch = TakeBatch(context);
     const std::uint64_t id = ++writer.last_batch;
     AskStore(context, TransactionOf(context, batch), ForBatch{.batch = id});
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -172,6 +172,8 @@
 };
 
 struct WriterState {
+  double allowance = 0;  // transactions that may be sent now
+  Time allowed_at{0};    // when it was counted
   std::deque<Change> queue{};
   std::map<std::uint64_t, Batch> in_flight{};
   std::uint64_t last_batch = 0;
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -389,6 +389,30 @@
   }
 }
 
+// Symptom: the store refuses calls of all instances.
+// Sequence: jobs come one by one and faster than the store takes writes.
+// Cause would be: a transaction for each of them.
+TEST_CASE("A flood of submissions stays within the store's budget") {
+  Fleet fleet({.store_writes = 60});
+  fleet.Settle();
+  PlanAll(fleet, {.takes = milliseconds(100)});
+  const std::uint64_t before = fleet.store.transactions();
+  constexpr int kSeconds = 4;
+  constexpr int kJobsPerSecond = 200;
+  for (int it = 0; it < kSeconds * kJobsPerSecond; ++it) {
+    fleet.Submit("n" + std::to_string(it % 3), "j" + std::to_string(it),
+                 OneStep(1, 10));
+    fleet.Run(milliseconds(1000 / kJobsPerSecond));
+  }
+  const std::uint64_t writes = fleet.store.transactions() - before;
+  CHECK(writes <= kSeconds * 30 + 3 * 4);
+  fleet.Run(seconds(10));
+  for (int it = 0; it < kSeconds * kJobsPerSecond; it += 50) {
+    CHECK(fleet.StateOf("n0", "j" + std::to_string(it)) ==
+          JobState::kCompleted);
+  }
+}
+
 // Symptom: the store fills with records of jobs that ended long ago.
 // Sequence: the owner of a job that has ended is lost.
 // Cause: only the owner removed its records.
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -146,7 +146,8 @@
                .node = name,
                .domain = node.domain,
                .address = node.address},
-      .bounds = {.state_kept = options_.state_kept},
+      .bounds = {.state_kept = options_.state_kept,
+                 .store_writes = options_.store_writes},
       .seed = options_.seed + node.life};
   options.documents.decode_worker = ReadWorker;
   options.documents.decode_configuration =
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -35,6 +35,7 @@
   std::int64_t processors_milli = 8000;
   bool advice = false;
   Duration state_kept = std::chrono::seconds(120);
+  std::uint32_t store_writes = 400;
   std::uint64_t seed = 1;
 };
 
