--- a/Source/engine/run_progress.cc
+++ b/Source/engine/run_progress.cc
@@ -1,7 +1,6 @@
 #include "engine/run_progress.h"
 
 #include <map>
-#include <utility>
 
 #include "engine/progress_rule.h"
 #include "engine/run_ends.h"
@@ -66,9 +65,9 @@
   }
 }
 
-void SendAll(Context& context, Reports reports) {
-  for (auto& [owner, it] : reports) {
-    Send(context, owner, std::move(it));
+void SendAll(Context& context, const Reports& reports) {
+  for (const auto& [owner, it] : reports) {
+    Send(context, owner, it);
   }
 }
 
@@ -101,7 +100,7 @@
                                 context.now - run.progress.risen_at))}});
     AddReport(context, id, task, run, RunState::kStill, reports);
   }
-  SendAll(context, std::move(reports));
+  SendAll(context, reports);
   if (still) {
     worker.still_until = context.now + kStillPause;
     RoomChanged(context, id);
@@ -117,7 +116,7 @@
       AddReport(context, id, task, run, RunState::kUnreached, reports);
     }
   }
-  SendAll(context, std::move(reports));
+  SendAll(context, reports);
 }
 
 void ReportUnwanted(Context& context,
@@ -131,7 +130,7 @@
       AddReport(context, id, task, run, RunState::kUnwanted, reports);
     }
   }
-  SendAll(context, std::move(reports));
+  SendAll(context, reports);
 }
 
 }  // namespace burdockrock::engine
--- a/Source/runtime/steps_instance.cc
+++ b/Source/runtime/steps_instance.cc
@@ -36,7 +36,7 @@
 }  // namespace
 
 StepsInstance::StepsInstance(boost::asio::io_context& io,
-                             StepsInstanceOptions options)
+                             const StepsInstanceOptions& options)
     : clients_(io,
                {.store = options.settings.steps.store,
                 .advice = options.settings.steps.advice,
--- a/Source/runtime/steps_instance.h
+++ b/Source/runtime/steps_instance.h
@@ -29,7 +29,8 @@
 // Everything runs on the thread that runs the io_context.
 class StepsInstance {
  public:
-  StepsInstance(boost::asio::io_context& io, StepsInstanceOptions options);
+  StepsInstance(boost::asio::io_context& io,
+                const StepsInstanceOptions& options);
   StepsInstance(const StepsInstance&) = delete;
   StepsInstance& operator=(const StepsInstance&) = delete;
 
