--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -188,7 +188,7 @@
   fleet.Run(seconds(2));
   for (const std::string& it : fleet.worker_names()) {
     fleet.worker(it).plan = [](const std::string& task, std::uint64_t) {
-      return RunPlan{.takes = task.starts_with("b") ? seconds(20) : seconds(2)};
+      return RunPlan{.takes = task.starts_with("b") ? seconds(20) : seconds(3)};
     };
   }
   JobSpec batch = OneStep(11);
@@ -199,8 +199,8 @@
                    .spec = batch});
   fleet.Run(seconds(1));
   REQUIRE(CountRuns(fleet, "b1") >= 9);
-  fleet.Submit("n1", "j1", OneStep(6));
-  fleet.Run(seconds(5));
+  fleet.Submit("n1", "j1", OneStep(9));
+  fleet.Run(milliseconds(5500));
   CHECK(fleet.StateOf("n2", "j1") == JobState::kCompleted);
   fleet.Run(seconds(60));
   CHECK(fleet.StateOf("n2", "b1") == JobState::kCompleted);
