Runtime: Joins the engine's edges in one place

Cause: the platform's edges and the steps instance each wrote the same hooks. Tests as before pass, the process case of steps too.

--- a/Source/runtime/steps_instance.cc
+++ b/Source/runtime/steps_instance.cc
@@ -7,6 +7,7 @@
 #include "engine/call_codec.h"
 #include "engine/documents.h"
 #include "engine/job_codec.h"
+#include "runtime/engine_edges.h"
 
 namespace burdockrock {
 
@@ -75,19 +76,7 @@
                           .address = settings.steps.peers},
                  .documents = engine::OwnDocuments(),
                  .seed = options.seed},
-      .edges = {
-          .call_store =
-              [this](const engine::CallStore& it) { clients_.CallStore(it); },
-          .call_worker =
-              [this](const engine::CallWorker& it) { clients_.CallWorker(it); },
-          .call_advice =
-              [this](const engine::CallAdvice& it) { clients_.CallAdvice(it); },
-          .call_machines =
-              [this](const engine::CallMachines& it) {
-                clients_.CallMachines(it);
-              },
-          .answer_caller =
-              [this](const engine::AnswerCaller& it) { callers_.Answer(it); }},
+      .edges = JoinEdges(clients_, callers_),
       .peers_address = settings.steps.peers,
       .metrics_address = settings.steps.metrics,
       .log_format = settings.log.format,
