--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -94,8 +94,10 @@
   }
   WorkerDone done{.clock_ms = ToMilliseconds(now)};
   for (const auto& [task, run] : runs_) {
-    done.running.push_back(
-        {.task = task, .run = run.number, .percent = PercentOf(run, now)});
+    done.running.push_back({.task = task,
+                            .run = run.number,
+                            .percent = PercentOf(run, now),
+                            .figure = figure(task)});
   }
   for (const auto& [sequence, end] : ends_) {
     done.ended.push_back(end.row);
@@ -155,6 +157,7 @@
   if (IsFenced(it.fence)) {
     return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
   }
+  paces[it.task] = it.percent;
   return Done(now);
 }
 
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -60,6 +60,12 @@
   // Asked instead, where it is set.
   std::function<RunPlan(const StartRun& order)> plan_order{};
 
+  // What the worker lists of a run beside its progress.
+  std::function<std::int64_t(const std::string& task)> figure =
+      [](const std::string&) { return 0; };
+  // The pace that was ordered last, in percent, by task.
+  std::map<std::string, std::uint32_t> paces{};
+
   // Most processors that were in use at once.
   std::int64_t peak() const { return peak_; }
   // What one run of a task takes, for `peak`.
--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -207,6 +207,40 @@
   CheckPromises(fleet);
 }
 
+// Symptom: users of a service wait for seconds while batch work runs beside it.
+// Sequence: the response times of a lasting task rise above its target, and
+// fall again. Cause would be: filling tasks that go on at their full pace.
+TEST_CASE(
+    "Filling tasks slow down for a task that serves, and speed up again") {
+  Fleet fleet({.instances = 1, .workers = 1});
+  fleet.Settle();
+  FakeWorker& worker = fleet.worker("w0");
+  worker.plan = [](const std::string& task, std::uint64_t) {
+    return RunPlan{.takes = seconds(60), .endless = task.starts_with("s")};
+  };
+  std::int64_t tail_ms = 50;
+  worker.figure = [&tail_ms](const std::string& task) {
+    return task.starts_with("s") ? tail_ms : std::int64_t{0};
+  };
+  JobSpec serves = OneStep(1, 2000);
+  serves.steps[0].lasting = true;
+  serves.steps[0].tail_target = milliseconds(100);
+  JobSpec fills = OneStep(1, 4000);
+  fills.steps[0].filling = true;
+  fleet.Submit("n0", "s1", serves);
+  fleet.Submit("n0", "f1", fills);
+  fleet.Run(seconds(5));
+  REQUIRE(fleet.seen.size() == 2);
+  CHECK_FALSE(worker.paces.contains("f1.0.0.0"));
+  tail_ms = 300;
+  fleet.Run(seconds(4));
+  CHECK(worker.paces["f1.0.0.0"] == 0);
+  CHECK_FALSE(worker.paces.contains("s1.0.0.0"));
+  tail_ms = 40;
+  fleet.Run(seconds(14));
+  CHECK(worker.paces["f1.0.0.0"] == 100);
+}
+
 TEST_CASE("Work that does not checkpoint is not stopped for urgent work") {
   Fleet fleet({.workers = 3, .processors_milli = 4000});
   fleet.Settle();
