--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -98,9 +98,6 @@
 // The worker's clock may be 2% slow.
 inline constexpr double kClockDrift = 1.02;
 inline constexpr Duration kLeaseMargin = milliseconds(300);
-// Heartbeats without one after which the store drops a worker's entry, by the
-// platform's interface.
-inline constexpr int kListSilence = 3;
 // Ends are told to the job's owner again after this long.
 inline constexpr Duration kEndRepeat = milliseconds(600);
 // A worker that is gone is told to the peers for so long.
--- a/Source/engine/options.h
+++ b/Source/engine/options.h
@@ -54,8 +54,6 @@
   Duration settle_time = std::chrono::milliseconds(4500);
   // Write calls a second that the store takes from the whole deployment.
   std::uint32_t store_writes = 400;
-  // Between two writes of a worker's entry in the store.
-  Duration heartbeat = std::chrono::milliseconds(1500);
 
   auto operator<=>(const Bounds&) const = default;
 };
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -41,25 +41,13 @@
   worker.foreign_bound = ForeignLeaseBound(context);
 }
 
-// The store drops a worker's entry after kListSilence heartbeats without one. A
-// worker that could not reach the store for so long and that its owner can't
-// reach either was renewed last before that; so its leases have run out. This
-// is sooner than kMaxWithoutStore allows: work of a worker that left while its
-// owner was away from the store would wait 18 s instead of 4.
-bool RanOutUnlisted(const Context& context, const OwnedWorker& worker) {
-  const Bounds& bounds = context.state.options.bounds;
-  const ListedWorker* listed = FindWorker(context.state, worker.info.id);
-  const Duration known_silent = (kListSilence - 1) * bounds.heartbeat;
-  const Duration rest = Drifted(bounds.max_hold) + kLeaseMargin - known_silent;
-  return listed != nullptr && !listed->listed &&
-         HasPassed(context.now, listed->unlisted_at, rest);
-}
-
-// Nothing runs there any more, whoever renewed it last.
+// Nothing runs there any more, whoever renewed it last. That the store has
+// dropped the worker's entry says nothing of its leases: when a failure domain
+// is cut off, the worker and its former owner are cut off together, and the one
+// goes on renewing what runs at the other.
 bool HasRunOut(const Context& context, const OwnedWorker& worker) {
   return context.now >= worker.lease_bound &&
-         (context.now >= worker.foreign_bound ||
-          RanOutUnlisted(context, worker));
+         context.now >= worker.foreign_bound;
 }
 
 bool IsSilent(const OwnedWorker& worker) {
--- a/Tests/engine/worker_failure_test.cc
+++ b/Tests/engine/worker_failure_test.cc
@@ -56,6 +56,37 @@
   CheckPromises(fleet);
 }
 
+// Symptom: a task runs again though it has ended done, or twice at once.
+// Sequence: a failure domain is cut off; its instance loses its registration
+// and its workers their entries in the store, and both go on together. Cause
+// would be: taking a worker for gone because the store dropped its entry.
+TEST_CASE("A worker that is cut off with its owner is not taken for gone") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(9)});
+  fleet.Submit("n1", "j1", OneStep(24));
+  fleet.Run(milliseconds(500));
+  const std::vector<std::string> far = {"w0", "w3"};  // of the domain of n0
+  fleet.store_fault = [](const std::string& node, const StoreRequest&) {
+    return node == "n0" ? StoreFault::kSilent : StoreFault::kNone;
+  };
+  fleet.is_cut = [](const std::string& from, const std::string& to) {
+    return (from == "n0") != (to == "n0");
+  };
+  fleet.order_fault = [&far](const std::string& node, const std::string& worker,
+                             const WorkerRequest&) {
+    const bool is_far = std::find(far.begin(), far.end(), worker) != far.end();
+    return is_far == (node == "n0") ? OrderFault::kNone
+                                    : OrderFault::kUnreached;
+  };
+  fleet.Run(seconds(3));
+  fleet.store.Remove("worker/w0-1");
+  fleet.store.Remove("worker/w3-1");
+  fleet.Run(milliseconds(6500));
+  CheckPromises(fleet);
+  CHECK(CountRuns(fleet, "j1") == 24);
+}
+
 // Symptom: tasks of an accepted job wait for 18 s though there is room.
 // Sequence: the store turns an instance away; a worker that it owns leaves for
 // good; its jobs and its workers get other owners, who can't reach that worker.
