Cli: Tells a job's story from the logs of several instances

Cause: the way from an id to its cause meant searching seven logs by hand. Change: burdockrock explain ID LOG... prints, in order, all events that name the id and around them the losses of workers, registrations and the store that took part.

--- a/Source/cli/command_table.cc
+++ b/Source/cli/command_table.cc
@@ -10,7 +10,8 @@
       StatusCommand(),    CancelCommand(),    ConfigCheckCommand(),
       ConfigPutCommand(), ConfigGetCommand(), ConfigDiffCommand(),
       QueuesPutCommand(), QueuesGetCommand(), DrainCommand(),
-      DumpCommand(),      VersionCommand(),   HelpCommand(),
+      DumpCommand(),      ExplainCommand(),   VersionCommand(),
+      HelpCommand(),
   };
   return kTable;
 }
--- a/Source/cli/command_table.h
+++ b/Source/cli/command_table.h
@@ -27,6 +27,7 @@
 Command ConfigPutCommand();
 Command DrainCommand();
 Command DumpCommand();
+Command ExplainCommand();
 Command HelpCommand();
 Command PlatformCommand();
 Command QueuesGetCommand();
--- /dev/null
+++ b/Source/cli/log_story.cc
@@ -0,0 +1,207 @@
+#include "cli/log_story.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <boost/date_time/posix_time/posix_time.hpp>
+
+#include "net/json.h"
+
+namespace burdockrock {
+
+namespace {
+
+using boost::posix_time::ptime;
+
+// Causes stand before their effects by a lease or so.
+const boost::posix_time::time_duration kBefore = boost::posix_time::seconds(3);
+const boost::posix_time::time_duration kAfter = boost::posix_time::seconds(1);
+
+constexpr auto kOfWorkers = std::to_array<std::string_view>(
+    {"worker_claimed", "claim_refused", "ownership_lost", "worker_silent",
+     "worker_gone", "worker_leaving", "worker_removed", "worker_quarantined"});
+constexpr auto kOfInstances = std::to_array<std::string_view>(
+    {"started", "stopping", "drain_started", "handed_over", "registered",
+     "registration_lost", "platform_unreachable", "platform_back"});
+
+bool IsOneOf(std::string_view name, const auto& names) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+void SetMember(LogRecord& record, std::string key, std::string value) {
+  if (key == "time") {
+    record.time = std::move(value);
+  } else if (key == "instance") {
+    record.instance = std::move(value);
+  } else if (key == "name") {
+    record.name = std::move(value);
+  } else if (key != "level" && key != "event") {
+    record.fields.emplace_back(std::move(key), std::move(value));
+  }
+}
+
+std::optional<LogRecord> Checked(LogRecord record) {
+  if (record.time.empty() || record.name.empty()) {
+    return std::nullopt;
+  }
+  return record;
+}
+
+std::optional<LogRecord> ParseJsonLine(std::string_view line) {
+  const auto parsed = ParseJson(line);
+  const auto* json = std::get_if<Json::Value>(&parsed);
+  if (json == nullptr || !json->isObject()) {
+    return std::nullopt;
+  }
+  LogRecord record;
+  for (const std::string& key : json->getMemberNames()) {
+    const Json::Value& value = (*json)[key];
+    SetMember(record, key,
+              value.isString() ? value.asString() : WriteJson(value));
+  }
+  return Checked(std::move(record));
+}
+
+// Up to the blank, or the closing quote; takes it off `rest`.
+std::string TakeValue(std::string_view& rest) {
+  std::string value;
+  const bool quoted = rest.starts_with('"');
+  std::size_t it = quoted ? 1 : 0;
+  for (; it < rest.size(); ++it) {
+    if (quoted && rest[it] == '\\' && it + 1 < rest.size()) {
+      value += rest[++it];
+    } else if (rest[it] == (quoted ? '"' : ' ')) {
+      break;
+    } else {
+      value += rest[it];
+    }
+  }
+  rest.remove_prefix(std::min(it + (quoted ? 1 : 0), rest.size()));
+  return value;
+}
+
+// The fields that can name a job, a request or one of their tasks.
+bool Names(const LogRecord& record, std::string_view id) {
+  const std::string task = std::string(id) + ".";
+  const std::string path = "/" + std::string(id);
+  return std::any_of(
+      record.fields.begin(), record.fields.end(), [&](const auto& field) {
+        return field.second == id || field.second.starts_with(task) ||
+               (field.first == "path" && field.second.ends_with(path));
+      });
+}
+
+ptime TimeOf(const LogRecord& record) {
+  std::string text = record.time;
+  if (text.ends_with('Z')) {
+    text.pop_back();
+  }
+  try {
+    return boost::posix_time::from_iso_extended_string(text);
+  } catch (const std::exception&) {
+    return {};  // not a time: such a record is only ever direct
+  }
+}
+
+// Who took part, and when.
+struct Cast {
+  std::set<std::string> workers{};
+  std::set<std::string> instances{};
+  ptime first{boost::posix_time::pos_infin};
+  ptime last{boost::posix_time::neg_infin};
+
+  void Add(const LogRecord& record) {
+    instances.insert(record.instance);
+    for (const auto& [key, value] : record.fields) {
+      if (key == "worker") {
+        workers.insert(value);
+      }
+    }
+    const ptime time = TimeOf(record);
+    if (!time.is_not_a_date_time()) {
+      first = std::min(first, time);
+      last = std::max(last, time);
+    }
+  }
+
+  bool Concerns(const LogRecord& record) const {
+    const ptime time = TimeOf(record);
+    if (time.is_not_a_date_time() || time < first - kBefore ||
+        time > last + kAfter) {
+      return false;
+    }
+    if (IsOneOf(record.name, kOfInstances)) {
+      return instances.contains(record.instance);
+    }
+    return IsOneOf(record.name, kOfWorkers) &&
+           std::any_of(record.fields.begin(), record.fields.end(),
+                       [this](const auto& field) {
+                         return field.first == "worker" &&
+                                workers.contains(field.second);
+                       });
+  }
+};
+
+}  // namespace
+
+std::optional<LogRecord> ParseLogLine(std::string_view line) {
+  if (const std::size_t json = line.find('{');
+      json != std::string_view::npos && line.find("time=") > json) {
+    return ParseJsonLine(line.substr(json));
+  }
+  const std::size_t start = line.find("time=");
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view rest = line.substr(start);
+  LogRecord record;
+  while (!rest.empty()) {
+    const std::size_t equals = rest.find('=');
+    if (equals == std::string_view::npos) {
+      break;
+    }
+    std::string key(rest.substr(0, equals));
+    rest.remove_prefix(equals + 1);
+    SetMember(record, std::move(key), TakeValue(rest));
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+  }
+  return Checked(std::move(record));
+}
+
+std::vector<StoryLine> FindStory(const std::vector<LogRecord>& records,
+                                 std::string_view id) {
+  Cast cast;
+  for (const LogRecord& it : records) {
+    if (Names(it, id)) {
+      cast.Add(it);
+    }
+  }
+  std::vector<StoryLine> story;
+  for (const LogRecord& it : records) {
+    const bool direct = Names(it, id);
+    if (direct || cast.Concerns(it)) {
+      story.push_back({.record = it, .direct = direct});
+    }
+  }
+  std::stable_sort(story.begin(), story.end(),
+                   [](const StoryLine& left, const StoryLine& right) {
+                     return left.record.time < right.record.time;
+                   });
+  return story;
+}
+
+std::string ToText(const StoryLine& line) {
+  const LogRecord& record = line.record;
+  std::string text = record.time + " " + (line.direct ? "" : "(") +
+                     record.instance + " " + record.name;
+  for (const auto& [key, value] : record.fields) {
+    text += " ";
+    text += key;
+    text += "=";
+    text += value;
+  }
+  return text + (line.direct ? "" : ")");
+}
+
+}  // namespace burdockrock
