Tests: Captures only what is used

Cause: the linter found a lambda in the fleet's service of machines that captures an order which it does not read. Change: the capture is gone. The engine's cases pass as before, but for the known red one.

--- a/Tests/engine/fleet_machines.cc
+++ b/Tests/engine/fleet_machines.cc
@@ -45,7 +45,7 @@
     At(now_ + milliseconds(2), [this, order = *order] { TakeDown(order); });
     return At(now_ + call.timeout, [answer] { answer(MachineUnanswered()); });
   }
-  At(now_ + milliseconds(2), [this, call, order, answer] {
+  At(now_ + milliseconds(2), [this, call, answer] {
     const auto* upkeep = std::get_if<BeginUpkeep>(&call.request);
     const auto* move = std::get_if<MoveMachine>(&call.request);
     answer(upkeep != nullptr ? TakeDown(*upkeep)
