--- a/Source/cli/explain.cc
+++ b/Source/cli/explain.cc
@@ -14,7 +14,7 @@
 namespace {
 
 // False if the file can't be read.
-bool ReadLog(const std::string& file, std::vector<LogRecord>& records) {
+bool ReadLog(const std::string& file, std::vector<LoggedEvent>& records) {
   std::ifstream log(file);
   if (!log) {
     return false;
@@ -30,7 +30,7 @@
 
 ExitCode Explain(const Invocation& invocation) {
   const std::string& id = invocation.arguments[0];
-  std::vector<LogRecord> records;
+  std::vector<LoggedEvent> records;
   for (std::size_t it = 1; it < invocation.arguments.size(); ++it) {
     const std::string& file = invocation.arguments[it];
     if (!ReadLog(file, records)) {
--- a/Source/cli/log_story.cc
+++ b/Source/cli/log_story.cc
@@ -29,7 +29,7 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-void SetMember(LogRecord& record, std::string key, std::string value) {
+void SetMember(LoggedEvent& record, std::string key, std::string value) {
   if (key == "time") {
     record.time = std::move(value);
   } else if (key == "instance") {
@@ -41,20 +41,20 @@
   }
 }
 
-std::optional<LogRecord> Checked(LogRecord record) {
+std::optional<LoggedEvent> Checked(LoggedEvent record) {
   if (record.time.empty() || record.name.empty()) {
     return std::nullopt;
   }
   return record;
 }
 
-std::optional<LogRecord> ParseJsonLine(std::string_view line) {
+std::optional<LoggedEvent> ParseJsonLine(std::string_view line) {
   const auto parsed = ParseJson(line);
   const auto* json = std::get_if<Json::Value>(&parsed);
   if (json == nullptr || !json->isObject()) {
     return std::nullopt;
   }
-  LogRecord record;
+  LoggedEvent record;
   for (const std::string& key : json->getMemberNames()) {
     const Json::Value& value = (*json)[key];
     SetMember(record, key,
@@ -82,7 +82,7 @@
 }
 
 // The fields that can name a job, a request or one of their tasks.
-bool Names(const LogRecord& record, std::string_view id) {
+bool Names(const LoggedEvent& record, std::string_view id) {
   const std::string task = std::string(id) + ".";
   const std::string path = "/" + std::string(id);
   return std::any_of(
@@ -92,7 +92,7 @@
       });
 }
 
-ptime TimeOf(const LogRecord& record) {
+ptime TimeOf(const LoggedEvent& record) {
   std::string text = record.time;
   if (text.ends_with('Z')) {
     text.pop_back();
@@ -111,7 +111,7 @@
   ptime first{boost::posix_time::pos_infin};
   ptime last{boost::posix_time::neg_infin};
 
-  void Add(const LogRecord& record) {
+  void Add(const LoggedEvent& record) {
     instances.insert(record.instance);
     for (const auto& [key, value] : record.fields) {
       if (key == "worker") {
@@ -125,7 +125,7 @@
     }
   }
 
-  bool Concerns(const LogRecord& record) const {
+  bool Concerns(const LoggedEvent& record) const {
     const ptime time = TimeOf(record);
     if (time.is_not_a_date_time() || time < first - kBefore ||
         time > last + kAfter) {
@@ -145,7 +145,7 @@
 
 }  // namespace
 
-std::optional<LogRecord> ParseLogLine(std::string_view line) {
+std::optional<LoggedEvent> ParseLogLine(std::string_view line) {
   if (const std::size_t json = line.find('{');
       json != std::string_view::npos && line.find("time=") > json) {
     return ParseJsonLine(line.substr(json));
@@ -155,7 +155,7 @@
     return std::nullopt;
   }
   std::string_view rest = line.substr(start);
-  LogRecord record;
+  LoggedEvent record;
   while (!rest.empty()) {
     const std::size_t equals = rest.find('=');
     if (equals == std::string_view::npos) {
@@ -169,30 +169,30 @@
   return Checked(std::move(record));
 }
 
-std::vector<StoryLine> FindStory(const std::vector<LogRecord>& records,
+std::vector<StoryLine> FindStory(const std::vector<LoggedEvent>& records,
                                  std::string_view id) {
   Cast cast;
-  for (const LogRecord& it : records) {
+  for (const LoggedEvent& it : records) {
     if (Names(it, id)) {
       cast.Add(it);
     }
   }
   std::vector<StoryLine> story;
-  for (const LogRecord& it : records) {
+  for (const LoggedEvent& it : records) {
     const bool direct = Names(it, id);
     if (direct || cast.Concerns(it)) {
-      story.push_back({.record = it, .direct = direct});
+      story.push_back({.event = it, .direct = direct});
     }
   }
   std::stable_sort(story.begin(), story.end(),
                    [](const StoryLine& left, const StoryLine& right) {
-                     return left.record.time < right.record.time;
+                     return left.event.time < right.event.time;
                    });
   return story;
 }
 
 std::string ToText(const StoryLine& line) {
-  const LogRecord& record = line.record;
+  const LoggedEvent& record = line.event;
   std::string text = record.time + " " + (line.direct ? "" : "(") +
                      record.instance + " " + record.name;
   for (const auto& [key, value] : record.fields) {
--- a/Source/cli/log_story.h
+++ b/Source/cli/log_story.h
@@ -11,21 +11,21 @@
 namespace burdockrock {
 
 // One line of a log, in either of its forms.
-struct LogRecord {
+struct LoggedEvent {
   std::string time{};  // "2026-12-02T21:22:14.467Z"
   std::string instance{};
   std::string name{};  // of the event
   std::vector<std::pair<std::string, std::string>> fields{};
 
-  auto operator<=>(const LogRecord&) const = default;
+  auto operator<=>(const LoggedEvent&) const = default;
 };
 
 // Nothing for a line that is no event. What stands before the time, as a
 // collector puts it there, is passed over.
-std::optional<LogRecord> ParseLogLine(std::string_view line);
+std::optional<LoggedEvent> ParseLogLine(std::string_view line);
 
 struct StoryLine {
-  LogRecord record{};
+  LoggedEvent event{};
   bool direct = true;  // false: of a worker or instance that took part
 
   auto operator<=>(const StoryLine&) const = default;
@@ -34,7 +34,7 @@
 // The records that name the id, and around them those that tell of the loss of
 // a worker, a store or a registration that took part; in the order of their
 // time.
-std::vector<StoryLine> FindStory(const std::vector<LogRecord>& records,
+std::vector<StoryLine> FindStory(const std::vector<LoggedEvent>& records,
                                  std::string_view id);
 
 // "TIME INSTANCE NAME key=value ..."
