Tests: Plays dead workers whose owners change, which fails

Cause: a new owner of a worker that it can't reach waits 18.4 s from its claim, whoever might still renew leases there, and an adopted job waits for each such worker, also where its owner knows that nothing of the job was there. Ruled out: want of room or tickets (two workers are free in the test).

--- /dev/null
+++ b/Tests/engine/dead_worker_test.cc
@@ -0,0 +1,145 @@
+// Workers that die while their owners change: what ran there is run again soon.
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "engine/fleet.h"
+#include "engine/membership.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A lasting task is to be at work again 6 s after its run ended; a lease of a
+// silent worker takes 7.9 s to run out for certain.
+constexpr Duration kBackAtWork = seconds(9);
+
+// One task more than five of the six workers have room for, so that each worker
+// runs some of them.
+constexpr std::uint32_t kTasks = 41;
+
+JobSpec Lasting(std::uint32_t count) {
+  JobSpec spec = OneStep(count);
+  spec.steps[0].lasting = true;
+  return spec;
+}
+
+// A job that n2 adopts.
+std::string JobForN2(const Fleet& fleet) {
+  std::string job = "j";
+  while (ChooseMember(fleet.state("n2"), job, {}) != "n2-1") {
+    job += "1";
+  }
+  return job;
+}
+
+// A lasting job of n1 at work on all workers, and two workers with room more.
+std::string BeginLasting(Fleet& fleet) {
+  fleet.Settle();
+  const std::string job = JobForN2(fleet);
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n1", job, Lasting(kTasks));
+  fleet.Run(seconds(1));
+  fleet.AddWorkers(2);
+  PlanAll(fleet, {.endless = true});
+  fleet.Run(seconds(1));
+  return job;
+}
+
+// Tasks of the job that are at work at a worker that can still work.
+std::set<std::string> AtWork(const Fleet& fleet,
+                             const std::string& job,
+                             const std::string& dead) {
+  std::set<std::string> tasks;
+  for (const SeenRun& it : fleet.seen) {
+    const bool runs = it.ended == kForever && it.worker != dead;
+    if (runs && it.task.starts_with(job + ".")) {
+      tasks.insert(it.task);
+    }
+  }
+  return tasks;
+}
+
+void CutOff(Fleet& fleet, const std::string& worker) {
+  fleet.order_fault = [worker](const std::string&, const std::string& name,
+                               const WorkerRequest&) {
+    return name == worker ? OrderFault::kUnreached : OrderFault::kNone;
+  };
+}
+
+// Its machine loses power: nobody hears that it is gone.
+void Crash(Fleet& fleet, const std::string& worker) {
+  CutOff(fleet, worker);
+  fleet.Run(seconds(2));  // a call that is under way is still answered
+  fleet.worker(worker).Crash(fleet.now(), worker + "-2");
+}
+
+// Workers died a second after the instances that owned them, which were started
+// again. The workers' new owners did not know until when the old ones had
+// renewed leases and waited 18.4 s, though the processes that could have done
+// so were gone: their entry instances had registered again under other
+// incarnations. A lasting task stayed away for 30 s with room for it. The logs
+// had worker_silent for the dead workers, 0.7 s apart, until 21 s after their
+// death, no worker_gone, and job_adopted three times for the task's job.
+TEST_CASE("A worker that died with its owner is gone when its leases are") {
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet);
+  CutOff(fleet, "w0");
+  fleet.Kill("n0");
+  fleet.worker("w0").Crash(fleet.now(), "w0-2");
+  fleet.Run(seconds(2));
+  fleet.Start("n0");
+  fleet.Run(seconds(2));
+  fleet.store.Remove("worker/w0-1");
+  fleet.Run(kBackAtWork - seconds(4));
+  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CheckPromises(fleet);
+}
+
+// A worker died and its owner was restarted after the worker's entry had left
+// the store. The new life of the owner did not know the worker, the others
+// remembered it for 25 s, and nobody claimed it: an adopted job waited for word
+// of it until they forgot it.
+TEST_CASE("A worker that only others remember does not hold an adoption up") {
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet);
+  Crash(fleet, "w0");
+  fleet.Run(seconds(3));
+  fleet.store.Remove("worker/w0-1");
+  fleet.Run(milliseconds(700));
+  fleet.Kill("n0");
+  fleet.Run(milliseconds(300));
+  fleet.Start("n0");
+  fleet.Run(milliseconds(500));
+  fleet.Kill("n1");
+  fleet.Run(milliseconds(300));
+  fleet.Start("n1");
+  fleet.Run(seconds(7));
+  CHECK(fleet.state("n2").jobs.contains(job));
+  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CheckPromises(fleet);
+}
+
+// The owner of a dead worker knows what ran there. Of a job that had nothing
+// there it can say so without hearing from the worker: adopted jobs waited
+// for the lease of each dead worker, though none of their tasks was there.
+TEST_CASE("A dead worker holds up only the jobs that had something there") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = milliseconds(600)});
+  CutOff(fleet, "w0");
+  fleet.Run(milliseconds(2500));
+  fleet.Submit("n1", "j1", Chain(3, 6));
+  fleet.Run(milliseconds(700));
+  fleet.StopPlanned("n1");
+  fleet.Run(milliseconds(3500));
+  CHECK(CountEnds(fleet, RunEnd::kDone) == 18);
+  CheckPromises(fleet);
+}
+
+}  // namespace
+
+}  // namespace burdockrock::engine
