Engine: Asks the members until when they renewed a dead worker's leases

Cause: a new owner that can't reach its worker waited 18.4 s from its claim, the longest time in which anybody may renew leases there, though the members that had owned it were restarted, or could say that theirs end sooner. A worker that had left the store's list before its owner was restarted was claimed by nobody for 25 s. Change: the claimer asks all that may have renewed; whoever answers gives the worker up; a process whose machine has registered another one has ended; records of machines tell a young process of whom it may know nothing; an adopter tells the others of workers that left the list; nobody claims workers while it is not surely registered.

--- a/Source/engine/adoption.cc
+++ b/Source/engine/adoption.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "engine/catalog.h"
@@ -192,8 +193,28 @@
   CompleteIfDone(context, job);
 }
 
+// Workers that left the store's list and that their present owner may never
+// have seen there: without being told of them it claims them not, and what ran
+// there would be waited for until all others have forgotten them.
+std::vector<RememberedWorker> Remembered(
+    const Context& context,
+    const std::set<std::string>& uncovered) {
+  std::vector<RememberedWorker> remembered;
+  for (const std::string& it : uncovered) {
+    const ListedWorker* worker = FindWorker(context.state, it);
+    if (worker != nullptr && !worker->listed) {
+      remembered.push_back({.worker = it,
+                            .address = worker->info.address,
+                            .domain = worker->info.domain,
+                            .service = worker->info.service});
+    }
+  }
+  return remembered;
+}
+
 void DriveRecovery(Context& context) {
   AdoptQuery query;
+  std::set<std::string> uncovered;
   const bool list_settled =
       ListsAreRead(context.state) &&
       HasPassed(context.now, context.state.members.registered_at, kListSettled);
@@ -216,8 +237,10 @@
       }
       job.asked_at = context.now;
       query.jobs.push_back({.job = id, .generation = job.generation});
+      uncovered.insert(job.uncovered.begin(), job.uncovered.end());
     }
   }
+  query.remembered = Remembered(context, uncovered);
   if (query.jobs.empty()) {
     return;
   }
--- /dev/null
+++ b/Source/engine/lease_bounds.cc
@@ -0,0 +1,225 @@
+#include "engine/lease_bounds.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include "engine/membership.h"
+#include "engine/worker_list.h"
+#include "engine/worker_owner.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Questions that got no answer are asked again: a few times within the 6 s that
+// a lease lasts, which have to pass anyway.
+constexpr Duration kAskAgain = milliseconds(400);
+
+// A process goes on renewing for so long without the store.
+Duration LongestSpan(const Context& context) {
+  return kMaxWithoutStore + LeaseSpan(context);
+}
+
+// The store's list has lacked the member since it left.
+Time EndOfDeparted(const Context& context, const DepartedMember& member) {
+  const Time without_store = member.left_at + LongestSpan(context);
+  if (member.replaced_at == kForever) {
+    return without_store;
+  }
+  return std::min(without_store, member.replaced_at + LeaseSpan(context));
+}
+
+// Of members that left before this instance read the list first.
+Time EndOfUnknown(const Context& context) {
+  const MembersState& members = context.state.members;
+  if (members.known_since == kForever) {
+    return kForever;
+  }
+  const Time longest = members.known_since + LongestSpan(context);
+  if (!members.nodes.read) {
+    return longest;
+  }
+  Time end = Time::min();
+  for (const auto& [node, replaced_at] : members.nodes.unseen) {
+    end = std::max(end,
+                   replaced_at == kForever
+                       ? longest
+                       : std::min(longest, replaced_at + LeaseSpan(context)));
+  }
+  return end;
+}
+
+Time EndOfOthers(const Context& context) {
+  Time end = EndOfUnknown(context);
+  for (const auto& [incarnation, it] : context.state.members.departed) {
+    end = std::max(end, EndOfDeparted(context, it));
+  }
+  return end;
+}
+
+Duration Left(const Context& context, Time end) {
+  if (end == kForever) {
+    return LongestSpan(context);
+  }
+  return std::max(end - context.now, Duration(0));
+}
+
+bool NeedsWord(const Context& context, const OwnedWorker& worker) {
+  return IsSilent(worker) && context.now < worker.foreign_bound;
+}
+
+// This instance is the worker's owner by all that it knows, or reaches it.
+bool KeepsWorker(const Context& context, const OwnedWorker& worker) {
+  if (worker.claimed && !IsSilent(worker)) {
+    return true;
+  }
+  return IsSurelyRegistered(context) &&
+         ChooseMember(context.state, worker.info.id, worker.info.domain) ==
+             context.self();
+}
+
+std::string AddressOf(const State& state, const std::string& incarnation) {
+  const auto present = state.members.present.find(incarnation);
+  if (present != state.members.present.end()) {
+    return present->second.record.address;
+  }
+  return state.members.departed.at(incarnation).member.record.address;
+}
+
+// Whoever may have renewed leases and has not said until when.
+std::vector<std::string> Unheard(const Context& context,
+                                 const OwnedWorker& worker) {
+  std::vector<std::string> unheard;
+  for (const auto& [incarnation, it] : context.state.members.present) {
+    if (incarnation != context.self() && !worker.told.contains(incarnation)) {
+      unheard.push_back(incarnation);
+    }
+  }
+  for (const auto& [incarnation, it] : context.state.members.departed) {
+    const bool may_renew =
+        it.replaced_at == kForever && context.now < EndOfDeparted(context, it);
+    if (may_renew && !worker.told.contains(incarnation)) {
+      unheard.push_back(incarnation);
+    }
+  }
+  return unheard;
+}
+
+}  // namespace
+
+Duration LeaseSpan(const Context& context) {
+  return std::chrono::duration_cast<Duration>(
+             context.state.options.bounds.max_hold * kClockDrift) +
+         kLeaseMargin;
+}
+
+void SuspectLeases(Context& context, OwnedWorker& worker) {
+  worker.foreign_bound = context.now + LongestSpan(context);
+  worker.lease_question = ++context.state.last_lease_question;
+  worker.told.clear();
+}
+
+Time ForeignLeasesEnd(const Context& context, const OwnedWorker& worker) {
+  Time end = Time::min();
+  for (const auto& [incarnation, it] : context.state.members.present) {
+    if (incarnation == context.self()) {
+      continue;
+    }
+    const auto told = worker.told.find(incarnation);
+    if (told == worker.told.end()) {
+      return worker.foreign_bound;
+    }
+    end = std::max(end, told->second.own_end);
+  }
+  for (const auto& [incarnation, it] : context.state.members.departed) {
+    const auto told = worker.told.find(incarnation);
+    const Time bound = EndOfDeparted(context, it);
+    end = std::max(end, told == worker.told.end()
+                            ? bound
+                            : std::min(bound, told->second.own_end));
+  }
+  Time unknown = EndOfUnknown(context);
+  for (const auto& [incarnation, it] : worker.told) {
+    unknown = std::min(unknown, it.others_end);
+  }
+  return std::min(std::max(end, unknown), worker.foreign_bound);
+}
+
+void RememberLease(Context& context, const std::string& worker, Time end) {
+  if (end > context.now) {
+    context.state.released[worker] = end;
+  }
+}
+
+Time ReleasedLeaseEnd(const Context& context, const std::string& worker) {
+  const auto it = context.state.released.find(worker);
+  return it == context.state.released.end() ? Time(0) : it->second;
+}
+
+void DriveLeaseQueries(Context& context) {
+  if (!HasPassed(context.now, context.state.leases_asked, kAskAgain) ||
+      !IsSurelyRegistered(context)) {
+    return;
+  }
+  context.state.leases_asked = context.now;
+  std::erase_if(context.state.released,
+                [&](const auto& it) { return it.second <= context.now; });
+  std::map<std::string, LeaseQuery> queries;
+  for (const auto& [id, worker] : context.state.owned) {
+    if (!NeedsWord(context, worker)) {
+      continue;
+    }
+    for (const std::string& it : Unheard(context, worker)) {
+      queries[it].workers.push_back(
+          {.worker = id, .number = worker.lease_question});
+    }
+  }
+  for (auto& [incarnation, query] : queries) {
+    // Also to members that the store turned away and that may go on renewing.
+    context.Emit(SendPeer{.to = incarnation,
+                          .address = AddressOf(context.state, incarnation),
+                          .message = std::move(query)});
+  }
+}
+
+void OnLeaseQuery(Context& context,
+                  const std::string& from,
+                  const LeaseQuery& query) {
+  LeaseReport report{.others_left = Left(context, EndOfOthers(context))};
+  for (const LeaseQuestion& it : query.workers) {
+    const auto owned = context.state.owned.find(it.worker);
+    if (owned != context.state.owned.end()) {
+      if (KeepsWorker(context, owned->second)) {
+        continue;
+      }
+      // After this answer no lease may be renewed any more: the asker counts
+      // what runs there as ended when it is over.
+      LoseWorker(context, it.worker);
+    }
+    report.ends.push_back(
+        {.worker = it.worker,
+         .number = it.number,
+         .left = Left(context, ReleasedLeaseEnd(context, it.worker))});
+  }
+  if (!report.ends.empty()) {
+    Send(context, from, std::move(report));
+  }
+}
+
+void OnLeaseReport(Context& context,
+                   const std::string& from,
+                   const LeaseReport& report) {
+  for (const LeaseEnd& it : report.ends) {
+    const auto owned = context.state.owned.find(it.worker);
+    if (owned != context.state.owned.end() &&
+        owned->second.lease_question == it.number) {
+      owned->second.told[from] =
+          ToldLeases{.own_end = context.now + it.left,
+                     .others_end = context.now + report.others_left};
+    }
+  }
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/membership.cc
+++ b/Source/engine/membership.cc
@@ -7,6 +7,7 @@
 
 #include "engine/adoption.h"
 #include "engine/job_progress.h"
+#include "engine/node_records.h"
 #include "engine/store_calls.h"
 #include "engine/worker_owner.h"
 
@@ -53,7 +54,9 @@
                .conditions = {{.key = key, .revision = 0}},
                .puts = {{.key = key,
                          .value = EncodeMember(context.state.options.self),
-                         .lease = members.lease}},
+                         .lease = members.lease},
+                        {.key = NodeKey(context.state.options.self.node),
+                         .value = context.self()}},
                .removes = EarlierIncarnations(context)},
            ForRegistration{});
 }
@@ -208,9 +211,13 @@
               {{"peer", incarnation}, {"domain", member.record.domain}});
   context.state.digest.refreshed_at = Time::min();
   // The machine runs one process: an earlier one is gone for certain.
+  OnNodeSeen(context, member.record.node);
   for (auto& [id, it] : members.departed) {
-    if (it.member.record.node == member.record.node &&
-        it.gone_at != Time::min()) {
+    if (it.member.record.node != member.record.node) {
+      continue;
+    }
+    it.replaced_at = std::min(it.replaced_at, context.now);
+    if (it.gone_at != Time::min()) {
       it.gone_at = context.now;
     }
   }
@@ -235,7 +242,10 @@
       !replaced && StoreIsUnsteady(context) ? kRejoinGrace : Duration(0);
   context.state.digest.waiting.erase(node.key());
   members.departed[node.key()] =
-      DepartedMember{.member = node.mapped(), .gone_at = context.now + grace};
+      DepartedMember{.member = node.mapped(),
+                     .gone_at = context.now + grace,
+                     .left_at = context.now,
+                     .replaced_at = replaced ? context.now : kForever};
 }
 
 void OnLeaseGranted(Context& context, const StoreAnswer& answer) {
--- /dev/null
+++ b/Source/engine/node_records.cc
@@ -0,0 +1,136 @@
+#include "engine/node_records.h"
+
+#include <algorithm>
+
+#include "engine/membership.h"
+#include "engine/store_calls.h"
+#include "engine/watches.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A machine that is gone for so long runs nothing that matters: its process
+// would have stopped renewing leases after 12 s. Some times as long costs one
+// cheap read a minute.
+constexpr Duration kForgetAfter = milliseconds(60'000);
+// Of one round; the next takes more.
+constexpr std::size_t kMaxForgotten = 30;
+
+constexpr const char* kDuty = "node records";
+
+bool IsPresent(const State& state, const std::string& node) {
+  return std::any_of(
+      state.members.present.begin(), state.members.present.end(),
+      [&](const auto& it) { return it.second.record.node == node; });
+}
+
+void ReadPage(Context& context, bool forget) {
+  NodesState& nodes = context.state.members.nodes;
+  nodes.in_flight = true;
+  nodes.read_at = context.now;
+  AskStore(context,
+           StoreRange{.prefix = std::string(kNodePrefix),
+                      .after = nodes.after,
+                      .may_be_stale = forget},
+           ForNodes{.forget = forget});
+}
+
+void Learn(Context& context, const std::string& node) {
+  NodesState& nodes = context.state.members.nodes;
+  if (!nodes.listed.contains(node)) {
+    nodes.unseen.emplace(
+        node, IsPresent(context.state, node) ? context.now : kForever);
+  }
+}
+
+bool IsLongGone(const Context& context, const std::string& node) {
+  const MembersState& members = context.state.members;
+  if (IsPresent(context.state, node) ||
+      !HasPassed(context.now, members.known_since, kForgetAfter)) {
+    return false;
+  }
+  return std::all_of(
+      members.departed.begin(), members.departed.end(), [&](const auto& it) {
+        return it.second.member.record.node != node ||
+               HasPassed(context.now, it.second.left_at, kForgetAfter);
+      });
+}
+
+void Forget(Context& context, const std::vector<StoreItem>& items) {
+  StoreTransaction transaction;
+  for (const StoreItem& it : items) {
+    const std::string node = it.key.substr(kNodePrefix.size());
+    if (IsLongGone(context, node) &&
+        transaction.removes.size() < kMaxForgotten / 2) {
+      transaction.conditions.push_back(
+          {.key = it.key, .revision = it.revision});
+      transaction.removes.push_back(it.key);
+    }
+  }
+  if (!transaction.removes.empty()) {
+    AskStore(context, std::move(transaction), ForNothing{});
+  }
+}
+
+}  // namespace
+
+void DriveNodes(Context& context) {
+  MembersState& members = context.state.members;
+  NodesState& nodes = members.nodes;
+  if (members.known_since == kForever) {
+    const Watch& watch =
+        context.state.watches[static_cast<std::size_t>(WatchedList::kMembers)];
+    if (!watch.complete) {
+      return;
+    }
+    members.known_since = context.now;
+    for (const auto& [incarnation, it] : members.present) {
+      nodes.listed.insert(it.record.node);
+    }
+  }
+  if (nodes.in_flight || !IsRegistered(context.state)) {
+    return;
+  }
+  if (!nodes.read) {
+    if (HasPassed(context.now, nodes.read_at, kStoreRetry)) {
+      ReadPage(context, false);
+    }
+  } else if (HasPassed(context.now, nodes.read_at, kForgetAfter)) {
+    nodes.read_at = context.now;
+    if (ChooseMember(context.state, kDuty, {}) == context.self()) {
+      ReadPage(context, true);
+    }
+  }
+}
+
+void OnNodePage(Context& context, bool forget, const StoreAnswer& answer) {
+  NodesState& nodes = context.state.members.nodes;
+  nodes.in_flight = false;
+  const auto* page = std::get_if<StoreDone>(&answer);
+  if (page == nullptr) {
+    return;  // read again, from the same page
+  }
+  if (forget) {
+    return Forget(context, page->items);
+  }
+  for (const StoreItem& it : page->items) {
+    Learn(context, it.key.substr(kNodePrefix.size()));
+  }
+  if (page->more && !page->items.empty()) {
+    nodes.after = page->items.back().key;
+    return ReadPage(context, false);
+  }
+  nodes.after.clear();
+  nodes.read = true;
+}
+
+void OnNodeSeen(Context& context, const std::string& node) {
+  NodesState& nodes = context.state.members.nodes;
+  const auto it = nodes.unseen.find(node);
+  if (it != nodes.unseen.end()) {
+    it->second = std::min(it->second, context.now);
+  }
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -68,6 +68,12 @@
   Time came{0};
 };
 
+// What another process has said of leases at a worker.
+struct ToldLeases {
+  Time own_end{0};     // those that it renewed itself have run out by then
+  Time others_end{0};  // those of members that it remembers, or has missed
+};
+
 struct OwnedWorker {
   WorkerInfo info{};
   std::uint64_t fence = 0;  // 0: not claimed yet
@@ -86,12 +92,15 @@
   Time silent_since{0};  // the first hold without an answer; 0: none
   // What this instance renewed there has ended by then.
   Time lease_bound{0};
-  // What another owner may have renewed there has ended by then.
+  // What another owner may have renewed there has ended by then, whatever the
+  // others say of their leases.
   Time foreign_bound{0};
-  std::int64_t clock_offset_ms = 0;  // worker's clock less ours
-  std::int64_t lease_until_ms = 0;   // asked for last; on the worker's clock
-  std::uint64_t seen = 0;            // highest end listed
-  std::uint64_t acknowledged = 0;    // ends up to here are stored
+  std::uint64_t lease_question = 0;          // that counts
+  std::map<std::string, ToldLeases> told{};  // by incarnation
+  std::int64_t clock_offset_ms = 0;          // worker's clock less ours
+  std::int64_t lease_until_ms = 0;  // asked for last; on the worker's clock
+  std::uint64_t seen = 0;           // highest end listed
+  std::uint64_t acknowledged = 0;   // ends up to here are stored
   std::map<std::string, LocalRun> runs{};  // by task
   std::map<std::uint64_t, LocalEnd> ends{};
   std::uint64_t version = 0;  // of the room, for digests
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -212,11 +212,24 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::RememberedWorker> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Field("address", it.address);
+    codec.Field("domain", it.domain);
+    codec.Field("service", it.service);
+  }
+};
+
 template <>
 struct FieldsOf<engine::AdoptQuery> {
   template <typename Codec, typename Value>
   static void Visit(Codec& codec, Value& it) {
     codec.Optional("jobs", it.jobs, std::vector<engine::JobGeneration>());
+    codec.Optional("remembered", it.remembered,
+                   std::vector<engine::RememberedWorker>());
   }
 };
 
@@ -308,6 +321,42 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::LeaseQuestion> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Field("number", it.number);
+  }
+};
+
+template <>
+struct FieldsOf<engine::LeaseQuery> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("workers", it.workers);
+  }
+};
+
+template <>
+struct FieldsOf<engine::LeaseEnd> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Field("number", it.number);
+    codec.Optional("left_ms", it.left, Duration(0));
+  }
+};
+
+template <>
+struct FieldsOf<engine::LeaseReport> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("ends", it.ends, std::vector<engine::LeaseEnd>());
+    codec.Optional("others_left_ms", it.others_left, Duration(0));
+  }
+};
+
 }  // namespace burdockrock
 
 #endif  // BURDOCKROCK_ENGINE_PEER_FIELDS_H_
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -204,10 +204,23 @@
   auto operator<=>(const JobGeneration&) const = default;
 };
 
+// A worker that left the store's list and of which not everything that runs
+// there was heard yet.
+struct RememberedWorker {
+  std::string worker{};
+  std::string address{};
+  std::string domain{};
+  std::string service{};
+
+  auto operator<=>(const RememberedWorker&) const = default;
+};
+
 // A new owner of jobs asks what of them runs. From then on the receiver
-// refuses offers of lower generations.
+// refuses offers of lower generations. `remembered` are the workers that are
+// still waited for and that a receiver may not know.
 struct AdoptQuery {
   std::vector<JobGeneration> jobs{};
+  std::vector<RememberedWorker> remembered{};
 
   auto operator<=>(const AdoptQuery&) const = default;
 };
@@ -293,6 +306,39 @@
   auto operator<=>(const WorkerPrepared&) const = default;
 };
 
+struct LeaseQuestion {
+  std::string worker{};
+  std::uint64_t number = 0;  // the asker's
+
+  auto operator<=>(const LeaseQuestion&) const = default;
+};
+
+// Who claims workers that it can't reach asks until when leases last there that
+// the receiver has renewed. Whoever answers gives the worker up.
+struct LeaseQuery {
+  std::vector<LeaseQuestion> workers{};
+
+  auto operator<=>(const LeaseQuery&) const = default;
+};
+
+struct LeaseEnd {
+  std::string worker{};
+  std::uint64_t number = 0;  // the question's
+  Duration left{0};          // 0: none lasts
+
+  auto operator<=>(const LeaseEnd&) const = default;
+};
+
+// Workers that the sender still owns and reaches are left out.
+struct LeaseReport {
+  std::vector<LeaseEnd> ends{};
+  // So long leases may last that members renewed which the sender remembers, or
+  // may have missed.
+  Duration others_left{0};
+
+  auto operator<=>(const LeaseReport&) const = default;
+};
+
 using PeerMessage = std::variant<RoomDigest,
                                  TaskOffer,
                                  OfferAnswers,
@@ -308,7 +354,9 @@
                                  AdviceAsk,
                                  AdviceReply,
                                  PrepareWorker,
-                                 WorkerPrepared>;
+                                 WorkerPrepared,
+                                 LeaseQuery,
+                                 LeaseReport>;
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/record.cc
+++ b/Source/engine/record.cc
@@ -22,6 +22,10 @@
   return fmt::format("{}{}", kMemberPrefix, incarnation);
 }
 
+std::string NodeKey(std::string_view node) {
+  return std::string(kNodePrefix) + std::string(node);
+}
+
 std::string SpecKey(std::string_view job) {
   return fmt::format("{}{}", kSpecPrefix, job);
 }
--- a/Source/engine/record.h
+++ b/Source/engine/record.h
@@ -15,14 +15,17 @@
 namespace burdockrock::engine {
 
 // Keys: `member/INCARNATION` an entry instance that lives (leased);
+// `node/NODE` the last incarnation of a machine, kept when it is gone;
 // `spec/JOB` a JobSpec, never changed; `job/JOB` a JobRecord;
 // `owned/INCARNATION/JOB` an index of the jobs that have not ended, by owner.
 inline constexpr std::string_view kMemberPrefix = "member/";
+inline constexpr std::string_view kNodePrefix = "node/";
 inline constexpr std::string_view kSpecPrefix = "spec/";
 inline constexpr std::string_view kJobPrefix = "job/";
 inline constexpr std::string_view kOwnedPrefix = "owned/";
 
 std::string MemberKey(std::string_view incarnation);
+std::string NodeKey(std::string_view node);
 std::string SpecKey(std::string_view job);
 std::string JobKey(std::string_view job);
 std::string OwnedKey(std::string_view incarnation, std::string_view job);
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -8,7 +8,9 @@
 #include "engine/digests.h"
 #include "engine/job_progress.h"
 #include "engine/job_runs.h"
+#include "engine/lease_bounds.h"
 #include "engine/membership.h"
+#include "engine/node_records.h"
 #include "engine/placing.h"
 #include "engine/planned_stop.h"
 #include "engine/questions.h"
@@ -51,6 +53,8 @@
     OnPrepareWorker(context, from, it);
   }
   void operator()(const WorkerPrepared& it) { OnWorkerPrepared(context, it); }
+  void operator()(const LeaseQuery& it) { OnLeaseQuery(context, from, it); }
+  void operator()(const LeaseReport& it) { OnLeaseReport(context, from, it); }
 };
 
 // Hands the store's answer to whoever asked.
@@ -78,6 +82,9 @@
     OnOrphanPage(context, it.prefix, answer);
   }
   void operator()(const ForSweep&) { OnSweepPage(context, answer); }
+  void operator()(const ForNodes& it) {
+    OnNodePage(context, it.forget, answer);
+  }
   void operator()(const ForWaveStatus& it) {
     OnWaveTold(context, it.wave, it.completed, answer);
   }
@@ -129,9 +136,11 @@
 
 void Drive(Context& context) {
   DriveMembership(context);
+  DriveNodes(context);
   DriveWatches(context);
   DriveWorkerList(context);
   DriveWorkers(context);
+  DriveLeaseQueries(context);
   DriveEnds(context);
   DrainInbox(context);
   DriveJobs(context);
--- a/Source/engine/run_questions.cc
+++ b/Source/engine/run_questions.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "engine/run_ends.h"
+#include "engine/worker_list.h"
 #include "engine/worker_owner.h"
 
 namespace burdockrock::engine {
@@ -101,6 +102,7 @@
 void OnAdoptQuery(Context& context,
                   const std::string& from,
                   const AdoptQuery& query) {
+  OnWorkersRemembered(context, query.remembered);
   AdoptReport report;
   std::set<std::string> jobs;
   Time asked{0};
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -55,6 +55,9 @@
   std::string prefix{};
 };
 struct ForSweep {};
+struct ForNodes {
+  bool forget = false;  // else: to learn them
+};
 struct ForWaveStatus {
   std::uint64_t wave = 0;
   bool completed = false;
@@ -71,6 +74,7 @@
                                   ForSpecRead,
                                   ForOrphans,
                                   ForSweep,
+                                  ForNodes,
                                   ForWaveStatus,
                                   ForNothing>;
 
@@ -92,6 +96,8 @@
   std::string after{};
   std::set<std::string> seen{};  // keys that were read so far
   bool complete = false;         // was read whole at least once
+  Time asked_at = Time::min();   // the call that is under way
+  Time known_to = Time::min();   // all changes up to then are known
   Time retry_at{0};
 };
 
@@ -105,6 +111,21 @@
 struct DepartedMember {
   Member member{};
   Time gone_at = kForever;  // from then on its work is taken over
+  Time left_at{0};          // when the store's list lacked it
+  // Its machine runs another process since then: it has ended.
+  Time replaced_at = kForever;
+};
+
+// Machines whose processes registered and left before this instance read the
+// list of members: one of them may be cut off and go on.
+struct NodesState {
+  bool read = false;  // whole, once
+  bool in_flight = false;
+  std::string after{};
+  Time read_at = Time::min();      // when the last read began
+  std::set<std::string> listed{};  // had a member in the first list
+  // By machine: since when it runs another process. kForever: it does not.
+  std::map<std::string, Time> unseen{};
 };
 
 struct MembersState {
@@ -122,8 +143,10 @@
   // The registration was surely valid then: a renewal that was sent then has
   // been answered.
   Time last_contact{0};
+  Time known_since = kForever;  // the list was read whole for the first time
   std::map<std::string, Member> present{};  // by incarnation
   std::map<std::string, DepartedMember> departed{};
+  NodesState nodes{};
 };
 
 // A worker of the platform's list. One that left it is remembered for a while:
@@ -317,6 +340,11 @@
   std::map<std::string, OwnedWorker> owned{};
   Time ownership_reviewed = Time::min();
   std::map<std::string, GoneWorker> gone{};
+  // By then the leases have run out that this instance renewed at workers which
+  // it owns no more.
+  std::map<std::string, Time> released{};
+  std::uint64_t last_lease_question = 0;
+  Time leases_asked = Time::min();
   std::map<std::string, RoomView> view{};
   std::unordered_map<std::string, KnownJob> known{};  // of runs on own workers
   std::unordered_map<std::string, CatalogEntry> catalog{};
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -151,6 +151,7 @@
 
 void StartRead(Context& context, WatchedList list, Watch& watch) {
   watch.in_flight = true;
+  watch.asked_at = context.now;
   AskStore(
       context,
       StoreRange{.prefix = PrefixOf(context.state, list), .after = watch.after},
@@ -159,6 +160,7 @@
 
 void StartWatch(Context& context, WatchedList list, Watch& watch) {
   watch.in_flight = true;
+  watch.asked_at = context.now;
   AskStore(context,
            StoreWatch{.prefix = PrefixOf(context.state, list),
                       .after = watch.revision,
@@ -201,6 +203,7 @@
       OnPage(context, list, *done);
     } else {
       OnChanges(context, list, *done);
+      watch.known_to = watch.asked_at;
       watch.retry_at = context.now + PauseOf(list);
     }
   } else if (std::holds_alternative<StoreAbsent>(answer)) {
--- a/Source/engine/worker_list.cc
+++ b/Source/engine/worker_list.cc
@@ -81,6 +81,29 @@
   });
 }
 
+void OnWorkersRemembered(Context& context,
+                         const std::vector<RememberedWorker>& workers) {
+  bool changed = false;
+  for (const RememberedWorker& it : workers) {
+    const auto view = context.state.view.find(it.worker);
+    const bool gone = view != context.state.view.end() && view->second.gone;
+    if (gone || context.state.workers.contains(it.worker)) {
+      continue;
+    }
+    context.state.workers[it.worker] =
+        ListedWorker{.info = {.id = it.worker,
+                              .address = it.address,
+                              .domain = it.domain,
+                              .service = it.service},
+                     .listed = false,
+                     .unlisted_at = context.now};
+    changed = true;
+  }
+  if (changed) {
+    ReviewOwnership(context);
+  }
+}
+
 const ListedWorker* FindWorker(const State& state, const std::string& id) {
   const auto it = state.workers.find(id);
   return it == state.workers.end() ? nullptr : &it->second;
--- a/Source/engine/worker_list.h
+++ b/Source/engine/worker_list.h
@@ -15,6 +15,10 @@
 // Null when it is not known (any more).
 const ListedWorker* FindWorker(const State& state, const std::string& id);
 
+// Workers that a member remembers and that this instance may not have seen.
+void OnWorkersRemembered(Context& context,
+                         const std::vector<RememberedWorker>& workers);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_WORKER_LIST_H_
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "engine/job_runs.h"
+#include "engine/lease_bounds.h"
 #include "engine/membership.h"
 #include "engine/preemption.h"
 #include "engine/run_ends.h"
@@ -17,28 +18,18 @@
 
 namespace {
 
-Duration Drifted(Duration span) {
-  return std::chrono::duration_cast<Duration>(span * kClockDrift);
-}
-
 std::int64_t WorkerClock(const Context& context, const OwnedWorker& worker) {
   return ToMilliseconds(context.now) + worker.clock_offset_ms;
 }
 
-// Another owner may renew the leases for as long as it reaches the worker and
-// has not given up on the store.
-Time ForeignLeaseBound(const Context& context) {
-  return context.now + kMaxWithoutStore +
-         Drifted(context.state.options.bounds.max_hold) + kLeaseMargin;
-}
-
 void BeginClaim(Context& context, const WorkerInfo& info) {
   OwnedWorker& worker = context.state.owned[info.id];
   worker.info = info;
   // What the owner before has learned.
   worker.speed = SpeedEstimate(context.state.view[info.id].slowness);
   worker.hold_at = context.now;
-  worker.foreign_bound = ForeignLeaseBound(context);
+  worker.lease_bound = ReleasedLeaseEnd(context, info.id);
+  SuspectLeases(context, worker);
 }
 
 // Nothing runs there any more, whoever renewed it last. That the store has
@@ -47,11 +38,7 @@
 // goes on renewing what runs at the other.
 bool HasRunOut(const Context& context, const OwnedWorker& worker) {
   return context.now >= worker.lease_bound &&
-         context.now >= worker.foreign_bound;
-}
-
-bool IsSilent(const OwnedWorker& worker) {
-  return worker.silent_since != Time(0);
+         context.now >= ForeignLeasesEnd(context, worker);
 }
 
 bool MayRenew(const Context& context, const OwnedWorker& worker) {
@@ -136,9 +123,7 @@
   const bool claimed_now = !worker.claimed;
   if (claimed_now) {
     worker.claimed = true;
-    worker.lease_bound = context.now +
-                         Drifted(context.state.options.bounds.max_hold) +
-                         kLeaseMargin;
+    worker.lease_bound = context.now + LeaseSpan(context);
     worker.foreign_bound = context.now;  // lower fences are refused from now on
     context.Log(EventNumber::kWorkerClaimed,
                 {{"worker", id},
@@ -189,7 +174,9 @@
 void ReviewOwnership(Context& context) {
   const bool settled =
       HasPassed(context.now, context.state.members.registered_at, kClaimDelay);
-  if (!IsRegistered(context.state) || context.state.stop.asked || !settled) {
+  // Who is turned away by the store may have been replaced in the list of
+  // members, and has perhaps told its successor that it gives a worker up.
+  if (!IsSurelyRegistered(context) || context.state.stop.asked || !settled) {
     return;
   }
   context.state.ownership_reviewed = context.now;
@@ -286,7 +273,7 @@
 void ExtendDoubtedLeases(Context& context) {
   for (auto& [id, worker] : context.state.owned) {
     if (worker.doubted) {
-      worker.foreign_bound = ForeignLeaseBound(context);
+      SuspectLeases(context, worker);
     }
   }
 }
@@ -309,6 +296,7 @@
     }
   }
   context.state.digest.changed.erase(id);
+  RememberLease(context, id, node.mapped().lease_bound);
 }
 
 void WorkerIsGone(Context& context, const std::string& id, const char* cause) {
@@ -373,13 +361,17 @@
 
 std::int64_t NextLease(Context& context, OwnedWorker& worker) {
   const Duration max_hold = context.state.options.bounds.max_hold;
-  worker.lease_bound = std::max(worker.lease_bound,
-                                context.now + Drifted(max_hold) + kLeaseMargin);
+  worker.lease_bound =
+      std::max(worker.lease_bound, context.now + LeaseSpan(context));
   worker.lease_until_ms =
       WorkerClock(context, worker) + ToMilliseconds(max_hold);
   return worker.lease_until_ms;
 }
 
+bool IsSilent(const OwnedWorker& worker) {
+  return worker.silent_since != Time(0);
+}
+
 OwnedWorker* FindClaimed(State& state, const std::string& id) {
   const auto it = state.owned.find(id);
   const bool claimed = it != state.owned.end() && it->second.claimed;
--- a/Source/engine/worker_owner.h
+++ b/Source/engine/worker_owner.h
@@ -42,6 +42,9 @@
 // Notes in the worker by when all that runs there would have ended.
 std::int64_t NextLease(Context& context, OwnedWorker& worker);
 
+// It did not answer the last hold.
+bool IsSilent(const OwnedWorker& worker);
+
 // Null when it is not owned, or not claimed yet.
 OwnedWorker* FindClaimed(State& state, const std::string& id);
 
