Engine: Says what ran at a silent worker without waiting for it

Cause: each adopted job waited until every dead worker was heard of or its leases had run out, up to 7.9 s, though the worker's owner knows all that ran there. Change: an owner that is surely registered and has seen all changes of the members since the question answers from its books. Ruled out: answering at once, as another owner may have registered just before.

--- a/Source/engine/run_questions.cc
+++ b/Source/engine/run_questions.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "engine/membership.h"
 #include "engine/run_ends.h"
 #include "engine/worker_list.h"
 #include "engine/worker_owner.h"
@@ -38,6 +39,22 @@
          known->second.owner != asker;
 }
 
+// What runs at a worker that can't be reached, its owner knows: it accepts
+// nothing from others with a lower fence. Another owner with a higher one would
+// have registered before `asked` and be known by now, as all changes of the
+// members up to then are. Waiting for the worker's lease instead holds up each
+// adopted job for up to 7.9 s, whether it has something there or not.
+bool IsKnownThoughSilent(const Context& context,
+                         const OwnedWorker& worker,
+                         Time asked) {
+  const Watch& members =
+      context.state.watches[static_cast<std::size_t>(WatchedList::kMembers)];
+  return IsSilent(worker) && !worker.doubted && members.known_to >= asked &&
+         IsSurelyRegistered(context) &&
+         ChooseMember(context.state, worker.info.id, worker.info.domain) ==
+             context.self();
+}
+
 }  // namespace
 
 void ReportRun(Context& context, const std::string& to, const RunQuery& query) {
@@ -127,7 +144,7 @@
       continue;
     }
     // Only a worker that is surely owned since the question first came.
-    if (worker.proven >= asked) {
+    if (worker.proven >= asked || IsKnownThoughSilent(context, worker, asked)) {
       report.covered.push_back({.worker = id, .fence = worker.fence});
     } else {
       worker.proof_wanted = true;
--- a/Tests/engine/dead_worker_test.cc
+++ b/Tests/engine/dead_worker_test.cc
@@ -140,6 +140,26 @@
   CheckPromises(fleet);
 }
 
+// A member that still reaches the worker gives no word that its leases end: it
+// renews them for 12 s without the store, and what runs there would run twice.
+TEST_CASE(
+    "A worker that its former owner still reaches is not taken for gone") {
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet);
+  fleet.store_fault = [](const std::string& node, const StoreRequest&) {
+    return node == "n0" ? StoreFault::kRefuse : StoreFault::kNone;
+  };
+  fleet.order_fault = [](const std::string& node, const std::string& worker,
+                         const WorkerRequest&) {
+    return worker == "w0" && node != "n0" ? OrderFault::kUnreached
+                                          : OrderFault::kNone;
+  };
+  fleet.Run(seconds(14));
+  CHECK(CountRuns(fleet, job) == kTasks);
+  CHECK(AtWork(fleet, job, "").size() == kTasks);
+  CheckPromises(fleet);
+}
+
 }  // namespace
 
 }  // namespace burdockrock::engine
