--- a/Tests/engine/fake_store.cc
+++ b/Tests/engine/fake_store.cc
@@ -1,5 +1,7 @@
 #include "engine/fake_store.h"
 
+#include <algorithm>
+
 namespace burdockrock::engine {
 
 std::optional<StoreAnswer> FakeStore::Handle(Time now,
@@ -86,9 +88,13 @@
   }
   StoreDone done{.revision = revision_};
   std::map<std::string, Change> last;
-  for (const Change& change : history_) {
-    if (change.revision > it.after && change.key.starts_with(it.prefix)) {
-      last[change.key] = change;
+  // Revisions rise.
+  const auto first = std::upper_bound(
+      history_.begin(), history_.end(), it.after,
+      [](std::uint64_t after, const Change& c) { return after < c.revision; });
+  for (auto change = first; change != history_.end(); ++change) {
+    if (change->key.starts_with(it.prefix)) {
+      last[change->key] = *change;
     }
   }
   for (const auto& [key, change] : last) {
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -161,8 +161,11 @@
     return std::string(completed ? "completed" : "running");
   };
   node.state = std::make_unique<State>(MakeState(std::move(options)));
+  node.armed_for = kForever;
   Deliver(name, node.life, Started());
-  Tick(name, node.life);
+  if (!options_.timers) {
+    Tick(name, node.life);
+  }
 }
 
 void Fleet::StopPlanned(const std::string& node) {
@@ -274,13 +277,35 @@
       Deliver(name, life, body);
     });
   }
-  const Effects effects =
-      Step(*node.state, Event{.now = now_,
-                              .wall_ms = ToMilliseconds(now_),
-                              .body = std::move(body)});
+  const Effects effects = step(name, *node.state,
+                               Event{.now = now_,
+                                     .wall_ms = ToMilliseconds(now_),
+                                     .body = std::move(body)});
   for (const Effect& it : effects) {
     CarryOut(name, it);
   }
+  if (options_.timers) {
+    ArmTimer(name, life);
+  }
+}
+
+void Fleet::ArmTimer(const std::string& name, std::uint64_t life) {
+  Node& node = nodes_.at(name);
+  if (node.life != life || !node.state) {
+    return;
+  }
+  const Time next = NextTime(*node.state, now_);
+  if (next >= node.armed_for) {
+    return;
+  }
+  node.armed_for = next;
+  At(next, [this, name, life, next] {
+    Node& it = nodes_.at(name);
+    if (it.life == life && it.armed_for == next) {
+      it.armed_for = kForever;
+      Deliver(name, life, TimePassed());
+    }
+  });
 }
 
 void Fleet::Tick(const std::string& name, std::uint64_t life) {
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -37,6 +37,9 @@
   Duration state_kept = std::chrono::seconds(120);
   std::uint32_t store_writes = 400;
   std::uint64_t seed = 1;
+  // Instances are woken when they ask for it, as a process does, instead of
+  // every 5 ms.
+  bool timers = false;
 };
 
 class Fleet {
@@ -117,6 +120,12 @@
                        const WorkerRequest&) { return OrderFault::kNone; };
   std::function<bool(const std::string& from, const std::string& to)> is_cut =
       [](const std::string&, const std::string&) { return false; };
+  // Runs a step of an instance, for whoever measures it.
+  std::function<
+      Effects(const std::string& node, State& state, const Event& event)>
+      step = [](const std::string&, State& state, const Event& event) {
+        return Step(state, event);
+      };
 
  private:
   struct Node {
@@ -125,6 +134,7 @@
     std::uint64_t life = 0;
     std::unique_ptr<State> state{};
     Time frozen_until{0};
+    Time armed_for = kForever;
   };
   struct Due {
     Time at{0};
@@ -158,6 +168,7 @@
   void ListWorker(const FakeWorker& worker);
   FakeWorker* FindWorkerAt(const std::string& address);
   void Tick(const std::string& node, std::uint64_t life);
+  void ArmTimer(const std::string& node, std::uint64_t life);
 
   FleetOptions options_;
   Time now_ = std::chrono::seconds(1000);
