Engine: Looks at all that is due at most every 3 ms

Cause: the reducer walked all listed workers, own jobs with all their tasks, ready steps and known records after each event, 950 times a second at one of 30 instances. An event is now applied at once, with what it has queued for the store, for reads and for the instance itself; the look at all that is due follows 3 ms after the one before at the latest, so that load makes batches larger instead of work more. What only time changes is looked at every kTick, and what is forgotten after a minute or more once a second. Occurrences still begin with each look, so that no start waits for a tick. Records that are to be read stand in a set of their own; before, all known ones were walked twice per event. Ruled out: batches in the process alone (several queued events, one step), as the wait between two looks has the same effect and shows in virtual time.

--- a/Source/engine/catalog.cc
+++ b/Source/engine/catalog.cc
@@ -24,6 +24,28 @@
   return n;
 }
 
+// How many reads it has begun.
+std::size_t Read(Context& context,
+                 const std::string& job,
+                 CatalogEntry& entry) {
+  std::size_t reads = 0;
+  if (entry.want_record && !entry.reading_record &&
+      HasPassed(context.now, entry.read_at, kRecordAge)) {
+    entry.want_record = false;
+    entry.reading_record = true;
+    entry.read_at = context.now;
+    ++reads;
+    AskStore(context, StoreRead{.key = JobKey(job)}, ForJobRead{.job = job});
+  }
+  if (entry.want_spec && !entry.reading_spec) {
+    entry.want_spec = false;
+    entry.reading_spec = true;
+    ++reads;
+    AskStore(context, StoreRead{.key = SpecKey(job)}, ForSpecRead{.job = job});
+  }
+  return reads;
+}
+
 const StoreItem* ItemOf(const StoreAnswer& answer) {
   const auto* done = std::get_if<StoreDone>(&answer);
   return done == nullptr || done->items.empty() ? nullptr : &done->items[0];
@@ -63,6 +85,7 @@
   CatalogEntry& entry = context.state.catalog[job];
   entry.used = context.now;
   entry.want_record = true;
+  context.state.catalog_wanted.insert(job);
 }
 
 void WantSpec(Context& context, const std::string& job) {
@@ -72,31 +95,27 @@
     DescribeRuns(context, job, *entry.spec);
   } else {
     entry.want_spec = true;
+    context.state.catalog_wanted.insert(job);
   }
 }
 
 void DriveCatalog(Context& context) {
+  auto& wanted = context.state.catalog_wanted;
+  if (wanted.empty()) {
+    return;
+  }
   std::size_t reads = ReadsInFlight(context.state);
-  for (auto& [job, entry] : context.state.catalog) {
-    if (reads >= kMaxReadsInFlight) {
-      return;
+  std::erase_if(wanted, [&](const std::string& job) {
+    const auto it = context.state.catalog.find(job);
+    if (it != context.state.catalog.end() && reads < kMaxReadsInFlight) {
+      reads += Read(context, job, it->second);
     }
-    if (entry.want_record && !entry.reading_record &&
-        HasPassed(context.now, entry.read_at, kRecordAge)) {
-      entry.want_record = false;
-      entry.reading_record = true;
-      entry.read_at = context.now;
-      ++reads;
-      AskStore(context, StoreRead{.key = JobKey(job)}, ForJobRead{.job = job});
-    }
-    if (entry.want_spec && !entry.reading_spec) {
-      entry.want_spec = false;
-      entry.reading_spec = true;
-      ++reads;
-      AskStore(context, StoreRead{.key = SpecKey(job)},
-               ForSpecRead{.job = job});
-    }
-  }
+    return it == context.state.catalog.end() ||
+           (!it->second.want_record && !it->second.want_spec);
+  });
+}
+
+void ForgetUnused(Context& context) {
   std::erase_if(context.state.catalog, [&](const auto& it) {
     const CatalogEntry& entry = it.second;
     return !entry.reading_record && !entry.reading_spec &&
@@ -123,7 +142,7 @@
     entry.record.reset();
     entry.absent = true;
   } else {
-    entry.want_record = true;
+    WantRecord(context, job);
     return;
   }
   entry.known_from = entry.read_at;
@@ -146,7 +165,7 @@
     entry.spec = std::get<JobSpec>(std::move(decoded));
     DescribeRuns(context, job, *entry.spec);
   } else if (!IsAbsent(answer)) {
-    entry.want_spec = true;
+    WantSpec(context, job);
   }
 }
 
--- a/Source/engine/catalog.h
+++ b/Source/engine/catalog.h
@@ -14,9 +14,12 @@
 // Reads the job's spec, unless it is known.
 void WantSpec(Context& context, const std::string& job);
 
-// Starts reads, and forgets what nobody used for long.
+// Starts the reads that are wanted.
 void DriveCatalog(Context& context);
 
+// Forgets what nobody has asked for for a while.
+void ForgetUnused(Context& context);
+
 void OnJobRead(Context& context,
                const std::string& job,
                const StoreAnswer& answer);
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -74,23 +74,6 @@
              .removes = {JobKey(job.id), SpecKey(job.id)}});
 }
 
-void ForgetEnded(Context& context) {
-  // Twice as long as callers may rely on: their clock and ours differ.
-  const Duration kept = 2 * context.state.options.bounds.state_kept;
-  std::vector<std::string> old;
-  for (const auto& [id, job] : context.state.jobs) {
-    const bool ended = IsFinal(job.stored_state) && job.unstored.empty() &&
-                       job.stored_version == job.version;
-    if (ended && HasPassed(context.now, job.ended_at, kept)) {
-      old.push_back(id);
-    }
-  }
-  for (const std::string& it : old) {
-    QueueForget(context, context.state.jobs.at(it));
-    context.state.jobs.erase(it);
-  }
-}
-
 }  // namespace
 
 JobRecord RecordOf(const Context& context, const Job& job) {
@@ -135,7 +118,23 @@
       QueueSave(context, job);
     }
   }
-  ForgetEnded(context);
+}
+
+void ForgetEnded(Context& context) {
+  // Twice as long as callers may rely on: their clock and ours differ.
+  const Duration kept = 2 * context.state.options.bounds.state_kept;
+  std::vector<std::string> old;
+  for (const auto& [id, job] : context.state.jobs) {
+    const bool ended = IsFinal(job.stored_state) && job.unstored.empty() &&
+                       job.stored_version == job.version;
+    if (ended && HasPassed(context.now, job.ended_at, kept)) {
+      old.push_back(id);
+    }
+  }
+  for (const std::string& it : old) {
+    QueueForget(context, context.state.jobs.at(it));
+    context.state.jobs.erase(it);
+  }
 }
 
 void OnCreated(Context& context,
--- a/Source/engine/job_progress.h
+++ b/Source/engine/job_progress.h
@@ -14,6 +14,9 @@
 // Queues the progress that is due to be stored.
 void DriveProgress(Context& context);
 
+// Forgets ended jobs of which callers may no longer ask.
+void ForgetEnded(Context& context);
+
 void OnCreated(Context& context, const std::string& id, std::uint64_t revision);
 void OnCreateConflict(Context& context,
                       const std::string& id,
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -445,14 +445,20 @@
   }
 }
 
-void DriveJobs(Context& context) {
-  std::map<std::string, RunQueries> queries;
-  std::vector<std::string> settled;
+void DriveOccurrences(Context& context) {
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     if (!IsFinal(job.state)) {
       BeginOccurrences(context, job);
     }
+  }
+}
+
+void DriveJobs(Context& context) {
+  std::map<std::string, RunQueries> queries;
+  std::vector<std::string> settled;
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
     ForEachTask(job, [&](const TaskName& name, Task& task) {
       CheckTask(context, name, task, queries);
       DriveCopy(context, job, name, task, queries);
--- a/Source/engine/job_runs.h
+++ b/Source/engine/job_runs.h
@@ -26,7 +26,10 @@
 // All that ran at the worker has ended.
 void OnWorkerLost(Context& context, const std::string& worker);
 
-// Asks about runs that were not heard of, repeats stops, begins occurrences.
+// Begins the occurrences whose time has come.
+void DriveOccurrences(Context& context);
+
+// Asks about runs that were not heard of, and repeats stops.
 void DriveJobs(Context& context);
 
 }  // namespace burdockrock::engine
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -152,6 +152,13 @@
 inline constexpr Duration kDigestRefresh = milliseconds(1000);
 // The engine looks at what is due; no time of its own is finer than this.
 inline constexpr Duration kTick = milliseconds(25);
+// Between two looks for what is kept no longer; the shortest time of keeping is
+// a minute.
+inline constexpr Duration kForgetInterval = milliseconds(1000);
+// Between two looks at all that follows from the events that came. As long as
+// two hops between instances: so long an event may wait for the next look, and
+// under load one look serves several of them.
+inline constexpr Duration kDriveInterval = milliseconds(3);
 // Between two rounds of placement.
 inline constexpr Duration kPlacementInterval = milliseconds(3);
 
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -1,5 +1,6 @@
 #include "engine/reducer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "engine/adoption.h"
@@ -127,15 +128,36 @@
   }
 }
 
+// What an event has led to that must not wait for the next look: writes to the
+// store, reads of it and messages to this instance itself.
+void Forward(Context& context) {
+  DriveCatalog(context);
+  DriveWriter(context);
+  DrainInbox(context);
+}
+
+// Everything that is due by what is known now.
 void Drive(Context& context) {
+  DriveState& drive = context.state.drive;
+  drive.due = false;
+  drive.driven_at = context.now;
+  const bool keep = HasPassed(context.now, drive.kept_at, kTick);
+  if (keep) {
+    drive.kept_at = context.now;
+  }
   DriveMembership(context);
   DriveWatches(context);
-  DriveWorkerList(context);
+  if (keep) {
+    DriveWorkerList(context);
+  }
   DriveWorkers(context);
   DriveEnds(context);
   DrainInbox(context);
-  DriveJobs(context);
-  DriveCallers(context);
+  DriveOccurrences(context);
+  if (keep) {
+    DriveJobs(context);
+    DriveCallers(context);
+  }
   DriveAdoption(context);
   DriveCatalog(context);
   DriveSweep(context);
@@ -147,6 +169,11 @@
   DrivePlacement(context);
   DrainInbox(context);
   DriveProgress(context);
+  if (HasPassed(context.now, drive.forgot_at, kForgetInterval)) {
+    drive.forgot_at = context.now;
+    ForgetEnded(context);
+    ForgetUnused(context);
+  }
   DriveWriter(context);
   DriveDigests(context);
   DriveStop(context);
@@ -170,13 +197,19 @@
                   .wall_ms = event.wall_ms};
   std::visit(EventVisitor{context}, event.body);
   DrainInbox(context);
-  Drive(context);
+  state.drive.due = true;
+  if (HasPassed(context.now, state.drive.driven_at, kDriveInterval)) {
+    Drive(context);
+  } else {
+    Forward(context);
+  }
   return effects;
 }
 
 Time NextTime(const State& state, Time now) {
-  if (state.placement_due) {
-    return now + kPlacementInterval;
+  const bool may_place = state.placement_due && IsRegistered(state);
+  if (state.drive.due || may_place) {
+    return std::max(now, state.drive.driven_at + kDriveInterval);
   }
   return now + kTick;
 }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -291,6 +291,14 @@
   bool ended = false;
 };
 
+// When the reducer looked at all that it knows, last.
+struct DriveState {
+  bool due = false;  // events came since
+  Time driven_at = Time::min();
+  Time kept_at = Time::min();    // also at what only time changes
+  Time forgot_at = Time::min();  // what is too old
+};
+
 // Totals for the metrics.
 struct Totals {
   std::uint64_t submitted = 0;
@@ -320,6 +328,7 @@
   std::map<std::string, RoomView> view{};
   std::unordered_map<std::string, KnownJob> known{};  // of runs on own workers
   std::unordered_map<std::string, CatalogEntry> catalog{};
+  std::set<std::string> catalog_wanted{};  // jobs that are to be read
   std::map<std::string, Job> jobs{};
   std::set<std::string> active{};  // jobs that have not ended
   WriterState writer{};
@@ -335,6 +344,7 @@
   DigestState digest{};
   StopState stop{};
   std::deque<PeerMessage> inbox{};  // from this instance to itself
+  DriveState drive{};
   bool placement_due = false;
   Time placed_at = Time::min();
   Totals totals{};
