--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -372,6 +372,11 @@
                            .answer = std::move(it),
                            .asked = asked});
   };
+  if (fault == OrderFault::kUnhealthy) {
+    return At(now_ + 2 * kWorkerWay, [answer] {
+      answer(WorkerRefused{.kind = WorkerRefusalKind::kUnhealthy});
+    });
+  }
   if (fault != OrderFault::kNone) {
     At(now_ + call.timeout, [answer] { answer(WorkerUnreached()); });
   }
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -26,6 +26,7 @@
   kUnreached,   // nothing arrives
   kLoseAnswer,  // it is carried out
   kLate,        // no answer, and carried out 3 s later
+  kUnhealthy,   // refused by a worker that is not well
 };
 
 struct FleetOptions {
