Engine: Repeats lost stops during an adoption and sends stops together

While a job was being adopted the answers to the adopter's questions, one each 120 ms, counted as word of the run, and the repetition of its stop waited for 500 ms without such word: a stop that got lost was not repeated until the recovery ended, 18 s with a worker that can't be reached. Ruled out: the stop being dropped for its generation. The time of the last stop is kept by itself now. Stops of one step go out in one message for each owner of workers, to the worker's expected owner when the one that was known is gone: a cancel of 36 tasks sent 20 messages at once to two instances before and 2 after (the test's count).

--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -136,6 +136,7 @@
     }
   }
   ForgetEnded(context);
+  FlushStops(context);
 }
 
 void OnCreated(Context& context,
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -248,7 +248,8 @@
                std::map<std::string, RunQueries>& queries) {
   const Duration patience =
       task.phase == TaskPhase::kOffered ? kOfferRepeat : kRunCheck;
-  if (!IsOut(task) || !HasPassed(context.now, task.heard, patience)) {
+  if (!IsOut(task) || task.stopping ||
+      !HasPassed(context.now, task.heard, patience)) {
     return;
   }
   task.heard = context.now - patience + kOfferRepeat;
@@ -267,7 +268,9 @@
     if (ended && IsOut(task) && !task.stopping) {
       StopTask(context, job, name, task);
     }
-    if (task.stopping && HasPassed(context.now, task.heard, kOfferRepeat)) {
+    // Word that the run is still there does not put the next order off: an
+    // adopter hears that every 120 ms, for 18 s if a worker can't be reached.
+    if (task.stopping && HasPassed(context.now, task.stop_sent, kOfferRepeat)) {
       StopTask(context, job, name, task);
     }
     if (ended && task.copy && !task.copy->stopping) {
@@ -465,6 +468,7 @@
   for (const std::string& it : settled) {
     context.state.active.erase(it);
   }
+  FlushStops(context);
   for (auto& [owner, runs] : queries) {
     Send(context, owner, std::move(runs));
   }
--- a/Source/engine/job_table.cc
+++ b/Source/engine/job_table.cc
@@ -5,8 +5,7 @@
 
 #include <fmt/format.h>
 
-#include "engine/run_ends.h"
-#include "engine/worker_list.h"
+#include "engine/job_runs.h"
 
 namespace burdockrock::engine {
 
@@ -157,6 +156,7 @@
     return;
   }
   task.stopping = true;
+  task.stop_sent = context.now;
   task.heard = context.now;
   SendStop(context, job, name, task.worker, task.run);
 }
@@ -166,15 +166,18 @@
               const TaskName& name,
               const std::string& worker,
               std::uint64_t run) {
-  const auto view = context.state.view.find(worker);
-  const std::string owner =
-      view == context.state.view.end() ? "" : view->second.owner;
+  const std::string owner = OwnerOfWorker(context, worker);
   if (!owner.empty()) {
-    Send(context, owner,
-         TaskStops{.stops = {{.task = ToString(name),
-                              .run = run,
-                              .worker = worker,
-                              .generation = job.generation}}});
+    context.state.stops[owner].stops.push_back({.task = ToString(name),
+                                                .run = run,
+                                                .worker = worker,
+                                                .generation = job.generation});
+  }
+}
+
+void FlushStops(Context& context) {
+  for (auto& [owner, it] : std::exchange(context.state.stops, {})) {
+    Send(context, owner, std::move(it));
   }
 }
 
--- a/Source/engine/job_table.h
+++ b/Source/engine/job_table.h
@@ -47,13 +47,19 @@
 // Orders the task's run to stop; repeated by DriveJobs until its end is known.
 void StopTask(Context& context, Job& job, const TaskName& name, Task& task);
 
-// One order to stop a run, to the owner of its worker.
+// One order to stop a run, to the owner of its worker. It goes out with the
+// next FlushStops.
 void SendStop(Context& context,
               const Job& job,
               const TaskName& name,
               const std::string& worker,
               std::uint64_t run);
 
+// Sends the orders of this step, one message for each owner of workers: the
+// cancel of a job of 36 tasks on the workers of two other instances sends 2
+// messages instead of 20.
+void FlushStops(Context& context);
+
 // Calls `each(TaskName, Task&)` for all tasks that were set up.
 template <typename Each>
 void ForEachTask(Job& job, Each each) {
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -335,6 +335,8 @@
   DigestState digest{};
   StopState stop{};
   std::deque<PeerMessage> inbox{};  // from this instance to itself
+  // That go out with this step, by the workers' owners.
+  std::map<std::string, TaskStops> stops{};
   bool placement_due = false;
   Time placed_at = Time::min();
   Totals totals{};
--- a/Source/engine/task_copies.cc
+++ b/Source/engine/task_copies.cc
@@ -93,6 +93,7 @@
     return;
   }
   task.copy->stopping = true;
+  task.copy->stop_sent = context.now;
   task.copy->heard = context.now;
   SendStop(context, job, name, task.copy->worker, task.copy->run);
 }
@@ -105,13 +106,15 @@
   if (!task.copy) {
     return;
   }
-  const Duration patience =
-      task.copy->running && !task.copy->stopping ? kRunCheck : kOfferRepeat;
-  if (!HasPassed(context.now, task.copy->heard, patience)) {
+  if (task.copy->stopping) {
+    if (HasPassed(context.now, task.copy->stop_sent, kOfferRepeat)) {
+      StopCopy(context, job, name, task);
+    }
     return;
   }
-  if (task.copy->stopping) {
-    return StopCopy(context, job, name, task);
+  const Duration patience = task.copy->running ? kRunCheck : kOfferRepeat;
+  if (!HasPassed(context.now, task.copy->heard, patience)) {
+    return;
   }
   task.copy->heard = context.now - patience + kOfferRepeat;
   const std::string owner = OwnerOfWorker(context, task.copy->worker);
