Engine: Withdraws a refused start that may still be carried out late

An order to start that got no answer can be carried out seconds later. When its repetition was refused (no room, not well, a bad ticket), the run was removed here and the job's owner told so: the task was started elsewhere as run 2, and run 1 began 3 s later beside it; the test's fleet saw both. The refusal now withdraws the run by a stop first, after which the worker refuses the late start. Ruled out: refusing by the lease, which lives for 6 s. A stop that comes before the offer of its run also marks the run as refused, and tells whose the job is; before, the offer was taken a moment later and its run ended only with the next stop.

--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -40,6 +40,7 @@
   Time since{0};               // in its phase
   Time ordered = Time::min();  // the last order was sent
   bool order_in_flight = false;
+  bool start_unanswered = false;  // a try of the start; it may come late
   bool stop_answered = false;
   Time confirmed = Time::min();  // the worker said that it has it
   bool answer_offer = false;     // the job's owner waits for an answer
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -1,5 +1,6 @@
 #include "engine/worker_runs.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "engine/preemption.h"
@@ -67,6 +68,12 @@
   if (kind == WorkerRefusalKind::kUnhealthy) {
     worker.unhealthy_until = context.now + kUnhealthyPause;
   }
+  if (run.start_unanswered) {
+    // The worker may carry out the earlier try seconds from now, when the task
+    // has been started elsewhere: it would run twice. Once a stop was taken the
+    // worker refuses the start, and the job's owner is told then.
+    return BeginRunStop(context, id, worker, task, run);
+  }
   AnswerIfAsked(context, id, task, run, OutcomeOf(kind));
   RemoveRun(context, id, worker, task);
 }
@@ -81,7 +88,9 @@
     return;
   }
   const auto* refused = std::get_if<WorkerRefused>(&event.answer);
-  if (refused != nullptr && run.phase == RunPhase::kStarting) {
+  if (refused == nullptr) {
+    run.start_unanswered = true;
+  } else if (run.phase == RunPhase::kStarting) {
     OnStartRefused(context, event.worker, worker, order.task, run,
                    refused->kind);
   }
@@ -216,9 +225,15 @@
     if (it.generation < known.generation) {
       continue;
     }
+    known.generation = it.generation;
+    known.owner = from;
     known.heard = context.now;
     const auto run = worker->runs.find(it.task);
     if (run == worker->runs.end() || run->second.run != it.run) {
+      // The run's offer may come after this. Taking it would start what the
+      // job's owner has just stopped.
+      std::uint64_t& refused = known.refused[it.task];
+      refused = std::max(refused, it.run);
       ReportRun(context, from,
                 {.task = it.task, .run = it.run, .worker = it.worker});
       continue;
