Engine: Has the worker's owner stop the runs of ended jobs

Only the owner of a job ordered its runs to stop. When it died or was cut off after the cancel was stored, nobody adopted the ended job, and the owners of the workers renewed its runs for ever. Ruled out: word of each end to all members, which costs a message for each instance and can be lost as well. An adopter keeps the second run of a task as its copy. What it costs in processor time was not measured.

--- a/Source/engine/catalog.cc
+++ b/Source/engine/catalog.cc
@@ -1,6 +1,7 @@
 #include "engine/catalog.h"
 
 #include "engine/questions.h"
+#include "engine/run_review.h"
 #include "engine/store_calls.h"
 #include "engine/worker_listing.h"
 #include "engine/worker_runs.h"
@@ -76,6 +77,7 @@
 }
 
 void DriveCatalog(Context& context) {
+  ReviewRuns(context);
   std::size_t reads = ReadsInFlight(context.state);
   for (auto& [job, entry] : context.state.catalog) {
     if (reads >= kMaxReadsInFlight) {
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -44,6 +44,7 @@
   std::string avoid{};  // the worker where it failed or stood still last
   Time since{0};        // in its phase
   Time heard{0};        // of its run, last
+  Time queried{0};      // its worker's owner was asked for its run, last
   Time retry_at{0};
   bool booked = false;  // a gang's: its room is kept
   bool stopping = false;
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -41,6 +41,7 @@
     step.last_start = context.now;
     task.phase = TaskPhase::kRunning;
     task.since = context.now;
+    task.queried = context.now;
     MarkStarted(context, job);
   }
   task.heard = context.now;
@@ -242,17 +243,55 @@
   }
 }
 
+// A task had two runs when its job was adopted: the second one that is told of
+// is kept as the copy. False if it is none.
+bool AdoptCopy(Context& context, const Place& place, const RunReport& report) {
+  Task& task = place.task;
+  const bool second = place.job.recovering && place.spec.concurrent &&
+                      IsOut(task) && !task.copy && report.run != task.run &&
+                      report.state != RunState::kAbsent;
+  if (second) {
+    task.copy = TaskCopy{.run = report.run,
+                         .worker = report.worker,
+                         .running = report.state == RunState::kRunning,
+                         .heard = context.now};
+  }
+  return second;
+}
+
+// A run that the job has no use for: it has ended, the task is done, or a later
+// run of it is out. Nobody else would stop it, and the end of the job stops
+// only what is known here.
+bool IsStray(const Place& place, const RunReport& report) {
+  const Task& task = place.task;
+  const bool is_known = IsOut(task) && report.run == task.run;
+  if (report.state == RunState::kAbsent || is_known) {
+    return false;
+  }
+  if (task.phase == TaskPhase::kDone) {
+    return true;
+  }
+  if (task.phase == TaskPhase::kUnknown) {
+    return false;
+  }
+  return IsFinal(place.job.state) || (IsOut(task) && report.run < task.run);
+}
+
 void CheckTask(Context& context,
                const TaskName& name,
                Task& task,
                std::map<std::string, RunQueries>& queries) {
   const Duration patience =
       task.phase == TaskPhase::kOffered ? kOfferRepeat : kRunCheck;
-  if (!IsOut(task) || task.stopping ||
-      !HasPassed(context.now, task.heard, patience)) {
+  // The worker's owner must be asked for the run even if it tells of it
+  // unasked: a run that nobody asks for is taken for forgotten there.
+  const bool due = HasPassed(context.now, task.heard, patience) ||
+                   HasPassed(context.now, task.queried, kRunCheck);
+  if (!IsOut(task) || task.stopping || !due) {
     return;
   }
   task.heard = context.now - patience + kOfferRepeat;
+  task.queried = context.now;
   const std::string owner = OwnerOfWorker(context, task.worker);
   if (!owner.empty()) {
     queries[owner].runs.push_back(
@@ -361,6 +400,13 @@
   if (place && IsCopy(place->task, report.run)) {
     return OnCopyReport(context, place->task, report.state);
   }
+  if (place && AdoptCopy(context, *place, report)) {
+    return;
+  }
+  if (place && IsStray(*place, report)) {
+    return SendStop(context, place->job, place->name, report.worker,
+                    report.run);
+  }
   if (!place || place->task.phase == TaskPhase::kDone) {
     return;
   }
@@ -371,6 +417,9 @@
   const bool adopted = task.phase == TaskPhase::kUnknown ||
                        (place->job.recovering && report.run > task.run);
   if (adopted && report.state != RunState::kAbsent) {
+    if (IsOut(task)) {
+      SendStop(context, place->job, place->name, task.worker, task.run);
+    }
     task.run = report.run;
     task.worker = report.worker;
     task.phase = TaskPhase::kOffered;
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -33,6 +33,7 @@
   bool described = true;  // false: what it takes is not known yet
   std::string owner{};    // of its job, an incarnation
   std::uint64_t generation = 0;
+  Time asked_for{0};  // by the job's owner, last
   std::string payload{};
   std::string ticket{};
   std::string checkpoint{};
@@ -119,6 +120,7 @@
   // Runs of which the owner was told that they are not here, by task.
   std::map<std::string, std::uint64_t> refused{};
   Time heard{0};
+  Time reviewed = Time::min();  // when its record was last asked for, unsure
 };
 
 }  // namespace burdockrock::engine
--- a/Source/engine/run_questions.cc
+++ b/Source/engine/run_questions.cc
@@ -53,6 +53,7 @@
   const auto it = worker->runs.find(query.task);
   if (it != worker->runs.end() && it->second.run == query.run) {
     it->second.owner = to;
+    it->second.asked_for = context.now;
     const bool runs = it->second.phase == RunPhase::kRunning;
     return Send(context, to,
                 RunReports{.runs = {{.task = query.task,
@@ -136,6 +137,7 @@
         continue;
       }
       run.owner = from;
+      run.asked_for = context.now;
       report.runs.push_back({.task = task,
                              .run = run.run,
                              .worker = id,
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -316,6 +316,7 @@
   std::map<std::string, ListedWorker> workers{};  // by id
   std::map<std::string, OwnedWorker> owned{};
   Time ownership_reviewed = Time::min();
+  Time runs_reviewed = Time::min();
   std::map<std::string, GoneWorker> gone{};
   std::map<std::string, RoomView> view{};
   std::unordered_map<std::string, KnownJob> known{};  // of runs on own workers
--- a/Source/engine/worker_offers.cc
+++ b/Source/engine/worker_offers.cc
@@ -44,6 +44,7 @@
   }
   run.owner = context.state.known[offer.job].owner;
   run.generation = offer.generation;
+  run.asked_for = context.now;
   switch (run.phase) {
     case RunPhase::kBooked:
       if (offer.book_only) {
@@ -110,6 +111,7 @@
       .spec = offer.spec,
       .owner = from,
       .generation = offer.generation,
+      .asked_for = context.now,
       .payload = offer.payload,
       .ticket = offered.ticket,
       .checkpoint = offered.checkpoint,
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -12,6 +12,10 @@
 
 namespace {
 
+// A run whose stop was taken is told to stop again while it is not listed as
+// ended: a stop takes 0.4 s at most, and the listing 2 s more if a hold waits.
+constexpr Duration kStopRepeat = milliseconds(2500);
+
 void OrderStop(Context& context,
                const std::string& id,
                OwnedWorker& worker,
@@ -108,6 +112,11 @@
   }
 }
 
+// The worker was told of it.
+bool IsOrdered(const LocalRun& run) {
+  return run.phase != RunPhase::kBooked && run.phase != RunPhase::kAwaitingRoom;
+}
+
 template <typename Order>
 const Order* OrderOf(const WorkerAnswered& event) {
   return std::get_if<Order>(&event.request);
@@ -137,7 +146,9 @@
     } else {
       OrderStart(context, id, worker, task, run);
     }
-  } else if (run.phase == RunPhase::kStopping && !run.stop_answered) {
+  } else if (run.phase == RunPhase::kStopping &&
+             (!run.stop_answered ||
+              HasPassed(context.now, run.ordered, kStopRepeat))) {
     OrderStop(context, id, worker, task, run);
   }
 }
@@ -238,9 +249,7 @@
                 {.task = it.task, .run = it.run, .worker = it.worker});
       continue;
     }
-    const bool not_ordered = run->second.phase == RunPhase::kBooked ||
-                             run->second.phase == RunPhase::kAwaitingRoom;
-    if (not_ordered) {
+    if (!IsOrdered(run->second)) {
       AnswerOffer(context, from, it.worker, it.task, it.run,
                   OfferOutcome::kStopped);
       RemoveRun(context, it.worker, *worker, it.task);
@@ -322,12 +331,22 @@
 
 void StopRunsOf(Context& context, const std::string& job) {
   for (auto& [id, worker] : context.state.owned) {
+    std::vector<std::string> not_ordered;
     for (auto& [task, run] : worker.runs) {
       const auto name = ParseTaskName(task);
-      if (name && name->job == job && run.phase == RunPhase::kRunning) {
+      if (!worker.claimed || !name || name->job != job) {
+        continue;
+      }
+      if (IsOrdered(run)) {
         BeginRunStop(context, id, worker, task, run);
+      } else {
+        AnswerIfAsked(context, id, task, run, OfferOutcome::kStopped);
+        not_ordered.push_back(task);
       }
     }
+    for (const std::string& it : not_ordered) {
+      RemoveRun(context, id, worker, it);
+    }
   }
 }
 
