--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -118,6 +118,7 @@
       QueueSave(context, job);
     }
   }
+  FlushStops(context);
 }
 
 void ForgetEnded(Context& context) {
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/owned_worker.h
@@ -33,6 +33,7 @@
   bool described = true;  // false: what it takes is not known yet
   std::string owner{};    // of its job, an incarnation
   std::uint64_t generation = 0;
+  Time asked_for{0};  // by the job's owner, last
   std::string payload{};
   std::string ticket{};
   std::string checkpoint{};
@@ -40,6 +41,7 @@
   Time since{0};               // in its phase
   Time ordered = Time::min();  // the last order was sent
   bool order_in_flight = false;
+  bool start_unanswered = false;  // a try of the start; it may come late
   bool stop_answered = false;
   Time confirmed = Time::min();  // the worker said that it has it
   bool answer_offer = false;     // the job's owner waits for an answer
@@ -127,6 +129,7 @@
   // Runs of which the owner was told that they are not here, by task.
   std::map<std::string, std::uint64_t> refused{};
   Time heard{0};
+  Time reviewed = Time::min();  // when its record was last asked for, unsure
 };
 
 }  // namespace burdockrock::engine
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -9,6 +9,7 @@
 #include "engine/digests.h"
 #include "engine/job_progress.h"
 #include "engine/job_runs.h"
+#include "engine/job_table.h"
 #include "engine/lease_bounds.h"
 #include "engine/membership.h"
 #include "engine/node_records.h"
@@ -19,6 +20,7 @@
 #include "engine/record_writer.h"
 #include "engine/run_ends.h"
 #include "engine/run_questions.h"
+#include "engine/run_review.h"
 #include "engine/store_calls.h"
 #include "engine/upkeep.h"
 #include "engine/watches.h"
@@ -138,6 +140,7 @@
 // What an event has led to that must not wait for the next look: writes to the
 // store, reads of it and messages to this instance itself.
 void Forward(Context& context) {
+  FlushStops(context);
   DriveCatalog(context);
   DriveWriter(context);
   DrainInbox(context);
@@ -166,6 +169,7 @@
   if (keep) {
     DriveJobs(context);
     DriveCallers(context);
+    ReviewRuns(context);
   }
   DriveAdoption(context);
   DriveCatalog(context);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -347,6 +347,7 @@
   std::map<std::string, ListedWorker> workers{};  // by id
   std::map<std::string, OwnedWorker> owned{};
   Time ownership_reviewed = Time::min();
+  Time runs_reviewed = Time::min();
   std::map<std::string, GoneWorker> gone{};
   // By then the leases have run out that this instance renewed at workers which
   // it owns no more.
@@ -373,6 +374,8 @@
   StopState stop{};
   std::deque<PeerMessage> inbox{};  // from this instance to itself
   DriveState drive{};
+  // That go out with this step, by the workers' owners.
+  std::map<std::string, TaskStops> stops{};
   bool placement_due = false;
   Time placed_at = Time::min();
   Totals totals{};
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -1,5 +1,6 @@
 #include "engine/worker_runs.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "engine/preemption.h"
@@ -11,6 +12,10 @@
 
 namespace {
 
+// A run whose stop was taken is told to stop again while it is not listed as
+// ended: a stop takes 0.4 s at most, and the listing 2 s more if a hold waits.
+constexpr Duration kStopRepeat = milliseconds(2500);
+
 void OrderStop(Context& context,
                const std::string& id,
                OwnedWorker& worker,
@@ -67,6 +72,12 @@
   if (kind == WorkerRefusalKind::kUnhealthy) {
     worker.unhealthy_until = context.now + kUnhealthyPause;
   }
+  if (run.start_unanswered) {
+    // The worker may carry out the earlier try seconds from now, when the task
+    // has been started elsewhere: it would run twice. Once a stop was taken the
+    // worker refuses the start, and the job's owner is told then.
+    return BeginRunStop(context, id, worker, task, run);
+  }
   AnswerIfAsked(context, id, task, run, OutcomeOf(kind));
   RemoveRun(context, id, worker, task);
 }
@@ -81,7 +92,9 @@
     return;
   }
   const auto* refused = std::get_if<WorkerRefused>(&event.answer);
-  if (refused != nullptr && run.phase == RunPhase::kStarting) {
+  if (refused == nullptr) {
+    run.start_unanswered = true;
+  } else if (run.phase == RunPhase::kStarting) {
     OnStartRefused(context, event.worker, worker, order.task, run,
                    refused->kind);
   }
@@ -99,6 +112,11 @@
   }
 }
 
+// The worker was told of it.
+bool IsOrdered(const LocalRun& run) {
+  return run.phase != RunPhase::kBooked && run.phase != RunPhase::kAwaitingRoom;
+}
+
 template <typename Order>
 const Order* OrderOf(const WorkerAnswered& event) {
   return std::get_if<Order>(&event.request);
@@ -131,7 +149,9 @@
     } else {
       OrderStart(context, id, worker, task, run);
     }
-  } else if (run.phase == RunPhase::kStopping && !run.stop_answered) {
+  } else if (run.phase == RunPhase::kStopping &&
+             (!run.stop_answered ||
+              HasPassed(context.now, run.ordered, kStopRepeat))) {
     OrderStop(context, id, worker, task, run);
   }
 }
@@ -219,16 +239,20 @@
     if (it.generation < known.generation) {
       continue;
     }
+    known.generation = it.generation;
+    known.owner = from;
     known.heard = context.now;
     const auto run = worker->runs.find(it.task);
     if (run == worker->runs.end() || run->second.run != it.run) {
+      // The run's offer may come after this. Taking it would start what the
+      // job's owner has just stopped.
+      std::uint64_t& refused = known.refused[it.task];
+      refused = std::max(refused, it.run);
       ReportRun(context, from,
                 {.task = it.task, .run = it.run, .worker = it.worker});
       continue;
     }
-    const bool not_ordered = run->second.phase == RunPhase::kBooked ||
-                             run->second.phase == RunPhase::kAwaitingRoom;
-    if (not_ordered) {
+    if (!IsOrdered(run->second)) {
       AnswerOffer(context, from, it.worker, it.task, it.run,
                   OfferOutcome::kStopped);
       RemoveRun(context, it.worker, *worker, it.task);
@@ -310,12 +334,22 @@
 
 void StopRunsOf(Context& context, const std::string& job) {
   for (auto& [id, worker] : context.state.owned) {
+    std::vector<std::string> not_ordered;
     for (auto& [task, run] : worker.runs) {
       const auto name = ParseTaskName(task);
-      if (name && name->job == job && run.phase == RunPhase::kRunning) {
+      if (!worker.claimed || !name || name->job != job) {
+        continue;
+      }
+      if (IsOrdered(run)) {
         BeginRunStop(context, id, worker, task, run);
+      } else {
+        AnswerIfAsked(context, id, task, run, OfferOutcome::kStopped);
+        not_ordered.push_back(task);
       }
     }
+    for (const std::string& it : not_ordered) {
+      RemoveRun(context, id, worker, it);
+    }
   }
 }
 
