Engine: Tells what recoveries, claims, stops and cancels wait for

A lasting task stayed away for 30 s after the loss of its worker, and a cancelled job's task ran on for 9.4 s after the acknowledgement.

New events: 212 cancel_acknowledged, 213 cancel_over, 214 cancel_late (past 3 s and the worker's time to stop, while it lasts and at its end), 316 claim_waits, 413 job_recovered, 414 job_recovering, 514 stop_unanswered. No decision depends on any of it: the state that is kept (Reminders, the time of a stop's first order) is read by the notices and by CountOpenWork only, which the gauges will use.

--- a/Source/engine/adoption.cc
+++ b/Source/engine/adoption.cc
@@ -8,6 +8,7 @@
 #include "engine/job_runs.h"
 #include "engine/job_table.h"
 #include "engine/membership.h"
+#include "engine/notices.h"
 #include "engine/record_writer.h"
 #include "engine/store_calls.h"
 #include "engine/watches.h"
@@ -182,6 +183,7 @@
 // Everything that can run the job was heard of.
 void FinishRecovery(Context& context, Job& job) {
   job.recovering = false;
+  NoteRecovered(context, job);
   ForEachTask(job, [&](const TaskName&, Task& task) {
     if (task.phase == TaskPhase::kUnknown) {
       task.phase = TaskPhase::kWaiting;
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -30,6 +30,7 @@
   std::string worker{};
   bool running = false;
   bool stopping = false;
+  Time stopping_since{0};
   Time heard{0};
 };
 
@@ -46,6 +47,7 @@
   Time retry_at{0};
   bool booked = false;  // a gang's: its room is kept
   bool stopping = false;
+  Time stopping_since{0};
   std::optional<TaskCopy> copy{};
   bool copy_wanted = false;
   std::uint64_t last_copy = 0;  // the run of the copy before
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/job_progress.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "engine/job_table.h"
+#include "engine/notices.h"
 #include "engine/questions.h"
 #include "engine/record_writer.h"
 
@@ -205,6 +206,9 @@
     return;
   }
   AnswerWatchers(context, *job, true);
+  if (!job->cancellers.empty()) {
+    NoteCancelAcknowledged(context, *job);
+  }
   for (const Asker& it : std::exchange(job->cancellers, {})) {
     AnswerCancel(context, it, job->stored_state);
   }
--- a/Source/engine/job_table.cc
+++ b/Source/engine/job_table.cc
@@ -156,6 +156,9 @@
   if (!out) {
     return;
   }
+  if (!task.stopping) {
+    task.stopping_since = context.now;
+  }
   task.stopping = true;
   task.heard = context.now;
   SendStop(context, job, name, task.worker, task.run);
--- /dev/null
+++ b/Source/engine/notices.cc
@@ -0,0 +1,241 @@
+#include "engine/notices.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "engine/job_runs.h"
+#include "engine/job_table.h"
+#include "engine/open_work.h"
+#include "engine/watches.h"
+#include "engine/worker_list.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Between two looks at what lasts.
+constexpr Duration kRound = milliseconds(500);
+// Between two looks whether a cancelled job's last task has ended; the time
+// that is told is longer than the true one by so much at most.
+constexpr Duration kCancelLook = milliseconds(25);
+// Users are promised that nothing of a cancelled job is started any more this
+// long after the acknowledgement; a run that was started until then has the
+// worker's time to stop.
+constexpr Duration kCancelledStarts = milliseconds(3000);
+// Things named in one line; how many there are is said beside them.
+constexpr std::size_t kNamed = 3;
+
+std::string Milliseconds(Duration span) {
+  return std::to_string(ToMilliseconds(span));
+}
+
+std::string OwnerName(const Context& context, const std::string& worker) {
+  const std::string owner = OwnerOfWorker(context, worker);
+  return owner.empty() ? "-" : owner;
+}
+
+// WORKER@OWNER:MS with the time since the owner last told of it.
+std::string DescribeUnheard(const Context& context, const std::string& id) {
+  const auto view = context.state.view.find(id);
+  const bool told =
+      view != context.state.view.end() && !view->second.owner.empty();
+  const ListedWorker* listed = FindWorker(context.state, id);
+  const bool unlisted = listed != nullptr && !listed->listed;
+  return fmt::format(
+      "{}@{}:{}{}", id, OwnerName(context, id),
+      told ? Milliseconds(context.now - view->second.heard) : "-",
+      unlisted ? ":unlisted" : "");
+}
+
+// The first few by the time of their last word.
+std::string DescribeUnheard(const Context& context, const Job& job) {
+  std::vector<std::pair<Time, std::string>> workers;
+  for (const std::string& it : job.uncovered) {
+    const auto view = context.state.view.find(it);
+    const bool told = view != context.state.view.end();
+    workers.emplace_back(told ? view->second.heard : Time::min(), it);
+  }
+  const std::size_t n = std::min(kNamed, workers.size());
+  std::partial_sort(workers.begin(),
+                    workers.begin() + static_cast<std::ptrdiff_t>(n),
+                    workers.end());
+  std::string text;
+  for (std::size_t it = 0; it < n; ++it) {
+    text += (text.empty() ? "" : " ") +
+            DescribeUnheard(context, workers[it].second);
+  }
+  return text;
+}
+
+void LookAtRecoveries(Context& context) {
+  Reminders& reminders = context.state.notices.recoveries;
+  for (const std::string& id : context.state.active) {
+    const Job& job = context.state.jobs.at(id);
+    if (job.recovering && reminders.IsDue(id, context.now, job.created)) {
+      context.Log(EventNumber::kJobRecovering,
+                  {{"job", id},
+                   {"for_ms", Milliseconds(context.now - job.created)},
+                   {"lists", ListsAreRead(context.state) ? "read" : "unread"},
+                   {"unheard", std::to_string(job.uncovered.size())},
+                   {"workers", DescribeUnheard(context, job)}});
+    }
+  }
+  reminders.EndRound();
+}
+
+// What another owner may have renewed there has to run out before the worker
+// counts as gone.
+void LookAtClaims(Context& context) {
+  Reminders& reminders = context.state.notices.claims;
+  for (const auto& [id, worker] : context.state.owned) {
+    const bool waits =
+        worker.silent_since != Time(0) && worker.foreign_bound > context.now;
+    if (!waits || !reminders.IsDue(id, context.now, worker.silent_since)) {
+      continue;
+    }
+    const auto view = context.state.view.find(id);
+    const bool known = view != context.state.view.end() &&
+                       !view->second.owner.empty() &&
+                       view->second.owner != context.self();
+    context.Log(
+        EventNumber::kClaimWaits,
+        {{"worker", id},
+         {"owner", known ? view->second.owner : "unknown"},
+         {"for_ms", Milliseconds(context.now - worker.silent_since)},
+         {"left_ms", Milliseconds(worker.foreign_bound - context.now)}});
+  }
+  reminders.EndRound();
+}
+
+void LookAtStops(Context& context) {
+  Reminders& reminders = context.state.notices.stops;
+  for (const auto& [id, worker] : context.state.owned) {
+    std::size_t n = 0;
+    std::pair<Time, std::string> oldest{kForever, ""};
+    for (const auto& [task, run] : worker.runs) {
+      if (run.phase == RunPhase::kStopping && !run.stop_answered) {
+        ++n;
+        oldest = std::min(oldest, {run.since, task});
+      }
+    }
+    if (n == 0 || !reminders.IsDue(id, context.now, oldest.first)) {
+      continue;
+    }
+    context.Log(EventNumber::kStopUnanswered,
+                {{"worker", id},
+                 {"runs", std::to_string(n)},
+                 {"task", oldest.second},
+                 {"run", std::to_string(worker.runs.at(oldest.second).run)},
+                 {"for_ms", Milliseconds(context.now - oldest.first)},
+                 {"silent", worker.silent_since == Time(0) ? "no" : "yes"}});
+  }
+  reminders.EndRound();
+}
+
+// TASK/RUN@WORKER@OWNER of the first few.
+std::string DescribeRuns(const Context& context,
+                         const std::vector<OpenRun>& runs) {
+  std::string text;
+  for (std::size_t it = 0; it < std::min(kNamed, runs.size()); ++it) {
+    const OpenRun& run = runs[it];
+    text += fmt::format("{}{}/{}@{}@{}", text.empty() ? "" : " ",
+                        ToString(run.task), run.run, run.worker,
+                        OwnerName(context, run.worker));
+  }
+  return text;
+}
+
+void LookAtCancel(Context& context, const Job& job, Time acknowledged) {
+  const Duration bound =
+      kCancelledStarts + context.state.options.bounds.stop_timeout;
+  const Duration after = context.now - acknowledged;
+  const std::vector<OpenRun> runs = OpenRunsOf(job);
+  const bool over = runs.empty() && !job.recovering;
+  if (over && after <= bound) {
+    context.Log(EventNumber::kCancelOver,
+                {{"job", job.id}, {"after_ms", Milliseconds(after)}});
+  } else if (over ||
+             (after > bound && context.state.notices.cancels.IsDue(
+                                   job.id, context.now, acknowledged))) {
+    context.Log(EventNumber::kCancelLate,
+                {{"job", job.id},
+                 {"after_ms", Milliseconds(after)},
+                 {"out", std::to_string(runs.size())},
+                 {"runs", DescribeRuns(context, runs)}});
+  }
+  if (over) {
+    context.state.notices.cancelled.erase(job.id);
+  }
+}
+
+void LookAtCancels(Context& context) {
+  // Erased from within.
+  const std::map<std::string, Time> cancelled = context.state.notices.cancelled;
+  for (const auto& [id, acknowledged] : cancelled) {
+    if (const Job* job = FindJob(context.state, id)) {
+      LookAtCancel(context, *job, acknowledged);
+    } else {
+      context.state.notices.cancelled.erase(id);
+    }
+  }
+  context.state.notices.cancels.EndRound();
+}
+
+}  // namespace
+
+void DriveNotices(Context& context) {
+  NoticesState& notices = context.state.notices;
+  if (!notices.cancelled.empty() &&
+      HasPassed(context.now, notices.cancels_seen_at, kCancelLook)) {
+    notices.cancels_seen_at = context.now;
+    LookAtCancels(context);
+  }
+  if (!HasPassed(context.now, notices.seen_at, kRound)) {
+    return;
+  }
+  notices.seen_at = context.now;
+  LookAtRecoveries(context);
+  LookAtClaims(context);
+  LookAtStops(context);
+}
+
+void NoteRecovered(Context& context, const Job& job) {
+  std::size_t to_start = 0;
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    const auto& steps = job.occurrences[k].steps;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      if (!IsStepReady(job, k, s)) {
+        continue;
+      }
+      to_start += static_cast<std::size_t>(std::count_if(
+          steps[s].tasks.begin(), steps[s].tasks.end(), [](const Task& it) {
+            return it.phase == TaskPhase::kUnknown ||
+                   it.phase == TaskPhase::kWaiting;
+          }));
+    }
+  }
+  context.Log(EventNumber::kJobRecovered,
+              {{"job", job.id},
+               {"after_ms", Milliseconds(context.now - job.created)},
+               {"found", std::to_string(OpenRunsOf(job).size())},
+               {"to_start", std::to_string(to_start)}});
+}
+
+void NoteCancelAcknowledged(Context& context, const Job& job) {
+  if (job.stored_state != JobState::kCancelled) {
+    return;
+  }
+  const std::vector<OpenRun> runs = OpenRunsOf(job);
+  context.Log(EventNumber::kCancelAcknowledged,
+              {{"job", job.id},
+               {"after_ms", Milliseconds(context.now - job.ended_at)},
+               {"out", std::to_string(runs.size())}});
+  context.state.notices.cancelled.emplace(job.id, context.now);
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -9,6 +9,7 @@
 #include "engine/job_progress.h"
 #include "engine/job_runs.h"
 #include "engine/membership.h"
+#include "engine/notices.h"
 #include "engine/placing.h"
 #include "engine/planned_stop.h"
 #include "engine/questions.h"
@@ -151,6 +152,7 @@
   DriveDigests(context);
   DriveStop(context);
   DrainInbox(context);
+  DriveNotices(context);
 }
 
 }  // namespace
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -23,6 +23,7 @@
 #include "engine/peer_message.h"
 #include "engine/pool_rule.h"
 #include "engine/record.h"
+#include "engine/reminders.h"
 #include "engine/upkeep_rule.h"
 #include "model/time.h"
 
@@ -306,6 +307,18 @@
   std::uint64_t lost_runs = 0;
 };
 
+// What the log was told of what lasts.
+struct NoticesState {
+  Time seen_at = Time::min();
+  Time cancels_seen_at = Time::min();
+  Reminders recoveries{};  // by job
+  Reminders claims{};      // by worker
+  Reminders stops{};       // by worker
+  Reminders cancels{};     // by job
+  // When the cancel of a job that may still run was acknowledged.
+  std::map<std::string, Time> cancelled{};
+};
+
 struct State {
   EngineOptions options{};
   std::mt19937_64 random{1};
@@ -337,6 +350,7 @@
   std::deque<PeerMessage> inbox{};  // from this instance to itself
   bool placement_due = false;
   Time placed_at = Time::min();
+  NoticesState notices{};
   Totals totals{};
 };
 
--- a/Source/engine/task_copies.cc
+++ b/Source/engine/task_copies.cc
@@ -92,6 +92,9 @@
   if (!task.copy) {
     return;
   }
+  if (!task.copy->stopping) {
+    task.copy->stopping_since = context.now;
+  }
   task.copy->stopping = true;
   task.copy->heard = context.now;
   SendStop(context, job, name, task.copy->worker, task.copy->run);
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -30,6 +30,9 @@
   kCancel = 209,
   kJobRepeated = 210,
   kQuestionUnanswered = 211,
+  kCancelAcknowledged = 212,
+  kCancelOver = 213,
+  kCancelLate = 214,
 
   // Membership and ownership
   kPeerUp = 301,
@@ -47,6 +50,7 @@
   kRegistrationLost = 313,
   kWorkerLeaving = 314,
   kWorkerGone = 315,
+  kClaimWaits = 316,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
@@ -61,6 +65,8 @@
   kAdviceFailed = 410,
   kJobAdopted = 411,
   kJobLost = 412,
+  kJobRecovered = 413,
+  kJobRecovering = 414,
 
   // Tasks
   kAttemptLost = 501,
@@ -76,6 +82,7 @@
   kPaced = 511,
   kRunStandsStill = 512,
   kPreempted = 513,
+  kStopUnanswered = 514,
 
   // Configuration
   kConfigurationApplied = 601,
--- /dev/null
+++ b/Tests/engine/notices_test.cc
@@ -0,0 +1,253 @@
+// What the log and the figures tell of what lasts: adoptions, claims, stops and
+// cancels.
+#include "engine/notices.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "engine/fleet.h"
+#include "engine/open_work.h"
+#include "engine/reminders.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<LogLine> LinesOf(const Fleet& fleet, EventNumber number) {
+  std::vector<LogLine> lines;
+  for (const LogLine& it : fleet.log) {
+    if (it.number == number) {
+      lines.push_back(it);
+    }
+  }
+  return lines;
+}
+
+std::string FieldOf(const LogLine& line, const std::string& key) {
+  const auto it = std::find_if(line.fields.begin(), line.fields.end(),
+                               [&](const LogField& f) { return f.key == key; });
+  return it == line.fields.end() ? "(none)" : it->value;
+}
+
+int NumberOf(const LogLine& line, const std::string& key) {
+  return std::stoi(FieldOf(line, key));
+}
+
+// The node that owns the worker.
+std::string OwnerOf(const Fleet& fleet, const std::string& worker) {
+  for (const std::string& it : fleet.nodes()) {
+    if (fleet.state(it).owned.contains(worker)) {
+      return it;
+    }
+  }
+  return "";
+}
+
+// Kills the node that owns the job.
+std::string KillOwner(Fleet& fleet, const std::string& job) {
+  for (const std::string& it : fleet.nodes()) {
+    if (fleet.state(it).jobs.contains(job)) {
+      fleet.Kill(it);
+      return it;
+    }
+  }
+  return "";
+}
+
+// A task of a lasting job stayed away for 30 s after its worker was lost. The
+// log had three `job_adopted` of the job and nothing else of it: neither that
+// the third adoption still waited, nor for which worker.
+TEST_CASE("An adopted job says whom it waits for, and when it has recovered") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  JobSpec spec = OneStep(12);
+  spec.steps[0].lasting = true;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(seconds(1));
+  // The worker is lost with its owner, which is the job's owner too.
+  fleet.order_fault = [](const std::string&, const std::string& worker,
+                         const WorkerRequest&) {
+    return worker == "w0" ? OrderFault::kUnreached : OrderFault::kNone;
+  };
+  REQUIRE(KillOwner(fleet, "j1") == "n0");
+  fleet.Run(seconds(12));
+  const auto waiting = LinesOf(fleet, EventNumber::kJobRecovering);
+  REQUIRE(waiting.size() >= 3);
+  // Pauses of 1, 1, 2 and 4 s: at most a line a second, and ever fewer.
+  CHECK(waiting.size() <= 5);
+  CHECK(FieldOf(waiting[0], "job") == "j1");
+  CHECK(FieldOf(waiting[0], "lists") == "read");
+  CHECK(FieldOf(waiting[0], "unheard") == "1");
+  CHECK(NumberOf(waiting[0], "for_ms") >= 1000);
+  CHECK(NumberOf(waiting[0], "for_ms") < 2000);
+  const std::string workers = FieldOf(waiting[0], "workers");
+  CHECK(workers.starts_with("w0-1@n"));
+  CHECK(workers.find(':') != std::string::npos);
+  const auto claims = LinesOf(fleet, EventNumber::kClaimWaits);
+  REQUIRE(!claims.empty());
+  CHECK(FieldOf(claims[0], "worker") == "w0-1");
+  CHECK(FieldOf(claims[0], "owner") == "n0-1");
+  CHECK(NumberOf(claims[0], "for_ms") >= 1000);
+  CHECK(NumberOf(claims[0], "left_ms") > 0);
+
+  std::size_t recovering = 0;
+  std::size_t unanswered = 0;
+  for (const std::string& it : fleet.nodes()) {
+    if (fleet.IsUp(it)) {
+      const OpenWork open = CountOpenWork(fleet.state(it), fleet.now());
+      recovering += open.recoveries.count;
+      unanswered += open.claims.count;
+      CHECK(
+          (open.recoveries.count == 0 || open.recoveries.oldest > seconds(8)));
+    }
+  }
+  CHECK(recovering == 1);
+  CHECK(unanswered == 1);
+
+  fleet.order_fault = [](const std::string&, const std::string&,
+                         const WorkerRequest&) { return OrderFault::kNone; };
+  fleet.Run(seconds(3));
+  const auto recovered = LinesOf(fleet, EventNumber::kJobRecovered);
+  REQUIRE(recovered.size() == 1);
+  CHECK(FieldOf(recovered[0], "job") == "j1");
+  CHECK(NumberOf(recovered[0], "after_ms") > 8000);
+  CHECK(NumberOf(recovered[0], "found") + NumberOf(recovered[0], "to_start") ==
+        12);
+  CheckPromises(fleet);
+}
+
+TEST_CASE("A quiet adoption is told by one line of its recovery") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(8)});
+  fleet.Submit("n0", "j1", OneStep(12));
+  fleet.Run(seconds(1));
+  REQUIRE(KillOwner(fleet, "j1") == "n0");
+  fleet.Run(seconds(5));
+  const auto recovered = LinesOf(fleet, EventNumber::kJobRecovered);
+  REQUIRE(recovered.size() == 1);
+  CHECK(NumberOf(recovered[0], "after_ms") < 1000);
+  CHECK(FieldOf(recovered[0], "found") == "12");
+  CHECK(FieldOf(recovered[0], "to_start") == "0");
+  CHECK(LinesOf(fleet, EventNumber::kJobRecovering).empty());
+}
+
+// A task ran on for 9.4 s after its job's cancel was acknowledged. The log had
+// `job_ended` and, 9.4 s later, `run_ended`, and nothing of the acknowledgement
+// or of the orders between.
+TEST_CASE("A cancel's acknowledgement and the end of its last task are told") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n0", "j1", OneStep(12));
+  fleet.Run(seconds(1));
+  fleet.Cancel("n1", "j1");
+  fleet.Run(seconds(2));
+  const auto taken = LinesOf(fleet, EventNumber::kCancelAcknowledged);
+  REQUIRE(taken.size() == 1);
+  CHECK(FieldOf(taken[0], "job") == "j1");
+  CHECK(NumberOf(taken[0], "after_ms") < 100);
+  CHECK(NumberOf(taken[0], "out") == 12);
+  const auto over = LinesOf(fleet, EventNumber::kCancelOver);
+  REQUIRE(over.size() == 1);
+  CHECK(FieldOf(over[0], "job") == "j1");
+  CHECK(NumberOf(over[0], "after_ms") > 0);
+  CHECK(NumberOf(over[0], "after_ms") < 1000);
+  CHECK(LinesOf(fleet, EventNumber::kCancelLate).empty());
+  CHECK(LinesOf(fleet, EventNumber::kStopUnanswered).empty());
+}
+
+TEST_CASE("A cancelled job's run that goes on is named, with its worker") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n0", "j1", OneStep(12));
+  fleet.Run(seconds(1));
+  const std::string deaf = fleet.seen.front().worker;  // "w0-1"
+  const std::string owner = OwnerOf(fleet, deaf);
+  fleet.order_fault = [&deaf](const std::string&, const std::string& worker,
+                              const WorkerRequest& request) {
+    return deaf.starts_with(worker) && std::holds_alternative<StopRun>(request)
+               ? OrderFault::kUnreached
+               : OrderFault::kNone;
+  };
+  fleet.Cancel("n1", "j1");
+  fleet.Run(seconds(6));
+  const auto unanswered = LinesOf(fleet, EventNumber::kStopUnanswered);
+  REQUIRE(unanswered.size() >= 2);
+  CHECK(unanswered.size() <= 4);
+  CHECK(FieldOf(unanswered[0], "worker") == deaf);
+  CHECK(NumberOf(unanswered[0], "runs") >= 1);
+  CHECK(FieldOf(unanswered[0], "task").starts_with("j1.0.0."));
+  CHECK(FieldOf(unanswered[0], "run") == "1");
+  CHECK(FieldOf(unanswered[0], "silent") == "no");
+  CHECK(NumberOf(unanswered[0], "for_ms") >= 1000);
+  CHECK(NumberOf(unanswered[1], "for_ms") >= 2000);
+
+  auto late = LinesOf(fleet, EventNumber::kCancelLate);
+  REQUIRE(late.size() == 2);  // after 3.4 and 4.4 s
+  CHECK(FieldOf(late[0], "job") == "j1");
+  CHECK(NumberOf(late[0], "after_ms") >= 3400);
+  CHECK(NumberOf(late[0], "out") == NumberOf(unanswered[0], "runs"));
+  const std::string runs = FieldOf(late[0], "runs");
+  CHECK(runs.starts_with("j1.0.0."));
+  CHECK(runs.find("/1@" + deaf + "@" + owner + "-1") != std::string::npos);
+  CHECK(LinesOf(fleet, EventNumber::kCancelOver).empty());
+
+  const OpenWork of_job = CountOpenWork(fleet.state("n0"), fleet.now());
+  CHECK(of_job.stops_of_jobs.count == NumberOf(unanswered[0], "runs"));
+  CHECK(of_job.stops_of_jobs.oldest > seconds(5));
+  const OpenWork at_worker = CountOpenWork(fleet.state(owner), fleet.now());
+  CHECK(at_worker.stops_at_workers.count == of_job.stops_of_jobs.count);
+  CHECK(at_worker.stops_at_workers.oldest > seconds(5));
+
+  fleet.order_fault = [](const std::string&, const std::string&,
+                         const WorkerRequest&) { return OrderFault::kNone; };
+  fleet.Run(seconds(2));
+  late = LinesOf(fleet, EventNumber::kCancelLate);
+  REQUIRE(late.size() == 3);
+  CHECK(FieldOf(late[2], "out") == "0");
+  CHECK(FieldOf(late[2], "runs").empty());
+  CHECK(NumberOf(late[2], "after_ms") > NumberOf(late[1], "after_ms"));
+  CHECK(CountOpenWork(fleet.state("n0"), fleet.now()) == OpenWork());
+  CHECK(CountOpenWork(fleet.state(owner), fleet.now()) == OpenWork());
+}
+
+TEST_CASE("A reminder comes at pauses that double, and few of them a round") {
+  Reminders reminders;
+  std::vector<int> told;
+  for (int it = 0; it <= 40; ++it) {
+    if (reminders.IsDue("a", seconds(100 + it), seconds(100))) {
+      told.push_back(it);
+    }
+    reminders.EndRound();
+  }
+  CHECK(told == std::vector<int>{1, 2, 4, 8, 16, 24, 32, 40});
+
+  std::size_t n = 0;
+  for (int it = 0; it < 100; ++it) {
+    n +=
+        reminders.IsDue(std::to_string(it), seconds(200), seconds(100)) ? 1 : 0;
+  }
+  CHECK(n == Reminders::kPerRound);
+  reminders.EndRound();
+  // Those that had no turn come next.
+  CHECK(reminders.IsDue("99", seconds(200), seconds(100)));
+  CHECK_FALSE(reminders.IsDue("0", seconds(200), seconds(100)));
+  // What was not asked about is over: it begins anew.
+  reminders.EndRound();
+  reminders.EndRound();
+  CHECK_FALSE(reminders.IsDue("99", seconds(200), seconds(200)));
+}
+
+}  // namespace
+
+}  // namespace burdockrock::engine
