Runtime: Measures queues, starts, cancels and what is open

New summaries by the accumulators that step_seconds uses: event_queue_seconds (from the end of a body's arrival to each event's step), timer_late_seconds (shortage of processor time: what waits in the sockets waits about as long), start_seconds (offer to start) and cancel_seconds (acknowledgement to the end of the last task). New gauges: recovering_jobs and oldest_recovery_seconds, open_claims, open_stops and oldest_stop_seconds as the job's owner and as the worker's owner knows them. The reducer hands out spans as the effect NoteSpan; no decision reads them.

--- a/Source/engine/event.h
+++ b/Source/engine/event.h
@@ -117,6 +117,17 @@
   LogLine line{};
 };
 
+enum class MeasuredSpan {
+  kStart,   // from a task's offer until its run is known to be under way
+  kCancel,  // from a cancel's acknowledgement until nothing runs any more
+};
+
+// For the metrics.
+struct NoteSpan {
+  MeasuredSpan span = MeasuredSpan::kStart;
+  Duration took{0};
+};
+
 // The configuration's bounds of callers' requests are in force.
 struct ApplyLimits {
   CallerLimits limits{};
@@ -132,6 +143,7 @@
                             CallMachines,
                             SendPeer,
                             WriteLog,
+                            NoteSpan,
                             ApplyLimits,
                             EndProcess>;
 using Effects = std::vector<Effect>;
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -314,6 +314,10 @@
       continue;
     }
     if (it.outcome == OfferOutcome::kStarted) {
+      if (place->task.phase == TaskPhase::kOffered) {
+        context.Emit(NoteSpan{.span = MeasuredSpan::kStart,
+                              .took = context.now - place->task.since});
+      }
       MarkRunning(context, place->job, place->step, place->task);
     } else if (it.outcome == OfferOutcome::kBooked) {
       place->task.booked = true;
--- a/Source/engine/notices.cc
+++ b/Source/engine/notices.cc
@@ -169,6 +169,7 @@
                  {"runs", DescribeRuns(context, runs)}});
   }
   if (over) {
+    context.Emit(NoteSpan{.span = MeasuredSpan::kCancel, .took = after});
     context.state.notices.cancelled.erase(job.id);
   }
 }
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -50,6 +50,20 @@
 inline constexpr std::string_view kQueueLength = "burdockrock_queue_length";
 inline constexpr std::string_view kOwnedWorkers = "burdockrock_owned_workers";
 inline constexpr std::string_view kStepSeconds = "burdockrock_step_seconds";
+inline constexpr std::string_view kRecoveringJobs =
+    "burdockrock_recovering_jobs";
+inline constexpr std::string_view kOldestRecoverySeconds =
+    "burdockrock_oldest_recovery_seconds";
+inline constexpr std::string_view kOpenClaims = "burdockrock_open_claims";
+inline constexpr std::string_view kOpenStops = "burdockrock_open_stops";
+inline constexpr std::string_view kOldestStopSeconds =
+    "burdockrock_oldest_stop_seconds";
+inline constexpr std::string_view kEventQueueSeconds =
+    "burdockrock_event_queue_seconds";
+inline constexpr std::string_view kTimerLateSeconds =
+    "burdockrock_timer_late_seconds";
+inline constexpr std::string_view kStartSeconds = "burdockrock_start_seconds";
+inline constexpr std::string_view kCancelSeconds = "burdockrock_cancel_seconds";
 inline constexpr std::string_view kResidentBytes = "burdockrock_resident_bytes";
 inline constexpr std::string_view kProcessorSecondsTotal =
     "burdockrock_processor_seconds_total";
@@ -91,6 +105,27 @@
     {kOwnedWorkers, MetricKind::kGauge, "", "Workers that this process owns"},
     {kStepSeconds, MetricKind::kSummary, "",
      "Time that one step of the reducer took, in seconds"},
+    {kRecoveringJobs, MetricKind::kGauge, "",
+     "Adopted jobs of which is not known yet what runs"},
+    {kOldestRecoverySeconds, MetricKind::kGauge, "",
+     "Since when the oldest of these was adopted, in seconds"},
+    {kOpenClaims, MetricKind::kGauge, "",
+     "Workers that have not answered a claim"},
+    {kOpenStops, MetricKind::kGauge, "side",
+     "Runs that were ordered to stop and have not ended as far as is known"},
+    {kOldestStopSeconds, MetricKind::kGauge, "side",
+     "Since when the oldest of these was ordered, in seconds"},
+    {kEventQueueSeconds, MetricKind::kSummary, "",
+     "Time from the arrival of an event in the process to its step, in "
+     "seconds"},
+    {kTimerLateSeconds, MetricKind::kSummary, "",
+     "Time by which a timer came up late, as the thread or the processor was "
+     "busy, in seconds"},
+    {kStartSeconds, MetricKind::kSummary, "",
+     "Time from the offer of a task to its start, in seconds"},
+    {kCancelSeconds, MetricKind::kSummary, "",
+     "Time from a cancel's acknowledgement until nothing of the job ran, in "
+     "seconds"},
     {kResidentBytes, MetricKind::kGauge, "",
      "Resident memory of this process, in bytes"},
     {kProcessorSecondsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -1,13 +1,20 @@
 #include "runtime/engine_dump.h"
 
+#include <chrono>
+
 #include <fmt/format.h>
 
 #include "engine/job_table.h"
+#include "engine/open_work.h"
 
 namespace burdockrock {
 
 namespace {
 
+double InSeconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 Json::Value DumpMembers(const engine::State& state) {
   Json::Value out(Json::objectValue);
   out["fence"] = Json::UInt64(state.members.fence);
@@ -81,6 +88,22 @@
   }
 }
 
+void SetStops(Metrics& metrics,
+              const std::string& side,
+              const engine::OpenKind& stops) {
+  const Labels labels = {{.name = "side", .value = side}};
+  metrics.Set(kOpenStops, labels, static_cast<double>(stops.count));
+  metrics.Set(kOldestStopSeconds, labels, InSeconds(stops.oldest));
+}
+
+void SetOpenWork(Metrics& metrics, const engine::OpenWork& open) {
+  metrics.Set(kRecoveringJobs, {}, static_cast<double>(open.recoveries.count));
+  metrics.Set(kOldestRecoverySeconds, {}, InSeconds(open.recoveries.oldest));
+  metrics.Set(kOpenClaims, {}, static_cast<double>(open.claims.count));
+  SetStops(metrics, "job", open.stops_of_jobs);
+  SetStops(metrics, "worker", open.stops_at_workers);
+}
+
 }  // namespace
 
 Json::Value DumpEngine(const engine::State& state) {
@@ -99,7 +122,7 @@
   return out;
 }
 
-void SetEngineMetrics(Metrics& metrics, const engine::State& state) {
+void SetEngineMetrics(Metrics& metrics, const engine::State& state, Time now) {
   const engine::Totals& totals = state.totals;
   Raise(metrics, kPlatformCallsTotal, state.store.total_calls);
   Raise(metrics, kStartsTotal, totals.starts);
@@ -115,6 +138,7 @@
   Raise(metrics, kRunsLostTotal, totals.lost_runs);
   metrics.Set(kOwnedWorkers, {}, static_cast<double>(state.owned.size()));
   SetPacked(metrics, state);
+  SetOpenWork(metrics, engine::CountOpenWork(state, now));
 }
 
 }  // namespace burdockrock
--- a/Source/runtime/engine_dump.h
+++ b/Source/runtime/engine_dump.h
@@ -11,7 +11,7 @@
 
 Json::Value DumpEngine(const engine::State& state);
 
-void SetEngineMetrics(Metrics& metrics, const engine::State& state);
+void SetEngineMetrics(Metrics& metrics, const engine::State& state, Time now);
 
 }  // namespace burdockrock
 
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -5,6 +5,7 @@
 
 #include "net/json.h"
 #include "observe/process_usage.h"
+#include "runtime/clock.h"
 #include "runtime/engine_dump.h"
 #include "runtime/server_address.h"
 
@@ -24,6 +25,10 @@
 constexpr std::size_t kMaxOperatorBodyBytes = 4096;
 constexpr std::size_t kMaxConnections = 256;
 
+double InSeconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 }  // namespace
 
 EngineInstance::EngineInstance(boost::asio::io_context& io,
@@ -36,10 +41,11 @@
                .sink = options_.log_sink}),
       peer_client_(io, options_.engine.self.incarnation),
       shell_(io, engine::MakeState(options_.engine), MakeHooks()),
-      peer_server_(
-          {.on_message =
-               [this](engine::PeerSaid it) { shell_.Handle(std::move(it)); },
-           .log = [this](const LogLine& it) { logger_.Write(it); }}),
+      peer_server_({.on_message =
+                        [this](engine::PeerSaid it) {
+                          shell_.Handle(std::move(it), peers_body_arrived_);
+                        },
+                    .log = [this](const LogLine& it) { logger_.Write(it); }}),
       housekeeping_timer_(io) {}
 
 std::optional<NetError> EngineInstance::Start() {
@@ -85,11 +91,21 @@
             logger_.Flush();
             options_.on_stopped();
           },
-      .step_took =
-          [this](Duration took) {
-            metrics_.Observe(kStepSeconds, {},
-                             std::chrono::duration<double>(took).count());
+      .note_span =
+          [this](const engine::NoteSpan& it) {
+            switch (it.span) {
+              case engine::MeasuredSpan::kStart:
+                return start_seconds_.Observe(InSeconds(it.took));
+              case engine::MeasuredSpan::kCancel:
+                return cancel_seconds_.Observe(InSeconds(it.took));
+            }
           },
+      .step_took =
+          [this](Duration it) { step_seconds_.Observe(InSeconds(it)); },
+      .event_waited =
+          [this](Duration it) { queue_seconds_.Observe(InSeconds(it)); },
+      .timer_late =
+          [this](Duration it) { late_seconds_.Observe(InSeconds(it)); },
   };
 }
 
@@ -126,6 +142,7 @@
   if (request.path != "/rpc" || request.method != "POST") {
     response.status = kNotFoundStatus;
   } else {
+    peers_body_arrived_ = SteadyNow();
     response.body = peer_server_.HandleBody(request.body);
     response.status = response.body.empty() ? kOkStatus : kBadRequestStatus;
   }
@@ -148,7 +165,7 @@
 }
 
 std::string EngineInstance::MetricsText() {
-  SetEngineMetrics(metrics_, shell_.state());
+  SetEngineMetrics(metrics_, shell_.state(), SteadyNow());
   const EdgeTraffic sent = peer_client_.traffic();
   const EdgeTraffic received = peer_server_.traffic();
   const Labels peer = {{.name = "edge", .value = "peer"}};
--- a/Source/runtime/engine_instance.h
+++ b/Source/runtime/engine_instance.h
@@ -67,6 +67,12 @@
   EngineInstanceOptions options_;
   Logger logger_;
   Metrics metrics_;
+  Summary& step_seconds_ = metrics_.GetSummary(kStepSeconds);
+  Summary& queue_seconds_ = metrics_.GetSummary(kEventQueueSeconds);
+  Summary& late_seconds_ = metrics_.GetSummary(kTimerLateSeconds);
+  Summary& start_seconds_ = metrics_.GetSummary(kStartSeconds);
+  Summary& cancel_seconds_ = metrics_.GetSummary(kCancelSeconds);
+  Time peers_body_arrived_{0};
   EnginePeerClient peer_client_;
   EngineShell shell_;
   EnginePeerServer peer_server_;
--- a/Source/runtime/engine_shell.cc
+++ b/Source/runtime/engine_shell.cc
@@ -12,13 +12,17 @@
     : state_(std::move(state)), hooks_(std::move(hooks)), timer_(io) {}
 
 void EngineShell::Handle(engine::EventBody event) {
-  queue_.push_back(std::move(event));
+  Handle(std::move(event), SteadyNow());
+}
+
+void EngineShell::Handle(engine::EventBody event, Time arrived) {
+  queue_.push_back({.event = std::move(event), .at = arrived});
   if (running_) {
     return;
   }
   running_ = true;
   while (!queue_.empty()) {
-    engine::EventBody next = std::move(queue_.front());
+    Arrival next = std::move(queue_.front());
     queue_.pop_front();
     Apply(std::move(next));
   }
@@ -26,13 +30,14 @@
   ArmTimer();
 }
 
-void EngineShell::Apply(engine::EventBody event) {
+void EngineShell::Apply(Arrival arrival) {
   const Time start = SteadyNow();
+  hooks_.event_waited(start - arrival.at);
   const engine::Effects effects =
       engine::Step(state_, engine::Event{.now = start,
                                          .wall_ms = static_cast<std::int64_t>(
                                              WallMicroseconds() / 1000),
-                                         .body = std::move(event)});
+                                         .body = std::move(arrival.event)});
   hooks_.step_took(SteadyNow() - start);
   for (const engine::Effect& it : effects) {
     CarryOut(it);
@@ -57,6 +62,7 @@
     }
     void operator()(const engine::SendPeer& it) { hooks.send_peer(it); }
     void operator()(const engine::WriteLog& it) { hooks.write_log(it); }
+    void operator()(const engine::NoteSpan& it) { hooks.note_span(it); }
     void operator()(const engine::ApplyLimits& it) {
       hooks.edges.apply_limits(it);
     }
@@ -76,6 +82,7 @@
   timer_.expires_at(std::chrono::steady_clock::time_point(next));
   timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
+      hooks_.timer_late(SteadyNow() - armed_for_);
       armed_for_ = kForever;
       Handle(engine::TimePassed());
     }
--- a/Source/runtime/engine_shell.h
+++ b/Source/runtime/engine_shell.h
@@ -29,7 +29,13 @@
   std::function<void(const engine::SendPeer&)> send_peer{};
   std::function<void(const engine::WriteLog&)> write_log{};
   std::function<void()> end_process{};
+  std::function<void(const engine::NoteSpan&)> note_span{};
   std::function<void(Duration)> step_took{};
+  // From an event's arrival to its step.
+  std::function<void(Duration)> event_waited{};
+  // How much later than its time the timer came up. All that waits for the
+  // thread, or for the processor, waits about as long.
+  std::function<void(Duration)> timer_late{};
 };
 
 class EngineShell {
@@ -41,19 +47,26 @@
   EngineShell& operator=(const EngineShell&) = delete;
 
   // Applies the event and all that comes of it. Within an effect it only
-  // queues the event: the reducer is never entered twice at once.
+  // queues the event: the reducer is never entered twice at once. `arrived` is
+  // when the process had all of the event.
+  void Handle(engine::EventBody event, Time arrived);
   void Handle(engine::EventBody event);
 
   const engine::State& state() const { return state_; }
 
  private:
-  void Apply(engine::EventBody event);
+  struct Arrival {
+    engine::EventBody event{};
+    Time at{0};
+  };
+
+  void Apply(Arrival arrival);
   void CarryOut(const engine::Effect& effect) const;
   void ArmTimer();
 
   engine::State state_;
   EngineShellHooks hooks_;
-  std::deque<engine::EventBody> queue_;
+  std::deque<Arrival> queue_;
   bool running_ = false;
   SteadyTimer timer_;
   Time armed_for_ = kForever;
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -306,6 +306,7 @@
     void operator()(const CallMachines& it) { fleet.CallTheMachines(node, it); }
     void operator()(const SendPeer& it) { fleet.SendThePeer(node, it); }
     void operator()(const WriteLog& it) { fleet.log.push_back(it.line); }
+    void operator()(const NoteSpan& it) { fleet.spans.push_back(it); }
     void operator()(const ApplyLimits&) {}
     void operator()(const EndProcess&) { fleet.Kill(node); }
   };
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -104,6 +104,7 @@
   std::vector<SeenRun> seen{};
   std::map<std::uint64_t, CallerAnswer> answers{};
   std::vector<LogLine> log{};
+  std::vector<NoteSpan> spans{};
 
   std::function<StoreFault(const std::string& node, const StoreRequest&)>
       store_fault = [](const std::string&, const StoreRequest&) {
--- a/Tests/engine/notices_test.cc
+++ b/Tests/engine/notices_test.cc
@@ -163,6 +163,25 @@
   CHECK(NumberOf(over[0], "after_ms") < 1000);
   CHECK(LinesOf(fleet, EventNumber::kCancelLate).empty());
   CHECK(LinesOf(fleet, EventNumber::kStopUnanswered).empty());
+
+  const auto spans = [&](MeasuredSpan span) {
+    std::vector<Duration> found;
+    for (const NoteSpan& it : fleet.spans) {
+      if (it.span == span) {
+        found.push_back(it.took);
+      }
+    }
+    return found;
+  };
+  const auto cancels = spans(MeasuredSpan::kCancel);
+  REQUIRE(cancels.size() == 1);
+  CHECK(ToMilliseconds(cancels[0]) == NumberOf(over[0], "after_ms"));
+  const auto starts = spans(MeasuredSpan::kStart);
+  REQUIRE(starts.size() == 12);
+  for (const Duration it : starts) {
+    CHECK(it > Duration(0));
+    CHECK(it < milliseconds(100));
+  }
 }
 
 TEST_CASE("A cancelled job's run that goes on is named, with its worker") {
