--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -31,6 +31,7 @@
   bool running = false;
   bool stopping = false;
   Time stop_sent = Time::min();
+  Time stopping_since{0};
   Time heard{0};
 };
 
@@ -49,6 +50,7 @@
   bool booked = false;  // a gang's: its room is kept
   bool stopping = false;
   Time stop_sent = Time::min();  // the order to stop it, last
+  Time stopping_since{0};
   std::optional<TaskCopy> copy{};
   bool copy_wanted = false;
   std::uint64_t last_copy = 0;  // the run of the copy before
--- a/Source/engine/job_table.cc
+++ b/Source/engine/job_table.cc
@@ -155,6 +155,9 @@
   if (!out) {
     return;
   }
+  if (!task.stopping) {
+    task.stopping_since = context.now;
+  }
   task.stopping = true;
   task.stop_sent = context.now;
   task.heard = context.now;
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -13,6 +13,7 @@
 #include "engine/lease_bounds.h"
 #include "engine/membership.h"
 #include "engine/node_records.h"
+#include "engine/notices.h"
 #include "engine/placing.h"
 #include "engine/planned_stop.h"
 #include "engine/questions.h"
@@ -191,6 +192,7 @@
   DriveDigests(context);
   DriveStop(context);
   DrainInbox(context);
+  DriveNotices(context);
 }
 
 }  // namespace
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -23,6 +23,7 @@
 #include "engine/peer_message.h"
 #include "engine/pool_rule.h"
 #include "engine/record.h"
+#include "engine/reminders.h"
 #include "engine/upkeep_rule.h"
 #include "model/time.h"
 
@@ -337,6 +338,18 @@
   std::uint64_t lost_runs = 0;
 };
 
+// What the log was told of what lasts.
+struct NoticesState {
+  Time seen_at = Time::min();
+  Time cancels_seen_at = Time::min();
+  Reminders recoveries{};  // by job
+  Reminders claims{};      // by worker
+  Reminders stops{};       // by worker
+  Reminders cancels{};     // by job
+  // When the cancel of a job that may still run was acknowledged.
+  std::map<std::string, Time> cancelled{};
+};
+
 struct State {
   EngineOptions options{};
   std::mt19937_64 random{1};
@@ -378,6 +391,7 @@
   std::map<std::string, TaskStops> stops{};
   bool placement_due = false;
   Time placed_at = Time::min();
+  NoticesState notices{};
   Totals totals{};
 };
 
