Merge: Keeps the table that owners are chosen from

Takes in the reducer's table of members by machine and the review of ownership with the next look; the guard that nobody claims while not surely registered stays.

--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -159,9 +159,6 @@
   DriveMembership(context);
   DriveNodes(context);
   DriveWatches(context);
-  if (keep) {
-    DriveWorkerList(context);
-  }
   DriveWorkers(context);
   DriveLeaseQueries(context);
   DriveEnds(context);
@@ -185,6 +182,7 @@
   DriveProgress(context);
   if (HasPassed(context.now, drive.forgot_at, kForgetInterval)) {
     drive.forgot_at = context.now;
+    DriveWorkerList(context);
     ForgetEnded(context);
     ForgetUnused(context);
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -129,6 +129,15 @@
   std::map<std::string, Time> unseen{};
 };
 
+// One machine's member that keys may be given to.
+struct ChoosableMember {
+  std::string incarnation{};
+  std::string domain{};
+  std::uint32_t weight = 0;
+  std::uint64_t node_hash = 0;
+  std::uint64_t fence = 0;
+};
+
 struct MembersState {
   std::uint64_t lease = 0;
   Time renew_at{0};
@@ -148,6 +157,8 @@
   std::map<std::string, Member> present{};  // by incarnation
   std::map<std::string, DepartedMember> departed{};
   NodesState nodes{};
+  // By node; worked out of the two above when they change.
+  std::map<std::string, ChoosableMember> choosable{};
 };
 
 // A worker of the platform's list. One that left it is remembered for a while:
