--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -18,6 +18,11 @@
 constexpr Duration kPoll = milliseconds(10);
 constexpr Duration kLateBy = milliseconds(3000);
 constexpr const char* kQueue = "q";
+// So long after the last fault all is in touch again; an order that a worker
+// carries out late has arrived by then.
+constexpr Duration kInTouch = milliseconds(3000);
+// A task has to be gone this long after its job's cancel was acknowledged.
+constexpr Duration kCancelBound = milliseconds(3400);
 
 // "address|domain|service|processors|draining"
 std::string WorkerText(const WorkerInfo& info) {
@@ -200,11 +205,22 @@
 }
 
 std::uint64_t Fleet::Cancel(const std::string& node, const std::string& job) {
+  cancel_calls_[last_call_ + 1] = job;  // the answer may come at once
   return Ask(
       node,
       {.question = CallerQuestion::kCancel, .host = "h", .path = "/q/" + job});
 }
 
+void Fleet::NoteAnswer(const AnswerCaller& it) {
+  answers[it.call] = it.answer;
+  const auto* taken = std::get_if<CancelTaken>(&it.answer);
+  const auto call = cancel_calls_.find(it.call);
+  if (taken != nullptr && taken->state == JobState::kCancelled &&
+      call != cancel_calls_.end()) {
+    cancelled.emplace(call->second, now_);
+  }
+}
+
 std::optional<JobState> Fleet::StateOf(const std::string& node,
                                        const std::string& job) {
   const std::uint64_t call = AskState(node, job);
@@ -297,9 +313,7 @@
   struct Visitor {
     Fleet& fleet;
     const std::string& node;
-    void operator()(const AnswerCaller& it) {
-      fleet.answers[it.call] = it.answer;
-    }
+    void operator()(const AnswerCaller& it) { fleet.NoteAnswer(it); }
     void operator()(const CallStore& it) { fleet.CallTheStore(node, it); }
     void operator()(const CallWorker& it) { fleet.CallTheWorker(node, it); }
     void operator()(const CallAdvice& it) { fleet.CallTheAdvice(node, it); }
@@ -479,6 +493,26 @@
   return spec;
 }
 
+namespace {
+
+void CheckCancels(const Fleet& fleet) {
+  if (fleet.calm_since == kForever) {
+    return;
+  }
+  for (const SeenRun& it : fleet.seen) {
+    const auto job = fleet.cancelled.find(it.task.substr(0, it.task.find('.')));
+    if (job == fleet.cancelled.end()) {
+      continue;
+    }
+    const Time gone_by =
+        std::max(job->second, fleet.calm_since + kInTouch) + kCancelBound;
+    INFO("task " << it.task << " run " << it.run << " on " << it.worker);
+    CHECK(std::min(it.ended, fleet.now()) <= gone_by);
+  }
+}
+
+}  // namespace
+
 void CheckPromises(Fleet& fleet) {
   for (const std::string& it : fleet.worker_names()) {
     fleet.worker(it).Advance(fleet.now());
@@ -497,6 +531,7 @@
     }
     by_task[it.task].push_back(&it);
   }
+  CheckCancels(fleet);
 }
 
 void PlanAll(Fleet& fleet, const RunPlan& plan) {
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -101,6 +101,12 @@
   std::vector<std::string> nodes() const;
   std::vector<std::string> worker_names() const;
 
+  // When the cancel of a job was first acknowledged, by job; only jobs that
+  // were told to be cancelled.
+  std::map<std::string, Time> cancelled{};
+  // No fault since then. kForever: there may be some.
+  Time calm_since = kForever;
+
   FakeStore store{};
   std::vector<SeenRun> seen{};
   std::map<std::uint64_t, CallerAnswer> answers{};
@@ -139,6 +145,7 @@
   void At(Time at, std::function<void()> run);
   void Deliver(const std::string& node, std::uint64_t life, EventBody body);
   void CarryOut(const std::string& node, const Effect& effect);
+  void NoteAnswer(const AnswerCaller& it);
   void CallTheStore(const std::string& node, const CallStore& call);
   void CallTheWorker(const std::string& node, const CallWorker& call);
   void CallTheAdvice(const std::string& node, const CallAdvice& call);
@@ -170,6 +177,7 @@
   std::map<std::string, std::unique_ptr<FakeWorker>> workers_;
   Configuration configuration_;
   Wave wave_;
+  std::map<std::uint64_t, std::string> cancel_calls_;  // the job
   std::map<std::string, Time> down_until_;
   std::map<std::string, std::uint64_t> machine_fences_;
   std::set<std::string> silent_;  // workers that answer nothing
@@ -182,7 +190,8 @@
 JobSpec Chain(std::uint32_t steps, std::uint32_t count);
 
 // What every run must keep: no task runs twice at once, none starts after its
-// end `done` was acknowledged, and no worker gets more than it has.
+// end `done` was acknowledged, no worker gets more than it has, and nothing
+// runs on 3.4 s after its job's cancel was acknowledged in calm.
 void CheckPromises(Fleet& fleet);
 
 // All workers run every task so.
