--- a/Tests/engine/cancel_test.cc
+++ b/Tests/engine/cancel_test.cc
@@ -328,6 +328,30 @@
   CHECK(IsGone(fleet, "j1"));
 }
 
+// An instance died with a question out and came back at the same address. The
+// answer came then, and its number was that of the first question of the new
+// life: the cancel of another job was acknowledged though nobody had taken it.
+TEST_CASE("An answer to a former life does not acknowledge a cancel") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n0", "j1", OneStep(6));
+  fleet.Run(seconds(1));
+  fleet.Kill("n1");
+  fleet.Start("n1");
+  fleet.Run(seconds(4));
+  fleet.is_cut = [](const std::string& from, const std::string&) {
+    return from == "n1";
+  };
+  const std::uint64_t call = fleet.Cancel("n1", "j1");
+  fleet.Run(milliseconds(10));
+  fleet.Tell("n1", "n2-1",
+             JobReply{.call = 1, .known = true, .state = JobState::kCancelled});
+  fleet.Run(milliseconds(500));
+  CHECK_FALSE(fleet.answers.contains(call));
+  CHECK_FALSE(IsGone(fleet, "j1"));
+}
+
 // A cancel of a job with many tasks told each of them by itself: 24 messages
 // at once for one instance with two workers, each repeated after 500 ms.
 TEST_CASE("The stops of a cancelled job go out together and at once") {
