Tests: Keeps the counted end's task from a later run

The case of an end that is counted already failed for another reason than it says: its task had been started again as run 2 before the job was adopted, so what was told of run 1 did not count at all. The queue is taken away first now, so that nothing starts; the engine without the mend still fails it (the phase is running instead of waiting), the mended one passes.

--- a/Tests/engine/lasting_test.cc
+++ b/Tests/engine/lasting_test.cc
@@ -154,6 +154,9 @@
 TEST_CASE("An end that is counted already still frees its task") {
   Fleet fleet;
   Begin(fleet);
+  // Nothing of a queue that is not known starts: the task has no later run.
+  fleet.SetQueue({.name = "other", .host = "h", .prefix = "/o/"});
+  fleet.Run(milliseconds(100));
   EndRuns(fleet, "w1");
   REQUIRE(
       fleet.RunUntil([&] { return CountAtWork(fleet) < kTasks; }, seconds(1)));
