Engine: Frees a task whose end is counted and numbers calls by life

An end that the adopted record had counted was passed over whole: when a former owner of the worker had told the adopter that the run was there, its task was taken for running until the adopter asked for it, up to 3.5 s later by the limits (kRunCheck, kOfferRepeat). The end now still frees the task and is counted once as before. Questions between instances were numbered from 1 in each life: an answer to a former life at the same address was taken for that of a present question, and could acknowledge the cancel of a job that nobody had cancelled. The numbers, of advice too, begin at a hash of the incarnation now. Ruled out: matching by the job, which answers do not name.

--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -207,6 +207,17 @@
   }
 }
 
+void CountEnd(Context& context, const Place& place, const EndReport& report) {
+  std::set<std::uint64_t>& ended = place.task.ended_runs;
+  if (ended.size() > kEndedRunsKept) {
+    ended.erase(ended.begin());
+  }
+  if (report.how == RunEnd::kFailed) {
+    OnFailed(context, place, report);
+  }
+  MarkChanged(context, place.job, false);
+}
+
 void ApplyNewEnd(Context& context,
                  const Place& place,
                  const EndReport& report) {
@@ -222,16 +233,11 @@
     CompleteIfDone(context, place.job);
     return;
   }
-  if (!task.ended_runs.insert(report.run).second) {
-    return;
-  }
-  if (task.ended_runs.size() > kEndedRunsKept) {
-    task.ended_runs.erase(task.ended_runs.begin());
-  }
-  if (report.how == RunEnd::kFailed) {
-    OnFailed(context, place, report);
+  // One that was counted already, before an adoption, still frees its task: the
+  // run may have been told of by a former owner of the worker.
+  if (task.ended_runs.insert(report.run).second) {
+    CountEnd(context, place, report);
   }
-  MarkChanged(context, place.job, false);
   if (IsCopy(task, report.run)) {
     return OnCopyReport(context, task, RunState::kAbsent);
   }
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <xxhash.h>
+
 #include "engine/adoption.h"
 #include "engine/advice.h"
 #include "engine/catalog.h"
@@ -153,11 +155,21 @@
   DrainInbox(context);
 }
 
+// Calls between instances are numbered from another place in each life. The
+// answer to a call of a former life at the same address would else be taken for
+// that of a present one, and the cancel of another job be acknowledged by it.
+std::uint64_t FirstCall(const std::string& incarnation) {
+  constexpr int kBitsLeft = 24;  // 40 bits stay, exact in any JSON number
+  return XXH64(incarnation.data(), incarnation.size(), 0) >> kBitsLeft;
+}
+
 }  // namespace
 
 State MakeState(EngineOptions options) {
   State state;
   state.random.seed(options.seed);
+  state.last_question = FirstCall(options.self.incarnation);
+  state.advice.last_call = FirstCall(options.self.incarnation);
   state.options = std::move(options);
   return state;
 }
