--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -436,6 +436,7 @@
 
 void Fleet::SendThePeer(const std::string& node, const SendPeer& send) {
   reports_ += std::holds_alternative<RunReports>(send.message) ? 1 : 0;
+  on_peer(node, send);
   if (is_cut(node, send.address)) {
     return;
   }
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -117,6 +117,9 @@
                        const WorkerRequest&) { return OrderFault::kNone; };
   std::function<bool(const std::string& from, const std::string& to)> is_cut =
       [](const std::string&, const std::string&) { return false; };
+  // Of each message between instances that is sent, also of one that is lost.
+  std::function<void(const std::string& from, const SendPeer& send)> on_peer =
+      [](const std::string&, const SendPeer&) {};
 
  private:
   struct Node {
