Engine: Stops no run whose end has just been told

A task's end brought a stop for the run that had ended, and the worker's owner told the end again, as it no longer had the run. Now only another run than the one that ended is stopped: a member of a gang, or a later run of the task. A copy is handled by StopOther as before.

--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -121,9 +121,12 @@
     }
     TaskName name = place.name;
     name.index = index;
+    // A stop for the run that has just ended would find nothing, and its end
+    // would be told once more: 78 of 1,009 messages a second of an instance.
+    const bool over = index == place.name.index && task.run == run;
     if (task.copy) {
       StopOther(context, place.job, name, task, run);
-    } else {
+    } else if (!over) {
       StopTask(context, place.job, name, task);
     }
     task.phase = TaskPhase::kDone;
--- a/Tests/bench/peers_bench.cc
+++ b/Tests/bench/peers_bench.cc
@@ -169,7 +169,7 @@
   const std::uint64_t refused = Sum(fleet, &engine::Totals::offers_refused);
   const std::uint64_t completed = Sum(fleet, &engine::Totals::completed);
   Work(fleet, kBusySpan, number);
-  meter.Report(report, "busy", kBusySpan, AtMost(1100), AtMost(500'000));
+  meter.Report(report, "busy", kBusySpan, AtMost(1000), AtMost(480'000));
   const auto made =
       static_cast<double>(Sum(fleet, &engine::Totals::offers) - offers);
   const auto lost = static_cast<double>(
