Bench: Hands jobs in at random instances, and tells what a job waits

The long jobs all came to every third instance, as nine and thirty share a factor: these were three times as loaded as callers make them. Jobs are now handed in by chance with a fixed seed. The delay of short jobs of one step beside their work is told too, so that fewer messages are not bought with time.

--- a/Tests/bench/peers_bench.cc
+++ b/Tests/bench/peers_bench.cc
@@ -1,12 +1,13 @@
 // What entry instances tell each other about jobs of steps, in messages and in
 // bytes: 30 instances with 350 workers, without work and with 40 jobs a second,
 // in virtual time. Does not depend on the machine.
+#include <algorithm>
 #include <cstdint>
-#include <iterator>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
-#include <tuple>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -14,6 +15,7 @@
 #include <doctest/doctest.h>
 
 #include "bench/bench_report.h"
+#include "bench/sample.h"
 #include "bench/wire_meter.h"
 #include "engine/fleet.h"
 #include "engine/peer_codec.h"
@@ -41,6 +43,8 @@
 constexpr std::uint64_t kLongEvery = 9;
 // The first letter of the long jobs' names.
 constexpr const char* kLong = "l";
+constexpr Duration kShortTask = milliseconds(800);
+constexpr Duration kLongTask = milliseconds(6000);
 
 // What is sent within one step to one receiver goes in one call.
 struct Call {
@@ -111,17 +115,28 @@
   std::set<Call> calls_;
 };
 
+// Jobs are handed in anywhere, by chance.
+struct Load {
+  std::uint64_t number = 0;
+  std::mt19937_64 random{1};
+  std::map<std::string, Time> submitted{};  // short jobs of one step
+};
+
 // Short jobs of 10 tasks and long ones of 14, in one or two steps.
-void SubmitNext(Fleet& fleet, std::uint64_t number) {
+void SubmitNext(Fleet& fleet, Load& load) {
+  const std::uint64_t number = ++load.number;
   const bool is_long = number % kLongEvery == 0;
   const std::uint32_t steps = number % 2 == 0 ? 2 : 1;
   engine::JobSpec spec = engine::Chain(steps, is_long ? 14 : 10);
   for (engine::StepSpec& it : spec.steps) {
     it.each = {.processors_milli = is_long ? 4500 : 2200, .memory_mb = 4000};
-    it.estimate = milliseconds(is_long ? 6000 : 800);
+    it.estimate = is_long ? kLongTask : kShortTask;
+  }
+  const std::string job = fmt::format("{}{}", is_long ? kLong : "s", number);
+  if (!is_long && steps == 1) {
+    load.submitted[job] = fleet.now();
   }
-  fleet.Submit(fmt::format("n{}", number % kInstances),
-               fmt::format("{}{}", is_long ? kLong : "s", number),
+  fleet.Submit(fmt::format("n{}", load.random() % kInstances), job,
                std::move(spec));
 }
 
@@ -129,15 +144,15 @@
   for (const std::string& it : fleet.worker_names()) {
     fleet.worker(it).plan = [](const std::string& task, std::uint64_t) {
       const bool is_long = task.starts_with(kLong);
-      return engine::RunPlan{.takes = milliseconds(is_long ? 6000 : 800)};
+      return engine::RunPlan{.takes = is_long ? kLongTask : kShortTask};
     };
   }
 }
 
-void Work(Fleet& fleet, Duration span, std::uint64_t& number) {
+void Work(Fleet& fleet, Duration span, Load& load) {
   const Time until = fleet.now() + span;
   while (fleet.now() < until) {
-    SubmitNext(fleet, ++number);
+    SubmitNext(fleet, load);
     fleet.Run(kBetweenJobs);
   }
 }
@@ -150,6 +165,30 @@
   return sum;
 }
 
+// What a short job of one step takes beside its work.
+void ReportDelay(BenchReport& report, const Fleet& fleet, const Load& load) {
+  std::map<std::string, Time> ended;
+  for (const engine::SeenRun& it : fleet.seen) {
+    Time& last = ended[it.task.substr(0, it.task.find('.'))];
+    last = std::max(last, it.ended);
+  }
+  Sample delays;
+  for (const auto& [job, at] : load.submitted) {
+    const auto it = ended.find(job);
+    if (it != ended.end() && it->second != kForever) {
+      const Duration delay = it->second - at - kShortTask;
+      delays.Add(std::chrono::duration<double, std::milli>(delay).count());
+    }
+  }
+  report.Add({.name = "peers.busy.delay.p50",
+              .value = delays.Quantile(0.5),
+              .unit = "ms of a short job"});
+  report.Add({.name = "peers.busy.delay.p99",
+              .value = delays.Quantile(0.99),
+              .unit = "ms of a short job",
+              .bound = AtMost(300)});
+}
+
 void Measure(BenchReport& report) {
   Fleet fleet({.domains = {"a", "b", "c", "d"},
                .instances = kInstances,
@@ -162,27 +201,30 @@
   PeerMeter meter(fleet);
   fleet.Run(kIdleSpan);
   meter.Report(report, "idle", kIdleSpan, AtMost(60), AtMost(95'000));
-  std::uint64_t number = 0;
-  Work(fleet, kWarmUp, number);
+  Load load;
+  Work(fleet, kWarmUp, load);
   meter.Clear();
   const std::uint64_t offers = Sum(fleet, &engine::Totals::offers);
   const std::uint64_t refused = Sum(fleet, &engine::Totals::offers_refused);
   const std::uint64_t completed = Sum(fleet, &engine::Totals::completed);
-  Work(fleet, kBusySpan, number);
+  load.submitted.clear();
+  Work(fleet, kBusySpan, load);
   meter.Report(report, "busy", kBusySpan, AtMost(1000), AtMost(480'000));
   const auto made =
       static_cast<double>(Sum(fleet, &engine::Totals::offers) - offers);
   const auto lost = static_cast<double>(
       Sum(fleet, &engine::Totals::offers_refused) - refused);
+  const auto ended =
+      static_cast<double>(Sum(fleet, &engine::Totals::completed) - completed);
   report.Add({.name = "peers.busy.offers_refused",
               .value = lost / made,
               .unit = "of the tasks offered"});
-  const auto ended =
-      static_cast<double>(Sum(fleet, &engine::Totals::completed) - completed);
   report.Add({.name = "peers.busy.completed",
               .value = ended / std::chrono::duration<double>(kBusySpan).count(),
               .unit = "jobs/s of all",
               .bound = AtLeast(35)});
+  fleet.Run(kShortTask);
+  ReportDelay(report, fleet, load);
 }
 
 }  // namespace
