Engine: Places tasks rather on own workers, and others' in an own order

At 30 instances with 40 jobs a second 28% of the offered tasks were refused, though the workers were only 55% full: all instances take the same worker for the one that fits best, and learn only by a refusal that another was faster. That late digests alone are the cause is ruled out: they come each 50 ms. Now a worker of the instance itself, whose room it knows exactly and which needs no message, is preferred over one that fits better; and among others' workers each instance has an order of its own.

--- a/Source/engine/placement_rule.cc
+++ b/Source/engine/placement_rule.cc
@@ -15,6 +15,13 @@
 // An offer across failure domains costs 3 ms and its bytes; a hundredth of a
 // worker's room packed better is worth more.
 constexpr double kOtherDomain = 0.01;
+// What is known of another owner's worker lags, an offer to it costs messages,
+// and all instances would take the same one for the best. Half of this is for
+// any other owner; a worker that is faster by an eighth is still worth an offer
+// (kSlow). The rest is each instance's own order of them. At 30 instances with
+// 40 jobs a second 5% of the offers are refused, 28% without it, and short jobs
+// are delayed by 26 ms, 51 without it.
+constexpr double kOtherOwner = 0.5;
 // Of two dimensions that are left in unlike shares one can't be used.
 constexpr double kUnbalanced = 0.5;
 
@@ -75,6 +82,7 @@
     cost += kAvoided;
   }
   cost += need.speed_weight * kSlow * (candidate.slowness - 1);
+  cost += kOtherOwner * (1 - candidate.liking);
   return cost + (candidate.own_domain ? 0 : kOtherDomain);
 }
 
--- a/Source/engine/placement_rule.h
+++ b/Source/engine/placement_rule.h
@@ -19,6 +19,9 @@
   Resources free{};
   Resources yielding{};  // could be freed for the most urgent work
   bool own_domain = false;
+  // 1: this instance owns it. Others' have less, down to 0, by chance but
+  // always the same.
+  double liking = 0;
   double slowness = 1;  // against the mean of the service's workers
 };
 
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -1,6 +1,7 @@
 #include "engine/placing.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -27,6 +28,25 @@
 // preempting after 150 ms earned 0.007 of the worth less than not at all.
 constexpr Duration kPreemptAfter = milliseconds(800);
 
+// So much at most does an instance like a worker of another owner.
+constexpr double kMostForeign = 0.5;
+
+double LikingOf(const Context& context,
+                const std::string& worker,
+                const std::string& owner) {
+  if (owner == context.self()) {
+    return 1;
+  }
+  // The golden ratio spreads the bits; the upper ones are the best spread.
+  constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15;
+  constexpr int kShareBits = 10;
+  const std::uint64_t mixed = (std::hash<std::string>()(worker) ^
+                               std::hash<std::string>()(context.self())) *
+                              kMultiplier;
+  const std::uint64_t share = mixed >> (64 - kShareBits);
+  return kMostForeign * static_cast<double>(share) / (1 << kShareBits);
+}
+
 struct Round {
   Context& context;
   std::map<std::string, std::vector<Candidate>> by_service{};
@@ -461,6 +481,7 @@
            .yielding = view->second.yielding,
            .own_domain =
                listed.info.domain == context.state.options.self.domain,
+           .liking = LikingOf(context, id, view->second.owner),
            .slowness = static_cast<double>(view->second.slowness)});
     }
   }
--- a/Tests/bench/peers_bench.cc
+++ b/Tests/bench/peers_bench.cc
@@ -186,7 +186,7 @@
   report.Add({.name = "peers.busy.delay.p99",
               .value = delays.Quantile(0.99),
               .unit = "ms of a short job",
-              .bound = AtMost(300)});
+              .bound = AtMost(150)});
 }
 
 void Measure(BenchReport& report) {
@@ -209,7 +209,7 @@
   const std::uint64_t completed = Sum(fleet, &engine::Totals::completed);
   load.submitted.clear();
   Work(fleet, kBusySpan, load);
-  meter.Report(report, "busy", kBusySpan, AtMost(1000), AtMost(480'000));
+  meter.Report(report, "busy", kBusySpan, AtMost(700), AtMost(360'000));
   const auto made =
       static_cast<double>(Sum(fleet, &engine::Totals::offers) - offers);
   const auto lost = static_cast<double>(
@@ -218,7 +218,8 @@
       static_cast<double>(Sum(fleet, &engine::Totals::completed) - completed);
   report.Add({.name = "peers.busy.offers_refused",
               .value = lost / made,
-              .unit = "of the tasks offered"});
+              .unit = "of the tasks offered",
+              .bound = AtMost(0.2)});
   report.Add({.name = "peers.busy.completed",
               .value = ended / std::chrono::duration<double>(kBusySpan).count(),
               .unit = "jobs/s of all",
