Engine: Shows that jobs of former runs are never forgotten

Cause: the table of whose each job is, of which a task ran on an own worker, only grows. Ruled out: that the answer to the ends' storing takes the entry away; it takes the end only. Change: a test which runs a short job and a lasting one for ten minutes. It is red on this commit: two of three instances still know the short job. Conclusion: the entries have to be forgotten by time, and kept as long as something of the job is there.

--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -280,6 +280,36 @@
   CHECK(shown->jobs <= 3);
 }
 
+// Instances kept whose each job was of which a task had run on a worker of
+// theirs: nothing ever took such an entry away. Small ones have 160 MB for as
+// long as they run.
+TEST_CASE("Whose a job was is forgotten long after its last run") {
+  Fleet fleet({.workers = 3, .timers = true});
+  fleet.Settle();
+  JobSpec lasting = OneStep(1);
+  lasting.steps[0].lasting = true;
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string& task, std::uint64_t) {
+      return RunPlan{.endless = task.starts_with("lasts")};
+    };
+  }
+  fleet.Submit("n0", "lasts", lasting);
+  fleet.Submit("n0", "j1", OneStep(12));
+  fleet.Run(seconds(5));
+  const auto count = [&](const std::string& job) {
+    std::size_t n = 0;
+    for (const std::string& it : fleet.nodes()) {
+      n += fleet.state(it).known.contains(job) ? 1 : 0;
+    }
+    return n;
+  };
+  CHECK(count("j1") > 0);
+  CHECK(count("lasts") > 0);
+  fleet.Run(seconds(620));
+  CHECK(count("j1") == 0);
+  CHECK(count("lasts") > 0);
+}
+
 TEST_CASE("Wrong submissions are refused with the field that is wrong") {
   Fleet fleet;
   fleet.Settle();
