Engine: Forgets whose jobs were that ran here long ago

Cause: an entry for each job of which a task ran on an own worker stayed for ever, see the test before. Entries are dropped ten minutes after the job was last heard of, unless a run or an end of it is here; a job that an entry was made for without word of its owner counts as heard of with the next look. Ruled out: dropping with the last end, as late messages of former owners would be believed again.

Before, the test found two of three instances that knew the short job after ten minutes; after, none, and the lasting one is kept.

--- a/Source/engine/catalog.cc
+++ b/Source/engine/catalog.cc
@@ -13,6 +13,10 @@
 constexpr Duration kRecordAge = milliseconds(150);
 // Entries that nobody asked for are forgotten.
 constexpr Duration kKept = milliseconds(60'000);
+// Whose a job is that has neither runs nor ends here counts for messages that
+// are late, and for former owners that do not know yet that they are. They have
+// given up after kMaxWithoutStore; fifty times as long costs little memory.
+constexpr Duration kKnownKept = milliseconds(600'000);
 
 std::size_t ReadsInFlight(const State& state) {
   std::size_t n = 0;
@@ -76,6 +80,33 @@
   }
 }
 
+// Each job of which a task ran here leaves an entry. Small instances have 160
+// MB, and would run out of it within days.
+void ForgetKnown(Context& context) {
+  auto& known = context.state.known;
+  const auto keep = [&](const std::string& task) {
+    const auto name = ParseTaskName(task);
+    const auto it = name ? known.find(name->job) : known.end();
+    if (it != known.end()) {
+      it->second.heard = context.now;
+    }
+  };
+  for (const auto& [id, worker] : context.state.owned) {
+    for (const auto& [task, run] : worker.runs) {
+      keep(task);
+    }
+    for (const auto& [sequence, end] : worker.ends) {
+      keep(end.row.task);
+    }
+  }
+  for (auto& [job, it] : known) {
+    it.heard = it.heard == Time(0) ? context.now : it.heard;
+  }
+  std::erase_if(known, [&](const auto& it) {
+    return HasPassed(context.now, it.second.heard, kKnownKept);
+  });
+}
+
 }  // namespace
 
 void WantRecord(Context& context, const std::string& job) {
@@ -116,6 +147,7 @@
 }
 
 void ForgetUnused(Context& context) {
+  ForgetKnown(context);
   std::erase_if(context.state.catalog, [&](const auto& it) {
     const CatalogEntry& entry = it.second;
     return !entry.reading_record && !entry.reading_spec &&
