Runtime: Counts peer messages by kind, and writes a digest once

In the incident the metrics told 700 messages a second between instances but not of which kinds, so that digests could only be guessed. Messages and bytes sent and messages received are now counted for each kind; received bytes are not, since a batch is read as a whole, and what one received another has sent. A digest to 29 members was written as JSON 29 times; the text of the last message is kept and used again when the next one is the same. The new test sends four messages over loopback and finds them in order and counted on both sides; it did not compile before.

--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -27,6 +27,12 @@
     "burdockrock_control_bytes_total";
 inline constexpr std::string_view kControlMessagesTotal =
     "burdockrock_control_messages_total";
+inline constexpr std::string_view kPeerSentMessagesTotal =
+    "burdockrock_peer_sent_messages_total";
+inline constexpr std::string_view kPeerSentBytesTotal =
+    "burdockrock_peer_sent_bytes_total";
+inline constexpr std::string_view kPeerReceivedMessagesTotal =
+    "burdockrock_peer_received_messages_total";
 inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
 inline constexpr std::string_view kHoldsTotal = "burdockrock_holds_total";
 inline constexpr std::string_view kOffersTotal = "burdockrock_offers_total";
@@ -65,6 +71,12 @@
      "Bytes sent and received for control, payloads and answers left out"},
     {kControlMessagesTotal, MetricKind::kCounter, "edge",
      "Messages sent and received for control"},
+    {kPeerSentMessagesTotal, MetricKind::kCounter, "kind",
+     "Messages sent to other entry instances about jobs of steps"},
+    {kPeerSentBytesTotal, MetricKind::kCounter, "kind",
+     "Bytes of these messages, without HTTP's headers"},
+    {kPeerReceivedMessagesTotal, MetricKind::kCounter, "kind",
+     "Messages of other entry instances about jobs of steps"},
     {kStartsTotal, MetricKind::kCounter, "",
      "Attempts started on workers and minions"},
     {kHoldsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -156,6 +156,19 @@
       .RaiseTo(static_cast<double>(sent.messages + received.messages));
   metrics_.GetCounter(kControlBytesTotal, peer)
       .RaiseTo(static_cast<double>(sent.bytes + received.bytes));
+  for (const auto& [kind, it] : peer_client_.kinds()) {
+    const Labels labels = {{.name = "kind", .value = std::string(kind)}};
+    metrics_.GetCounter(kPeerSentMessagesTotal, labels)
+        .RaiseTo(static_cast<double>(it.messages));
+    metrics_.GetCounter(kPeerSentBytesTotal, labels)
+        .RaiseTo(static_cast<double>(it.bytes));
+  }
+  for (const auto& [kind, it] : peer_server_.kinds()) {
+    metrics_
+        .GetCounter(kPeerReceivedMessagesTotal,
+                    {{.name = "kind", .value = std::string(kind)}})
+        .RaiseTo(static_cast<double>(it.messages));
+  }
   if (const auto usage = ReadProcessUsage()) {
     metrics_.Set(kResidentBytes, {},
                  static_cast<double>(usage->resident_bytes));
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -32,10 +32,12 @@
 
 void EnginePeerClient::Send(const engine::SendPeer& send) {
   Link& link = links_[send.address];
-  std::string text =
-      WriteJson(engine::EncodePeerNotification(incarnation_, send.message));
+  const std::string& text = TextOf(send.message);
+  EdgeTraffic& kind = kinds_[engine::PeerMethods()[send.message.index()]];
+  ++kind.messages;
+  kind.bytes += text.size();
   link.waiting_bytes += text.size();
-  link.waiting.push_back(std::move(text));
+  link.waiting.push_back(text);
   while (link.waiting_bytes > kMaxWaitingBytes && link.waiting.size() > 1) {
     link.waiting_bytes -= link.waiting.front().size();
     link.waiting.pop_front();
@@ -45,6 +47,16 @@
   }
 }
 
+const std::string& EnginePeerClient::TextOf(
+    const engine::PeerMessage& message) {
+  if (last_message_ != message) {
+    last_text_ =
+        WriteJson(engine::EncodePeerNotification(incarnation_, message));
+    last_message_ = message;
+  }
+  return last_text_;
+}
+
 // Deferred, so that all messages of one step go together.
 void EnginePeerClient::FlushSoon(const std::string& address) {
   boost::asio::post(io_, [this, address, alive = std::weak_ptr<bool>(alive_)] {
@@ -115,6 +127,8 @@
                                     method + " " + ToString(*error));
   }
   ++traffic_.messages;
+  const auto& message = std::get<engine::PeerMessage>(decoded);
+  ++kinds_[engine::PeerMethods()[message.index()]].messages;
   options_.on_message(
       {.from = params["from"].asString(),
        .message = std::get<engine::PeerMessage>(std::move(decoded))});
--- a/Source/runtime/engine_peers.h
+++ b/Source/runtime/engine_peers.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <jsonrpccpp/server.h>
@@ -14,6 +15,7 @@
 #include "observe/log.h"
 #include "runtime/client_pool.h"
 #include "runtime/edge_traffic.h"
+#include "runtime/kind_traffic.h"
 #include "runtime/peer_server.h"
 
 namespace burdockrock {
@@ -27,6 +29,7 @@
   void Send(const engine::SendPeer& send);
   void Sweep() { pool_.Sweep(); }
   EdgeTraffic traffic() const;
+  const KindTraffic& kinds() const { return kinds_; }
 
  private:
   struct Link {
@@ -35,6 +38,8 @@
     bool in_flight = false;
   };
 
+  // A digest goes to all members: it is written as text once.
+  const std::string& TextOf(const engine::PeerMessage& message);
   void Flush(const std::string& address);
   void FlushSoon(const std::string& address);
 
@@ -43,6 +48,9 @@
   ClientPool pool_;
   std::map<std::string, Link> links_;  // by address
   std::uint64_t messages_ = 0;
+  KindTraffic kinds_;
+  std::optional<engine::PeerMessage> last_message_;
+  std::string last_text_;  // of it
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -63,6 +71,8 @@
   std::string HandleBody(const std::string& body);
 
   EdgeTraffic traffic() const { return traffic_; }
+  // Without bytes: a batch is read as a whole.
+  const KindTraffic& kinds() const { return kinds_; }
 
  private:
   void HandleNotificationCall(jsonrpc::Procedure& procedure,
@@ -70,6 +80,7 @@
 
   EnginePeerServerOptions options_;
   EdgeTraffic traffic_;
+  KindTraffic kinds_;
 };
 
 }  // namespace burdockrock
--- /dev/null
+++ b/Tests/runtime/engine_peers_test.cc
@@ -0,0 +1,72 @@
+// Messages between engines, on the loopback interface.
+#include "runtime/engine_peers.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <boost/asio/io_context.hpp>
+
+#include "engine/peer_codec.h"
+#include "net/http_server.h"
+#include "net/json.h"
+
+namespace burdockrock {
+
+namespace {
+
+engine::RoomDigest SomeRoom() {
+  return {.sequence = 3,
+          .workers = {{.worker = "w1",
+                       .fence = 7,
+                       .version = 2,
+                       .free = {.processors_milli = 4000},
+                       .accepting = true}}};
+}
+
+}  // namespace
+
+// The metrics of a site that was short of processor time told only that 700
+// messages a second were exchanged, and not of which kind.
+TEST_CASE("Messages between engines are counted by kind on both sides") {
+  boost::asio::io_context io;
+  std::vector<engine::PeerSaid> said;
+  EnginePeerServer receiver(
+      {.on_message = [&](engine::PeerSaid it) { said.push_back(it); },
+       .log = [](const LogLine&) { FAIL("a message was refused"); }});
+  HttpServer server(
+      io, {},
+      [&](const HttpRequest& request, const HttpServer::Responder& responder) {
+        receiver.HandleBody(request.body);
+        responder({});
+      });
+  const auto port = std::get<std::uint16_t>(server.Listen());
+  EnginePeerClient sender(io, "n1-5");
+  const std::vector<engine::PeerMessage> messages = {
+      SomeRoom(), SomeRoom(), engine::DigestAsk(), SomeRoom()};
+  for (const engine::PeerMessage& it : messages) {
+    sender.Send({.to = "n2-4",
+                 .address = fmt::format("127.0.0.1:{}", port),
+                 .message = it});
+  }
+  while (said.size() < messages.size()) {
+    io.run_one();
+  }
+  for (std::size_t it = 0; it < messages.size(); ++it) {
+    CHECK(said[it].from == "n1-5");
+    CHECK(said[it].message == messages[it]);
+  }
+  const std::size_t size =
+      WriteJson(engine::EncodePeerNotification("n1-5", messages[0])).size();
+  CHECK(sender.kinds().at("room_digest") ==
+        EdgeTraffic{.messages = 3, .bytes = 3 * size});
+  CHECK(sender.kinds().at("digest_ask").messages == 1);
+  CHECK(receiver.kinds().at("room_digest").messages == 3);
+  CHECK(receiver.kinds().at("digest_ask").messages == 1);
+  CHECK(receiver.kinds().size() == 2);
+}
+
+}  // namespace burdockrock
