--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -362,6 +362,10 @@
       continue;
     }
     if (it.outcome == OfferOutcome::kStarted) {
+      if (place->task.phase == TaskPhase::kOffered) {
+        context.Emit(NoteSpan{.span = MeasuredSpan::kStart,
+                              .took = context.now - place->task.since});
+      }
       MarkRunning(context, place->job, place->step, place->task);
     } else if (it.outcome == OfferOutcome::kBooked) {
       place->task.booked = true;
@@ -503,14 +507,20 @@
   }
 }
 
-void DriveJobs(Context& context) {
-  std::map<std::string, RunQueries> queries;
-  std::vector<std::string> settled;
+void DriveOccurrences(Context& context) {
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     if (!IsFinal(job.state)) {
       BeginOccurrences(context, job);
     }
+  }
+}
+
+void DriveJobs(Context& context) {
+  std::map<std::string, RunQueries> queries;
+  std::vector<std::string> settled;
+  for (const std::string& id : context.state.active) {
+    Job& job = context.state.jobs.at(id);
     ForEachTask(job, [&](const TaskName& name, Task& task) {
       CheckTask(context, name, task, queries);
       DriveCopy(context, job, name, task, queries);
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -1,5 +1,6 @@
 #include "engine/reducer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <xxhash.h>
@@ -10,7 +11,11 @@
 #include "engine/digests.h"
 #include "engine/job_progress.h"
 #include "engine/job_runs.h"
+#include "engine/job_table.h"
+#include "engine/lease_bounds.h"
 #include "engine/membership.h"
+#include "engine/node_records.h"
+#include "engine/notices.h"
 #include "engine/placing.h"
 #include "engine/planned_stop.h"
 #include "engine/questions.h"
@@ -18,6 +23,7 @@
 #include "engine/record_writer.h"
 #include "engine/run_ends.h"
 #include "engine/run_questions.h"
+#include "engine/run_review.h"
 #include "engine/store_calls.h"
 #include "engine/upkeep.h"
 #include "engine/watches.h"
@@ -53,6 +59,8 @@
     OnPrepareWorker(context, from, it);
   }
   void operator()(const WorkerPrepared& it) { OnWorkerPrepared(context, it); }
+  void operator()(const LeaseQuery& it) { OnLeaseQuery(context, from, it); }
+  void operator()(const LeaseReport& it) { OnLeaseReport(context, from, it); }
 };
 
 // Hands the store's answer to whoever asked.
@@ -80,6 +88,9 @@
     OnOrphanPage(context, it.prefix, answer);
   }
   void operator()(const ForSweep&) { OnSweepPage(context, answer); }
+  void operator()(const ForNodes& it) {
+    OnNodePage(context, it.forget, answer);
+  }
   void operator()(const ForWaveStatus& it) {
     OnWaveTold(context, it.wave, it.completed, answer);
   }
@@ -129,15 +140,40 @@
   }
 }
 
+// What an event has led to that must not wait for the next look: writes to the
+// store, reads of it and messages to this instance itself.
+void Forward(Context& context) {
+  FlushStops(context);
+  DriveCatalog(context);
+  DriveWriter(context);
+  DrainInbox(context);
+}
+
+// Everything that is due by what is known now.
 void Drive(Context& context) {
+  DriveState& drive = context.state.drive;
+  drive.due = false;
+  drive.driven_at = context.now;
+  const bool keep = HasPassed(context.now, drive.kept_at, kTick);
+  if (keep) {
+    drive.kept_at = context.now;
+  }
   DriveMembership(context);
+  DriveNodes(context);
   DriveWatches(context);
-  DriveWorkerList(context);
+  if (keep) {
+    DriveWorkerList(context);
+  }
   DriveWorkers(context);
+  DriveLeaseQueries(context);
   DriveEnds(context);
   DrainInbox(context);
-  DriveJobs(context);
-  DriveCallers(context);
+  DriveOccurrences(context);
+  if (keep) {
+    DriveJobs(context);
+    DriveCallers(context);
+    ReviewRuns(context);
+  }
   DriveAdoption(context);
   DriveCatalog(context);
   DriveSweep(context);
@@ -149,10 +185,16 @@
   DrivePlacement(context);
   DrainInbox(context);
   DriveProgress(context);
+  if (HasPassed(context.now, drive.forgot_at, kForgetInterval)) {
+    drive.forgot_at = context.now;
+    ForgetEnded(context);
+    ForgetUnused(context);
+  }
   DriveWriter(context);
   DriveDigests(context);
   DriveStop(context);
   DrainInbox(context);
+  DriveNotices(context);
 }
 
 // Calls between instances are numbered from another place in each life. The
@@ -182,13 +224,19 @@
                   .wall_ms = event.wall_ms};
   std::visit(EventVisitor{context}, event.body);
   DrainInbox(context);
-  Drive(context);
+  state.drive.due = true;
+  if (HasPassed(context.now, state.drive.driven_at, kDriveInterval)) {
+    Drive(context);
+  } else {
+    Forward(context);
+  }
   return effects;
 }
 
 Time NextTime(const State& state, Time now) {
-  if (state.placement_due) {
-    return now + kPlacementInterval;
+  const bool may_place = state.placement_due && IsRegistered(state);
+  if (state.drive.due || may_place) {
+    return std::max(now, state.drive.driven_at + kDriveInterval);
   }
   return now + kTick;
 }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -23,6 +23,7 @@
 #include "engine/peer_message.h"
 #include "engine/pool_rule.h"
 #include "engine/record.h"
+#include "engine/reminders.h"
 #include "engine/upkeep_rule.h"
 #include "model/time.h"
 
@@ -55,6 +56,9 @@
   std::string prefix{};
 };
 struct ForSweep {};
+struct ForNodes {
+  bool forget = false;  // else: to learn them
+};
 struct ForWaveStatus {
   std::uint64_t wave = 0;
   bool completed = false;
@@ -71,6 +75,7 @@
                                   ForSpecRead,
                                   ForOrphans,
                                   ForSweep,
+                                  ForNodes,
                                   ForWaveStatus,
                                   ForNothing>;
 
@@ -92,6 +97,8 @@
   std::string after{};
   std::set<std::string> seen{};  // keys that were read so far
   bool complete = false;         // was read whole at least once
+  Time asked_at = Time::min();   // the call that is under way
+  Time known_to = Time::min();   // all changes up to then are known
   Time retry_at{0};
 };
 
@@ -105,6 +112,21 @@
 struct DepartedMember {
   Member member{};
   Time gone_at = kForever;  // from then on its work is taken over
+  Time left_at{0};          // when the store's list lacked it
+  // Its machine runs another process since then: it has ended.
+  Time replaced_at = kForever;
+};
+
+// Machines whose processes registered and left before this instance read the
+// list of members: one of them may be cut off and go on.
+struct NodesState {
+  bool read = false;  // whole, once
+  bool in_flight = false;
+  std::string after{};
+  Time read_at = Time::min();      // when the last read began
+  std::set<std::string> listed{};  // had a member in the first list
+  // By machine: since when it runs another process. kForever: it does not.
+  std::map<std::string, Time> unseen{};
 };
 
 struct MembersState {
@@ -122,8 +144,10 @@
   // The registration was surely valid then: a renewal that was sent then has
   // been answered.
   Time last_contact{0};
+  Time known_since = kForever;  // the list was read whole for the first time
   std::map<std::string, Member> present{};  // by incarnation
   std::map<std::string, DepartedMember> departed{};
+  NodesState nodes{};
 };
 
 // A worker of the platform's list. One that left it is remembered for a while:
@@ -291,6 +315,14 @@
   bool ended = false;
 };
 
+// When the reducer looked at all that it knows, last.
+struct DriveState {
+  bool due = false;  // events came since
+  Time driven_at = Time::min();
+  Time kept_at = Time::min();    // also at what only time changes
+  Time forgot_at = Time::min();  // what is too old
+};
+
 // Totals for the metrics.
 struct Totals {
   std::uint64_t submitted = 0;
@@ -306,6 +338,18 @@
   std::uint64_t lost_runs = 0;
 };
 
+// What the log was told of what lasts.
+struct NoticesState {
+  Time seen_at = Time::min();
+  Time cancels_seen_at = Time::min();
+  Reminders recoveries{};  // by job
+  Reminders claims{};      // by worker
+  Reminders stops{};       // by worker
+  Reminders cancels{};     // by job
+  // When the cancel of a job that may still run was acknowledged.
+  std::map<std::string, Time> cancelled{};
+};
+
 struct State {
   EngineOptions options{};
   std::mt19937_64 random{1};
@@ -318,9 +362,15 @@
   Time ownership_reviewed = Time::min();
   Time runs_reviewed = Time::min();
   std::map<std::string, GoneWorker> gone{};
+  // By then the leases have run out that this instance renewed at workers which
+  // it owns no more.
+  std::map<std::string, Time> released{};
+  std::uint64_t last_lease_question = 0;
+  Time leases_asked = Time::min();
   std::map<std::string, RoomView> view{};
   std::unordered_map<std::string, KnownJob> known{};  // of runs on own workers
   std::unordered_map<std::string, CatalogEntry> catalog{};
+  std::set<std::string> catalog_wanted{};  // jobs that are to be read
   std::map<std::string, Job> jobs{};
   std::set<std::string> active{};  // jobs that have not ended
   WriterState writer{};
@@ -336,10 +386,12 @@
   DigestState digest{};
   StopState stop{};
   std::deque<PeerMessage> inbox{};  // from this instance to itself
+  DriveState drive{};
   // That go out with this step, by the workers' owners.
   std::map<std::string, TaskStops> stops{};
   bool placement_due = false;
   Time placed_at = Time::min();
+  NoticesState notices{};
   Totals totals{};
 };
 
