--- /dev/null
+++ b/Tests/engine/takeover_review_test.cc
@@ -0,0 +1,395 @@
+// Workers that change hands while members know different things: what runs at a
+// worker must not be taken for ended, and what has ended must run again soon.
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "engine/fleet.h"
+#include "engine/membership.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kTasks = 41;
+// A lasting task is to be at work again 6 s after its last run ended, counted
+// after 7 calm seconds; the lease of a silent worker takes 7.9 s to run out.
+constexpr Duration kBackAtWork = seconds(9);
+
+JobSpec Lasting(std::uint32_t count) {
+  JobSpec spec = OneStep(count);
+  spec.steps[0].lasting = true;
+  return spec;
+}
+
+std::string JobFor(const Fleet& fleet, const std::string& owner) {
+  std::string job = "j";
+  while (ChooseMember(fleet.state(owner), job, {}) != owner + "-1") {
+    job += "1";
+  }
+  return job;
+}
+
+// A lasting job of `owner` at work on all workers, and two workers with room
+// more.
+std::string BeginLasting(Fleet& fleet, const std::string& owner) {
+  fleet.Settle();
+  std::string job = JobFor(fleet, owner);
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit(owner, job, Lasting(kTasks));
+  fleet.Run(seconds(1));
+  fleet.AddWorkers(2);
+  PlanAll(fleet, {.endless = true});
+  fleet.Run(seconds(1));
+  return job;
+}
+
+std::set<std::string> AtWork(const Fleet& fleet,
+                             const std::string& job,
+                             const std::string& dead) {
+  std::set<std::string> tasks;
+  for (const SeenRun& it : fleet.seen) {
+    const bool runs = it.ended == kForever && it.worker != dead;
+    if (runs && it.task.starts_with(job + ".")) {
+      tasks.insert(it.task);
+    }
+  }
+  return tasks;
+}
+
+bool WatchesMembers(const StoreRequest& request) {
+  const auto* watch = std::get_if<StoreWatch>(&request);
+  return watch != nullptr && watch->prefix == kMemberPrefix;
+}
+
+std::size_t CountGone(const Fleet& fleet, const std::string& worker) {
+  return static_cast<std::size_t>(std::count_if(
+      fleet.log.begin(), fleet.log.end(), [&](const LogLine& line) {
+        return line.number == EventNumber::kWorkerGone &&
+               line.fields.front().value == worker;
+      }));
+}
+
+// Who owns w0 when n0, the only member of its domain, is gone.
+std::string Heir() {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.Kill("n0");
+  fleet.Run(seconds(5));
+  return fleet.state("n1").owned.contains("w0-1") ? "n1" : "n2";
+}
+
+std::string Other(const std::string& heir) {
+  return heir == "n1" ? "n2" : "n1";
+}
+
+// What `node` calls at w0 does not arrive, others' calls do.
+auto UnreachedFor(const std::set<std::string>& nodes) {
+  return [nodes](const std::string& node, const std::string& worker,
+                 const WorkerRequest&) {
+    return worker == "w0" && nodes.contains(node) ? OrderFault::kUnreached
+                                                  : OrderFault::kNone;
+  };
+}
+
+// n0 is turned away by the store and goes on renewing what runs at w0. Another
+// instance is started when n0's registration has just ended: it has never seen
+// n0. The third one has not heard of the end, as its watch is silent, and
+// counts n0 among the present ones. It says that nobody whom it remembers can
+// renew leases, and the young one, which has read of n0's machine, takes that
+// for the whole truth.
+TEST_CASE("What a member says that has not heard of an end counts for less") {
+  const std::string heir = Heir();
+  const std::string other = Other(heir);
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet, other);
+  fleet.Kill(heir);
+  fleet.Run(seconds(20));  // nobody may take it for one that renews leases
+  bool silent = false;
+  fleet.store_fault = [&](const std::string& node, const StoreRequest& it) {
+    if (node == "n0") {
+      return StoreFault::kRefuse;
+    }
+    return node == other && silent && WatchesMembers(it) ? StoreFault::kSilent
+                                                         : StoreFault::kNone;
+  };
+  fleet.order_fault = UnreachedFor({"n1", "n2"});
+  fleet.Run(milliseconds(1300));
+  silent = true;
+  const auto has_left = [&] {
+    return fleet.store.Keys(std::string(kMemberPrefix) + "n0").empty();
+  };
+  REQUIRE(fleet.RunUntil(has_left, seconds(5)));
+  fleet.Start(heir);
+  fleet.Run(seconds(2));
+  silent = false;
+  fleet.Run(seconds(5));
+  CHECK(CountGone(fleet, "w0-1") == 0);
+  CHECK(CountRuns(fleet, job) == kTasks);
+  CheckPromises(fleet);
+}
+
+// n0 loses its registration and its answers from w0. Asked by the next owner it
+// gives the worker up and says until when its leases last. Before that time it
+// registers again, is the worker's owner again and renews the leases; the other
+// one, which has claimed nothing yet, holds on to what it was told while its
+// call is under way or its watch is late.
+void PlayReturn(Duration back, Duration late, Duration frozen) {
+  const std::string heir = Heir();
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet, heir);
+  const Time begin = fleet.now();
+  bool silent = false;
+  fleet.store_fault = [&](const std::string& node, const StoreRequest& it) {
+    if (node == "n0" && fleet.now() < begin + back) {
+      return StoreFault::kRefuse;
+    }
+    return node == heir && silent && WatchesMembers(it) ? StoreFault::kSilent
+                                                        : StoreFault::kNone;
+  };
+  fleet.order_fault = [&](const std::string& node, const std::string& worker,
+                          const WorkerRequest&) {
+    if (worker != "w0") {
+      return OrderFault::kNone;
+    }
+    if (node != "n0") {
+      return OrderFault::kUnreached;
+    }
+    return fleet.now() < begin + back ? OrderFault::kLoseAnswer
+                                      : OrderFault::kNone;
+  };
+  if (late > Duration(0)) {
+    fleet.Run(back - milliseconds(1300));
+    silent = true;
+    fleet.Run(milliseconds(1300) + late);
+    silent = false;
+  } else {
+    fleet.Run(back);
+  }
+  if (frozen > Duration(0)) {
+    fleet.Freeze(heir, frozen);
+  }
+  fleet.Run(seconds(8));
+  INFO("back after " << ToMilliseconds(back) << " ms");
+  CheckPromises(fleet);
+}
+
+TEST_CASE("A member that has given a worker up and owns it again is seen") {
+  for (int it = 0; it < 24; ++it) {
+    PlayReturn(milliseconds(5400 + 100 * it), Duration(0), Duration(0));
+  }
+}
+
+TEST_CASE("A member that owns a worker again is heard of late") {
+  for (int it = 0; it < 12; ++it) {
+    PlayReturn(milliseconds(6000 + 100 * it), milliseconds(300), Duration(0));
+  }
+}
+
+// What came meanwhile waits in the queue of a process that stood still, or that
+// is short of processor time; a timer is served before it.
+TEST_CASE("A member that owns a worker again is heard of after a pause") {
+  for (int it = 0; it < 12; ++it) {
+    PlayReturn(milliseconds(6000 + 100 * it), Duration(0), milliseconds(1600));
+  }
+}
+
+// An owner that has claimed a worker of another domain loses sight of it and of
+// that whole domain, where an instance starts, registers and takes the worker
+// over. The store tells all of them of each other. The former owner declares
+// the worker gone when its own leases are over, though the list of members says
+// that the worker is another's by now.
+TEST_CASE("A worker that has another owner by now is not taken for gone") {
+  const std::string heir = Heir();
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet, heir);
+  fleet.Kill("n0");
+  fleet.Run(seconds(5));
+  REQUIRE(fleet.state(heir).owned.at("w0-1").claimed);
+  fleet.order_fault = UnreachedFor({"n1", "n2"});
+  fleet.is_cut = [](const std::string& from, const std::string& to) {
+    return from != to && (from == "n0" || to == "n0");
+  };
+  fleet.Run(milliseconds(2200));  // a call that is under way is still answered
+  fleet.Start("n0");
+  fleet.Run(seconds(12));
+  CHECK(fleet.state("n0").owned.at("w0-1").claimed);
+  CHECK(CountGone(fleet, "w0-1") == 0);
+  CHECK(CountRuns(fleet, job) == kTasks);
+  CheckPromises(fleet);
+}
+
+// A worker is lost together with its owner, and its entry has left the store's
+// list before that owner is back: the new life never learns of the worker, and
+// the one that had claimed it meanwhile gives the claim up. The owner of the
+// job is alive all the while, so nobody adopts anything; it asks the new life
+// for the run and gets no answer.
+TEST_CASE("A lost worker that its new owner has never seen is found gone") {
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet, "n1");
+  fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
+  fleet.Kill("n0");
+  fleet.worker("w0").Crash(fleet.now(), "w0-2");
+  fleet.Run(milliseconds(4500));
+  fleet.store.Remove("worker/w0-1");
+  fleet.Run(milliseconds(500));
+  fleet.Start("n0");
+  fleet.Run(seconds(9));
+  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  fleet.Run(seconds(20));
+  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CheckPromises(fleet);
+}
+
+// The machine of a worker is lost while the worker's owner is in its planned
+// stop, after which that owner's machine leaves for good. Nobody registers
+// there again, so the leases count as renewed for as long as those of a process
+// that is cut off.
+TEST_CASE("A worker that dies during its owner's last stop is gone in time") {
+  for (int it = 0; it < 8; ++it) {
+    Fleet fleet;
+    const std::string job = BeginLasting(fleet, "n1");
+    fleet.Run(milliseconds(250 * it));
+    fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
+    fleet.StopPlanned("n0");
+    fleet.Run(
+        milliseconds(1900));  // a call that is under way is still answered
+    fleet.worker("w0").Crash(fleet.now(), "w0-2");
+    fleet.Run(milliseconds(2600));
+    fleet.store.Remove("worker/w0-1");
+    fleet.Run(kBackAtWork - milliseconds(2600));
+    INFO("stopped " << 250 * it << " ms later");
+    CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+    CheckPromises(fleet);
+  }
+}
+
+// The domain of a worker and its owner loses power for good. The owner counts
+// as one that may be cut off and renew leases for 12 s more.
+TEST_CASE("A worker that is lost for good with its owner is gone in time") {
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet, "n1");
+  fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
+  fleet.Kill("n0");
+  fleet.worker("w0").Crash(fleet.now(), "w0-2");
+  fleet.Run(milliseconds(4500));
+  fleet.store.Remove("worker/w0-1");
+  fleet.Run(kBackAtWork - milliseconds(4500));
+  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CheckPromises(fleet);
+}
+
+// An instance is restarted and reads the list of members while the process
+// before it still stands there; that entry ends before the store lets the new
+// one register. It can't tell of itself that it has replaced the other process,
+// asks it, at its own address, and gets no answer.
+TEST_CASE("A process knows that the one before it on its machine has ended") {
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet, "n1");
+  const Time begin = fleet.now();
+  fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
+  fleet.store_fault = [&](const std::string& node, const StoreRequest& it) {
+    const bool grant = std::holds_alternative<StoreLeaseGrant>(it);
+    return node == "n0" && grant && fleet.now() < begin + milliseconds(3500)
+               ? StoreFault::kRefuse
+               : StoreFault::kNone;
+  };
+  fleet.Kill("n0");
+  fleet.worker("w0").Crash(fleet.now(), "w0-2");
+  fleet.Run(milliseconds(300));
+  fleet.Start("n0");
+  fleet.Run(milliseconds(4200));
+  fleet.store.Remove("worker/w0-1");
+  // A lease after it has registered, and what claiming and asking takes.
+  fleet.Run(milliseconds(3500 + 6420 + 1500 - 4500));
+  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CheckPromises(fleet);
+}
+
+// A machine is suspended for a while, which its steady clock does not count,
+// and is turned away by the store. Its process goes on renewing for 12 s by
+// that clock, so longer than the others think.
+TEST_CASE("A suspended member renews no longer than the others count on") {
+  const std::string heir = Heir();
+  constexpr Duration kSuspended = milliseconds(4500);
+  for (int it = 0; it < 8; ++it) {
+    Fleet fleet;
+    const std::string job = BeginLasting(fleet, heir);
+    fleet.store_fault = [&](const std::string& node, const StoreRequest&) {
+      return node == "n0" ? StoreFault::kRefuse : StoreFault::kNone;
+    };
+    fleet.order_fault = UnreachedFor({"n1", "n2"});
+    fleet.Run(milliseconds(250 * it));
+    const Time woken = fleet.now() + kSuspended;
+    fleet.Freeze("n0", kSuspended);
+    fleet.step = [&](const std::string& node, State& state,
+                     const Event& event) {
+      Event seen = event;
+      if (node == "n0" && fleet.now() >= woken) {
+        seen.now -= kSuspended;
+        if (auto* answered = std::get_if<WorkerAnswered>(&seen.body)) {
+          answered->asked -= kSuspended;
+        }
+      }
+      return Step(state, seen);
+    };
+    fleet.Run(seconds(26));
+    INFO("suspended after " << 250 * it << " ms");
+    CheckPromises(fleet);
+  }
+}
+
+// All instances lose power at once with a worker, and one of them does not come
+// back: it counts as one that may be cut off and renew leases.
+TEST_CASE("A worker that died in a loss of power of all is gone in time") {
+  for (const bool all_back : {true, false}) {
+    Fleet fleet;
+    const std::string job = BeginLasting(fleet, "n1");
+    fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
+    for (const std::string& it : fleet.nodes()) {
+      fleet.Kill(it);
+    }
+    fleet.worker("w0").Crash(fleet.now(), "w0-2");
+    fleet.Run(seconds(2));
+    fleet.Start("n1");
+    fleet.Start("n2");
+    if (all_back) {
+      fleet.Start("n0");
+    }
+    fleet.Run(milliseconds(2500));
+    fleet.store.Remove("worker/w0-1");
+    fleet.Run(kBackAtWork - milliseconds(2500));
+    INFO("all back " << all_back);
+    CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+    CheckPromises(fleet);
+  }
+}
+
+// An order to stop from a job's new owner that comes before its first question
+// tells whose the job is. The question then looks like one that was asked
+// again, and a worker counts as surely owned since the adoption before.
+TEST_CASE("A stop that overtakes an adopter's question does not answer it") {
+  Fleet fleet;
+  fleet.Settle();
+  const std::string job = "j1";
+  fleet.Tell("n0", "n1-1", AdoptQuery{.jobs = {{.job = job, .generation = 2}}});
+  fleet.Run(seconds(3));
+  const Time asked = fleet.now();
+  fleet.Tell("n0", "n2-1",
+             TaskStops{.stops = {{.task = job + ".0.0.0",
+                                  .run = 1,
+                                  .worker = "w0-1",
+                                  .generation = 3}}});
+  fleet.Tell("n0", "n2-1", AdoptQuery{.jobs = {{.job = job, .generation = 3}}});
+  CHECK(fleet.state("n0").known.at(job).adopted >= asked);
+}
+
+}  // namespace
+
+}  // namespace burdockrock::engine
