--- a/Tests/engine/takeover_review_test.cc
+++ b/Tests/engine/takeover_review_test.cc
@@ -371,6 +371,73 @@
   }
 }
 
+constexpr const char* kEntryOfW0 = "w0|a|s|8000|0";
+
+// A worker is cut off until it is found gone, comes back under the same name
+// with nothing running, and is another member's. The member that found it gone
+// goes on saying so for 20 s. When the worker's owner and the owner of a job
+// that runs there die together, that word ends the recovery of the job while
+// its tasks run, and the others never use the worker again.
+TEST_CASE("A worker that comes back after it was found gone counts again") {
+  const std::string heir = Heir();
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Kill("n0");
+  fleet.Run(seconds(4));
+  fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
+  fleet.Run(seconds(4));
+  fleet.store.Remove("worker/w0-1");
+  REQUIRE(fleet.RunUntil([&] { return CountGone(fleet, "w0-1") == 1; },
+                         seconds(12)));
+  fleet.order_fault = UnreachedFor({});
+  fleet.Start("n0");
+  fleet.Run(milliseconds(500));
+  fleet.store.Put("worker/w0-1", kEntryOfW0);
+  fleet.Run(seconds(2));
+  REQUIRE(fleet.state("n0").owned.at("w0-1").claimed);
+  CHECK(fleet.state(heir).view.at("w0-1").accepting);
+  CHECK_FALSE(fleet.state(heir).view.at("w0-1").gone);
+  const std::string job = "j1";
+  fleet.Submit("n0", job, Lasting(kTasks));
+  fleet.Run(seconds(1));
+  REQUIRE(CountRuns(fleet, job) == kTasks);
+  fleet.order_fault = UnreachedFor({"n1", "n2"});
+  fleet.Kill("n0");
+  fleet.Run(seconds(8));
+  CheckPromises(fleet);
+}
+
+// A worker has lost its path to the store, its owner renews what runs there. A
+// young instance that has never seen the worker adopts the job. The members
+// that it knows have told it of all workers that it knows; that one of them,
+// the worker's owner, has said nothing at all does not hold the recovery up.
+TEST_CASE("A recovery hears each member before it ends") {
+  Fleet fleet({.instances = 3, .workers = 3});
+  fleet.Settle();
+  const std::string job = JobFor(fleet, "n2");
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n1", job, Lasting(12));
+  fleet.Run(seconds(1));
+  REQUIRE(CountRuns(fleet, job) == 12);
+  fleet.store.Remove("worker/w0-1");
+  fleet.Run(seconds(1));
+  fleet.Kill("n2");
+  fleet.Run(seconds(3));
+  fleet.Start("n2");
+  fleet.Run(seconds(3));
+  bool cut = true;
+  fleet.is_cut = [&](const std::string& from, const std::string& to) {
+    return cut &&
+           ((from == "n0" && to == "n2") || (from == "n2" && to == "n0"));
+  };
+  fleet.Kill("n1");
+  fleet.Run(seconds(6));
+  cut = false;
+  fleet.Run(seconds(3));
+  CheckPromises(fleet);
+}
+
 // An order to stop from a job's new owner that comes before its first question
 // tells whose the job is. The question then looks like one that was asked
 // again, and a worker counts as surely owned since the adoption before.
