Engine: Takes a worker for gone only as its rightful owner, with all members known

Change: gone needs all members that registered before the last lease ran out (read beside the watch) and to be the chosen owner; a higher fence ends 'gone'; one setter for a job's owner; each present member is heard before a recovery ends; questions for runs and dropped claims tell of remembered workers. Ruled out: a pause for whoever gave its word, as any other member may claim too.

--- a/Source/engine/adoption.cc
+++ b/Source/engine/adoption.cc
@@ -203,12 +203,8 @@
     const std::set<std::string>& uncovered) {
   std::vector<RememberedWorker> remembered;
   for (const std::string& it : uncovered) {
-    const ListedWorker* worker = FindWorker(context.state, it);
-    if (worker != nullptr && !worker->listed) {
-      remembered.push_back({.worker = it,
-                            .address = worker->info.address,
-                            .domain = worker->info.domain,
-                            .service = worker->info.service});
+    if (auto worker = RememberedFor(context.state, it)) {
+      remembered.push_back(std::move(*worker));
     }
   }
   return remembered;
@@ -228,7 +224,10 @@
     std::erase_if(job.uncovered, [&](const std::string& worker) {
       return FindWorker(context.state, worker) == nullptr;
     });
-    if (job.uncovered.empty() && list_settled) {
+    std::erase_if(job.unheard, [&](const std::string& member) {
+      return FindMember(context.state, member) == nullptr;
+    });
+    if (job.uncovered.empty() && job.unheard.empty() && list_settled) {
       FinishRecovery(context, job);
     } else if (HasPassed(context.now, job.asked_at, kAdoptRepeat)) {
       if (job.version == job.stored_version &&
@@ -262,7 +261,7 @@
   const bool expected =
       worker == nullptr ||
       ChooseMember(context.state, covered.worker, worker->info.domain) == from;
-  return covered.gone || (newest && expected);
+  return newest && (covered.gone || expected);
 }
 
 }  // namespace
@@ -338,6 +337,10 @@
   for (const auto& [worker, it] : context.state.workers) {
     job.uncovered.insert(worker);
   }
+  // Each may own workers that this instance has never seen in the list.
+  for (const std::string& it : OtherMembers(context)) {
+    job.unheard.insert(it);
+  }
   ++context.state.totals.adopted;
   context.Log(EventNumber::kJobAdopted,
               {{"job", id},
@@ -371,6 +374,7 @@
     if (job == nullptr || !job->recovering) {
       continue;
     }
+    job->unheard.erase(from);
     for (const CoveredWorker& it : report.covered) {
       if (SpeaksFor(context, from, it)) {
         job->uncovered.erase(it.worker);
--- a/Source/engine/catalog.cc
+++ b/Source/engine/catalog.cc
@@ -71,8 +71,7 @@
   if (entry.absent) {
     known.ended = true;
   } else if (entry.record->generation >= known.generation) {
-    known.owner = entry.record->owner;
-    known.generation = entry.record->generation;
+    NoteOwner(known, entry.record->owner, entry.record->generation);
     known.ended = IsFinal(entry.record->state);
   }
   if (known.ended) {
@@ -109,6 +108,16 @@
 
 }  // namespace
 
+void NoteOwner(KnownJob& known,
+               const std::string& owner,
+               std::uint64_t generation) {
+  if (known.owner != owner || known.generation != generation) {
+    known.adopted = Time(0);
+  }
+  known.owner = owner;
+  known.generation = generation;
+}
+
 void WantRecord(Context& context, const std::string& job) {
   if (job.empty()) {
     return;
--- a/Source/engine/catalog.h
+++ b/Source/engine/catalog.h
@@ -11,6 +11,12 @@
 // Reads the job's record (again), unless it was read just now.
 void WantRecord(Context& context, const std::string& job);
 
+// Notes whose a job is. Questions of an owner that is new here are answered
+// only by what is proven after it first asked.
+void NoteOwner(KnownJob& known,
+               const std::string& owner,
+               std::uint64_t generation);
+
 // Reads the job's spec, unless it is known.
 void WantSpec(Context& context, const std::string& job);
 
--- a/Source/engine/digests.cc
+++ b/Source/engine/digests.cc
@@ -185,9 +185,11 @@
   const bool newer =
       it.fence > view.fence ||
       (it.fence == view.fence && (it.gone || it.version >= view.version));
-  if (!newer || view.gone) {
+  if (!newer || (view.gone && it.fence <= view.fence)) {
     return;
   }
+  // Somebody has claimed it after it was taken for gone.
+  context.state.gone.erase(it.worker);
   view = RoomView{.owner = from,
                   .fence = it.fence,
                   .version = it.version,
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -126,6 +126,7 @@
   // After an adoption.
   bool recovering = false;
   std::set<std::string> uncovered{};  // workers that were not heard of yet
+  std::set<std::string> unheard{};    // members that have not answered yet
   Time asked_at = Time::min();
   // Callers that wait for its creation or its cancel to be stored.
   std::vector<std::uint64_t> submitters{};
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/job_runs.cc
@@ -319,8 +319,14 @@
   task.queried = context.now;
   const std::string owner = OwnerOfWorker(context, task.worker);
   if (!owner.empty()) {
-    queries[owner].runs.push_back(
+    RunQueries& query = queries[owner];
+    query.runs.push_back(
         {.task = ToString(name), .run = task.run, .worker = task.worker});
+    // The owner may have started after the worker left the list: what ran there
+    // would never be told of.
+    if (auto worker = RememberedFor(context.state, task.worker)) {
+      query.remembered.push_back(std::move(*worker));
+    }
   }
 }
 
--- a/Source/engine/membership.cc
+++ b/Source/engine/membership.cc
@@ -129,11 +129,26 @@
            ForRaise{});
 }
 
+// The machine runs one process: an earlier one is gone for certain.
+void EndEarlierProcesses(Context& context, const std::string& node) {
+  OnNodeSeen(context, node);
+  for (auto& [id, it] : context.state.members.departed) {
+    if (it.member.record.node != node) {
+      continue;
+    }
+    it.replaced_at = std::min(it.replaced_at, context.now);
+    if (it.gone_at != Time::min()) {
+      it.gone_at = context.now;
+    }
+  }
+}
+
 void SetFence(Context& context, std::uint64_t fence) {
   MembersState& members = context.state.members;
   if (members.fence == 0) {
     members.registered_at = context.now;
     members.last_contact = context.now;
+    EndEarlierProcesses(context, context.state.options.self.node);
     ExtendDoubtedLeases(context);
     context.Log(EventNumber::kRegistered, {{"fence", std::to_string(fence)}});
   }
@@ -227,17 +242,7 @@
   context.Log(EventNumber::kPeerUp,
               {{"peer", incarnation}, {"domain", member.record.domain}});
   context.state.digest.askers.insert(incarnation);
-  // The machine runs one process: an earlier one is gone for certain.
-  OnNodeSeen(context, member.record.node);
-  for (auto& [id, it] : members.departed) {
-    if (it.member.record.node != member.record.node) {
-      continue;
-    }
-    it.replaced_at = std::min(it.replaced_at, context.now);
-    if (it.gone_at != Time::min()) {
-      it.gone_at = context.now;
-    }
-  }
+  EndEarlierProcesses(context, member.record.node);
   ReviewOwnership(context);
 }
 
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -164,11 +164,24 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::RememberedWorker> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("worker", it.worker);
+    codec.Field("address", it.address);
+    codec.Field("domain", it.domain);
+    codec.Field("service", it.service);
+  }
+};
+
 template <>
 struct FieldsOf<engine::RunQueries> {
   template <typename Codec, typename Value>
   static void Visit(Codec& codec, Value& it) {
     codec.Optional("runs", it.runs, std::vector<engine::RunQuery>());
+    codec.Optional("remembered", it.remembered,
+                   std::vector<engine::RememberedWorker>());
   }
 };
 
@@ -201,17 +214,6 @@
   }
 };
 
-template <>
-struct FieldsOf<engine::RememberedWorker> {
-  template <typename Codec, typename Value>
-  static void Visit(Codec& codec, Value& it) {
-    codec.Field("worker", it.worker);
-    codec.Field("address", it.address);
-    codec.Field("domain", it.domain);
-    codec.Field("service", it.service);
-  }
-};
-
 template <>
 struct FieldsOf<engine::AdoptQuery> {
   template <typename Codec, typename Value>
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -161,6 +161,17 @@
   auto operator<=>(const EndsStored&) const = default;
 };
 
+// A worker that left the store's list and of which not everything that runs
+// there was heard yet.
+struct RememberedWorker {
+  std::string worker{};
+  std::string address{};
+  std::string domain{};
+  std::string service{};
+
+  auto operator<=>(const RememberedWorker&) const = default;
+};
+
 struct RunQuery {
   std::string task{};
   std::uint64_t run = 0;
@@ -169,9 +180,11 @@
   auto operator<=>(const RunQuery&) const = default;
 };
 
-// The job's owner has not heard of these runs for long.
+// The job's owner has not heard of these runs for long. `remembered`: of their
+// workers those that left the store's list.
 struct RunQueries {
   std::vector<RunQuery> runs{};
+  std::vector<RememberedWorker> remembered{};
 
   auto operator<=>(const RunQueries&) const = default;
 };
@@ -210,17 +223,6 @@
   auto operator<=>(const JobGeneration&) const = default;
 };
 
-// A worker that left the store's list and of which not everything that runs
-// there was heard yet.
-struct RememberedWorker {
-  std::string worker{};
-  std::string address{};
-  std::string domain{};
-  std::string service{};
-
-  auto operator<=>(const RememberedWorker&) const = default;
-};
-
 // A new owner of jobs asks what of them runs. From then on the receiver
 // refuses offers of lower generations. `remembered` are the workers that are
 // still waited for and that a receiver may not know.
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -89,6 +89,9 @@
     OnOrphanPage(context, it.prefix, answer);
   }
   void operator()(const ForSweep&) { OnSweepPage(context, answer); }
+  void operator()(const ForMembersReview&) {
+    OnMembersReviewed(context, answer);
+  }
   void operator()(const ForNodes& it) {
     OnNodePage(context, it.forget, answer);
   }
--- a/Source/engine/run_questions.cc
+++ b/Source/engine/run_questions.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "engine/catalog.h"
 #include "engine/membership.h"
 #include "engine/run_ends.h"
 #include "engine/worker_list.h"
@@ -112,6 +113,7 @@
 void OnRunQueries(Context& context,
                   const std::string& from,
                   const RunQueries& queries) {
+  OnWorkersRemembered(context, queries.remembered);
   for (const RunQuery& it : queries.runs) {
     ReportRun(context, from, it);
   }
@@ -129,12 +131,10 @@
     if (it.generation < known.generation) {
       continue;
     }
-    if (it.generation > known.generation || known.owner != from ||
-        known.adopted == Time(0)) {
+    NoteOwner(known, from, it.generation);
+    if (known.adopted == Time(0)) {
       known.adopted = context.now;
     }
-    known.owner = from;
-    known.generation = it.generation;
     known.heard = context.now;
     asked = std::max(asked, known.adopted);
     jobs.insert(it.job);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -56,6 +56,7 @@
   std::string prefix{};
 };
 struct ForSweep {};
+struct ForMembersReview {};
 struct ForNodes {
   bool forget = false;  // else: to learn them
 };
@@ -75,6 +76,7 @@
                                   ForSpecRead,
                                   ForOrphans,
                                   ForSweep,
+                                  ForMembersReview,
                                   ForNodes,
                                   ForWaveStatus,
                                   ForNothing>;
@@ -102,6 +104,12 @@
   Time retry_at{0};
 };
 
+// A read of the members beside their watch.
+struct MembersReview {
+  bool in_flight = false;
+  Time asked_at = Time::min();
+};
+
 // Members.
 
 struct Member {
@@ -382,6 +390,7 @@
   StoreState store{};
   std::array<Watch, kWatchedLists> watches{};
   MembersState members{};
+  MembersReview members_review{};
   Configuration configuration{};
   std::map<std::string, ListedWorker> workers{};  // by id
   std::map<std::string, OwnedWorker> owned{};
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -23,6 +23,10 @@
   return state.options.documents.operator_prefix;
 }
 
+// Between two reads of the members beside their watch, which may take 1.2 s to
+// say that nothing has changed.
+constexpr Duration kMembersReview = milliseconds(200);
+
 Duration PauseOf(WatchedList list) {
   return list == WatchedList::kWorkers ? kWorkersPause : Duration(0);
 }
@@ -203,7 +207,7 @@
       OnPage(context, list, *done);
     } else {
       OnChanges(context, list, *done);
-      watch.known_to = watch.asked_at;
+      watch.known_to = std::max(watch.known_to, watch.asked_at);
       watch.retry_at = context.now + PauseOf(list);
     }
   } else if (std::holds_alternative<StoreAbsent>(answer)) {
@@ -214,6 +218,36 @@
   DriveWatches(context);
 }
 
+void WantMembers(Context& context) {
+  MembersReview& review = context.state.members_review;
+  if (review.in_flight ||
+      !HasPassed(context.now, review.asked_at, kMembersReview)) {
+    return;
+  }
+  review.in_flight = true;
+  review.asked_at = context.now;
+  AskStore(context, StoreRange{.prefix = std::string(kMemberPrefix)},
+           ForMembersReview{});
+}
+
+void OnMembersReviewed(Context& context, const StoreAnswer& answer) {
+  MembersReview& review = context.state.members_review;
+  review.in_flight = false;
+  const auto* page = std::get_if<StoreDone>(&answer);
+  if (page == nullptr) {
+    return;  // whoever wants it asks again
+  }
+  // More members than one page holds are known by their watch alone.
+  for (const StoreItem& it : page->items) {
+    OnMemberItem(context, it);
+  }
+  if (!page->more) {
+    Watch& watch =
+        context.state.watches[static_cast<std::size_t>(WatchedList::kMembers)];
+    watch.known_to = std::max(watch.known_to, review.asked_at);
+  }
+}
+
 bool ListsAreRead(const State& state) {
   return std::all_of(state.watches.begin(), state.watches.end(),
                      [](const Watch& watch) { return watch.complete; });
--- a/Source/engine/watches.h
+++ b/Source/engine/watches.h
@@ -14,6 +14,10 @@
                    const StoreAnswer& answer);
 
 // All lists were read whole at least once.
+// Reads the members now, so that all that registered until now are known.
+void WantMembers(Context& context);
+void OnMembersReviewed(Context& context, const StoreAnswer& answer);
+
 bool ListsAreRead(const State& state);
 
 }  // namespace burdockrock::engine
--- a/Source/engine/worker_list.cc
+++ b/Source/engine/worker_list.cc
@@ -81,6 +81,18 @@
   });
 }
 
+std::optional<RememberedWorker> RememberedFor(const State& state,
+                                              const std::string& worker) {
+  const ListedWorker* it = FindWorker(state, worker);
+  if (it == nullptr || it->listed) {
+    return std::nullopt;
+  }
+  return RememberedWorker{.worker = worker,
+                          .address = it->info.address,
+                          .domain = it->info.domain,
+                          .service = it->info.service};
+}
+
 void OnWorkersRemembered(Context& context,
                          const std::vector<RememberedWorker>& workers) {
   bool changed = false;
--- a/Source/engine/worker_list.h
+++ b/Source/engine/worker_list.h
@@ -15,6 +15,11 @@
 // Null when it is not known (any more).
 const ListedWorker* FindWorker(const State& state, const std::string& id);
 
+// What to tell of a worker that left the list to a member that may not know it;
+// nothing when it is listed.
+std::optional<RememberedWorker> RememberedFor(const State& state,
+                                              const std::string& worker);
+
 // Workers that a member remembers and that this instance may not have seen.
 void OnWorkersRemembered(Context& context,
                          const std::vector<RememberedWorker>& workers);
--- a/Source/engine/worker_offers.cc
+++ b/Source/engine/worker_offers.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "engine/catalog.h"
 #include "engine/membership.h"
 #include "engine/preemption.h"
 #include "engine/run_ends.h"
@@ -22,8 +23,7 @@
   if (!member || offer.generation < known.generation) {
     return true;
   }
-  known.owner = from;
-  known.generation = offer.generation;
+  NoteOwner(known, from, offer.generation);
   known.heard = context.now;
   return false;
 }
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -10,6 +10,7 @@
 #include "engine/run_ends.h"
 #include "engine/run_progress.h"
 #include "engine/run_questions.h"
+#include "engine/watches.h"
 #include "engine/worker_list.h"
 #include "engine/worker_listing.h"
 #include "engine/worker_runs.h"
@@ -32,6 +33,19 @@
   SuspectLeases(context, worker);
 }
 
+// Whoever registers before the last lease has run out may claim the worker and
+// renew what runs there. Without knowing all members up to then, a worker that
+// another one reaches is taken for gone, and its tasks run twice.
+bool IsOwnersWord(const Context& context, const OwnedWorker& worker) {
+  const Watch& members =
+      context.state.watches[static_cast<std::size_t>(WatchedList::kMembers)];
+  const Time run_out =
+      std::max(worker.lease_bound, ForeignLeasesEnd(context, worker));
+  return members.known_to >= run_out &&
+         ChooseMember(context.state, worker.info.id, worker.info.domain) ==
+             context.self();
+}
+
 // Nothing runs there any more, whoever renewed it last. That the store has
 // dropped the worker's entry says nothing of its leases: when a failure domain
 // is cut off, the worker and its former owner are cut off together, and the one
@@ -55,9 +69,19 @@
 void DropStaleClaims(Context& context) {
   std::erase_if(context.state.owned, [&](const auto& it) {
     const OwnedWorker& worker = it.second;
-    return !worker.claimed && !worker.hold_in_flight &&
-           ChooseMember(context.state, it.first, worker.info.domain) !=
-               context.self();
+    if (worker.claimed || worker.hold_in_flight) {
+      return false;
+    }
+    const std::string owner =
+        ChooseMember(context.state, it.first, worker.info.domain);
+    if (owner == context.self()) {
+      return false;
+    }
+    // The rightful owner may never have seen a worker that left the list.
+    if (auto remembered = RememberedFor(context.state, it.first)) {
+      Send(context, owner, RunQueries{.remembered = {std::move(*remembered)}});
+    }
+    return true;
   });
 }
 
@@ -123,6 +147,7 @@
   const bool claimed_now = !worker.claimed;
   if (claimed_now) {
     worker.claimed = true;
+    context.state.gone.erase(id);
     worker.lease_bound = context.now + LeaseSpan(context);
     worker.foreign_bound = context.now;  // lower fences are refused from now on
     context.Log(EventNumber::kWorkerClaimed,
@@ -207,8 +232,11 @@
     }
     if (IsSilent(worker) && IsSurelyRegistered(context) &&
         HasRunOut(context, worker)) {
-      gone.push_back(id);
-      continue;
+      if (IsOwnersWord(context, worker)) {
+        gone.push_back(id);
+        continue;
+      }
+      WantMembers(context);
     }
     if (!worker.hold_in_flight && context.now >= worker.hold_at) {
       SendHold(context, id, worker);
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/worker_runs.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "engine/catalog.h"
 #include "engine/digests.h"
 #include "engine/preemption.h"
 #include "engine/run_questions.h"
@@ -241,8 +242,7 @@
     if (it.generation < known.generation) {
       continue;
     }
-    known.generation = it.generation;
-    known.owner = from;
+    NoteOwner(known, from, it.generation);
     known.heard = context.now;
     const auto run = worker->runs.find(it.task);
     if (run == worker->runs.end() || run->second.run != it.run) {
