Tests: Shows a gang that asks for too few workers

Here a gang of 40 tasks with tickets for 30 workers, which have room for 60 by one count and 30 by the other, never starts.

--- /dev/null
+++ b/Tests/engine/advice_test.cc
@@ -0,0 +1,43 @@
+// Steps that may use only advised workers, and how many of them they ask for.
+#include <doctest/doctest.h>
+
+#include "engine/fleet.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Two gangs of a quiet day had nothing running at its end, 58 s after one of
+// them had been accepted, with most of the workers' room free. The room at
+// workers with tickets was counted whole, and placement leaves a share of it to
+// more urgent work: what seemed enough never was, and no more workers were
+// asked for. Here 30 workers have room for 60 members by the one count and for
+// 30 by the other, and the gang has 40.
+TEST_CASE("A gang asks for as many workers as placement needs") {
+  Fleet fleet({.workers = 60, .advice = true});
+  QueuePolicy queue{.name = "q",
+                    .host = "h",
+                    .prefix = "/q/",
+                    .service = "s",
+                    .priority = 2,
+                    .max_attempts = 3,
+                    .stretch = 2.2,
+                    .advice = AdvicePolicy{.decision = milliseconds(20),
+                                           .each = milliseconds(1),
+                                           .valid = milliseconds(2500)}};
+  fleet.SetQueue(queue);
+  fleet.Settle();
+  PlanAll(fleet, {.takes = milliseconds(500)});
+  JobSpec gang = OneStep(40, 4000);
+  gang.steps[0].gang = true;
+  fleet.Submit("n0", "j1", gang);
+  fleet.Run(seconds(4));
+  CHECK(CountEnds(fleet, RunEnd::kDone) == 40);
+}
+
+}  // namespace
+
+}  // namespace burdockrock::engine
