Engine: Counts room at workers with tickets as placement does

Cause: what a queue leaves to more urgent work (6% of a worker for each priority) was left out when the step judged whether its tickets suffice. A step whose tasks fit by that count and not by placement's waited for ever and asked for no more workers. Change: both use one count.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -8,6 +8,7 @@
 #include "engine/placement_rule.h"
 #include "engine/placing.h"
 #include "engine/task_copies.h"
+#include "engine/worker_list.h"
 
 namespace burdockrock::engine {
 
@@ -65,13 +66,16 @@
 // The workers with a ticket have room for all tasks that wait.
 bool HasEnough(const Context& context, const ReadyStep& ready) {
   const auto waiting = static_cast<std::int64_t>(CountWaiting(ready.run()));
-  const Resources room = RoomOf(ready.spec());
+  const PlacementNeed need = NeedOf(ready);
   std::int64_t fits = 0;
   for (const auto& [worker, ticket] : ready.run().tickets) {
     const auto view = context.state.view.find(worker);
-    if (IsValid(context, ticket) && view != context.state.view.end() &&
-        view->second.accepting) {
-      fits += CountFitting(room, view->second.free);
+    const ListedWorker* listed = FindWorker(context.state, worker);
+    const bool usable = IsValid(context, ticket) && listed != nullptr &&
+                        view != context.state.view.end() &&
+                        view->second.accepting;
+    if (usable) {
+      fits += CountRoomFor(need, listed->info, view->second.free);
     }
   }
   return fits >= waiting;
@@ -126,8 +130,8 @@
     if ((known && IsValid(context, ticket->second)) || (asked && !has_room)) {
       continue;
     }
-    const auto fits =
-        static_cast<double>(CountFitting(need.room, candidate.free));
+    const auto fits = static_cast<double>(
+        CountRoomFor(need, *candidate.worker, candidate.free));
     names.push_back({.id = id,
                      .allowed = known,
                      .has_room = has_room,
--- a/Source/engine/placement_rule.cc
+++ b/Source/engine/placement_rule.cc
@@ -54,6 +54,14 @@
   return label && Fits(RoomOf(step), worker.capacity);
 }
 
+std::int64_t CountRoomFor(const PlacementNeed& need,
+                          const WorkerInfo& worker,
+                          Resources free) {
+  free.processors_milli -= static_cast<std::int64_t>(
+      need.reserve * static_cast<double>(worker.capacity.processors_milli));
+  return CountFitting(need.room, free);
+}
+
 bool HasRoomNow(const PlacementNeed& need, const Candidate& candidate) {
   if (!need.rack.empty() && candidate.worker->rack() != need.rack) {
     return false;
--- a/Source/engine/placement_rule.h
+++ b/Source/engine/placement_rule.h
@@ -43,6 +43,13 @@
 // Whether the task may ever run on the worker.
 bool MayRunOn(const StepSpec& step, const WorkerInfo& worker);
 
+// How many tasks have room there, less what the queue leaves to others: what
+// counts the room otherwise than placement does waits for room that it never
+// gets.
+std::int64_t CountRoomFor(const PlacementNeed& need,
+                          const WorkerInfo& worker,
+                          Resources free);
+
 // Whether it has room now.
 bool HasRoomNow(const PlacementNeed& need, const Candidate& candidate);
 
