--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -117,32 +117,6 @@
   return open;
 }
 
-// False when no worker with a ticket has room for one task of the step.
-// Told by a look-up for each ticket, in place of collecting the candidates.
-bool MayHaveRoom(const Context& context,
-                 const ReadyStep& ready,
-                 const PlacementNeed& need) {
-  if (!ready.queue->advice) {
-    return true;
-  }
-  const bool may_preempt = MayPreempt(context, ready);
-  const auto has_room = [&](const auto& it) {
-    const auto view = it.second.expires > context.now + kTicketMargin
-                          ? context.state.view.find(it.first)
-                          : context.state.view.end();
-    if (view == context.state.view.end() || !view->second.accepting) {
-      return false;
-    }
-    Resources room = view->second.free;
-    if (may_preempt) {
-      room += view->second.yielding;
-    }
-    return Fits(need.room, room);
-  };
-  const auto& tickets = ready.run().tickets;
-  return std::any_of(tickets.begin(), tickets.end(), has_room);
-}
-
 struct Choice {
   const ReadyStep& ready;
   std::vector<Candidate*> open;
@@ -271,9 +245,6 @@
     return;  // most ready steps have all of their tasks out
   }
   PlacementNeed need = NeedOf(ready);
-  if (!MayHaveRoom(round.context, ready, need)) {
-    return;
-  }
   Choice choice{.ready = ready,
                 .open = OpenTo(round.context, ready, need,
                                Candidates(round, ready.queue->service)),
