--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -356,7 +356,8 @@
   StopState stop{};
   std::deque<PeerMessage> inbox{};  // from this instance to itself
   DriveState drive{};
-  bool placement_due = false;
+  bool placement_due = false;  // tasks or tickets have come
+  bool room_changed = false;   // of any worker
   Time placed_at = Time::min();
   Totals totals{};
 };
