--- a/Source/engine/digests.cc
+++ b/Source/engine/digests.cc
@@ -122,7 +122,7 @@
       context.state.workers.erase(it.worker);
       OnWorkerLost(context, it.worker);
     }
-    context.state.room_changed = true;
+    context.state.placement_due = true;
   }
   context.state.advice.waits[from] = digest.advice_wait;
   for (const QueueWaiting& it : digest.waiting) {
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -161,9 +161,6 @@
 inline constexpr Duration kDriveInterval = milliseconds(3);
 // Between two rounds of placement.
 inline constexpr Duration kPlacementInterval = milliseconds(3);
-// The same, when only room has changed: tasks that wait for it have waited
-// before, and room is told with digests 50 ms apart.
-inline constexpr Duration kRoomInterval = milliseconds(10);
 
 // Advice.
 
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -555,15 +555,13 @@
 }
 
 void DrivePlacement(Context& context) {
-  const Duration pause = context.state.placement_due  ? kPlacementInterval
-                         : context.state.room_changed ? kRoomInterval
-                                                      : kIdleRound;
+  const Duration pause =
+      context.state.placement_due ? kPlacementInterval : kIdleRound;
   if (!HasPassed(context.now, context.state.placed_at, pause) ||
       !IsRegistered(context.state)) {
     return;
   }
   context.state.placement_due = false;
-  context.state.room_changed = false;
   context.state.placed_at = context.now;
   Round round{.context = context};
   for (const ReadyStep& it : ReadySteps(context)) {
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -160,10 +160,8 @@
   DriveSweep(context);
   DriveUpkeep(context);
   DrainInbox(context);
-  if (keep || context.state.placement_due) {
-    DriveAdvice(context);
-    DrainInbox(context);
-  }
+  DriveAdvice(context);
+  DrainInbox(context);
   DriveAdviceTurns(context);
   DrivePlacement(context);
   DrainInbox(context);
@@ -211,9 +209,6 @@
   if (state.drive.due || may_place) {
     return std::max(now, state.drive.driven_at + kDriveInterval);
   }
-  if (state.room_changed && IsRegistered(state)) {
-    return std::max(now, state.placed_at + kRoomInterval);
-  }
   return now + kTick;
 }
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -356,8 +356,7 @@
   StopState stop{};
   std::deque<PeerMessage> inbox{};  // from this instance to itself
   DriveState drive{};
-  bool placement_due = false;  // tasks or tickets have come
-  bool room_changed = false;   // of any worker
+  bool placement_due = false;
   Time placed_at = Time::min();
   Totals totals{};
 };
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -352,7 +352,7 @@
                   .accepting = Accepts(context, worker),
                   .slowness = worker.speed.slowness(),
                   .heard = context.now};
-  context.state.room_changed = true;
+  context.state.placement_due = true;
 }
 
 bool Accepts(const Context& context, const OwnedWorker& worker) {
