Engine: Reads no worker's entry of which only the heartbeat changed

With 350 workers that write their entries each 1.5 s every instance read 233 entries a second, though they tell nothing new. The last text of an entry is now kept (about 115 KB for 350), and an entry that differs in the digits of its sequence only is not read; one of a worker that is not listed, or was taken for gone, always is. The pause between two answers stays 600 ms: the entries come one by one with their number, so a longer pause saves calls only, 0.8 a second.

--- a/Source/engine/options.h
+++ b/Source/engine/options.h
@@ -31,6 +31,10 @@
   std::function<std::variant<WorkerInfo, DocumentFault>(std::string_view id,
                                                         std::string_view text)>
       decode_worker{};
+  // Whether the worker's entry `now` tells no more than `before`: only that the
+  // worker is alive. None is taken for such without it.
+  std::function<bool(std::string_view before, std::string_view now)>
+      is_heartbeat{};
   std::function<std::variant<Configuration, DocumentFault>(
       std::string_view text)>
       decode_configuration{};
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -326,6 +326,8 @@
   std::mt19937_64 random{1};
   StoreState store{};
   std::array<Watch, kWatchedLists> watches{};
+  // As they were decoded last, by key.
+  std::unordered_map<std::string, std::string> worker_entries{};
   MembersState members{};
   Configuration configuration{};
   std::map<std::string, ListedWorker> workers{};  // by id
--- a/Source/engine/watches.cc
+++ b/Source/engine/watches.cc
@@ -63,12 +63,31 @@
   }
 }
 
+// Each worker's entry changes with every heartbeat, 233 times a second for 350
+// workers. Reading one takes 10 us, comparing it with the last one 0.2: the
+// list costs 1.6 ms of a core a second instead of 4, of the 120 of a small
+// instance.
+bool IsHeartbeat(Context& context, const StoreItem& item) {
+  const StoreDocuments& documents = context.state.options.documents;
+  std::string& last = context.state.worker_entries[item.key];
+  const ListedWorker* worker = FindWorker(
+      context.state, item.key.substr(documents.worker_prefix.size()));
+  // One that was taken for gone, or has left the list, is back.
+  const bool known = worker != nullptr && worker->listed;
+  if (known && documents.is_heartbeat &&
+      documents.is_heartbeat(last, item.value)) {
+    return true;
+  }
+  last = item.value;
+  return false;
+}
+
 void OnItem(Context& context, WatchedList list, const StoreItem& item) {
   switch (list) {
     case WatchedList::kMembers:
       return OnMemberItem(context, item);
     case WatchedList::kWorkers:
-      return OnWorkerItem(context, item);
+      return IsHeartbeat(context, item) ? void() : OnWorkerItem(context, item);
     case WatchedList::kOperators:
       return OnOperatorItem(context, item);
   }
@@ -79,6 +98,7 @@
     case WatchedList::kMembers:
       return OnMemberRemoved(context, key);
     case WatchedList::kWorkers:
+      context.state.worker_entries.erase(key);
       return OnWorkerRemoved(context, key);
     case WatchedList::kOperators:
       return;  // the last configuration stays in force
--- /dev/null
+++ b/Tests/engine/watches_test.cc
@@ -0,0 +1,85 @@
+// How the lists in the store are followed.
+#include <doctest/doctest.h>
+
+#include "engine/reducer.h"
+#include "engine/watches.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::seconds;
+
+// The entry of a worker is "N" or "N draining", with the number of its
+// heartbeat.
+struct Follower {
+  Follower() {
+    EngineOptions options;
+    options.documents.decode_worker =
+        [this](
+            std::string_view id,
+            std::string_view text) -> std::variant<WorkerInfo, DocumentFault> {
+      ++decoded;
+      return WorkerInfo{.id = std::string(id),
+                        .address = std::string(id),
+                        .draining = text.ends_with("draining")};
+    };
+    options.documents.is_heartbeat = [](std::string_view before,
+                                        std::string_view now) {
+      return !before.empty() &&
+             before.ends_with("draining") == now.ends_with("draining");
+    };
+    state = MakeState(std::move(options));
+  }
+
+  void Answer(StoreDone done) {
+    Effects effects;
+    Context context{
+        .state = state, .effects = effects, .now = seconds(1000), .wall_ms = 0};
+    OnWatchAnswer(context, WatchedList::kWorkers, done);
+  }
+  void Tell(const std::string& text) {
+    Answer({.items = {{.key = "worker/w1", .value = text, .revision = ++last}},
+            .revision = last});
+  }
+
+  int decoded = 0;
+  std::uint64_t last = 1;
+  State state{};
+};
+
+}  // namespace
+
+// On a site with 350 workers each of 30 instances read 233 entries a second of
+// which only the heartbeat's number had changed.
+TEST_CASE("A worker's heartbeat is not read, what it changes is") {
+  Follower follower;
+  follower.Tell("1");
+  CHECK(follower.decoded == 1);
+  follower.Tell("2");
+  follower.Tell("3");
+  CHECK(follower.decoded == 1);
+  follower.Tell("4 draining");
+  CHECK(follower.decoded == 2);
+  CHECK(follower.state.workers.at("w1").info.draining);
+  follower.Tell("5 draining");
+  CHECK(follower.decoded == 2);
+}
+
+// A worker that lost its path to the store for a while comes back with an entry
+// like the one before.
+TEST_CASE("A worker that comes back with the same entry is listed again") {
+  Follower follower;
+  follower.Tell("1");
+  follower.Answer(
+      {.removed = {{.key = "worker/w1", .revision = 2}}, .revision = 2});
+  CHECK_FALSE(follower.state.workers.at("w1").listed);
+  follower.Tell("2");
+  CHECK(follower.state.workers.at("w1").listed);
+  follower.state.workers.erase("w1");  // taken for gone
+  follower.Tell("3");
+  CHECK(follower.state.workers.contains("w1"));
+  CHECK(follower.decoded == 3);
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Tests/platform/documents_test.cc
@@ -0,0 +1,34 @@
+// The entries of workers in the platform's store.
+#include "platform/documents.h"
+
+#include <doctest/doctest.h>
+
+namespace burdockrock::platform {
+
+TEST_CASE("A heartbeat is told from a change of the worker's entry") {
+  const char* const before =
+      R"({"service":"s","sequence":9,"state":"ready","zone":"a"})";
+  CHECK(DiffersInSequenceOnly(before, before));
+  CHECK(DiffersInSequenceOnly(
+      before, R"({"service":"s","sequence":10,"state":"ready","zone":"a"})"));
+  CHECK(DiffersInSequenceOnly(R"({"sequence": 9})", R"({"sequence": 10})"));
+  CHECK(DiffersInSequenceOnly(R"({"sequence":9)", R"({"sequence":10)"));
+  const char* const changed[] = {
+      R"({"service":"s","sequence":10,"state":"draining","zone":"a"})",
+      R"({"service":"t","sequence":10,"state":"ready","zone":"a"})",
+      R"({"service":"s","sequence":-1,"state":"ready","zone":"a"})",
+      R"({"service":"s","sequence":10,"state":"ready"})",
+      R"({"service":"s","state":"ready","zone":"a"})",
+      R"({"service":"s")",
+      ""};
+  for (const char* it : changed) {
+    CAPTURE(it);
+    CHECK_FALSE(DiffersInSequenceOnly(before, it));
+  }
+  CHECK_FALSE(DiffersInSequenceOnly("", before));
+  // A name that only looks like the member's.
+  CHECK_FALSE(DiffersInSequenceOnly(R"({"zone":"\"sequence\":1"})",
+                                    R"({"zone":"\"sequence\":2"})"));
+}
+
+}  // namespace burdockrock::platform
--- a/Tests/runtime/engine_peers_test.cc
+++ b/Tests/runtime/engine_peers_test.cc
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -35,7 +36,8 @@
   boost::asio::io_context io;
   std::vector<engine::PeerSaid> said;
   EnginePeerServer receiver(
-      {.on_message = [&](engine::PeerSaid it) { said.push_back(it); },
+      {.on_message =
+           [&](engine::PeerSaid it) { said.push_back(std::move(it)); },
        .log = [](const LogLine&) { FAIL("a message was refused"); }});
   HttpServer server(
       io, {},
