Tests: Shows that calls for advice all go to one idle member

Members that were told to be idle are equal, and the first in their order is taken by all. With digests each 50 ms that lasted two short calls; since free room is told after 725 ms at 30 members it lasts for half a hundred. The test has nine instances ask at one moment: the six that make no short calls all ask one of the three that do. It fails on the number of members that were asked, 1 of 3.

--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -1,6 +1,7 @@
 // How much instances tell each other, and that a message that is lost does no
 // lasting harm.
 #include <algorithm>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -124,6 +125,28 @@
   CheckPromises(fleet);
 }
 
+// In a large fleet the members' waits for the advice service are told late. All
+// instances took the first of those that were told idle: short calls queued there
+// while others had nothing to do.
+TEST_CASE("Calls for advice at one moment go to several members") {
+  Fleet fleet({.instances = 9, .workers = 18, .advice = true});
+  fleet.Settle();
+  std::set<std::string> asked;
+  std::size_t asks = 0;
+  fleet.on_peer = [&](const std::string&, const SendPeer& send) {
+    if (std::holds_alternative<AdviceAsk>(send.message)) {
+      asked.insert(send.to);
+      ++asks;
+    }
+  };
+  for (const std::string& it : fleet.nodes()) {
+    fleet.Submit(it, "job-" + it, OneStep(4));
+  }
+  fleet.Run(milliseconds(30));
+  CHECK(asks >= 6);
+  CHECK(asked.size() == 3);
+}
+
 TEST_CASE("Rooms are read back as they were written, and are short") {
   const std::vector<WorkerRoom> rooms = {
       {.worker = "w1",
