Engine: Tells a refused claim from a worker that is silent

In the reducer both are a hold without success, so the line could not tell them apart. It has the field why now, silent or refused.

--- a/Source/engine/notices.cc
+++ b/Source/engine/notices.cc
@@ -92,7 +92,8 @@
 }
 
 // What another owner may have renewed there has to run out before the worker
-// counts as gone.
+// counts as gone; a claim that was refused is tried again with a higher fence,
+// which the store gives.
 void LookAtClaims(Context& context) {
   Reminders& reminders = context.state.notices.claims;
   for (const auto& [id, worker] : context.state.owned) {
@@ -108,6 +109,7 @@
     context.Log(
         EventNumber::kClaimWaits,
         {{"worker", id},
+         {"why", worker.silence_told ? "silent" : "refused"},
          {"owner", known ? view->second.owner : "unknown"},
          {"for_ms", Milliseconds(context.now - worker.silent_since)},
          {"left_ms", Milliseconds(worker.foreign_bound - context.now)}});
--- a/Tests/engine/notices_test.cc
+++ b/Tests/engine/notices_test.cc
@@ -95,6 +95,7 @@
   REQUIRE(!claims.empty());
   CHECK(FieldOf(claims[0], "worker") == "w0-1");
   CHECK(FieldOf(claims[0], "owner") == "n0-1");
+  CHECK(FieldOf(claims[0], "why") == "silent");
   CHECK(NumberOf(claims[0], "for_ms") >= 1000);
   CHECK(NumberOf(claims[0], "left_ms") > 0);
 
@@ -240,6 +241,23 @@
   CHECK(CountOpenWork(fleet.state(owner), fleet.now()) == OpenWork());
 }
 
+// On a day on which an instance was away from the store, `claim_waits` said of
+// workers that answered all others that they did not answer.
+TEST_CASE("A claim that was refused is not told as a silence") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.store_fault = [](const std::string& node, const StoreRequest&) {
+    return node == "n0" ? StoreFault::kRefuse : StoreFault::kNone;
+  };
+  fleet.Run(seconds(8));
+  const auto claims = LinesOf(fleet, EventNumber::kClaimWaits);
+  REQUIRE(!claims.empty());
+  for (const LogLine& it : claims) {
+    CHECK(FieldOf(it, "why") == "refused");
+  }
+  CHECK(LinesOf(fleet, EventNumber::kWorkerSilent).empty());
+}
+
 // `worker_silent` came at each try, 0.7 s apart, 128 times in a day on which
 // ten workers were lost: 30 KB that hid when the silence had begun.
 TEST_CASE("A silence of a worker is told at its beginning and at its end") {
