--- a/Source/engine/notices.cc
+++ b/Source/engine/notices.cc
@@ -79,19 +79,23 @@
   for (const std::string& id : context.state.active) {
     const Job& job = context.state.jobs.at(id);
     if (job.recovering && reminders.IsDue(id, context.now, job.created)) {
-      context.Log(EventNumber::kJobRecovering,
-                  {{"job", id},
-                   {"for_ms", Milliseconds(context.now - job.created)},
-                   {"lists", ListsAreRead(context.state) ? "read" : "unread"},
-                   {"unheard", std::to_string(job.uncovered.size())},
-                   {"workers", DescribeUnheard(context, job)}});
+      context.Log(
+          EventNumber::kJobRecovering,
+          {{"job", id},
+           {"for_ms", Milliseconds(context.now - job.created)},
+           {"lists", ListsAreRead(context.state) ? "read" : "unread"},
+           {"registered_ms",
+            Milliseconds(context.now - context.state.members.registered_at)},
+           {"unheard", std::to_string(job.uncovered.size())},
+           {"workers", DescribeUnheard(context, job)}});
     }
   }
   reminders.EndRound();
 }
 
 // What another owner may have renewed there has to run out before the worker
-// counts as gone.
+// counts as gone; a claim that was refused is tried again with a higher fence,
+// which the store gives.
 void LookAtClaims(Context& context) {
   Reminders& reminders = context.state.notices.claims;
   for (const auto& [id, worker] : context.state.owned) {
@@ -106,6 +110,7 @@
                        view->second.owner != context.self();
     context.Log(EventNumber::kClaimWaits,
                 {{"worker", id},
+                 {"why", worker.silence_told ? "silent" : "refused"},
                  {"owner", known ? view->second.owner : "unknown"},
                  {"for_ms", Milliseconds(context.now - worker.silent_since)},
                  {"left_ms", Milliseconds(leases_end - context.now)}});
@@ -191,6 +196,10 @@
 }  // namespace
 
 void DriveNotices(Context& context) {
+  const bool stopping = context.state.stop.asked;
+  for (LogLine& it : context.state.end_log.TakeDone(context.now, stopping)) {
+    context.Log(it.number, std::move(it.fields));
+  }
   NoticesState& notices = context.state.notices;
   if (!notices.cancelled.empty() &&
       HasPassed(context.now, notices.cancels_seen_at, kCancelLook)) {
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -194,9 +194,9 @@
   }
   DriveWriter(context);
   DriveDigests(context);
+  DriveNotices(context);
   DriveStop(context);
   DrainInbox(context);
-  DriveNotices(context);
 }
 
 // Calls between instances are numbered from another place in each life. The
