Tests: Plays a cancel of a submission that is taken back

A submission whose write the store refused is taken back, and its caller is told so. Whoever had asked to cancel the job meanwhile, or for its state, got no answer at all: the case fails, as the cancel's call is never answered. Ruled out: an answer later, as nothing keeps the caller any more.

--- a/Tests/engine/cancel_test.cc
+++ b/Tests/engine/cancel_test.cc
@@ -360,6 +360,26 @@
   CHECK(IsGone(fleet, "j1"));
 }
 
+// A job was cancelled before the store had it. The store refused its write, so
+// that the submission was taken back; whoever waited for the cancel, or had
+// asked for the state, got no answer at all.
+TEST_CASE("A cancel of a submission that is taken back is answered") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.store_fault = [](const std::string&, const StoreRequest& request) {
+    return std::holds_alternative<StoreTransaction>(request)
+               ? StoreFault::kRefuse
+               : StoreFault::kNone;
+  };
+  const std::uint64_t submit = fleet.Submit("n0", "j1", OneStep(1));
+  const std::uint64_t cancel = fleet.Cancel("n0", "j1");
+  fleet.Run(seconds(2));
+  REQUIRE(fleet.answers.contains(submit));
+  CHECK(std::holds_alternative<NotNow>(fleet.answers[submit]));
+  REQUIRE(fleet.answers.contains(cancel));
+  CHECK(std::holds_alternative<NoSuchJob>(fleet.answers[cancel]));
+}
+
 // An instance died with a question out and came back at the same address. The
 // answer came then, and its number was that of the first question of the new
 // life: the cancel of another job was acknowledged though nobody had taken it.
