Engine: Answers the cancel of a submission that is taken back

When the store refused the write of a submission, the job was dropped with all who waited for its cancel or its state: their calls stayed open until the callers gave up. They are answered from the record now, as when a job is lost to another owner: it is absent, so the cancel is told that there is no such job.

--- a/Source/engine/questions.cc
+++ b/Source/engine/questions.cc
@@ -316,8 +316,12 @@
     }
   }
   for (const std::string& it : withdrawn) {
+    Job& job = context.state.jobs.at(it);
+    AnswerWatchers(context, job, true);
+    const std::vector<Asker> cancellers = std::move(job.cancellers);
     context.state.active.erase(it);
     context.state.jobs.erase(it);
+    RouteCancellers(context, it, cancellers);
   }
 }
 
