Tests: Has workers carry out orders half a second to nine seconds late

The random faults had orders that come late come 3 s late only; real ones come 2 to 12 s late, and a lease lives for 6. The bound for a run that starts after the cancel was not eased for it.

--- a/Tests/engine/chaos_test.cc
+++ b/Tests/engine/chaos_test.cc
@@ -51,6 +51,8 @@
       SubmitSome(it);
       SubmitLasting(it);
       CancelSome();
+      fleet_.late_by = milliseconds(
+          std::uniform_int_distribution<int>(500, 9000)(late_random_));
       Strike();
       fleet_.Run(milliseconds(Pick(100, 900)));
     }
@@ -307,6 +309,7 @@
   static constexpr const char* kLasting = "l";
 
   std::mt19937_64 random_;
+  std::mt19937_64 late_random_{random_};
   Fleet fleet_;
   std::map<std::string, std::uint32_t> lasting_;  // tasks, by job
   std::map<std::string, std::uint64_t> lasting_calls_;
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -16,7 +16,6 @@
 constexpr Duration kWorkerWay = milliseconds(1);
 constexpr Duration kPeerWay = milliseconds(1);
 constexpr Duration kPoll = milliseconds(10);
-constexpr Duration kLateBy = milliseconds(3000);
 constexpr const char* kQueue = "q";
 // So long after the last fault all is in touch again; an order that a worker
 // carries out late has arrived by then.
@@ -435,7 +434,7 @@
   if (fault == OrderFault::kUnreached) {
     return;
   }
-  const Duration way = fault == OrderFault::kLate ? kLateBy : kWorkerWay;
+  const Duration way = fault == OrderFault::kLate ? late_by : kWorkerWay;
   At(now_ + way, [this, node, life, call, asked, answer, fault, target] {
     if (target->info().id != call.worker) {
       return answer(WorkerRefused{.kind = WorkerRefusalKind::kReplaced});
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -25,7 +25,7 @@
   kNone,
   kUnreached,   // nothing arrives
   kLoseAnswer,  // it is carried out
-  kLate,        // no answer, and carried out 3 s later
+  kLate,        // no answer, and carried out `late_by` later
   kUnhealthy,   // refused by a worker that is not well
 };
 
@@ -112,6 +112,7 @@
   std::map<std::string, Time> cancelled{};
   // No fault since then. kForever: there may be some.
   Time calm_since = kForever;
+  Duration late_by = std::chrono::milliseconds(3000);
 
   FakeStore store{};
   std::vector<SeenRun> seen{};
