Engine: Finds a worker's view without its name

A listed worker now points to its view, which is never taken away, and a view notes whether its owner is a member, by the members' version. Order and choice of candidates are the same. Ruled out: rarer rounds and a look at tickets first, both measured before.

All tests but the known red one pass.

--- a/Source/engine/membership.cc
+++ b/Source/engine/membership.cc
@@ -45,6 +45,7 @@
 // is chosen twice a second: working this table out for each choice took 6% of
 // the reducer's time at one of 30 instances.
 void MembersChanged(MembersState& members) {
+  ++members.version;
   members.choosable.clear();
   for (const auto& [incarnation, it] : members.present) {
     AddChoosable(members, it);
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <map>
-#include <string_view>
 #include <tuple>
-#include <unordered_map>
 #include <utility>
 
 #include "engine/job_table.h"
@@ -475,44 +473,47 @@
   }
 }
 
+// Null when it takes no tasks. All workers are asked for in hundreds of rounds
+// a second, so neither the view nor its owner is looked up by name each time:
+// with that, collecting candidates took 13% of the reducer's time at one of 30
+// instances in place of 8%.
+const RoomView* UsableView(State& state,
+                           const std::string& id,
+                           ListedWorker& listed) {
+  if (!listed.listed || listed.info.draining) {
+    return nullptr;
+  }
+  if (listed.view == nullptr) {
+    const auto it = state.view.find(id);
+    listed.view = it == state.view.end() ? nullptr : &it->second;
+  }
+  RoomView* view = listed.view;
+  if (view == nullptr || !view->accepting || view->gone) {
+    return nullptr;
+  }
+  if (view->checked_version != state.members.version) {
+    view->checked_version = state.members.version;
+    view->owner_is_member = FindMember(state, view->owner) != nullptr;
+  }
+  return view->owner_is_member ? view : nullptr;
+}
+
 }  // namespace
 
 std::vector<Candidate> CandidatesOf(const Context& context,
                                     const std::string& service) {
+  State& state = context.state;
   std::vector<Candidate> candidates;
-  candidates.reserve(context.state.workers.size());
-  // Both tables are in the order of the ids. Looking each worker up instead
-  // makes an event at one of 30 instances 11% dearer, and looking each owner up
-  // for each worker 8%.
-  const auto& views = context.state.view;
-  auto view = views.begin();
-  std::unordered_map<std::string_view, bool> is_member;
-  for (const auto& [id, listed] : context.state.workers) {
-    int order = -1;
-    while (view != views.end() && (order = view->first.compare(id)) < 0) {
-      ++view;
-    }
-    if (view == views.end()) {
-      break;
-    }
-    const bool usable = order == 0 && listed.listed && !listed.info.draining &&
-                        view->second.accepting && !view->second.gone &&
-                        listed.info.service == service;
-    if (!usable) {
-      continue;
-    }
-    const auto [owner, is_new] = is_member.try_emplace(view->second.owner);
-    if (is_new) {
-      owner->second = FindMember(context.state, view->second.owner) != nullptr;
-    }
-    if (owner->second) {
+  candidates.reserve(state.workers.size());
+  for (auto& [id, listed] : state.workers) {
+    const RoomView* view = UsableView(state, id, listed);
+    if (view != nullptr && listed.info.service == service) {
       candidates.push_back(
           {.worker = &listed.info,
-           .free = view->second.free,
-           .yielding = view->second.yielding,
-           .own_domain =
-               listed.info.domain == context.state.options.self.domain,
-           .slowness = static_cast<double>(view->second.slowness)});
+           .free = view->free,
+           .yielding = view->yielding,
+           .own_domain = listed.info.domain == state.options.self.domain,
+           .slowness = static_cast<double>(view->slowness)});
     }
   }
   RelateSlowness(candidates);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -135,8 +135,11 @@
   std::map<std::string, DepartedMember> departed{};
   // By node; worked out of the two above when they change.
   std::map<std::string, ChoosableMember> choosable{};
+  std::uint64_t version = 1;  // rises with each change of the members
 };
 
+struct RoomView;
+
 // A worker of the platform's list. One that left it is remembered for a while:
 // it may only have lost its path to the store, and runs on.
 struct ListedWorker {
@@ -144,6 +147,9 @@
   bool listed = true;
   Time unlisted_at{0};
   Time draining_since = kForever;
+  // Its entry in the table of views, which are never taken away; null: not
+  // looked for yet, or there was none.
+  RoomView* view = nullptr;
 };
 
 // The room of all workers as their owners tell it.
@@ -157,6 +163,9 @@
   bool gone = false;
   std::uint32_t slowness = 0;  // in hundredths of the estimates; 0: not known
   Time heard{0};
+  // Whether the owner is a member, by the members of this version.
+  std::uint64_t checked_version = 0;
+  bool owner_is_member = false;
 };
 
 // Group commit.
