Engine: Breaks two comments as the formatter wants them

Two comments had lines of more than 80 columns after figures were put into them, and the formatter refused them.

--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -151,8 +151,8 @@
 inline constexpr Duration kDigestInterval = milliseconds(50);
 // Free room is told later by so much for each member above the few, so that the
 // messages of one instance don't grow with the fleet: 770 ms at 30 members. At
-// 30 members and 40 jobs a second an instance exchanges 73 digests a second, 601
-// with 50 ms.
+// 30 members and 40 jobs a second an instance exchanges 73 digests a second,
+// 601 with 50 ms.
 inline constexpr Duration kDigestIntervalPerMember = milliseconds(30);
 // So many members send and receive at most 200 digests a second each at 50 ms.
 inline constexpr std::int64_t kFewMembers = 6;
--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -126,8 +126,8 @@
 }
 
 // In a large fleet the members' waits for the advice service are told late. All
-// instances took the first of those that were told idle: short calls queued there
-// while others had nothing to do.
+// instances took the first of those that were told idle: short calls queued
+// there while others had nothing to do.
 TEST_CASE("Calls for advice at one moment go to several members") {
   Fleet fleet({.instances = 9, .workers = 18, .advice = true});
   fleet.Settle();
