Runtime: Counts the time for which the machine was suspended

Ruled out: the wall clock, which jumps. Change: the clock of the reducer's events is the kernel's that goes on in a suspension; timers are set by spans.

--- a/Source/runtime/clock.h
+++ b/Source/runtime/clock.h
@@ -4,15 +4,21 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 #include "model/time.h"
 
 namespace burdockrock {
 
-// Monotonic; what the reducer's events carry.
+// Monotonic, and goes on while the machine is suspended; what the reducer's
+// events carry. By the standard library's steady clock, which stands still
+// meanwhile, an instance that wakes up believes in a registration that has
+// ended, and renews leases for longer than the others wait for them to run out.
 inline Time SteadyNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return std::chrono::duration_cast<Time>(
-      std::chrono::steady_clock::now().time_since_epoch());
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 // Microseconds since 1970. May jump.
--- a/Source/runtime/engine_shell.cc
+++ b/Source/runtime/engine_shell.cc
@@ -79,7 +79,7 @@
     return;
   }
   armed_for_ = next;
-  timer_.expires_at(std::chrono::steady_clock::time_point(next));
+  timer_.expires_after(next - SteadyNow());
   timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
       hooks_.timer_late(SteadyNow() - armed_for_);
--- a/Source/runtime/shell.cc
+++ b/Source/runtime/shell.cc
@@ -58,7 +58,7 @@
     return;
   }
   armed_for_ = next;
-  timer_.expires_at(std::chrono::steady_clock::time_point(next));
+  timer_.expires_after(next - SteadyNow());
   timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
       OnTimer();
