--- a/Tests/engine/dead_worker_test.cc
+++ b/Tests/engine/dead_worker_test.cc
@@ -39,7 +39,7 @@
 // A lasting job of n1 at work on all workers, and two workers with room more.
 std::string BeginLasting(Fleet& fleet) {
   fleet.Settle();
-  const std::string job = JobForN2(fleet);
+  std::string job = JobForN2(fleet);
   PlanAll(fleet, {.endless = true});
   fleet.Submit("n1", job, Lasting(kTasks));
   fleet.Run(seconds(1));
