--- a/Tests/engine/advice_test.cc
+++ b/Tests/engine/advice_test.cc
@@ -38,6 +38,32 @@
   CHECK(CountEnds(fleet, RunEnd::kDone) == 40);
 }
 
+// A lasting task was moved off a worker that was to leave, and did not run for
+// the 9 s until the end of its job, with room for it. Its step allows one task
+// a worker; the workers with tickets had room and one task each. That room
+// counted as enough, and when the tickets had lapsed the same workers were
+// asked for.
+TEST_CASE("A step that spreads asks for workers that it does not use yet") {
+  Fleet fleet({.workers = 40, .advice = true});
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  JobSpec spec = OneStep(30);
+  spec.steps[0].lasting = true;
+  spec.steps[0].spread = 1;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(seconds(4));
+  REQUIRE(CountRuns(fleet, "j1") == 30);
+  const std::string worker = fleet.seen.front().worker;
+  const WorkerInfo& info =
+      fleet.worker(worker.substr(0, worker.find('-'))).info();
+  fleet.store.Put("worker/" + worker,
+                  info.address + "|" + info.domain + "|s|8000|1");
+  fleet.Run(seconds(6));
+  CHECK(CountEnds(fleet, RunEnd::kStopped) == 1);
+  CHECK(CountRuns(fleet, "j1") == 31);
+  CheckPromises(fleet);
+}
+
 }  // namespace
 
 }  // namespace burdockrock::engine
