Engine: Asks for advice on workers where a step may start tasks

Cause: a step that allows one task a worker took the room at workers that had one for room of its own: its tickets seemed enough, and later the same workers were asked for. Change: what one call names and what counts as enough leave out workers at the step's bound, as placement does. Ruled out: lost reports of the end (the log has it at the worker's owner within 0.1 s, and the job's owner lived).

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -70,10 +71,28 @@
   return ticket.expires > context.now + kTicketMargin;
 }
 
+// How many more tasks of the step may start at the worker. What counts the room
+// otherwise than placement does takes for enough what never is.
+std::int64_t CountStarts(const ReadyStep& ready,
+                         const std::map<std::string, std::uint32_t>& placed,
+                         const PlacementNeed& need,
+                         const WorkerInfo& worker,
+                         const Resources& free) {
+  const std::int64_t room = CountRoomFor(need, worker, free);
+  const std::uint32_t spread = ready.spec().spread;
+  if (spread == 0) {
+    return room;
+  }
+  const auto it = placed.find(worker.id);
+  const std::uint32_t there = it == placed.end() ? 0 : it->second;
+  return std::min<std::int64_t>(room, there < spread ? spread - there : 0);
+}
+
 // The workers with a ticket have room for all tasks that wait.
 bool HasEnough(const Context& context, const ReadyStep& ready) {
   const auto waiting = static_cast<std::int64_t>(CountWaiting(ready.run()));
   const PlacementNeed need = NeedOf(ready);
+  const auto placed = CountPlaced(ready);
   std::int64_t fits = 0;
   for (const auto& [worker, ticket] : ready.run().tickets) {
     const auto view = context.state.view.find(worker);
@@ -82,7 +101,7 @@
                         view != context.state.view.end() &&
                         view->second.accepting;
     if (usable) {
-      fits += CountRoomFor(need, listed->info, view->second.free);
+      fits += CountStarts(ready, placed, need, listed->info, view->second.free);
     }
   }
   return fits >= waiting;
@@ -120,6 +139,7 @@
 std::vector<Named> NamesFor(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
   const PlacementNeed need = NeedOf(ready);
+  const auto placed = CountPlaced(ready);
   std::vector<Named> names;
   for (const Candidate& candidate :
        CandidatesOf(context, ready.queue->service)) {
@@ -129,6 +149,12 @@
       continue;
     }
     const auto ticket = step.tickets.find(id);
+    const std::int64_t starts =
+        CountStarts(ready, placed, need, *candidate.worker, candidate.free);
+    const auto there = placed.find(id);
+    if (there != placed.end() && there->second >= ready.spec().spread) {
+      continue;  // no task of the step may start there
+    }
     const bool has_room = HasRoomNow(need, candidate) ||
                           CouldPreempt(context, ready, need, candidate);
     const bool known = ticket != step.tickets.end();
@@ -137,8 +163,7 @@
     if ((known && IsValid(context, ticket->second)) || (asked && !has_room)) {
       continue;
     }
-    const auto fits = static_cast<double>(
-        CountRoomFor(need, *candidate.worker, candidate.free));
+    const auto fits = static_cast<double>(starts);
     names.push_back({.id = id,
                      .allowed = known,
                      .has_room = has_room,
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -44,23 +44,6 @@
   return round.by_service[service] = CandidatesOf(round.context, service);
 }
 
-// Tasks of the step on each worker, where their number is bounded.
-std::map<std::string, std::uint32_t> CountPlaced(const ReadyStep& ready) {
-  std::map<std::string, std::uint32_t> placed;
-  if (ready.spec().spread == 0) {
-    return placed;
-  }
-  for (const Task& it : ready.run().tasks) {
-    if (!it.worker.empty() && it.phase != TaskPhase::kDone) {
-      ++placed[it.worker];
-    }
-    if (it.copy) {
-      ++placed[it.copy->worker];
-    }
-  }
-  return placed;
-}
-
 bool HasTicket(const Context& context,
                const ReadyStep& ready,
                const std::string& worker) {
@@ -463,6 +446,22 @@
 
 }  // namespace
 
+std::map<std::string, std::uint32_t> CountPlaced(const ReadyStep& ready) {
+  std::map<std::string, std::uint32_t> placed;
+  if (ready.spec().spread == 0) {
+    return placed;
+  }
+  for (const Task& it : ready.run().tasks) {
+    if (!it.worker.empty() && it.phase != TaskPhase::kDone) {
+      ++placed[it.worker];
+    }
+    if (it.copy) {
+      ++placed[it.copy->worker];
+    }
+  }
+  return placed;
+}
+
 bool MayPreempt(const Context& context, const ReadyStep& ready) {
   return ready.queue->priority == 0 && ready.run().ready_at != kForever &&
          HasPassed(context.now, ready.run().ready_at, kPreemptAfter);
--- a/Source/engine/placing.h
+++ b/Source/engine/placing.h
@@ -3,6 +3,7 @@
 #define BURDOCKROCK_ENGINE_PLACING_H_
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
     Context& context,
     const std::function<Duration(const QueuePolicy&)>& lead = nullptr);
 
+// Tasks of the step on each worker, where their number is bounded.
+std::map<std::string, std::uint32_t> CountPlaced(const ReadyStep& ready);
+
 // Whether runs of less urgent work may be stopped for it: only for the most
 // urgent, and only when it has waited, as room that others are about to give
 // back costs nothing.
