--- a/Tests/observe/log_test.cc
+++ b/Tests/observe/log_test.cc
@@ -27,9 +27,10 @@
     logger_->Write({.number = number, .fields = {{"key", value}}});
   }
 
-  std::unique_ptr<Logger> logger_;
   std::vector<std::string> lines_;
   std::int64_t now_ms_ = 0;
+  // Last: at its end it writes what it has left out, to the lines above.
+  std::unique_ptr<Logger> logger_;
 };
 
 Json::Value Parse(const std::string& text) {
