Engine: Starts no task again while its job still recovers

Cause: placement took tasks of jobs that still waited to hear of some workers, as soon as a known run of theirs had failed; a failed run that such a worker lists counted only afterwards. Change: of a job that recovers only lasting tasks are placed. Ruled out: the record, which had no failed run as its owner died within 0.7 s.

--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -511,6 +511,12 @@
     if (!it.job->stored || !it.job->verified) {
       continue;
     }
+    // A worker that was not heard of yet may list failed runs: started again
+    // now, a task would have more runs than its queue allows. Lasting ones have
+    // no such limit.
+    if (it.job->recovering && !it.spec().lasting) {
+      continue;
+    }
     if (it.spec().gang) {
       PlaceGang(round, it);
     } else {
