--- a/Tests/engine/cancel_test.cc
+++ b/Tests/engine/cancel_test.cc
@@ -77,16 +77,21 @@
                                        .lease_until_ms = held.lease_until_ms});
 }
 
+// A job of n0 whose 36 tasks run on until they are stopped.
+void BeginEndless(Fleet& fleet) {
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n0", "j1", OneStep(36));
+  fleet.Run(seconds(1));
+}
+
 // The job's owner stored the cancel, answered it and died; what it told the
 // workers' owners was lost. A job that has ended is adopted by nobody, and the
 // workers' owners took its runs for wanted: "job_ended state=cancelled" stood
 // in one log, and no "run_ended" followed in any other.
 TEST_CASE("Runs of a cancelled job are stopped though its owner died") {
   Fleet fleet;
-  fleet.Settle();
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n0", "j1", OneStep(36));
-  fleet.Run(seconds(1));
+  BeginEndless(fleet);
   REQUIRE(CountRuns(fleet, "j1") == 36);
   fleet.is_cut = [](const std::string& from, const std::string&) {
     return from == "n0";
@@ -103,10 +108,7 @@
 // the worker's owner renewed the leases for ever.
 TEST_CASE("Runs of a cancelled job are stopped though its owner is cut off") {
   Fleet fleet;
-  fleet.Settle();
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n0", "j1", OneStep(36));
-  fleet.Run(seconds(1));
+  BeginEndless(fleet);
   fleet.is_cut = [](const std::string& from, const std::string& to) {
     return from == "n0" && to == "n1";
   };
@@ -122,10 +124,7 @@
 // cancel.
 TEST_CASE("A stop that got lost while the job is adopted is repeated") {
   Fleet fleet;
-  fleet.Settle();
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n0", "j1", OneStep(36));
-  fleet.Run(seconds(1));
+  BeginEndless(fleet);
   LoseWorkerOrders(fleet, "w0");
   fleet.Kill("n0");
   const std::string adopter = AwaitAdoption(fleet, "j1");
@@ -284,10 +283,7 @@
 // is found of it must not be stopped.
 TEST_CASE("A run is not stopped before the state of its job is known") {
   Fleet fleet;
-  fleet.Settle();
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n0", "j1", OneStep(36));
-  fleet.Run(seconds(1));
+  BeginEndless(fleet);
   fleet.store_fault = [](const std::string&, const StoreRequest&) {
     return StoreFault::kRefuse;
   };
@@ -300,10 +296,7 @@
 // The worker's owner died with the order to stop.
 TEST_CASE("Runs are stopped when their worker's owner dies with the cancel") {
   Fleet fleet;
-  fleet.Settle();
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n0", "j1", OneStep(36));
-  fleet.Run(seconds(1));
+  BeginEndless(fleet);
   fleet.Kill("n1");
   CancelNow(fleet, "n0", "j1");
   fleet.Run(seconds(4));
@@ -315,10 +308,7 @@
 // its workers in time.
 TEST_CASE("A slowed instance stops the runs of a cancelled job in time") {
   Fleet fleet;
-  fleet.Settle();
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n0", "j1", OneStep(36));
-  fleet.Run(seconds(1));
+  BeginEndless(fleet);
   const Time cancelled = fleet.now();
   CancelNow(fleet, "n0", "j1");
   while (fleet.now() < cancelled + kCancelBound) {
@@ -408,10 +398,7 @@
 // at once for one instance with two workers, each repeated after 500 ms.
 TEST_CASE("The stops of a cancelled job go out together and at once") {
   Fleet fleet;
-  fleet.Settle();
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n0", "j1", OneStep(36));
-  fleet.Run(seconds(1));
+  BeginEndless(fleet);
   REQUIRE(CountRuns(fleet, "j1") == 36);
   std::size_t messages = 0;
   fleet.is_cut = [&](const std::string& from, const std::string&) {
--- a/Tests/engine/dead_worker_test.cc
+++ b/Tests/engine/dead_worker_test.cc
@@ -1,10 +1,7 @@
 // Workers that die while their owners change: what ran there is run again soon.
-#include <algorithm>
-
 #include <doctest/doctest.h>
 
-#include "engine/fleet.h"
-#include "engine/membership.h"
+#include "engine/lasting_job.h"
 
 namespace burdockrock::engine {
 
@@ -13,56 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A lasting task is to be at work again 6 s after its run ended; a lease of a
-// silent worker takes 7.9 s to run out for certain.
-constexpr Duration kBackAtWork = seconds(9);
-
-// One task more than five of the six workers have room for, so that each worker
-// runs some of them.
-constexpr std::uint32_t kTasks = 41;
-
-JobSpec Lasting(std::uint32_t count) {
-  JobSpec spec = OneStep(count);
-  spec.steps[0].lasting = true;
-  return spec;
-}
-
-// A job that n2 adopts.
-std::string JobForN2(const Fleet& fleet) {
-  std::string job = "j";
-  while (ChooseMember(fleet.state("n2"), job, {}) != "n2-1") {
-    job += "1";
-  }
-  return job;
-}
-
-// A lasting job of n1 at work on all workers, and two workers with room more.
-std::string BeginLasting(Fleet& fleet) {
-  fleet.Settle();
-  std::string job = JobForN2(fleet);
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit("n1", job, Lasting(kTasks));
-  fleet.Run(seconds(1));
-  fleet.AddWorkers(2);
-  PlanAll(fleet, {.endless = true});
-  fleet.Run(seconds(1));
-  return job;
-}
-
-// Tasks of the job that are at work at a worker that can still work.
-std::set<std::string> AtWork(const Fleet& fleet,
-                             const std::string& job,
-                             const std::string& dead) {
-  std::set<std::string> tasks;
-  for (const SeenRun& it : fleet.seen) {
-    const bool runs = it.ended == kForever && it.worker != dead;
-    if (runs && it.task.starts_with(job + ".")) {
-      tasks.insert(it.task);
-    }
-  }
-  return tasks;
-}
-
 void CutOff(Fleet& fleet, const std::string& worker) {
   fleet.order_fault = [worker](const std::string&, const std::string& name,
                                const WorkerRequest&) {
@@ -86,7 +33,7 @@
 // death, no worker_gone, and job_adopted three times for the task's job.
 TEST_CASE("A worker that died with its owner is gone when its leases are") {
   Fleet fleet;
-  const std::string job = BeginLasting(fleet);
+  const std::string job = BeginLasting(fleet, "n1", "n2");
   CutOff(fleet, "w0");
   fleet.Kill("n0");
   fleet.worker("w0").Crash(fleet.now(), "w0-2");
@@ -95,7 +42,7 @@
   fleet.Run(seconds(2));
   fleet.store.Remove("worker/w0-1");
   fleet.Run(kBackAtWork - seconds(4));
-  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
   CheckPromises(fleet);
 }
 
@@ -105,7 +52,7 @@
 // of it until they forgot it.
 TEST_CASE("A worker that only others remember does not hold an adoption up") {
   Fleet fleet;
-  const std::string job = BeginLasting(fleet);
+  const std::string job = BeginLasting(fleet, "n1", "n2");
   Crash(fleet, "w0");
   fleet.Run(seconds(3));
   fleet.store.Remove("worker/w0-1");
@@ -119,7 +66,7 @@
   fleet.Start("n1");
   fleet.Run(seconds(7));
   CHECK(fleet.state("n2").jobs.contains(job));
-  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
   CheckPromises(fleet);
 }
 
@@ -145,7 +92,7 @@
 TEST_CASE(
     "A worker that its former owner still reaches is not taken for gone") {
   Fleet fleet;
-  const std::string job = BeginLasting(fleet);
+  const std::string job = BeginLasting(fleet, "n1", "n2");
   fleet.store_fault = [](const std::string& node, const StoreRequest&) {
     return node == "n0" ? StoreFault::kRefuse : StoreFault::kNone;
   };
@@ -155,8 +102,8 @@
                                           : OrderFault::kNone;
   };
   fleet.Run(seconds(14));
-  CHECK(CountRuns(fleet, job) == kTasks);
-  CHECK(AtWork(fleet, job, "").size() == kTasks);
+  CHECK(CountRuns(fleet, job) == kLastingTasks);
+  CHECK(AtWork(fleet, job, "").size() == kLastingTasks);
   CheckPromises(fleet);
 }
 
--- a/Tests/engine/takeover_review_test.cc
+++ b/Tests/engine/takeover_review_test.cc
@@ -7,7 +7,7 @@
 
 #include <doctest/doctest.h>
 
-#include "engine/fleet.h"
+#include "engine/lasting_job.h"
 #include "engine/membership.h"
 
 namespace burdockrock::engine {
@@ -17,52 +17,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint32_t kTasks = 41;
-// A lasting task is to be at work again 6 s after its last run ended, counted
-// after 7 calm seconds; the lease of a silent worker takes 7.9 s to run out.
-constexpr Duration kBackAtWork = seconds(9);
-
-JobSpec Lasting(std::uint32_t count) {
-  JobSpec spec = OneStep(count);
-  spec.steps[0].lasting = true;
-  return spec;
-}
-
-std::string JobFor(const Fleet& fleet, const std::string& owner) {
-  std::string job = "j";
-  while (ChooseMember(fleet.state(owner), job, {}) != owner + "-1") {
-    job += "1";
-  }
-  return job;
-}
-
-// A lasting job of `owner` at work on all workers, and two workers with room
-// more.
-std::string BeginLasting(Fleet& fleet, const std::string& owner) {
-  fleet.Settle();
-  std::string job = JobFor(fleet, owner);
-  PlanAll(fleet, {.endless = true});
-  fleet.Submit(owner, job, Lasting(kTasks));
-  fleet.Run(seconds(1));
-  fleet.AddWorkers(2);
-  PlanAll(fleet, {.endless = true});
-  fleet.Run(seconds(1));
-  return job;
-}
-
-std::set<std::string> AtWork(const Fleet& fleet,
-                             const std::string& job,
-                             const std::string& dead) {
-  std::set<std::string> tasks;
-  for (const SeenRun& it : fleet.seen) {
-    const bool runs = it.ended == kForever && it.worker != dead;
-    if (runs && it.task.starts_with(job + ".")) {
-      tasks.insert(it.task);
-    }
-  }
-  return tasks;
-}
-
 bool WatchesMembers(const StoreRequest& request) {
   const auto* watch = std::get_if<StoreWatch>(&request);
   return watch != nullptr && watch->prefix == kMemberPrefix;
@@ -108,7 +62,7 @@
   const std::string heir = Heir();
   const std::string other = Other(heir);
   Fleet fleet;
-  const std::string job = BeginLasting(fleet, other);
+  const std::string job = BeginLasting(fleet, other, other);
   fleet.Kill(heir);
   fleet.Run(seconds(20));  // nobody may take it for one that renews leases
   bool silent = false;
@@ -131,7 +85,7 @@
   silent = false;
   fleet.Run(seconds(5));
   CHECK(CountGone(fleet, "w0-1") == 0);
-  CHECK(CountRuns(fleet, job) == kTasks);
+  CHECK(CountRuns(fleet, job) == kLastingTasks);
   CheckPromises(fleet);
 }
 
@@ -143,7 +97,7 @@
 void PlayReturn(Duration back, Duration late, Duration frozen) {
   const std::string heir = Heir();
   Fleet fleet;
-  const std::string job = BeginLasting(fleet, heir);
+  const std::string job = BeginLasting(fleet, heir, heir);
   const Time begin = fleet.now();
   bool silent = false;
   fleet.store_fault = [&](const std::string& node, const StoreRequest& it) {
@@ -208,7 +162,7 @@
 TEST_CASE("A worker that has another owner by now is not taken for gone") {
   const std::string heir = Heir();
   Fleet fleet;
-  const std::string job = BeginLasting(fleet, heir);
+  const std::string job = BeginLasting(fleet, heir, heir);
   fleet.Kill("n0");
   fleet.Run(seconds(5));
   REQUIRE(fleet.state(heir).owned.at("w0-1").claimed);
@@ -221,7 +175,7 @@
   fleet.Run(seconds(12));
   CHECK(fleet.state("n0").owned.at("w0-1").claimed);
   CHECK(CountGone(fleet, "w0-1") == 0);
-  CHECK(CountRuns(fleet, job) == kTasks);
+  CHECK(CountRuns(fleet, job) == kLastingTasks);
   CheckPromises(fleet);
 }
 
@@ -232,7 +186,7 @@
 // for the run and gets no answer.
 TEST_CASE("A lost worker that its new owner has never seen is found gone") {
   Fleet fleet;
-  const std::string job = BeginLasting(fleet, "n1");
+  const std::string job = BeginLasting(fleet, "n1", "n1");
   fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
   fleet.Kill("n0");
   fleet.worker("w0").Crash(fleet.now(), "w0-2");
@@ -241,9 +195,9 @@
   fleet.Run(milliseconds(500));
   fleet.Start("n0");
   fleet.Run(seconds(9));
-  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
   fleet.Run(seconds(20));
-  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
   CheckPromises(fleet);
 }
 
@@ -254,7 +208,7 @@
 TEST_CASE("A worker that dies during its owner's last stop is gone in time") {
   for (int it = 0; it < 8; ++it) {
     Fleet fleet;
-    const std::string job = BeginLasting(fleet, "n1");
+    const std::string job = BeginLasting(fleet, "n1", "n1");
     fleet.Run(milliseconds(250 * it));
     fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
     fleet.StopPlanned("n0");
@@ -265,7 +219,7 @@
     fleet.store.Remove("worker/w0-1");
     fleet.Run(kBackAtWork - milliseconds(2600));
     INFO("stopped " << 250 * it << " ms later");
-    CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+    CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
     CheckPromises(fleet);
   }
 }
@@ -274,14 +228,14 @@
 // as one that may be cut off and renew leases for 12 s more.
 TEST_CASE("A worker that is lost for good with its owner is gone in time") {
   Fleet fleet;
-  const std::string job = BeginLasting(fleet, "n1");
+  const std::string job = BeginLasting(fleet, "n1", "n1");
   fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
   fleet.Kill("n0");
   fleet.worker("w0").Crash(fleet.now(), "w0-2");
   fleet.Run(milliseconds(4500));
   fleet.store.Remove("worker/w0-1");
   fleet.Run(kBackAtWork - milliseconds(4500));
-  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
   CheckPromises(fleet);
 }
 
@@ -291,7 +245,7 @@
 // asks it, at its own address, and gets no answer.
 TEST_CASE("A process knows that the one before it on its machine has ended") {
   Fleet fleet;
-  const std::string job = BeginLasting(fleet, "n1");
+  const std::string job = BeginLasting(fleet, "n1", "n1");
   const Time begin = fleet.now();
   fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
   fleet.store_fault = [&](const std::string& node, const StoreRequest& it) {
@@ -308,7 +262,7 @@
   fleet.store.Remove("worker/w0-1");
   // A lease after it has registered, and what claiming and asking takes.
   fleet.Run(milliseconds(3500 + 6420 + 1500 - 4500));
-  CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+  CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
   CheckPromises(fleet);
 }
 
@@ -321,7 +275,7 @@
   constexpr Duration kSuspended = milliseconds(4500);
   for (int it = 0; it < 8; ++it) {
     Fleet fleet;
-    const std::string job = BeginLasting(fleet, heir);
+    const std::string job = BeginLasting(fleet, heir, heir);
     fleet.store_fault = [&](const std::string& node, const StoreRequest&) {
       return node == "n0" ? StoreFault::kRefuse : StoreFault::kNone;
     };
@@ -339,7 +293,7 @@
 TEST_CASE("A worker that died in a loss of power of all is gone in time") {
   for (const bool all_back : {true, false}) {
     Fleet fleet;
-    const std::string job = BeginLasting(fleet, "n1");
+    const std::string job = BeginLasting(fleet, "n1", "n1");
     fleet.order_fault = UnreachedFor({"n0", "n1", "n2"});
     for (const std::string& it : fleet.nodes()) {
       fleet.Kill(it);
@@ -355,7 +309,7 @@
     fleet.store.Remove("worker/w0-1");
     fleet.Run(kBackAtWork - milliseconds(2500));
     INFO("all back " << all_back);
-    CHECK(AtWork(fleet, job, "w0-1").size() == kTasks);
+    CHECK(AtWork(fleet, job, "w0-1").size() == kLastingTasks);
     CheckPromises(fleet);
   }
 }
@@ -388,9 +342,9 @@
   CHECK(fleet.state(heir).view.at("w0-1").accepting);
   CHECK_FALSE(fleet.state(heir).view.at("w0-1").gone);
   const std::string job = "j1";
-  fleet.Submit("n0", job, Lasting(kTasks));
+  fleet.Submit("n0", job, Lasting(kLastingTasks));
   fleet.Run(seconds(1));
-  REQUIRE(CountRuns(fleet, job) == kTasks);
+  REQUIRE(CountRuns(fleet, job) == kLastingTasks);
   fleet.order_fault = UnreachedFor({"n1", "n2"});
   fleet.Kill("n0");
   fleet.Run(seconds(8));
