Tests: Lists an ended life of a worker again

All instances then took the present life at that address for ended. Here that entry is written by hand.

--- a/Tests/engine/dead_worker_test.cc
+++ b/Tests/engine/dead_worker_test.cc
@@ -1,4 +1,6 @@
 // Workers that die while their owners change: what ran there is run again soon.
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "engine/lasting_job.h"
@@ -107,6 +109,40 @@
   CheckPromises(fleet);
 }
 
+// A worker crashed behind a cut and another life of it came at its address. When
+// the cut healed, a heartbeat that the first life had sent 12 s before reached
+// the store, with a higher revision than the entry of the second. All instances
+// took the second life for ended, since the first seemed to have come after it,
+// and its four tasks ran twice. The log had worker_gone with the cause
+// "replaced" for the second life, and worker_claimed with running=4 for it 1.2 s
+// later.
+TEST_CASE("A late entry of an ended life does not end the present one") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.worker("w0").Crash(fleet.now(), "w0-2");
+  fleet.store.Put("worker/w0-2", "w0|a|s|8000|0");
+  fleet.store.Remove("worker/w0-1");
+  fleet.Run(seconds(3));
+  PlanAll(fleet, {.endless = true});
+  const std::string job = JobFor(fleet, "n1");
+  fleet.Submit("n1", job, Lasting(kLastingTasks));
+  fleet.Run(seconds(1));
+  REQUIRE(CountRuns(fleet, job) == kLastingTasks);
+  fleet.AddWorkers(2);
+  PlanAll(fleet, {.endless = true});
+  fleet.store.Put("worker/w0-1", "w0|a|s|8000|0");
+  fleet.Run(seconds(5));
+  CHECK(CountRuns(fleet, job) == kLastingTasks);
+  CheckPromises(fleet);
+  // A life that has ended is claimed once, not until its entry lapses.
+  const auto claims = std::count_if(
+      fleet.log.begin(), fleet.log.end(), [](const LogLine& line) {
+        return line.number == EventNumber::kWorkerGone &&
+               line.fields.front().value == "w0-1";
+      });
+  CHECK(claims <= 2);
+}
+
 }  // namespace
 
 }  // namespace burdockrock::engine
