Engine: Asks at the address which of two lives is there

Cause: an entry of another life at a worker's address counted as the later one, though a cut may hold up what an ended life has sent. Ruled out: comparing the entries' revisions, as the late one is the higher. Change: nobody ends a life by the list alone, the owners ask at the address; what is gone leaves the list at once.

--- a/Source/engine/worker_list.cc
+++ b/Source/engine/worker_list.cc
@@ -7,19 +7,17 @@
 
 namespace {
 
-// Another life of the worker answers at the address: the earlier one has ended
-// with all that ran there.
-void EndEarlierLives(Context& context, const WorkerInfo& info) {
-  std::vector<std::string> ended;
-  for (const auto& [id, it] : context.state.workers) {
-    if (id != info.id && it.info.address == info.address) {
-      ended.push_back(id);
+// Of two lives at one address at most one is there, and the list can't tell
+// which: an entry that a life sent before it ended may be stored long after its
+// successor's, as when a cut held it up. Taken for the later one it would end
+// its successor, whose tasks would then run twice. So the workers' owners ask at
+// the address, where only the one that is there answers.
+void AskEarlierLives(Context& context, const WorkerInfo& info) {
+  for (auto& [id, worker] : context.state.owned) {
+    if (id != info.id && worker.info.address == info.address) {
+      worker.proof_wanted = worker.claimed;
     }
   }
-  for (const std::string& it : ended) {
-    context.state.workers.erase(it);
-    WorkerIsGone(context, it, "replaced");
-  }
 }
 
 }  // namespace
@@ -36,7 +34,7 @@
   const auto& info = std::get<WorkerInfo>(decoded);
   const bool is_new = !context.state.workers.contains(id);
   if (is_new) {
-    EndEarlierLives(context, info);
+    AskEarlierLives(context, info);
   }
   ListedWorker& worker = context.state.workers[id];
   const bool changed = is_new || worker.info != info || !worker.listed;
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/worker_owner.cc
@@ -252,7 +252,6 @@
     DriveRuns(context, id, worker);
   }
   for (const std::string& it : gone) {
-    context.state.workers.erase(it);
     WorkerIsGone(context, it, "silent past its leases");
   }
   ForgetGone(context);
@@ -350,6 +349,9 @@
 }
 
 void WorkerIsGone(Context& context, const std::string& id, const char* cause) {
+  // Left in the list it would be claimed again with each review until its entry
+  // lapses: 12 claims and as many lines of the log in 5 s.
+  context.state.workers.erase(id);
   const auto node = context.state.owned.extract(id);
   if (!node.empty()) {
     context.Log(EventNumber::kWorkerGone,
