Engine: Asks the service of machines what became of silent workers

Cause: only leases that have run out told that a worker had died with an owner that never returns, 18.4 s after the claim, as both could be cut off. Ruled out: shorter leases, which end running work in every outage; the store's list, which lacks cut-off workers too. Change: the owner of a silent worker lists the machines; a life that no machine has is over.

--- a/Source/engine/upkeep.cc
+++ b/Source/engine/upkeep.cc
@@ -11,6 +11,7 @@
 #include "engine/run_progress.h"
 #include "engine/store_calls.h"
 #include "engine/upkeep_rule.h"
+#include "engine/worker_lives.h"
 #include "engine/worker_owner.h"
 
 namespace burdockrock::engine {
@@ -158,6 +159,14 @@
   for (auto& [number, wave] : upkeep.waves) {
     TakeListing(wave, upkeep.machines, upkeep.list_asked);
   }
+  TakeLives(context, upkeep.machines, upkeep.list_asked);
+}
+
+void AskForList(Context& context) {
+  UpkeepState& upkeep = context.state.upkeep;
+  upkeep.list_asked = context.now;
+  upkeep.reading.clear();
+  Call(context, ListMachines{});
 }
 
 MachineProgress* FindOrdered(Context& context, const BeginUpkeep& order) {
@@ -229,16 +238,14 @@
   if (standby) {
     ReviewPressure(context);
   }
-  if (!(open || standby) || !HoldsDuty(context)) {
-    upkeep.listed = false;
-    return;
-  }
-  if (!upkeep.in_flight && context.now >= upkeep.retry_at &&
-      HasPassed(context.now, upkeep.list_asked, kListInterval)) {
-    upkeep.list_asked = context.now;
-    upkeep.reading.clear();
-    Call(context, ListMachines{});
+  const bool on_duty = (open || standby) && HoldsDuty(context);
+  const bool may_list = !upkeep.in_flight && context.now >= upkeep.retry_at;
+  const bool list_due =
+      on_duty && HasPassed(context.now, upkeep.list_asked, kListInterval);
+  if (may_list && (list_due || WantsLives(context))) {
+    AskForList(context);
   }
+  upkeep.listed = upkeep.listed && on_duty;
   if (!upkeep.listed) {
     return;
   }
@@ -265,6 +272,10 @@
   } else if (const auto* page = std::get_if<MachinePage>(&event.answer)) {
     TakePage(context, *page);
   }
+  const bool listing = std::holds_alternative<ListMachines>(event.request);
+  if (listing && std::holds_alternative<MachineRefused>(event.answer)) {
+    upkeep.retry_at = context.now + kListInterval;  // too many asked at once
+  }
   const auto* none = std::get_if<MachineUnanswered>(&event.answer);
   if (none != nullptr) {
     upkeep.retry_at = context.now + kCallRetry;
--- /dev/null
+++ b/Source/engine/worker_lives.cc
@@ -0,0 +1,65 @@
+#include "engine/worker_lives.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "engine/worker_owner.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// A worker that is paused or slow answers within this time, and a list that
+// lags has a worker by then that was new when it fell silent.
+constexpr Duration kSilentFor = milliseconds(1200);
+// Between two listings of one instance: its share of the service's rate, which
+// is some ten listings a second, grows smaller with each member. At 30 members
+// that all have silent workers they make 8 listings a second.
+constexpr Duration kLivesInterval = milliseconds(1000);
+constexpr Duration kLivesIntervalPerMember = milliseconds(90);
+
+bool IsInDoubt(const Context& context, const OwnedWorker& worker) {
+  return IsSilent(worker) &&
+         HasPassed(context.now, worker.silent_since, kSilentFor);
+}
+
+}  // namespace
+
+bool WantsLives(const Context& context) {
+  const State& state = context.state;
+  const Duration interval =
+      kLivesInterval +
+      kLivesIntervalPerMember *
+          static_cast<std::int64_t>(state.members.present.size());
+  return HasPassed(context.now, state.upkeep.list_asked, interval) &&
+         std::any_of(
+             state.owned.begin(), state.owned.end(),
+             [&](const auto& it) { return IsInDoubt(context, it.second); });
+}
+
+void TakeLives(Context& context, const MachineList& machines, Time asked) {
+  std::set<std::string> alive;
+  for (const auto& [name, machine] : machines) {
+    if (machine.state == MachineState::kUp) {
+      alive.insert(machine.worker);
+    }
+  }
+  // An empty list says that the service has lost its own state.
+  if (alive.empty()) {
+    return;
+  }
+  std::vector<std::string> ended;
+  for (const auto& [id, worker] : context.state.owned) {
+    if (IsSilent(worker) && worker.silent_since + kSilentFor <= asked &&
+        !alive.contains(id)) {
+      ended.push_back(id);
+    }
+  }
+  for (const std::string& it : ended) {
+    WorkerIsGone(context, it, "its machine runs another worker or none");
+  }
+}
+
+}  // namespace burdockrock::engine
