Engine: Says what tasks wait for after a second

Change: event 516 names cause, room, room at ticketed workers, tickets and ruled out workers of a step, bounded as the other reminders are. It decides nothing.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -71,23 +71,6 @@
   return ticket.expires > context.now + kTicketMargin;
 }
 
-// How many more tasks of the step may start at the worker. What counts the room
-// otherwise than placement does takes for enough what never is.
-std::int64_t CountStarts(const ReadyStep& ready,
-                         const std::map<std::string, std::uint32_t>& placed,
-                         const PlacementNeed& need,
-                         const WorkerInfo& worker,
-                         const Resources& free) {
-  const std::int64_t room = CountRoomFor(need, worker, free);
-  const std::uint32_t spread = ready.spec().spread;
-  if (spread == 0) {
-    return room;
-  }
-  const auto it = placed.find(worker.id);
-  const std::uint32_t there = it == placed.end() ? 0 : it->second;
-  return std::min<std::int64_t>(room, there < spread ? spread - there : 0);
-}
-
 // The workers with a ticket have room for all tasks that wait.
 bool HasEnough(const Context& context, const ReadyStep& ready) {
   const auto waiting = static_cast<std::int64_t>(CountWaiting(ready.run()));
--- a/Source/engine/notices.cc
+++ b/Source/engine/notices.cc
@@ -12,6 +12,8 @@
 #include "engine/job_table.h"
 #include "engine/lease_bounds.h"
 #include "engine/open_work.h"
+#include "engine/placing.h"
+#include "engine/step_waits.h"
 #include "engine/watches.h"
 #include "engine/worker_list.h"
 #include "engine/worker_owner.h"
@@ -142,6 +144,32 @@
   reminders.EndRound();
 }
 
+// Else nobody could tell whether a task waited for room, for tickets or for a
+// word of others: tasks have waited for 40 s beside free room unseen.
+void LookAtWaits(Context& context) {
+  Reminders& reminders = context.state.notices.waits;
+  for (const ReadyStep& it : ReadySteps(context)) {
+    const Time since = OldestWait(it);
+    const std::string step = StepName(
+        {.job = it.job->id, .occurrence = it.occurrence, .step = it.step});
+    if (since == kForever || !reminders.IsDue(step, context.now, since)) {
+      continue;
+    }
+    const StepWait wait = WaitOf(context, it);
+    context.Log(EventNumber::kTasksWait,
+                {{"step", step},
+                 {"cause", WaitCauseName(wait.cause)},
+                 {"for_ms", Milliseconds(context.now - since)},
+                 {"tasks", std::to_string(wait.tasks)},
+                 {"room", std::to_string(wait.room)},
+                 {"ticketed", std::to_string(wait.ticketed)},
+                 {"tickets", std::to_string(wait.tickets)},
+                 {"denied", std::to_string(wait.denied)},
+                 {"asked_ms", Milliseconds(wait.asked)}});
+  }
+  reminders.EndRound();
+}
+
 // TASK/RUN@WORKER@OWNER of the first few.
 std::string DescribeRuns(const Context& context,
                          const std::vector<OpenRun>& runs) {
@@ -212,6 +240,7 @@
   LookAtRecoveries(context);
   LookAtClaims(context);
   LookAtStops(context);
+  LookAtWaits(context);
 }
 
 void NoteRecovered(Context& context, const Job& job) {
--- a/Source/engine/placing.cc
+++ b/Source/engine/placing.cc
@@ -462,6 +462,21 @@
   return placed;
 }
 
+std::int64_t CountStarts(const ReadyStep& ready,
+                         const std::map<std::string, std::uint32_t>& placed,
+                         const PlacementNeed& need,
+                         const WorkerInfo& worker,
+                         const Resources& free) {
+  const std::int64_t room = CountRoomFor(need, worker, free);
+  const std::uint32_t spread = ready.spec().spread;
+  if (spread == 0) {
+    return room;
+  }
+  const auto it = placed.find(worker.id);
+  const std::uint32_t there = it == placed.end() ? 0 : it->second;
+  return std::min<std::int64_t>(room, there < spread ? spread - there : 0);
+}
+
 bool MayPreempt(const Context& context, const ReadyStep& ready) {
   return ready.queue->priority == 0 && ready.run().ready_at != kForever &&
          HasPassed(context.now, ready.run().ready_at, kPreemptAfter);
--- a/Source/engine/placing.h
+++ b/Source/engine/placing.h
@@ -2,6 +2,7 @@
 #ifndef BURDOCKROCK_ENGINE_PLACING_H_
 #define BURDOCKROCK_ENGINE_PLACING_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -41,6 +42,15 @@
 // What one task of the step needs of a worker.
 PlacementNeed NeedOf(const ReadyStep& ready);
 
+// How many more tasks of the step may start at the worker, with this much free
+// there. What counts the room otherwise than placement does takes for enough
+// what never is.
+std::int64_t CountStarts(const ReadyStep& ready,
+                         const std::map<std::string, std::uint32_t>& placed,
+                         const PlacementNeed& need,
+                         const WorkerInfo& worker,
+                         const Resources& free);
+
 void DrivePlacement(Context& context);
 
 }  // namespace burdockrock::engine
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -392,6 +392,7 @@
   Reminders claims{};      // by worker
   Reminders stops{};       // by worker
   Reminders cancels{};     // by job
+  Reminders waits{};       // by step
   // When the cancel of a job that may still run was acknowledged.
   std::map<std::string, Time> cancelled{};
 };
--- /dev/null
+++ b/Source/engine/step_waits.cc
@@ -0,0 +1,117 @@
+#include "engine/step_waits.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "engine/candidates.h"
+#include "engine/placement_rule.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+bool HasValidTicket(const Context& context,
+                    const ReadyStep& ready,
+                    const std::string& worker) {
+  const auto it = ready.run().tickets.find(worker);
+  return it != ready.run().tickets.end() &&
+         it->second.expires > context.now + kTicketMargin;
+}
+
+void CountRoom(const Context& context, const ReadyStep& ready, StepWait& wait) {
+  const PlacementNeed need = NeedOf(ready);
+  const auto placed = CountPlaced(ready);
+  for (const Candidate& it : CandidatesOf(context, ready.queue->service)) {
+    if (!MayRunOn(ready.spec(), *it.worker) ||
+        ready.run().denied.contains(it.worker->id)) {
+      continue;
+    }
+    const auto fits = static_cast<std::size_t>(
+        CountStarts(ready, placed, need, *it.worker, it.free));
+    wait.room += fits;
+    if (HasValidTicket(context, ready, it.worker->id)) {
+      wait.ticketed += fits;
+      ++wait.tickets;
+    }
+  }
+}
+
+bool Waits(const ReadyStep& ready, const Task& task) {
+  return task.phase == TaskPhase::kWaiting ||
+         (task.phase == TaskPhase::kUnknown && ready.job->recovering);
+}
+
+WaitCause CauseOf(const ReadyStep& ready,
+                  const StepWait& wait,
+                  bool all_pause) {
+  if (ready.job->recovering && !ready.spec().lasting) {
+    return WaitCause::kRecovery;
+  }
+  if (!ready.job->stored || !ready.job->verified) {
+    return WaitCause::kRecord;
+  }
+  if (all_pause) {
+    return WaitCause::kPause;
+  }
+  const std::size_t usable = ready.queue->advice ? wait.ticketed : wait.room;
+  if (usable > 0) {
+    return WaitCause::kPlacement;
+  }
+  if (wait.room == 0) {
+    return WaitCause::kRoom;
+  }
+  return ready.run().asking ? WaitCause::kAdvice : WaitCause::kTickets;
+}
+
+}  // namespace
+
+const char* WaitCauseName(WaitCause cause) {
+  switch (cause) {
+    case WaitCause::kRecovery:
+      return "recovery";
+    case WaitCause::kRecord:
+      return "record";
+    case WaitCause::kAdvice:
+      return "advice";
+    case WaitCause::kTickets:
+      return "tickets";
+    case WaitCause::kRoom:
+      return "room";
+    case WaitCause::kPause:
+      return "pause";
+    case WaitCause::kPlacement:
+      return "placement";
+  }
+  return "";
+}
+
+Time OldestWait(const ReadyStep& ready) {
+  Time since = kForever;
+  for (const Task& it : ready.run().tasks) {
+    if (Waits(ready, it)) {
+      since = std::min(since, std::max(it.since, ready.run().ready_at));
+    }
+  }
+  return since;
+}
+
+StepWait WaitOf(const Context& context, const ReadyStep& ready) {
+  StepWait wait;
+  bool all_pause = true;
+  for (const Task& it : ready.run().tasks) {
+    if (Waits(ready, it)) {
+      ++wait.tasks;
+      all_pause = all_pause && it.retry_at > context.now;
+    }
+  }
+  CountRoom(context, ready, wait);
+  wait.denied = ready.run().denied.size();
+  if (ready.run().asked_at != Time::min()) {
+    wait.asked = context.now - ready.run().asked_at;
+  }
+  wait.cause = CauseOf(ready, wait, all_pause);
+  return wait;
+}
+
+}  // namespace burdockrock::engine
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -153,6 +153,8 @@
      "A worker has not answered the order to stop a run; it is repeated"},
     {EventNumber::kRunsDone, Level::kInfo, "runs_done",
      "Workers listed the ends of runs that ended done, within half a second"},
+    {EventNumber::kTasksWait, Level::kInfo, "tasks_wait",
+     "Tasks of a step whose turn has come have waited for over a second"},
     {EventNumber::kConfigurationApplied, Level::kInfo, "configuration_applied",
      "A configuration is in force in this process"},
     {EventNumber::kConfigurationRefusedOlder, Level::kWarning,
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -85,6 +85,7 @@
   kPreempted = 513,
   kStopUnanswered = 514,
   kRunsDone = 515,
+  kTasksWait = 516,
 
   // Configuration
   kConfigurationApplied = 601,
--- a/Tests/engine/notices_test.cc
+++ b/Tests/engine/notices_test.cc
@@ -124,6 +124,27 @@
   CheckPromises(fleet);
 }
 
+// Tasks of a wide step waited for 40 s with most of the workers' room free. No
+// line of the log said whether they waited for room, advice, or word of others.
+TEST_CASE("Tasks that wait for over a second say for what") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n0", "j1", OneStep(6, 8000));
+  fleet.Run(seconds(1));
+  fleet.Submit("n1", "j2", OneStep(2, 8000));
+  fleet.Run(milliseconds(900));
+  CHECK(LinesOf(fleet, EventNumber::kTasksWait).empty());
+  fleet.Run(seconds(4));
+  const auto lines = LinesOf(fleet, EventNumber::kTasksWait);
+  REQUIRE(lines.size() == 3);  // after 1 s, 1 s later and 2 s later
+  CHECK(FieldOf(lines[0], "step").starts_with("j2.0.0"));
+  CHECK(FieldOf(lines[0], "cause") == "room");
+  CHECK(NumberOf(lines[0], "tasks") == 2);
+  CHECK(NumberOf(lines[0], "room") == 0);
+  CHECK(NumberOf(lines[0], "for_ms") >= 1000);
+}
+
 TEST_CASE("A quiet adoption is told by one line of its recovery") {
   Fleet fleet;
   fleet.Settle();
