Tests: Lets steps wait beside room that no call for advice promises

Cause: a call had to promise a start, and three in ten of a wide step's tasks, by the chance that an unknown worker is allowed.

--- a/Tests/engine/advice_test.cc
+++ b/Tests/engine/advice_test.cc
@@ -1,4 +1,7 @@
 // Steps that may use only advised workers, and how many of them they ask for.
+#include <set>
+#include <string>
+
 #include <doctest/doctest.h>
 
 #include "engine/fleet.h"
@@ -64,6 +67,41 @@
   CheckPromises(fleet);
 }
 
+// A job of one task had no run at all 48 s after it was accepted, with most of
+// the room of the 13 workers of its service free. The first call for advice
+// named 12 of them and all were ruled out. Another call had to promise one
+// start, and the last worker, which has room for two tasks, promised 0.8 by the
+// chance that it may run the step: it was never asked for.
+TEST_CASE("The last workers are asked for however little they promise") {
+  Fleet fleet({.workers = 13, .advice = true});
+  fleet.Settle();
+  PlanAll(fleet, {.takes = milliseconds(500)});
+  std::set<std::string> named;
+  fleet.allows = [&](const std::string&, const std::string& worker) {
+    named.insert(worker);
+    return named.size() == 13;
+  };
+  fleet.Submit("n0", "j1", OneStep(1, 3000));
+  fleet.Run(seconds(2));
+  CHECK(CountEnds(fleet, RunEnd::kDone) == 1);
+}
+
+// A step of 20 tasks shares its service with work that takes what gets free. A
+// call for advice had to promise a start for three in ten of the tasks that
+// wait; room for one or two at a time is free all day, never for six.
+TEST_CASE("A wide step takes the little room that gets free") {
+  Fleet fleet({.workers = 13, .advice = true});
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n0", "j1", OneStep(12, 8000));
+  fleet.Run(seconds(1));
+  REQUIRE(CountRuns(fleet, "j1") == 12);
+  PlanAll(fleet, {.takes = milliseconds(500)});
+  fleet.Submit("n1", "j2", OneStep(20, 8000));
+  fleet.Run(seconds(14));
+  CHECK(CountRuns(fleet, "j2") >= 15);
+}
+
 }  // namespace
 
 }  // namespace burdockrock::engine
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -482,7 +482,9 @@
   const std::uint64_t life = nodes_.at(node).life;
   AdviceGiven given;
   for (const std::string& it : call.request.workers) {
-    given.allowed.push_back({.worker = it, .ticket = "t"});
+    if (allows(call.request.step, it)) {
+      given.allowed.push_back({.worker = it, .ticket = "t"});
+    }
   }
   At(now_ + milliseconds(20), [this, node, life, call, given] {
     Deliver(node, life,
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -132,6 +132,9 @@
                        const WorkerRequest&) { return OrderFault::kNone; };
   std::function<bool(const std::string& from, const std::string& to)> is_cut =
       [](const std::string&, const std::string&) { return false; };
+  // Whether advice allows a step (StepName) on a worker.
+  std::function<bool(const std::string& step, const std::string& worker)>
+      allows = [](const std::string&, const std::string&) { return true; };
   // Runs a step of an instance, for whoever measures it.
   std::function<
       Effects(const std::string& node, State& state, const Event& event)>
