Engine: Asks for advice for the little room there is

Cause: a call for a step that was asked for before had to promise one start, and three in ten of those that wait, for good: the last unknown workers never did. Room at ticketed workers that placement passes over counted as enough. Ruled out: no threshold at all, as all waiting steps would ask for the same few workers.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "engine/advice_rule.h"
 #include "engine/candidates.h"
 #include "engine/job_table.h"
 #include "engine/membership.h"
@@ -35,11 +36,6 @@
 constexpr Duration kAhead = milliseconds(400);
 // Between two questions about one step, beside the time of a decision.
 constexpr Duration kWiden = milliseconds(150);
-// A call for a step that was asked about before must let so many tasks start,
-// as far as can be expected, and this share of those that wait: waiting steps
-// would otherwise take all turns.
-constexpr double kMinStarts = 1;
-constexpr double kMinStartShare = 0.3;
 // The chance that a worker of which nothing is known may run the step; the
 // queues' policies allow 0.35 to 0.7 of them.
 constexpr double kAllowedShare = 0.4;
@@ -78,13 +74,14 @@
   const auto placed = CountPlaced(ready);
   std::int64_t fits = 0;
   for (const auto& [worker, ticket] : ready.run().tickets) {
-    const auto view = context.state.view.find(worker);
-    const ListedWorker* listed = FindWorker(context.state, worker);
-    const bool usable = IsValid(context, ticket) && listed != nullptr &&
-                        view != context.state.view.end() &&
-                        view->second.accepting;
-    if (usable) {
-      fits += CountStarts(ready, placed, need, listed->info, view->second.free);
+    const auto listed = context.state.workers.find(worker);
+    if (listed == context.state.workers.end() || !IsValid(context, ticket)) {
+      continue;
+    }
+    // Room at a worker that placement passes over would be enough for ever.
+    const RoomView* view = UsableView(context.state, worker, listed->second);
+    if (view != nullptr) {
+      fits += CountStarts(ready, placed, need, listed->second.info, view->free);
     }
   }
   return fits >= waiting;
@@ -179,11 +176,10 @@
       starts += it.fits * (it.allowed ? 1 : kAllowedShare);
     }
   }
-  const bool asked = ready.run().advised_at != kForever;
-  const double least =
-      std::max(kMinStarts,
-               kMinStartShare * static_cast<double>(CountWaiting(ready.run())));
-  if (asked && starts < least) {
+  const StepRun& step = ready.run();
+  const bool asked = step.advised_at != kForever;
+  if (asked &&
+      starts < LeastStarts(CountWaiting(step), context.now - step.called_at)) {
     chosen.clear();
   }
   return chosen;
@@ -276,6 +272,7 @@
   const std::string member = ChooseCaller(context, expected);
   const std::uint64_t call = ++advice.last_call;
   ready.run().asked_at = context.now;
+  ready.run().called_at = context.now;
   ready.run().asking = true;
   const TaskName step{
       .job = ready.job->id, .occurrence = ready.occurrence, .step = ready.step};
--- a/Source/engine/candidates.cc
+++ b/Source/engine/candidates.cc
@@ -37,7 +37,9 @@
   }
 }
 
-// Null when it takes no tasks. All workers are asked for in hundreds of rounds
+}  // namespace
+
+// All workers are asked for in hundreds of rounds
 // a second, so neither the view nor its owner is looked up by name each time:
 // with that, collecting candidates took 13% of the reducer's time at one of 30
 // instances in place of 8%.
@@ -62,8 +64,6 @@
   return view->owner_is_member ? view : nullptr;
 }
 
-}  // namespace
-
 std::vector<Candidate> CandidatesOf(const Context& context,
                                     const std::string& service) {
   State& state = context.state;
--- a/Source/engine/candidates.h
+++ b/Source/engine/candidates.h
@@ -10,6 +10,11 @@
 
 namespace burdockrock::engine {
 
+// The room of a worker that takes tasks; null: it takes none.
+const RoomView* UsableView(State& state,
+                           const std::string& id,
+                           ListedWorker& listed);
+
 // The service's workers that take tasks, with their room.
 std::vector<Candidate> CandidatesOf(const Context& context,
                                     const std::string& service);
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -66,7 +66,8 @@
   std::uint32_t done = 0;
   std::map<std::string, StepTicket> tickets{};  // by worker
   std::set<std::string> denied{};               // workers
-  Time asked_at = Time::min();                  // for advice, last
+  Time asked_at = Time::min();   // whether to ask for advice, last
+  Time called_at = Time::min();  // for advice, last
   bool asking = false;
   // For the log, what it waited for. kForever: not yet.
   Time ready_at = kForever;    // its turn came
