Engine: Shares long calls for advice out and drops stale ones

Cause: questions that their askers had given up were put to the service all the same, so that more were given up; a third of the instances made short calls alone and stood idle. Change: a question carries its asker's patience, whoever makes the calls drops it after that; the short callers of a large fleet are one in eight beyond the first nine; who gave up counts that member as busier. Ruled out: one in five, as small fleets then have too few.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -25,10 +25,14 @@
 constexpr std::size_t kNamesPerTask = 2;
 // Calls that take this long are made by other instances than shorter ones.
 constexpr Duration kLongCall = milliseconds(100);
-// One instance in so many, rounded up, makes no long calls: short ones, 20 a
-// second and in bursts 50, fill half to one and a half instances' turns, and
-// must not wait.
+// Short calls must not wait behind long ones, so some instances make no long
+// ones: in a small fleet one in three, rounded up, of what comes beyond one in
+// eight, as short calls fill 2 to 5 instances' turns in fleets of 30 to 150.
+// More would stand idle beside full queues: at 20 instances 0.79 of tasks that
+// need long calls start within 2.5 s with one in three, 0.92 with this.
+constexpr std::size_t kSmallFleet = 9;
 constexpr std::size_t kMembersPerShortCaller = 3;
+constexpr std::size_t kFurtherPerShortCaller = 8;
 // An answer that does not come this long after it was due is asked for again.
 constexpr Duration kReplySlack = milliseconds(1500);
 // A step's tickets are asked for this long before its turn, beside the time
@@ -199,12 +203,17 @@
   std::vector<std::string> for_all{};
 };
 
+std::size_t CountShortCallers(std::size_t members) {
+  const std::size_t few = std::min(members, kSmallFleet);
+  return (few + kMembersPerShortCaller - 1) / kMembersPerShortCaller +
+         (members - few) / kFurtherPerShortCaller;
+}
+
 Callers CallersOf(const Context& context) {
   std::vector<std::string> members = OtherMembers(context);
   members.push_back(context.self());
   std::sort(members.begin(), members.end());
-  const std::size_t short_callers =
-      (members.size() + kMembersPerShortCaller - 1) / kMembersPerShortCaller;
+  const std::size_t short_callers = CountShortCallers(members.size());
   if (members.size() <= short_callers) {
     return {.for_short = members, .for_all = members};
   }
@@ -270,6 +279,7 @@
   AdviceState& advice = context.state.advice;
   const Duration expected = ExpectedTime(*ready.queue->advice, workers.size());
   const std::string member = ChooseCaller(context, expected);
+  const Duration patience = WaitAt(context, member) + expected + kReplySlack;
   const std::uint64_t call = ++advice.last_call;
   ready.run().asked_at = context.now;
   ready.run().called_at = context.now;
@@ -281,14 +291,15 @@
                  .step = StepName(step),
                  .priority = ready.queue->priority,
                  .expected = expected,
+                 .patience = patience,
                  .workers = workers});
-  advice.questions.emplace(
-      call, AdviceQuestion{.step = step,
-                           .member = member,
-                           .workers = std::move(workers),
-                           .expected = expected,
-                           .give_up = context.now + WaitAt(context, member) +
-                                      expected + kReplySlack});
+  advice.questions.emplace(call,
+                           AdviceQuestion{.step = step,
+                                          .member = member,
+                                          .workers = std::move(workers),
+                                          .expected = expected,
+                                          .asked = context.now,
+                                          .give_up = context.now + patience});
 }
 
 void TakeTickets(Time now,
@@ -328,6 +339,9 @@
       return false;
     }
     EndQuestion(context, it.second);
+    // It is busier than it has told.
+    Duration& wait = context.state.advice.waits[it.second.member];
+    wait = std::max(wait, context.now - it.second.asked);
     return true;
   });
 }
@@ -340,6 +354,16 @@
                           });
 }
 
+// Whoever has given a question up asks again: calls that are made all the same
+// keep others waiting, who then give up too. The service of 44 instances was
+// busy for 0.61 of its time on a day without trouble, mostly with these.
+void DropStaleTurns(Context& context) {
+  std::erase_if(context.state.advice.turns, [&](const AdviceTurn& it) {
+    return it.ask.patience != Duration(0) &&
+           context.now >= it.arrived + it.ask.patience;
+  });
+}
+
 }  // namespace
 
 void DriveAdvice(Context& context) {
@@ -362,8 +386,11 @@
 
 void DriveAdviceTurns(Context& context) {
   AdviceState& advice = context.state.advice;
-  if (advice.in_flight || advice.turns.empty() ||
-      context.now < advice.retry_at) {
+  if (advice.in_flight || context.now < advice.retry_at) {
+    return;
+  }
+  DropStaleTurns(context);
+  if (advice.turns.empty()) {
     return;
   }
   const auto next = NextTurn(advice.turns);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -311,6 +311,7 @@
   std::string member{};  // that asks the service
   std::vector<std::string> workers{};
   Duration expected{0};
+  Time asked{0};
   Time give_up{0};
 };
 
--- a/Tests/engine/advice_test.cc
+++ b/Tests/engine/advice_test.cc
@@ -128,7 +128,7 @@
                          .workers = {"w0-1"}});
   }
   fleet.Run(seconds(2));
-  CHECK(steps == std::vector<std::string>{"j0.0.0", "j1.0.0"});
+  CHECK(fmt::format("{}", fmt::join(steps, " ")) == "j0.0.0 j1.0.0");
 }
 
 // The share of `spans` that are no longer than `most`.
@@ -185,8 +185,6 @@
 TEST_CASE("Long calls for advice are shared out over most instances") {
   const auto spans = PlayLongCalls();
   CHECK(ShareWithin(spans, milliseconds(2500)) >= 0.9);
-  MESSAGE("within 1.2 s: " << ShareWithin(spans, milliseconds(1200)));
-  MESSAGE("within 2.5 s: " << ShareWithin(spans, milliseconds(2500)));
 }
 
 }  // namespace
