Engine: Declines questions for advice that would wait too long

Cause: the members' waits are told up to 1.2 s late at 44 members, so questions queued for seconds at some while others stood idle, were given up and asked again. Change: whoever would let a question wait longer than its asker counts on declines it at once, up to three in a row; the wait counts what is left of the call that is made.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -32,7 +33,7 @@
 // need long calls start within 2.5 s with one in three, 0.92 with this.
 constexpr std::size_t kSmallFleet = 9;
 constexpr std::size_t kMembersPerShortCaller = 3;
-constexpr std::size_t kFurtherPerShortCaller = 8;
+constexpr std::size_t kFurtherPerShortCaller = 5;
 // An answer that does not come this long after it was due is asked for again.
 constexpr Duration kReplySlack = milliseconds(1500);
 // A step's tickets are asked for this long before its turn, beside the time
@@ -51,6 +52,13 @@
 // say nothing. About a third of that time at 30 members.
 constexpr Duration kWaitDoubt = milliseconds(250);
 
+// A member whose wait has grown since it told of it declines, and the question
+// goes to another one 3 ms later instead of waiting behind a second of calls.
+// After so many in a row all are busy, and it waits wherever it is. At 20
+// instances 0.93 of tasks that need long calls start within 1.2 s, 0.51
+// without.
+constexpr std::uint32_t kMostDeclines = 3;
+
 struct Named {
   std::string id;
   bool allowed = false;  // from an earlier answer, its ticket has lapsed
@@ -223,10 +231,24 @@
           .for_all = {middle, members.end()}};
 }
 
+// How long a call of this priority would wait here.
+Duration WaitBehind(const State& state, Time now, std::uint32_t priority) {
+  const AdviceState& advice = state.advice;
+  Duration wait{0};
+  if (advice.in_flight) {
+    const Duration gone = now - advice.called_at;
+    wait = std::max(advice.in_flight->ask.expected - gone, Duration(0));
+  }
+  for (const AdviceTurn& it : advice.turns) {
+    wait += it.ask.priority <= priority ? it.ask.expected : Duration(0);
+  }
+  return wait;
+}
+
 Duration WaitAt(const Context& context, const std::string& member) {
   const AdviceState& advice = context.state.advice;
   if (member == context.self()) {
-    return AdviceWait(context.state);
+    return AdviceWait(context.state, context.now);
   }
   const auto told = advice.waits.find(member);
   Duration wait = told == advice.waits.end() ? Duration(0) : told->second;
@@ -279,7 +301,11 @@
   AdviceState& advice = context.state.advice;
   const Duration expected = ExpectedTime(*ready.queue->advice, workers.size());
   const std::string member = ChooseCaller(context, expected);
-  const Duration patience = WaitAt(context, member) + expected + kReplySlack;
+  const Duration wait = WaitAt(context, member);
+  const Duration patience = wait + expected + kReplySlack;
+  const Duration doubt = expected >= kLongCall ? kWaitDoubt : kShortWait;
+  const bool may_decline =
+      member != context.self() && ready.run().declines < kMostDeclines;
   const std::uint64_t call = ++advice.last_call;
   ready.run().asked_at = context.now;
   ready.run().called_at = context.now;
@@ -292,6 +318,7 @@
                  .priority = ready.queue->priority,
                  .expected = expected,
                  .patience = patience,
+                 .most_wait = may_decline ? wait + doubt : Duration(0),
                  .workers = workers});
   advice.questions.emplace(call,
                            AdviceQuestion{.step = step,
@@ -396,6 +423,7 @@
   const auto next = NextTurn(advice.turns);
   advice.in_flight = std::move(*next);
   advice.turns.erase(next);
+  advice.called_at = context.now;
   context.Emit(CallAdvice{.request = {.step = advice.in_flight->ask.step,
                                       .workers = advice.in_flight->ask.workers},
                           .timeout = kAdviceTimeout});
@@ -404,6 +432,13 @@
 void OnAdviceAsk(Context& context,
                  const std::string& from,
                  const AdviceAsk& ask) {
+  const Duration wait = WaitBehind(context.state, context.now, ask.priority);
+  if (ask.most_wait != Duration(0) && wait > ask.most_wait) {
+    return Send(
+        context, from,
+        AdviceReply{
+            .call = ask.call, .failed = true, .declined = true, .wait = wait});
+  }
   context.state.advice.turns.push_back(
       {.from = from, .ask = ask, .arrived = context.now});
 }
@@ -420,6 +455,14 @@
   const QueuePolicy* queue =
       job == nullptr ? nullptr
                      : FindQueueByName(context.state.configuration, job->queue);
+  if (reply.declined && step != nullptr) {
+    ++step->declines;
+    step->asked_at = Time::min();  // another member is asked at once
+    return;
+  }
+  if (step != nullptr) {
+    step->declines = 0;
+  }
   if (reply.failed || step == nullptr || queue == nullptr || !queue->advice) {
     return;
   }
@@ -433,7 +476,8 @@
     return;
   }
   const AdviceTurn turn = *std::exchange(advice.in_flight, std::nullopt);
-  AdviceReply reply{.call = turn.ask.call, .wait = AdviceWait(context.state)};
+  AdviceReply reply{.call = turn.ask.call,
+                    .wait = AdviceWait(context.state, context.now)};
   if (const auto* failed = std::get_if<AdviceFailed>(&event.answer)) {
     advice.retry_at = context.now + kAdviceRetry;
     reply.failed = true;
@@ -447,14 +491,8 @@
   Send(context, turn.from, std::move(reply));
 }
 
-Duration AdviceWait(const State& state) {
-  const AdviceState& advice = state.advice;
-  Duration wait =
-      advice.in_flight ? advice.in_flight->ask.expected : Duration(0);
-  for (const AdviceTurn& it : advice.turns) {
-    wait += it.ask.expected;
-  }
-  return wait;
+Duration AdviceWait(const State& state, Time now) {
+  return WaitBehind(state, now, std::numeric_limits<std::uint32_t>::max());
 }
 
 }  // namespace burdockrock::engine
--- a/Source/engine/advice.h
+++ b/Source/engine/advice.h
@@ -23,8 +23,8 @@
 void OnAdviceReply(Context& context, const AdviceReply& reply);
 void OnAdviceAnswered(Context& context, const AdviceAnswered& event);
 
-// How long one more call would wait here.
-Duration AdviceWait(const State& state);
+// How long one more call would wait here, of any priority.
+Duration AdviceWait(const State& state, Time now);
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/digests.cc
+++ b/Source/engine/digests.cc
@@ -115,7 +115,7 @@
   }
   RoomDigest digest{.sequence = state.sequence,
                     .whole = true,
-                    .advice_wait = AdviceWait(context.state)};
+                    .advice_wait = AdviceWait(context.state, context.now)};
   AddRooms(context, AllOwn(context.state), digest);
   for (const auto& [queue, jobs] : CountAllWaiting(context.state)) {
     if (jobs != 0) {
@@ -219,7 +219,7 @@
   if (!change && !RemindIsDue(context)) {
     return;
   }
-  RoomDigest digest{.advice_wait = AdviceWait(context.state)};
+  RoomDigest digest{.advice_wait = AdviceWait(context.state, context.now)};
   AddRooms(context, std::exchange(state.changed, {}), digest);
   if (std::exchange(state.waiting_changed, false)) {
     AddWaiting(state, CountAllWaiting(context.state), digest);
--- a/Source/engine/job.h
+++ b/Source/engine/job.h
@@ -69,6 +69,7 @@
   Time asked_at = Time::min();   // whether to ask for advice, last
   Time called_at = Time::min();  // for advice, last
   bool asking = false;
+  std::uint32_t declines = 0;  // of its last question, in a row
   // For the log, what it waited for. kForever: not yet.
   Time ready_at = kForever;    // its turn came
   Time advised_at = kForever;  // first tickets
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/peer_fields.h
@@ -274,6 +274,7 @@
     codec.Optional("priority", it.priority, std::uint32_t{0});
     codec.Optional("expected_ms", it.expected, Duration(0));
     codec.Optional("patience_ms", it.patience, Duration(0));
+    codec.Optional("most_wait_ms", it.most_wait, Duration(0));
     codec.Field("workers", it.workers);
   }
 };
@@ -293,6 +294,7 @@
   static void Visit(Codec& codec, Value& it) {
     codec.Field("call", it.call);
     codec.Optional("failed", it.failed, false);
+    codec.Optional("declined", it.declined, false);
     codec.Optional("allowed", it.allowed, std::vector<engine::AdvisedWorker>());
     codec.Optional("advice_wait_ms", it.wait, Duration(0));
   }
--- a/Source/engine/peer_message.h
+++ b/Source/engine/peer_message.h
@@ -281,6 +281,8 @@
   std::uint32_t priority = 0;
   Duration expected{0};  // how long the service will take
   Duration patience{0};  // the asker waits so long; 0: for ever
+  // Whoever would have to let it wait longer declines it; 0: it may wait.
+  Duration most_wait{0};
   std::vector<std::string> workers{};
 
   auto operator<=>(const AdviceAsk&) const = default;
@@ -296,6 +298,7 @@
 struct AdviceReply {
   std::uint64_t call = 0;
   bool failed = false;
+  bool declined = false;  // not put to the service: it would wait too long
   std::vector<AdvisedWorker> allowed{};
   Duration wait{0};  // until the sender would ask for more advice
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -327,6 +327,7 @@
   std::map<std::uint64_t, AdviceQuestion> questions{};
   std::deque<AdviceTurn> turns{};
   std::optional<AdviceTurn> in_flight{};
+  Time called_at{0};  // for the turn in flight
   Time retry_at{0};
   std::map<std::string, Duration> waits{};  // of the members, as they told
 };
--- a/Tests/engine/advice_test.cc
+++ b/Tests/engine/advice_test.cc
@@ -184,7 +184,8 @@
 
 TEST_CASE("Long calls for advice are shared out over most instances") {
   const auto spans = PlayLongCalls();
-  CHECK(ShareWithin(spans, milliseconds(2500)) >= 0.9);
+  CHECK(ShareWithin(spans, milliseconds(1200)) >= 0.85);
+  CHECK(ShareWithin(spans, milliseconds(2500)) >= 0.98);
 }
 
 }  // namespace
--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -159,7 +159,7 @@
   std::vector<AdviceReply> replies;
   fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
     if (const auto* it = std::get_if<AdviceReply>(&send.message)) {
-      CHECK(it->wait == AdviceWait(fleet.state(from)));
+      CHECK(it->wait == AdviceWait(fleet.state(from), fleet.now()));
       replies.push_back(*it);
     }
   };
