Tests: Takes heartbeats with the worker's clock for changes

Cause: found by a profile of one of 44 instances, where reading entries of workers took 5.8% of the processor time.

--- a/Tests/platform/documents_test.cc
+++ b/Tests/platform/documents_test.cc
@@ -31,4 +31,22 @@
                                     R"({"zone":"\"sequence\":2"})"));
 }
 
+// Each entry tells the worker's clock, so no heartbeat was taken for one, and
+// all entries were read anew: on a profile of one of 44 instances that was 5.8%
+// of its processor time.
+TEST_CASE("A heartbeat that tells the worker's clock is one") {
+  const char* const before =
+      R"({"service":"s","clock_ms":482113,"sequence":4,"zone":"a"})";
+  CHECK(DiffersInSequenceOnly(
+      before, R"({"service":"s","clock_ms":483613,"sequence":5,"zone":"a"})"));
+  CHECK(DiffersInSequenceOnly(R"({"sequence":4,"clock_ms":482113})",
+                              R"({"sequence":15,"clock_ms":82113})"));
+  CHECK_FALSE(DiffersInSequenceOnly(
+      before, R"({"service":"t","clock_ms":483613,"sequence":5,"zone":"a"})"));
+  CHECK_FALSE(DiffersInSequenceOnly(
+      before, R"({"service":"s","clock_ms":483613,"sequence":5,"zone":"b"})"));
+  CHECK_FALSE(DiffersInSequenceOnly(
+      before, R"({"service":"s","sequence":5,"zone":"a"})"));
+}
+
 }  // namespace burdockrock::platform
