--- a/Tests/platform/documents_test.cc
+++ b/Tests/platform/documents_test.cc
@@ -8,11 +8,11 @@
 TEST_CASE("A heartbeat is told from a change of the worker's entry") {
   const char* const before =
       R"({"service":"s","sequence":9,"state":"ready","zone":"a"})";
-  CHECK(DiffersInSequenceOnly(before, before));
-  CHECK(DiffersInSequenceOnly(
+  CHECK(IsHeartbeat(before, before));
+  CHECK(IsHeartbeat(
       before, R"({"service":"s","sequence":10,"state":"ready","zone":"a"})"));
-  CHECK(DiffersInSequenceOnly(R"({"sequence": 9})", R"({"sequence": 10})"));
-  CHECK(DiffersInSequenceOnly(R"({"sequence":9)", R"({"sequence":10)"));
+  CHECK(IsHeartbeat(R"({"sequence": 9})", R"({"sequence": 10})"));
+  CHECK(IsHeartbeat(R"({"sequence":9)", R"({"sequence":10)"));
   const char* const changed[] = {
       R"({"service":"s","sequence":10,"state":"draining","zone":"a"})",
       R"({"service":"t","sequence":10,"state":"ready","zone":"a"})",
@@ -23,12 +23,12 @@
       ""};
   for (const char* it : changed) {
     CAPTURE(it);
-    CHECK_FALSE(DiffersInSequenceOnly(before, it));
+    CHECK_FALSE(IsHeartbeat(before, it));
   }
-  CHECK_FALSE(DiffersInSequenceOnly("", before));
+  CHECK_FALSE(IsHeartbeat("", before));
   // A name that only looks like the member's.
-  CHECK_FALSE(DiffersInSequenceOnly(R"({"zone":"\"sequence\":1"})",
-                                    R"({"zone":"\"sequence\":2"})"));
+  CHECK_FALSE(IsHeartbeat(R"({"zone":"\"sequence\":1"})",
+                          R"({"zone":"\"sequence\":2"})"));
 }
 
 // Each entry tells the worker's clock, so no heartbeat was taken for one, and
@@ -37,16 +37,16 @@
 TEST_CASE("A heartbeat that tells the worker's clock is one") {
   const char* const before =
       R"({"service":"s","clock_ms":482113,"sequence":4,"zone":"a"})";
-  CHECK(DiffersInSequenceOnly(
+  CHECK(IsHeartbeat(
       before, R"({"service":"s","clock_ms":483613,"sequence":5,"zone":"a"})"));
-  CHECK(DiffersInSequenceOnly(R"({"sequence":4,"clock_ms":482113})",
-                              R"({"sequence":15,"clock_ms":82113})"));
-  CHECK_FALSE(DiffersInSequenceOnly(
+  CHECK(IsHeartbeat(R"({"sequence":4,"clock_ms":482113})",
+                    R"({"sequence":15,"clock_ms":82113})"));
+  CHECK_FALSE(IsHeartbeat(
       before, R"({"service":"t","clock_ms":483613,"sequence":5,"zone":"a"})"));
-  CHECK_FALSE(DiffersInSequenceOnly(
+  CHECK_FALSE(IsHeartbeat(
       before, R"({"service":"s","clock_ms":483613,"sequence":5,"zone":"b"})"));
-  CHECK_FALSE(DiffersInSequenceOnly(
-      before, R"({"service":"s","sequence":5,"zone":"a"})"));
+  CHECK_FALSE(
+      IsHeartbeat(before, R"({"service":"s","sequence":5,"zone":"a"})"));
 }
 
 }  // namespace burdockrock::platform
