Engine: Names as many workers in a call for advice as the step needs

Cause: calls named 30 workers at most and 10 and 2 a task else, whatever room they had; the service worked five times as long as one call a step takes. Change: a call ends when the named workers promise 1.7 starts for each waiting task, 3 for a gang's, with 10 to 100 names.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -20,10 +20,12 @@
 
 namespace {
 
-// How many workers one call names: as many as the step has tasks, twice, since
-// only some of them are allowed, and some for those without room.
-constexpr std::size_t kSpareNames = 10;
-constexpr std::size_t kNamesPerTask = 2;
+// Workers without room now are named for the room that they may get, up to so
+// many in a call.
+constexpr std::size_t kRoomlessNames = 10;
+// By the length of a usual call a step is asked for ahead of its turn. Tickets
+// for the largest calls would lapse before their use.
+constexpr std::size_t kUsualNames = 30;
 // Calls that take this long are made by other instances than shorter ones.
 constexpr Duration kLongCall = milliseconds(100);
 // Short calls must not wait behind long ones, so some instances make no long
@@ -178,20 +180,22 @@
         return std::tuple(!left.has_room, !left.allowed, left.rank) <
                std::tuple(!right.has_room, !right.allowed, right.rank);
       });
-  const std::size_t wanted = std::min(
-      kMaxAdvised, kSpareNames + kNamesPerTask * CountWaiting(ready.run()));
+  AdviceCall call{.waiting = CountWaiting(ready.run()),
+                  .gang = ready.spec().gang};
   std::vector<std::string> chosen;
-  double starts = 0;
   for (const Named& it : names) {
-    if (chosen.size() < wanted) {
-      chosen.push_back(it.id);
-      starts += it.fits * (it.allowed ? 1 : kAllowedShare);
+    const bool roomless = !it.has_room && chosen.size() >= kRoomlessNames;
+    if (roomless || chosen.size() == kMaxAdvised || NamesEnough(call)) {
+      break;
     }
+    chosen.push_back(it.id);
+    ++call.named;
+    call.starts += it.fits * (it.allowed ? 1 : kAllowedShare);
   }
   const StepRun& step = ready.run();
   const bool asked = step.advised_at != kForever;
   if (asked &&
-      starts < LeastStarts(CountWaiting(step), context.now - step.called_at)) {
+      call.starts < LeastStarts(call.waiting, context.now - step.called_at)) {
     chosen.clear();
   }
   return chosen;
@@ -202,7 +206,7 @@
 }
 
 Duration LeadOf(const QueuePolicy& queue) {
-  return queue.advice ? kAhead + ExpectedTime(*queue.advice, kMaxAdvised)
+  return queue.advice ? kAhead + ExpectedTime(*queue.advice, kUsualNames)
                       : Duration(0);
 }
 
--- a/Source/engine/advice_rule.cc
+++ b/Source/engine/advice_rule.cc
@@ -13,6 +13,14 @@
 // with 100 waiting steps it makes 7 calls a second and instance of some 35 ms.
 constexpr Duration kPatience = std::chrono::milliseconds(500);
 
+// Fewer than these leave one call in forty without an allowed worker where the
+// policy allows three in ten.
+constexpr std::size_t kLeastNames = 10;
+// Starts for each waiting task: others start on the same workers meanwhile, and
+// the allowed ones are a random share. A gang needs all of its room at once.
+constexpr double kSurplus = 1.7;
+constexpr double kGangSurplus = 3;
+
 }  // namespace
 
 double LeastStarts(std::size_t waiting, Duration since_call) {
@@ -22,4 +30,10 @@
   return std::max(kMinStarts, kMinStartShare * static_cast<double>(waiting));
 }
 
+bool NamesEnough(const AdviceCall& call) {
+  const double surplus = call.gang ? kGangSurplus : kSurplus;
+  return call.named >= kLeastNames &&
+         call.starts >= surplus * static_cast<double>(call.waiting);
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/advice_rule.h
+++ b/Source/engine/advice_rule.h
@@ -16,6 +16,18 @@
 // calls a second more.
 double LeastStarts(std::size_t waiting, Duration since_call);
 
+// A call that is being put together.
+struct AdviceCall {
+  std::size_t waiting = 0;  // tasks of the step
+  bool gang = false;
+  std::size_t named = 0;  // workers so far
+  double starts = 0;      // that they promise
+};
+
+// Whether it names enough workers. A decision takes the service as long as 70
+// more workers: too few of them cost another call, and too many a little time.
+bool NamesEnough(const AdviceCall& call);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_ADVICE_RULE_H_
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -178,11 +178,11 @@
 
 // A ticket is not used in the last part of its life: the order takes time.
 inline constexpr Duration kTicketMargin = milliseconds(350);
-// The longest call, 30 workers of the slowest queue, takes 650 ms.
-inline constexpr Duration kAdviceTimeout = milliseconds(3000);
 inline constexpr Duration kAdviceRetry = milliseconds(200);
-// Workers in one call: the objectives of the queues allow for one call of 30.
-inline constexpr std::size_t kMaxAdvised = 30;
+// Workers in one call, by the service's interface.
+inline constexpr std::size_t kMaxAdvised = 100;
+// The longest call, 100 workers of the slowest queue, takes 1.8 s.
+inline constexpr Duration kAdviceTimeout = milliseconds(4000);
 
 }  // namespace burdockrock::engine
 
