Engine: Asks for advice on a gang only when all of it has room

Cause: a gang asked again every 0.2 to 1 s though the workers with room that it named could not hold it; gangs made most of the long calls. Ruled out: a longer pause, which would cost the gang its room when it comes.

--- a/Source/engine/advice.cc
+++ b/Source/engine/advice.cc
@@ -81,9 +81,8 @@
   return ticket.expires > context.now + kTicketMargin;
 }
 
-// The workers with a ticket have room for all tasks that wait.
-bool HasEnough(const Context& context, const ReadyStep& ready) {
-  const auto waiting = static_cast<std::int64_t>(CountWaiting(ready.run()));
+// How many tasks of the step have room at workers with a ticket.
+std::int64_t CountTicketed(const Context& context, const ReadyStep& ready) {
   const PlacementNeed need = NeedOf(ready);
   const auto placed = CountPlaced(ready);
   std::int64_t fits = 0;
@@ -98,7 +97,12 @@
       fits += CountStarts(ready, placed, need, listed->second.info, view->free);
     }
   }
-  return fits >= waiting;
+  return fits;
+}
+
+bool HasEnough(const Context& context, const ReadyStep& ready) {
+  return CountTicketed(context, ready) >=
+         static_cast<std::int64_t>(CountWaiting(ready.run()));
 }
 
 bool HasValidTicket(const Context& context, const StepRun& step) {
@@ -180,8 +184,10 @@
         return std::tuple(!left.has_room, !left.allowed, left.rank) <
                std::tuple(!right.has_room, !right.allowed, right.rank);
       });
-  AdviceCall call{.waiting = CountWaiting(ready.run()),
-                  .gang = ready.spec().gang};
+  AdviceCall call{
+      .waiting = CountWaiting(ready.run()),
+      .gang = ready.spec().gang,
+      .ticketed = static_cast<double>(CountTicketed(context, ready))};
   std::vector<std::string> chosen;
   for (const Named& it : names) {
     const bool roomless = !it.has_room && chosen.size() >= kRoomlessNames;
@@ -191,11 +197,11 @@
     chosen.push_back(it.id);
     ++call.named;
     call.starts += it.fits * (it.allowed ? 1 : kAllowedShare);
+    call.most += it.fits;
   }
   const StepRun& step = ready.run();
   const bool asked = step.advised_at != kForever;
-  if (asked &&
-      call.starts < LeastStarts(call.waiting, context.now - step.called_at)) {
+  if (asked && !IsWorthACall(call, context.now - step.called_at)) {
     chosen.clear();
   }
   return chosen;
--- a/Source/engine/advice_rule.cc
+++ b/Source/engine/advice_rule.cc
@@ -23,17 +23,20 @@
 
 }  // namespace
 
-double LeastStarts(std::size_t waiting, Duration since_call) {
-  if (since_call >= kPatience) {
-    return 0;
-  }
-  return std::max(kMinStarts, kMinStartShare * static_cast<double>(waiting));
-}
-
 bool NamesEnough(const AdviceCall& call) {
   const double surplus = call.gang ? kGangSurplus : kSurplus;
   return call.named >= kLeastNames &&
          call.starts >= surplus * static_cast<double>(call.waiting);
 }
 
+bool IsWorthACall(const AdviceCall& call, Duration since_call) {
+  const auto waiting = static_cast<double>(call.waiting);
+  const bool patient = since_call < kPatience;
+  if (call.gang) {
+    return call.ticketed + (patient ? call.starts : call.most) >= waiting;
+  }
+  return !patient ||
+         call.starts >= std::max(kMinStarts, kMinStartShare * waiting);
+}
+
 }  // namespace burdockrock::engine
