--- a/Source/cli/queues_get.cc
+++ b/Source/cli/queues_get.cc
@@ -2,7 +2,7 @@
 #include "cli/diagnostics.h"
 #include "cli/json_text.h"
 #include "cli/queues_store.h"
-#include "engine/documents.h"
+#include "engine/records/documents.h"
 #include "net/json.h"
 
 namespace burdockrock {
--- a/Source/cli/queues_put.cc
+++ b/Source/cli/queues_put.cc
@@ -8,7 +8,7 @@
 #include "cli/queues_store.h"
 #include "cli/setting_report.h"
 #include "cli/settings_kinds.h"
-#include "engine/documents.h"
+#include "engine/records/documents.h"
 
 namespace burdockrock {
 
--- a/Source/cli/settings_kinds.cc
+++ b/Source/cli/settings_kinds.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "config/json_text.h"
-#include "engine/documents.h"
+#include "engine/records/documents.h"
 #include "net/json.h"
 #include "platform/settings.h"
 
--- a/Source/cli/submit_flags.cc
+++ b/Source/cli/submit_flags.cc
@@ -9,7 +9,7 @@
 
 #include "cli/flag_parser.h"
 #include "config/json_text.h"
-#include "engine/job_codec.h"
+#include "engine/records/job_codec.h"
 #include "model/resources.h"
 #include "model/work.h"
 #include "net/json.h"
--- a/Source/engine/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -1,4 +1,4 @@
-#include "engine/advice.h"
+#include "engine/advice/advice.h"
 
 #include <algorithm>
 #include <functional>
@@ -7,14 +7,14 @@
 #include <tuple>
 #include <utility>
 
-#include "engine/advice_rule.h"
-#include "engine/candidates.h"
-#include "engine/job_table.h"
-#include "engine/membership.h"
-#include "engine/placement_rule.h"
-#include "engine/placing.h"
-#include "engine/task_copies.h"
-#include "engine/worker_list.h"
+#include "engine/advice/advice_rule.h"
+#include "engine/jobs/candidates.h"
+#include "engine/jobs/job_table.h"
+#include "engine/jobs/placement_rule.h"
+#include "engine/jobs/placing.h"
+#include "engine/jobs/task_copies.h"
+#include "engine/members/membership.h"
+#include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/advice.h
+++ b/Source/engine/advice/advice.h
@@ -2,8 +2,8 @@
 // service serves one call at a time for each entry instance, and calls take 20
 // to 600 ms by queue: so the asking is shared out over all instances, and short
 // calls do not wait behind long ones.
-#ifndef BURDOCKROCK_ENGINE_ADVICE_H_
-#define BURDOCKROCK_ENGINE_ADVICE_H_
+#ifndef BURDOCKROCK_ENGINE_ADVICE_ADVICE_H_
+#define BURDOCKROCK_ENGINE_ADVICE_ADVICE_H_
 
 #include <string>
 
@@ -28,4 +28,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_ADVICE_H_
+#endif  // BURDOCKROCK_ENGINE_ADVICE_ADVICE_H_
--- a/Source/engine/advice_rule.cc
+++ b/Source/engine/advice/advice_rule.cc
@@ -1,4 +1,4 @@
-#include "engine/advice_rule.h"
+#include "engine/advice/advice_rule.h"
 
 #include <algorithm>
 #include <chrono>
--- a/Source/engine/advice_rule.h
+++ b/Source/engine/advice/advice_rule.h
@@ -1,6 +1,6 @@
 // When one more call for advice on a step is worth its turn.
-#ifndef BURDOCKROCK_ENGINE_ADVICE_RULE_H_
-#define BURDOCKROCK_ENGINE_ADVICE_RULE_H_
+#ifndef BURDOCKROCK_ENGINE_ADVICE_ADVICE_RULE_H_
+#define BURDOCKROCK_ENGINE_ADVICE_ADVICE_RULE_H_
 
 #include <cstddef>
 
@@ -32,4 +32,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_ADVICE_RULE_H_
+#endif  // BURDOCKROCK_ENGINE_ADVICE_ADVICE_RULE_H_
--- a/Source/engine/call_fields.h
+++ b/Source/engine/call_fields.h
@@ -8,7 +8,7 @@
 
 #include "engine/calls.h"
 #include "engine/configuration.h"
-#include "engine/record_fields.h"
+#include "engine/records/record_fields.h"
 
 namespace burdockrock {
 
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "engine/configuration.h"
-#include "engine/job_model.h"
+#include "engine/jobs/job_model.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
--- a/Source/engine/context.cc
+++ b/Source/engine/context.cc
@@ -1,6 +1,6 @@
 #include "engine/context.h"
 
-#include "engine/membership.h"
+#include "engine/members/membership.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/event.h
+++ b/Source/engine/event.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "engine/calls.h"
+#include "engine/members/peer_message.h"
 #include "engine/options.h"
-#include "engine/peer_message.h"
 #include "model/time.h"
 #include "observe/log_format.h"
 
--- a/Source/engine/adoption.cc
+++ b/Source/engine/jobs/adoption.cc
@@ -1,4 +1,4 @@
-#include "engine/adoption.h"
+#include "engine/jobs/adoption.h"
 
 #include <algorithm>
 #include <map>
@@ -6,15 +6,15 @@
 #include <set>
 #include <utility>
 
-#include "engine/catalog.h"
-#include "engine/job_runs.h"
-#include "engine/job_table.h"
-#include "engine/membership.h"
+#include "engine/jobs/job_runs.h"
+#include "engine/jobs/job_table.h"
+#include "engine/members/membership.h"
 #include "engine/notices.h"
-#include "engine/record_writer.h"
-#include "engine/store_calls.h"
-#include "engine/watches.h"
-#include "engine/worker_list.h"
+#include "engine/records/catalog.h"
+#include "engine/records/record_writer.h"
+#include "engine/records/store_calls.h"
+#include "engine/records/watches.h"
+#include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/adoption.h
+++ b/Source/engine/jobs/adoption.h
@@ -1,6 +1,6 @@
 // Takes over jobs whose owner is gone.
-#ifndef BURDOCKROCK_ENGINE_ADOPTION_H_
-#define BURDOCKROCK_ENGINE_ADOPTION_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_ADOPTION_H_
+#define BURDOCKROCK_ENGINE_JOBS_ADOPTION_H_
 
 #include <string>
 
@@ -34,4 +34,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_ADOPTION_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_ADOPTION_H_
--- a/Source/engine/candidates.cc
+++ b/Source/engine/jobs/candidates.cc
@@ -1,8 +1,8 @@
-#include "engine/candidates.h"
+#include "engine/jobs/candidates.h"
 
 #include <xxhash.h>
 
-#include "engine/membership.h"
+#include "engine/members/membership.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/candidates.h
+++ b/Source/engine/jobs/candidates.h
@@ -1,12 +1,12 @@
 // The workers that tasks of a service may be offered to.
-#ifndef BURDOCKROCK_ENGINE_CANDIDATES_H_
-#define BURDOCKROCK_ENGINE_CANDIDATES_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_CANDIDATES_H_
+#define BURDOCKROCK_ENGINE_JOBS_CANDIDATES_H_
 
 #include <string>
 #include <vector>
 
 #include "engine/context.h"
-#include "engine/placement_rule.h"
+#include "engine/jobs/placement_rule.h"
 
 namespace burdockrock::engine {
 
@@ -21,4 +21,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_CANDIDATES_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_CANDIDATES_H_
--- a/Source/engine/job.h
+++ b/Source/engine/jobs/job.h
@@ -1,6 +1,6 @@
 // A job as its owner sees it.
-#ifndef BURDOCKROCK_ENGINE_JOB_H_
-#define BURDOCKROCK_ENGINE_JOB_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_JOB_H_
+#define BURDOCKROCK_ENGINE_JOBS_JOB_H_
 
 #include <cstdint>
 #include <map>
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "engine/job_model.h"
-#include "engine/peer_message.h"
-#include "engine/record.h"
+#include "engine/jobs/job_model.h"
+#include "engine/members/peer_message.h"
+#include "engine/records/record.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
@@ -143,4 +143,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_JOB_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_JOB_H_
--- a/Source/engine/job_model.cc
+++ b/Source/engine/jobs/job_model.cc
@@ -1,4 +1,4 @@
-#include "engine/job_model.h"
+#include "engine/jobs/job_model.h"
 
 #include <array>
 #include <charconv>
--- a/Source/engine/job_model.h
+++ b/Source/engine/jobs/job_model.h
@@ -1,6 +1,6 @@
 // Jobs of steps: what callers hand in and what their tasks are called.
-#ifndef BURDOCKROCK_ENGINE_JOB_MODEL_H_
-#define BURDOCKROCK_ENGINE_JOB_MODEL_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_JOB_MODEL_H_
+#define BURDOCKROCK_ENGINE_JOBS_JOB_MODEL_H_
 
 #include <compare>
 #include <cstdint>
@@ -110,4 +110,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_JOB_MODEL_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_JOB_MODEL_H_
--- a/Source/engine/job_progress.cc
+++ b/Source/engine/jobs/job_progress.cc
@@ -1,12 +1,12 @@
-#include "engine/job_progress.h"
+#include "engine/jobs/job_progress.h"
 
 #include <map>
 #include <utility>
 
-#include "engine/job_table.h"
+#include "engine/jobs/job_table.h"
+#include "engine/jobs/questions.h"
 #include "engine/notices.h"
-#include "engine/questions.h"
-#include "engine/record_writer.h"
+#include "engine/records/record_writer.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/job_progress.h
+++ b/Source/engine/jobs/job_progress.h
@@ -1,6 +1,6 @@
 // Keeps the store's records of the own jobs up to date.
-#ifndef BURDOCKROCK_ENGINE_JOB_PROGRESS_H_
-#define BURDOCKROCK_ENGINE_JOB_PROGRESS_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_JOB_PROGRESS_H_
+#define BURDOCKROCK_ENGINE_JOBS_JOB_PROGRESS_H_
 
 #include <string>
 
@@ -48,4 +48,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_JOB_PROGRESS_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_JOB_PROGRESS_H_
--- a/Source/engine/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -1,14 +1,14 @@
-#include "engine/job_runs.h"
+#include "engine/jobs/job_runs.h"
 
 #include <algorithm>
 #include <map>
 
-#include "engine/digests.h"
-#include "engine/job_progress.h"
-#include "engine/job_table.h"
-#include "engine/membership.h"
-#include "engine/task_copies.h"
-#include "engine/worker_list.h"
+#include "engine/jobs/job_progress.h"
+#include "engine/jobs/job_table.h"
+#include "engine/jobs/task_copies.h"
+#include "engine/members/digests.h"
+#include "engine/members/membership.h"
+#include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/job_runs.h
+++ b/Source/engine/jobs/job_runs.h
@@ -1,6 +1,6 @@
 // What becomes of the own jobs' runs.
-#ifndef BURDOCKROCK_ENGINE_JOB_RUNS_H_
-#define BURDOCKROCK_ENGINE_JOB_RUNS_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_JOB_RUNS_H_
+#define BURDOCKROCK_ENGINE_JOBS_JOB_RUNS_H_
 
 #include <string>
 
@@ -36,4 +36,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_JOB_RUNS_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_JOB_RUNS_H_
--- a/Source/engine/job_table.cc
+++ b/Source/engine/jobs/job_table.cc
@@ -1,11 +1,11 @@
-#include "engine/job_table.h"
+#include "engine/jobs/job_table.h"
 
 #include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
 
-#include "engine/job_runs.h"
+#include "engine/jobs/job_runs.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/job_table.h
+++ b/Source/engine/jobs/job_table.h
@@ -1,6 +1,6 @@
 // The jobs that this instance owns: their tasks and states.
-#ifndef BURDOCKROCK_ENGINE_JOB_TABLE_H_
-#define BURDOCKROCK_ENGINE_JOB_TABLE_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_JOB_TABLE_H_
+#define BURDOCKROCK_ENGINE_JOBS_JOB_TABLE_H_
 
 #include <string>
 #include <utility>
@@ -81,4 +81,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_JOB_TABLE_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_JOB_TABLE_H_
--- a/Source/engine/open_work.cc
+++ b/Source/engine/jobs/open_work.cc
@@ -1,4 +1,4 @@
-#include "engine/open_work.h"
+#include "engine/jobs/open_work.h"
 
 #include <algorithm>
 
--- a/Source/engine/open_work.h
+++ b/Source/engine/jobs/open_work.h
@@ -1,6 +1,6 @@
 // What is open at this instance and since when, for operators.
-#ifndef BURDOCKROCK_ENGINE_OPEN_WORK_H_
-#define BURDOCKROCK_ENGINE_OPEN_WORK_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_OPEN_WORK_H_
+#define BURDOCKROCK_ENGINE_JOBS_OPEN_WORK_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -46,4 +46,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_OPEN_WORK_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_OPEN_WORK_H_
--- a/Source/engine/placement_rule.cc
+++ b/Source/engine/jobs/placement_rule.cc
@@ -1,4 +1,4 @@
-#include "engine/placement_rule.h"
+#include "engine/jobs/placement_rule.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/engine/placement_rule.h
+++ b/Source/engine/jobs/placement_rule.h
@@ -1,6 +1,6 @@
 // Which worker a task goes to. A pure function of what is known of the workers.
-#ifndef BURDOCKROCK_ENGINE_PLACEMENT_RULE_H_
-#define BURDOCKROCK_ENGINE_PLACEMENT_RULE_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_PLACEMENT_RULE_H_
+#define BURDOCKROCK_ENGINE_JOBS_PLACEMENT_RULE_H_
 
 #include <cstdint>
 #include <optional>
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "engine/configuration.h"
-#include "engine/job_model.h"
+#include "engine/jobs/job_model.h"
 #include "model/resources.h"
 
 namespace burdockrock::engine {
@@ -59,4 +59,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PLACEMENT_RULE_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_PLACEMENT_RULE_H_
--- a/Source/engine/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -1,4 +1,4 @@
-#include "engine/placing.h"
+#include "engine/jobs/placing.h"
 
 #include <algorithm>
 #include <functional>
@@ -6,11 +6,11 @@
 #include <tuple>
 #include <utility>
 
-#include "engine/candidates.h"
-#include "engine/job_table.h"
-#include "engine/membership.h"
-#include "engine/task_copies.h"
-#include "engine/worker_list.h"
+#include "engine/jobs/candidates.h"
+#include "engine/jobs/job_table.h"
+#include "engine/jobs/task_copies.h"
+#include "engine/members/membership.h"
+#include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/placing.h
+++ b/Source/engine/jobs/placing.h
@@ -1,6 +1,6 @@
 // Rounds of placement: which waiting task is offered to which worker.
-#ifndef BURDOCKROCK_ENGINE_PLACING_H_
-#define BURDOCKROCK_ENGINE_PLACING_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_PLACING_H_
+#define BURDOCKROCK_ENGINE_JOBS_PLACING_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "engine/context.h"
-#include "engine/placement_rule.h"
+#include "engine/jobs/placement_rule.h"
 
 namespace burdockrock::engine {
 
@@ -55,4 +55,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PLACING_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_PLACING_H_
--- a/Source/engine/preemption.cc
+++ b/Source/engine/jobs/preemption.cc
@@ -1,10 +1,10 @@
-#include "engine/preemption.h"
+#include "engine/jobs/preemption.h"
 
 #include <algorithm>
 #include <vector>
 
-#include "engine/worker_owner.h"
-#include "engine/worker_runs.h"
+#include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_runs.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/preemption.h
+++ b/Source/engine/jobs/preemption.h
@@ -1,6 +1,6 @@
 // Stops runs of less urgent work for the sake of the most urgent one.
-#ifndef BURDOCKROCK_ENGINE_PREEMPTION_H_
-#define BURDOCKROCK_ENGINE_PREEMPTION_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_PREEMPTION_H_
+#define BURDOCKROCK_ENGINE_JOBS_PREEMPTION_H_
 
 #include <string>
 
@@ -27,4 +27,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PREEMPTION_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_PREEMPTION_H_
--- a/Source/engine/questions.cc
+++ b/Source/engine/jobs/questions.cc
@@ -1,15 +1,15 @@
-#include "engine/questions.h"
+#include "engine/jobs/questions.h"
 
 #include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
 
-#include "engine/catalog.h"
-#include "engine/job_progress.h"
-#include "engine/job_table.h"
-#include "engine/membership.h"
-#include "engine/record_writer.h"
+#include "engine/jobs/job_progress.h"
+#include "engine/jobs/job_table.h"
+#include "engine/members/membership.h"
+#include "engine/records/catalog.h"
+#include "engine/records/record_writer.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/run_questions.cc
+++ b/Source/engine/jobs/run_questions.cc
@@ -1,15 +1,15 @@
-#include "engine/run_questions.h"
+#include "engine/jobs/run_questions.h"
 
 #include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
 
-#include "engine/catalog.h"
-#include "engine/membership.h"
-#include "engine/run_ends.h"
-#include "engine/worker_list.h"
-#include "engine/worker_owner.h"
+#include "engine/members/membership.h"
+#include "engine/records/catalog.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/worker_list.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -1,11 +1,11 @@
-#include "engine/step_waits.h"
+#include "engine/jobs/step_waits.h"
 
 #include <algorithm>
 #include <map>
 #include <string>
 
-#include "engine/candidates.h"
-#include "engine/placement_rule.h"
+#include "engine/jobs/candidates.h"
+#include "engine/jobs/placement_rule.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -1,11 +1,11 @@
 // What the tasks of a step wait for, for logs and metrics.
-#ifndef BURDOCKROCK_ENGINE_STEP_WAITS_H_
-#define BURDOCKROCK_ENGINE_STEP_WAITS_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_STEP_WAITS_H_
+#define BURDOCKROCK_ENGINE_JOBS_STEP_WAITS_H_
 
 #include <cstddef>
 
 #include "engine/context.h"
-#include "engine/placing.h"
+#include "engine/jobs/placing.h"
 
 namespace burdockrock::engine {
 
@@ -39,4 +39,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_STEP_WAITS_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_STEP_WAITS_H_
--- a/Source/engine/task_copies.cc
+++ b/Source/engine/jobs/task_copies.cc
@@ -1,9 +1,9 @@
-#include "engine/task_copies.h"
+#include "engine/jobs/task_copies.h"
 
 #include <utility>
 
-#include "engine/job_runs.h"
-#include "engine/job_table.h"
+#include "engine/jobs/job_runs.h"
+#include "engine/jobs/job_table.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/task_copies.h
+++ b/Source/engine/jobs/task_copies.h
@@ -1,8 +1,8 @@
 // Second runs of tasks whose step allows copies: the first to finish counts.
 // They are started when the first run stands still or its worker can't be
 // reached, so that the step need not wait for the worker's leases to run out.
-#ifndef BURDOCKROCK_ENGINE_TASK_COPIES_H_
-#define BURDOCKROCK_ENGINE_TASK_COPIES_H_
+#ifndef BURDOCKROCK_ENGINE_JOBS_TASK_COPIES_H_
+#define BURDOCKROCK_ENGINE_JOBS_TASK_COPIES_H_
 
 #include <map>
 #include <string>
@@ -50,4 +50,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_TASK_COPIES_H_
+#endif  // BURDOCKROCK_ENGINE_JOBS_TASK_COPIES_H_
--- a/Source/engine/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -1,14 +1,14 @@
-#include "engine/digests.h"
+#include "engine/members/digests.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "engine/advice.h"
-#include "engine/job_runs.h"
-#include "engine/membership.h"
-#include "engine/preemption.h"
-#include "engine/questions.h"
-#include "engine/worker_owner.h"
+#include "engine/advice/advice.h"
+#include "engine/jobs/job_runs.h"
+#include "engine/jobs/preemption.h"
+#include "engine/jobs/questions.h"
+#include "engine/members/membership.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/digests.h
+++ b/Source/engine/members/digests.h
@@ -1,6 +1,6 @@
 // The peers' view of all workers' room, kept up by digests.
-#ifndef BURDOCKROCK_ENGINE_DIGESTS_H_
-#define BURDOCKROCK_ENGINE_DIGESTS_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_DIGESTS_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_DIGESTS_H_
 
 #include <optional>
 #include <string>
@@ -30,4 +30,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_DIGESTS_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_DIGESTS_H_
--- a/Source/engine/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -1,15 +1,15 @@
-#include "engine/membership.h"
+#include "engine/members/membership.h"
 
 #include <cmath>
 #include <limits>
 
 #include <xxhash.h>
 
-#include "engine/adoption.h"
-#include "engine/job_progress.h"
-#include "engine/node_records.h"
-#include "engine/store_calls.h"
-#include "engine/worker_owner.h"
+#include "engine/jobs/adoption.h"
+#include "engine/jobs/job_progress.h"
+#include "engine/members/node_records.h"
+#include "engine/records/store_calls.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/membership.h
+++ b/Source/engine/members/membership.h
@@ -1,6 +1,6 @@
 // Which entry instances live: the own registration, and the others'.
-#ifndef BURDOCKROCK_ENGINE_MEMBERSHIP_H_
-#define BURDOCKROCK_ENGINE_MEMBERSHIP_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_MEMBERSHIP_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_MEMBERSHIP_H_
 
 #include <string_view>
 #include <vector>
@@ -57,4 +57,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_MEMBERSHIP_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_MEMBERSHIP_H_
--- a/Source/engine/node_records.cc
+++ b/Source/engine/members/node_records.cc
@@ -1,10 +1,10 @@
-#include "engine/node_records.h"
+#include "engine/members/node_records.h"
 
 #include <algorithm>
 
-#include "engine/membership.h"
-#include "engine/store_calls.h"
-#include "engine/watches.h"
+#include "engine/members/membership.h"
+#include "engine/records/store_calls.h"
+#include "engine/records/watches.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/node_records.h
+++ b/Source/engine/members/node_records.h
@@ -1,7 +1,7 @@
 // Machines of entry instances that were ever registered: an instance that has
 // just started learns of which processes it can know nothing.
-#ifndef BURDOCKROCK_ENGINE_NODE_RECORDS_H_
-#define BURDOCKROCK_ENGINE_NODE_RECORDS_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_NODE_RECORDS_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_NODE_RECORDS_H_
 
 #include <string>
 
@@ -19,4 +19,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_NODE_RECORDS_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_NODE_RECORDS_H_
--- a/Source/engine/peer_codec.cc
+++ b/Source/engine/members/peer_codec.cc
@@ -1,8 +1,8 @@
-#include "engine/peer_codec.h"
+#include "engine/members/peer_codec.h"
 
 #include <utility>
 
-#include "engine/peer_fields.h"
+#include "engine/members/peer_fields.h"
 #include "wire/variant_codec.h"
 
 namespace burdockrock::engine {
--- a/Source/engine/peer_codec.h
+++ b/Source/engine/members/peer_codec.h
@@ -1,6 +1,6 @@
 // Messages between entry instances as JSON-RPC notifications.
-#ifndef BURDOCKROCK_ENGINE_PEER_CODEC_H_
-#define BURDOCKROCK_ENGINE_PEER_CODEC_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_PEER_CODEC_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_PEER_CODEC_H_
 
 #include <span>
 #include <string>
@@ -9,7 +9,7 @@
 
 #include <json/value.h>
 
-#include "engine/peer_message.h"
+#include "engine/members/peer_message.h"
 #include "wire/decode_error.h"
 
 namespace burdockrock::engine {
@@ -28,4 +28,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PEER_CODEC_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_PEER_CODEC_H_
--- a/Source/engine/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -1,10 +1,10 @@
 // The members of the messages between entry instances in JSON.
-#ifndef BURDOCKROCK_ENGINE_PEER_FIELDS_H_
-#define BURDOCKROCK_ENGINE_PEER_FIELDS_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_PEER_FIELDS_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_PEER_FIELDS_H_
 
-#include "engine/peer_message.h"
-#include "engine/record_fields.h"
-#include "engine/room_codec.h"
+#include "engine/members/peer_message.h"
+#include "engine/members/room_codec.h"
+#include "engine/records/record_fields.h"
 
 namespace burdockrock {
 
@@ -366,4 +366,4 @@
 
 }  // namespace burdockrock
 
-#endif  // BURDOCKROCK_ENGINE_PEER_FIELDS_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_PEER_FIELDS_H_
--- a/Source/engine/peer_message.cc
+++ b/Source/engine/members/peer_message.cc
@@ -1,4 +1,4 @@
-#include "engine/peer_message.h"
+#include "engine/members/peer_message.h"
 
 #include <array>
 
--- a/Source/engine/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -1,7 +1,7 @@
 // What entry instances tell each other. Each message can be repeated and lost:
 // the sender repeats it until it sees the effect.
-#ifndef BURDOCKROCK_ENGINE_PEER_MESSAGE_H_
-#define BURDOCKROCK_ENGINE_PEER_MESSAGE_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_PEER_MESSAGE_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_PEER_MESSAGE_H_
 
 #include <compare>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-#include "engine/job_model.h"
+#include "engine/jobs/job_model.h"
 #include "model/resources.h"
 #include "model/time.h"
 
@@ -385,4 +385,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PEER_MESSAGE_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_PEER_MESSAGE_H_
--- a/Source/engine/planned_stop.cc
+++ b/Source/engine/members/planned_stop.cc
@@ -1,6 +1,6 @@
-#include "engine/planned_stop.h"
+#include "engine/members/planned_stop.h"
 
-#include "engine/membership.h"
+#include "engine/members/membership.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/planned_stop.h
+++ b/Source/engine/members/planned_stop.h
@@ -1,6 +1,6 @@
 // The planned stop: everything is stored and handed over before the end.
-#ifndef BURDOCKROCK_ENGINE_PLANNED_STOP_H_
-#define BURDOCKROCK_ENGINE_PLANNED_STOP_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_PLANNED_STOP_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_PLANNED_STOP_H_
 
 #include "engine/context.h"
 
@@ -11,4 +11,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PLANNED_STOP_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_PLANNED_STOP_H_
--- a/Source/engine/room_codec.cc
+++ b/Source/engine/members/room_codec.cc
@@ -1,4 +1,4 @@
-#include "engine/room_codec.h"
+#include "engine/members/room_codec.h"
 
 #include <algorithm>
 #include <array>
--- a/Source/engine/room_codec.h
+++ b/Source/engine/members/room_codec.h
@@ -1,13 +1,13 @@
 // Rooms of workers in JSON, as short as they can be: most bytes between entry
 // instances are theirs.
-#ifndef BURDOCKROCK_ENGINE_ROOM_CODEC_H_
-#define BURDOCKROCK_ENGINE_ROOM_CODEC_H_
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_ROOM_CODEC_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_ROOM_CODEC_H_
 
 #include <vector>
 
 #include <json/value.h>
 
-#include "engine/peer_message.h"
+#include "engine/members/peer_message.h"
 #include "wire/json_place.h"
 
 namespace burdockrock::engine {
@@ -22,4 +22,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_ROOM_CODEC_H_
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_ROOM_CODEC_H_
--- a/Source/engine/notices.cc
+++ b/Source/engine/notices.cc
@@ -8,15 +8,15 @@
 
 #include <fmt/format.h>
 
-#include "engine/job_runs.h"
-#include "engine/job_table.h"
-#include "engine/lease_bounds.h"
-#include "engine/open_work.h"
-#include "engine/placing.h"
-#include "engine/step_waits.h"
-#include "engine/watches.h"
-#include "engine/worker_list.h"
-#include "engine/worker_owner.h"
+#include "engine/jobs/job_runs.h"
+#include "engine/jobs/job_table.h"
+#include "engine/jobs/open_work.h"
+#include "engine/jobs/placing.h"
+#include "engine/jobs/step_waits.h"
+#include "engine/records/watches.h"
+#include "engine/workers/lease_bounds.h"
+#include "engine/workers/worker_list.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/options.h
+++ b/Source/engine/options.h
@@ -10,7 +10,7 @@
 #include <variant>
 
 #include "engine/configuration.h"
-#include "engine/record.h"
+#include "engine/records/record.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
--- a/Source/engine/catalog.cc
+++ b/Source/engine/records/catalog.cc
@@ -1,9 +1,9 @@
-#include "engine/catalog.h"
+#include "engine/records/catalog.h"
 
-#include "engine/questions.h"
-#include "engine/store_calls.h"
-#include "engine/worker_listing.h"
-#include "engine/worker_runs.h"
+#include "engine/jobs/questions.h"
+#include "engine/records/store_calls.h"
+#include "engine/workers/worker_listing.h"
+#include "engine/workers/worker_runs.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/catalog.h
+++ b/Source/engine/records/catalog.h
@@ -1,6 +1,6 @@
 // What the store says of jobs that this instance does not own.
-#ifndef BURDOCKROCK_ENGINE_CATALOG_H_
-#define BURDOCKROCK_ENGINE_CATALOG_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_CATALOG_H_
+#define BURDOCKROCK_ENGINE_RECORDS_CATALOG_H_
 
 #include <string>
 
@@ -35,4 +35,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_CATALOG_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_CATALOG_H_
--- a/Source/engine/documents.cc
+++ b/Source/engine/records/documents.cc
@@ -1,4 +1,4 @@
-#include "engine/documents.h"
+#include "engine/records/documents.h"
 
 #include <set>
 #include <utility>
--- a/Source/engine/documents.h
+++ b/Source/engine/records/documents.h
@@ -1,7 +1,7 @@
 // The documents that operators and workers keep in burdockrock's own store: the
 // configuration of queues and services, and an entry for each worker.
-#ifndef BURDOCKROCK_ENGINE_DOCUMENTS_H_
-#define BURDOCKROCK_ENGINE_DOCUMENTS_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_DOCUMENTS_H_
+#define BURDOCKROCK_ENGINE_RECORDS_DOCUMENTS_H_
 
 #include <string>
 #include <string_view>
@@ -23,4 +23,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_DOCUMENTS_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_DOCUMENTS_H_
--- a/Source/engine/job_codec.cc
+++ b/Source/engine/records/job_codec.cc
@@ -1,4 +1,4 @@
-#include "engine/job_codec.h"
+#include "engine/records/job_codec.h"
 
 #include <algorithm>
 #include <chrono>
--- a/Source/engine/job_codec.h
+++ b/Source/engine/records/job_codec.h
@@ -1,7 +1,7 @@
 // Jobs of steps at the callers' own interface, as HTTP with JSON bodies:
 // POST /v1/jobs, GET and DELETE /v1/jobs/ID, GET /v1/queues/NAME.
-#ifndef BURDOCKROCK_ENGINE_JOB_CODEC_H_
-#define BURDOCKROCK_ENGINE_JOB_CODEC_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_JOB_CODEC_H_
+#define BURDOCKROCK_ENGINE_RECORDS_JOB_CODEC_H_
 
 #include <string_view>
 #include <variant>
@@ -28,4 +28,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_JOB_CODEC_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_JOB_CODEC_H_
--- a/Source/engine/record.cc
+++ b/Source/engine/records/record.cc
@@ -1,10 +1,10 @@
-#include "engine/record.h"
+#include "engine/records/record.h"
 
 #include <algorithm>
 
 #include <fmt/format.h>
 
-#include "engine/record_fields.h"
+#include "engine/records/record_fields.h"
 #include "net/json.h"
 #include "wire/value_reader.h"
 #include "wire/value_writer.h"
--- a/Source/engine/record.h
+++ b/Source/engine/records/record.h
@@ -1,6 +1,6 @@
 // What the store keeps of a job, and under which keys.
-#ifndef BURDOCKROCK_ENGINE_RECORD_H_
-#define BURDOCKROCK_ENGINE_RECORD_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_RECORD_H_
+#define BURDOCKROCK_ENGINE_RECORDS_RECORD_H_
 
 #include <compare>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-#include "engine/job_model.h"
+#include "engine/jobs/job_model.h"
 #include "wire/decode_error.h"
 
 namespace burdockrock::engine {
@@ -90,4 +90,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_RECORD_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_RECORD_H_
--- a/Source/engine/record_fields.h
+++ b/Source/engine/records/record_fields.h
@@ -1,12 +1,12 @@
 // The members of the engine's records in JSON.
-#ifndef BURDOCKROCK_ENGINE_RECORD_FIELDS_H_
-#define BURDOCKROCK_ENGINE_RECORD_FIELDS_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_RECORD_FIELDS_H_
+#define BURDOCKROCK_ENGINE_RECORDS_RECORD_FIELDS_H_
 
 #include <string>
 #include <vector>
 
-#include "engine/job_model.h"
-#include "engine/record.h"
+#include "engine/jobs/job_model.h"
+#include "engine/records/record.h"
 #include "wire/enum_text.h"
 #include "wire/fields.h"
 #include "wire/work_fields.h"
@@ -110,4 +110,4 @@
 
 }  // namespace burdockrock
 
-#endif  // BURDOCKROCK_ENGINE_RECORD_FIELDS_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_RECORD_FIELDS_H_
--- a/Source/engine/record_sweep.cc
+++ b/Source/engine/records/record_sweep.cc
@@ -1,9 +1,9 @@
-#include "engine/record_sweep.h"
+#include "engine/records/record_sweep.h"
 
-#include "engine/job_table.h"
-#include "engine/membership.h"
-#include "engine/record_writer.h"
-#include "engine/store_calls.h"
+#include "engine/jobs/job_table.h"
+#include "engine/members/membership.h"
+#include "engine/records/record_writer.h"
+#include "engine/records/store_calls.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/record_writer.cc
+++ b/Source/engine/records/record_writer.cc
@@ -1,13 +1,13 @@
-#include "engine/record_writer.h"
+#include "engine/records/record_writer.h"
 
 #include <algorithm>
 #include <chrono>
 #include <utility>
 
-#include "engine/adoption.h"
-#include "engine/job_progress.h"
-#include "engine/membership.h"
-#include "engine/store_calls.h"
+#include "engine/jobs/adoption.h"
+#include "engine/jobs/job_progress.h"
+#include "engine/members/membership.h"
+#include "engine/records/store_calls.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/record_writer.h
+++ b/Source/engine/records/record_writer.h
@@ -1,6 +1,6 @@
 // Writes changes of jobs to the store, many in one transaction.
-#ifndef BURDOCKROCK_ENGINE_RECORD_WRITER_H_
-#define BURDOCKROCK_ENGINE_RECORD_WRITER_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_RECORD_WRITER_H_
+#define BURDOCKROCK_ENGINE_RECORDS_RECORD_WRITER_H_
 
 #include "engine/context.h"
 
@@ -20,4 +20,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_RECORD_WRITER_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_RECORD_WRITER_H_
--- a/Source/engine/store_calls.cc
+++ b/Source/engine/records/store_calls.cc
@@ -1,4 +1,4 @@
-#include "engine/store_calls.h"
+#include "engine/records/store_calls.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/store_calls.h
+++ b/Source/engine/records/store_calls.h
@@ -1,6 +1,6 @@
 // Calls to the store, and whether it is well.
-#ifndef BURDOCKROCK_ENGINE_STORE_CALLS_H_
-#define BURDOCKROCK_ENGINE_STORE_CALLS_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_STORE_CALLS_H_
+#define BURDOCKROCK_ENGINE_RECORDS_STORE_CALLS_H_
 
 #include "engine/context.h"
 
@@ -21,4 +21,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_STORE_CALLS_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_STORE_CALLS_H_
--- a/Source/engine/watches.cc
+++ b/Source/engine/records/watches.cc
@@ -1,11 +1,11 @@
-#include "engine/watches.h"
+#include "engine/records/watches.h"
 
 #include <algorithm>
 
-#include "engine/membership.h"
-#include "engine/store_calls.h"
-#include "engine/upkeep.h"
-#include "engine/worker_list.h"
+#include "engine/members/membership.h"
+#include "engine/records/store_calls.h"
+#include "engine/workers/upkeep.h"
+#include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/watches.h
+++ b/Source/engine/records/watches.h
@@ -1,6 +1,6 @@
 // Follows the lists that live in the store: members, workers, configuration.
-#ifndef BURDOCKROCK_ENGINE_WATCHES_H_
-#define BURDOCKROCK_ENGINE_WATCHES_H_
+#ifndef BURDOCKROCK_ENGINE_RECORDS_WATCHES_H_
+#define BURDOCKROCK_ENGINE_RECORDS_WATCHES_H_
 
 #include "engine/context.h"
 
@@ -22,4 +22,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_WATCHES_H_
+#endif  // BURDOCKROCK_ENGINE_RECORDS_WATCHES_H_
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -16,16 +16,16 @@
 
 #include "engine/calls.h"
 #include "engine/configuration.h"
-#include "engine/end_log.h"
-#include "engine/job.h"
+#include "engine/jobs/job.h"
 #include "engine/limits.h"
+#include "engine/members/peer_message.h"
 #include "engine/options.h"
-#include "engine/owned_worker.h"
-#include "engine/peer_message.h"
-#include "engine/pool_rule.h"
-#include "engine/record.h"
+#include "engine/records/record.h"
 #include "engine/reminders.h"
-#include "engine/upkeep_rule.h"
+#include "engine/workers/end_log.h"
+#include "engine/workers/owned_worker.h"
+#include "engine/workers/pool_rule.h"
+#include "engine/workers/upkeep_rule.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
--- a/Source/engine/end_log.cc
+++ b/Source/engine/workers/end_log.cc
@@ -1,4 +1,4 @@
-#include "engine/end_log.h"
+#include "engine/workers/end_log.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/engine/end_log.h
+++ b/Source/engine/workers/end_log.h
@@ -1,6 +1,6 @@
 // Packs the ends of runs into few lines of the log.
-#ifndef BURDOCKROCK_ENGINE_END_LOG_H_
-#define BURDOCKROCK_ENGINE_END_LOG_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_END_LOG_H_
+#define BURDOCKROCK_ENGINE_WORKERS_END_LOG_H_
 
 #include <compare>
 #include <cstddef>
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "engine/calls.h"
-#include "engine/job_model.h"
+#include "engine/jobs/job_model.h"
 #include "model/time.h"
 #include "observe/log_format.h"
 
@@ -73,4 +73,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_END_LOG_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_END_LOG_H_
--- a/Source/engine/lease_bounds.cc
+++ b/Source/engine/workers/lease_bounds.cc
@@ -1,13 +1,13 @@
-#include "engine/lease_bounds.h"
+#include "engine/workers/lease_bounds.h"
 
 #include <algorithm>
 #include <chrono>
 #include <map>
 #include <utility>
 
-#include "engine/membership.h"
-#include "engine/worker_list.h"
-#include "engine/worker_owner.h"
+#include "engine/members/membership.h"
+#include "engine/workers/worker_list.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/lease_bounds.h
+++ b/Source/engine/workers/lease_bounds.h
@@ -1,7 +1,7 @@
 // When the leases have run out that other processes renewed at a worker which
 // can't be reached. Until then what runs there may go on.
-#ifndef BURDOCKROCK_ENGINE_LEASE_BOUNDS_H_
-#define BURDOCKROCK_ENGINE_LEASE_BOUNDS_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_LEASE_BOUNDS_H_
+#define BURDOCKROCK_ENGINE_WORKERS_LEASE_BOUNDS_H_
 
 #include <string>
 
@@ -40,4 +40,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_LEASE_BOUNDS_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_LEASE_BOUNDS_H_
--- a/Source/engine/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -1,6 +1,6 @@
 // A worker that this entry instance owns: what runs there and what ended.
-#ifndef BURDOCKROCK_ENGINE_OWNED_WORKER_H_
-#define BURDOCKROCK_ENGINE_OWNED_WORKER_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_OWNED_WORKER_H_
+#define BURDOCKROCK_ENGINE_WORKERS_OWNED_WORKER_H_
 
 #include <cstdint>
 #include <map>
@@ -9,10 +9,10 @@
 
 #include "engine/calls.h"
 #include "engine/configuration.h"
-#include "engine/job_model.h"
-#include "engine/peer_message.h"
-#include "engine/progress_rule.h"
-#include "engine/speed_estimate.h"
+#include "engine/jobs/job_model.h"
+#include "engine/members/peer_message.h"
+#include "engine/workers/progress_rule.h"
+#include "engine/workers/speed_estimate.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
@@ -135,4 +135,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_OWNED_WORKER_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_OWNED_WORKER_H_
--- a/Source/engine/pacing.cc
+++ b/Source/engine/workers/pacing.cc
@@ -1,4 +1,4 @@
-#include "engine/pacing.h"
+#include "engine/workers/pacing.h"
 
 #include <algorithm>
 
--- a/Source/engine/pacing.h
+++ b/Source/engine/workers/pacing.h
@@ -1,6 +1,6 @@
 // Slows filling tasks down when they disturb tasks that serve.
-#ifndef BURDOCKROCK_ENGINE_PACING_H_
-#define BURDOCKROCK_ENGINE_PACING_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_PACING_H_
+#define BURDOCKROCK_ENGINE_WORKERS_PACING_H_
 
 #include <string>
 
@@ -12,4 +12,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PACING_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_PACING_H_
--- a/Source/engine/pool_rule.cc
+++ b/Source/engine/workers/pool_rule.cc
@@ -1,4 +1,4 @@
-#include "engine/pool_rule.h"
+#include "engine/workers/pool_rule.h"
 
 #include <algorithm>
 
--- a/Source/engine/pool_rule.h
+++ b/Source/engine/workers/pool_rule.h
@@ -1,8 +1,8 @@
 // When a machine of a standby pool is brought in, and when it is given back.
 // Pure functions: the load pattern they answer is work that waits for seconds
 // though every placement was tried, as when a season opens.
-#ifndef BURDOCKROCK_ENGINE_POOL_RULE_H_
-#define BURDOCKROCK_ENGINE_POOL_RULE_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_POOL_RULE_H_
+#define BURDOCKROCK_ENGINE_WORKERS_POOL_RULE_H_
 
 #include <map>
 #include <optional>
@@ -12,7 +12,7 @@
 
 #include "engine/calls.h"
 #include "engine/configuration.h"
-#include "engine/upkeep_rule.h"
+#include "engine/workers/upkeep_rule.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
@@ -49,4 +49,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_POOL_RULE_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_POOL_RULE_H_
--- a/Source/engine/pools.cc
+++ b/Source/engine/workers/pools.cc
@@ -1,9 +1,9 @@
-#include "engine/pools.h"
+#include "engine/workers/pools.h"
 
 #include <algorithm>
 
-#include "engine/job_runs.h"
-#include "engine/questions.h"
+#include "engine/jobs/job_runs.h"
+#include "engine/jobs/questions.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/pools.h
+++ b/Source/engine/workers/pools.h
@@ -1,6 +1,6 @@
 // Brings machines of standby pools in while work waits, and gives them back.
-#ifndef BURDOCKROCK_ENGINE_POOLS_H_
-#define BURDOCKROCK_ENGINE_POOLS_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_POOLS_H_
+#define BURDOCKROCK_ENGINE_WORKERS_POOLS_H_
 
 #include "engine/context.h"
 
@@ -22,4 +22,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_POOLS_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_POOLS_H_
--- a/Source/engine/progress_rule.cc
+++ b/Source/engine/workers/progress_rule.cc
@@ -1,4 +1,4 @@
-#include "engine/progress_rule.h"
+#include "engine/workers/progress_rule.h"
 
 #include <algorithm>
 #include <chrono>
--- a/Source/engine/progress_rule.h
+++ b/Source/engine/workers/progress_rule.h
@@ -1,6 +1,6 @@
 // Whether the work of a run goes on. A pure function of what its worker lists.
-#ifndef BURDOCKROCK_ENGINE_PROGRESS_RULE_H_
-#define BURDOCKROCK_ENGINE_PROGRESS_RULE_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_PROGRESS_RULE_H_
+#define BURDOCKROCK_ENGINE_WORKERS_PROGRESS_RULE_H_
 
 #include <compare>
 #include <cstdint>
@@ -33,4 +33,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_PROGRESS_RULE_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_PROGRESS_RULE_H_
--- a/Source/engine/run_ends.cc
+++ b/Source/engine/workers/run_ends.cc
@@ -1,11 +1,11 @@
-#include "engine/run_ends.h"
+#include "engine/workers/run_ends.h"
 
 #include <map>
 #include <optional>
 #include <utility>
 
-#include "engine/catalog.h"
-#include "engine/membership.h"
+#include "engine/members/membership.h"
+#include "engine/records/catalog.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/run_ends.h
+++ b/Source/engine/workers/run_ends.h
@@ -1,6 +1,6 @@
 // Ends of runs on own workers, until the jobs' owners have them in the store.
-#ifndef BURDOCKROCK_ENGINE_RUN_ENDS_H_
-#define BURDOCKROCK_ENGINE_RUN_ENDS_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_RUN_ENDS_H_
+#define BURDOCKROCK_ENGINE_WORKERS_RUN_ENDS_H_
 
 #include <set>
 #include <string>
@@ -51,4 +51,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_RUN_ENDS_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_RUN_ENDS_H_
--- a/Source/engine/run_progress.cc
+++ b/Source/engine/workers/run_progress.cc
@@ -1,10 +1,10 @@
-#include "engine/run_progress.h"
+#include "engine/workers/run_progress.h"
 
 #include <map>
 
-#include "engine/progress_rule.h"
-#include "engine/run_ends.h"
-#include "engine/worker_owner.h"
+#include "engine/workers/progress_rule.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/run_progress.h
+++ b/Source/engine/workers/run_progress.h
@@ -1,6 +1,6 @@
 // Watches whether runs on own workers go on, and tells their jobs' owners.
-#ifndef BURDOCKROCK_ENGINE_RUN_PROGRESS_H_
-#define BURDOCKROCK_ENGINE_RUN_PROGRESS_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_RUN_PROGRESS_H_
+#define BURDOCKROCK_ENGINE_WORKERS_RUN_PROGRESS_H_
 
 #include <string>
 
@@ -29,4 +29,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_RUN_PROGRESS_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_RUN_PROGRESS_H_
--- a/Source/engine/run_review.cc
+++ b/Source/engine/workers/run_review.cc
@@ -1,15 +1,15 @@
-#include "engine/run_review.h"
+#include "engine/workers/run_review.h"
 
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
 
-#include "engine/catalog.h"
-#include "engine/job_table.h"
-#include "engine/membership.h"
-#include "engine/run_ends.h"
-#include "engine/worker_runs.h"
+#include "engine/jobs/job_table.h"
+#include "engine/members/membership.h"
+#include "engine/records/catalog.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/worker_runs.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/run_review.h
+++ b/Source/engine/workers/run_review.h
@@ -1,6 +1,6 @@
 // Looks after runs on own workers whose job's owner is not heard of.
-#ifndef BURDOCKROCK_ENGINE_RUN_REVIEW_H_
-#define BURDOCKROCK_ENGINE_RUN_REVIEW_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_RUN_REVIEW_H_
+#define BURDOCKROCK_ENGINE_WORKERS_RUN_REVIEW_H_
 
 #include "engine/context.h"
 
@@ -18,4 +18,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_RUN_REVIEW_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_RUN_REVIEW_H_
--- a/Source/engine/speed_estimate.cc
+++ b/Source/engine/workers/speed_estimate.cc
@@ -1,4 +1,4 @@
-#include "engine/speed_estimate.h"
+#include "engine/workers/speed_estimate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/engine/speed_estimate.h
+++ b/Source/engine/workers/speed_estimate.h
@@ -1,6 +1,6 @@
 // How fast a worker is, learned from the runs that ended there.
-#ifndef BURDOCKROCK_ENGINE_SPEED_ESTIMATE_H_
-#define BURDOCKROCK_ENGINE_SPEED_ESTIMATE_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_SPEED_ESTIMATE_H_
+#define BURDOCKROCK_ENGINE_WORKERS_SPEED_ESTIMATE_H_
 
 #include <compare>
 #include <cstdint>
@@ -31,4 +31,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_SPEED_ESTIMATE_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_SPEED_ESTIMATE_H_
--- a/Source/engine/upkeep.cc
+++ b/Source/engine/workers/upkeep.cc
@@ -1,18 +1,18 @@
-#include "engine/upkeep.h"
+#include "engine/workers/upkeep.h"
 
 #include <algorithm>
 #include <map>
 #include <utility>
 
-#include "engine/job_runs.h"
-#include "engine/membership.h"
-#include "engine/pools.h"
-#include "engine/run_ends.h"
-#include "engine/run_progress.h"
-#include "engine/store_calls.h"
-#include "engine/upkeep_rule.h"
-#include "engine/worker_lives.h"
-#include "engine/worker_owner.h"
+#include "engine/jobs/job_runs.h"
+#include "engine/members/membership.h"
+#include "engine/records/store_calls.h"
+#include "engine/workers/pools.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/run_progress.h"
+#include "engine/workers/upkeep_rule.h"
+#include "engine/workers/worker_lives.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/upkeep.h
+++ b/Source/engine/workers/upkeep.h
@@ -1,7 +1,7 @@
 // Carries out waves of upkeep: one member at a time empties machines, sends
 // them down and tells how far the wave is.
-#ifndef BURDOCKROCK_ENGINE_UPKEEP_H_
-#define BURDOCKROCK_ENGINE_UPKEEP_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_UPKEEP_H_
+#define BURDOCKROCK_ENGINE_WORKERS_UPKEEP_H_
 
 #include <string>
 
@@ -28,4 +28,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_UPKEEP_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_UPKEEP_H_
--- a/Source/engine/upkeep_rule.cc
+++ b/Source/engine/workers/upkeep_rule.cc
@@ -1,4 +1,4 @@
-#include "engine/upkeep_rule.h"
+#include "engine/workers/upkeep_rule.h"
 
 #include <algorithm>
 
--- a/Source/engine/upkeep_rule.h
+++ b/Source/engine/workers/upkeep_rule.h
@@ -1,7 +1,7 @@
 // How a wave of upkeep goes on. Pure functions of what the machines' listings
 // and the answers to orders have told.
-#ifndef BURDOCKROCK_ENGINE_UPKEEP_RULE_H_
-#define BURDOCKROCK_ENGINE_UPKEEP_RULE_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_UPKEEP_RULE_H_
+#define BURDOCKROCK_ENGINE_WORKERS_UPKEEP_RULE_H_
 
 #include <cstdint>
 #include <map>
@@ -55,4 +55,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_UPKEEP_RULE_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_UPKEEP_RULE_H_
--- a/Source/engine/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -1,7 +1,7 @@
-#include "engine/worker_list.h"
+#include "engine/workers/worker_list.h"
 
-#include "engine/adoption.h"
-#include "engine/worker_owner.h"
+#include "engine/jobs/adoption.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
@@ -10,8 +10,8 @@
 // Of two lives at one address at most one is there, and the list can't tell
 // which: an entry that a life sent before it ended may be stored long after its
 // successor's, as when a cut held it up. Taken for the later one it would end
-// its successor, whose tasks would then run twice. So the workers' owners ask at
-// the address, where only the one that is there answers.
+// its successor, whose tasks would then run twice. So the workers' owners ask
+// at the address, where only the one that is there answers.
 void AskEarlierLives(Context& context, const WorkerInfo& info) {
   for (auto& [id, worker] : context.state.owned) {
     if (id != info.id && worker.info.address == info.address) {
--- a/Source/engine/worker_list.h
+++ b/Source/engine/workers/worker_list.h
@@ -1,6 +1,6 @@
 // The platform's list of workers.
-#ifndef BURDOCKROCK_ENGINE_WORKER_LIST_H_
-#define BURDOCKROCK_ENGINE_WORKER_LIST_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_WORKER_LIST_H_
+#define BURDOCKROCK_ENGINE_WORKERS_WORKER_LIST_H_
 
 #include "engine/context.h"
 
@@ -26,4 +26,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_WORKER_LIST_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_WORKER_LIST_H_
--- a/Source/engine/worker_listing.cc
+++ b/Source/engine/workers/worker_listing.cc
@@ -1,16 +1,16 @@
-#include "engine/worker_listing.h"
+#include "engine/workers/worker_listing.h"
 
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "engine/catalog.h"
-#include "engine/pacing.h"
-#include "engine/run_ends.h"
-#include "engine/run_progress.h"
-#include "engine/worker_owner.h"
-#include "engine/worker_runs.h"
+#include "engine/records/catalog.h"
+#include "engine/workers/pacing.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/run_progress.h"
+#include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_runs.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/worker_listing.h
+++ b/Source/engine/workers/worker_listing.h
@@ -1,6 +1,6 @@
 // Reads what a worker lists in answer to a hold.
-#ifndef BURDOCKROCK_ENGINE_WORKER_LISTING_H_
-#define BURDOCKROCK_ENGINE_WORKER_LISTING_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_WORKER_LISTING_H_
+#define BURDOCKROCK_ENGINE_WORKERS_WORKER_LISTING_H_
 
 #include <string>
 
@@ -22,4 +22,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_WORKER_LISTING_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_WORKER_LISTING_H_
--- a/Source/engine/worker_lives.cc
+++ b/Source/engine/workers/worker_lives.cc
@@ -1,11 +1,11 @@
-#include "engine/worker_lives.h"
+#include "engine/workers/worker_lives.h"
 
 #include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "engine/worker_owner.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/worker_lives.h
+++ b/Source/engine/workers/worker_lives.h
@@ -2,8 +2,8 @@
 // whose worker is another by now, or none, has ended all that ran at the old
 // one. It is the only word of them that needs neither the worker nor a former
 // owner.
-#ifndef BURDOCKROCK_ENGINE_WORKER_LIVES_H_
-#define BURDOCKROCK_ENGINE_WORKER_LIVES_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_WORKER_LIVES_H_
+#define BURDOCKROCK_ENGINE_WORKERS_WORKER_LIVES_H_
 
 #include "engine/context.h"
 
@@ -18,4 +18,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_WORKER_LIVES_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_WORKER_LIVES_H_
--- a/Source/engine/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -1,13 +1,13 @@
-#include "engine/worker_offers.h"
+#include "engine/workers/worker_offers.h"
 
 #include <optional>
 
-#include "engine/catalog.h"
-#include "engine/membership.h"
-#include "engine/preemption.h"
-#include "engine/run_ends.h"
-#include "engine/worker_owner.h"
-#include "engine/worker_runs.h"
+#include "engine/jobs/preemption.h"
+#include "engine/members/membership.h"
+#include "engine/records/catalog.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_runs.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/worker_offers.h
+++ b/Source/engine/workers/worker_offers.h
@@ -1,6 +1,6 @@
 // Offers of the owners of jobs to the owner of a worker.
-#ifndef BURDOCKROCK_ENGINE_WORKER_OFFERS_H_
-#define BURDOCKROCK_ENGINE_WORKER_OFFERS_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_WORKER_OFFERS_H_
+#define BURDOCKROCK_ENGINE_WORKERS_WORKER_OFFERS_H_
 
 #include <string>
 
@@ -14,4 +14,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_WORKER_OFFERS_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_WORKER_OFFERS_H_
--- a/Source/engine/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -1,20 +1,20 @@
-#include "engine/worker_owner.h"
+#include "engine/workers/worker_owner.h"
 
 #include <algorithm>
 #include <chrono>
 #include <utility>
 
-#include "engine/job_runs.h"
-#include "engine/lease_bounds.h"
-#include "engine/membership.h"
-#include "engine/preemption.h"
-#include "engine/run_ends.h"
-#include "engine/run_progress.h"
-#include "engine/run_questions.h"
-#include "engine/watches.h"
-#include "engine/worker_list.h"
-#include "engine/worker_listing.h"
-#include "engine/worker_runs.h"
+#include "engine/jobs/job_runs.h"
+#include "engine/jobs/preemption.h"
+#include "engine/jobs/run_questions.h"
+#include "engine/members/membership.h"
+#include "engine/records/watches.h"
+#include "engine/workers/lease_bounds.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/run_progress.h"
+#include "engine/workers/worker_list.h"
+#include "engine/workers/worker_listing.h"
+#include "engine/workers/worker_runs.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/worker_owner.h
+++ b/Source/engine/workers/worker_owner.h
@@ -1,6 +1,6 @@
 // Owning workers: claims, leases, and when a worker is gone for certain.
-#ifndef BURDOCKROCK_ENGINE_WORKER_OWNER_H_
-#define BURDOCKROCK_ENGINE_WORKER_OWNER_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_WORKER_OWNER_H_
+#define BURDOCKROCK_ENGINE_WORKERS_WORKER_OWNER_H_
 
 #include <string>
 
@@ -51,4 +51,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_WORKER_OWNER_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_WORKER_OWNER_H_
--- a/Source/engine/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -1,15 +1,15 @@
-#include "engine/worker_runs.h"
+#include "engine/workers/worker_runs.h"
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
-#include "engine/catalog.h"
-#include "engine/digests.h"
-#include "engine/preemption.h"
-#include "engine/run_questions.h"
-#include "engine/worker_list.h"
-#include "engine/worker_owner.h"
+#include "engine/jobs/preemption.h"
+#include "engine/jobs/run_questions.h"
+#include "engine/members/digests.h"
+#include "engine/records/catalog.h"
+#include "engine/workers/worker_list.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/worker_runs.h
+++ b/Source/engine/workers/worker_runs.h
@@ -1,6 +1,6 @@
 // Runs on own workers, and the orders that start and stop them.
-#ifndef BURDOCKROCK_ENGINE_WORKER_RUNS_H_
-#define BURDOCKROCK_ENGINE_WORKER_RUNS_H_
+#ifndef BURDOCKROCK_ENGINE_WORKERS_WORKER_RUNS_H_
+#define BURDOCKROCK_ENGINE_WORKERS_WORKER_RUNS_H_
 
 #include <string>
 
@@ -63,4 +63,4 @@
 
 }  // namespace burdockrock::engine
 
-#endif  // BURDOCKROCK_ENGINE_WORKER_RUNS_H_
+#endif  // BURDOCKROCK_ENGINE_WORKERS_WORKER_RUNS_H_
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -4,8 +4,8 @@
 
 #include <fmt/format.h>
 
-#include "engine/job_table.h"
-#include "engine/open_work.h"
+#include "engine/jobs/job_table.h"
+#include "engine/jobs/open_work.h"
 
 namespace burdockrock {
 
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -7,7 +7,7 @@
 #include <jsonrpccpp/common/exception.h>
 #include <boost/asio/post.hpp>
 
-#include "engine/peer_codec.h"
+#include "engine/members/peer_codec.h"
 #include "net/json.h"
 
 namespace burdockrock {
--- a/Source/runtime/steps_instance.cc
+++ b/Source/runtime/steps_instance.cc
@@ -5,8 +5,8 @@
 #include <fmt/format.h>
 
 #include "engine/call_codec.h"
-#include "engine/documents.h"
-#include "engine/job_codec.h"
+#include "engine/records/documents.h"
+#include "engine/records/job_codec.h"
 #include "runtime/engine_edges.h"
 
 namespace burdockrock {
--- a/Tests/bench/peers_bench.cc
+++ b/Tests/bench/peers_bench.cc
@@ -18,7 +18,7 @@
 #include "bench/sample.h"
 #include "bench/wire_meter.h"
 #include "engine/fleet.h"
-#include "engine/peer_codec.h"
+#include "engine/members/peer_codec.h"
 #include "net/json.h"
 
 namespace burdockrock::bench {
--- a/Tests/engine/codec_test.cc
+++ b/Tests/engine/codec_test.cc
@@ -2,8 +2,8 @@
 #include <doctest/doctest.h>
 
 #include "engine/call_codec.h"
-#include "engine/documents.h"
-#include "engine/job_codec.h"
+#include "engine/records/documents.h"
+#include "engine/records/job_codec.h"
 #include "net/json.h"
 
 namespace burdockrock::engine {
--- a/Tests/engine/end_log_test.cc
+++ b/Tests/engine/end_log_test.cc
@@ -1,5 +1,5 @@
 // Ends of runs in few lines of the log, with all that they told.
-#include "engine/end_log.h"
+#include "engine/workers/end_log.h"
 
 #include <string>
 #include <vector>
--- a/Tests/engine/lasting_job.cc
+++ b/Tests/engine/lasting_job.cc
@@ -1,6 +1,6 @@
 #include "engine/lasting_job.h"
 
-#include "engine/membership.h"
+#include "engine/members/membership.h"
 
 namespace burdockrock::engine {
 
--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -9,10 +9,10 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include "engine/advice.h"
+#include "engine/advice/advice.h"
 #include "engine/fleet.h"
-#include "engine/peer_codec.h"
-#include "engine/room_codec.h"
+#include "engine/members/peer_codec.h"
+#include "engine/members/room_codec.h"
 #include "net/json.h"
 
 namespace burdockrock::engine {
--- a/Tests/engine/notices_test.cc
+++ b/Tests/engine/notices_test.cc
@@ -9,7 +9,7 @@
 #include <doctest/doctest.h>
 
 #include "engine/fleet.h"
-#include "engine/open_work.h"
+#include "engine/jobs/open_work.h"
 #include "engine/reminders.h"
 
 namespace burdockrock::engine {
--- a/Tests/engine/takeover_review_test.cc
+++ b/Tests/engine/takeover_review_test.cc
@@ -8,7 +8,7 @@
 #include <doctest/doctest.h>
 
 #include "engine/lasting_job.h"
-#include "engine/membership.h"
+#include "engine/members/membership.h"
 
 namespace burdockrock::engine {
 
--- a/Tests/engine/upkeep_test.cc
+++ b/Tests/engine/upkeep_test.cc
@@ -4,7 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "engine/fleet.h"
-#include "engine/upkeep_rule.h"
+#include "engine/workers/upkeep_rule.h"
 
 namespace burdockrock::engine {
 
--- a/Tests/engine/watches_test.cc
+++ b/Tests/engine/watches_test.cc
@@ -1,8 +1,8 @@
 // How the lists in the store are followed.
 #include <doctest/doctest.h>
 
+#include "engine/records/watches.h"
 #include "engine/reducer.h"
-#include "engine/watches.h"
 
 namespace burdockrock::engine {
 
--- a/Tests/engine/worker_failure_test.cc
+++ b/Tests/engine/worker_failure_test.cc
@@ -6,7 +6,7 @@
 
 #include "engine/context.h"
 #include "engine/fleet.h"
-#include "engine/run_progress.h"
+#include "engine/workers/run_progress.h"
 
 namespace burdockrock::engine {
 
--- a/Tests/runtime/engine_peers_test.cc
+++ b/Tests/runtime/engine_peers_test.cc
@@ -11,7 +11,7 @@
 #include <fmt/format.h>
 #include <boost/asio/io_context.hpp>
 
-#include "engine/peer_codec.h"
+#include "engine/members/peer_codec.h"
 #include "net/http_server.h"
 #include "net/json.h"
 
--- a/Tests/standin/steps_cluster.cc
+++ b/Tests/standin/steps_cluster.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "engine/documents.h"
+#include "engine/records/documents.h"
 #include "wire/value_writer.h"
 
 namespace burdockrock::standin {
