--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -29,10 +29,10 @@
 // Calls that take this long are made by other instances than shorter ones.
 constexpr Duration kLongCall = milliseconds(100);
 // Short calls must not wait behind long ones, so some instances make no long
-// ones: in a small fleet one in three, rounded up, of what comes beyond one in
-// eight, as short calls fill 2 to 5 instances' turns in fleets of 30 to 150.
-// More would stand idle beside full queues: at 20 instances 0.79 of tasks that
-// need long calls start within 2.5 s with one in three, 0.92 with this.
+// ones: one in three, rounded up, of a small fleet and one in five of what
+// comes beyond, as short calls fill 2 to 5 instances' turns in fleets of 30 to
+// 150. More would stand idle beside full queues: at 20 instances 0.79 of tasks
+// that need long calls start within 2.5 s with one in three, 0.86 with this.
 constexpr std::size_t kSmallFleet = 9;
 constexpr std::size_t kMembersPerShortCaller = 3;
 constexpr std::size_t kFurtherPerShortCaller = 5;
@@ -408,8 +408,8 @@
 }
 
 // Whoever has given a question up asks again: calls that are made all the same
-// keep others waiting, who then give up too. The service of 44 instances was
-// busy for 0.61 of its time on a day without trouble, mostly with these.
+// keep others waiting, who then give up too. It shows by waiting steps whose
+// question is younger than their wait.
 void DropStaleTurns(Context& context) {
   std::erase_if(context.state.advice.turns, [&](const AdviceTurn& it) {
     return it.ask.patience != Duration(0) &&
--- a/Source/engine/workers/worker_lives.cc
+++ b/Source/engine/workers/worker_lives.cc
@@ -14,9 +14,9 @@
 // A worker that is paused or slow answers within this time, and a list that
 // lags has a worker by then that was new when it fell silent.
 constexpr Duration kSilentFor = milliseconds(1200);
-// Between two listings of one instance: its share of the service's rate, which
-// is some ten listings a second, grows smaller with each member. At 30 members
-// that all have silent workers they make 8 listings a second.
+// Between two listings of one instance: its share of the service's rate, 60
+// pages a second at the users', grows smaller with each member. At 30 members
+// that all have silent workers they make 8 listings a second, of 1 to 3 pages.
 constexpr Duration kLivesInterval = milliseconds(1000);
 constexpr Duration kLivesIntervalPerMember = milliseconds(90);
 
