--- a/Tests/engine/dead_worker_test.cc
+++ b/Tests/engine/dead_worker_test.cc
@@ -109,13 +109,13 @@
   CheckPromises(fleet);
 }
 
-// A worker crashed behind a cut and another life of it came at its address. When
-// the cut healed, a heartbeat that the first life had sent 12 s before reached
-// the store, with a higher revision than the entry of the second. All instances
-// took the second life for ended, since the first seemed to have come after it,
-// and its four tasks ran twice. The log had worker_gone with the cause
-// "replaced" for the second life, and worker_claimed with running=4 for it 1.2 s
-// later.
+// A worker crashed behind a cut and another life of it came at its address.
+// When the cut healed, a heartbeat that the first life had sent 12 s before
+// reached the store, with a higher revision than the entry of the second. All
+// instances took the second life for ended, since the first seemed to have come
+// after it, and its four tasks ran twice. The log had worker_gone with the
+// cause "replaced" for the second life, and worker_claimed with running=4 for
+// it 1.2 s later.
 TEST_CASE("A late entry of an ended life does not end the present one") {
   Fleet fleet;
   fleet.Settle();
