--- a/Source/engine/advice/advice.h
+++ b/Source/engine/advice/advice.h
@@ -5,8 +5,6 @@
 #ifndef BURDOCKROCK_ENGINE_ADVICE_ADVICE_H_
 #define BURDOCKROCK_ENGINE_ADVICE_ADVICE_H_
 
-#include <string>
-
 #include "engine/context.h"
 
 namespace burdockrock::engine {
@@ -14,17 +12,7 @@
 // Asks for the own jobs' steps.
 void DriveAdvice(Context& context);
 
-// Makes the next call to the service.
-void DriveAdviceTurns(Context& context);
-
-void OnAdviceAsk(Context& context,
-                 const std::string& from,
-                 const AdviceAsk& ask);
 void OnAdviceReply(Context& context, const AdviceReply& reply);
-void OnAdviceAnswered(Context& context, const AdviceAnswered& event);
-
-// How long one more call would wait here, of any priority.
-Duration AdviceWait(const State& state, Time now);
 
 }  // namespace burdockrock::engine
 
--- /dev/null
+++ b/Source/engine/advice/advice_turns.cc
@@ -0,0 +1,104 @@
+#include "engine/advice/advice_turns.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "engine/members/membership.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// How long a call of this priority would wait here.
+Duration WaitBehind(const State& state, Time now, std::uint32_t priority) {
+  const AdviceState& advice = state.advice;
+  Duration wait{0};
+  if (advice.in_flight) {
+    const Duration gone = now - advice.called_at;
+    wait = std::max(advice.in_flight->ask.expected - gone, Duration(0));
+  }
+  for (const AdviceTurn& it : advice.turns) {
+    wait += it.ask.priority <= priority ? it.ask.expected : Duration(0);
+  }
+  return wait;
+}
+
+// The most urgent one, and of these the first.
+std::deque<AdviceTurn>::iterator NextTurn(std::deque<AdviceTurn>& turns) {
+  return std::min_element(turns.begin(), turns.end(),
+                          [](const AdviceTurn& left, const AdviceTurn& right) {
+                            return left.ask.priority < right.ask.priority;
+                          });
+}
+
+// Whoever has given a question up asks again: calls that are made all the same
+// keep others waiting, who then give up too. It shows by waiting steps whose
+// question is younger than their wait.
+void DropStaleTurns(Context& context) {
+  std::erase_if(context.state.advice.turns, [&](const AdviceTurn& it) {
+    return it.ask.patience != Duration(0) &&
+           context.now >= it.arrived + it.ask.patience;
+  });
+}
+
+}  // namespace
+
+void DriveAdviceTurns(Context& context) {
+  AdviceState& advice = context.state.advice;
+  if (advice.in_flight || context.now < advice.retry_at) {
+    return;
+  }
+  DropStaleTurns(context);
+  if (advice.turns.empty()) {
+    return;
+  }
+  const auto next = NextTurn(advice.turns);
+  advice.in_flight = std::move(*next);
+  advice.turns.erase(next);
+  advice.called_at = context.now;
+  context.Emit(CallAdvice{.request = {.step = advice.in_flight->ask.step,
+                                      .workers = advice.in_flight->ask.workers},
+                          .timeout = kAdviceTimeout});
+}
+
+void OnAdviceAsk(Context& context,
+                 const std::string& from,
+                 const AdviceAsk& ask) {
+  const Duration wait = WaitBehind(context.state, context.now, ask.priority);
+  if (ask.most_wait != Duration(0) && wait > ask.most_wait) {
+    return Send(
+        context, from,
+        AdviceReply{
+            .call = ask.call, .failed = true, .declined = true, .wait = wait});
+  }
+  context.state.advice.turns.push_back(
+      {.from = from, .ask = ask, .arrived = context.now});
+}
+
+void OnAdviceAnswered(Context& context, const AdviceAnswered& event) {
+  AdviceState& advice = context.state.advice;
+  if (!advice.in_flight) {
+    return;
+  }
+  const AdviceTurn turn = *std::exchange(advice.in_flight, std::nullopt);
+  AdviceReply reply{.call = turn.ask.call,
+                    .wait = AdviceWait(context.state, context.now)};
+  if (const auto* failed = std::get_if<AdviceFailed>(&event.answer)) {
+    advice.retry_at = context.now + kAdviceRetry;
+    reply.failed = true;
+    context.Log(EventNumber::kAdviceFailed,
+                {{"step", event.request.step}, {"problem", failed->detail}});
+  } else {
+    for (const Allowed& it : std::get<AdviceGiven>(event.answer).allowed) {
+      reply.allowed.push_back({.worker = it.worker, .ticket = it.ticket});
+    }
+  }
+  Send(context, turn.from, std::move(reply));
+}
+
+Duration AdviceWait(const State& state, Time now) {
+  return WaitBehind(state, now, std::numeric_limits<std::uint32_t>::max());
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/members/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "engine/advice/advice.h"
+#include "engine/advice/advice_turns.h"
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/preemption.h"
 #include "engine/jobs/questions.h"
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "engine/advice/advice.h"
+#include "engine/advice/advice_turns.h"
 #include "engine/jobs/adoption.h"
 #include "engine/jobs/job_progress.h"
 #include "engine/jobs/job_runs.h"
--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -9,7 +9,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include "engine/advice/advice.h"
+#include "engine/advice/advice_turns.h"
 #include "engine/fleet.h"
 #include "engine/members/peer_codec.h"
 #include "engine/members/room_codec.h"
