Engine: Counts calls for advice by their reason

Under trouble three in four tasks that wait beside room wait for advice, and the service works three times as long as one call for each step takes. No line told which calls that time goes to. Event 415 and four metrics now tell calls, names, allowed workers, starts, the service's time, answers that came too late and questions given up, for each reason: first, adopted, wider, lapsed, repeated. The test of it fails without the counting.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -58,6 +58,19 @@
          !HasEnough(context, ready);
 }
 
+AdviceReason ReasonOf(const Context& context, const ReadyStep& ready) {
+  const StepRun& step = ready.run();
+  if (step.unanswered) {
+    return AdviceReason::kRepeated;
+  }
+  if (step.advised_at == kForever) {
+    return ready.job->generation > 1 ? AdviceReason::kAdopted
+                                     : AdviceReason::kFirst;
+  }
+  return HasValidTicket(context, step) ? AdviceReason::kWider
+                                       : AdviceReason::kLapsed;
+}
+
 Duration ExpectedTime(const AdvicePolicy& policy, std::size_t workers) {
   return policy.decision + policy.each * static_cast<std::int64_t>(workers);
 }
@@ -96,6 +109,7 @@
                            AdviceQuestion{.step = step,
                                           .member = member,
                                           .workers = std::move(workers),
+                                          .reason = ReasonOf(context, ready),
                                           .expected = expected,
                                           .asked = context.now,
                                           .give_up = context.now + patience});
@@ -104,16 +118,17 @@
 void TakeTickets(Time now,
                  StepRun& step,
                  const AdvicePolicy& policy,
-                 const std::vector<std::string>& asked,
+                 const AdviceQuestion& question,
                  const AdviceReply& given) {
   step.advised_at = std::min(step.advised_at, now);
   std::set<std::string> allowed;
   for (const AdvisedWorker& it : given.allowed) {
     allowed.insert(it.worker);
-    step.tickets[it.worker] =
-        StepTicket{.text = it.ticket, .expires = now + policy.valid};
+    step.tickets[it.worker] = StepTicket{.text = it.ticket,
+                                         .expires = now + policy.valid,
+                                         .reason = question.reason};
   }
-  for (const std::string& it : asked) {
+  for (const std::string& it : question.workers) {
     if (!allowed.contains(it)) {
       step.denied.insert(it);
       step.tickets.erase(it);
@@ -132,12 +147,30 @@
   return &step;
 }
 
+void CountAnswer(Context& context,
+                 const AdviceQuestion& question,
+                 const AdviceReply& reply,
+                 bool unused) {
+  if (reply.declined || reply.failed) {
+    return;  // the service was not asked, or was asked in vain
+  }
+  AdviceCount& count = context.state.totals.advice[question.reason];
+  ++count.calls;
+  count.names += question.workers.size();
+  count.allowed += reply.allowed.size();
+  count.unused += unused ? 1 : 0;
+  count.time += question.expected;
+}
+
 void GiveUpQuestions(Context& context) {
   std::erase_if(context.state.advice.questions, [&](const auto& it) {
     if (context.now < it.second.give_up) {
       return false;
     }
-    EndQuestion(context, it.second);
+    if (StepRun* step = EndQuestion(context, it.second)) {
+      step->unanswered = true;
+    }
+    ++context.state.totals.advice[it.second.reason].given_up;
     // It is busier than it has told.
     Duration& wait = context.state.advice.waits[it.second.member];
     wait = std::max(wait, context.now - it.second.asked);
@@ -185,11 +218,13 @@
   }
   if (step != nullptr) {
     step->declines = 0;
+    step->unanswered = reply.failed;
   }
+  CountAnswer(context, question, reply, step == nullptr);
   if (reply.failed || step == nullptr || queue == nullptr || !queue->advice) {
     return;
   }
-  TakeTickets(context.now, *step, *queue->advice, question.workers, reply);
+  TakeTickets(context.now, *step, *queue->advice, question, reply);
   context.state.placement_due = true;
 }
 
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "engine/advice/advice_reason.h"
 #include "engine/jobs/job_model.h"
 #include "engine/members/peer_message.h"
 #include "engine/records/record.h"
@@ -59,6 +60,7 @@
 struct StepTicket {
   std::string text{};
   Time expires{0};
+  AdviceReason reason = AdviceReason::kFirst;  // of the call that gave it
 };
 
 struct StepRun {
@@ -69,6 +71,7 @@
   Time asked_at = Time::min();   // whether to ask for advice, last
   Time called_at = Time::min();  // for advice, last
   bool asking = false;
+  bool unanswered = false;     // its last question was
   std::uint32_t declines = 0;  // of its last question, in a row
   // For the log, what it waited for. kForever: not yet.
   Time ready_at = kForever;    // its turn came
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -172,7 +172,12 @@
   const RoomView& view = round.context.state.view[attempt.worker];
   const std::string& owner = view.owner;
   const auto ticket = ready.run().tickets.find(attempt.worker);
-  ++round.context.state.totals.offers;
+  Totals& totals = round.context.state.totals;
+  ++totals.offers;
+  // Room that is booked for a gang is offered once more for the start.
+  if (ticket != ready.run().tickets.end() && kind != OfferKind::kBooking) {
+    ++totals.advice[ticket->second.reason].starts;
+  }
   OfferTo(round, ready, owner, kind)
       .tasks.push_back({.index = index,
                         .run = attempt.run,
--- a/Source/engine/notices.cc
+++ b/Source/engine/notices.cc
@@ -31,6 +31,9 @@
 // long after the acknowledgement; a run that was started until then has the
 // worker's time to stop.
 constexpr Duration kCancelledStarts = milliseconds(3000);
+// Between two lines about the calls for advice, which tell totals: six lines a
+// minute, so that a run of a minute shows how they change.
+constexpr Duration kAdviceTold = milliseconds(10'000);
 // Things named in one line; how many there are is said beside them.
 constexpr std::size_t kNamed = 3;
 
@@ -170,6 +173,28 @@
   reminders.EndRound();
 }
 
+// CALLS:NAMES:ALLOWED:STARTS:MS:UNUSED:GIVEN_UP
+std::string DescribeAdvice(const AdviceCount& count) {
+  return fmt::format("{}:{}:{}:{}:{}:{}:{}", count.calls, count.names,
+                     count.allowed, count.starts, ToMilliseconds(count.time),
+                     count.unused, count.given_up);
+}
+
+// The service's time is what steps wait for under load: without these figures
+// nobody could tell which calls it goes to, and which of them bring starts.
+void TellAdvice(Context& context) {
+  const AdviceCounts& counts = context.state.totals.advice;
+  std::vector<LogField> fields;
+  for (const AdviceReason it : kAllAdviceReasons) {
+    if (counts[it].calls != 0 || counts[it].given_up != 0) {
+      fields.push_back({AdviceReasonName(it), DescribeAdvice(counts[it])});
+    }
+  }
+  if (!fields.empty()) {
+    context.Log(EventNumber::kAdviceUsed, std::move(fields));
+  }
+}
+
 // TASK/RUN@WORKER@OWNER of the first few.
 std::string DescribeRuns(const Context& context,
                          const std::vector<OpenRun>& runs) {
@@ -233,6 +258,10 @@
     notices.cancels_seen_at = context.now;
     LookAtCancels(context);
   }
+  if (HasPassed(context.now, notices.advice_told_at, kAdviceTold)) {
+    notices.advice_told_at = context.now;
+    TellAdvice(context);
+  }
   if (!HasPassed(context.now, notices.seen_at, kRound)) {
     return;
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "engine/advice/advice_reason.h"
 #include "engine/calls.h"
 #include "engine/configuration.h"
 #include "engine/jobs/job.h"
@@ -310,6 +311,7 @@
   TaskName step{};       // its index does not count
   std::string member{};  // that asks the service
   std::vector<std::string> workers{};
+  AdviceReason reason = AdviceReason::kFirst;
   Duration expected{0};
   Time asked{0};
   Time give_up{0};
@@ -384,12 +386,14 @@
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   std::uint64_t lost_runs = 0;
+  AdviceCounts advice{};
 };
 
 // What the log was told of what lasts.
 struct NoticesState {
   Time seen_at = Time::min();
   Time cancels_seen_at = Time::min();
+  Time advice_told_at = Time::min();
   Reminders recoveries{};  // by job
   Reminders claims{};      // by worker
   Reminders stops{};       // by worker
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -119,6 +119,8 @@
     {EventNumber::kJobRecovering, Level::kWarning, "job_recovering",
      "An adopted job waits to hear of workers that may run its tasks; none of "
      "them is started meanwhile"},
+    {EventNumber::kAdviceUsed, Level::kInfo, "advice_used",
+     "Calls for advice on this process's steps since its start, by reason"},
     {EventNumber::kAttemptLost, Level::kWarning, "attempt_lost",
      "An attempt to run a task was lost with its worker or lease"},
     {EventNumber::kAttemptRestarted, Level::kInfo, "attempt_restarted",
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -68,6 +68,7 @@
   kJobLost = 412,
   kJobRecovered = 413,
   kJobRecovering = 414,
+  kAdviceUsed = 415,
 
   // Tasks
   kAttemptLost = 501,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -70,6 +70,14 @@
     "burdockrock_timer_late_seconds";
 inline constexpr std::string_view kStartSeconds = "burdockrock_start_seconds";
 inline constexpr std::string_view kCancelSeconds = "burdockrock_cancel_seconds";
+inline constexpr std::string_view kAdviceCallsTotal =
+    "burdockrock_advice_calls_total";
+inline constexpr std::string_view kAdviceNamesTotal =
+    "burdockrock_advice_names_total";
+inline constexpr std::string_view kAdviceSecondsTotal =
+    "burdockrock_advice_seconds_total";
+inline constexpr std::string_view kAdviceStartsTotal =
+    "burdockrock_advice_starts_total";
 inline constexpr std::string_view kResidentBytes = "burdockrock_resident_bytes";
 inline constexpr std::string_view kProcessorSecondsTotal =
     "burdockrock_processor_seconds_total";
@@ -138,6 +146,14 @@
     {kCancelSeconds, MetricKind::kSummary, "",
      "Time from a cancel's acknowledgement until nothing of the job ran, in "
      "seconds"},
+    {kAdviceCallsTotal, MetricKind::kCounter, "reason",
+     "Calls for advice on own steps that were answered"},
+    {kAdviceNamesTotal, MetricKind::kCounter, "reason",
+     "Workers named in these calls"},
+    {kAdviceSecondsTotal, MetricKind::kCounter, "reason",
+     "Time that these calls take the service, in seconds"},
+    {kAdviceStartsTotal, MetricKind::kCounter, "reason",
+     "Tasks offered with the tickets of these calls"},
     {kResidentBytes, MetricKind::kGauge, "",
      "Resident memory of this process, in bytes"},
     {kProcessorSecondsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -88,6 +88,21 @@
   }
 }
 
+void SetAdvice(Metrics& metrics, const engine::AdviceCounts& counts) {
+  for (const engine::AdviceReason it : engine::kAllAdviceReasons) {
+    const Labels labels = {
+        {.name = "reason", .value = engine::AdviceReasonName(it)}};
+    const engine::AdviceCount& count = counts[it];
+    const auto raise = [&](std::string_view name, double total) {
+      metrics.GetCounter(name, labels).RaiseTo(total);
+    };
+    raise(kAdviceCallsTotal, static_cast<double>(count.calls));
+    raise(kAdviceNamesTotal, static_cast<double>(count.names));
+    raise(kAdviceSecondsTotal, InSeconds(count.time));
+    raise(kAdviceStartsTotal, static_cast<double>(count.starts));
+  }
+}
+
 void SetStops(Metrics& metrics,
               const std::string& side,
               const engine::OpenKind& stops) {
@@ -137,6 +152,7 @@
   Raise(metrics, kJobsAdoptedTotal, totals.adopted);
   Raise(metrics, kRunsLostTotal, totals.lost_runs);
   metrics.Set(kOwnedWorkers, {}, static_cast<double>(state.owned.size()));
+  SetAdvice(metrics, totals.advice);
   SetPacked(metrics, state);
   SetOpenWork(metrics, engine::CountOpenWork(state, now));
 }
--- a/Tests/engine/notices_test.cc
+++ b/Tests/engine/notices_test.cc
@@ -350,6 +350,31 @@
   CHECK_FALSE(reminders.IsDue("99", seconds(200), seconds(200)));
 }
 
+// The advice service was busy all day, three times as long as a call for each
+// step takes, and no line said which calls it worked on: those for steps that
+// nothing was known of, or those for steps whose tickets had lapsed meanwhile.
+TEST_CASE("Calls for advice are counted by their reason") {
+  Fleet fleet({.workers = 2, .advice = true});
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(4)});
+  fleet.Submit("n0", "j1", OneStep(2, 8000));
+  fleet.Run(milliseconds(500));
+  REQUIRE(CountRuns(fleet, "j1") == 2);
+  // Its tickets lapse while the other job has all of the room.
+  fleet.Submit("n0", "j2", OneStep(2, 8000));
+  fleet.Run(seconds(12));
+  REQUIRE(CountEnds(fleet, RunEnd::kDone) == 4);
+  const AdviceCounts& counts = fleet.state("n0").totals.advice;
+  CHECK(counts[AdviceReason::kFirst].calls == 2);
+  CHECK(counts[AdviceReason::kFirst].names == 4);
+  CHECK(counts[AdviceReason::kFirst].starts == 2);
+  CHECK(counts[AdviceReason::kLapsed].starts == 2);
+  CHECK(counts[AdviceReason::kAdopted].calls == 0);
+  const auto lines = LinesOf(fleet, EventNumber::kAdviceUsed);
+  REQUIRE(!lines.empty());
+  CHECK(FieldOf(lines.back(), "first").starts_with("2:4:4:2:"));
+}
+
 }  // namespace
 
 }  // namespace burdockrock::engine
