--- a/Tests/engine/advice_test.cc
+++ b/Tests/engine/advice_test.cc
@@ -233,8 +233,8 @@
 };
 
 // Steps of 14 tasks of 9 cores and 6 s come every 225 ms to 12 instances and
-// fill two thirds of the room of 160 workers. 35 in 100 workers are allowed. A call
-// takes 494 ms and 7 ms more for each worker.
+// fill two thirds of the room of 160 workers. 35 in 100 workers are allowed. A
+// call takes 494 ms and 7 ms more for each worker.
 WideLoad PlayWideSteps() {
   const AdvicePolicy policy{.decision = milliseconds(494),
                             .each = milliseconds(7),
