Tests: Counts refused offers of work in a hurry

The load's queue had an objective of twice its chain, which hardly counts as work in a hurry; short checks have 1.5.

--- a/Tests/engine/advice_test.cc
+++ b/Tests/engine/advice_test.cc
@@ -353,6 +353,15 @@
                .workers = 180,
                .processors_milli = 32'000,
                .advice = true});
+  fleet.SetQueue({.name = "q",
+                  .host = "h",
+                  .prefix = "/q/",
+                  .service = "s",
+                  .max_attempts = 3,
+                  .stretch = 1.5,
+                  .advice = AdvicePolicy{.decision = milliseconds(32),
+                                         .each = milliseconds(1),
+                                         .valid = milliseconds(2500)}});
   fleet.Settle();
   fleet.advice_takes = [](const AdviceRequest&) { return milliseconds(45); };
   fleet.allows = [](const std::string& step, const std::string& worker) {
