Engine: Leaves the last room of other owners' workers to them

What is known of another owner's worker is up to 0.8 s old, and best fit takes the fullest worker first, at all instances alike; a step whose tickets ran out of room that way asked for advice again, which takes a short check 340 of its 900 ms of slack. Ruled out: taking the emptiest worker first: 0.60 refused, as all take the same. Change: for work in a hurry a worker of another owner costs more the fewer tasks fit there. For all work alike, wide steps took 1,027 ms of the service in place of 816, so work that has time packs as before. Test load: 0.48 of the offers refused before, 0.18 after.

--- a/Source/engine/jobs/placement_rule.cc
+++ b/Source/engine/jobs/placement_rule.cc
@@ -22,6 +22,13 @@
 // 40 jobs a second 5% of the offers are refused, 28% without it, and short jobs
 // are delayed by 26 ms, 51 without it.
 constexpr double kOtherOwner = 0.5;
+// The last room that seems to be left at another owner's worker is often gone
+// when the offer arrives, and room for several tasks seldom. This is shared by
+// the tasks that fit: at 30 instances and 0.63 of the room in use 0.18 of the
+// offers are refused, 0.48 without it, and a task starts after 79 ms in the
+// mean, 87 without it. Work that has time packs tightly all the same: spread
+// over more workers, room for wide steps takes longer calls for advice.
+constexpr double kLastRoom = 1;
 // Of two dimensions that are left in unlike shares one can't be used.
 constexpr double kUnbalanced = 0.5;
 
@@ -90,7 +97,12 @@
     cost += kAvoided;
   }
   cost += need.speed_weight * kSlow * (candidate.slowness - 1);
-  cost += kOtherOwner * (1 - candidate.liking);
+  if (candidate.liking < 1) {
+    const auto fits = static_cast<double>(
+        CountRoomFor(need, *candidate.worker, candidate.free));
+    cost += kOtherOwner * (1 - candidate.liking) +
+            kLastRoom * std::max(need.speed_weight, 0.0) / std::max(fits, 1.0);
+  }
   return cost + (candidate.own_domain ? 0 : kOtherDomain);
 }
 
