Engine: Asks anew at once when the caller for advice has gone

Ruled out: a reply from a later life at the same address, as the question is lost with the former one. Change: a question ends when its member is not known any more, and turns of askers that are not known are dropped.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -162,13 +162,20 @@
   count.time += question.expected;
 }
 
+// Whoever was asked has gone, and the question with it.
+bool IsLost(const Context& context, const AdviceQuestion& question) {
+  return question.member != context.self() &&
+         FindMember(context.state, question.member) == nullptr;
+}
+
 void GiveUpQuestions(Context& context) {
   std::erase_if(context.state.advice.questions, [&](const auto& it) {
-    if (context.now < it.second.give_up) {
+    if (context.now < it.second.give_up && !IsLost(context, it.second)) {
       return false;
     }
     if (StepRun* step = EndQuestion(context, it.second)) {
       step->unanswered = true;
+      step->asked_at = Time::min();  // another member is asked at once
     }
     ++context.state.totals.advice[it.second.reason].given_up;
     // It is busier than it has told.
--- a/Source/engine/advice/advice_turns.cc
+++ b/Source/engine/advice/advice_turns.cc
@@ -32,13 +32,19 @@
                           });
 }
 
-// Whoever has given a question up asks again: calls that are made all the same
-// keep others waiting, who then give up too. It shows by waiting steps whose
-// question is younger than their wait.
+bool HasGone(const Context& context, const std::string& asker) {
+  return asker != context.self() && FindMember(context.state, asker) == nullptr;
+}
+
+// Whoever has given a question up asks again, and so does the next owner of the
+// step of an asker that has gone: calls that are made all the same keep others
+// waiting, who then give up too. It shows by waiting steps whose question is
+// younger than their wait.
 void DropStaleTurns(Context& context) {
   std::erase_if(context.state.advice.turns, [&](const AdviceTurn& it) {
-    return it.ask.patience != Duration(0) &&
-           context.now >= it.arrived + it.ask.patience;
+    const bool given_up = it.ask.patience != Duration(0) &&
+                          context.now >= it.arrived + it.ask.patience;
+    return given_up || HasGone(context, it.from);
   });
 }
 
