Engine: Asks no silent member for advice, and short callers of all domains

They stay registered for 2.5 s, their last told wait is the shortest, and each question there cost its time and 1.5 s. All instances that make short calls were in that domain, as these are the first by name. Ruled out: the calls themselves, half of which end within 9 ms of the expected time. Change: a member that is 0.3 s late with an answer and has told nothing since it was asked counts as silent until it tells something; after a question without an answer only those are asked who have told something since. The order of the callers is by a hash of their names. What is known of a caller goes when it leaves. Of 12,470 answers in two traced trials 90 would have been taken for late.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -85,7 +85,11 @@
             std::vector<std::string> workers) {
   AdviceState& advice = context.state.advice;
   const Duration expected = ExpectedTime(*ready.queue->advice, workers.size());
-  const std::string member = ChooseCaller(context, expected);
+  // After a question that was not answered nobody is asked who has told nothing
+  // since then: all of a domain are cut off at once.
+  const Time heard_since =
+      ready.run().unanswered ? ready.run().called_at : Time::min();
+  const std::string member = ChooseCaller(context, expected, heard_since);
   const Duration wait = WaitAt(context, member);
   const Duration patience = wait + expected + kReplySlack;
   const bool may_decline =
@@ -112,6 +116,7 @@
                                           .reason = ReasonOf(context, ready),
                                           .expected = expected,
                                           .asked = context.now,
+                                          .due = context.now + wait + expected,
                                           .give_up = context.now + patience});
 }
 
@@ -162,15 +167,10 @@
   count.time += question.expected;
 }
 
-// Whoever was asked has gone, and the question with it.
-bool IsLost(const Context& context, const AdviceQuestion& question) {
-  return question.member != context.self() &&
-         FindMember(context.state, question.member) == nullptr;
-}
-
 void GiveUpQuestions(Context& context) {
   std::erase_if(context.state.advice.questions, [&](const auto& it) {
-    if (context.now < it.second.give_up && !IsLost(context, it.second)) {
+    const bool lost = IsLost(context, it.second);
+    if (context.now < it.second.give_up && !lost) {
       return false;
     }
     if (StepRun* step = EndQuestion(context, it.second)) {
@@ -178,9 +178,7 @@
       step->asked_at = Time::min();  // another member is asked at once
     }
     ++context.state.totals.advice[it.second.reason].given_up;
-    // It is busier than it has told.
-    Duration& wait = context.state.advice.waits[it.second.member];
-    wait = std::max(wait, context.now - it.second.asked);
+    LeaveCaller(context, it.second);
     return true;
   });
 }
@@ -212,7 +210,7 @@
     return;
   }
   const AdviceQuestion& question = node.mapped();
-  context.state.advice.waits[question.member] = reply.wait;
+  HearOfCaller(context, question.member, reply.wait);
   StepRun* step = EndQuestion(context, question);
   const Job* job = FindJob(context.state, question.step.job);
   const QueuePolicy* queue =
--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -4,8 +4,11 @@
 #include <cstddef>
 #include <functional>
 #include <tuple>
+#include <utility>
 #include <vector>
 
+#include <xxhash.h>
+
 #include "engine/advice/advice_turns.h"
 #include "engine/members/membership.h"
 
@@ -31,6 +34,14 @@
 // say nothing. About a third of that time at 30 members.
 constexpr Duration kWaitDoubt = milliseconds(250);
 
+// A member that is cut off or stands still stays registered for 2.5 s more and
+// goes on to have the shortest wait, as it told before: its questions wait
+// until they are given up, 1.5 s after they were due, and so do the next ones.
+// One that owes an answer for this long and tells nothing at all counts as
+// silent until it tells something. Of 12,470 answers of live members 90 came
+// later, most of them while all instances recover.
+constexpr Duration kSilence = milliseconds(300);
+
 struct Callers {
   std::vector<std::string> for_short{};  // make no long calls
   std::vector<std::string> for_all{};
@@ -42,18 +53,56 @@
          (members - few) / kFurtherPerShortCaller;
 }
 
-Callers CallersOf(const Context& context) {
-  std::vector<std::string> members = OtherMembers(context);
-  members.push_back(context.self());
-  std::sort(members.begin(), members.end());
+Time HeardAt(const Context& context, const std::string& member) {
+  const auto& heard = context.state.advice.heard;
+  const auto it = heard.find(member);
+  return it == heard.end() ? Time::min() : it->second;
+}
+
+bool MayAnswer(const Context& context,
+               const std::string& member,
+               Time heard_since) {
+  return member == context.self() ||
+         (!context.state.advice.silent.contains(member) &&
+          HeardAt(context, member) >= heard_since);
+}
+
+// In the same order everywhere, which mixes the domains: the first ones by name
+// are all of one, and short calls would have no callers when that is cut off.
+std::vector<std::string> MembersInOrder(const Context& context) {
+  std::vector<std::pair<XXH64_hash_t, std::string>> ranked;
+  const auto add = [&](const std::string& it) {
+    ranked.emplace_back(XXH64(it.data(), it.size(), 0), it);
+  };
+  for (const std::string& it : OtherMembers(context)) {
+    add(it);
+  }
+  add(context.self());
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> members;
+  members.reserve(ranked.size());
+  for (auto& [rank, it] : ranked) {
+    members.push_back(std::move(it));
+  }
+  return members;
+}
+
+Callers CallersOf(const Context& context, Time heard_since) {
+  const std::vector<std::string> members = MembersInOrder(context);
   const std::size_t short_callers = CountShortCallers(members.size());
-  if (members.size() <= short_callers) {
-    return {.for_short = members, .for_all = members};
+  Callers callers;
+  for (std::size_t it = 0; it < members.size(); ++it) {
+    if (MayAnswer(context, members[it], heard_since)) {
+      auto& those = it < short_callers ? callers.for_short : callers.for_all;
+      those.push_back(members[it]);
+    }
+  }
+  if (callers.for_all.empty()) {
+    callers.for_all = callers.for_short;
+  } else if (callers.for_short.empty()) {
+    callers.for_short = callers.for_all;
   }
-  const auto middle =
-      members.begin() + static_cast<std::ptrdiff_t>(short_callers);
-  return {.for_short = {members.begin(), middle},
-          .for_all = {middle, members.end()}};
+  return callers;
 }
 
 struct ShortestWait {
@@ -102,8 +151,10 @@
   return wait;
 }
 
-std::string ChooseCaller(const Context& context, Duration expected) {
-  const Callers callers = CallersOf(context);
+std::string ChooseCaller(const Context& context,
+                         Duration expected,
+                         Time heard_since) {
+  const Callers callers = CallersOf(context, heard_since);
   const ShortestWait all = FindShortestWait(context, callers.for_all);
   if (IsLongCall(expected)) {
     return all.member;
@@ -112,6 +163,43 @@
   return best.wait <= std::max(kShortWait, all.wait) ? best.member : all.member;
 }
 
+void HearOfCaller(Context& context, const std::string& member, Duration wait) {
+  AdviceState& advice = context.state.advice;
+  advice.waits[member] = wait;
+  advice.heard[member] = context.now;
+  advice.silent.erase(member);
+}
+
+void ForgetCaller(Context& context, const std::string& member) {
+  AdviceState& advice = context.state.advice;
+  advice.waits.erase(member);
+  advice.heard.erase(member);
+  advice.silent.erase(member);
+}
+
+void LeaveCaller(Context& context, const AdviceQuestion& question) {
+  if (FindMember(context.state, question.member) == nullptr) {
+    return;
+  }
+  AdviceState& advice = context.state.advice;
+  if (IsLost(context, question)) {
+    advice.silent.insert(question.member);
+  }
+  // It is busier than it has told.
+  Duration& wait = advice.waits[question.member];
+  wait = std::max(wait, context.now - question.asked);
+}
+
+bool IsLost(const Context& context, const AdviceQuestion& question) {
+  const std::string& member = question.member;
+  if (member == context.self()) {
+    return false;
+  }
+  const bool owes = context.now >= question.due + kSilence &&
+                    HeardAt(context, member) < question.asked;
+  return owes || FindMember(context.state, member) == nullptr;
+}
+
 Duration WaitDoubt(Duration expected) {
   return IsLongCall(expected) ? kWaitDoubt : kShortWait;
 }
--- a/Source/engine/advice/advice_callers.h
+++ b/Source/engine/advice/advice_callers.h
@@ -11,8 +11,21 @@
 // Whether a call that the service takes so long for counts as a long one.
 bool IsLongCall(Duration expected);
 
-// The member, or this instance, where a call of this length waits the least.
-std::string ChooseCaller(const Context& context, Duration expected);
+// The member, or this instance, where a call of this length waits the least,
+// among those that have told something since `heard_since`.
+std::string ChooseCaller(const Context& context,
+                         Duration expected,
+                         Time heard_since);
+
+// The member told its wait.
+void HearOfCaller(Context& context, const std::string& member, Duration wait);
+
+// The member left.
+void ForgetCaller(Context& context, const std::string& member);
+
+// Whether whoever was asked has gone, and the question with it, or owes the
+// answer and has told nothing since it was asked.
+bool IsLost(const Context& context, const AdviceQuestion& question);
 
 // How long one more call would wait there, as far as is known here.
 Duration WaitAt(const Context& context, const std::string& member);
@@ -20,6 +33,9 @@
 // By how much the wait at the member may have grown since it told of it.
 Duration WaitDoubt(Duration expected);
 
+// The question is given up: its member is avoided until it tells its wait.
+void LeaveCaller(Context& context, const AdviceQuestion& question);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_ADVICE_ADVICE_CALLERS_H_
--- a/Source/engine/members/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "engine/advice/advice_callers.h"
 #include "engine/advice/advice_turns.h"
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/preemption.h"
@@ -244,7 +245,7 @@
   for (const WorkerRoom& it : digest.workers) {
     OnRoom(context, from, it);
   }
-  context.state.advice.waits[from] = digest.advice_wait;
+  HearOfCaller(context, from, digest.advice_wait);
   auto& waiting = context.state.digest.waiting[from];
   if (digest.whole) {
     waiting.clear();
--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -5,6 +5,7 @@
 
 #include <xxhash.h>
 
+#include "engine/advice/advice_callers.h"
 #include "engine/jobs/adoption.h"
 #include "engine/jobs/job_progress.h"
 #include "engine/members/node_records.h"
@@ -265,6 +266,7 @@
       !replaced && StoreIsUnsteady(context) ? kRejoinGrace : Duration(0);
   context.state.digest.waiting.erase(node.key());
   context.state.digest.heard.erase(node.key());
+  ForgetCaller(context, node.key());
   members.departed[node.key()] = DepartedMember{
       .member = node.mapped(),
       .gone_at = context.now + grace,
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -314,6 +314,7 @@
   AdviceReason reason = AdviceReason::kFirst;
   Duration expected{0};
   Time asked{0};
+  Time due{0};  // when the answer should be there
   Time give_up{0};
 };
 
@@ -331,7 +332,10 @@
   std::optional<AdviceTurn> in_flight{};
   Time called_at{0};  // for the turn in flight
   Time retry_at{0};
-  std::map<std::string, Duration> waits{};  // of the members, as they told
+  // Of the members, as they told.
+  std::map<std::string, Duration> waits{};
+  std::map<std::string, Time> heard{};  // told last
+  std::set<std::string> silent{};       // owe an answer and tell nothing
 };
 
 struct DigestState {
