Engine: Tells how long urgent calls for advice would wait

Cause: a caller told one wait, of calls of any priority. In a burst of urgent jobs all that make long calls told 0.87 s, so short calls queued at the 7 instances of 30 that make only short ones, 0.43 s as told there, though they would have come next at the others. Change: digests and answers tell a second wait, behind urgent calls alone; questions of the most urgent queue are put where that is shortest.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -89,8 +89,9 @@
   // since then: all of a domain are cut off at once.
   const Time heard_since =
       ready.run().unanswered ? ready.run().called_at : Time::min();
-  const std::string member = ChooseCaller(context, expected, heard_since);
-  const Duration wait = WaitAt(context, member);
+  const std::string member =
+      ChooseCaller(context, ready.queue->priority, expected, heard_since);
+  const Duration wait = WaitAt(context, member, ready.queue->priority);
   const Duration patience = wait + expected + kReplySlack;
   const bool may_decline =
       member != context.self() && ready.run().declines < kMostDeclines;
@@ -113,6 +114,7 @@
                            AdviceQuestion{.step = step,
                                           .member = member,
                                           .workers = std::move(workers),
+                                          .priority = ready.queue->priority,
                                           .reason = ReasonOf(context, ready),
                                           .expected = expected,
                                           .asked = context.now,
@@ -210,7 +212,7 @@
     return;
   }
   const AdviceQuestion& question = node.mapped();
-  HearOfCaller(context, question.member, reply.wait);
+  HearOfCaller(context, question.member, reply.wait, reply.urgent_wait);
   StepRun* step = EndQuestion(context, question);
   const Job* job = FindJob(context.state, question.step.job);
   const QueuePolicy* queue =
--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -113,11 +113,12 @@
 // This instance itself among equals, which saves the way, and else any of them:
 // others would take the first one too, until they hear that it is busy.
 ShortestWait FindShortestWait(const Context& context,
-                              const std::vector<std::string>& members) {
+                              const std::vector<std::string>& members,
+                              std::uint32_t priority) {
   ShortestWait best;
   std::tuple<std::int64_t, bool, std::uint64_t> best_rank;
   for (const std::string& it : members) {
-    const Duration wait = WaitAt(context, it);
+    const Duration wait = WaitAt(context, it, priority);
     // Instances whose random numbers are alike choose differently all the same.
     const std::uint64_t chance =
         std::hash<std::string>()(context.self() + it) ^ context.state.random();
@@ -136,15 +137,20 @@
   return expected >= kLongCall;
 }
 
-Duration WaitAt(const Context& context, const std::string& member) {
+Duration WaitAt(const Context& context,
+                const std::string& member,
+                std::uint32_t priority) {
   const AdviceState& advice = context.state.advice;
+  const bool urgent = priority == kMostUrgent;
   if (member == context.self()) {
-    return AdviceWait(context.state, context.now);
+    return urgent ? UrgentAdviceWait(context.state, context.now)
+                  : AdviceWait(context.state, context.now);
   }
-  const auto told = advice.waits.find(member);
-  Duration wait = told == advice.waits.end() ? Duration(0) : told->second;
+  const auto& waits = urgent ? advice.urgent_waits : advice.waits;
+  const auto told = waits.find(member);
+  Duration wait = told == waits.end() ? Duration(0) : told->second;
   for (const auto& [call, question] : advice.questions) {
-    if (question.member == member) {
+    if (question.member == member && question.priority <= priority) {
       wait += question.expected;
     }
   }
@@ -152,20 +158,26 @@
 }
 
 std::string ChooseCaller(const Context& context,
+                         std::uint32_t priority,
                          Duration expected,
                          Time heard_since) {
   const Callers callers = CallersOf(context, heard_since);
-  const ShortestWait all = FindShortestWait(context, callers.for_all);
+  const ShortestWait all = FindShortestWait(context, callers.for_all, priority);
   if (IsLongCall(expected)) {
     return all.member;
   }
-  const ShortestWait best = FindShortestWait(context, callers.for_short);
+  const ShortestWait best =
+      FindShortestWait(context, callers.for_short, priority);
   return best.wait <= std::max(kShortWait, all.wait) ? best.member : all.member;
 }
 
-void HearOfCaller(Context& context, const std::string& member, Duration wait) {
+void HearOfCaller(Context& context,
+                  const std::string& member,
+                  Duration wait,
+                  Duration urgent_wait) {
   AdviceState& advice = context.state.advice;
   advice.waits[member] = wait;
+  advice.urgent_waits[member] = urgent_wait;
   advice.heard[member] = context.now;
   advice.silent.erase(member);
 }
@@ -173,6 +185,7 @@
 void ForgetCaller(Context& context, const std::string& member) {
   AdviceState& advice = context.state.advice;
   advice.waits.erase(member);
+  advice.urgent_waits.erase(member);
   advice.heard.erase(member);
   advice.silent.erase(member);
 }
@@ -186,8 +199,10 @@
     advice.silent.insert(question.member);
   }
   // It is busier than it has told.
-  Duration& wait = advice.waits[question.member];
-  wait = std::max(wait, context.now - question.asked);
+  for (auto* waits : {&advice.waits, &advice.urgent_waits}) {
+    Duration& wait = (*waits)[question.member];
+    wait = std::max(wait, context.now - question.asked);
+  }
 }
 
 bool IsLost(const Context& context, const AdviceQuestion& question) {
--- a/Source/engine/advice/advice_callers.h
+++ b/Source/engine/advice/advice_callers.h
@@ -2,6 +2,7 @@
 #ifndef BURDOCKROCK_ENGINE_ADVICE_ADVICE_CALLERS_H_
 #define BURDOCKROCK_ENGINE_ADVICE_ADVICE_CALLERS_H_
 
+#include <cstdint>
 #include <string>
 
 #include "engine/context.h"
@@ -14,11 +15,15 @@
 // The member, or this instance, where a call of this length waits the least,
 // among those that have told something since `heard_since`.
 std::string ChooseCaller(const Context& context,
+                         std::uint32_t priority,
                          Duration expected,
                          Time heard_since);
 
 // The member told its wait.
-void HearOfCaller(Context& context, const std::string& member, Duration wait);
+void HearOfCaller(Context& context,
+                  const std::string& member,
+                  Duration wait,
+                  Duration urgent_wait);
 
 // The member left.
 void ForgetCaller(Context& context, const std::string& member);
@@ -27,8 +32,11 @@
 // answer and has told nothing since it was asked.
 bool IsLost(const Context& context, const AdviceQuestion& question);
 
-// How long one more call would wait there, as far as is known here.
-Duration WaitAt(const Context& context, const std::string& member);
+// How long one more call of this priority would wait there, as far as is known
+// here.
+Duration WaitAt(const Context& context,
+                const std::string& member,
+                std::uint32_t priority);
 
 // By how much the wait at the member may have grown since it told of it.
 Duration WaitDoubt(Duration expected);
--- a/Source/engine/advice/advice_turns.cc
+++ b/Source/engine/advice/advice_turns.cc
@@ -73,10 +73,13 @@
                  const AdviceAsk& ask) {
   const Duration wait = WaitBehind(context.state, context.now, ask.priority);
   if (ask.most_wait != Duration(0) && wait > ask.most_wait) {
-    return Send(
-        context, from,
-        AdviceReply{
-            .call = ask.call, .failed = true, .declined = true, .wait = wait});
+    return Send(context, from,
+                AdviceReply{.call = ask.call,
+                            .failed = true,
+                            .declined = true,
+                            .wait = AdviceWait(context.state, context.now),
+                            .urgent_wait =
+                                UrgentAdviceWait(context.state, context.now)});
   }
   context.state.advice.turns.push_back(
       {.from = from, .ask = ask, .arrived = context.now});
@@ -88,8 +91,10 @@
     return;
   }
   const AdviceTurn turn = *std::exchange(advice.in_flight, std::nullopt);
-  AdviceReply reply{.call = turn.ask.call,
-                    .wait = AdviceWait(context.state, context.now)};
+  AdviceReply reply{
+      .call = turn.ask.call,
+      .wait = AdviceWait(context.state, context.now),
+      .urgent_wait = UrgentAdviceWait(context.state, context.now)};
   if (const auto* failed = std::get_if<AdviceFailed>(&event.answer)) {
     advice.retry_at = context.now + kAdviceRetry;
     reply.failed = true;
@@ -107,4 +112,8 @@
   return WaitBehind(state, now, std::numeric_limits<std::uint32_t>::max());
 }
 
+Duration UrgentAdviceWait(const State& state, Time now) {
+  return WaitBehind(state, now, kMostUrgent);
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/advice/advice_turns.h
+++ b/Source/engine/advice/advice_turns.h
@@ -18,8 +18,10 @@
                  const AdviceAsk& ask);
 void OnAdviceAnswered(Context& context, const AdviceAnswered& event);
 
-// How long one more call would wait here, of any priority.
+// How long one more call would wait here: one of any priority, and one of the
+// most urgent work.
 Duration AdviceWait(const State& state, Time now);
+Duration UrgentAdviceWait(const State& state, Time now);
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -179,6 +179,8 @@
 // A ticket is not used in the last part of its life: the order takes time.
 inline constexpr Duration kTicketMargin = milliseconds(350);
 inline constexpr Duration kAdviceRetry = milliseconds(200);
+// The priority that comes before all others.
+inline constexpr std::uint32_t kMostUrgent = 0;
 // Workers in one call, by the service's interface.
 inline constexpr std::size_t kMaxAdvised = 100;
 // The longest call, 100 workers of the slowest queue, takes 1.8 s.
--- a/Source/engine/members/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -114,9 +114,11 @@
   if (state.askers.empty()) {
     return;
   }
-  RoomDigest digest{.sequence = state.sequence,
-                    .whole = true,
-                    .advice_wait = AdviceWait(context.state, context.now)};
+  RoomDigest digest{
+      .sequence = state.sequence,
+      .whole = true,
+      .advice_wait = AdviceWait(context.state, context.now),
+      .advice_urgent_wait = UrgentAdviceWait(context.state, context.now)};
   AddRooms(context, AllOwn(context.state), digest);
   for (const auto& [queue, jobs] : CountAllWaiting(context.state)) {
     if (jobs != 0) {
@@ -220,7 +222,9 @@
   if (!change && !RemindIsDue(context)) {
     return;
   }
-  RoomDigest digest{.advice_wait = AdviceWait(context.state, context.now)};
+  RoomDigest digest{
+      .advice_wait = AdviceWait(context.state, context.now),
+      .advice_urgent_wait = UrgentAdviceWait(context.state, context.now)};
   AddRooms(context, std::exchange(state.changed, {}), digest);
   if (std::exchange(state.waiting_changed, false)) {
     AddWaiting(state, CountAllWaiting(context.state), digest);
@@ -245,7 +249,7 @@
   for (const WorkerRoom& it : digest.workers) {
     OnRoom(context, from, it);
   }
-  HearOfCaller(context, from, digest.advice_wait);
+  HearOfCaller(context, from, digest.advice_wait, digest.advice_urgent_wait);
   auto& waiting = context.state.digest.waiting[from];
   if (digest.whole) {
     waiting.clear();
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -45,7 +45,8 @@
   bool whole = false;          // all that the sender has to tell
   std::vector<WorkerRoom> workers{};
   std::vector<QueueWaiting> waiting{};
-  Duration advice_wait{0};  // until the sender would ask for more advice
+  Duration advice_wait{0};         // until the sender would ask for more advice
+  Duration advice_urgent_wait{0};  // likewise, for the most urgent work
 
   auto operator<=>(const RoomDigest&) const = default;
 };
@@ -300,7 +301,8 @@
   bool failed = false;
   bool declined = false;  // not put to the service: it would wait too long
   std::vector<AdvisedWorker> allowed{};
-  Duration wait{0};  // until the sender would ask for more advice
+  Duration wait{0};         // until the sender would ask for more advice
+  Duration urgent_wait{0};  // likewise, for the most urgent work
 
   auto operator<=>(const AdviceReply&) const = default;
 };
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -311,6 +311,7 @@
   TaskName step{};       // its index does not count
   std::string member{};  // that asks the service
   std::vector<std::string> workers{};
+  std::uint32_t priority = 0;
   AdviceReason reason = AdviceReason::kFirst;
   Duration expected{0};
   Time asked{0};
@@ -334,6 +335,7 @@
   Time retry_at{0};
   // Of the members, as they told.
   std::map<std::string, Duration> waits{};
+  std::map<std::string, Duration> urgent_waits{};
   std::map<std::string, Time> heard{};  // told last
   std::set<std::string> silent{};       // owe an answer and tell nothing
 };
