--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -100,8 +100,13 @@
             std::vector<std::string> workers) {
   AdviceState& advice = context.state.advice;
   const Duration expected = ExpectedTime(*ready.queue->advice, workers.size());
-  const std::string member = ChooseCaller(context, expected);
-  const Duration wait = WaitAt(context, member);
+  // After a question that was not answered nobody is asked who has told nothing
+  // since then: all of a domain are cut off at once.
+  const Time heard_since =
+      ready.run().unanswered ? ready.run().called_at : Time::min();
+  const std::string member =
+      ChooseCaller(context, ready.queue->priority, expected, heard_since);
+  const Duration wait = WaitAt(context, member, ready.queue->priority);
   const Duration patience = wait + expected + kReplySlack;
   const bool may_decline =
       member != context.self() && ready.run().declines < kMostDeclines;
@@ -124,9 +129,11 @@
                            AdviceQuestion{.step = step,
                                           .member = member,
                                           .workers = std::move(workers),
+                                          .priority = ready.queue->priority,
                                           .reason = ReasonOf(context, ready),
                                           .expected = expected,
                                           .asked = context.now,
+                                          .due = context.now + wait + expected,
                                           .give_up = context.now + patience});
 }
 
@@ -195,16 +202,16 @@
 
 void GiveUpQuestions(Context& context) {
   std::erase_if(context.state.advice.questions, [&](const auto& it) {
-    if (context.now < it.second.give_up) {
+    const bool lost = IsLost(context, it.second);
+    if (context.now < it.second.give_up && !lost) {
       return false;
     }
     if (StepRun* step = EndQuestion(context, it.second)) {
       step->unanswered = true;
+      step->asked_at = Time::min();  // another member is asked at once
     }
     ++context.state.totals.advice[it.second.reason].given_up;
-    // It is busier than it has told.
-    Duration& wait = context.state.advice.waits[it.second.member];
-    wait = std::max(wait, context.now - it.second.asked);
+    LeaveCaller(context, it.second);
     return true;
   });
 }
@@ -236,7 +243,7 @@
     return;
   }
   const AdviceQuestion& question = node.mapped();
-  context.state.advice.waits[question.member] = reply.wait;
+  HearOfCaller(context, question.member, reply.wait, reply.urgent_wait);
   StepRun* step = EndQuestion(context, question);
   const Job* job = FindJob(context.state, question.step.job);
   const QueuePolicy* queue =
--- a/Source/engine/advice/advice_turns.cc
+++ b/Source/engine/advice/advice_turns.cc
@@ -32,13 +32,19 @@
                           });
 }
 
-// Whoever has given a question up asks again: calls that are made all the same
-// keep others waiting, who then give up too. It shows by waiting steps whose
-// question is younger than their wait.
+bool HasGone(const Context& context, const std::string& asker) {
+  return asker != context.self() && FindMember(context.state, asker) == nullptr;
+}
+
+// Whoever has given a question up asks again, and so does the next owner of the
+// step of an asker that has gone: calls that are made all the same keep others
+// waiting, who then give up too. It shows by waiting steps whose question is
+// younger than their wait.
 void DropStaleTurns(Context& context) {
   std::erase_if(context.state.advice.turns, [&](const AdviceTurn& it) {
-    return it.ask.patience != Duration(0) &&
-           context.now >= it.arrived + it.ask.patience;
+    const bool given_up = it.ask.patience != Duration(0) &&
+                          context.now >= it.arrived + it.ask.patience;
+    return given_up || HasGone(context, it.from);
   });
 }
 
@@ -67,10 +73,13 @@
                  const AdviceAsk& ask) {
   const Duration wait = WaitBehind(context.state, context.now, ask.priority);
   if (ask.most_wait != Duration(0) && wait > ask.most_wait) {
-    return Send(
-        context, from,
-        AdviceReply{
-            .call = ask.call, .failed = true, .declined = true, .wait = wait});
+    return Send(context, from,
+                AdviceReply{.call = ask.call,
+                            .failed = true,
+                            .declined = true,
+                            .wait = AdviceWait(context.state, context.now),
+                            .urgent_wait =
+                                UrgentAdviceWait(context.state, context.now)});
   }
   context.state.advice.turns.push_back(
       {.from = from, .ask = ask, .arrived = context.now});
@@ -82,8 +91,10 @@
     return;
   }
   const AdviceTurn turn = *std::exchange(advice.in_flight, std::nullopt);
-  AdviceReply reply{.call = turn.ask.call,
-                    .wait = AdviceWait(context.state, context.now)};
+  AdviceReply reply{
+      .call = turn.ask.call,
+      .wait = AdviceWait(context.state, context.now),
+      .urgent_wait = UrgentAdviceWait(context.state, context.now)};
   if (const auto* failed = std::get_if<AdviceFailed>(&event.answer)) {
     advice.retry_at = context.now + kAdviceRetry;
     reply.failed = true;
@@ -101,4 +112,8 @@
   return WaitBehind(state, now, std::numeric_limits<std::uint32_t>::max());
 }
 
+Duration UrgentAdviceWait(const State& state, Time now) {
+  return WaitBehind(state, now, kMostUrgent);
+}
+
 }  // namespace burdockrock::engine
