Tests: Plays clients that are cut off within a request

Seen before the repair: all three parts of a request count as malformed when the connection ends there.

--- a/Tests/net/http_server_test.cc
+++ b/Tests/net/http_server_test.cc
@@ -119,6 +119,26 @@
   CHECK(echo.requests.empty());
 }
 
+// 202 connections of peers that were cut were logged as errors, as if somebody
+// had sent what can't be parsed: `peer_malformed`, "the client closed within a
+// request".
+TEST_CASE("A connection that ends within a request was not malformed") {
+  boost::asio::io_context io(1);
+  EchoServer echo(io, {});
+  for (const char* part : {"POST", "POST / HTTP/1.1\r\nContent-Length: 9\r\n",
+                           "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nb"}) {
+    const auto peer = RawPeer::Connect(io, echo.port);
+    peer->Write(part);
+    const std::size_t before = echo.problems.size();
+    REQUIRE(RunUntil(io, [&] { return echo.server.connection_count() == 1; }));
+    peer->socket.close();
+    REQUIRE(RunUntil(io, [&] { return echo.server.connection_count() == 0; }));
+    REQUIRE(echo.problems.size() == before + 1);
+    CHECK_FALSE(echo.Reported(HttpServerProblemKind::kMalformed));
+  }
+  CHECK(echo.requests.empty());
+}
+
 TEST_CASE("Limits that change hold for the requests that follow") {
   boost::asio::io_context io(1);
   EchoServer echo(io, {.max_body_bytes = 1000});
