Runtime: Tells ended connections from messages that can't be read

Cause: the server of peers logged each of its problems as 310, peer_malformed, of level error, which tells operators that a release does not fit or a stranger sends there. A caller that closes within a request was logged as malformed_request likewise.

Change: a new event 215, request_cut_off, info, with the remote, for both servers; the logger bounds it as all others, to 50 lines a second and number. The servers of peers tell slow requests and refused connections by 203 and 204, as the one for callers does. 310 stays for what can't be parsed or is too large. Ruled out: no line at all, as many from one remote point to its network.

Figures: the test failed on all three parts of a request before and passes now, asking for the new kind (stricter than not malformed); net_test, runtime_test, observe_test and engine_test pass.

--- a/Source/net/http_server_options.h
+++ b/Source/net/http_server_options.h
@@ -15,7 +15,8 @@
 namespace burdockrock {
 
 enum class HttpServerProblemKind {
-  kMalformed,           // not HTTP/1.x, or cut off within a request
+  kMalformed,           // not HTTP/1.x
+  kCutOff,              // the connection ended within a request
   kHeaderTooLarge,      // above max_header_bytes
   kBodyTooLarge,        // above max_body_bytes
   kSlowRequest,         // not whole after read_timeout
--- a/Source/net/http_session.cc
+++ b/Source/net/http_session.cc
@@ -131,8 +131,8 @@
 
 void HttpSession::OnEnd() {
   if (phase_ == Phase::kReading) {
-    Report(HttpServerProblemKind::kMalformed,
-           "the client closed within a request");
+    Report(HttpServerProblemKind::kCutOff,
+           "the connection ended within a request");
   }
   Close();
 }
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -52,6 +52,8 @@
     {EventNumber::kCancelLate, Level::kWarning, "cancel_late",
      "A cancelled job has run on for longer than promised; with 0 in out "
      "nothing runs any more"},
+    {EventNumber::kRequestCutOff, Level::kInfo, "request_cut_off",
+     "A connection ended before the request on it was whole"},
     {EventNumber::kPeerUp, Level::kInfo, "peer_up",
      "A peer entry instance answers"},
     {EventNumber::kPeerSilent, Level::kWarning, "peer_silent",
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -33,6 +33,7 @@
   kCancelAcknowledged = 212,
   kCancelOver = 213,
   kCancelLate = 214,
+  kRequestCutOff = 215,
 
   // Membership and ownership
   kPeerUp = 301,
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -8,6 +8,7 @@
 #include "runtime/clock.h"
 #include "runtime/engine_dump.h"
 #include "runtime/server_address.h"
+#include "runtime/server_problem.h"
 
 namespace burdockrock {
 
@@ -118,7 +119,7 @@
   wanted.max_body_bytes = max_body_bytes;
   wanted.max_connections = kMaxConnections;
   wanted.on_problem = [this](const HttpServerProblem& it) {
-    logger_.Write({.number = EventNumber::kPeerMalformed,
+    logger_.Write({.number = PeerEventOf(it.kind),
                    .fields = {{"remote", it.remote}, {"problem", it.detail}}});
   };
   auto options = WithAddress(std::move(wanted), address);
--- a/Source/runtime/entry_instance.cc
+++ b/Source/runtime/entry_instance.cc
@@ -7,6 +7,7 @@
 #include "runtime/clock.h"
 #include "runtime/initial_state.h"
 #include "runtime/server_address.h"
+#include "runtime/server_problem.h"
 #include "scheduler/dump.h"
 #include "wire/caller_status.h"
 
@@ -165,7 +166,7 @@
   wanted.max_body_bytes = kMaxPeerBodyBytes;
   wanted.max_connections = kMaxPeerConnections;
   wanted.on_problem = [this](const HttpServerProblem& it) {
-    logger_.Write({.number = EventNumber::kPeerMalformed,
+    logger_.Write({.number = PeerEventOf(it.kind),
                    .fields = {{"remote", it.remote}, {"problem", it.detail}}});
   };
   auto options = WithAddress(std::move(wanted), address);
--- a/Tests/net/http_server_test.cc
+++ b/Tests/net/http_server_test.cc
@@ -134,7 +134,7 @@
     peer->socket.close();
     REQUIRE(RunUntil(io, [&] { return echo.server.connection_count() == 0; }));
     REQUIRE(echo.problems.size() == before + 1);
-    CHECK_FALSE(echo.Reported(HttpServerProblemKind::kMalformed));
+    CHECK(echo.Reported(HttpServerProblemKind::kCutOff));
   }
   CHECK(echo.requests.empty());
 }
