Tests: Shows an adoption held up by a worker known to have ended

A read of the list of workers while their entries lasted brought them back, and they were remembered for 25 s more. The case does the same with one worker and fails: the job still recovers a second after its adoption.

--- a/Tests/engine/dead_worker_test.cc
+++ b/Tests/engine/dead_worker_test.cc
@@ -89,6 +89,38 @@
   CheckPromises(fleet);
 }
 
+// Machines were taken away and their workers known to have ended. The list of
+// workers was read anew while their entries lasted, so that all instances
+// remembered them for 25 s more. When their owner lost power 6 s after their
+// end, its next life claimed them again, and 97 adopted jobs waited 1.4 to 2.1
+// s for word of a worker that the adopters themselves had heard to be gone: the
+// lines named it with 7,257 ms since its last word, which was its end.
+TEST_CASE("A worker that is known to have ended holds no adoption up") {
+  Fleet fleet;
+  const std::string job = BeginLasting(fleet, "n0", "n2");
+  Crash(fleet, "w0");
+  const auto is_gone = [&] {
+    const auto& view = fleet.state("n2").view;
+    return view.contains("w0-1") && view.at("w0-1").gone;
+  };
+  fleet.store.Remove("worker/w0-1");
+  REQUIRE(fleet.RunUntil(is_gone, seconds(20)));
+  fleet.store.Put("worker/w0-1", "w0|a|s|8000|0");
+  fleet.Run(milliseconds(700));
+  fleet.store.Remove("worker/w0-1");
+  fleet.Run(seconds(1));
+  REQUIRE(is_gone());
+  REQUIRE(fleet.state("n2").workers.contains("w0-1"));
+  fleet.Kill("n0");
+  fleet.Run(milliseconds(300));
+  fleet.Start("n0");
+  REQUIRE(fleet.RunUntil([&] { return fleet.state("n2").jobs.contains(job); },
+                         seconds(4)));
+  fleet.Run(seconds(1));
+  CHECK_FALSE(fleet.state("n2").jobs.at(job).recovering);
+  CheckPromises(fleet);
+}
+
 // A member that still reaches the worker gives no word that its leases end: it
 // renews them for 12 s without the store, and what runs there would run twice.
 TEST_CASE(
