Engine: Adopted jobs wait for no worker known to have ended

A worker whose end was told came back into the table of workers when the list was read anew before its entry lapsed, and was then remembered for 25 s; each job adopted in that time waited for word of it. Ruled out: the claim itself is right, since the owner's next life knows nothing of the end. Now what was told counts when a job is adopted, when a worker is found and at each question, as it did already when the word came after the adoption; a claim with a higher fence takes the word back as before.

--- a/Source/engine/jobs/adoption.cc
+++ b/Source/engine/jobs/adoption.cc
@@ -255,7 +255,7 @@
   }
   job.asked_at = context.now;
   std::erase_if(job.uncovered, [&](const std::string& worker) {
-    return FindWorker(context.state, worker) == nullptr;
+    return !MayRunTasks(context.state, worker);
   });
   if (!HasToAsk(job)) {
     return;
@@ -382,7 +382,9 @@
   job.stored_version = job.version;
   job.confirmed_at = context.now;
   for (const auto& [worker, it] : context.state.workers) {
-    job.uncovered.insert(worker);
+    if (MayRunTasks(context.state, worker)) {
+      job.uncovered.insert(worker);
+    }
   }
   // Each may own workers that this instance has never seen in the list.
   for (const std::string& it : OtherMembers(context)) {
@@ -432,6 +434,9 @@
 }
 
 void OnWorkerFound(Context& context, const std::string& worker) {
+  if (!MayRunTasks(context.state, worker)) {
+    return;
+  }
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     if (job.recovering) {
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -79,6 +79,12 @@
   });
 }
 
+bool MayRunTasks(const State& state, const std::string& worker) {
+  const auto view = state.view.find(worker);
+  const bool ended = view != state.view.end() && view->second.gone;
+  return !ended && FindWorker(state, worker) != nullptr;
+}
+
 std::optional<RememberedWorker> RememberedFor(const State& state,
                                               const std::string& worker) {
   const ListedWorker* it = FindWorker(state, worker);
