Tests: Shows tasks run twice by who starts during a cut

An instance that starts while a failure domain is cut off finds no entry of its workers and counts its list as whole 2.3 s after its registration. The case cuts a domain off, lets its two workers' entries lapse, and restarts the owner of a job that has tasks there: 4.5 s after the cut had taken the entries away, the new life starts the tasks a second time while the first runs go on, renewed by the domain's own instance. Eight tasks run twice.

--- /dev/null
+++ b/Tests/engine/recovery_list_test.cc
@@ -0,0 +1,64 @@
+// What an instance that has just started knows of the workers, and what it
+// starts of the jobs that it takes over.
+#include <doctest/doctest.h>
+
+#include "engine/fleet.h"
+#include "engine/lasting_job.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The instances and workers of domain b reach each other and nobody else.
+void CutOffDomain(Fleet& fleet) {
+  const auto is_apart = [](const std::string& name) {
+    return std::stoi(name.substr(1)) % 3 == 1;
+  };
+  fleet.is_cut = [=](const std::string& from, const std::string& to) {
+    return is_apart(from) != is_apart(to);
+  };
+  fleet.store_fault = [=](const std::string& node, const StoreRequest&) {
+    return is_apart(node) ? StoreFault::kRefuse : StoreFault::kNone;
+  };
+  fleet.order_fault = [=](const std::string& node, const std::string& worker,
+                          const WorkerRequest&) {
+    return is_apart(node) != is_apart(worker) ? OrderFault::kUnreached
+                                              : OrderFault::kNone;
+  };
+}
+
+// An instance that starts while a failure domain is cut off finds none of its
+// workers in the list, and took a list for whole that was read 2.3 s before.
+// What ran there ran on, renewed by an owner that lives without the store for
+// 12 s, and the jobs that the instance had taken over started it once more. The
+// others had remembered those workers and told of them, but not in time to
+// count for jobs that were adopted already.
+TEST_CASE("Who starts during a cut waits for the workers that it never saw") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(30)});
+  const std::string job = JobFor(fleet, "n0");
+  fleet.Submit("n0", job, OneStep(36));
+  fleet.Run(seconds(1));
+  REQUIRE(CountRuns(fleet, job) == 36);
+  CutOffDomain(fleet);
+  fleet.Run(seconds(3));
+  fleet.store.Remove("worker/w1-1");
+  fleet.store.Remove("worker/w4-1");
+  fleet.Run(milliseconds(700));
+  fleet.Kill("n0");
+  fleet.Run(milliseconds(300));
+  fleet.Start("n0");
+  fleet.Run(seconds(4));
+  REQUIRE(fleet.state("n0").jobs.contains(job));
+  CHECK(fleet.state("n0").jobs.at(job).recovering);
+  fleet.Run(seconds(3));
+  CheckPromises(fleet);
+}
+
+}  // namespace
+
+}  // namespace burdockrock::engine
