Engine: Asks at once about silent workers that left the list

Cause: the service of machines was asked about a worker only when it had been silent for 1.2 s, so that a list that lags has a worker that was new then. One that has left the store's list was there before; the wait is for nothing, and adopted jobs wait with it.

Ruled out: the interval between two listings, which stays as it is; the next life of an owner has asked for none yet.

Now such a worker is in doubt from its first call without an answer.

--- a/Source/engine/workers/worker_lives.cc
+++ b/Source/engine/workers/worker_lives.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
@@ -20,9 +21,16 @@
 constexpr Duration kLivesInterval = milliseconds(1000);
 constexpr Duration kLivesIntervalPerMember = milliseconds(90);
 
+// From then on a listing may tell that the worker has ended. One that has left
+// the store's list was there before, and the service has long known it.
+Time InDoubtSince(const Context& context, const OwnedWorker& worker) {
+  const ListedWorker* listed = FindWorker(context.state, worker.info.id);
+  const bool left = listed != nullptr && !listed->listed;
+  return worker.silent_since + (left ? Duration(0) : kSilentFor);
+}
+
 bool IsInDoubt(const Context& context, const OwnedWorker& worker) {
-  return IsSilent(worker) &&
-         HasPassed(context.now, worker.silent_since, kSilentFor);
+  return IsSilent(worker) && context.now >= InDoubtSince(context, worker);
 }
 
 }  // namespace
@@ -52,7 +60,7 @@
   }
   std::vector<std::string> ended;
   for (const auto& [id, worker] : context.state.owned) {
-    if (IsSilent(worker) && worker.silent_since + kSilentFor <= asked &&
+    if (IsSilent(worker) && InDoubtSince(context, worker) <= asked &&
         !alive.contains(id)) {
       ended.push_back(id);
     }
