--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -202,6 +202,26 @@
         R"(9,["w3",0,2]])");
 }
 
+// An instance knew a job's former owner, a member still, and missed the
+// questions of the present one and its offer. It then answered none of its
+// questions about the run, since a former owner must not hear that a run is not
+// there, and two jobs of a run of random faults stood still for 50 s, a task of
+// each offered.
+TEST_CASE("Who knows a job's former owner learns of the present one") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.Tell("n1", "n2-1", AdoptQuery{.jobs = {{"j1", 1}}});
+  fleet.is_cut = [](const std::string& from, const std::string& to) {
+    return from == "n0" && to == "n1";
+  };
+  fleet.Submit("n0", "j1", OneStep(30));
+  fleet.Run(milliseconds(300));
+  fleet.is_cut = [](const std::string&, const std::string&) { return false; };
+  fleet.Run(seconds(5));
+  CHECK(fleet.StateOf("n0", "j1") == JobState::kCompleted);
+  CheckPromises(fleet);
+}
+
 TEST_CASE("A damaged room is refused") {
   const Json::Value good = EncodePeerNotification(
       "n1-2", RoomDigest{.workers = {{.worker = "w1", .fence = 7}}});
