Engine: Asks the record whose a job is when another member asks for its run

Cause: a member that knows a job's owner answers no other about its runs, since a former owner must not hear that a run is absent. Whoever missed the present owner's first question and its offer kept the former one in mind and stayed silent: the task stayed offered, and its job never ended.

Ruled out: answering the asker (two owners would run a task twice), and the generation in the question, which would change the message and is not needed.

--- a/Source/engine/jobs/run_questions.cc
+++ b/Source/engine/jobs/run_questions.cc
@@ -15,6 +15,10 @@
 
 namespace {
 
+// Between two reads of one job's record because of questions about it: the
+// store is asked once for each two of them.
+constexpr Duration kReviewAgain = milliseconds(1000);
+
 // A later offer of the run, should it have been overtaken, is refused.
 void SayAbsent(Context& context, const std::string& to, const RunQuery& query) {
   if (const auto name = ParseTaskName(query.task)) {
@@ -40,6 +44,22 @@
          known->second.owner != asker;
 }
 
+// The asker may be the present owner, whose first question and offer were both
+// lost. Answering none of its further ones would leave the task offered for
+// ever, in a job that never ends. The record tells whose the job is, and the
+// question comes again.
+void ReviewOwner(Context& context, const std::string& task) {
+  const auto name = ParseTaskName(task);
+  if (!name) {
+    return;
+  }
+  KnownJob& known = context.state.known[name->job];
+  if (HasPassed(context.now, known.reviewed, kReviewAgain)) {
+    known.reviewed = context.now;
+    WantRecord(context, name->job);
+  }
+}
+
 // What runs at a worker that can't be reached, its owner knows: it accepts
 // nothing from others with a lower fence. Another owner with a higher one would
 // have registered before `asked` and be known by now, as all changes of the
@@ -60,6 +80,7 @@
 
 void ReportRun(Context& context, const std::string& to, const RunQuery& query) {
   if (HasOtherOwner(context.state, to, query.task)) {
+    ReviewOwner(context, query.task);
     return;
   }
   OwnedWorker* worker = FindClaimed(context.state, query.worker);
