Engine: Passes the round of questions on by reference

The linter found the only copy in the files of this work: the round was passed by value and its queries moved out of it. No change of what is sent; the engine's 149 cases pass, and the linter finds nothing in the files changed since.

--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -195,7 +195,7 @@
   return remembered;
 }
 
-void SendRound(Context& context, Round round) {
+void SendRound(Context& context, Round& round) {
   RecoveryState& recovery = context.state.recovery;
   const std::vector<Forgettable> remembered =
       Remembered(context, round.uncovered);
@@ -275,7 +275,7 @@
     recovery.asked_at = context.now;
     recovery.asked_all_at = round.all ? context.now : recovery.asked_all_at;
   }
-  SendRound(context, std::move(round));
+  SendRound(context, round);
 }
 
 void OnAdoptReport(Context& context,
