Engine: Looks up whether all workers are known only where it counts

The question whether all members have told lists them anew, 333 times a second in an instance that registered less than 25 s ago, also when no adopted job waits for it. Now it is asked once a look, for a job that has nobody else to hear. No change of what is done; the engine's 149 cases pass.

--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -245,7 +245,7 @@
 
 void DriveRecovery(Context& context) {
   RecoveryState& recovery = context.state.recovery;
-  const bool knows_workers = KnowsWorkers(context);
+  std::optional<bool> knows_workers;  // looked up once, if any job needs it
   const bool ask = HasPassed(context.now, recovery.asked_at, kAdoptRepeat);
   Round round{.all = HasPassed(context.now, recovery.asked_all_at, kAskAll),
               .unseen = MayMissWorkers(context)};
@@ -258,9 +258,14 @@
     std::erase_if(job.unheard, [&](const std::string& member) {
       return FindMember(context.state, member) == nullptr;
     });
-    if (!HasToAsk(job) && knows_workers) {
-      FinishRecovery(context, job);
-      continue;
+    if (!HasToAsk(job)) {
+      if (!knows_workers) {
+        knows_workers = KnowsWorkers(context);
+      }
+      if (*knows_workers) {
+        FinishRecovery(context, job);
+        continue;
+      }
     }
     recovering = true;
     if (ask || !job.asked) {
