--- a/Tests/engine/recovery_messages_test.cc
+++ b/Tests/engine/recovery_messages_test.cc
@@ -49,8 +49,8 @@
 // which knew nothing of them yet, each 120 ms, and described all of the workers
 // each time. With 30 instances and 350 workers that were 4,500 questions a
 // second with 540,000 descriptions. In a fleet of that size ten instances lost
-// their registration after the cut had healed; its logs had, 139 times, that
-// the store had not answered in time.
+// their registration after the cut had healed; from then on its logs had 126
+// times that the store can't be reached.
 TEST_CASE("Of a domain that is cut off little is asked until more is known") {
   Fleet fleet({.instances = 9, .workers = 36});
   fleet.Settle();
