Engine: Tells a longer wait when answers come late

Cause: the wait at a caller was counted by the expected times. An instance that is short of processor time takes 0.4 to 0.8 s longer for each call, so ten short turns, told as 0.4 s, took 5 s and were given up. Ruled out: the service, which answers the other 16 in time. Change: a caller keeps by how much its last calls were late, the last one counting half, and adds it to its wait for each turn; within 2 s without a call it goes back to nothing, so that the caller is tried again. Figures: a caller with two answers 0.56 s late and one call out tells over 0.8 s, where it told 0.04 s.

--- a/Source/engine/advice/advice_turns.cc
+++ b/Source/engine/advice/advice_turns.cc
@@ -16,18 +16,40 @@
 // due and has to be called by then.
 constexpr Duration kPriorityLead = milliseconds(250);
 
+// An instance that is starved of processor time gets answers 0.4 to 0.8 s late
+// for calls of 40 ms, for some seconds, and went on to be chosen: its turns'
+// times say little, 10 of them 0.4 s. Told with its wait, the lateness moves
+// the questions to others; after this long without a call it is tried again.
+constexpr Duration kLateSpan = milliseconds(2000);
+// The share of the last call in the lateness.
+constexpr std::int64_t kLateParts = 2;
+
+Duration LatenessAt(const AdviceState& advice, Time now) {
+  const Duration left = std::max(advice.late_at + kLateSpan - now, Duration(0));
+  return advice.late * left.count() / kLateSpan.count();
+}
+
+void NoteLateness(AdviceState& advice, Time now, Duration expected) {
+  const Duration late =
+      std::max(now - advice.called_at - expected, Duration(0));
+  const Duration before = LatenessAt(advice, now);
+  advice.late = before + (late - before) / kLateParts;
+  advice.late_at = now;
+}
+
 // How long a call of this priority would wait here.
 Duration WaitBehind(const State& state, Time now, std::uint32_t priority) {
   const AdviceState& advice = state.advice;
-  Duration wait{0};
+  const Duration late = LatenessAt(advice, now);
+  Duration wait = late;
   if (advice.in_flight) {
     const Duration gone = now - advice.called_at;
-    wait = std::max(advice.in_flight->ask.expected - gone, Duration(0));
+    wait += std::max(advice.in_flight->ask.expected + late - gone, Duration(0));
   }
   for (const AdviceTurn& it : advice.turns) {
     const bool before =
         priority != kMostUrgent || it.ask.priority == kMostUrgent;
-    wait += before ? it.ask.expected : Duration(0);
+    wait += before ? it.ask.expected + late : Duration(0);
   }
   return wait;
 }
@@ -107,6 +129,7 @@
     return;
   }
   const AdviceTurn turn = *std::exchange(advice.in_flight, std::nullopt);
+  NoteLateness(advice, context.now, turn.ask.expected);
   AdviceReply reply{
       .call = turn.ask.call,
       .wait = AdviceWait(context.state, context.now),
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -333,6 +333,8 @@
   std::optional<AdviceTurn> in_flight{};
   Time called_at{0};  // for the turn in flight
   Time retry_at{0};
+  Duration late{0};  // beyond their time, the last calls
+  Time late_at{0};
   // Of the members, as they told.
   std::map<std::string, Duration> waits{};
   std::map<std::string, Duration> urgent_waits{};
