Tests: Asks that late long calls for advice keep their place

Each question is given up 1.5 s after it was due and starts behind all others at another member. Ruled out: silent or gone members, as these tell their waits. Change: the burst's case asks for 0.97 of the long calls within 5 s; it shows 0.87. Conclusion: a live member's long calls need more patience.

--- a/Tests/engine/advice_callers_test.cc
+++ b/Tests/engine/advice_callers_test.cc
@@ -210,6 +210,10 @@
   const auto urgent = times.Of("u");
   CHECK(ShareWithin(urgent, milliseconds(480)) >= 0.95);
   CHECK(ShareWithin(times.Of("q"), milliseconds(3500)) >= 0.8);
+  // Long calls that were given up 1.5 s after they were due lost their place
+  // again and again: 0.87 within 5 s, and on two days steps had no answer for
+  // 20 to 30 s while others got theirs.
+  CHECK(ShareWithin(times.Of("q"), seconds(5)) >= 0.97);
 }
 
 // After a power cut of a whole fleet calls of one queue filled 28 of 44
