Engine: Waits longer for long calls for advice at live members

Cause: a long question was given up 1.5 s after it was due, though its member was alive and only busier than it had told; it lost its place in the order there and started anew elsewhere, again and again. Change: 4 s for long calls. Members that are gone or silent are not waited for any more, so this is for lost messages alone.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -20,7 +20,11 @@
 // for the largest calls would lapse before their use.
 constexpr std::size_t kUsualNames = 30;
 // An answer that does not come this long after it was due is asked for again.
+// Members that are gone or silent are not waited for, so it is for one whose
+// message was lost, or that is busier than it told: there a long call has its
+// place in the order, which another question would lose again and again.
 constexpr Duration kReplySlack = milliseconds(1500);
+constexpr Duration kLongReplySlack = milliseconds(4000);
 // A step's tickets are asked for this long before its turn, beside the time
 // that the call takes.
 constexpr Duration kAhead = milliseconds(400);
@@ -92,7 +96,8 @@
   const std::string member =
       ChooseCaller(context, ready.queue->priority, expected, heard_since);
   const Duration wait = WaitAt(context, member, ready.queue->priority);
-  const Duration patience = wait + expected + kReplySlack;
+  const Duration patience =
+      wait + expected + (IsLongCall(expected) ? kLongReplySlack : kReplySlack);
   const bool may_decline =
       member != context.self() && ready.run().declines < kMostDeclines;
   const std::uint64_t call = ++advice.last_call;
