--- a/Tests/engine/notices_test.cc
+++ b/Tests/engine/notices_test.cc
@@ -145,6 +145,52 @@
   CHECK(NumberOf(lines[0], "for_ms") >= 1000);
 }
 
+// Gangs stood in the log as waiting for the next round of placement, which took
+// a few ms, for up to 30.6 s: 188 of 334 such lines of a day were of gangs that
+// had room for some of their tasks only.
+TEST_CASE("A gang that fits in part waits for room, not for placement") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.Submit("n0", "j1", OneStep(3, 8000));
+  fleet.Run(seconds(1));
+  JobSpec gang = OneStep(4, 8000);
+  gang.steps[0].gang = true;
+  fleet.Submit("n1", "j2", gang);
+  fleet.Run(seconds(2));
+  const auto lines = LinesOf(fleet, EventNumber::kTasksWait);
+  REQUIRE_FALSE(lines.empty());
+  CHECK(FieldOf(lines[0], "step").starts_with("j2.0.0"));
+  CHECK(FieldOf(lines[0], "cause") == "room");
+  CHECK(NumberOf(lines[0], "room") == 3);
+  CheckPromises(fleet);
+}
+
+// A lasting task of an adopted job was logged as waiting for advice, then for
+// placement, for 2.4 s in which it waited for word of one worker: tasks that
+// are not known to have ended are not started, whatever room there is.
+TEST_CASE("Tasks that may still run somewhere wait for the recovery") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  JobSpec spec = OneStep(12);
+  spec.steps[0].lasting = true;
+  fleet.Submit("n0", "j1", spec);
+  fleet.Run(seconds(1));
+  fleet.order_fault = [](const std::string&, const std::string& worker,
+                         const WorkerRequest&) {
+    return worker == "w0" ? OrderFault::kUnreached : OrderFault::kNone;
+  };
+  REQUIRE(KillOwner(fleet, "j1") == "n0");
+  fleet.Run(seconds(8));
+  const auto lines = LinesOf(fleet, EventNumber::kTasksWait);
+  REQUIRE_FALSE(lines.empty());
+  for (const LogLine& it : lines) {
+    CHECK(FieldOf(it, "cause") == "recovery");
+  }
+  CheckPromises(fleet);
+}
+
 TEST_CASE("A quiet adoption is told by one line of its recovery") {
   Fleet fleet;
   fleet.Settle();
