Engine: Names what gangs and tasks of adopted jobs wait for

Cause: tasks_wait named placement, which takes a few ms, as soon as one task fits at a worker with a ticket. Ruled out: refused offers and a wrong view of the room, of which the steps traced show none. Change: a gang waits for advice, tickets or room until all of it fits; a step of which no task is known to wait, for the recovery. Its causes now say what to look at; nothing else changes.

--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -42,10 +42,20 @@
          (task.phase == TaskPhase::kUnknown && ready.job->recovering);
 }
 
+// Nothing of the step may start before all that may run it was heard of.
+bool WaitsForRecovery(const ReadyStep& ready) {
+  const auto& tasks = ready.run().tasks;
+  return ready.job->recovering &&
+         (!ready.spec().lasting ||
+          std::none_of(tasks.begin(), tasks.end(), [](const Task& it) {
+            return it.phase == TaskPhase::kWaiting;
+          }));
+}
+
 WaitCause CauseOf(const ReadyStep& ready,
                   const StepWait& wait,
                   bool all_pause) {
-  if (ready.job->recovering && !ready.spec().lasting) {
+  if (WaitsForRecovery(ready)) {
     return WaitCause::kRecovery;
   }
   if (!ready.job->stored || !ready.job->verified) {
@@ -54,11 +64,13 @@
   if (all_pause) {
     return WaitCause::kPause;
   }
+  // A gang starts as a whole.
+  const std::size_t least = ready.spec().gang ? ready.run().tasks.size() : 1;
   const std::size_t usable = ready.queue->advice ? wait.ticketed : wait.room;
-  if (usable > 0) {
+  if (usable >= least) {
     return WaitCause::kPlacement;
   }
-  if (wait.room == 0) {
+  if (wait.room < least) {
     return WaitCause::kRoom;
   }
   return ready.run().asking ? WaitCause::kAdvice : WaitCause::kTickets;
--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -13,8 +13,9 @@
   kRecovery,   // not all that may run it was heard of after an adoption
   kRecord,     // the job's record is being written or looked at
   kAdvice,     // a question for advice is out
-  kTickets,    // no worker with a ticket has room, and none is asked for
-  kRoom,       // no worker that may run it has room
+  kTickets,    // no worker with a ticket has room, and none is asked for; of a
+               // gang: not for all of it
+  kRoom,       // no worker that may run it has room; of a gang: not for all
   kPause,      // a failed or refused start is not tried again yet
   kPlacement,  // the next round of placement can start it
 };
