Tests: Shows a gang that waits for a booking without an answer

A gang of six of the sportive's grown site waited from 35.2 s to 42.8 s with room with a ticket for ten. Two of its members had been booked at a worker of a domain that was cut off; the others' bookings lapsed after 2 s, and placement takes a gang up only when no member is out. The case books at a worker that is cut off with its owner, with room for all elsewhere: no run of the gang 2.6 s later.

--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -126,6 +126,50 @@
   CheckPromises(fleet);
 }
 
+// Two members of a gang were booked at a worker that was cut off with its owner
+// just then. The others' bookings lapsed after 2 s, the gang waited for word of
+// the two for 7.6 s with room for ten of its six tasks, though nothing of a run
+// begins before its start is ordered.
+TEST_CASE("A gang does not wait for a booking that gets no answer") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  const auto is_off = [](const std::string& name) {
+    return std::stoi(name.substr(1)) % 3 == 1;
+  };
+  fleet.is_cut = [&](const std::string& from, const std::string& to) {
+    return is_off(from) != is_off(to);
+  };
+  fleet.store_fault = [&](const std::string& node, const StoreRequest&) {
+    return is_off(node) ? StoreFault::kSilent : StoreFault::kNone;
+  };
+  fleet.order_fault = [&](const std::string& node, const std::string& worker,
+                          const WorkerRequest&) {
+    return is_off(node) != is_off(worker) ? OrderFault::kUnreached
+                                          : OrderFault::kNone;
+  };
+  JobSpec gang = OneStep(4, 8000);
+  gang.steps.front().gang = true;
+  fleet.Submit("n0", "gang", gang);
+  fleet.Run(milliseconds(100));
+  const auto& tasks =
+      fleet.state("n0").jobs.at("gang").occurrences[0].steps[0].tasks;
+  REQUIRE(std::any_of(tasks.begin(), tasks.end(), [&](const Task& it) {
+    return it.phase == TaskPhase::kOffered && is_off(it.worker);
+  }));
+  fleet.Run(milliseconds(2500));
+  CHECK(CountRuns(fleet, "gang") == 4);
+  fleet.is_cut = [](const std::string&, const std::string&) { return false; };
+  fleet.store_fault = [](const std::string&, const StoreRequest&) {
+    return StoreFault::kNone;
+  };
+  fleet.order_fault = [](const std::string&, const std::string&,
+                         const WorkerRequest&) { return OrderFault::kNone; };
+  fleet.Run(seconds(8));
+  CHECK(CountRuns(fleet, "gang") == 4);
+  CheckPromises(fleet);
+}
+
 TEST_CASE("A lasting task is restarted however it ends") {
   Fleet fleet;
   fleet.Settle();
