Engine: Gives up a gang's booking that gets no answer

Cause: a gang is taken up again only when no member is out. A member that was booked at a worker that was cut off with its owner stayed out until it was certain what ran there, though nothing of a run begins before its start is ordered. Ruled out: room (ten of its tasks fitted at workers with a ticket) and advice. Change: members of a run whose start this owner has not ordered wait for room again after 2 s, when the others' bookings lapse too; an owner that did not answer gets no offers until it tells of its workers. Runs of a former owner are left alone: it may have ordered their start.

--- /dev/null
+++ b/Source/engine/jobs/gang_bookings.cc
@@ -0,0 +1,58 @@
+#include "engine/jobs/gang_bookings.h"
+
+#include <string>
+
+#include "engine/jobs/job_runs.h"
+#include "engine/jobs/job_table.h"
+#include "engine/limits.h"
+#include "engine/members/digests.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// The owner of the worker did not answer: its workers would be chosen again at
+// once. One that lives tells of all of them when it is asked.
+void DoubtOwnerOf(Context& context, const std::string& worker) {
+  const std::string owner = context.state.view[worker].owner;
+  if (owner == context.self()) {
+    return;
+  }
+  for (auto& [id, it] : context.state.view) {
+    if (it.owner == owner) {
+      it.accepting = false;
+    }
+  }
+  DoubtRoom(context, worker);
+}
+
+// Members are booked first and started together, so nothing of a run begins
+// before this owner has ordered its start. Runs of a former owner may.
+bool IsOnlyBooked(Job& job, const TaskName& name, const Task& task) {
+  const StepRun& step = StepAt(job, name.occurrence, name.step);
+  return job.spec.steps[name.step].gang && task.phase == TaskPhase::kOffered &&
+         task.run == step.gang_run && task.run != step.gang_started &&
+         IsRunOfThisOwner(job, task.run);
+}
+
+}  // namespace
+
+// What became of a booking that got no answer need not be known. Without this a
+// gang waited 7.6 s for word of a worker that was cut off, with room for all of
+// it elsewhere.
+void GiveUpBooking(Context& context,
+                   Job& job,
+                   const TaskName& name,
+                   Task& task) {
+  if (!IsOnlyBooked(job, name, task) ||
+      !HasPassed(context.now, task.since, kBookingTime)) {
+    return;
+  }
+  if (!task.booked) {
+    DoubtOwnerOf(context, task.worker);
+  }
+  SendStop(context, job, name, task.worker, task.run);
+  Requeue(context, task, Duration(0));
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "engine/jobs/gang_bookings.h"
 #include "engine/jobs/job_progress.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/task_copies.h"
@@ -18,17 +19,6 @@
   return task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
 }
 
-void Requeue(Context& context, Task& task, Duration pause) {
-  task.phase = TaskPhase::kWaiting;
-  task.since = context.now;
-  task.retry_at = context.now + pause;
-  task.worker.clear();
-  task.booked = false;
-  task.stopping = false;
-  task.copy_wanted = false;
-  context.state.placement_due = true;
-}
-
 void MarkStarted(Context& context, Job& job) {
   if (!job.started) {
     job.started = true;
@@ -364,6 +354,17 @@
 
 }  // namespace
 
+void Requeue(Context& context, Task& task, Duration pause) {
+  task.phase = TaskPhase::kWaiting;
+  task.since = context.now;
+  task.retry_at = context.now + pause;
+  task.worker.clear();
+  task.booked = false;
+  task.stopping = false;
+  task.copy_wanted = false;
+  context.state.placement_due = true;
+}
+
 std::string OwnerOfWorker(const Context& context, const std::string& worker) {
   const auto view = context.state.view.find(worker);
   if (view != context.state.view.end() &&
@@ -555,6 +556,7 @@
     Job& job = context.state.jobs.at(id);
     ForEachTask(job, [&](const TaskName& name, Task& task) {
       CheckTask(context, name, task, queries);
+      GiveUpBooking(context, job, name, task);
       DriveCopy(context, job, name, task, queries);
     });
     DriveStops(context, job);
--- a/Source/engine/jobs/job_runs.h
+++ b/Source/engine/jobs/job_runs.h
@@ -22,6 +22,9 @@
                  const EndReport& report);
 void OnRunReport(Context& context, const RunReport& report);
 
+// The task waits for a worker, from `pause` on.
+void Requeue(Context& context, Task& task, Duration pause);
+
 // Whom to ask about a run at the worker; empty if there is nobody.
 std::string OwnerOfWorker(const Context& context, const std::string& worker);
 
--- a/Source/engine/jobs/job_table.cc
+++ b/Source/engine/jobs/job_table.cc
@@ -118,6 +118,10 @@
   return std::max(last, (job.generation - 1) * kRunsPerOwner) + 1;
 }
 
+bool IsRunOfThisOwner(const Job& job, std::uint64_t run) {
+  return run > (job.generation - 1) * kRunsPerOwner;
+}
+
 void EndJob(Context& context, Job& job, JobState state, const char* cause) {
   if (IsFinal(job.state)) {
     return;
--- a/Source/engine/jobs/job_table.h
+++ b/Source/engine/jobs/job_table.h
@@ -39,6 +39,9 @@
 // Run numbers rise over all owners of a job: each owner has its own range.
 std::uint64_t NextRun(const Job& job, std::uint64_t last);
 
+// Not of an owner before an adoption.
+bool IsRunOfThisOwner(const Job& job, std::uint64_t run);
+
 // The job ends. Its runs are stopped.
 void EndJob(Context& context, Job& job, JobState state, const char* cause);
 
