Tests: Shows three slips in who is taken for a caller of advice

Found by reading: a late answer does not show that its sender lives, a question of a member that is not known yet is dropped without a word, and a member that tells one wait seems free for urgent calls.

--- a/Tests/engine/advice_callers_test.cc
+++ b/Tests/engine/advice_callers_test.cc
@@ -267,4 +267,40 @@
   CHECK(UrgentAdviceWait(fleet.state("n0"), fleet.now()) == Duration(0));
 }
 
+// A caller that had been late was avoided until its next digest, up to 5 s at
+// an instance at rest, though its late answer had come meanwhile.
+TEST_CASE("A late answer shows that its sender lives") {
+  Fleet fleet({.advice = true});
+  fleet.Settle();
+  fleet.Run(milliseconds(300));
+  const Time now = fleet.now();
+  fleet.Tell("n0", "n1-1",
+             AdviceReply{.call = 999,
+                         .wait = milliseconds(700),
+                         .urgent_wait = milliseconds(40)});
+  const AdviceState& advice = fleet.state("n0").advice;
+  CHECK(advice.heard.at("n1-1") >= now);
+  CHECK(advice.waits.at("n1-1") == milliseconds(700));
+  CHECK(advice.urgent_waits.at("n1-1") == milliseconds(40));
+}
+
+// An instance that has just registered asks members whose list does not name it
+// yet. They took it for one that has gone and dropped its question.
+TEST_CASE("A question of a member that is not known yet is put") {
+  Fleet fleet({.advice = true});
+  fleet.Settle();
+  std::vector<std::string> steps;
+  fleet.advice_takes = [&](const AdviceRequest& it) {
+    steps.push_back(it.step);
+    return milliseconds(20);
+  };
+  fleet.Tell("n0", "n9-1",
+             AdviceAsk{.call = 1,
+                       .step = "j1.0.0",
+                       .expected = milliseconds(20),
+                       .workers = {"w0-1"}});
+  fleet.Run(milliseconds(100));
+  CHECK(fmt::format("{}", fmt::join(steps, " ")) == "j1.0.0");
+}
+
 }  // namespace burdockrock::engine
--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -222,6 +222,19 @@
   CheckPromises(fleet);
 }
 
+// A member of the release before tells one wait, for calls of any priority.
+// Read as no wait at all for urgent ones, it drew all of them.
+TEST_CASE("Who tells one wait for advice tells it for urgent calls, too") {
+  Json::Value params = EncodePeerNotification(
+      "n1-2", RoomDigest{.advice_wait = milliseconds(700),
+                         .advice_urgent_wait = milliseconds(40)})["params"];
+  params["message"].removeMember("advice_urgent_ms");
+  const RoomDigest read = std::get<RoomDigest>(
+      std::get<PeerMessage>(DecodePeerMessage("room_digest", params)));
+  CHECK(read.advice_wait == milliseconds(700));
+  CHECK(read.advice_urgent_wait == milliseconds(700));
+}
+
 TEST_CASE("A damaged room is refused") {
   const Json::Value good = EncodePeerNotification(
       "n1-2", RoomDigest{.workers = {{.worker = "w1", .fence = 7}}});
