Engine: Takes any answer for a sign of life, and new askers for members

Cause: an answer that came after its question had been given up was thrown away before its sender counted as heard; an asker that is not in the list yet was taken for one that has gone; a digest without a wait of urgent calls, as the release before sends it, read as no wait; and a gang's booking at an unknown worker doubted all workers without an owner. Change: each answer is heard first, only departed askers have gone, the missing wait is that of all calls, and an unknown worker is passed over.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -242,13 +242,17 @@
   }
 }
 
-void OnAdviceReply(Context& context, const AdviceReply& reply) {
+void OnAdviceReply(Context& context,
+                   const std::string& from,
+                   const AdviceReply& reply) {
+  // Also of one whose answer comes too late to be used: it would be avoided as
+  // silent until its next digest, up to 5 s at an instance at rest.
+  HearOfCaller(context, from, reply.wait, reply.urgent_wait);
   auto node = context.state.advice.questions.extract(reply.call);
   if (node.empty()) {
     return;
   }
   const AdviceQuestion& question = node.mapped();
-  HearOfCaller(context, question.member, reply.wait, reply.urgent_wait);
   StepRun* step = EndQuestion(context, question);
   const Job* job = FindJob(context.state, question.step.job);
   const QueuePolicy* queue =
--- a/Source/engine/advice/advice.h
+++ b/Source/engine/advice/advice.h
@@ -5,6 +5,8 @@
 #ifndef BURDOCKROCK_ENGINE_ADVICE_ADVICE_H_
 #define BURDOCKROCK_ENGINE_ADVICE_ADVICE_H_
 
+#include <string>
+
 #include "engine/context.h"
 
 namespace burdockrock::engine {
@@ -12,7 +14,9 @@
 // Asks for the own jobs' steps.
 void DriveAdvice(Context& context);
 
-void OnAdviceReply(Context& context, const AdviceReply& reply);
+void OnAdviceReply(Context& context,
+                   const std::string& from,
+                   const AdviceReply& reply);
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -35,11 +35,11 @@
 constexpr Duration kWaitDoubt = milliseconds(250);
 
 // A member that is cut off or stands still stays registered for 2.5 s more and
-// goes on to have the shortest wait, as it told before: its questions wait
-// until they are given up, 1.5 s after they were due, and so do the next ones.
-// One that owes an answer for this long and tells nothing at all counts as
-// silent until it tells something. Of 12,470 answers of live members 90 came
-// later, most of them while all instances recover.
+// goes on to have the shortest wait, as it told before: its questions would
+// wait until they are given up, seconds after they were due, and so would the
+// next ones. One that owes an answer for this long and has sent neither a
+// digest nor an answer counts as silent until it sends one. Of 12,470 answers
+// of live members 90 came later, most of them while all instances recover.
 constexpr Duration kSilence = milliseconds(300);
 
 struct Callers {
--- a/Source/engine/advice/advice_turns.cc
+++ b/Source/engine/advice/advice_turns.cc
@@ -12,8 +12,8 @@
 namespace {
 
 // Of each priority before the next one, among all but the most urgent: under
-// half the time of a long call, as a question is given up 1.5 s after it was
-// due and has to be called by then.
+// half the time of a long call, as a question is given up some seconds after it
+// was due and has to be called by then.
 constexpr Duration kPriorityLead = milliseconds(250);
 
 // An instance that is starved of processor time gets answers 0.4 to 0.8 s late
@@ -70,8 +70,10 @@
                           });
 }
 
+// One that has registered just now may ask before this instance has read so.
 bool HasGone(const Context& context, const std::string& asker) {
-  return asker != context.self() && FindMember(context.state, asker) == nullptr;
+  return context.state.members.departed.contains(asker) &&
+         FindMember(context.state, asker) == nullptr;
 }
 
 // Whoever has given a question up asks again, and so does the next owner of the
--- a/Source/engine/jobs/gang_bookings.cc
+++ b/Source/engine/jobs/gang_bookings.cc
@@ -14,10 +14,12 @@
 // The owner of the worker did not answer: its workers would be chosen again at
 // once. One that lives tells of all of them when it is asked.
 void DoubtOwnerOf(Context& context, const std::string& worker) {
-  const std::string owner = context.state.view[worker].owner;
-  if (owner == context.self()) {
+  const auto view = context.state.view.find(worker);
+  if (view == context.state.view.end() || view->second.owner.empty() ||
+      view->second.owner == context.self()) {
     return;
   }
+  const std::string owner = view->second.owner;
   for (auto& [id, it] : context.state.view) {
     if (it.owner == owner) {
       it.accepting = false;
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -44,7 +44,8 @@
     codec.Optional("workers", it.workers, std::vector<engine::WorkerRoom>());
     codec.Optional("waiting", it.waiting, std::vector<engine::QueueWaiting>());
     codec.Optional("advice_wait_ms", it.advice_wait, Duration(0));
-    codec.Optional("advice_urgent_ms", it.advice_urgent_wait, Duration(0));
+    // A member of an older release tells one wait for all calls.
+    codec.Optional("advice_urgent_ms", it.advice_urgent_wait, it.advice_wait);
   }
 };
 
@@ -302,7 +303,7 @@
     codec.Optional("declined", it.declined, false);
     codec.Optional("allowed", it.allowed, std::vector<engine::AdvisedWorker>());
     codec.Optional("advice_wait_ms", it.wait, Duration(0));
-    codec.Optional("advice_urgent_ms", it.urgent_wait, Duration(0));
+    codec.Optional("advice_urgent_ms", it.urgent_wait, it.wait);
   }
 };
 
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -56,7 +56,7 @@
   void operator()(const JobQuery& it) { OnJobQuery(context, from, it); }
   void operator()(const JobReply& it) { OnJobReply(context, it); }
   void operator()(const AdviceAsk& it) { OnAdviceAsk(context, from, it); }
-  void operator()(const AdviceReply& it) { OnAdviceReply(context, it); }
+  void operator()(const AdviceReply& it) { OnAdviceReply(context, from, it); }
   void operator()(const PrepareWorker& it) {
     OnPrepareWorker(context, from, it);
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -355,7 +355,7 @@
   Time retry_at{0};
   Duration late{0};  // beyond their time, the last calls
   Time late_at{0};
-  // Of the members, as they told.
+  // Of the members, as they told, or longer after a question without an answer.
   std::map<std::string, Duration> waits{};
   std::map<std::string, Duration> urgent_waits{};
   std::map<std::string, Time> heard{};  // told last
