--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -278,6 +278,7 @@
     codec.Field("call", it.call);
     codec.Field("step", it.step);
     codec.Optional("priority", it.priority, std::uint32_t{0});
+    codec.Optional("lasting", it.lasting, false);
     codec.Optional("expected_ms", it.expected, Duration(0));
     codec.Optional("patience_ms", it.patience, Duration(0));
     codec.Optional("most_wait_ms", it.most_wait, Duration(0));
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -286,6 +286,7 @@
   std::uint64_t call = 0;  // the asker's
   std::string step{};
   std::uint32_t priority = 0;
+  bool lasting = false;  // the step's tasks are to be at work all the time
   Duration expected{0};  // how long the service will take
   Duration patience{0};  // the asker waits so long; 0: for ever
   // Whoever would have to let it wait longer declines it; 0: it may wait.
