--- /dev/null
+++ b/Tests/engine/lost_answers_test.cc
@@ -0,0 +1,99 @@
+// Jobs with little slack while workers leave calls unanswered and carry them
+// out seconds later.
+#include <algorithm>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "engine/fleet.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTaskTime = milliseconds(500);
+constexpr int kJobs = 20;
+
+// One in `each` calls of the type gets no answer.
+template <typename Call>
+auto LoseOneIn(int each) {
+  return [each, n = 0](const std::string&, const std::string&,
+                       const WorkerRequest& it) mutable {
+    const bool lost = std::holds_alternative<Call>(it) && ++n % each == 0;
+    return lost ? OrderFault::kLate : OrderFault::kNone;
+  };
+}
+
+// Hands a job in each 200 ms; the longest time to its completed state.
+Duration SlowestJob(Fleet& fleet, const std::string& name) {
+  Duration slowest{0};
+  for (int it = 0; it < kJobs; ++it) {
+    const std::string job = fmt::format("{}{}", name, it);
+    const Time sent = fleet.now();
+    fleet.Submit(fmt::format("n{}", it % 3), job, OneStep(6));
+    REQUIRE(fleet.RunUntil(
+        [&] {
+          const State& owner = fleet.state(fmt::format("n{}", it % 3));
+          const auto at = owner.jobs.find(job);
+          return at != owner.jobs.end() &&
+                 at->second.state == JobState::kCompleted;
+        },
+        seconds(20)));
+    slowest = std::max(slowest, fleet.now() - sent);
+    fleet.Run(milliseconds(200));
+  }
+  return slowest;
+}
+
+// Guards against a lost answer to a start that is waited for longer than a
+// short job has slack.
+TEST_CASE("A start without an answer is repeated within a short job's slack") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = kTaskTime});
+  SlowestJob(fleet, "calm");
+  fleet.order_fault = LoseOneIn<StartRun>(8);
+  CHECK(SlowestJob(fleet, "lossy") <= kTaskTime + milliseconds(400));
+  CheckPromises(fleet);
+}
+
+// Guards against ends that stay unknown for the whole wait of a long poll whose
+// answer was lost.
+TEST_CASE("Ends are known soon while long polls lose their answers") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = kTaskTime});
+  fleet.order_fault = LoseOneIn<HoldWorker>(8);
+  SlowestJob(fleet, "first");
+  CHECK(SlowestJob(fleet, "lossy") <= kTaskTime + milliseconds(900));
+  CheckPromises(fleet);
+}
+
+// Guards against a worker that gets no work, or whose lasting tasks are
+// reported, because of one lost answer.
+TEST_CASE("One lost answer to a long poll does not make a worker silent") {
+  Fleet fleet;
+  fleet.Settle();
+  bool lost = false;
+  fleet.order_fault = [&lost](const std::string&, const std::string& worker,
+                              const WorkerRequest& it) {
+    const bool lose = !lost && worker == "w0" &&
+                      std::holds_alternative<HoldWorker>(it);
+    lost = lost || lose;
+    return lose ? OrderFault::kLate : OrderFault::kNone;
+  };
+  fleet.Run(seconds(6));
+  REQUIRE(lost);
+  const bool silent =
+      std::any_of(fleet.log.begin(), fleet.log.end(), [](const LogLine& it) {
+        return it.number == EventNumber::kWorkerSilent;
+      });
+  CHECK_FALSE(silent);
+}
+
+}  // namespace
+
+}  // namespace burdockrock::engine
