Engine: Repeats orders by the workers' answer times, polls shorter under loss

Cause: a call to a worker whose answer is lost was waited for by constants that were larger than a short check's slack: 500 ms and a pause for a start, 2,600 ms for a long poll. Ruled out: advice (first ticket after 30 ms in the same timelines) and room.

The timeout of an order follows the answers of the own workers (mean and four deviations, as TCP does), between 80 and 500 ms; a repeated start does nothing where the first one arrived. A long poll waits 300 ms for 10 s after a call got no answer, 1,900 ms else. One lost answer is followed by a look without a wait; a worker is silent after two. A look that follows more than 1.5 s after the lost one renews no leases, so that a dead worker's bound does not move.

--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -42,6 +42,8 @@
 
 // The store answers in 4 ms, slowed down 60 times in 240.
 inline constexpr Duration kStoreTimeout = milliseconds(700);
+// An instance without an answer of the store for so long is not ready.
+inline constexpr Duration kStoreAway = milliseconds(600);
 // After a call that failed: soon enough to be back within a second of the end
 // of an outage, seldom enough that 40 instances stay far below the store's
 // rates.
@@ -77,6 +79,12 @@
 inline constexpr Duration kHoldWait = milliseconds(1900);
 // An answer is late this long after the wait that was asked for.
 inline constexpr Duration kHoldSlack = milliseconds(700);
+// While workers leave calls unanswered: an end whose listing was lost is known
+// within a short job's slack.
+inline constexpr Duration kLossyHoldWait = milliseconds(300);
+inline constexpr Duration kLeastHoldSlack = milliseconds(150);
+// For so long after a call without an answer.
+inline constexpr Duration kLossyFor = milliseconds(10'000);
 // Pause between two holds: ends that come within it share one look. At three
 // ends a second and worker it saves a third of the looks, and delays an end by
 // 50 ms in the mean.
@@ -85,9 +93,11 @@
 // A worker that has not answered for so long is only looked at, its lease is
 // no longer renewed: so the time is known when all that ran there has ended.
 inline constexpr Duration kRenewWithoutAnswer = milliseconds(1500);
-// Workers take an order in a few ms; orders without an answer are repeated, as
-// they do nothing the second time.
+// Orders without an answer are repeated, as they do nothing the second time;
+// the timeout follows the workers' answers between these two.
+inline constexpr Duration kLeastOrderTimeout = milliseconds(80);
 inline constexpr Duration kOrderTimeout = milliseconds(500);
+// Between two tries of an order.
 inline constexpr Duration kOrderRetry = milliseconds(100);
 // A start that got no answer for so long is withdrawn.
 inline constexpr Duration kStartPatience = milliseconds(1200);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -25,6 +25,7 @@
 #include "engine/options.h"
 #include "engine/records/record.h"
 #include "engine/reminders.h"
+#include "engine/response_time.h"
 #include "engine/workers/end_log.h"
 #include "engine/workers/owned_worker.h"
 #include "engine/workers/pool_rule.h"
@@ -178,6 +179,19 @@
 
 struct RoomView;
 
+// Members that have not answered an offer, since when.
+struct SilenceState {
+  std::map<std::string, Time> asked{};   // not overdue yet
+  std::map<std::string, Time> silent{};  // they get no offers
+  ResponseTime answers{};
+};
+
+// How the own workers answer calls.
+struct WorkerAnswers {
+  ResponseTime time{};         // of orders
+  Time lost_at = Time::min();  // the last call without an answer
+};
+
 // A worker of the platform's list. One that left it is remembered for a while:
 // it may only have lost its path to the store, and runs on.
 struct ListedWorker {
@@ -441,9 +455,11 @@
   std::unordered_map<std::string, std::string> worker_entries{};
   MembersState members{};
   MembersReview members_review{};
+  SilenceState silence{};
   Configuration configuration{};
   std::map<std::string, ListedWorker> workers{};  // by id
   std::map<std::string, OwnedWorker> owned{};
+  WorkerAnswers worker_answers{};
   Time ownership_reviewed = Time::min();
   Time runs_reviewed = Time::min();
   std::map<std::string, GoneWorker> gone{};
--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -91,7 +91,8 @@
   // The registration was lost since the worker answered: others may have
   // claimed it and renewed its leases.
   bool doubted = false;
-  Time silent_since{0};       // the first hold without an answer; 0: none
+  Time missed_since{0};       // the first hold without an answer; 0: none
+  Time silent_since{0};       // the same, once another one had none either
   bool silence_told = false;  // in the log
   // What this instance renewed there has ended by then.
   Time lease_bound{0};
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -56,10 +56,16 @@
          context.now >= ForeignLeasesEnd(context, worker);
 }
 
+// A hold got no answer, and no other call has shown since whether the worker is
+// there.
+bool IsMissing(const OwnedWorker& worker) {
+  return worker.missed_since != Time(0) && !IsSilent(worker);
+}
+
 bool MayRenew(const Context& context, const OwnedWorker& worker) {
   const bool silent =
-      IsSilent(worker) &&
-      HasPassed(context.now, worker.silent_since, kRenewWithoutAnswer);
+      worker.missed_since != Time(0) &&
+      HasPassed(context.now, worker.missed_since, kRenewWithoutAnswer);
   const bool alone = HasPassed(context.now, context.state.members.last_contact,
                                kMaxWithoutStore);
   return worker.claimed && !silent && !alone && !context.state.stop.released;
@@ -86,6 +92,27 @@
   });
 }
 
+bool AnswersGetLost(const Context& context) {
+  const Time lost_at = context.state.worker_answers.lost_at;
+  return lost_at != Time::min() && context.now - lost_at < kLossyFor;
+}
+
+Duration HoldSlack(const Context& context, const OwnedWorker& worker) {
+  if (worker.claimed && (IsMissing(worker) || AnswersGetLost(context))) {
+    return context.state.worker_answers.time.Timeout(kLeastHoldSlack,
+                                                     kHoldSlack);
+  }
+  return kHoldSlack;
+}
+
+// A look without a wait tells whether a hold was lost or its worker is silent.
+Duration HoldWait(const Context& context, const OwnedWorker& worker) {
+  if (IsMissing(worker)) {
+    return Duration(0);
+  }
+  return AnswersGetLost(context) ? kLossyHoldWait : kHoldWait;
+}
+
 // Renewed often enough that the next hold may get lost.
 void SendHold(Context& context, const std::string& id, OwnedWorker& worker) {
   HoldWorker hold{.acknowledged = worker.acknowledged};
@@ -102,7 +129,7 @@
   if (MayRenew(context, worker)) {
     const bool first = worker.lease_until_ms == 0;
     hold.lease_until_ms = NextLease(context, worker);
-    hold.wait = kHoldWait;
+    hold.wait = HoldWait(context, worker);
     if (first) {
       RoomChanged(context, id);  // it can take tasks from now on
     }
@@ -113,7 +140,7 @@
   context.Emit(CallWorker{.worker = id,
                           .address = worker.info.address,
                           .request = hold,
-                          .timeout = hold.wait + kHoldSlack});
+                          .timeout = hold.wait + HoldSlack(context, worker)});
 }
 
 // A look beside the hold that waits, to learn whether the worker is still
@@ -150,6 +177,7 @@
          {"after_ms",
           std::to_string(ToMilliseconds(context.now - worker.silent_since))}});
   }
+  worker.missed_since = Time(0);
   worker.silent_since = Time(0);
   worker.clock_offset_ms = done.clock_ms - ToMilliseconds(context.now);
   const bool claimed_now = !worker.claimed;
@@ -284,9 +312,19 @@
   if (fenced) {
     // It answers; another owner has it. Counted as silent it would be taken for
     // gone one day, and what runs there would run twice.
+    worker.missed_since = Time(0);
     worker.silent_since = Time(0);
+  } else if (refused == nullptr && worker.claimed &&
+             worker.missed_since == Time(0)) {
+    worker.missed_since = worker.hold_sent;
+    worker.hold_at = context.now;
+    context.state.worker_answers.lost_at = context.now;
+    return;
   } else if (!IsSilent(worker)) {
-    worker.silent_since = worker.hold_sent;
+    if (worker.missed_since == Time(0)) {
+      worker.missed_since = worker.hold_sent;
+    }
+    worker.silent_since = worker.missed_since;
     RoomChanged(context, event.worker);
     ReportUnreached(context, event.worker, worker);
   }
--- a/Source/engine/workers/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -19,6 +19,20 @@
 // ended: a stop takes 0.4 s at most, and the listing 2 s more if a hold waits.
 constexpr Duration kStopRepeat = milliseconds(2500);
 
+Duration OrderTimeout(const Context& context) {
+  return context.state.worker_answers.time.Timeout(kLeastOrderTimeout,
+                                                   kOrderTimeout);
+}
+
+void NoteOrderAnswer(Context& context, const WorkerAnswered& event) {
+  WorkerAnswers& answers = context.state.worker_answers;
+  if (std::holds_alternative<WorkerUnreached>(event.answer)) {
+    answers.lost_at = context.now;
+  } else {
+    answers.time = answers.time.With(context.now - event.asked);
+  }
+}
+
 void OrderStop(Context& context,
                const std::string& id,
                OwnedWorker& worker,
@@ -30,7 +44,7 @@
       .worker = id,
       .address = worker.info.address,
       .request = StopRun{.task = task, .run = run.run, .fence = worker.fence},
-      .timeout = kOrderTimeout});
+      .timeout = OrderTimeout(context)});
 }
 
 OfferOutcome OutcomeOf(WorkerRefusalKind kind) {
@@ -179,7 +193,7 @@
                                      .checkpoint = run.checkpoint,
                                      .fence = worker.fence,
                                      .lease_until_ms = worker.lease_until_ms},
-                 .timeout = kOrderTimeout});
+                 .timeout = OrderTimeout(context)});
 }
 
 void EnterPhase(Context& context, LocalRun& run, RunPhase phase) {
@@ -265,6 +279,7 @@
 }
 
 void OnOrderAnswer(Context& context, const WorkerAnswered& event) {
+  NoteOrderAnswer(context, event);
   const auto worker = context.state.owned.find(event.worker);
   if (worker == context.state.owned.end()) {
     return;
--- a/Tests/engine/lost_answers_test.cc
+++ b/Tests/engine/lost_answers_test.cc
@@ -80,8 +80,8 @@
   bool lost = false;
   fleet.order_fault = [&lost](const std::string&, const std::string& worker,
                               const WorkerRequest& it) {
-    const bool lose = !lost && worker == "w0" &&
-                      std::holds_alternative<HoldWorker>(it);
+    const bool lose =
+        !lost && worker == "w0" && std::holds_alternative<HoldWorker>(it);
     lost = lost || lose;
     return lose ? OrderFault::kLate : OrderFault::kNone;
   };
