Engine: Offers nothing to silent owners, and is not ready without the store

Cause: after a cut of a domain the others went on offering tasks to its members for the 2.5 s of their registration and the 2 s of grace (a task that was offered can't be started elsewhere while it may run); and its instances refused callers for six seconds while the balancer took them for ready.

A member that has not answered an offer within the time that answers take (between 120 and 500 ms) gets none until its next message; event 318 says so. An instance is not ready when its last call to the store failed and none has been answered for 600 ms; single lost answers leave it ready.

--- a/Source/engine/jobs/candidates.cc
+++ b/Source/engine/jobs/candidates.cc
@@ -61,7 +61,10 @@
     view->checked_version = state.members.version;
     view->owner_is_member = FindMember(state, view->owner) != nullptr;
   }
-  return view->owner_is_member ? view : nullptr;
+  if (!view->owner_is_member || state.silence.silent.contains(view->owner)) {
+    return nullptr;
+  }
+  return view;
 }
 
 std::vector<Candidate> CandidatesOf(const Context& context,
--- /dev/null
+++ b/Source/engine/members/silence.h
@@ -0,0 +1,25 @@
+// Members that do not answer offers. Their registration outlasts a cut by
+// seconds, and a task that is offered to them meanwhile can't be started
+// elsewhere before it is known whether it runs.
+#ifndef BURDOCKROCK_ENGINE_MEMBERS_SILENCE_H_
+#define BURDOCKROCK_ENGINE_MEMBERS_SILENCE_H_
+
+#include <string>
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+// An offer goes to the member.
+void NoteOffer(Context& context, const std::string& member);
+
+// The member has sent something.
+void NoteWord(Context& context, const std::string& member);
+
+// Finds members whose answer is overdue. They get no offers until their next
+// word.
+void DriveSilence(Context& context);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_MEMBERS_SILENCE_H_
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -19,6 +19,7 @@
 #include "engine/members/membership.h"
 #include "engine/members/node_records.h"
 #include "engine/members/planned_stop.h"
+#include "engine/members/silence.h"
 #include "engine/notices.h"
 #include "engine/records/catalog.h"
 #include "engine/records/record_sweep.h"
@@ -129,6 +130,7 @@
     OnMachinesAnswered(context, it);
   }
   void operator()(const PeerSaid& it) {
+    NoteWord(context, it.from);
     std::visit(PeerVisitor{context, it.from}, it.message);
   }
   void operator()(const StopAsked&) { BeginStop(context); }
@@ -147,6 +149,13 @@
   }
 }
 
+// Callers are better served by another instance then. A single failed call
+// does not show that it is away.
+bool StoreIsAway(const State& state) {
+  return !state.store.healthy &&
+         HasPassed(state.drive.driven_at, state.store.last_answer, kStoreAway);
+}
+
 // What an event has led to that must not wait for the next look: writes to the
 // store, reads of it and messages to this instance itself.
 void Forward(Context& context) {
@@ -167,6 +176,7 @@
   }
   DriveMembership(context);
   DriveNodes(context);
+  DriveSilence(context);
   DriveWatches(context);
   DriveWorkers(context);
   DriveLeaseQueries(context);
@@ -248,7 +258,7 @@
 
 bool IsReady(const State& state) {
   return state.configuration.version != 0 && IsRegistered(state) &&
-         ListsAreRead(state) && !state.stop.asked;
+         ListsAreRead(state) && !state.stop.asked && !StoreIsAway(state);
 }
 
 }  // namespace burdockrock::engine
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -90,6 +90,9 @@
      "have renewed there has to run out before the worker counts as gone"},
     {EventNumber::kWorkerBack, Level::kInfo, "worker_back",
      "A worker that was silent answers again"},
+    {EventNumber::kOffersUnanswered, Level::kWarning, "offers_unanswered",
+     "A member does not answer offers of tasks and gets none until it says "
+     "something"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -53,6 +53,7 @@
   kWorkerGone = 315,
   kClaimWaits = 316,
   kWorkerBack = 317,
+  kOffersUnanswered = 318,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
