--- a/Tests/engine/cut_domain_test.cc
+++ b/Tests/engine/cut_domain_test.cc
@@ -73,6 +73,27 @@
   CheckPromises(fleet);
 }
 
+// Guards against short jobs that end with a cut of a domain that they need not
+// have used.
+TEST_CASE("Tight jobs stay in their owner's domain while it has room") {
+  Fleet fleet({.instances = 6, .workers = 12});
+  fleet.SetQueue({.name = "q",
+                  .host = "h",
+                  .prefix = "/q/",
+                  .service = "s",
+                  .max_attempts = 3,
+                  .stretch = 1.5});
+  fleet.Settle();
+  PlanAll(fleet, {.takes = milliseconds(500)});
+  fleet.Submit("n1", "tight", OneStep(28));
+  fleet.Run(milliseconds(300));
+  REQUIRE(CountRuns(fleet, "tight") == 28);
+  for (const SeenRun& it : fleet.seen) {
+    const int number = std::stoi(it.worker.substr(1));
+    CHECK(number % 3 == 1);
+  }
+}
+
 // Guards against callers who are sent to an instance that refuses all jobs
 // while others would take them.
 TEST_CASE("An instance that can't reach the store is not ready") {
