Engine: Keeps tight work in its owner's domain

The weight of another domain grows with how tight the objective is, to two workers' room at a stretch of 1.5; at 2.2 and above it is what it was.

--- a/Source/engine/jobs/placement_rule.cc
+++ b/Source/engine/jobs/placement_rule.cc
@@ -12,9 +12,12 @@
 constexpr double kOtherRack = 10;
 // The worker where it failed last is taken when there is no other.
 constexpr double kAvoided = 5;
-// An offer across failure domains costs 3 ms and its bytes; a hundredth of a
-// worker's room packed better is worth more.
+// An offer across failure domains takes two hops and its bytes.
 constexpr double kOtherDomain = 0.01;
+// For work with a tight objective: a short job that runs in its owner's domain
+// alone outlives a cut of any other one, which no packing outweighs. Longer
+// jobs outlast a cut.
+constexpr double kOtherDomainTight = 2;
 // What is known of another owner's worker lags, an offer to it costs messages,
 // and all instances would take the same one for the best. Half of this is for
 // any other owner; a worker that is faster by an eighth is still worth an offer
@@ -103,7 +106,9 @@
     cost += kOtherOwner * (1 - candidate.liking) +
             kLastRoom * std::max(need.speed_weight, 0.0) / std::max(fits, 1.0);
   }
-  return cost + (candidate.own_domain ? 0 : kOtherDomain);
+  const double other_domain =
+      kOtherDomain + kOtherDomainTight * std::max(need.speed_weight, 0.0);
+  return cost + (candidate.own_domain ? 0 : other_domain);
 }
 
 }  // namespace burdockrock::engine
