--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -20,28 +20,21 @@
 // By the length of a usual call a step is asked for ahead of its turn. Tickets
 // for the largest calls would lapse before their use.
 constexpr std::size_t kUsualNames = 30;
-// An answer that does not come this long after it was due is asked for again.
-// Members that are gone or silent are not waited for, so it is for one whose
-// message was lost, or that is busier than it told: there a long call has its
-// place in the order, which another question would lose again and again.
+// An answer that does not come this long after it was due is asked for again. A
+// long call keeps its place in the member's order for longer.
 constexpr Duration kReplySlack = milliseconds(1500);
 constexpr Duration kLongReplySlack = milliseconds(4000);
 // A step's tickets are asked for this long before its turn, beside the time
 // that the call takes.
 constexpr Duration kAhead = milliseconds(400);
-// A step that may take this much longer than its estimate waits for its turn: a
-// call takes 0.7 to 1.2 s and waits as long under load. Estimates are off by a
-// third and more, so tickets that were asked for ahead of long steps lapsed and
-// were asked for again: 4 calls for a job of two steps in place of 2.
+// A step that may take this much longer than its estimate waits for its turn:
+// tickets that are asked for ahead of long steps lapse before their use.
 constexpr Duration kEnoughSlack = milliseconds(2500);
 // Between two questions about one step, beside the time of a decision.
 constexpr Duration kWiden = milliseconds(150);
 
 // A member whose wait has grown since it told of it declines, and the question
-// goes to another one 3 ms later instead of waiting behind a second of calls.
-// After so many in a row all are busy, and it waits wherever it is. At 20
-// instances 0.93 of tasks that need long calls start within 1.2 s, 0.51
-// without.
+// goes to another one at once. After so many in a row all are busy.
 constexpr std::uint32_t kMostDeclines = 3;
 
 bool HasEnough(const Context& context, const ReadyStep& ready) {
--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -19,10 +19,8 @@
 // Calls that take this long are made by other instances than shorter ones.
 constexpr Duration kLongCall = milliseconds(100);
 // Short calls must not wait behind long ones, so some instances make no long
-// ones: one in three, rounded up, of a small fleet and one in five of what
-// comes beyond, as short calls fill 2 to 5 instances' turns in fleets of 30 to
-// 150. More would stand idle beside full queues: at 20 instances 0.79 of tasks
-// that need long calls start within 2.5 s with one in three, 0.86 with this.
+// ones: one in three, rounded up, of a small fleet, fewer of what comes beyond,
+// as more would stand idle beside full queues.
 constexpr std::size_t kSmallFleet = 9;
 constexpr std::size_t kMembersPerShortCaller = 3;
 constexpr std::size_t kFurtherPerShortCaller = 5;
@@ -31,15 +29,11 @@
 constexpr Duration kShortWait = milliseconds(80);
 
 // Told waits are late by up to the time between digests: differences below this
-// say nothing. About a third of that time at 30 members.
+// say nothing.
 constexpr Duration kWaitDoubt = milliseconds(250);
 
-// A member that is cut off or stands still stays registered for 2.5 s more and
-// goes on to have the shortest wait, as it told before: its questions would
-// wait until they are given up, seconds after they were due, and so would the
-// next ones. One that owes an answer for this long and has sent neither a
-// digest nor an answer counts as silent until it sends one. Of 12,470 answers
-// of live members 90 came later, most of them while all instances recover.
+// A member that owes an answer for this long and has sent neither a digest nor
+// an answer is not asked until it sends one: its registration outlasts a cut.
 constexpr Duration kSilence = milliseconds(300);
 
 struct Callers {
--- a/Source/engine/advice/advice_rule.cc
+++ b/Source/engine/advice/advice_rule.cc
@@ -11,26 +11,20 @@
 // share of the tasks that wait.
 constexpr double kMinStarts = 1;
 constexpr double kMinStartShare = 0.3;
-// After so long without a call any room will do. Short urgent work has 0.4 to
-// 0.7 s of slack to its objective. At 30 instances with 100 waiting steps it
-// makes 7 calls a second and instance of some 35 ms.
+// After so long without a call any room will do: about a short job's slack.
 constexpr Duration kPatience = std::chrono::milliseconds(500);
 
-// Fewer than these leave one call in forty without an allowed worker where the
-// policy allows three in ten.
+// Keeps most calls from coming back without an allowed worker where the policy
+// allows few.
 constexpr std::size_t kLeastNames = 10;
 // Starts for each waiting task: the allowed workers are a random share, and
-// while a call waits and is made, 0.8 to 1.5 s under load, other steps start on
-// the same workers. With 160 workers at two thirds of their room, steps of 14
-// tasks make 1.06 calls of 830 ms in all, 1.64 of 1,010 ms with a surplus of
-// 1.7 and as many as with this one beyond it. A gang needs all of its room at
-// once.
+// other steps start on the same workers while a call waits and is made. A gang
+// needs all of its room at once.
 constexpr double kSurplus = 4;
 constexpr double kGangSurplus = 3;
 
 // All that is known of a share counts as much as an answer about so many
-// workers, four calls of a usual length: after ten calls the first guess is
-// forgotten.
+// workers.
 constexpr double kSharePast = 100;
 
 }  // namespace
--- a/Source/engine/advice/advice_rule.h
+++ b/Source/engine/advice/advice_rule.h
@@ -9,8 +9,6 @@
 namespace burdockrock::engine {
 
 // The share of workers that a queue's policy allows, as its answers show.
-// Reckoned with one share for all queues, calls of a queue that allows 0.35
-// named too few workers, and those of one that allows 0.7 a third too many.
 class AllowedShare {
  public:
   double value() const { return share_; }
@@ -34,16 +32,14 @@
   double ticketed = 0;    // starts at other workers with tickets
 };
 
-// Whether it names enough workers. A decision takes the service as long as 70
-// more workers: too few of them cost another call, and too many a little time.
+// Whether it names enough workers. Too few of them cost another decision, which
+// takes the service far longer than one more worker.
 bool NamesEnough(const AdviceCall& call);
 
 // Whether a step that was asked for before, `since_call` ago, should be asked
-// for again. Under load many steps wait and little room is free at a time:
-// asked for by all of them it would fill all turns. A step that has not asked
-// for a while takes what there is, as room may never come in larger pieces:
-// that makes at most two calls a second more. A gang starts whole or not at
-// all.
+// for again. Little room is free at a time under load; asked for by all that
+// wait it would fill all turns. A step that has not asked for a while takes
+// what there is. A gang starts whole or not at all.
 bool IsWorthACall(const AdviceCall& call, Duration since_call);
 
 }  // namespace burdockrock::engine
--- a/Source/engine/advice/advice_turns.cc
+++ b/Source/engine/advice/advice_turns.cc
@@ -11,22 +11,17 @@
 
 namespace {
 
-// Of each priority before the next one, among all but the most urgent: under
-// half the time of a long call, as a question is given up some seconds after it
-// was due and has to be called by then.
+// Of each priority before the next one, among all but the most urgent: short of
+// the time after which a question is given up.
 constexpr Duration kPriorityLead = milliseconds(250);
 
-// Calls for lasting tasks go before others that came up to so much earlier: one
-// that has ended is to be at work again within 6 s, and behind batches they
-// waited for 8.6 s after a loss of power of a whole fleet, with room for 77
-// tasks beside them. Batches wait for up to 10 s then, and no longer for this:
-// lasting work takes one long call in fifteen.
+// Calls for lasting tasks go before others that came up to so much earlier, so
+// that a task that has ended is soon at work again.
 constexpr Duration kLastingLead = milliseconds(10'000);
 
-// An instance that is starved of processor time gets answers 0.4 to 0.8 s late
-// for calls of 40 ms, for some seconds, and went on to be chosen: its turns'
-// times say little, 10 of them 0.4 s. Told with its wait, the lateness moves
-// the questions to others; after this long without a call it is tried again.
+// An instance short of processor time gets its answers late. Told with its
+// wait, that moves questions to others; after this long without a call it is
+// tried again.
 constexpr Duration kLateSpan = milliseconds(2000);
 // The share of the last call in the lateness.
 constexpr std::int64_t kLateParts = 2;
@@ -62,10 +57,8 @@
 }
 
 // Lower is earlier. The most urgent calls come first, the others nearly in the
-// order that they came, but for lasting tasks: with strict priorities calls of
-// one queue that fill all turns keep the next queue's steps without any ticket
-// for half a minute. This gives 1.0 of these their tickets within 5 s, 0.25
-// without.
+// order that they came: strict priorities would leave the last queue's steps
+// without any ticket.
 std::tuple<bool, Time> RankOf(const AdviceTurn& turn) {
   return {turn.ask.priority != kMostUrgent,
           turn.arrived + kPriorityLead * turn.ask.priority -
--- a/Source/engine/jobs/candidates.cc
+++ b/Source/engine/jobs/candidates.cc
@@ -39,10 +39,8 @@
 
 }  // namespace
 
-// All workers are asked for in hundreds of rounds
-// a second, so neither the view nor its owner is looked up by name each time:
-// with that, collecting candidates took 13% of the reducer's time at one of 30
-// instances in place of 8%.
+// All workers are asked for in each round, so neither the view nor its owner is
+// looked up by name each time.
 const RoomView* UsableView(State& state,
                            const std::string& id,
                            ListedWorker& listed) {
--- a/Source/engine/jobs/placement_rule.cc
+++ b/Source/engine/jobs/placement_rule.cc
@@ -20,26 +20,21 @@
 constexpr double kOtherDomainTight = 2;
 // What is known of another owner's worker lags, an offer to it costs messages,
 // and all instances would take the same one for the best. Half of this is for
-// any other owner; a worker that is faster by an eighth is still worth an offer
-// (kSlow). The rest is each instance's own order of them. At 30 instances with
-// 40 jobs a second 5% of the offers are refused, 28% without it, and short jobs
-// are delayed by 26 ms, 51 without it.
+// any other owner; the rest is each instance's own order of them.
 constexpr double kOtherOwner = 0.5;
 // The last room that seems to be left at another owner's worker is often gone
-// when the offer arrives, and room for several tasks seldom. This is shared by
-// the tasks that fit: at 30 instances and 0.63 of the room in use 0.18 of the
-// offers are refused, 0.48 without it, and a task starts after 79 ms in the
-// mean, 87 without it. Work that has time packs tightly all the same: spread
-// over more workers, room for wide steps takes longer calls for advice.
+// when the offer arrives. This is shared by the tasks that fit. Work that has
+// time packs tightly all the same, as room for wide steps takes long calls for
+// advice to find.
 constexpr double kLastRoom = 1;
 // Of two dimensions that are left in unlike shares one can't be used.
 constexpr double kUnbalanced = 0.5;
 
-// A task that takes 1.25 times as long as on a mean worker misses an objective
-// of 1.5 times its chain as soon as anything else goes wrong.
+// A task on a slow worker misses a tight objective as soon as anything else
+// goes wrong.
 constexpr double kSlow = 2;
-// Of objectives: from the first on speed does not matter, below the second it
-// counts whole.
+// Objectives in chains: from the first on speed does not matter, below the
+// second it counts whole.
 constexpr double kRelaxedStretch = 2.2;
 constexpr double kTightStretch = 1.5;
 // Work that has time rather takes the slow workers.
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -24,10 +24,8 @@
 // before it, so that short urgent tasks need not wait for long ones to end.
 constexpr double kReservePerPriority = 0.06;
 
-// Urgent work that has waited so long is about to miss its objective, which is
-// 1.5 times its chain and 250 ms: a step has 0.65 s of slack at a chain of 0.8
-// s. Sooner than this it costs more than it brings: on eight busy days
-// preempting after 150 ms earned 0.007 of the worth less than not at all.
+// Urgent work that has waited so long is about to miss its objective; sooner,
+// stopping others costs more than it brings.
 constexpr Duration kPreemptAfter = milliseconds(800);
 
 struct Round {
@@ -56,9 +54,8 @@
          it->second.expires > context.now + kTicketMargin;
 }
 
-// Steps that wait for advice are most of those that wait, and looking through
-// all workers for them finds nothing: that was a third of the reducer's work at
-// one of 30 instances, 487 look-ups of 350 workers a second in place of 339.
+// Most steps that wait have none, and looking through all workers for them
+// finds nothing.
 bool HasAnyTicket(const Context& context, const ReadyStep& ready) {
   const auto& tickets = ready.run().tickets;
   return !ready.queue->advice ||
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -25,14 +25,12 @@
 constexpr Duration kListSettled = milliseconds(2300);
 
 // All members are asked this often, should the owner that is known of a worker
-// be a former one: the news of a new one takes as long at 30 members.
+// be a former one.
 constexpr Duration kAskAll = milliseconds(1000);
 
 // A member is told this often of all the workers that are waited for and that
 // left the list; of those that it is to claim, each time that all are asked.
-// Either may get lost. With a failure domain cut off that is a third of the
-// workers: told with each question they were 540,000 descriptions a second
-// among 20 instances, 2,200 now.
+// Either may get lost.
 constexpr Duration kTellAgain = milliseconds(5000);
 
 // Everything that can run the job was heard of.
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -1,4 +1,4 @@
-// The engine's own times and limits. Each says where its figure comes from.
+// The engine's own times and limits, and what each keeps.
 #ifndef BURDOCKROCK_ENGINE_LIMITS_H_
 #define BURDOCKROCK_ENGINE_LIMITS_H_
 
@@ -14,68 +14,60 @@
 
 // Registration of an entry instance.
 
-// A dead instance's workers must have a new owner before their leases (6 s,
-// renewed at least every 2 s) run out: 2.5 s leave 1.5 s for the claims.
+// Lets a dead instance's workers have a new owner before their leases end.
 inline constexpr Duration kMemberTtl = milliseconds(2500);
-// Three renewals a lifetime: two may be lost.
+// Lets two renewals in a row be lost.
 inline constexpr Duration kMemberRenewal = milliseconds(800);
-// An instance whose registration vanished in a store's outage is back in well
-// under a second; taking its work over meanwhile would cost two moves.
+// Keeps the work of an instance that lost only its registration where it is.
 inline constexpr Duration kRejoinGrace = milliseconds(2000);
 // For so long after the last failed call the store counts as unsteady.
 inline constexpr Duration kStoreUnsteady = milliseconds(3000);
-// An owner stops renewing its workers when it could not reach the store for so
-// long: longer than the outages to be borne (10 s), since running work must
-// outlast them, and the bound after which an unreachable worker's runs are
-// known to have ended.
+// An owner renews its workers for so long without the store: running work
+// outlasts an outage, and it is known when all has ended at an unreachable one.
 inline constexpr Duration kMaxWithoutStore = milliseconds(12'000);
-// Instances that start together register within this time; who claims workers
-// before has to give most of them up again.
+// Lets instances that start together register before any of them claims.
 inline constexpr Duration kClaimDelay = milliseconds(200);
-// Workers whose owner took them by a view of the members that was old are
-// claimed back after this long at the latest.
+// Bounds how long a worker stays with an owner chosen by an old list of
+// members.
 inline constexpr Duration kOwnershipReview = milliseconds(500);
 // Between two raises of the own fence.
 inline constexpr Duration kRaiseInterval = milliseconds(300);
 
 // Store.
 
-// The store answers in 4 ms, slowed down 60 times in 240.
+// Above the answer time of a store that is slow.
 inline constexpr Duration kStoreTimeout = milliseconds(700);
 // An instance without an answer of the store for so long is not ready.
 inline constexpr Duration kStoreAway = milliseconds(600);
-// After a call that failed: soon enough to be back within a second of the end
-// of an outage, seldom enough that 40 instances stay far below the store's
-// rates.
+// Pause after a failed call: keeps a fleet without the store below its rates.
 inline constexpr Duration kStoreRetry = milliseconds(150);
-// A connection that went silent shows only by the missing answer of its watch;
-// configurations must be in force 2 s after they were stored.
+// Keeps a silent connection from hiding a configuration past its time to be in
+// force.
 inline constexpr Duration kWatchWait = milliseconds(1200);
 inline constexpr Duration kWatchSlack = milliseconds(400);
-// Between two answers of the watch of workers. Each worker's entry changes with
-// every heartbeat: without a pause the watch would answer 32 times a second for
-// 48 workers. A worker that leaves must get no new work 2 s later.
+// Between two answers of the watch of workers, whose entries change with each
+// heartbeat; below the time in which a leaving worker may get new work.
 inline constexpr Duration kWorkersPause = milliseconds(600);
 // Entries in one transaction, by the platform's interface.
 inline constexpr std::size_t kMaxTransactionEntries = 32;
-// Two hide the store's latency; more would spread the same changes thinner.
+// Hides the store's latency; the more there are, the smaller the batches.
 inline constexpr std::size_t kMaxTransactionsInFlight = 2;
-// Share of the store's rate of writes that all instances take together: the
-// other half is left for operators, workers and a deployment twice as large.
+// Share of the store's rate of writes for all instances together; the rest is
+// the operators', the workers' and spare.
 inline constexpr double kWriteShare = 0.5;
 // Transactions that an instance which wrote little before may send at once.
 inline constexpr double kWriteBurst = 4;
-// A submission whose write got no answer is told so after this long, well
-// before its caller's 3 s are over, so that it can ask another instance.
+// A submission without an answer of the store is answered after this long, so
+// that its caller can still ask another instance.
 inline constexpr Duration kSubmitPatience = milliseconds(1200);
 // Ends are confirmed to their workers in batches of this age.
 inline constexpr Duration kProgressInterval = milliseconds(700);
-// Reads of other owners' jobs at once: a takeover reads some dozens of them.
+// Reads of other owners' jobs at once, as in a takeover.
 inline constexpr std::size_t kMaxReadsInFlight = 16;
 
 // Workers.
 
-// The longest a hold may wait for an end, by the platform's interface 2 s.
+// Below the longest wait of a hold, by the platform's interface 2 s.
 inline constexpr Duration kHoldWait = milliseconds(1900);
 // An answer is late this long after the wait that was asked for.
 inline constexpr Duration kHoldSlack = milliseconds(700);
@@ -85,13 +77,11 @@
 inline constexpr Duration kLeastHoldSlack = milliseconds(150);
 // For so long after a call without an answer.
 inline constexpr Duration kLossyFor = milliseconds(10'000);
-// Pause between two holds: ends that come within it share one look. At three
-// ends a second and worker it saves a third of the looks, and delays an end by
-// 50 ms in the mean.
+// Between two holds: ends that come within it share a listing.
 inline constexpr Duration kHoldPause = milliseconds(100);
 inline constexpr Duration kHoldRetry = milliseconds(150);
-// A worker that has not answered for so long is only looked at, its lease is
-// no longer renewed: so the time is known when all that ran there has ended.
+// A worker that has not answered for so long gets no further lease, so that it
+// is known when all that ran there has ended.
 inline constexpr Duration kRenewWithoutAnswer = milliseconds(1500);
 // Orders without an answer are repeated, as they do nothing the second time;
 // the timeout follows the workers' answers between these two.
@@ -114,12 +104,12 @@
 inline constexpr Duration kGoneTold = milliseconds(20'000);
 
 // A worker that left the list is remembered for so long: past the longest time
-// in which something may still run there (kMaxWithoutStore and a lease).
+// in which something may still run there.
 inline constexpr Duration kUnlistedKept = milliseconds(25'000);
 // Runs on a draining worker are moved this long before it may leave.
 inline constexpr Duration kLeaveMargin = milliseconds(900);
 // Failures in a row, of different jobs, after which a worker gets no work for a
-// while: 4 at a failure rate of 0.1 hit one sound worker in 10,000 rows.
+// while: seldom reached by a sound worker.
 inline constexpr std::uint32_t kMaxFailuresInRow = 4;
 inline constexpr Duration kQuarantine = milliseconds(6000);
 
@@ -135,36 +125,31 @@
 // A failed task waits so that a worker that fails all at once does not get it
 // back before it is known.
 inline constexpr Duration kFailedPause = milliseconds(50);
-// The members are asked again what runs of an adopted job; proofs of ownership
-// take a few ms.
+// The members are asked again what runs of an adopted job.
 inline constexpr Duration kAdoptRepeat = milliseconds(120);
 // An adopted job whose runs are not all known after this long is written again,
 // to learn whether it has another owner by now.
 inline constexpr Duration kOwnershipDoubt = milliseconds(3000);
 // A member that has not answered a question by then is asked again.
 inline constexpr Duration kPeerAnswer = milliseconds(400);
-// A caller's question is given up after this long; callers wait 3 s.
+// A caller's question is given up after this long, while the caller still
+// waits.
 inline constexpr Duration kQuestionPatience = milliseconds(1500);
 // A question for the state of a job that may just have ended is answered when
-// the news is in, at most so much later. From its worker to the store an end
-// takes up to kHoldPause, two hops and a write, and callers who are told
-// "running" a few ms too early ask again only after 250 ms.
+// the news is in, at most so much later.
 inline constexpr Duration kStateNews = milliseconds(130);
 // Scan for jobs whose owner is gone, should a member's end have been missed.
 inline constexpr Duration kOrphanScan = milliseconds(5000);
 
 // Digests and housekeeping.
 
-// Changes of room are told together: one digest in place of the several that a
-// burst of starts would send. This is the shortest time between two of them;
-// whose a worker is, and whether it takes tasks, is not told later.
+// Changes of room are told together, at most this often; whose a worker is, and
+// whether it takes tasks, is not told later.
 inline constexpr Duration kDigestInterval = milliseconds(50);
-// Free room is told later by so much for each member above the few, so that the
-// messages of one instance don't grow with the fleet: 770 ms at 30 members. At
-// 30 members and 40 jobs a second an instance exchanges 73 digests a second,
-// 601 with 50 ms.
+// Added for each member above the few, so that an instance's messages don't
+// grow with the fleet.
 inline constexpr Duration kDigestIntervalPerMember = milliseconds(30);
-// So many members send and receive at most 200 digests a second each at 50 ms.
+// Members to which digests go without that delay.
 inline constexpr std::int64_t kFewMembers = 6;
 // An unchanged state is told again, so that a lost digest is noticed: once this
 // long after the last change, and then seldom.
@@ -172,14 +157,12 @@
 inline constexpr Duration kDigestReminder = milliseconds(5000);
 // A member whose digest was missed is asked again for the whole.
 inline constexpr Duration kDigestAsk = milliseconds(400);
-// The engine looks at what is due; no time of its own is finer than this.
+// How often the engine looks at what is due; no time of its own is finer.
 inline constexpr Duration kTick = milliseconds(25);
-// Between two looks for what is kept no longer; the shortest time of keeping is
-// a minute.
+// Between two looks for what is kept no longer.
 inline constexpr Duration kForgetInterval = milliseconds(1000);
-// Between two looks at all that follows from the events that came. As long as
-// two hops between instances: so long an event may wait for the next look, and
-// under load one look serves several of them.
+// Between two looks at all that follows from the events that came: under load
+// one look serves several of them.
 inline constexpr Duration kDriveInterval = milliseconds(3);
 // Between two rounds of placement.
 inline constexpr Duration kPlacementInterval = milliseconds(3);
@@ -193,7 +176,7 @@
 inline constexpr std::uint32_t kMostUrgent = 0;
 // Workers in one call, by the service's interface.
 inline constexpr std::size_t kMaxAdvised = 100;
-// The longest call, 100 workers of the slowest queue, takes 1.8 s.
+// Above the longest call, of as many workers as it may name.
 inline constexpr Duration kAdviceTimeout = milliseconds(4000);
 
 }  // namespace burdockrock::engine
