Engine: Learns of answers that have become slow, forgets departed members

Cause: an order's timeout was learned only from answers that came within it, and a silent worker was asked with the same short timeout again: once all answers of workers took longer (an instance short of processor time, some answers lost besides), workers stayed silent and orders were repeated without end.

Each try of an order waits twice as long as the one before, up to the 500 ms of old; a worker that is silent is given the 700 ms of old; answers to looks without a wait count as samples too. Members that have left go from the list of those that owe an answer.

Test: 20 lines of worker_silent in 14 s before, at most 2 after.

--- a/Source/engine/members/silence.cc
+++ b/Source/engine/members/silence.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "engine/members/membership.h"
+
 namespace burdockrock::engine {
 
 namespace {
@@ -36,6 +38,9 @@
 
 void DriveSilence(Context& context) {
   SilenceState& silence = context.state.silence;
+  std::erase_if(silence.silent, [&](const auto& it) {
+    return FindMember(context.state, it.first) == nullptr;
+  });
   const Duration timeout = silence.answers.Timeout(kLeastSilence, kMostSilence);
   for (auto it = silence.asked.begin(); it != silence.asked.end();) {
     if (!HasPassed(context.now, it->second, timeout)) {
--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -41,6 +41,7 @@
   Time since{0};               // in its phase
   Time ordered = Time::min();  // the last order was sent
   bool order_in_flight = false;
+  std::uint32_t order_tries = 0;  // of the order of its phase
   bool start_unanswered = false;  // a try of the start; it may come late
   bool stop_answered = false;
   Time confirmed = Time::min();  // the worker said that it has it
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -97,8 +97,10 @@
   return lost_at != Time::min() && context.now - lost_at < kLossyFor;
 }
 
+// A silent worker may be one whose answers have become slow.
 Duration HoldSlack(const Context& context, const OwnedWorker& worker) {
-  if (worker.claimed && (IsMissing(worker) || AnswersGetLost(context))) {
+  if (worker.claimed && !IsSilent(worker) &&
+      (IsMissing(worker) || AnswersGetLost(context))) {
     return context.state.worker_answers.time.Timeout(kLeastHoldSlack,
                                                      kHoldSlack);
   }
@@ -107,7 +109,7 @@
 
 // A look without a wait tells whether a hold was lost or its worker is silent.
 Duration HoldWait(const Context& context, const OwnedWorker& worker) {
-  if (IsMissing(worker)) {
+  if (worker.missed_since != Time(0)) {
     return Duration(0);
   }
   return AnswersGetLost(context) ? kLossyHoldWait : kHoldWait;
@@ -301,6 +303,10 @@
     return;
   }
   worker.hold_in_flight = false;
+  const bool unreached = std::holds_alternative<WorkerUnreached>(event.answer);
+  if (hold.wait == Duration(0) && !unreached) {
+    NoteResponse(context, event);
+  }
   if (const auto* done = std::get_if<WorkerDone>(&event.answer)) {
     OnHeld(context, event.worker, worker, *done, event.asked);
     return;
--- a/Source/engine/workers/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -18,10 +18,15 @@
 // A run whose stop was taken is told to stop again while it is not listed as
 // ended: a stop takes 0.4 s at most, and the listing 2 s more if a hold waits.
 constexpr Duration kStopRepeat = milliseconds(2500);
+// Of the timeout of an order without an answer.
+constexpr std::uint32_t kMostDoublings = 4;
 
-Duration OrderTimeout(const Context& context) {
-  return context.state.worker_answers.time.Timeout(kLeastOrderTimeout,
-                                                   kOrderTimeout);
+// Grows with each try: answers that have become slow are else never heard.
+Duration OrderTimeout(const Context& context, std::uint32_t tries) {
+  const Duration first = context.state.worker_answers.time.Timeout(
+      kLeastOrderTimeout, kOrderTimeout);
+  return std::min(first * (1 << std::min(tries, kMostDoublings)),
+                  kOrderTimeout);
 }
 
 void NoteOrderAnswer(Context& context, const WorkerAnswered& event) {
@@ -29,7 +34,7 @@
   if (std::holds_alternative<WorkerUnreached>(event.answer)) {
     answers.lost_at = context.now;
   } else {
-    answers.time = answers.time.With(context.now - event.asked);
+    NoteResponse(context, event);
   }
 }
 
@@ -44,7 +49,7 @@
       .worker = id,
       .address = worker.info.address,
       .request = StopRun{.task = task, .run = run.run, .fence = worker.fence},
-      .timeout = OrderTimeout(context)});
+      .timeout = OrderTimeout(context, run.order_tries++)});
 }
 
 OfferOutcome OutcomeOf(WorkerRefusalKind kind) {
@@ -193,10 +198,16 @@
                                      .checkpoint = run.checkpoint,
                                      .fence = worker.fence,
                                      .lease_until_ms = worker.lease_until_ms},
-                 .timeout = OrderTimeout(context)});
+                 .timeout = OrderTimeout(context, run.order_tries++)});
+}
+
+void NoteResponse(Context& context, const WorkerAnswered& event) {
+  ResponseTime& time = context.state.worker_answers.time;
+  time = time.With(context.now - event.asked);
 }
 
 void EnterPhase(Context& context, LocalRun& run, RunPhase phase) {
+  run.order_tries = 0;
   run.phase = phase;
   run.since = context.now;
 }
--- a/Source/engine/workers/worker_runs.h
+++ b/Source/engine/workers/worker_runs.h
@@ -15,6 +15,10 @@
 // Answers to StartRun and StopRun.
 void OnOrderAnswer(Context& context, const WorkerAnswered& event);
 
+// Learns how long workers take to answer, from an answer that had not to wait
+// for anything.
+void NoteResponse(Context& context, const WorkerAnswered& event);
+
 // Repeats orders without an answer, withdraws starts that take too long, moves
 // runs away from a worker that leaves.
 void DriveRuns(Context& context, const std::string& id, OwnedWorker& worker);
