--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -482,7 +482,7 @@
 }
 
 void Fleet::AnswerInTime(Time deadline,
-                         WorkerAnswer result,
+                         const WorkerAnswer& result,
                          const std::function<void(WorkerAnswer)>& answer) {
   const Time at = now_ + worker_way;
   if (at <= deadline) {
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -196,7 +196,7 @@
                   Time until);
   // Or not at all, if the deadline is sooner.
   void AnswerInTime(Time deadline,
-                    WorkerAnswer result,
+                    const WorkerAnswer& result,
                     const std::function<void(WorkerAnswer)>& answer);
   void ListWorker(const FakeWorker& worker);
   FakeWorker* FindWorkerAt(const std::string& address);
