--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -491,20 +491,6 @@
   At(std::max(now_, deadline), [answer] { answer(WorkerUnreached()); });
 }
 
-void Fleet::CallTheAdvice(const std::string& node, const CallAdvice& call) {
-  const std::uint64_t life = nodes_.at(node).life;
-  AdviceGiven given;
-  for (const std::string& it : call.request.workers) {
-    if (allows(call.request.step, it)) {
-      given.allowed.push_back({.worker = it, .ticket = "t"});
-    }
-  }
-  At(now_ + advice_takes(call.request), [this, node, life, call, given] {
-    Deliver(node, life,
-            AdviceAnswered{.request = call.request, .answer = given});
-  });
-}
-
 void Fleet::SendThePeer(const std::string& node, const SendPeer& send) {
   reports_ += std::holds_alternative<RunReports>(send.message) ? 1 : 0;
   on_peer(node, send);
--- a/Tests/engine/fleet_machines.cc
+++ b/Tests/engine/fleet_machines.cc
@@ -1,4 +1,4 @@
-// The fleet's service of machines: upkeep and standby pools.
+// The fleet's services: machines, for upkeep and standby pools, and advice.
 #include <algorithm>
 #include <utility>
 
@@ -115,4 +115,18 @@
   return MachineTaken{};
 }
 
+void Fleet::CallTheAdvice(const std::string& node, const CallAdvice& call) {
+  const std::uint64_t life = nodes_.at(node).life;
+  AdviceGiven given;
+  for (const std::string& it : call.request.workers) {
+    if (allows(call.request.step, it)) {
+      given.allowed.push_back({.worker = it, .ticket = "t"});
+    }
+  }
+  At(now_ + advice_takes(call.request), [this, node, life, call, given] {
+    Deliver(node, life,
+            AdviceAnswered{.request = call.request, .answer = given});
+  });
+}
+
 }  // namespace burdockrock::engine
