Engine: Adds failing tests of tasks that crash their workers

Callers saw a job that stayed running while its task crashed worker after worker. The fleet in virtual time can now crash a worker by what a run does, and brings it back under a new id.

--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -28,7 +28,8 @@
 void FakeWorker::Advance(Time now) {
   std::vector<std::pair<Time, std::string>> due;
   for (const auto& [task, run] : runs_) {
-    const Time ends = std::min(run.ends, lease_ends_);
+    const Time ends =
+        run.crashes ? lease_ends_ : std::min(run.ends, lease_ends_);
     if (ends <= now) {
       due.emplace_back(ends, task);
     }
@@ -36,7 +37,8 @@
   std::sort(due.begin(), due.end());
   for (const auto& [at, task] : due) {
     const Run& run = runs_[task];
-    End(at, task, run.ends <= at ? run.how : RunEnd::kLapsed);
+    const bool lapsed = run.crashes || run.ends > at;
+    End(at, task, lapsed ? RunEnd::kLapsed : run.how);
   }
   if (lease_ends_ < now) {
     for (auto& [sequence, end] : ends_) {
@@ -77,6 +79,14 @@
   info_.id = new_id;
 }
 
+Time FakeWorker::NextCrash() const {
+  Time next = kForever;
+  for (const auto& [task, run] : runs_) {
+    next = run.crashes ? std::min(next, run.ends) : next;
+  }
+  return next;
+}
+
 std::optional<WorkerAnswer> FakeWorker::Answer(Time now, const PollWorker& it) {
   if (IsFenced(it.fence)) {
     return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
@@ -133,7 +143,8 @@
       .ends = planned.endless ? kForever
                               : std::max(now, stalled_until_) + planned.takes,
       .takes = planned.takes,
-      .how = planned.how};
+      .how = planned.how,
+      .crashes = planned.crashes};
   NotePeak();
   return Done(now);
 }
@@ -145,6 +156,8 @@
   const auto run = runs_.find(it.task);
   if (run != runs_.end() && run->second.number == it.run) {
     run->second.stopping = true;
+    run->second.crashes =
+        run->second.crashes && run->second.ends < now + kStopTime;
     run->second.ends = std::min(run->second.ends, now + kStopTime);
     run->second.how = RunEnd::kStopped;
   } else {
@@ -195,6 +208,7 @@
     used += processors(task);
   }
   peak_ = std::max(peak_, used);
+  overfull_starts_ += used > info_.capacity.processors_milli ? 1 : 0;
 }
 
 }  // namespace burdockrock::engine
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -34,6 +34,7 @@
   Duration takes = std::chrono::milliseconds(500);
   RunEnd how = RunEnd::kDone;
   bool endless = false;
+  bool crashes = false;  // the worker's process ends in place of the run
 };
 
 class FakeWorker {
@@ -53,6 +54,9 @@
   // `new_id`.
   void Crash(Time now, const std::string& new_id);
 
+  // When the next run crashes the process; kForever: none does.
+  Time NextCrash() const;
+
   const WorkerInfo& info() const { return info_; }
   WorkerInfo& info() { return info_; }
 
@@ -72,6 +76,8 @@
 
   // The most processors that were in use at once, in thousandths.
   std::int64_t peak() const { return peak_; }
+  // Starts after which more processors were in use than the capacity has.
+  std::size_t overfull_starts() const { return overfull_starts_; }
   // Processors that one run of a task uses, in thousandths.
   std::function<std::int64_t(const std::string& task)> processors =
       [](const std::string&) { return 1000; };
@@ -83,6 +89,7 @@
     Time ends = kForever;
     Duration takes{0};
     RunEnd how = RunEnd::kDone;
+    bool crashes = false;
     bool stopping = false;
   };
 
@@ -115,6 +122,7 @@
   };
   std::map<std::uint64_t, ListedEnd> ends_;
   std::int64_t peak_ = 0;
+  std::size_t overfull_starts_ = 0;
 };
 
 }  // namespace burdockrock::engine
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -384,6 +384,10 @@
                            .answer = std::move(it),
                            .called_at = called_at});
   };
+  if (crashed_.contains(call.address)) {
+    return At(now_ + 2 * worker_latency,
+              [answer] { answer(WorkerUnreached{.may_have_run = false}); });
+  }
   if (fault == CommandFault::kUnhealthy) {
     return At(now_ + 2 * worker_latency, [answer] {
       answer(WorkerRefused{.kind = WorkerRefusalKind::kUnhealthy});
@@ -399,6 +403,9 @@
       fault == CommandFault::kLate ? late_delay : worker_latency;
   At(now_ + latency, [this, node, incarnation, call, called_at, answer, fault,
                       target] {
+    if (crashed_.contains(call.address)) {
+      return fault == CommandFault::kNone ? answer(WorkerUnreached()) : void();
+    }
     if (target->info().id != call.worker) {
       return answer(WorkerRefused{.kind = WorkerRefusalKind::kReplaced});
     }
@@ -407,6 +414,7 @@
       return AnswerPoll(node, incarnation, call, called_at, now_ + poll->wait);
     }
     const auto result = target->Handle(now_, call.request);
+    ExpectCrash(call.address);
     if (fault == CommandFault::kNone) {
       AnswerInTime(called_at + call.timeout, *result, answer);
     }
@@ -421,7 +429,9 @@
   FakeWorker* target = FindWorkerAt(call.address);
   PollWorker poll = std::get<PollWorker>(call.request);
   std::optional<WorkerAnswer> result;
-  if (target->info().id != call.worker) {
+  if (crashed_.contains(call.address)) {
+    result = WorkerUnreached();
+  } else if (target->info().id != call.worker) {
     result = WorkerRefused{.kind = WorkerRefusalKind::kReplaced};
   } else {
     poll.wait = now_ >= until ? Duration(0) : poll.wait;
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -62,6 +62,10 @@
   // second more.
   void Settle();
   void Run(Duration span);
+  // Calls `action` after `span`.
+  void RunLater(Duration span, std::function<void()> action) {
+    At(now_ + span, std::move(action));
+  }
 
   // Runs until the condition holds, for `span` at most. Returns whether it
   // does.
@@ -101,6 +105,19 @@
 
   void AddWorkers(std::size_t count);
 
+  // Ends the worker's process without notice. Another one, with a new id, is
+  // back after `away`.
+  void CrashWorker(const std::string& name, Duration away);
+  // Time for which a worker is away that a run crashes.
+  Duration crash_away = std::chrono::seconds(2);
+  // Called when a worker has crashed.
+  std::function<void(const std::string& worker)> on_crash =
+      [](const std::string&) {};
+  // Writes the worker's entry in the store anew.
+  void ListAgain(const std::string& name) { ListWorker(*workers_.at(name)); }
+  // Whether the service of machines answers.
+  bool machines_answer = true;
+
   void SetQueue(const QueuePolicy& queue);
   // Adds a queue with the path "/NAME/" and the settings of the first one.
   void AddQueue(const std::string& name,
@@ -110,6 +127,8 @@
   // Writes a wave of upkeep as operators do. A machine has the name of its
   // worker's address.
   void RequestWave(Wave wave);
+  // Lets machines that were taken down before be taken down again.
+  void EndUpkeep() { down_until_.clear(); }
   // Adds machines that are off until they are moved to another pool.
   void AddStandby(std::size_t count);
   std::size_t moves = 0;
@@ -223,6 +242,7 @@
                     const WorkerAnswer& result,
                     const std::function<void(WorkerAnswer)>& answer);
   void ListWorker(const FakeWorker& worker);
+  void ExpectCrash(const std::string& name);
   FakeWorker* FindWorkerAt(const std::string& address);
   void Tick(const std::string& node, std::uint64_t incarnation);
   void ArmTimer(const std::string& node, std::uint64_t incarnation);
@@ -241,7 +261,9 @@
   std::map<std::string, Time> down_until_;
   std::map<std::string, std::uint64_t> machine_fences_;
   std::set<std::string>
-      unresponsive_;  // addresses of workers that do not reply
+      unresponsive_;               // addresses of workers that do not reply
+  std::set<std::string> crashed_;  // addresses where no process runs
+  std::size_t crashes_ = 0;
 };
 
 // A job of one step of equal tasks.
--- a/Tests/engine/fleet_machines.cc
+++ b/Tests/engine/fleet_machines.cc
@@ -13,9 +13,39 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kStandby = "standby";
+// After this time without a heartbeat the store drops a worker's entry.
+constexpr Duration kEntryLifetime = milliseconds(4500);
 
 }  // namespace
 
+void Fleet::CrashWorker(const std::string& name, Duration away) {
+  FakeWorker& worker = *workers_.at(name);
+  const std::string old_id = worker.info().id;
+  worker.Crash(now_, fmt::format("{}-crash{}", name, ++crashes_));
+  crashed_.insert(name);
+  At(now_ + away, [this, name, &worker] {
+    crashed_.erase(name);
+    ListWorker(worker);
+  });
+  At(now_ + kEntryLifetime,
+     [this, old_id] { store.Remove("worker/" + old_id); });
+  on_crash(name);
+}
+
+// Crashes the worker when the run that does so is due, if it still runs then.
+void Fleet::ExpectCrash(const std::string& name) {
+  const FakeWorker& worker = *workers_.at(name);
+  const Time due = worker.NextCrash();
+  if (due == kForever) {
+    return;
+  }
+  At(due, [this, name, &worker, id = worker.info().id] {
+    if (worker.info().id == id && worker.NextCrash() <= now_) {
+      CrashWorker(name, crash_away);
+    }
+  });
+}
+
 void Fleet::AddStandby(std::size_t count) {
   ++configuration_.version;
   configuration_.services.push_back({.name = kStandby, .standby = true});
@@ -40,6 +70,9 @@
     Deliver(node, incarnation,
             MachinesAnswered{.request = call.request, .answer = std::move(it)});
   };
+  if (!machines_answer) {
+    return At(now_ + call.timeout, [answer] { answer(MachineUnanswered()); });
+  }
   const auto* command = std::get_if<BeginUpkeep>(&call.request);
   if (command != nullptr && lost_machine_replies > 0) {
     --lost_machine_replies;
@@ -60,12 +93,15 @@
   MachinePage page;
   for (const auto& [name, worker] : workers_) {
     const auto down = down_until_.find(name);
-    const bool up = down == down_until_.end() || down->second <= now_;
-    page.machines.push_back(
-        {.name = name,
-         .pool = worker->info().service,
-         .state = up ? MachineState::kUp : MachineState::kUpkeep,
-         .worker = up ? worker->info().id : std::string()});
+    const bool crashed = crashed_.contains(name);
+    const bool up =
+        !crashed && (down == down_until_.end() || down->second <= now_);
+    page.machines.push_back({.name = name,
+                             .pool = worker->info().service,
+                             .state = up        ? MachineState::kUp
+                                      : crashed ? MachineState::kDown
+                                                : MachineState::kUpkeep,
+                             .worker = up ? worker->info().id : std::string()});
   }
   return page;
 }
@@ -108,7 +144,8 @@
   taken_down.push_back(command.machine);
   down_until_[command.machine] = now_ + std::chrono::seconds(2);
   const std::string old_id = worker.info().id;
-  worker.Crash(now_, command.machine + "-upkept");
+  worker.Crash(now_,
+               fmt::format("{}-upkept{}", command.machine, taken_down.size()));
   unresponsive_.insert(command.machine);
   At(now_ + std::chrono::seconds(2), [this, &worker, old_id] {
     unresponsive_.erase(worker.info().address);
