--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -359,6 +359,7 @@
 
 struct JobStateFound {
   JobState state = JobState::kQueued;
+  std::string cause{};  // of a job that failed
   auto operator<=>(const JobStateFound&) const = default;
 };
 
--- a/Source/engine/jobs/adoption.cc
+++ b/Source/engine/jobs/adoption.cc
@@ -146,6 +146,25 @@
   }
 }
 
+void RestoreCrashes(Time now, const OccurrenceRecord& record, Job& job) {
+  for (const CrashedRuns& it : record.crashed) {
+    Task* task = FindTask(
+        job, {.occurrence = record.number, .step = it.step, .index = it.index});
+    if (task != nullptr) {
+      task->crashes = {.runs = {it.runs.begin(), it.runs.end()},
+                       .longest = it.longest,
+                       .last = now};
+    }
+  }
+  for (const StoredStart& it : record.starts) {
+    Task* task = FindTask(
+        job, {.occurrence = record.number, .step = it.step, .index = it.index});
+    if (task != nullptr) {
+      task->planned = PlannedStart{.run = it.run, .worker = it.worker};
+    }
+  }
+}
+
 Job RestoreJob(const Context& context,
                const std::string& id,
                const CatalogEntry& entry) {
@@ -168,6 +187,7 @@
   }
   for (const OccurrenceRecord& it : record.occurrences) {
     RestoreEnded(it, job);
+    RestoreCrashes(context.now, it, job);
   }
   job.started = record.state == JobState::kRunning;
   return job;
--- a/Source/engine/jobs/caller_requests.cc
+++ b/Source/engine/jobs/caller_requests.cc
@@ -147,11 +147,16 @@
                  const PendingCaller& waiter,
                  const Job& job) {
   const JobState state = ShownState(job);
+  const std::string cause =
+      state == JobState::kFailed ? job.cause : std::string();
   if (waiter.member.empty()) {
-    return Answer(context, waiter.call, JobStateFound{.state = state});
+    return Answer(context, waiter.call,
+                  JobStateFound{.state = state, .cause = cause});
   }
-  Reply(context, waiter.member,
-        JobReply{.call = waiter.call, .known = true, .state = state});
+  Reply(
+      context, waiter.member,
+      JobReply{
+          .call = waiter.call, .known = true, .state = state, .cause = cause});
 }
 
 // Whether all unfinished tasks of the job are running, so that it may have
@@ -231,11 +236,12 @@
 
 void ReportOutcome(Context& context,
                    const PendingCallerQuery& caller,
-                   JobState state) {
+                   JobState state,
+                   const std::string& cause) {
   if (caller.query == CallerQuery::kCancel) {
     Answer(context, caller.call, CancelAccepted{.state = state});
   } else {
-    Answer(context, caller.call, JobStateFound{.state = state});
+    Answer(context, caller.call, JobStateFound{.state = state, .cause = cause});
   }
 }
 
@@ -248,7 +254,7 @@
     return true;
   }
   if (entry.record && IsFinal(entry.record->state)) {
-    ReportOutcome(context, caller, entry.record->state);
+    ReportOutcome(context, caller, entry.record->state, entry.record->cause);
     return true;
   }
   return false;
@@ -267,7 +273,7 @@
   }
   const CatalogEntry& entry = context.state.catalog[caller.job];
   if (entry.final_state) {
-    ReportOutcome(context, caller, *entry.final_state);
+    ReportOutcome(context, caller, *entry.final_state, entry.final_cause);
     return true;
   }
   const bool read = entry.record || entry.absent;
@@ -494,9 +500,11 @@
     return;
   }
   if (IsFinal(reply.state)) {
-    context.state.catalog[it->second.job].final_state = reply.state;
+    CatalogEntry& entry = context.state.catalog[it->second.job];
+    entry.final_state = reply.state;
+    entry.final_cause = reply.cause;
   }
-  ReportOutcome(context, it->second, reply.state);
+  ReportOutcome(context, it->second, reply.state, reply.cause);
   context.state.callers.erase(it);
 }
 
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -39,6 +39,22 @@
   Time last_update{0};  // last update on the run, from its worker's owner
 };
 
+// Runs of a task whose workers crashed.
+struct TaskCrashes {
+  std::set<std::uint64_t> runs{};  // counted already
+  Duration longest{0};             // the longest of these runs
+  Time last = Time::min();         // when the last one was counted
+  // The last run that had been at work for too long to be counted.
+  std::uint64_t excused_run = 0;
+};
+
+// The next start of a task, which has to be stored before it is sent.
+struct PlannedStart {
+  std::uint64_t run = 0;
+  std::string worker{};
+  std::uint64_t version = 0;  // of the job's progress that holds it
+};
+
 // One task of a step and its current run.
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
@@ -59,6 +75,10 @@
   std::optional<TaskCopy> copy{};
   bool copy_wanted = false;     // a copy is to be placed
   std::uint64_t last_copy = 0;  // run number of the previous copy
+  TaskCrashes crashes{};
+  // A run of a former owner may have been lost without a trace.
+  bool may_have_crashed = false;
+  std::optional<PlannedStart> planned{};
 };
 
 // Permission of the advice service to start tasks of a step on one worker.
@@ -88,6 +108,8 @@
   std::uint64_t gang_run = 0;          // the run number that all members share
   std::uint64_t gang_failed_run = 0;   // the last run counted as a failure
   std::uint64_t gang_started_run = 0;  // the last run with a start command
+  std::uint64_t gang_stored_run = 0;   // the last run that was to be stored
+  std::uint64_t gang_stored_version = 0;  // of the progress that holds it
 };
 
 // One execution of a repeated job; a job that is not repeated has one.
@@ -150,6 +172,7 @@
   bool cancel_requested = false;  // before its creation was stored
   Time ended_at = kForever;
   std::int64_t ended_ms = 0;  // wall time since 1970
+  std::string cause{};        // why it failed
 };
 
 }  // namespace burdockrock::engine
--- a/Source/engine/jobs/job_model.h
+++ b/Source/engine/jobs/job_model.h
@@ -23,6 +23,7 @@
   kLapsed,   // the worker's lease expired
   kBroken,   // another member of its gang ended
   kAlone,    // the other members of its gang did not start in time
+  kCrashed,  // the worker's process ended; reported by the worker's owner
 };
 
 // Progress of a job as callers see it.
--- a/Source/engine/jobs/job_progress.cc
+++ b/Source/engine/jobs/job_progress.cc
@@ -6,12 +6,39 @@
 #include "engine/condition_log.h"
 #include "engine/jobs/caller_requests.h"
 #include "engine/jobs/job_table.h"
+#include "engine/jobs/task_crashes.h"
 #include "engine/records/record_writer.h"
 
 namespace burdockrock::engine {
 
 namespace {
 
+// Adds the crashes under a task, and a start that may be lost with its worker.
+void AddCrashes(const Task& task,
+                std::uint32_t step,
+                std::uint32_t index,
+                OccurrenceRecord& record) {
+  const TaskCrashes& crashes = task.crashes;
+  if (!crashes.runs.empty()) {
+    record.crashed.push_back(
+        {.step = step,
+         .index = index,
+         .runs = {crashes.runs.begin(), crashes.runs.end()},
+         .longest = crashes.longest});
+  }
+  const bool placed =
+      task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
+  if (task.planned) {
+    record.starts.push_back({.step = step,
+                             .index = index,
+                             .run = task.planned->run,
+                             .worker = task.planned->worker});
+  } else if (placed && MustStoreStart(task)) {
+    record.starts.push_back(
+        {.step = step, .index = index, .run = task.run, .worker = task.worker});
+  }
+}
+
 OccurrenceRecord RecordOf(const Job& job, std::uint32_t number) {
   OccurrenceRecord record{.number = number};
   const auto& steps = job.occurrences[number].steps;
@@ -20,6 +47,9 @@
     for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
       const Task& task = steps[s].tasks[i];
       const bool done = task.phase == TaskPhase::kDone;
+      if (!done) {
+        AddCrashes(task, s, i, record);
+      }
       marks += done ? kDoneMark : FailureMark(task.failures);
       if (!done && !task.ended_runs.empty()) {
         record.ended.push_back(
@@ -85,7 +115,8 @@
                    .state = job.state,
                    .queue = job.queue,
                    .ended_ms = job.ended_ms,
-                   .accepted_ms = job.accepted_ms};
+                   .accepted_ms = job.accepted_ms,
+                   .cause = job.cause};
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
     if (!job.occurrences[k].steps.empty()) {
       record.occurrences.push_back(RecordOf(job, k));
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -8,6 +8,7 @@
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/recovery.h"
 #include "engine/jobs/task_copies.h"
+#include "engine/jobs/task_crashes.h"
 #include "engine/members/digests.h"
 #include "engine/members/membership.h"
 #include "engine/workers/worker_list.h"
@@ -230,6 +231,8 @@
   if (report.how == RunEnd::kFailed) {
     OnFailed(context, ref, report);
   }
+  ref.task.may_have_crashed =
+      ref.task.may_have_crashed && report.how == RunEnd::kCrashed;
   MarkChanged(context, ref.job, false);
 }
 
@@ -248,6 +251,9 @@
     CompleteIfDone(context, ref.job);
     return;
   }
+  if (report.how == RunEnd::kCrashed) {
+    CountReportedCrash(context, ref.job, ref.name, task, report);
+  }
   // An end that was counted before an adoption must still release its task: the
   // run may have been reported by a former owner of the worker.
   if (task.ended_runs.insert(report.run).second) {
@@ -470,6 +476,7 @@
     task.run = report.run;
     task.worker = report.worker;
     task.phase = TaskPhase::kOffered;
+    task.planned.reset();
     ref->step.gang_run = std::max(ref->step.gang_run, report.run);
   }
   if (task.run != report.run || !IsPlaced(task)) {
@@ -487,6 +494,7 @@
                   {{"task", report.task},
                    {"run", std::to_string(report.run)},
                    {"worker", report.worker}});
+      CountIfCrashed(context, ref->job, ref->name, task);
       // The offer may have been lost; then the room deducted for it is free.
       RequestRoomUpdate(context, report.worker);
       if (PromoteCopy(context, task)) {
@@ -521,6 +529,10 @@
     Job& job = context.state.jobs.at(id);
     ForEachTask(job, [&](const TaskName& name, Task& task) {
       if (task.copy && task.copy->worker == worker) {
+        if (task.copy->running && HasCrashed(context.state, worker)) {
+          CountCrash(context, job, name, task,
+                     {.run = task.copy->run, .worker = worker});
+        }
         OnCopyReport(context, task, RunState::kAbsent);
       }
       if (!IsPlaced(task) || task.worker != worker) {
@@ -529,6 +541,7 @@
       context.Log(EventNumber::kAttemptLost, {{"task", ToString(name)},
                                               {"run", std::to_string(task.run)},
                                               {"worker", worker}});
+      CountIfCrashed(context, job, name, task);
       if (PromoteCopy(context, task)) {
         return;
       }
@@ -563,6 +576,7 @@
     ForEachTask(job, [&](const TaskName& name, Task& task) {
       CheckTask(context, name, task, queries);
       ExpireBooking(context, job, name, task);
+      ClearOutlastedCrashes(context, job, task);
       DriveCopy(context, job, name, task, queries);
     });
     DriveStops(context, job);
--- a/Source/engine/jobs/job_table.cc
+++ b/Source/engine/jobs/job_table.cc
@@ -125,11 +125,15 @@
   return run > (job.generation - 1) * kRunsPerOwner;
 }
 
-void EndJob(Context& context, Job& job, JobState state, const char* cause) {
+void EndJob(Context& context,
+            Job& job,
+            JobState state,
+            const std::string& cause) {
   if (IsFinal(job.state)) {
     return;
   }
   job.state = state;
+  job.cause = state == JobState::kFailed ? cause : std::string();
   job.ended_at = context.now;
   job.ended_ms = context.wall_ms;
   context.state.totals.completed += state == JobState::kCompleted ? 1 : 0;
--- a/Source/engine/jobs/job_table.h
+++ b/Source/engine/jobs/job_table.h
@@ -44,8 +44,12 @@
 // Whether the present owner numbered the run, not one before an adoption.
 bool IsRunOfThisOwner(const Job& job, std::uint64_t run);
 
-// Ends the job and stops its runs. `cause` is logged unless it completed.
-void EndJob(Context& context, Job& job, JobState state, const char* cause);
+// Ends the job and stops its runs. `cause` is logged unless it completed, and
+// callers see it if it failed.
+void EndJob(Context& context,
+            Job& job,
+            JobState state,
+            const std::string& cause);
 
 // Ends the job as completed if all of its tasks are done.
 void CompleteIfDone(Context& context, Job& job);
--- /dev/null
+++ b/Source/engine/jobs/placement_round.cc
@@ -0,0 +1,215 @@
+#include "engine/jobs/placement_round.h"
+
+#include <algorithm>
+
+#include "engine/jobs/candidates.h"
+#include "engine/jobs/task_crashes.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+bool HasRoom(const PlacementNeed& need,
+             const Candidate& candidate,
+             bool preempts) {
+  if (!preempts) {
+    return HasRoomNow(need, candidate);
+  }
+  Candidate after_preemption = candidate;
+  after_preemption.free += candidate.preemptible;
+  return HasRoomNow(need, after_preemption);
+}
+
+bool IsAllowed(const PlacementChoice& choice, const Candidate& candidate) {
+  const std::string& id = candidate.worker->id;
+  return id != choice.excluded_worker &&
+         (choice.only_worker.empty() || id == choice.only_worker);
+}
+
+TaskOffer& OfferTo(PlacementRound& round,
+                   const ReadyStep& ready,
+                   const std::string& owner,
+                   OfferKind kind) {
+  std::vector<TaskOffer>& offers = round.offers[owner];
+  const auto it =
+      std::find_if(offers.begin(), offers.end(), [&](const TaskOffer& offer) {
+        return offer.job == ready.job->id && offer.step == ready.step &&
+               offer.occurrence == ready.occurrence &&
+               offer.book_only == (kind == OfferKind::kBooking) &&
+               offer.preempts == (kind == OfferKind::kPreemption);
+      });
+  if (it != offers.end()) {
+    return *it;
+  }
+  return offers.emplace_back(
+      TaskOffer{.job = ready.job->id,
+                .generation = ready.job->generation,
+                .occurrence = ready.occurrence,
+                .step = ready.step,
+                .payload = ready.job->spec.payload,
+                .spec = ready.spec(),
+                .priority = ready.queue->priority,
+                .preempts = kind == OfferKind::kPreemption,
+                .book_only = kind == OfferKind::kBooking});
+}
+
+}  // namespace
+
+std::vector<Candidate>& RoundCandidates(PlacementRound& round,
+                                        const std::string& service) {
+  const auto it = round.by_service.find(service);
+  if (it != round.by_service.end()) {
+    return it->second;
+  }
+  return round.by_service[service] = CandidatesOf(round.context, service);
+}
+
+bool HasTicket(const Context& context,
+               const ReadyStep& ready,
+               const std::string& worker) {
+  if (!ready.queue->advice) {
+    return true;
+  }
+  const auto it = ready.run().tickets.find(worker);
+  return it != ready.run().tickets.end() &&
+         it->second.expires > context.now + kTicketMargin;
+}
+
+bool HasAnyTicket(const Context& context, const ReadyStep& ready) {
+  const auto& tickets = ready.run().tickets;
+  return !ready.queue->advice ||
+         std::any_of(tickets.begin(), tickets.end(), [&](const auto& it) {
+           return it.second.expires > context.now + kTicketMargin;
+         });
+}
+
+std::vector<Candidate*> EligibleWorkers(const Context& context,
+                                        const ReadyStep& ready,
+                                        const PlacementNeed& need,
+                                        std::vector<Candidate>& candidates) {
+  const bool may_preempt = MayPreempt(context, ready);
+  std::vector<Candidate*> eligible;
+  for (Candidate& it : candidates) {
+    const bool has_room =
+        HasRoomNow(need, it) || (may_preempt && HasRoom(need, it, true));
+    if (has_room && MayRunOn(ready.spec(), *it.worker) &&
+        HasTicket(context, ready, it.worker->id)) {
+      eligible.push_back(&it);
+    }
+  }
+  return eligible;
+}
+
+Candidate* ChooseWorker(const PlacementChoice& choice,
+                        const PlacementNeed& need) {
+  const StepSpec& spec = choice.ready.spec();
+  Candidate* best = nullptr;
+  double best_cost = 0;
+  for (Candidate* it : choice.eligible) {
+    if (!IsAllowed(choice, *it) || !HasRoom(need, *it, choice.preempts)) {
+      continue;
+    }
+    if (spec.spread != 0) {
+      const auto placed = choice.placed.find(it->worker->id);
+      if (placed != choice.placed.end() && placed->second >= spec.spread) {
+        continue;
+      }
+    }
+    const double cost = PlacementCost(need, *it);
+    if (best == nullptr || cost < best_cost) {
+      best = it;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+Candidate* ChooseAlone(const Context& context,
+                       const PlacementChoice& choice,
+                       std::vector<Candidate>& candidates) {
+  Candidate* best = nullptr;
+  double best_share = -1;
+  for (Candidate& it : candidates) {
+    const double share = FreeShare(it);
+    if (share > best_share && IsAllowed(choice, it) &&
+        MayRunOn(choice.ready.spec(), *it.worker) &&
+        HasTicket(context, choice.ready, it.worker->id)) {
+      best = &it;
+      best_share = share;
+    }
+  }
+  return best;
+}
+
+Candidate* ChooseEmpty(const PlacementChoice& choice,
+                       const PlacementNeed& need) {
+  for (Candidate* it : choice.eligible) {
+    if (it->free == it->worker->capacity && HasRoomNow(need, *it)) {
+      return it;
+    }
+  }
+  return nullptr;
+}
+
+void AddOffer(PlacementRound& round,
+              const ReadyStep& ready,
+              std::uint32_t index,
+              const RunOffer& offered,
+              OfferKind kind) {
+  const RoomView& view = round.context.state.view[offered.worker];
+  const std::string& owner = view.owner;
+  const auto ticket = ready.run().tickets.find(offered.worker);
+  Totals& totals = round.context.state.totals;
+  ++totals.offers;
+  // A gang's start is a second offer of its booked room; only it is counted.
+  if (ticket != ready.run().tickets.end() && kind != OfferKind::kBooking) {
+    ++totals.advice[ticket->second.reason].starts;
+  }
+  OfferTo(round, ready, owner, kind)
+      .tasks.push_back({.index = index,
+                        .run = offered.run,
+                        .worker = offered.worker,
+                        .fence = view.fence,
+                        .ticket = ticket == ready.run().tickets.end()
+                                      ? std::string()
+                                      : ticket->second.text,
+                        .checkpoint = offered.checkpoint,
+                        .alone_for = offered.alone_for});
+}
+
+RunOffer OfferOf(const Context& context, const Task& task) {
+  return {.worker = task.worker,
+          .run = task.run,
+          .checkpoint = task.checkpoint,
+          .alone_for = IsolationOf(context, task)};
+}
+
+std::uint64_t HighestRun(const Task& task) {
+  return std::max({task.run, task.last_copy,
+                   task.planned ? task.planned->run : std::uint64_t{0}});
+}
+
+void TakeRoom(PlacementRound& round,
+              const Resources& room,
+              Candidate& candidate) {
+  candidate.free -= room;
+  round.context.state.view[candidate.worker->id].free -= room;
+}
+
+void AssignWorker(PlacementRound& round,
+                  const Resources& room,
+                  Candidate& candidate,
+                  Task& task,
+                  std::uint64_t run) {
+  const bool alone = IsolationOf(round.context, task) > Duration(0);
+  TakeRoom(round, alone ? candidate.worker->capacity : room, candidate);
+  task.planned.reset();
+  task.phase = TaskPhase::kOffered;
+  task.run = run;
+  task.worker = candidate.worker->id;
+  task.since = round.context.now;
+  task.last_update = round.context.now;
+  task.booked = false;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/jobs/placement_round.h
@@ -0,0 +1,106 @@
+// One placement round: the workers that are left to choose from, the choice for
+// one task, and the offers that the round sends.
+#ifndef BURDOCKROCK_ENGINE_JOBS_PLACEMENT_ROUND_H_
+#define BURDOCKROCK_ENGINE_JOBS_PLACEMENT_ROUND_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "engine/context.h"
+#include "engine/jobs/placement_rule.h"
+#include "engine/jobs/placing.h"
+
+namespace burdockrock::engine {
+
+// State of one placement round.
+struct PlacementRound {
+  Context& context;
+  std::map<std::string, std::vector<Candidate>> by_service{};
+  // By owner of the workers.
+  std::map<std::string, std::vector<TaskOffer>> offers{};
+};
+
+// The workers of a service, with the room that the round has left there.
+std::vector<Candidate>& RoundCandidates(PlacementRound& round,
+                                        const std::string& service);
+
+// Whether a start of the step's tasks at the worker has the advice it needs.
+bool HasTicket(const Context& context,
+               const ReadyStep& ready,
+               const std::string& worker);
+
+// Whether that holds at any worker. Most waiting steps have no ticket; this
+// avoids a scan of all workers for them.
+bool HasAnyTicket(const Context& context, const ReadyStep& ready);
+
+// Workers on which tasks of the step may run and that have room for at least
+// one: during a round, room only shrinks. Room is checked before the ticket
+// because the ticket is looked up by name.
+std::vector<Candidate*> EligibleWorkers(const Context& context,
+                                        const ReadyStep& ready,
+                                        const PlacementNeed& need,
+                                        std::vector<Candidate>& candidates);
+
+// The workers from which one is chosen, and what restricts the choice.
+struct PlacementChoice {
+  const ReadyStep& ready;
+  std::vector<Candidate*> eligible;
+  // Tasks by worker; filled only if the step limits them.
+  std::map<std::string, std::uint32_t> placed{};
+  std::string excluded_worker{};  // empty: none
+  std::string only_worker{};      // the only one allowed; empty: any
+  bool preempts = false;
+};
+
+// The worker with the lowest cost; null if none has room.
+Candidate* ChooseWorker(const PlacementChoice& choice,
+                        const PlacementNeed& need);
+
+// The worker to which a task comes that has to be alone there: the one with the
+// largest free share, which is empty or soon will be.
+Candidate* ChooseAlone(const Context& context,
+                       const PlacementChoice& choice,
+                       std::vector<Candidate>& candidates);
+
+// The same for a member of a gang, which comes to an empty worker only.
+Candidate* ChooseEmpty(const PlacementChoice& choice,
+                       const PlacementNeed& need);
+
+enum class OfferKind { kStart, kPreemption, kBooking };
+
+// A run that is offered to a worker.
+struct RunOffer {
+  std::string worker{};
+  std::uint64_t run = 0;
+  std::string checkpoint{};
+  Duration alone_for{0};
+};
+
+void AddOffer(PlacementRound& round,
+              const ReadyStep& ready,
+              std::uint32_t index,
+              const RunOffer& offered,
+              OfferKind kind);
+
+// The task's present run.
+RunOffer OfferOf(const Context& context, const Task& task);
+
+// The highest number that a run of the task has had.
+std::uint64_t HighestRun(const Task& task);
+
+void TakeRoom(PlacementRound& round,
+              const Resources& room,
+              Candidate& candidate);
+
+// Places the next run of the task at the worker.
+void AssignWorker(PlacementRound& round,
+                  const Resources& room,
+                  Candidate& candidate,
+                  Task& task,
+                  std::uint64_t run);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_JOBS_PLACEMENT_ROUND_H_
--- a/Source/engine/jobs/placement_rule.cc
+++ b/Source/engine/jobs/placement_rule.cc
@@ -81,6 +81,13 @@
   return Fits(room, candidate.free);
 }
 
+double FreeShare(const Candidate& candidate) {
+  const Resources& capacity = candidate.worker->capacity;
+  return std::min(
+      ShareLeft(candidate.free.processors_milli, 0, capacity.processors_milli),
+      ShareLeft(candidate.free.memory_mb, 0, capacity.memory_mb));
+}
+
 double PlacementCost(const PlacementNeed& need, const Candidate& candidate) {
   const Resources& capacity = candidate.worker->capacity;
   const double processors =
--- a/Source/engine/jobs/placement_rule.h
+++ b/Source/engine/jobs/placement_rule.h
@@ -59,6 +59,10 @@
 // Whether the worker has room for one such task now.
 bool HasRoomNow(const PlacementNeed& need, const Candidate& candidate);
 
+// The share of the worker's processors or memory that is free, whichever is
+// less.
+double FreeShare(const Candidate& candidate);
+
 // Lower is better. Counts room that would be left in a form that other tasks
 // can't use, and the distance that data and commands travel.
 double PlacementCost(const PlacementNeed& need, const Candidate& candidate);
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -6,9 +6,11 @@
 #include <tuple>
 #include <utility>
 
-#include "engine/jobs/candidates.h"
+#include "engine/jobs/gang_placing.h"
 #include "engine/jobs/job_table.h"
+#include "engine/jobs/placement_round.h"
 #include "engine/jobs/task_copies.h"
+#include "engine/jobs/task_crashes.h"
 #include "engine/members/membership.h"
 #include "engine/members/unresponsive_members.h"
 #include "engine/workers/worker_list.h"
@@ -28,200 +30,57 @@
 // preemption costs more than it gains.
 constexpr Duration kPreemptionDelay = milliseconds(800);
 
-// State of one placement round.
-struct Round {
-  Context& context;
-  std::map<std::string, std::vector<Candidate>> by_service{};
-  // By owner of the workers.
-  std::map<std::string, std::vector<TaskOffer>> offers{};
-};
-
-std::vector<Candidate>& Candidates(Round& round, const std::string& service) {
-  const auto it = round.by_service.find(service);
-  if (it != round.by_service.end()) {
-    return it->second;
-  }
-  return round.by_service[service] = CandidatesOf(round.context, service);
-}
-
-bool HasTicket(const Context& context,
-               const ReadyStep& ready,
-               const std::string& worker) {
-  if (!ready.queue->advice) {
-    return true;
-  }
-  const auto it = ready.run().tickets.find(worker);
-  return it != ready.run().tickets.end() &&
-         it->second.expires > context.now + kTicketMargin;
-}
-
-// Most waiting steps have no ticket; this avoids a scan of all workers for
-// them.
-bool HasAnyTicket(const Context& context, const ReadyStep& ready) {
-  const auto& tickets = ready.run().tickets;
-  return !ready.queue->advice ||
-         std::any_of(tickets.begin(), tickets.end(), [&](const auto& it) {
-           return it.second.expires > context.now + kTicketMargin;
-         });
-}
-
-bool HasRoom(const PlacementNeed& need,
-             const Candidate& candidate,
-             bool preempts) {
-  if (!preempts) {
-    return HasRoomNow(need, candidate);
-  }
-  Candidate after_preemption = candidate;
-  after_preemption.free += candidate.preemptible;
-  return HasRoomNow(need, after_preemption);
-}
-
-// Workers on which tasks of the step may run and that have room for at least
-// one: during a round, room only shrinks. Room is checked before the ticket
-// because the ticket is looked up by name.
-std::vector<Candidate*> EligibleWorkers(const Context& context,
-                                        const ReadyStep& ready,
-                                        const PlacementNeed& need,
-                                        std::vector<Candidate>& candidates) {
-  const bool may_preempt = MayPreempt(context, ready);
-  std::vector<Candidate*> eligible;
-  for (Candidate& it : candidates) {
-    const bool has_room =
-        HasRoomNow(need, it) || (may_preempt && HasRoom(need, it, true));
-    if (has_room && MayRunOn(ready.spec(), *it.worker) &&
-        HasTicket(context, ready, it.worker->id)) {
-      eligible.push_back(&it);
-    }
-  }
-  return eligible;
-}
-
-struct Choice {
-  const ReadyStep& ready;
-  std::vector<Candidate*> eligible;
-  // Tasks by worker; filled only if the step limits them.
-  std::map<std::string, std::uint32_t> placed{};
-  std::string excluded_worker{};  // empty: none
-  bool preempts = false;
-};
-
-Candidate* Choose(const Choice& choice, const PlacementNeed& need) {
-  const StepSpec& spec = choice.ready.spec();
-  Candidate* best = nullptr;
-  double best_cost = 0;
-  for (Candidate* it : choice.eligible) {
-    if (it->worker->id == choice.excluded_worker ||
-        !HasRoom(need, *it, choice.preempts)) {
-      continue;
-    }
-    if (spec.spread != 0) {
-      const auto placed = choice.placed.find(it->worker->id);
-      if (placed != choice.placed.end() && placed->second >= spec.spread) {
-        continue;
-      }
-    }
-    const double cost = PlacementCost(need, *it);
-    if (best == nullptr || cost < best_cost) {
-      best = it;
-      best_cost = cost;
-    }
-  }
-  return best;
-}
-
-enum class OfferKind { kStart, kPreemption, kBooking };
-
-TaskOffer& OfferTo(Round& round,
-                   const ReadyStep& ready,
-                   const std::string& owner,
-                   OfferKind kind) {
-  std::vector<TaskOffer>& offers = round.offers[owner];
-  const auto it =
-      std::find_if(offers.begin(), offers.end(), [&](const TaskOffer& offer) {
-        return offer.job == ready.job->id && offer.step == ready.step &&
-               offer.occurrence == ready.occurrence &&
-               offer.book_only == (kind == OfferKind::kBooking) &&
-               offer.preempts == (kind == OfferKind::kPreemption);
-      });
-  if (it != offers.end()) {
-    return *it;
-  }
-  return offers.emplace_back(
-      TaskOffer{.job = ready.job->id,
-                .generation = ready.job->generation,
-                .occurrence = ready.occurrence,
-                .step = ready.step,
-                .payload = ready.job->spec.payload,
-                .spec = ready.spec(),
-                .priority = ready.queue->priority,
-                .preempts = kind == OfferKind::kPreemption,
-                .book_only = kind == OfferKind::kBooking});
-}
-
-struct Attempt {
-  std::string worker{};
-  std::uint64_t run = 0;
-  std::string checkpoint{};
-};
-
-void AddOffer(Round& round,
-              const ReadyStep& ready,
-              std::uint32_t index,
-              const Attempt& attempt,
-              OfferKind kind) {
-  const RoomView& view = round.context.state.view[attempt.worker];
-  const std::string& owner = view.owner;
-  const auto ticket = ready.run().tickets.find(attempt.worker);
-  Totals& totals = round.context.state.totals;
-  ++totals.offers;
-  // A gang's start is a second offer of its booked room; only it is counted.
-  if (ticket != ready.run().tickets.end() && kind != OfferKind::kBooking) {
-    ++totals.advice[ticket->second.reason].starts;
-  }
-  OfferTo(round, ready, owner, kind)
-      .tasks.push_back({.index = index,
-                        .run = attempt.run,
-                        .worker = attempt.worker,
-                        .fence = view.fence,
-                        .ticket = ticket == ready.run().tickets.end()
-                                      ? std::string()
-                                      : ticket->second.text,
-                        .checkpoint = attempt.checkpoint});
-}
-
-Attempt PrimaryAttempt(const Task& task) {
-  return {
-      .worker = task.worker, .run = task.run, .checkpoint = task.checkpoint};
-}
-
-std::uint64_t HighestRun(const Task& task) {
-  return std::max(task.run, task.last_copy);
+bool IsDue(const Context& context, const Task& task) {
+  return task.phase == TaskPhase::kWaiting && task.retry_at <= context.now;
 }
 
-void TakeRoom(Round& round, const Resources& room, Candidate& candidate) {
-  candidate.free -= room;
-  round.context.state.view[candidate.worker->id].free -= room;
+// Whether the start that is planned for the task is still being stored.
+bool IsBeingStored(const Job& job, const Task& task) {
+  return task.planned && job.stored_version < task.planned->version;
 }
 
-void Assign(Round& round,
-            const Resources& room,
-            Candidate& candidate,
-            Task& task,
-            std::uint64_t run) {
-  TakeRoom(round, room, candidate);
-  task.phase = TaskPhase::kOffered;
-  task.run = run;
-  task.worker = candidate.worker->id;
-  task.since = round.context.now;
-  task.last_update = round.context.now;
-  task.booked = false;
+// Returns the run's number if the start may be sent now. Otherwise it must be
+// stored first; another round sends it then.
+std::optional<std::uint64_t> RunToStart(Context& context,
+                                        Job& job,
+                                        Task& task,
+                                        const std::string& worker) {
+  if (!MustStoreStart(task)) {
+    return NextRun(job, HighestRun(task));
+  }
+  if (task.planned && task.planned->worker == worker) {
+    return task.planned->run;
+  }
+  MarkChanged(context, job, true);
+  task.planned = PlannedStart{.run = NextRun(job, HighestRun(task)),
+                              .worker = worker,
+                              .version = job.version};
+  return std::nullopt;
 }
 
-bool IsDue(const Context& context, const Task& task) {
-  return task.phase == TaskPhase::kWaiting && task.retry_at <= context.now;
+// Chooses a worker for the task, the planned one if there is one and it still
+// has room.
+Candidate* ChooseFor(PlacementRound& round,
+                     const Task& task,
+                     const PlacementNeed& need,
+                     PlacementChoice& choice) {
+  const auto choose = [&] {
+    return IsolationOf(round.context, task) > Duration(0)
+               ? ChooseAlone(
+                     round.context, choice,
+                     RoundCandidates(round, choice.ready.queue->service))
+               : ChooseWorker(choice, need);
+  };
+  if (!task.planned) {
+    return choose();
+  }
+  choice.only_worker = task.planned->worker;
+  Candidate* planned = choose();
+  choice.only_worker.clear();
+  return planned == nullptr ? choose() : planned;
 }
 
-void PlaceIndependentTasks(Round& round, const ReadyStep& ready) {
+void PlaceIndependentTasks(PlacementRound& round, const ReadyStep& ready) {
   std::vector<Task>& tasks = ready.run().tasks;
   const bool any_due =
       std::any_of(tasks.begin(), tasks.end(),
@@ -231,41 +90,50 @@
     return;
   }
   PlacementNeed need = NeedOf(ready);
-  Choice choice{
+  PlacementChoice choice{
       .ready = ready,
       .eligible = EligibleWorkers(round.context, ready, need,
-                                  Candidates(round, ready.queue->service)),
+                                  RoundCandidates(round, ready.queue->service)),
       .placed = CountPlaced(ready)};
   for (std::uint32_t it = 0; it < tasks.size(); ++it) {
     Task& task = tasks[it];
-    if (!IsDue(round.context, task)) {
+    if (!IsDue(round.context, task) || IsBeingStored(*ready.job, task)) {
       continue;
     }
+    const bool alone = IsolationOf(round.context, task) > Duration(0);
     need.avoid_worker = task.avoid_worker;
     choice.preempts = false;
-    Candidate* best = Choose(choice, need);
-    if (best == nullptr && MayPreempt(round.context, ready)) {
+    Candidate* best = ChooseFor(round, task, need, choice);
+    if (best == nullptr && !alone && MayPreempt(round.context, ready)) {
       choice.preempts = true;
-      best = Choose(choice, need);
+      best = ChooseFor(round, task, need, choice);
+    }
+    if (best == nullptr && alone) {
+      continue;
     }
     if (best == nullptr) {
       return;  // the other tasks need the same room
     }
     ++choice.placed[best->worker->id];
-    Assign(round, need.room, *best, task,
-           NextRun(*ready.job, HighestRun(task)));
+    const auto run =
+        RunToStart(round.context, *ready.job, task, best->worker->id);
+    if (!run) {
+      best->free -= need.room;  // for the rest of this round
+      continue;
+    }
+    AssignWorker(round, need.room, *best, task, *run);
     if (choice.preempts) {
       best->preemptible -= need.room;
       round.context.state.view[task.worker].yielding -= need.room;
     }
-    AddOffer(round, ready, it, PrimaryAttempt(task),
+    AddOffer(round, ready, it, OfferOf(round.context, task),
              choice.preempts ? OfferKind::kPreemption : OfferKind::kStart);
   }
 }
 
 // Places copies only in room that waiting tasks leave free, because a copy may
 // turn out unnecessary.
-void PlaceCopies(Round& round, const ReadyStep& ready) {
+void PlaceCopies(PlacementRound& round, const ReadyStep& ready) {
   std::vector<Task>& tasks = ready.run().tasks;
   for (std::uint32_t it = 0; it < tasks.size(); ++it) {
     Task& task = tasks[it];
@@ -273,13 +141,14 @@
       continue;
     }
     const PlacementNeed need = NeedOf(ready);
-    const Choice choice{
+    const PlacementChoice choice{
         .ready = ready,
-        .eligible = EligibleWorkers(round.context, ready, need,
-                                    Candidates(round, ready.queue->service)),
+        .eligible =
+            EligibleWorkers(round.context, ready, need,
+                            RoundCandidates(round, ready.queue->service)),
         .placed = CountPlaced(ready),
         .excluded_worker = task.worker};
-    Candidate* best = Choose(choice, need);
+    Candidate* best = ChooseWorker(choice, need);
     if (best == nullptr) {
       continue;
     }
@@ -296,122 +165,6 @@
   }
 }
 
-bool AllInPhase(const StepRun& step, TaskPhase phase) {
-  return std::all_of(step.tasks.begin(), step.tasks.end(),
-                     [phase](const Task& it) { return it.phase == phase; });
-}
-
-// Workers for all members, in the order of the tasks; empty if not all fit.
-std::vector<Candidate*> FitGang(const ReadyStep& ready,
-                                const std::vector<Candidate*>& eligible,
-                                const std::string& rack) {
-  Choice choice{.ready = ready, .eligible = eligible};
-  PlacementNeed need = NeedOf(ready);
-  need.rack = rack;
-  std::vector<Candidate*> chosen;
-  for (std::size_t it = 0; it < ready.run().tasks.size(); ++it) {
-    Candidate* best = Choose(choice, need);
-    if (best == nullptr) {
-      break;
-    }
-    ++choice.placed[best->worker->id];
-    best->free -= need.room;
-    chosen.push_back(best);
-  }
-  for (Candidate* it : chosen) {
-    it->free += need.room;
-  }
-  if (chosen.size() < ready.run().tasks.size()) {
-    chosen.clear();
-  }
-  return chosen;
-}
-
-std::vector<Candidate*> FitGangAnywhere(const Round& round,
-                                        const ReadyStep& ready,
-                                        std::vector<Candidate>& candidates) {
-  const std::vector<Candidate*> eligible =
-      EligibleWorkers(round.context, ready, NeedOf(ready), candidates);
-  if (!ready.spec().same_rack) {
-    return FitGang(ready, eligible, {});
-  }
-  std::set<std::string> racks;
-  for (const Candidate* it : eligible) {
-    racks.insert(it->worker->rack());
-  }
-  for (const std::string& it : racks) {
-    auto chosen = FitGang(ready, eligible, it);
-    if (!chosen.empty()) {
-      return chosen;
-    }
-  }
-  return {};
-}
-
-void BookGang(Round& round, const ReadyStep& ready) {
-  StepRun& step = ready.run();
-  for (const Task& it : step.tasks) {
-    if (it.retry_at > round.context.now) {
-      return;
-    }
-  }
-  if (!HasAnyTicket(round.context, ready)) {
-    return;
-  }
-  const auto chosen =
-      FitGangAnywhere(round, ready, Candidates(round, ready.queue->service));
-  if (chosen.empty()) {
-    return;
-  }
-  std::uint64_t last = step.gang_run;
-  for (const Task& it : step.tasks) {
-    last = std::max(last, it.run);
-  }
-  step.gang_run = NextRun(*ready.job, last);
-  // All members resume from the same checkpoint.
-  std::string checkpoint;
-  for (const Task& it : step.tasks) {
-    checkpoint = std::max(checkpoint, it.checkpoint);
-  }
-  const Resources room = RoomOf(ready.spec());
-  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
-    step.tasks[it].checkpoint = checkpoint;
-    Assign(round, room, *chosen[it], step.tasks[it], step.gang_run);
-    AddOffer(round, ready, it, PrimaryAttempt(step.tasks[it]),
-             OfferKind::kBooking);
-  }
-}
-
-// Starts all members together once room is booked for each of them: members
-// that start early wait for the late ones, and end if that takes too long.
-void StartGang(Round& round, const ReadyStep& ready) {
-  StepRun& step = ready.run();
-  const bool all_booked = std::all_of(step.tasks.begin(), step.tasks.end(),
-                                      [](const Task& it) { return it.booked; });
-  if (!all_booked || step.gang_started_run == step.gang_run) {
-    return;
-  }
-  step.gang_started_run = step.gang_run;
-  round.context.Log(EventNumber::kGangStarted,
-                    {{"job", ready.job->id},
-                     {"step", std::to_string(ready.step)},
-                     {"run", std::to_string(step.gang_run)},
-                     {"tasks", std::to_string(step.tasks.size())}});
-  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
-    step.tasks[it].last_update = round.context.now;
-    AddOffer(round, ready, it, PrimaryAttempt(step.tasks[it]),
-             OfferKind::kStart);
-  }
-}
-
-void PlaceGang(Round& round, const ReadyStep& ready) {
-  if (AllInPhase(ready.run(), TaskPhase::kWaiting)) {
-    BookGang(round, ready);
-  } else if (AllInPhase(ready.run(), TaskPhase::kOffered)) {
-    StartGang(round, ready);
-  }
-}
-
 // All tasks of the step are running or done, and by their estimate the last
 // ones end within `lead`.
 bool EndsSoon(const Context& context,
@@ -545,7 +298,7 @@
   }
   context.state.placement_due = false;
   context.state.placed_at = context.now;
-  Round round{.context = context};
+  PlacementRound round{.context = context};
   for (const ReadyStep& it : ReadySteps(context)) {
     if (!it.job->stored || !it.job->verified) {
       continue;
--- a/Source/engine/jobs/preemption.cc
+++ b/Source/engine/jobs/preemption.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "engine/workers/run_progress.h"
 #include "engine/workers/worker_owner.h"
 #include "engine/workers/worker_runs.h"
 
@@ -10,6 +11,10 @@
 
 namespace {
 
+// Between two requests to move the other runs away from a worker that is to be
+// emptied.
+constexpr Duration kMoveInterval = milliseconds(500);
+
 bool IsPreemptible(const LocalRun& run) {
   return run.phase == RunPhase::kRunning && run.described && run.priority > 0 &&
          run.spec.checkpointing && !run.spec.gang && !run.spec.lasting &&
@@ -60,6 +65,16 @@
   return free;
 }
 
+// Whether a run that waits for room can be started now.
+bool MayStart(const OwnedWorker& worker, const LocalRun& run) {
+  return Fits(RoomOf(run.spec), CurrentRoom(worker)) &&
+         (run.alone_for == Duration(0) || worker.runs.size() == 1);
+}
+
+Duration WaitLimit(const LocalRun& run) {
+  return run.alone_for > Duration(0) ? kEmptyTimeout : kStartTimeout;
+}
+
 }  // namespace
 
 Resources PreemptibleRoom(const OwnedWorker& worker) {
@@ -103,17 +118,25 @@
                            const std::string& id,
                            OwnedWorker& worker) {
   std::vector<std::string> late;
+  bool move_others = false;
   for (auto& [task, run] : worker.runs) {
     if (run.phase != RunPhase::kAwaitingRoom) {
       continue;
     }
-    if (Fits(RoomOf(run.spec), CurrentRoom(worker))) {
+    if (MayStart(worker, run)) {
       EnterPhase(context, run, RunPhase::kStarting);
       SendStart(context, id, worker, task, run);
-    } else if (HasPassed(context.now, run.since, kStartTimeout)) {
+    } else if (HasPassed(context.now, run.since, WaitLimit(run))) {
       late.push_back(task);
+    } else if (run.alone_for > Duration(0) &&
+               HasPassed(context.now, run.move_requested, kMoveInterval)) {
+      run.move_requested = context.now;
+      move_others = true;
     }
   }
+  if (move_others) {
+    ReportUnwanted(context, id, worker);
+  }
   for (const std::string& it : late) {
     AnswerPendingOffer(context, id, it, worker.runs.at(it),
                        OfferOutcome::kNoRoom);
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -10,6 +10,7 @@
 #include "engine/condition_log.h"
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/job_table.h"
+#include "engine/jobs/task_crashes.h"
 #include "engine/members/membership.h"
 #include "engine/records/record_writer.h"
 #include "engine/records/watches.h"
@@ -39,10 +40,12 @@
 void FinishRecovery(Context& context, Job& job) {
   job.recovering = false;
   LogRecovered(context, job);
-  ForEachTask(job, [&](const TaskName&, Task& task) {
+  ForEachTask(job, [&](const TaskName& name, Task& task) {
     if (task.phase == TaskPhase::kUnknown) {
       task.phase = TaskPhase::kWaiting;
       task.since = context.now;
+      task.may_have_crashed = IsStepReady(job, name.occurrence, name.step);
+      CountLostStart(context, job, name, task);
     }
   });
   context.state.placement_due = true;
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -8,6 +8,7 @@
 #include "engine/members/membership.h"
 #include "engine/records/catalog.h"
 #include "engine/workers/run_ends.h"
+#include "engine/workers/worker_crashes.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
 
@@ -201,6 +202,8 @@
   for (const auto& [id, it] : context.state.lost_workers) {
     report.covered.push_back({.worker = id, .fence = it.fence, .lost = true});
   }
+  AddCrashedRuns(context.state, jobs, report.ends);
+  SendCrashedWorkers(context, from);
   if (query.wants_workers) {
     report.remembered = AllRemembered(context.state);
     report.all_remembered = RemembersAll(context);
--- a/Source/engine/jobs/task_copies.cc
+++ b/Source/engine/jobs/task_copies.cc
@@ -15,8 +15,9 @@
 }  // namespace
 
 void RequestCopy(Context& context, const StepSpec& spec, Task& task) {
+  // A copy of a task under which workers crash would crash another one.
   if (!spec.concurrent || spec.gang || task.copy ||
-      task.phase != TaskPhase::kRunning) {
+      !task.crashes.runs.empty() || task.phase != TaskPhase::kRunning) {
     return;
   }
   task.copy_wanted = true;
--- /dev/null
+++ b/Source/engine/jobs/task_crashes.h
@@ -0,0 +1,71 @@
+// Tasks under which workers crash: counts the crashes, isolates a suspected
+// task from others, and gives it up in the end.
+//
+// A crash is counted for every run at the worker, since it does not tell which
+// one caused it. After kCrashesBeforeIsolation of them a task gets workers to
+// itself, so that work beside a crashing task is not given up for it, and
+// further crashes hit no other work.
+#ifndef BURDOCKROCK_ENGINE_JOBS_TASK_CRASHES_H_
+#define BURDOCKROCK_ENGINE_JOBS_TASK_CRASHES_H_
+
+#include <cstdint>
+#include <string>
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+// A run and the worker that crashed under it.
+struct CrashedRun {
+  std::uint64_t run = 0;
+  std::string worker{};
+  Duration lasted{0};  // upper bound of the run's time at work; 0: not known
+};
+
+// Counts the crash, once for each run. Fails the job when the task has reached
+// kMaxCrashes.
+void CountCrash(Context& context,
+                Job& job,
+                const TaskName& name,
+                Task& task,
+                const CrashedRun& crashed);
+
+// Counts a crash that the worker's owner reports.
+void CountReportedCrash(Context& context,
+                        Job& job,
+                        const TaskName& name,
+                        Task& task,
+                        const EndReport& report);
+
+// Counts a crash of the present run's worker if the run is known to have begun.
+// Of the others only the worker's owner knows.
+void CountIfCrashed(Context& context,
+                    Job& job,
+                    const TaskName& name,
+                    Task& task);
+
+// How long nothing else may run beside the next run of the task; 0: no limit.
+Duration IsolationOf(const Context& context, const Task& task);
+
+// Clears the crashes of a task whose present run has lasted so much longer than
+// the crashed ones that it can't be their cause.
+void ClearOutlastedCrashes(Context& context, Job& job, Task& task);
+
+// Whether the next start of the task must be stored before it is sent: its run
+// could otherwise crash its worker and be lost with the job's owner, without
+// being counted.
+bool MustStoreStart(const Task& task);
+
+// Whether the worker is known to have crashed.
+bool HasCrashed(const State& state, const std::string& worker);
+
+// For an adopted task of which no run was found: counts the crash that has
+// ended its stored start, if there was one.
+void CountLostStart(Context& context,
+                    Job& job,
+                    const TaskName& name,
+                    Task& task);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_JOBS_TASK_CRASHES_H_
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -108,6 +108,12 @@
 inline constexpr Duration kEndReportInterval = milliseconds(600);
 // A lost worker is announced to the peers for this long.
 inline constexpr Duration kLostWorkerAnnouncedFor = milliseconds(20'000);
+// Runs on a crashed worker are reported for this long, also while the store is
+// away and their jobs have no owner.
+inline constexpr Duration kCrashReportedFor = milliseconds(120'000);
+// A worker that is being emptied for a task that must run alone is given up
+// after this long. Longer than most runs.
+inline constexpr Duration kEmptyTimeout = milliseconds(10'000);
 
 // A worker that left the list is kept for this long: more than the longest time
 // for which a run may continue there.
@@ -132,6 +138,18 @@
 // Delay before a failed task is placed again. A worker at which all tasks fail
 // is known by then and does not get it again.
 inline constexpr Duration kFailedTaskDelay = milliseconds(50);
+// Crashes of workers after which their task runs alone on the next one, so that
+// a further crash is its own.
+inline constexpr std::size_t kCrashesBeforeIsolation = 2;
+// Crashes after which a task is given up and its job fails.
+inline constexpr std::size_t kMaxCrashes = 3;
+// Shortest time for which a task is kept alone, and longer than twice its
+// longest run that ended in a crash.
+inline constexpr Duration kMinIsolation = milliseconds(10'000);
+// A task for which no worker could be emptied in this time runs beside others.
+inline constexpr Duration kIsolationTimeout = milliseconds(30'000);
+// A crash of a worker is not held against runs that were at work for longer.
+inline constexpr Duration kMaxCrashDelay = std::chrono::minutes(10);
 // Interval at which members are queried for the runs of an adopted job.
 inline constexpr Duration kAdoptQueryInterval = milliseconds(120);
 // An adopted job whose runs are not all known after this long is written again:
--- a/Source/engine/members/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -194,8 +194,10 @@
   if (!newer || (view.lost && it.fence <= view.fence)) {
     return;
   }
-  // Another member has claimed the worker after it was declared lost.
-  context.state.lost_workers.erase(it.worker);
+  if (!it.lost) {
+    // Another member has claimed the worker after it was declared lost.
+    context.state.lost_workers.erase(it.worker);
+  }
   view = RoomView{.owner = from,
                   .fence = it.fence,
                   .version = it.version,
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -59,6 +59,7 @@
     codec.Optional("fence", it.fence, std::uint64_t{0});
     codec.Optional("ticket", it.ticket, std::string());
     codec.Optional("checkpoint", it.checkpoint, std::string());
+    codec.Optional("alone_ms", it.alone_for, Duration(0));
   }
 };
 
@@ -227,6 +228,14 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::WorkersCrashed> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("workers", it.workers);
+  }
+};
+
 template <>
 struct FieldsOf<engine::CoveredWorker> {
   template <typename Codec, typename Value>
@@ -268,6 +277,7 @@
     codec.Optional("call", it.call, std::uint64_t{0});
     codec.Optional("known", it.known, false);
     codec.Field("state", it.state);
+    codec.Optional("cause", it.cause, std::string());
   }
 };
 
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -64,6 +64,8 @@
   std::uint64_t fence = 0;
   std::string ticket{};
   std::string checkpoint{};
+  // Nothing else may run on the worker for this long after the start.
+  Duration alone_for{0};
 
   auto operator<=>(const OfferedTask&) const = default;
 };
@@ -248,6 +250,13 @@
   auto operator<=>(const AdoptQuery&) const = default;
 };
 
+// Workers that crashed: their processes ended without notice.
+struct WorkersCrashed {
+  std::vector<std::string> workers{};
+
+  auto operator<=>(const WorkersCrashed&) const = default;
+};
+
 // A worker whose runs an AdoptReport lists completely.
 struct CoveredWorker {
   std::string worker{};
@@ -293,6 +302,7 @@
   std::uint64_t call = 0;  // of the query
   bool known = false;      // the sender owns the job
   JobState state = JobState::kQueued;
+  std::string cause{};  // of a job that failed
 
   auto operator<=>(const JobReply&) const = default;
 };
@@ -412,7 +422,8 @@
                                  LeaseQuery,
                                  LeaseReport,
                                  DigestRequest,
-                                 StoppedRenewing>;
+                                 StoppedRenewing,
+                                 WorkersCrashed>;
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/records/job_codec.cc
+++ b/Source/engine/records/job_codec.cc
@@ -52,10 +52,15 @@
   return {.status = status, .body = WriteJson(body)};
 }
 
-HttpResponse EncodeState(const std::string& job, JobState state) {
+HttpResponse EncodeState(const std::string& job,
+                         JobState state,
+                         const std::string& cause = "") {
   Json::Value body(Json::objectValue);
   body["id"] = job;
   body["state"] = Json::StaticString(JobStateName(state));
+  if (!cause.empty()) {
+    body["reason"] = cause;
+  }
   return Respond(kOkStatus, body);
 }
 
@@ -85,7 +90,7 @@
     return Respond(kAcceptedStatus, body);
   }
   HttpResponse operator()(const JobStateFound& it) {
-    return EncodeState(request.job, it.state);
+    return EncodeState(request.job, it.state, it.cause);
   }
   HttpResponse operator()(const CancelAccepted& it) {
     return EncodeState(request.job, it.state);
--- a/Source/engine/records/record.h
+++ b/Source/engine/records/record.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "engine/jobs/job_model.h"
+#include "model/time.h"
 #include "wire/decode_error.h"
 
 namespace burdockrock::engine {
@@ -55,13 +56,37 @@
   auto operator<=>(const EndedRuns&) const = default;
 };
 
+// Runs of one task whose workers crashed.
+struct CrashedRuns {
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  std::vector<std::uint64_t> runs{};
+  Duration longest{0};  // the longest of these runs
+
+  auto operator<=>(const CrashedRuns&) const = default;
+};
+
+// A start of a task that is stored before it is sent: if the run is found
+// nowhere after the loss of the job's owner, its worker may have crashed.
+struct StoredStart {
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  std::uint64_t run = 0;
+  std::string worker{};
+
+  auto operator<=>(const StoredStart&) const = default;
+};
+
 // The tasks of one occurrence: one string per step with one mark per task, 'D'
 // for done, else the number of failed runs as '0' to '9' and then 'a' to 'z'.
 // 'z' (35) also stands for more.
 struct OccurrenceRecord {
   std::uint32_t number = 0;
   std::vector<std::string> steps{};
-  std::vector<EndedRuns> ended{};  // of tasks that are not done
+  // Of tasks that are not done.
+  std::vector<EndedRuns> ended{};
+  std::vector<CrashedRuns> crashed{};
+  std::vector<StoredStart> starts{};
 
   auto operator<=>(const OccurrenceRecord&) const = default;
 };
@@ -80,6 +105,7 @@
   std::string queue{};
   std::int64_t ended_ms = 0;     // wall time since 1970; 0: not ended
   std::int64_t accepted_ms = 0;  // wall time since 1970
+  std::string cause{};           // of a job that failed
   std::vector<OccurrenceRecord> occurrences{};  // those that have begun
 
   auto operator<=>(const JobRecord&) const = default;
--- a/Source/engine/records/record_fields.h
+++ b/Source/engine/records/record_fields.h
@@ -21,7 +21,7 @@
 
 template <>
 struct EnumText<engine::RunEnd> {
-  static constexpr engine::RunEnd kLast = engine::RunEnd::kAlone;
+  static constexpr engine::RunEnd kLast = engine::RunEnd::kCrashed;
   static constexpr auto* kName = &engine::RunEndName;
 };
 
@@ -82,6 +82,28 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::CrashedRuns> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("step", it.step, std::uint32_t{0});
+    codec.Optional("index", it.index, std::uint32_t{0});
+    codec.Field("runs", it.runs);
+    codec.Optional("longest_ms", it.longest, Duration(0));
+  }
+};
+
+template <>
+struct FieldsOf<engine::StoredStart> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("step", it.step, std::uint32_t{0});
+    codec.Optional("index", it.index, std::uint32_t{0});
+    codec.Field("run", it.run);
+    codec.Field("worker", it.worker);
+  }
+};
+
 template <>
 struct FieldsOf<engine::OccurrenceRecord> {
   template <typename Codec, typename Value>
@@ -89,6 +111,8 @@
     codec.Optional("number", it.number, std::uint32_t{0});
     codec.Field("steps", it.steps);
     codec.Optional("ended", it.ended, std::vector<engine::EndedRuns>());
+    codec.Optional("crashed", it.crashed, std::vector<engine::CrashedRuns>());
+    codec.Optional("starts", it.starts, std::vector<engine::StoredStart>());
   }
 };
 
@@ -103,6 +127,7 @@
     codec.Name("queue", it.queue);
     codec.Field("accepted_ms", it.accepted_ms);
     codec.Optional("ended_ms", it.ended_ms, std::int64_t{0});
+    codec.Optional("cause", it.cause, std::string());
     codec.Optional("occurrences", it.occurrences,
                    std::vector<engine::OccurrenceRecord>());
   }
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -30,6 +30,7 @@
 #include "engine/workers/run_ends.h"
 #include "engine/workers/run_review.h"
 #include "engine/workers/upkeep.h"
+#include "engine/workers/worker_crashes.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_offers.h"
 #include "engine/workers/worker_owner.h"
@@ -68,6 +69,7 @@
   void operator()(const LeaseReport& it) { OnLeaseReport(context, from, it); }
   void operator()(const StoppedRenewing&) { OnStoppedRenewing(context, from); }
   void operator()(const DigestRequest&) { OnDigestRequest(context, from); }
+  void operator()(const WorkersCrashed& it) { OnWorkersCrashed(context, it); }
 };
 
 // Passes the store's reply to the handler of its purpose.
@@ -184,6 +186,7 @@
   DriveWorkers(context);
   DriveLeaseQueries(context);
   DriveEnds(context);
+  DriveCrashes(context);
   DrainInbox(context);
   DriveOccurrences(context);
   if (check_timeouts) {
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -210,6 +210,8 @@
 struct ListedWorker {
   WorkerInfo info{};
   bool listed = true;
+  // Known only from a member; this instance has never seen it listed.
+  bool remembered_only = false;
   Time unlisted_at{0};
   Time draining_since = kForever;
   // Its entry of State::view, whose entries are never removed; null if it was
@@ -275,6 +277,7 @@
   std::uint64_t record_revision = 0;
   // How the job ended, as its owner or the store reported.
   std::optional<JobState> final_state{};
+  std::string final_cause{};
   bool absent = false;  // the store has no such job
   bool reading_record = false;
   bool reading_spec = false;
@@ -458,6 +461,7 @@
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   std::uint64_t lost_runs = 0;
+  std::uint64_t crashes = 0;  // of workers under own tasks
   AdviceCounts advice{};
 };
 
@@ -492,6 +496,9 @@
   Time ownership_checked_at = Time::min();
   Time runs_checked_at = Time::min();
   std::map<std::string, LostWorker> lost_workers{};
+  // Workers that crashed, and since when that is known here.
+  std::map<std::string, Time> crashed_workers{};
+  Time crashes_checked_at = Time::min();
   // By worker that this instance no longer owns: when the last lease that it
   // renewed there expires.
   std::map<std::string, Time> released{};
--- a/Source/engine/workers/lost_workers.cc
+++ b/Source/engine/workers/lost_workers.cc
@@ -56,9 +56,12 @@
                         const MachineList& machines,
                         Time requested_at) {
   std::set<std::string> alive;
+  std::set<std::string> taken_down;
   for (const auto& [name, machine] : machines) {
     if (machine.state == MachineState::kUp) {
       alive.insert(machine.worker);
+    } else if (machine.state != MachineState::kDown) {
+      taken_down.insert(machine.worker);
     }
   }
   // A list without a machine that is up means that the service has lost its
@@ -75,7 +78,10 @@
     }
   }
   for (const std::string& it : ended) {
-    DeclareWorkerLost(context, it, "its machine runs another worker or none");
+    DeclareWorkerLost(
+        context, it,
+        taken_down.contains(it) ? LossKind::kTakenDown : LossKind::kEnded,
+        "its machine runs another worker or none");
   }
 }
 
--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -43,7 +43,10 @@
   Time command_sent_at = Time::min();  // last start or stop command
   bool command_in_flight = false;
   std::uint32_t command_attempts = 0;  // commands sent in this phase
-  bool start_unanswered = false;       // a start may still take effect later
+  // No other run may be at the worker for this long after the start.
+  Duration alone_for{0};
+  Time move_requested = Time::min();  // last request to move the others away
+  bool start_unanswered = false;      // a start may still take effect later
   bool stop_answered = false;
   Time confirmed = Time::min();   // the worker last confirmed the run
   bool offer_unanswered = false;  // the job's owner awaits the outcome
@@ -122,10 +125,23 @@
   Time leaving_until = Time::min();  // its machine is about to go down
 };
 
+// A run that may have been at work when its worker was lost.
+struct LostRun {
+  EndReport report{};  // sent once the worker is known to have crashed
+  Time reported_at = Time::min();
+  bool stored = false;  // the job's owner has stored it
+};
+
 // A worker that was declared lost, as announced to the peers.
 struct LostWorker {
   std::uint64_t fence = 0;  // of its last owner
   Time since{0};
+  std::string address{};
+  bool crashed = false;
+  // It may yet turn out to have crashed, when another process shows at its
+  // address.
+  bool undecided = false;
+  std::vector<LostRun> runs{};
 };
 
 // What a worker's owner knows about a job with runs or ends there.
--- a/Source/engine/workers/run_ends.cc
+++ b/Source/engine/workers/run_ends.cc
@@ -6,6 +6,7 @@
 
 #include "engine/members/membership.h"
 #include "engine/records/catalog.h"
+#include "engine/workers/worker_crashes.h"
 
 namespace burdockrock::engine {
 
@@ -146,6 +147,7 @@
   for (const StoredEnd& it : stored.ends) {
     const auto worker = context.state.owned.find(it.worker);
     if (worker == context.state.owned.end()) {
+      OnCrashStored(context.state, it);
       continue;
     }
     const auto end = worker->second.ends.find(it.sequence);
@@ -211,7 +213,8 @@
 
 void ReportLostRuns(Context& context,
                     const std::string& id,
-                    const OwnedWorker& worker) {
+                    const OwnedWorker& worker,
+                    bool crashed) {
   for (const auto& [sequence, end] : worker.ends) {
     const std::string owner = OwnerOfJob(context.state, JobOf(end.row.task));
     if (!end.stored && !owner.empty()) {
@@ -219,7 +222,11 @@
     }
   }
   for (const auto& [task, run] : worker.runs) {
-    ReportLostRun(context, id, task, run);
+    if (crashed && IsReportedAsCrashed(context, run)) {
+      ++context.state.totals.lost_runs;
+    } else {
+      ReportLostRun(context, id, task, run);
+    }
   }
 }
 
--- a/Source/engine/workers/run_ends.h
+++ b/Source/engine/workers/run_ends.h
@@ -42,10 +42,12 @@
                    const std::string& id,
                    const std::string& task,
                    const LocalRun& run);
-// Reports all runs of a lost worker, and its ends that are not stored.
+// Reports all runs of a lost worker, except those that are reported as crashed,
+// and its ends that are not stored.
 void ReportLostRuns(Context& context,
                     const std::string& id,
-                    const OwnedWorker& worker);
+                    const OwnedWorker& worker,
+                    bool crashed);
 
 // The owner of a job with runs or ends here, an incarnation. Empty when it is
 // not known or is not a member.
--- /dev/null
+++ b/Source/engine/workers/worker_crashes.cc
@@ -0,0 +1,204 @@
+#include "engine/workers/worker_crashes.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "engine/members/membership.h"
+#include "engine/records/catalog.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/worker_list.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+// Between two looks for evidence that silent workers have crashed.
+constexpr Duration kEvidenceInterval = milliseconds(500);
+// A worker that was prepared for its machine to be taken down ends within this
+// time of the last request to empty it.
+constexpr Duration kTakeDownTime = milliseconds(10'000);
+
+std::string JobOf(const std::string& task) {
+  const auto name = ParseTaskName(task);
+  return name ? name->job : std::string();
+}
+
+// Whether the worker may have begun the run: its start was sent.
+bool MayHaveBegun(const LocalRun& run) {
+  return run.phase != RunPhase::kBooked &&
+         run.phase != RunPhase::kAwaitingRoom &&
+         (run.phase != RunPhase::kStarting ||
+          run.command_sent_at != Time::min());
+}
+
+// Whether the worker's end was announced.
+bool IsPlannedEnd(const Context& context, const OwnedWorker& worker) {
+  const ListedWorker* listed = FindWorker(context.state, worker.info.id);
+  const bool draining =
+      worker.info.draining || (listed != nullptr && listed->info.draining);
+  const bool leaving =
+      worker.leaving_until != Time::min() &&
+      !HasPassed(context.now, worker.leaving_until, kTakeDownTime);
+  // Without its entry it is not known whether it has announced its end.
+  return draining || leaving || listed == nullptr || listed->remembered_only;
+}
+
+void DeclareCrashed(Context& context, const std::string& id, LostWorker& lost) {
+  lost.crashed = true;
+  lost.undecided = false;
+  context.state.crashed_workers[id] = context.now;
+  for (const std::string& it : OtherMembers(context)) {
+    Send(context, it, WorkersCrashed{.workers = {id}});
+  }
+}
+
+// Whether another process has been claimed at the lost worker's address. An
+// entry alone is no evidence: it may be that of a former process, delayed.
+bool IsReplaced(const State& state,
+                const std::string& id,
+                const LostWorker& lost) {
+  return std::any_of(
+      state.workers.begin(), state.workers.end(), [&](const auto& it) {
+        if (it.first == id || it.second.info.address != lost.address) {
+          return false;
+        }
+        const auto view = state.view.find(it.first);
+        return view != state.view.end() && !view->second.owner.empty() &&
+               !view->second.lost;
+      });
+}
+
+bool IsSettled(const LostWorker& lost) {
+  return !lost.undecided &&
+         (!lost.crashed ||
+          std::all_of(lost.runs.begin(), lost.runs.end(),
+                      [](const LostRun& it) { return it.stored; }));
+}
+
+using Reports = std::map<std::string, EndReports>;  // by the jobs' owners
+
+void AddReports(Context& context, LostWorker& lost, Reports& reports) {
+  for (LostRun& it : lost.runs) {
+    if (it.stored ||
+        !HasPassed(context.now, it.reported_at, kEndReportInterval)) {
+      continue;
+    }
+    const std::string job = JobOf(it.report.task);
+    it.reported_at = context.now;
+    it.stored = job.empty() || context.state.known[job].ended;
+    if (it.stored) {
+      continue;
+    }
+    const std::string owner = OwnerOfJob(context.state, job);
+    if (owner.empty()) {
+      RequestRecord(context, job);
+    } else {
+      reports[owner].ends.push_back(it.report);
+    }
+  }
+}
+
+}  // namespace
+
+bool IsCrash(const Context& context, const OwnedWorker& worker, LossKind kind) {
+  return kind == LossKind::kEnded && !IsPlannedEnd(context, worker);
+}
+
+bool IsReportedAsCrashed(const Context& context, const LocalRun& run) {
+  const bool excused = run.phase == RunPhase::kRunning &&
+                       HasPassed(context.now, run.since, kMaxCrashDelay);
+  return MayHaveBegun(run) && !excused;
+}
+
+void AddLostWorker(Context& context, const OwnedWorker& worker, LossKind kind) {
+  const std::string& id = worker.info.id;
+  LostWorker& lost = context.state.lost_workers[id];
+  lost = LostWorker{
+      .fence = worker.fence,
+      .since = context.now,
+      .address = worker.info.address,
+      .undecided = kind == LossKind::kSilent && !IsPlannedEnd(context, worker)};
+  std::uint64_t sequence = worker.highest_end;
+  for (const auto& [task, run] : worker.runs) {
+    if (IsReportedAsCrashed(context, run)) {
+      lost.runs.push_back({.report = {.worker = id,
+                                      .sequence = ++sequence,
+                                      .task = task,
+                                      .run = run.run,
+                                      .how = RunEnd::kCrashed,
+                                      .checkpoint = run.checkpoint}});
+    }
+  }
+  if (IsCrash(context, worker, kind)) {
+    DeclareCrashed(context, id, lost);
+    DriveCrashes(context);
+  }
+}
+
+void DriveCrashes(Context& context) {
+  State& state = context.state;
+  const bool look =
+      HasPassed(context.now, state.crashes_checked_at, kEvidenceInterval);
+  state.crashes_checked_at = look ? context.now : state.crashes_checked_at;
+  Reports reports;
+  for (auto& [id, lost] : state.lost_workers) {
+    if (look && lost.undecided && IsReplaced(state, id, lost)) {
+      DeclareCrashed(context, id, lost);
+    }
+    if (lost.crashed) {
+      AddReports(context, lost, reports);
+    }
+  }
+  for (auto& [owner, it] : reports) {
+    Send(context, owner, std::move(it));
+  }
+  std::erase_if(state.lost_workers, [&](const auto& it) {
+    return HasPassed(
+        context.now, it.second.since,
+        IsSettled(it.second) ? kLostWorkerAnnouncedFor : kCrashReportedFor);
+  });
+  std::erase_if(state.crashed_workers, [&](const auto& it) {
+    return HasPassed(context.now, it.second, kCrashReportedFor);
+  });
+}
+
+void AddCrashedRuns(const State& state,
+                    const std::set<std::string>& jobs,
+                    std::vector<EndReport>& out) {
+  for (const auto& [id, lost] : state.lost_workers) {
+    for (const LostRun& it : lost.runs) {
+      if (lost.crashed && jobs.contains(JobOf(it.report.task))) {
+        out.push_back(it.report);
+      }
+    }
+  }
+}
+
+void OnCrashStored(State& state, const StoredEnd& stored) {
+  const auto lost = state.lost_workers.find(stored.worker);
+  if (lost == state.lost_workers.end()) {
+    return;
+  }
+  for (LostRun& it : lost->second.runs) {
+    it.stored = it.stored || it.report.sequence == stored.sequence;
+  }
+}
+
+void SendCrashedWorkers(Context& context, const std::string& to) {
+  WorkersCrashed message;
+  for (const auto& [id, since] : context.state.crashed_workers) {
+    message.workers.push_back(id);
+  }
+  if (!message.workers.empty()) {
+    Send(context, to, std::move(message));
+  }
+}
+
+void OnWorkersCrashed(Context& context, const WorkersCrashed& message) {
+  for (const std::string& it : message.workers) {
+    context.state.crashed_workers.try_emplace(it, context.now);
+  }
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -45,6 +45,7 @@
   ListedWorker& worker = context.state.workers[id];
   const bool changed = is_new || worker.info != info || !worker.listed;
   worker.listed = true;
+  worker.remembered_only = false;
   if (info.draining && !worker.info.draining) {
     worker.draining_since = context.now;
     context.Log(EventNumber::kWorkerLeaving, {{"worker", id}});
@@ -138,6 +139,7 @@
                               .domain = it.domain,
                               .service = it.service},
                      .listed = false,
+                     .remembered_only = true,
                      .unlisted_at = context.now};
     OnWorkerListed(context, it.worker);
     changed = true;
--- a/Source/engine/workers/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -28,6 +28,20 @@
   return false;
 }
 
+// Whether a task that does not fit now may wait at the worker for room: runs
+// are stopped for it, or it is to be there alone and the others are moved away
+// or end.
+bool MayAwaitRoom(Context& context,
+                  OwnedWorker& worker,
+                  const TaskOffer& offer,
+                  const OfferedTask& offered,
+                  const Resources& room) {
+  if (offered.alone_for > Duration(0)) {
+    return !offer.book_only && Fits(room, worker.info.capacity);
+  }
+  return offer.preempts && MakeRoom(context, offered.worker, worker, room);
+}
+
 // Handles an offer of a task that is already at the worker. Returns nothing
 // when the offer is accepted and its outcome follows later.
 std::optional<OfferOutcome> RepeatedOffer(Context& context,
@@ -96,13 +110,17 @@
     RepeatEndReports(*worker, task);
     return std::nullopt;  // the report of the end answers the offer
   }
+  if (HasIsolatedRun(*worker)) {
+    return OfferOutcome::kNoRoom;
+  }
   if (!Accepts(context, *worker)) {
     return OfferOutcome::kNotServing;
   }
   const Resources room = RoomOf(offer.spec);
-  const bool fits = Fits(room, FreeRoom(*worker));
-  if (!fits &&
-      !(offer.preempts && MakeRoom(context, offered.worker, *worker, room))) {
+  const bool alone = offered.alone_for > Duration(0);
+  const bool fits =
+      Fits(room, FreeRoom(*worker)) && (!alone || worker->runs.empty());
+  if (!fits && !MayAwaitRoom(context, *worker, offer, offered, room)) {
     return OfferOutcome::kNoRoom;
   }
   LocalRun& run = worker->runs[task];
@@ -118,6 +136,7 @@
       .checkpoint = offered.checkpoint,
       .priority = offer.priority,
       .since = context.now,
+      .alone_for = offered.alone_for,
       .offer_unanswered = !offer.book_only};
   RoomChanged(context, offered.worker);
   if (offer.book_only) {
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -220,25 +220,11 @@
   if (kind == WorkerRefusalKind::kFenced) {
     ReleaseWorker(context, event.worker);
   } else if (kind == WorkerRefusalKind::kReplaced) {
-    DeclareWorkerLost(context, event.worker, "replaced by another incarnation");
+    DeclareWorkerLost(context, event.worker, LossKind::kEnded,
+                      "replaced by another incarnation");
   }
 }
 
-// Announces to the peers that the worker is lost.
-void AnnounceLost(Context& context,
-                  const std::string& id,
-                  std::uint64_t fence) {
-  context.state.lost_workers[id] =
-      LostWorker{.fence = fence, .since = context.now};
-  context.state.digest.changed.insert(id);
-}
-
-void ForgetLost(Context& context) {
-  std::erase_if(context.state.lost_workers, [&](const auto& it) {
-    return HasPassed(context.now, it.second.since, kLostWorkerAnnouncedFor);
-  });
-}
-
 // Claims the workers that the current members assign to this instance.
 void ClaimOwn(Context& context) {
   const bool settled =
@@ -291,9 +277,8 @@
     DriveRuns(context, id, worker);
   }
   for (const std::string& it : lost) {
-    DeclareWorkerLost(context, it, "silent past its leases");
+    DeclareWorkerLost(context, it, LossKind::kSilent, "silent past its leases");
   }
-  ForgetLost(context);
 }
 
 void OnPollReply(Context& context, const WorkerAnswered& event) {
@@ -354,7 +339,8 @@
     return;
   }
   if (refused->kind == WorkerRefusalKind::kReplaced) {
-    DeclareWorkerLost(context, event.worker, "replaced by another incarnation");
+    DeclareWorkerLost(context, event.worker, LossKind::kEnded,
+                      "replaced by another incarnation");
   } else if (refused->kind == WorkerRefusalKind::kFenced) {
     context.Log(
         EventNumber::kClaimRefused,
@@ -404,19 +390,24 @@
 
 void DeclareWorkerLost(Context& context,
                        const std::string& id,
+                       LossKind kind,
                        const char* cause) {
-  // Otherwise each ownership check would claim it again until its entry in the
-  // store expires.
-  context.state.workers.erase(id);
   const auto node = context.state.owned.extract(id);
   if (!node.empty()) {
+    const OwnedWorker& worker = node.mapped();
+    const bool crashed = IsCrash(context, worker, kind);
     context.Log(EventNumber::kWorkerGone,
                 {{"worker", id},
                  {"cause", cause},
-                 {"runs", std::to_string(node.mapped().runs.size())}});
-    ReportLostRuns(context, id, node.mapped());
-    AnnounceLost(context, id, node.mapped().fence);
+                 {"crashed", crashed ? "yes" : "no"},
+                 {"runs", std::to_string(worker.runs.size())}});
+    ReportLostRuns(context, id, worker, crashed);
+    AddLostWorker(context, worker, kind);
+    context.state.digest.changed.insert(id);
   }
+  // Otherwise each ownership check would claim it again until its entry in the
+  // store expires.
+  context.state.workers.erase(id);
   RoomView& view = context.state.view[id];
   view.lost = true;
   view.accepting = false;
@@ -456,7 +447,13 @@
          worker.lease_until_ms != 0 && context.now >= worker.unhealthy_until &&
          context.now >= worker.quarantine_until &&
          context.now >= worker.stalled_until &&
-         context.now >= worker.leaving_until;
+         context.now >= worker.leaving_until && !HasIsolatedRun(worker);
+}
+
+bool HasIsolatedRun(const OwnedWorker& worker) {
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(),
+      [](const auto& it) { return it.second.alone_for > Duration(0); });
 }
 
 Resources FreeRoom(const OwnedWorker& worker) {
--- a/Source/engine/workers/worker_owner.h
+++ b/Source/engine/workers/worker_owner.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "engine/context.h"
+#include "engine/workers/worker_crashes.h"
 
 namespace burdockrock::engine {
 
@@ -34,6 +35,7 @@
 // Declares the worker lost: all runs there have ended. `cause` is logged.
 void DeclareWorkerLost(Context& context,
                        const std::string& id,
+                       LossKind kind,
                        const char* cause);
 
 // Publishes the worker's free room, and whether it accepts tasks, after either
@@ -43,6 +45,9 @@
 // Whether new tasks may start at the worker.
 bool Accepts(const Context& context, const OwnedWorker& worker);
 
+// Whether the worker is kept for one run that has to be there alone.
+bool HasIsolatedRun(const OwnedWorker& worker);
+
 Resources FreeRoom(const OwnedWorker& worker);
 
 // The end of a lease that is requested now, in milliseconds on the worker's
--- a/Source/engine/workers/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -297,7 +297,7 @@
   }
   const auto* refused = std::get_if<WorkerRefused>(&event.answer);
   if (refused != nullptr && refused->kind == WorkerRefusalKind::kReplaced) {
-    return DeclareWorkerLost(context, event.worker,
+    return DeclareWorkerLost(context, event.worker, LossKind::kEnded,
                              "replaced by another incarnation");
   }
   const auto* start = CommandOf<StartRun>(event);
@@ -332,6 +332,11 @@
   const bool move = MustMove(context, worker);
   std::vector<std::string> expired;
   for (auto& [task, run] : worker.runs) {
+    if (run.alone_for > Duration(0) && run.phase == RunPhase::kRunning &&
+        HasPassed(context.now, run.since, run.alone_for)) {
+      run.alone_for = Duration(0);
+      RoomChanged(context, id);
+    }
     const bool booked = run.phase == RunPhase::kBooked;
     if (booked && HasPassed(context.now, run.since, kBookingTimeout)) {
       expired.push_back(task);
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -162,6 +162,10 @@
      "Workers listed the ends of runs that ended done, within half a second"},
     {EventNumber::kTasksWait, Level::kInfo, "tasks_wait",
      "Tasks of a step whose turn has come have waited for over a second"},
+    {EventNumber::kTaskCrashed, Level::kWarning, "task_crashed",
+     "A worker crashed while it ran the task; after the crashes allowed its "
+     "job "
+     "fails"},
     {EventNumber::kConfigurationApplied, Level::kInfo, "configuration_applied",
      "A configuration is in force in this process"},
     {EventNumber::kConfigurationRefusedOlder, Level::kWarning,
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -89,6 +89,7 @@
   kStopUnanswered = 514,
   kRunsDone = 515,
   kTasksWait = 516,
+  kTaskCrashed = 517,
 
   // Configuration
   kConfigurationApplied = 601,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -52,6 +52,9 @@
     "burdockrock_jobs_adopted_total";
 inline constexpr std::string_view kRunsLostTotal =
     "burdockrock_runs_lost_total";
+inline constexpr std::string_view kTaskCrashesTotal =
+    "burdockrock_task_crashes_total";
+inline constexpr std::string_view kIsolatedRuns = "burdockrock_isolated_runs";
 inline constexpr std::string_view kAnswersTotal = "burdockrock_answers_total";
 inline constexpr std::string_view kQueueLength = "burdockrock_queue_length";
 inline constexpr std::string_view kOwnedWorkers = "burdockrock_owned_workers";
@@ -118,6 +121,10 @@
      "Jobs taken over from owners that are gone"},
     {kRunsLostTotal, MetricKind::kCounter, "",
      "Runs that were lost with their worker or lease"},
+    {kTaskCrashesTotal, MetricKind::kCounter, "",
+     "Crashes of workers counted against the tasks that ran there"},
+    {kIsolatedRuns, MetricKind::kGauge, "",
+     "Runs that have an owned worker to themselves after such crashes"},
     {kAnswersTotal, MetricKind::kCounter, "verdict",
      "Answers given to callers"},
     {kQueueLength, MetricKind::kGauge, "urgency",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -1,11 +1,13 @@
 #include "runtime/engine_dump.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <fmt/format.h>
 
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/open_work.h"
+#include "engine/workers/worker_owner.h"
 
 namespace burdockrock {
 
@@ -151,7 +153,13 @@
   Raise(metrics, kJobsFailedTotal, totals.failed);
   Raise(metrics, kJobsAdoptedTotal, totals.adopted);
   Raise(metrics, kRunsLostTotal, totals.lost_runs);
+  Raise(metrics, kTaskCrashesTotal, totals.crashes);
   metrics.Set(kOwnedWorkers, {}, static_cast<double>(state.owned.size()));
+  metrics.Set(kIsolatedRuns, {},
+              static_cast<double>(std::count_if(
+                  state.owned.begin(), state.owned.end(), [](const auto& it) {
+                    return engine::HasIsolatedRun(it.second);
+                  })));
   SetAdvice(metrics, totals.advice);
   SetPacked(metrics, state);
   SetOpenWork(metrics, engine::CountOpenWork(state, now));
