Engine: Checks a gang's reserved room against the capacity at its start

A worker whose capacity shrank between the booking and the start of a gang's member got the start nevertheless, over its capacity: a booked run was started without another look at the room. The worker's owner now refuses such a start and releases the room; the gang is booked anew elsewhere. capacity_test "A gang's member does not start in reserved room that is gone" failed before (one start over the capacity) and passes. Other starts check the room when they are sent, so this was the only way.

--- a/Source/engine/workers/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -28,6 +28,11 @@
   return false;
 }
 
+// Whether all runs, those that are booked included, fit into the capacity.
+bool IsWithinCapacity(const OwnedWorker& worker) {
+  return Fits(Resources(), FreeRoom(worker));
+}
+
 // Whether a task that does not fit now may wait at the worker for room: runs
 // are stopped for it, or it is to be there alone and the others are moved away
 // or end.
@@ -65,6 +70,11 @@
       if (offer.book_only) {
         return OfferOutcome::kBooked;
       }
+      // The worker's capacity may have shrunk since the booking.
+      if (!IsWithinCapacity(worker)) {
+        RemoveRun(context, id, worker, task);
+        return OfferOutcome::kNoRoom;
+      }
       run.ticket = offered.ticket;
       run.checkpoint = offered.checkpoint;
       run.offer_unanswered = true;
--- a/Tests/engine/capacity_test.cc
+++ b/Tests/engine/capacity_test.cc
@@ -1,5 +1,9 @@
 // Tests that a worker whose capacity changes while it runs is given no more
 // than it has, and that room it regains is used.
+#include <string>
+#include <variant>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "engine/lasting_job.h"
@@ -98,6 +102,44 @@
   CHECK(CountOverfullStarts(fleet) == 0);
 }
 
+// An offer of a gang's only member on the worker, to book its room or to start
+// it.
+TaskOffer OfferOfMember(const Fleet& fleet, bool book_only) {
+  StepSpec step = OneStep(1, 6000).steps.front();
+  step.gang = true;
+  return {.job = "j1",
+          .generation = 1,
+          .spec = step,
+          .book_only = book_only,
+          .tasks = {{.run = 1,
+                     .worker = "w0-1",
+                     .fence = fleet.state("n0").owned.at("w0-1").fence}}};
+}
+
+// Guards against a gang's member that starts in room which was reserved for it
+// before the worker shrank.
+TEST_CASE("A gang's member does not start in reserved room that is gone") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.worker("w0").processors = [](const std::string&) { return 6000; };
+  std::vector<OfferAnswer> answers;
+  fleet.on_peer = [&](const std::string&, const SendPeer& send) {
+    if (const auto* it = std::get_if<OfferAnswers>(&send.message)) {
+      answers.insert(answers.end(), it->answers.begin(), it->answers.end());
+    }
+  };
+  fleet.DeliverPeerMessage("n0", "n1-1", OfferOfMember(fleet, true));
+  SetCapacity(fleet, "w0", 4000);
+  fleet.Run(kListTime);
+  fleet.DeliverPeerMessage("n0", "n1-1", OfferOfMember(fleet, false));
+  fleet.Run(milliseconds(500));
+  CHECK(CountOverfullStarts(fleet) == 0);
+  CHECK(fleet.seen.empty());
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].outcome == OfferOutcome::kBooked);
+  CHECK(answers[1].outcome == OfferOutcome::kNoRoom);
+}
+
 }  // namespace
 
 }  // namespace burdockrock::engine
