Scheduler: Gives up a task of a flat job under which workers crash

Callers saw batches, services and gangs that went on without end while a task crashed each worker that started it. Cause: an attempt that is lost with its worker is retried without being counted; only ends that a worker reports as failed are. A request was retried max_attempts times here, and again as often by the peer that it was forwarded to.

Change: a worker reports an end until it is acknowledged, so one that answers and has forgotten an attempt which it had confirmed has lost its memory; so has one that is gone from the list and answers nothing, unless it was leaving. Starts of tasks with a crash, and of tasks that an adopter finds nowhere, are recorded before they are sent, so that a crash which ends the writer as well is counted by the next one. Requests lose at most three runs, and are not forwarded after the first.

Not counted, as before: a worker that crashes before it has answered the start, and one that is away for longer than its leases.

--- a/Source/model/attempt.cc
+++ b/Source/model/attempt.cc
@@ -76,6 +76,8 @@
       return "stopped";
     case Outcome::kLeaseLapsed:
       return "lease_lapsed";
+    case Outcome::kWorkerCrashed:
+      return "worker_crashed";
   }
   return "none";
 }
@@ -91,8 +93,9 @@
 }
 
 std::optional<Outcome> ParseOutcome(std::string_view text) {
-  for (const Outcome it : {Outcome::kNone, Outcome::kDone, Outcome::kFailed,
-                           Outcome::kStopped, Outcome::kLeaseLapsed}) {
+  for (const Outcome it :
+       {Outcome::kNone, Outcome::kDone, Outcome::kFailed, Outcome::kStopped,
+        Outcome::kLeaseLapsed, Outcome::kWorkerCrashed}) {
     if (text == OutcomeName(it)) {
       return it;
     }
--- a/Source/model/attempt.h
+++ b/Source/model/attempt.h
@@ -36,7 +36,14 @@
 std::optional<AttemptId> ParseAttemptId(std::string_view text);
 
 enum class AttemptState { kHeld, kRunning, kEnded };
-enum class Outcome { kNone, kDone, kFailed, kStopped, kLeaseLapsed };
+enum class Outcome {
+  kNone,
+  kDone,
+  kFailed,
+  kStopped,
+  kLeaseLapsed,
+  kWorkerCrashed,  // the worker lost its memory; found by the worker's owner
+};
 
 const char* AttemptStateName(AttemptState state);
 const char* OutcomeName(Outcome outcome);
--- a/Source/scheduler/attempt_updates.cc
+++ b/Source/scheduler/attempt_updates.cc
@@ -4,6 +4,7 @@
 
 #include "scheduler/context.h"
 #include "scheduler/gangs.h"
+#include "scheduler/task_crashes.h"
 
 namespace burdockrock {
 
@@ -25,6 +26,7 @@
   Task& task = job.tasks[index];
   CreditTeam(context, job, index);
   task.state = TaskState::kQueued;
+  task.start_recorded = false;
   task.worker.clear();
   task.owner.clear();
   ++job.queued;
@@ -119,6 +121,9 @@
     StopAttempt(context, *job, attempt.task);
     return;
   }
+  if (!held && task->state != TaskState::kRunning) {
+    task->running_since = context.now();
+  }
   task->state = held ? TaskState::kHeld : TaskState::kRunning;
   if (!held && job->first_start == Time(0)) {
     job->first_start = context.now();
@@ -216,6 +221,15 @@
       task->state = TaskState::kDispatching;
       RequeueTask(context, *job, index);
       break;
+    case Outcome::kWorkerCrashed:
+      OnAttemptCrashed(context, *job, index);
+      if (task->state == TaskState::kEnding) {
+        if (is_gang) {
+          BackOffGang(context, *job, "workers crashed under a task");
+        }
+        return;
+      }
+      break;
     case Outcome::kLeaseLapsed:
     case Outcome::kNone:
       OnAttemptLost(context, *job, index);
--- a/Source/scheduler/gangs.cc
+++ b/Source/scheduler/gangs.cc
@@ -6,6 +6,7 @@
 #include "scheduler/attempt_updates.h"
 #include "scheduler/context.h"
 #include "scheduler/forwarding.h"
+#include "scheduler/task_crashes.h"
 
 namespace burdockrock {
 
@@ -76,7 +77,10 @@
 bool RecordDispatches(Context& context, Job& job) {
   bool recorded = false;
   for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
-    if (!job.tasks[it].dispatched) {
+    if (MustRecordStart(job.tasks[it]) && !job.tasks[it].start_recorded) {
+      RecordStart(context, job, it);
+      recorded = true;
+    } else if (!job.spec.idempotent && !job.tasks[it].dispatched) {
       RecordDispatch(context, job, it);
       recorded = true;
     }
@@ -123,7 +127,7 @@
   if (places < count) {
     return false;
   }
-  if (!job.spec.idempotent && RecordDispatches(context, job)) {
+  if (RecordDispatches(context, job)) {
     return true;
   }
   std::vector<TargetIndex> targets;
--- a/Source/scheduler/job_records.cc
+++ b/Source/scheduler/job_records.cc
@@ -1,7 +1,9 @@
 #include "scheduler/job_records.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdint>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -11,6 +13,7 @@
 #include "net/json.h"
 #include "scheduler/attempt_updates.h"
 #include "scheduler/context.h"
+#include "scheduler/task_crashes.h"
 #include "wire/record_codec.h"
 
 namespace burdockrock {
@@ -21,6 +24,7 @@
 constexpr char kEndPrefix[] = "end/";
 constexpr char kDispatchPrefix[] = "dispatch/";
 constexpr char kCancelPrefix[] = "cancel/";
+constexpr char kCrashPrefix[] = "crash/";
 
 struct EndName {
   TaskState state;
@@ -138,6 +142,24 @@
   }
 }
 
+void ApplyCrashes(Context& context, const LogRecord& record) {
+  Job* job = nullptr;
+  Task* task = FindTask(context.state().jobs,
+                        ParseTaskKey(record.key, kCrashPrefix), &job);
+  const auto parsed = ParseJson(record.body);
+  const auto* value = std::get_if<Json::Value>(&parsed);
+  const bool is_count = value != nullptr && value->isArray() &&
+                        value->size() == 2 && (*value)[0].isUInt() &&
+                        (*value)[1].isBool();
+  if (task != nullptr && is_count) {
+    task->crashes = static_cast<std::uint8_t>(
+        std::min((*value)[0].asUInt(), unsigned{UINT8_MAX}));
+    task->last_crash = context.now();
+    task->start_recorded = (*value)[1].asBool();
+    task->may_have_crashed = true;
+  }
+}
+
 void ApplyCancel(Jobs& jobs, const LogRecord& record) {
   const auto it = jobs.jobs.find(record.key.substr(sizeof(kCancelPrefix) - 1));
   if (it != jobs.jobs.end()) {
@@ -194,6 +216,15 @@
           .body = ""};
 }
 
+LogRecord RecordOfCrashes(const Job& job, std::uint32_t task) {
+  Json::Value value(Json::arrayValue);
+  value.append(Json::UInt{job.tasks[task].crashes});
+  value.append(job.tasks[task].start_recorded);
+  return {.key = TaskKey(kCrashPrefix, job, task),
+          .kind = "crash",
+          .body = WriteJson(value)};
+}
+
 LogRecord RecordOfCancel(const Job& job) {
   return {.key = kCancelPrefix + job.id, .kind = "cancel", .body = ""};
 }
@@ -214,6 +245,9 @@
     if (job.tasks[it].dispatched) {
       erase(TaskKey(kDispatchPrefix, job, it));
     }
+    if (MustRecordStart(job.tasks[it])) {
+      erase(TaskKey(kCrashPrefix, job, it));
+    }
   }
   if (job.cancelled) {
     erase(kCancelPrefix + job.id);
@@ -258,6 +292,8 @@
       ApplyEnd(jobs, live.record);
     } else if (key.starts_with(kDispatchPrefix)) {
       ApplyDispatch(jobs, live.record);
+    } else if (key.starts_with(kCrashPrefix)) {
+      ApplyCrashes(context, live.record);
     } else if (key.starts_with(kCancelPrefix)) {
       ApplyCancel(jobs, live.record);
     }
--- a/Source/scheduler/jobs.cc
+++ b/Source/scheduler/jobs.cc
@@ -19,6 +19,7 @@
   Task& task = job.tasks[index];
   task.tries = static_cast<std::uint8_t>(std::min(task.tries + 1, 255));
   task.state = TaskState::kStarting;
+  task.running_since = Time(0);
   task.last_sent = context.now();
   context.state().jobs.team_usage[job.spec.team] += job.spec.resources;
 }
--- a/Source/scheduler/jobs.h
+++ b/Source/scheduler/jobs.h
@@ -48,6 +48,13 @@
   std::uint8_t tries = 0;
   // Whether the dispatch is recorded; only for non-idempotent jobs.
   bool dispatched = false;
+  std::uint8_t crashes = 0;  // of workers under the task
+  // An attempt of a former writer may have been lost without a trace.
+  bool may_have_crashed = false;
+  // The journal says that an attempt was started, and not how it ended.
+  bool start_recorded = false;
+  Time last_crash{0};
+  Time running_since{0};  // of the present attempt; 0: not running
   std::uint64_t attempt = 0;
   std::uint64_t offer_sequence = 0;
   Time last_sent{0};   // when the last offer, stop or go was sent
--- a/Source/scheduler/journal.cc
+++ b/Source/scheduler/journal.cc
@@ -10,6 +10,7 @@
 #include "scheduler/job_records.h"
 #include "scheduler/job_status.h"
 #include "scheduler/journal_check.h"
+#include "scheduler/task_crashes.h"
 
 namespace burdockrock {
 
@@ -72,6 +73,8 @@
     OnEndRecorded(context, end->job, end->task, outcome);
   } else if (const auto* dispatch = std::get_if<DispatchAppend>(&purpose)) {
     OnDispatchRecorded(context, dispatch->job, dispatch->task, outcome);
+  } else if (const auto* start = std::get_if<StartAppend>(&purpose)) {
+    OnStartRecorded(context, start->job, start->task, outcome);
   } else if (const auto* cancel = std::get_if<CancelAppend>(&purpose)) {
     OnCancelRecorded(context, cancel->job, outcome);
   } else if (const auto* claim = std::get_if<ClaimAppend>(&purpose)) {
--- a/Source/scheduler/journal.h
+++ b/Source/scheduler/journal.h
@@ -29,6 +29,10 @@
   std::string job;
   std::uint32_t task = 0;
 };
+struct StartAppend {
+  std::string job;
+  std::uint32_t task = 0;
+};
 struct CancelAppend {
   std::string job;
 };
@@ -49,6 +53,7 @@
 using AppendPurpose = std::variant<JobAppend,
                                    EndAppend,
                                    DispatchAppend,
+                                   StartAppend,
                                    CancelAppend,
                                    ClaimAppend,
                                    GenerationAppend,
@@ -88,6 +93,8 @@
 LogRecord RecordOfEnd(const Job& job, std::uint32_t task);
 LogRecord RecordOfDispatch(const Job& job, std::uint32_t task);
 LogRecord RecordOfCancel(const Job& job);
+// The crashes under a task, and whether an attempt of it was started since.
+LogRecord RecordOfCrashes(const Job& job, std::uint32_t task);
 
 LogRecord RecordOfGeneration(const Journal& journal);
 
--- a/Source/scheduler/request_runs.cc
+++ b/Source/scheduler/request_runs.cc
@@ -14,6 +14,9 @@
 // Weight of the newest run in the moving average.
 constexpr double kNewestRunWeight = 0.05;
 constexpr double kMaxRetryTokens = 100;
+// Runs of one request that may be lost with their minions, as the request may
+// crash them.
+constexpr std::uint32_t kMaxLostRuns = 3;
 
 bool TakeRetryToken(Context& context) {
   Requests& requests = context.state().requests;
@@ -149,7 +152,11 @@
   }
   RequestEntry& entry = it->second;
   entry.may_have_run = true;
+  ++entry.lost_runs;
+  // A peer would not know of the lost runs.
+  entry.forwarded_once = true;
   const bool may_retry = entry.request.idempotent && !entry.answered &&
+                         entry.lost_runs < kMaxLostRuns &&
                          entry.tries < context.policy().retries.max_attempts &&
                          TakeRetryToken(context);
   if (!may_retry) {
--- a/Source/scheduler/requests.h
+++ b/Source/scheduler/requests.h
@@ -48,6 +48,7 @@
   AttemptId attempt;
   Time started{0};
   std::uint32_t tries = 0;
+  std::uint32_t lost_runs = 0;  // by a minion that may have crashed under them
   std::uint64_t claim_ticket = 0;
   bool claimed = false;
 };
--- a/Source/scheduler/search.cc
+++ b/Source/scheduler/search.cc
@@ -7,6 +7,7 @@
 #include "scheduler/attempt_updates.h"
 #include "scheduler/context.h"
 #include "scheduler/gangs.h"
+#include "scheduler/task_crashes.h"
 
 namespace burdockrock {
 
@@ -168,6 +169,15 @@
   });
 }
 
+// Whether the task's attempt was at work and its worker, whose owner is known,
+// has forgotten it; or it was started by a former writer, and no worker has it.
+bool HasVanished(const Search& search, const Task& task) {
+  if (task.worker.empty()) {
+    return task.start_recorded;
+  }
+  return task.running_since != Time(0) && search.covered.contains(task.worker);
+}
+
 // Declares lost the attempts of orphaned tasks whose workers are all covered.
 void LoseCoveredAttempts(Context& context, const std::string& log) {
   const Search search = context.state().searches.at(log);
@@ -189,7 +199,14 @@
   }
   for (const Lost& it : lost) {
     Job* job = FindJob(context, it.job);
-    if (job != nullptr && job->tasks[it.task].state == TaskState::kOrphaned) {
+    if (job == nullptr || job->tasks[it.task].state != TaskState::kOrphaned) {
+      continue;
+    }
+    Task& task = job->tasks[it.task];
+    if (HasVanished(search, task)) {
+      OnAttemptCrashed(context, *job, it.task);
+    } else {
+      task.may_have_crashed = task.may_have_crashed || task.worker.empty();
       OnAttemptLost(context, *job, it.task);
     }
   }
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -9,6 +9,7 @@
 #include "scheduler/context.h"
 #include "scheduler/forwarding.h"
 #include "scheduler/gangs.h"
+#include "scheduler/task_crashes.h"
 
 namespace burdockrock {
 
@@ -101,16 +102,32 @@
                                             : WorkerPolicy::kPack;
 }
 
+// An owned worker on which nothing runs; nothing if there is none.
+std::optional<TargetIndex> PickEmptyWorker(const State& state,
+                                           const Resources& need) {
+  const auto emptiest = state.placement.PickWorker(need, WorkerPolicy::kSpread);
+  const bool is_empty =
+      emptiest && state.placement.free(*emptiest) ==
+                      state.placement.info(*emptiest).capacity;
+  return is_empty ? emptiest : std::nullopt;
+}
+
 bool PlaceTask(Context& context, Job& job, std::uint32_t index) {
   State& state = context.state();
+  Task& task = job.tasks[index];
+  const bool isolated = IsIsolated(context, task);
   const auto local =
-      state.placement.PickWorker(job.spec.resources, PolicyOf(job));
+      isolated ? PickEmptyWorker(state, job.spec.resources)
+               : state.placement.PickWorker(job.spec.resources, PolicyOf(job));
   const std::string peer =
-      local ? "" : ChoosePeerForTask(context, job.spec.resources);
+      local || isolated ? "" : ChoosePeerForTask(context, job.spec.resources);
   if (!local && peer.empty()) {
     return false;
   }
-  Task& task = job.tasks[index];
+  if (MustRecordStart(task) && !task.start_recorded) {
+    RecordStart(context, job, index);
+    return true;
+  }
   if (!job.spec.idempotent && !task.dispatched) {
     RecordDispatch(context, job, index);
     return true;
@@ -125,10 +142,13 @@
       state.ownership.workers.at(state.placement.info(*local).id);
   task.owner = context.self();
   task.worker = worker.info.id;
+  // A service would keep the rest of the worker from others for good.
+  const bool takes_all = isolated && job.spec.kind != JobKind::kService;
   StartOnWorker(
       context, worker,
       {.attempt = {.job = job.id, .task = index, .number = task.attempt},
-       .resources = job.spec.resources,
+       .resources = takes_all ? state.placement.info(*local).capacity
+                              : job.spec.resources,
        .payload = job.spec.payload});
   return true;
 }
--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -121,6 +121,11 @@
   return missing;
 }
 
+bool WasAtWork(const Booking& booking) {
+  return booking.confirmed != Time(0) &&
+         booking.state == AttemptState::kRunning;
+}
+
 void HandleMissing(Context& context,
                    WorkerRecord& worker,
                    const AttemptId& attempt) {
@@ -136,11 +141,15 @@
     }
     return;
   }
-  OnEndReported(context, worker,
-                {.attempt = attempt,
-                 .resources = booking.resources,
-                 .state = AttemptState::kEnded,
-                 .outcome = Outcome::kLeaseLapsed});
+  // A worker reports an end until it is acknowledged: one that has forgotten an
+  // attempt has lost its memory.
+  const bool crashed = WasAtWork(booking) && !worker.info.leaving;
+  OnEndReported(
+      context, worker,
+      {.attempt = attempt,
+       .resources = booking.resources,
+       .state = AttemptState::kEnded,
+       .outcome = crashed ? Outcome::kWorkerCrashed : Outcome::kLeaseLapsed});
 }
 
 void ApplyReports(Context& context,
@@ -446,11 +455,16 @@
       EraseBooking(context, worker, it);
       OnRunLost(context, it);
     } else {
+      // It answers nothing and the platform no longer lists it: its machine is
+      // gone, without notice unless it was leaving.
+      const bool crashed =
+          WasAtWork(booking) && worker.unresponsive && !worker.info.leaving;
       OnEndReported(context, worker,
                     {.attempt = it,
                      .resources = booking.resources,
                      .state = AttemptState::kEnded,
-                     .outcome = Outcome::kLeaseLapsed});
+                     .outcome = crashed ? Outcome::kWorkerCrashed
+                                        : Outcome::kLeaseLapsed});
     }
   }
 }
--- a/Source/wire/enum_text.h
+++ b/Source/wire/enum_text.h
@@ -43,7 +43,7 @@
 
 template <>
 struct EnumText<Outcome> {
-  static constexpr Outcome kLast = Outcome::kLeaseLapsed;
+  static constexpr Outcome kLast = Outcome::kWorkerCrashed;
   static constexpr auto* kName = &OutcomeName;
 };
 
--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -74,7 +74,8 @@
           standin::WorkerOptions{.id = id,
                                  .capacity = capacity,
                                  .default_run = options_.minion_run,
-                                 .recorder = &recorder_});
+                                 .recorder = &recorder_,
+                                 .on_crash = [this, id] { on_crash(id); }});
       instances_.push_back(
           {.id = id,
            .role = role,
--- a/Tests/scheduler/entry_group.h
+++ b/Tests/scheduler/entry_group.h
@@ -93,6 +93,9 @@
   void CutDomain(std::uint32_t domain, bool cut);
   // Stops the worker's machine: connections are refused and its tasks are lost.
   void KillWorker(const std::string& id);
+  // Called when an attempt has crashed its worker.
+  std::function<void(const std::string& worker)> on_crash =
+      [](const std::string&) {};
   // Removes the instance from the platform's list, after the list's lag,
   // without any other change.
   void DropFromList(const std::string& id);
--- a/Tests/standin/payload.cc
+++ b/Tests/standin/payload.cc
@@ -33,6 +33,10 @@
     into.use_processors_milli = ParseCount(value);
   } else if (name == "use_memory_mb") {
     into.use_memory_mb = ParseCount(value);
+  } else if (name == "crash_ms") {
+    if (const auto n = ParseCount(value)) {
+      into.crash = std::chrono::milliseconds(*n);
+    }
   } else if (name == "key") {
     into.key = value;
   }
--- a/Tests/standin/payload.h
+++ b/Tests/standin/payload.h
@@ -18,14 +18,16 @@
   std::string answer;  // "ok:" and the payload when none is given
   std::optional<std::int64_t> use_processors_milli;
   std::optional<std::int64_t> use_memory_mb;
+  // The worker's process ends this long after the start.
+  std::optional<Duration> crash;
   std::string key;  // of work that may be executed only once; may be empty
 
   auto operator<=>(const Payload&) const = default;
 };
 
 // Reads `sleep_ms=N;fail=0|1;answer=TEXT;use_processors_milli=N;
-// use_memory_mb=N;key=TEXT`. Anything else in the text is passed over, so that
-// every text is a payload.
+// use_memory_mb=N;crash_ms=N;key=TEXT`. Anything else in the text is passed
+// over, so that every text is a payload.
 Payload ParsePayload(std::string_view text);
 
 }  // namespace burdockrock::standin
--- a/Tests/standin/worker_model.cc
+++ b/Tests/standin/worker_model.cc
@@ -212,6 +212,10 @@
 
 void WorkerModel::Crash(bool forget_epoch, Time now) {
   Advance(now);
+  LoseAll(forget_epoch, now);
+}
+
+void WorkerModel::LoseAll(bool forget_epoch, Time now) {
   while (!due_.empty()) {
     End(attempts_.at(due_.begin()->second), Outcome::kFailed, now);
   }
@@ -227,10 +231,18 @@
 }
 
 void WorkerModel::Advance(Time now) {
+  now_ = now;
   while (!due_.empty() && due_.begin()->first <= now) {
     const auto [at, serial] = *due_.begin();
     Attempt& attempt = attempts_.at(serial);
-    if (attempt.run.FinishTime() <= at) {
+    const bool finished = attempt.run.FinishTime() <= at;
+    if (finished && attempt.payload.crash) {
+      LoseAll(false, at);
+      away_until_ = at + faults_.crash_away;
+      if (options_.on_crash) {
+        options_.on_crash();
+      }
+    } else if (finished) {
       End(attempt, attempt.payload.fail ? Outcome::kFailed : Outcome::kDone,
           at);
     } else {
@@ -247,7 +259,7 @@
 }
 
 bool WorkerModel::Reaches(const std::string& owner) const {
-  return !faults_.paused && !faults_.cut_owners.contains(owner);
+  return !faults_.paused && !is_away() && !faults_.cut_owners.contains(owner);
 }
 
 bool WorkerModel::ReachesWith(Epoch epoch) const {
@@ -317,7 +329,8 @@
   }
   const Duration unsaid =
       attempt.reported_until_acknowledged ? kForever : options_.default_run;
-  return {attempt.payload.sleep.value_or(unsaid), faults_.speed_percent};
+  const Duration takes = attempt.payload.sleep.value_or(unsaid);
+  return {attempt.payload.crash.value_or(takes), faults_.speed_percent};
 }
 
 void WorkerModel::Begin(Attempt& attempt, Time now) {
--- a/Tests/standin/worker_model.h
+++ b/Tests/standin/worker_model.h
@@ -39,6 +39,8 @@
   std::uint32_t speed_percent = 100;
   // Reported usage, in parts of what the attempts take.
   std::uint32_t usage_percent = 100;
+  // How long the process is away when an attempt crashes it.
+  Duration crash_away = std::chrono::seconds(2);
   // Commands of these owners, known by their epoch, do not arrive.
   std::set<std::string> cut_owners;
 
@@ -56,6 +58,8 @@
   std::size_t max_executions = 10'000;
   // May be null; must outlive the worker.
   ExecutionRecorder* recorder = nullptr;
+  // Called when an attempt has crashed the process; may be empty.
+  std::function<void()> on_crash{};
 };
 
 // A time in which an attempt ran here.
@@ -151,6 +155,8 @@
   std::uint64_t overcommit_attempts() const { return overcommit_attempts_; }
   std::uint64_t stale_commands() const { return stale_commands_; }
   std::uint64_t lapsed_leases() const { return lapsed_leases_; }
+  // Whether the process is away after a crash, as of the last command.
+  bool is_away() const { return now_ < away_until_; }
   const std::deque<Execution>& executions() const { return executions_; }
 
  private:
@@ -194,6 +200,7 @@
                     std::optional<WorkResult>& refusal);
   AttemptRun PlanRun(const Attempt& attempt) const;
   void Begin(Attempt& attempt, Time now);
+  void LoseAll(bool forget_epoch, Time now);
   void End(Attempt& attempt, Outcome outcome, Time now);
   void Remember(const AttemptId& id);
   void SetDue(Attempt& attempt);
@@ -228,6 +235,8 @@
   std::uint64_t overcommit_attempts_ = 0;
   std::uint64_t stale_commands_ = 0;
   std::uint64_t lapsed_leases_ = 0;
+  Time now_{0};
+  Time away_until_{0};  // after a crash
 };
 
 }  // namespace burdockrock::standin
