Scheduler: Claims a worker again that has forgotten its owner

Jobs waited for ever for tasks on a worker that had restarted without its memory: it refuses its owner's epoch as stale, naming a lower one, and the owner took that for an outdated answer. Found while the crash tests were written: each crash that forgot the epoch left the job hanging (crash_test "Does not count a worker that was leaving as crashed", not done after 120 s). A refusal of the present epoch that names a lower one now makes the owner claim the worker again; the report of that claim shows which attempts are gone.

--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -434,9 +434,15 @@
       context.ScheduleAt(context.now(), TimerKind::kRenew, worker.info.id);
     }
   }
-  if (stale != nullptr) {
-    OnStaleEpoch(context, worker, *stale);
+  if (stale == nullptr) {
+    return;
+  }
+  // A worker that knows only a lower epoch than the one it has accepted has
+  // lost its memory. No other process claims it while this one is its owner.
+  if (purpose.epoch == worker.epoch && stale->epoch < worker.epoch) {
+    Reclaim(context, worker);
   }
+  OnStaleEpoch(context, worker, *stale);
 }
 
 void EndAllAttempts(Context& context, WorkerRecord& worker) {
--- a/Tests/scheduler/crash_test.cc
+++ b/Tests/scheduler/crash_test.cc
@@ -149,6 +149,21 @@
   CHECK(group.Violations() == "");
 }
 
+// Guards against a worker that nobody claims: it has lost its memory and refuses
+// the epoch of its owner, which waits for it.
+TEST_CASE("Claims a worker again that has forgotten its owner") {
+  EntryGroup group({.entries = {3}, .workers = 2});
+  REQUIRE(Settle(group));
+  const std::string job =
+      AcceptJob(group, "d0-e0", JobOf(JobKind::kBatch, 16, 5000));
+  group.Run(seconds(2));
+  for (const std::string& it : WorkersOf(group)) {
+    group.worker(it).Crash(true, group.now());
+  }
+  CHECK(RunUntilDone(group, job, seconds(60)));
+  CHECK(group.Violations() == "");
+}
+
 // Guards against workers that leave, end and start again under the same name,
 // and are taken for crashed.
 TEST_CASE("Does not count a worker that was leaving as crashed") {
@@ -162,7 +177,7 @@
       if (group.worker(it).live() > 0) {
         group.MarkLeaving(it);
         group.Run(seconds(3));
-        group.worker(it).Crash(false, group.now());
+        group.worker(it).Crash(true, group.now());
       }
     }
   }
