Scheduler: Follows a worker's capacity while it runs

A changed entry of the platform's list, and a later claim, now resize the worker's room; what runs there keeps its own, also beyond the new capacity.

--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -162,7 +162,11 @@
   Ownership& ownership = context.state().ownership;
   WorkerRecord& worker = ownership.workers[info.id];
   const bool was_leaving = worker.info.leaving;
+  const bool resized = worker.info.capacity != info.capacity;
   worker.info = info;
+  if (resized) {
+    ResizeWorker(context, worker, info.capacity);
+  }
   // `leaving` is never reset: a list with a higher revision may come from a
   // part of the platform that doesn't know of the leaving yet, and must not
   // cause new work to be sent to a backend server that has left.
--- a/Source/scheduler/ownership.cc
+++ b/Source/scheduler/ownership.cc
@@ -306,6 +306,26 @@
                     RenewPurpose{.sent = context.now(), .is_poll = true});
 }
 
+void ResizeWorker(Context& context,
+                  WorkerRecord& worker,
+                  const Resources& capacity) {
+  PlacementIndex& placement = context.state().placement;
+  if (!worker.index || placement.info(*worker.index).capacity == capacity) {
+    return;
+  }
+  TargetInfo info = placement.info(*worker.index);
+  info.capacity = capacity;
+  placement.Remove(*worker.index);
+  worker.index = placement.Add(std::move(info));
+  for (const auto& [attempt, booking] : worker.bookings) {
+    if (booking.holds_room) {
+      placement.ForceTake(*worker.index, booking.resources);
+    }
+  }
+  UpdateOpen(context, worker);
+  context.state().tasks.pass_needed = true;
+}
+
 void Reclaim(Context& context, WorkerRecord& worker) {
   if (!IsOurs(worker) || worker.claim_in_flight) {
     return;
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -132,6 +132,12 @@
 // Opens or closes the worker for new work, according to its record.
 void UpdateOpen(Context& context, WorkerRecord& worker);
 
+// Applies a changed capacity to the worker's room, if it is owned. What it has
+// keeps its room, also beyond the new capacity.
+void ResizeWorker(Context& context,
+                  WorkerRecord& worker,
+                  const Resources& capacity);
+
 // Reserves capacity of the worker for the attempt; false if it doesn't fit.
 bool BookAttempt(Context& context, WorkerRecord& worker, Booking booking);
 
--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -173,6 +173,7 @@
     worker.state = OwnerState::kOwned;
   }
   if (worker.index) {
+    ResizeWorker(context, worker, capacity);
     return;
   }
   worker.index = state.placement.Add({.id = worker.info.id,
--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -319,6 +319,12 @@
   DropFromList(id);
 }
 
+void EntryGroup::SetCapacity(const std::string& id, const Resources& capacity) {
+  machines_.at(id).model->SetCapacity(capacity);
+  platform_.instances().SetCapacity(id, capacity, now_);
+  AdvancePlatform();
+}
+
 void EntryGroup::DropFromList(const std::string& id) {
   platform_.instances().Remove(id, now_);
   AdvancePlatform();
--- a/Tests/scheduler/entry_group.h
+++ b/Tests/scheduler/entry_group.h
@@ -96,6 +96,8 @@
   // Called when an attempt has crashed its worker.
   std::function<void(const std::string& worker)> on_crash =
       [](const std::string&) {};
+  // Changes the worker's capacity, and, after the list's lag, its entry there.
+  void SetCapacity(const std::string& id, const Resources& capacity);
   // Removes the instance from the platform's list, after the list's lag,
   // without any other change.
   void DropFromList(const std::string& id);
--- a/Tests/standin/lagging_instances.cc
+++ b/Tests/standin/lagging_instances.cc
@@ -29,6 +29,17 @@
   Upsert(instance, now);
 }
 
+void LaggingInstances::SetCapacity(const std::string& id,
+                                   const Resources& capacity,
+                                   Time now) {
+  const auto it = actual_.find(id);
+  if (it != actual_.end()) {
+    InstanceInfo instance = it->second;
+    instance.capacity = capacity;
+    Upsert(instance, now);
+  }
+}
+
 void LaggingInstances::Remove(const std::string& id, Time now) {
   actual_.erase(id);
   pending_.emplace(now + lag_, Change{.id = id, .instance = std::nullopt});
--- a/Tests/standin/lagging_instances.h
+++ b/Tests/standin/lagging_instances.h
@@ -25,6 +25,7 @@
 
   void Upsert(const InstanceInfo& instance, Time now);
   void MarkLeaving(const std::string& id, bool leaving, Time now);
+  void SetCapacity(const std::string& id, const Resources& capacity, Time now);
   void Remove(const std::string& id, Time now);
 
   // Makes visible what is due. True when the visible list changed.
--- a/Tests/standin/worker_model.h
+++ b/Tests/standin/worker_model.h
@@ -136,6 +136,9 @@
   std::optional<WorkResult> Checkpoint(const CheckpointCommand& command,
                                        Time now);
 
+  // What runs goes on; starts that don't fit any more are refused.
+  void SetCapacity(const Resources& capacity) { options_.capacity = capacity; }
+
   // Loses all attempts. The highest epoch is kept unless `forget_epoch`.
   void Crash(bool forget_epoch, Time now);
 
