Soak: Crashes workers by their tasks, and shrinks workers

The stand-ins' workers now read crash_ms from a payload and are back under a new id after 2 s, on both wires and for flat jobs; the control sets a worker's processors. Callers of the soak submit such jobs, and workers shrink to an eighth and grow again. The checkers find what was planted: a crashing task that is started three times after three crashes, work beside it that is given up, and a start on a worker that shrank 4.5 s before.

--- a/Tests/process/busy_callers.py
+++ b/Tests/process/busy_callers.py
@@ -51,15 +51,21 @@
     body: dict | None = None
 
 
+def payload(sleep_ms, crash_ms):
+    """What a stand-in's worker does: sleeps, or crashes after a while."""
+    crash = "" if crash_ms is None else f";crash_ms={crash_ms}"
+    return f"sleep_ms={sleep_ms}{crash}"
+
+
 class OwnCalls:
     """Calls about jobs of steps on burdockrock's own path."""
     host = "burdockrock"
 
     @staticmethod
-    def submit(job_id, sleep_ms):
+    def submit(job_id, sleep_ms, crash_ms=None):
         return Call("POST", "/v1/jobs", {
             "id": job_id, "queue": "proposals",
-            "payload": f"sleep_ms={sleep_ms}",
+            "payload": payload(sleep_ms, crash_ms),
             "steps": [{"count": 1, "estimate_ms": sleep_ms,
                        "each": {"processors_milli": 500, "memory_mb": 64}}]})
 
@@ -78,11 +84,11 @@
     host = "burdockrock"
 
     @staticmethod
-    def submit(_job_id, sleep_ms):
+    def submit(_job_id, sleep_ms, crash_ms=None):
         return Call("POST", "/v1/jobs", {
             "kind": "batch", "count": 2, "run_time_ms": sleep_ms,
             "resources": {"processors_milli": 100, "memory_mb": 64},
-            "payload": f"sleep_ms={sleep_ms}"})
+            "payload": payload(sleep_ms, crash_ms)})
 
     @staticmethod
     def state(job_id):
@@ -100,9 +106,9 @@
     host = "grants.example"
 
     @staticmethod
-    def submit(job_id, sleep_ms):
+    def submit(job_id, sleep_ms, crash_ms=None):
         return Call("POST", f"/proposals/{job_id}", {
-            "spec": f"sleep_ms={sleep_ms}",
+            "spec": payload(sleep_ms, crash_ms),
             "steps": [{"count": 1, "estimate_ms": sleep_ms, "cpu": 500,
                        "mem_mb": 64}]})
 
--- a/Tests/soak/callers.py
+++ b/Tests/soak/callers.py
@@ -12,6 +12,7 @@
 ANSWER_TIMEOUT_S = 15
 RECENT_JOBS = 200
 MOST_QUESTIONS = 4000
+CRASH_MS = (10, 100, 400, 1500)
 ENDED = ("completed", "failed", "cancelled")
 
 
@@ -82,7 +83,6 @@
         self._lock = threading.Lock()
         self.accepted = {}  # when, by id
         self.ended = set()
-        self.cancelling = set()
         self._recent = []
 
     def note(self, method, job_id, status, state):
@@ -93,25 +93,24 @@
             elif state in ENDED:
                 self.ended.add(job_id)
 
-    def note_cancel(self, job_id):
-        with self._lock:
-            self.cancelling.add(job_id)
-
     def recent(self, chance):
         with self._lock:
             return chance.choice(self._recent) if self._recent else None
 
     def open(self):
-        """Accepted jobs that nobody has tried to cancel or seen ended."""
+        """Accepted jobs that nobody has seen ended. Also those that somebody has
+        tried to cancel: the cancel may not have reached an instance."""
         with self._lock:
-            return sorted(set(self.accepted) - self.ended - self.cancelling)
+            return sorted(set(self.accepted) - self.ended)
 
 
 class Caller(threading.Thread):
     """`place` gives the instance and the address to use now."""
 
-    def __init__(self, asker, calls, jobs, load, place, prefix):
+    def __init__(self, asker, calls, jobs, load, place, prefix,
+                 crashes_first=False):
         super().__init__(daemon=True)
+        self._crashes_first = crashes_first
         self._asker = asker
         self._calls = calls
         self._jobs = jobs
@@ -119,6 +118,7 @@
         self._place = place
         self._prefix = prefix
         self._chance = random.Random(prefix)
+        self._crash_chance = random.Random(f"crashes {prefix}")
         self._stopping = threading.Event()
 
     def stop(self):
@@ -132,7 +132,8 @@
         self._asker.close()
 
     def _play(self, job_id):
-        submit = self._calls.submit(job_id, self._load["sleep_ms"])
+        submit = self._calls.submit(job_id, self._load["sleep_ms"],
+                                    self._crash_ms())
         while self._ask(submit, job_id)[0] not in (200, 202):
             if self._stopping.is_set():
                 return
@@ -145,17 +146,23 @@
             if self._stopping.is_set():
                 return
             if number == cancel_at:
-                self._jobs.note_cancel(job_id)
                 self._ask(self._calls.cancel(job_id), job_id)
             elif self._chance.random() < self._load["elsewhere"]:
                 self._ask_for_another(job_id)
             elif self._ask(self._calls.state(job_id), job_id)[1] in ENDED:
                 return
 
+    def _crash_ms(self):
+        """When the next job crashes its workers; None for most."""
+        crashes = self._crash_chance.random() < self._load["crashing"]
+        if not crashes and not self._crashes_first:
+            return None
+        self._crashes_first = False
+        return self._crash_chance.choice(CRASH_MS)
+
     def _ask_for_another(self, job_id):
         other = self._jobs.recent(self._chance) or job_id
         if self._chance.random() < self._load["cancels"] / 10:
-            self._jobs.note_cancel(other)
             self._ask(self._calls.cancel(other), other)
         else:
             self._ask(self._calls.state(other), other)
--- a/Tests/soak/checkers/__init__.py
+++ b/Tests/soak/checkers/__init__.py
@@ -3,11 +3,11 @@
 gives messages with the events around them. Some have `unsure`, which tells
 what they could not check."""
 
-from . import (attempts, bounded, cancels, configuration, cut, doubled, growth,
-               kept, refused, resources, room, states, stops)
+from . import (attempts, bounded, cancels, configuration, crashes, cut,
+               doubled, growth, kept, refused, resources, room, states, stops)
 from .history import Breach, History
 
-CHECKERS = (cut, doubled, room, attempts, kept, refused, states, cancels,
+CHECKERS = (cut, doubled, room, attempts, crashes, kept, refused, states, cancels,
             stops, bounded, resources, growth, configuration)
 
 
--- a/Tests/soak/checkers/history.py
+++ b/Tests/soak/checkers/history.py
@@ -71,6 +71,7 @@
         self.max_attempts = self._bound("max_attempts")
         self.max_descriptors = self._bound("max_descriptors")
         self.max_resident_kb = self._bound("max_resident_kb")
+        self.shrunk_milli = self._bound("shrunk_milli")
         self.workers = self._bound("capacity_milli") or self._bound("workers")
 
     def _json(self, name):
--- a/Tests/soak/checkers/kept.py
+++ b/Tests/soak/checkers/kept.py
@@ -6,6 +6,9 @@
 UNKNOWN = (404, 410)
 # An ended job may be forgotten after so long.
 KEPT_S = 100
+# A task may be given up when so many workers have crashed under it. Others fail
+# by their own ends only.
+MIN_CRASHES = 2
 
 
 def check(history):
@@ -51,6 +54,9 @@
 
 
 def _has_cause(history, job):
-    failed = [it.task for it in history.runs_by_job.get(job, ())
-              if it.how == "failed"]
-    return any(failed.count(it) >= (history.max_attempts or 1) for it in failed)
+    runs = history.runs_by_job.get(job, ())
+    failed = [it.task for it in runs if it.how == "failed"]
+    crashed = [it.task for it in runs if not it.how and it.field("crash_ms")]
+    return (any(failed.count(it) >= (history.max_attempts or 1)
+                for it in failed)
+            or any(crashed.count(it) >= MIN_CRASHES for it in crashed))
--- a/Tests/soak/checkers_test.py
+++ b/Tests/soak/checkers_test.py
@@ -119,6 +119,25 @@
     "a worker gets too much": (
         "room", "1100 of 1000",
         plant("runs", run("x.0.0.0", 12.2), run("y.0.0.0", 12.2, payload=""))),
+    "a worker that has shrunk gets too much": (
+        "room", "1200 of 1000",
+        lambda it: (
+            it.meta["bounds"]["capacity_milli"].update(w1=8000),
+            it.meta["bounds"].update(shrunk_milli=1000),
+            plant("faults", fault("worker_shrink", "w1", 30, 40))(it),
+            plant("runs", run("x.0.0.0", 36), run("y.0.0.0", 36.1))(it))),
+    "a crashing task is started on": (
+        "crashes", "3 times after 3 crashes",
+        lambda it: plant("runs", *(
+            run("x.0.0.0", 30 + number, number + 1, None, machine="w2",
+                payload="crash_ms=500;processors=500")
+            for number in range(6)))(it)),
+    "work beside a crashing task is given up": (
+        "kept", "without a cause",
+        lambda it: (
+            it.runs.pop(3), it.runs.pop(2),
+            plant("runs", *(run("b.0.0.0", 12 + number, number + 1, None)
+                            for number in range(3)))(it))),
     "one more try": (
         "attempts", "after 2 failures",
         plant("runs", run("b.0.0.0", 14, 3, "failed"))),
@@ -206,6 +225,16 @@
 
 # What is allowed under these faults, or by these settings.
 ALLOWED = {
+    "a worker that has just shrunk gets too much": lambda it: (
+        it.meta["bounds"]["capacity_milli"].update(w1=8000),
+        it.meta["bounds"].update(shrunk_milli=1000),
+        plant("faults", fault("worker_shrink", "w1", 35, 40))(it),
+        plant("runs", run("x.0.0.0", 36), run("y.0.0.0", 36.1))(it)),
+    "a crashing task is given up": lambda it: (
+        it.runs.pop(3), it.runs.pop(2),
+        plant("runs", *(run("b.0.0.0", 12 + number, number + 1, None,
+                            payload="crash_ms=500;processors=500")
+                        for number in range(3)))(it)),
     "a paused instance is slow": lambda it: (
         plant("exchanges", exchange("a", "GET", 30, 200, "completed",
                                     answered=36.2, closed=36.2))(it),
--- a/Tests/soak/faults.py
+++ b/Tests/soak/faults.py
@@ -8,7 +8,11 @@
 import time
 
 from cluster import TestFailure, call
+from fleet import SHRUNK_MILLI, WORKER_MILLI
 
+# Drawn apart from the other kinds, so that a seed keeps the schedule that it had
+# before they came.
+ADDED_KINDS = ("worker_shrink",)
 QUEUES_ADDED = ("reviews", "appeals", "surveys")
 # A store's or worker's fault, a proxy's and a pause last from the first to
 # the second.
@@ -17,6 +21,8 @@
 PROXY_S = (0.2, 3)
 PAUSE_S = (0.5, 6)
 RESTART_S = (0, 1.5)
+# Long enough for the worker's owner to have to know of it.
+SHRINK_S = (5, 8)
 OVERLAP_S = (0, 0.8)
 IN_START_S = (0, 0.5)
 LOST_ANSWERS = (1, 300)
@@ -32,17 +38,30 @@
 
 
 def schedule(seed, settings):
-    chance = random.Random(f"faults {seed}")
-    weights = settings["weights"]
-    kinds = sorted(it for it in weights if weights[it] > 0)
+    weights = {kind: it for kind, it in settings["weights"].items() if it > 0}
+    base = {it: weights[it] for it in weights if it not in ADDED_KINDS}
+    added = {it: weights[it] for it in weights if it in ADDED_KINDS}
+    times = settings["time"]
+    faults = _draw(f"faults {seed}", str(seed), base, times,
+                   times["between_faults_s"])
+    if added:
+        share = sum(added.values()) / (sum(base.values()) or 1)
+        faults += _draw(f"added faults {seed}", f"{seed} added", added, times,
+                        times["between_faults_s"] / share)
+    return sorted(faults, key=lambda it: it.at)
+
+
+def _draw(stream, prefix, weights, times, between_s):
+    chance = random.Random(stream)
+    kinds = sorted(weights)
     faults = []
     at = 0.0
     while kinds:
-        at += chance.expovariate(1 / settings["time"]["between_faults_s"])
-        if at > settings["time"]["faults_s"]:
+        at += chance.expovariate(1 / between_s)
+        if at > times["faults_s"]:
             break
         kind = chance.choices(kinds, [weights[it] for it in kinds])[0]
-        faults.append(Fault(at, kind, f"{seed} {len(faults)} {kind}"))
+        faults.append(Fault(at, kind, f"{prefix} {len(faults)} {kind}"))
     return faults
 
 
@@ -306,7 +325,11 @@
             "failing": ({"fail": True}, {"fail": False}),
             "late": ({"late_ms": int(seconds * 300)}, {"late_ms": 0}),
             "gone": ({"gone": True, "back": False}, {"back": True}),
+            "shrink": ({"processors_milli": SHRUNK_MILLI},
+                       {"processors_milli": WORKER_MILLI}),
         }[kind]
+        if kind == "shrink":
+            seconds = chance.uniform(*SHRINK_S)
         lock = self._claim_name(f"worker {name}")
         try:
             self._for_a_time(
--- a/Tests/soak/fleet.py
+++ b/Tests/soak/fleet.py
@@ -10,6 +10,7 @@
 from soak_settings import DOMAINS
 
 WORKER_MILLI = 8000
+SHRUNK_MILLI = 1000  # of a worker whose capacity has shrunk
 START_BOUND_S = 30
 PUT_TIMEOUT_S = 3
 POLL_S = 0.02
--- a/Tests/soak/run_one.py
+++ b/Tests/soak/run_one.py
@@ -10,7 +10,7 @@
 from callers import Asker, Caller, Jobs
 from cluster import TestFailure, own_loopback_ip
 from faults import FaultRunner, schedule
-from fleet import FLEETS, WORKER_MILLI
+from fleet import FLEETS, SHRUNK_MILLI, WORKER_MILLI
 from history import AFTER_FAULT_S, History, Sampler, overlaps
 from proxy import Proxy
 
@@ -69,6 +69,7 @@
             "settings": self._settings, "entries": self._cluster.slots,
             "bounds": {"grace_s": self._cluster.grace_s,
                        "max_attempts": MAX_ATTEMPTS,
+                       "shrunk_milli": SHRUNK_MILLI,
                        "capacity_milli": {it: WORKER_MILLI for it in
                                           self._cluster.worker_names()}},
             "began": began, "settled": self._settled,
@@ -105,7 +106,8 @@
             asker = Asker(self._cluster.calls, self._history,
                           "proxy" if proxied else "direct")
             made.append(Caller(asker, self._cluster.calls, self._jobs, load,
-                               place, f"job-{self._seed}-{number}"))
+                               place, f"job-{self._seed}-{number}",
+                               crashes_first=number == 0))
         return made
 
     def _disturb(self, proxy, seconds):
--- a/Tests/soak/soak_settings.py
+++ b/Tests/soak/soak_settings.py
@@ -12,7 +12,7 @@
     "hangup_changed": 2, "store_down": 2, "store_refuse": 2, "store_lose": 3,
     "store_slow": 2, "store_forget": 2, "store_revoke": 1, "worker_silent": 3,
     "worker_still": 2, "worker_draining": 2, "worker_failing": 1,
-    "worker_late": 1, "worker_gone": 2,
+    "worker_late": 1, "worker_gone": 2, "worker_shrink": 2,
     "configuration": 5, "proxy_delay": 2, "proxy_reset": 2,
     "proxy_silence": 2, "proxy_cut_up": 1, "proxy_cut_down": 1}
 
@@ -22,7 +22,8 @@
               "workers_per_domain": (1, 200)},
     "load": {"callers": (1, 2000), "proxied": (0, 2000),
              "sleep_ms": (1, 60000), "cancels": (0, 1), "abandons": (0, 1),
-             "elsewhere": (0, 1), "pause_ms": (0, 60000)},
+             "elsewhere": (0, 1), "pause_ms": (0, 60000),
+             "crashing": (0, 1)},
     "time": {"warm_up_s": (0, 60), "faults_s": (1, 3600),
              "between_faults_s": (0.05, 60), "settle_s": (1, 120)},
     "weights": {it: (0, 1000) for it in WEIGHTS},
@@ -31,11 +32,13 @@
 DEFAULTS = {
     "fleet": {"entries": 3, "domains": 2, "workers_per_domain": 4},
     # Shares: of the jobs that are cancelled, of those that nobody asks for
-    # after their submission, and of the questions for other callers' jobs.
+    # after their submission, of the questions for other callers' jobs, and of
+    # the jobs that crash their workers.
     "load": {"callers": 24, "proxied": 6, "sleep_ms": 200, "cancels": 0.1,
-             "abandons": 0.1, "elsewhere": 0.2, "pause_ms": 0},
+             "abandons": 0.1, "elsewhere": 0.2, "pause_ms": 0,
+             "crashing": 0.0005},
     "time": {"warm_up_s": 1, "faults_s": 18, "between_faults_s": 0.6,
-             "settle_s": 20},
+             "settle_s": 45},
     "weights": WEIGHTS,
 }
 
--- a/Tests/standin/standin_control.cc
+++ b/Tests/standin/standin_control.cc
@@ -105,6 +105,7 @@
   std::optional<bool> fail;
   std::optional<Duration> still;
   std::optional<Duration> late;
+  std::optional<std::int64_t> processors_milli;
   bool gone = false;
   bool back = false;
 };
@@ -116,6 +117,7 @@
   keep("fail", it.fail);
   keep("still_ms", it.still);
   keep("late_ms", it.late);
+  keep("processors_milli", it.processors_milli);
   keep("gone", it.gone);
   keep("back", it.back);
 }
@@ -138,6 +140,9 @@
   if (change.draining) {
     steps.List(id, *change.draining);
   }
+  if (change.processors_milli) {
+    steps.SetProcessors(id, *change.processors_milli);
+  }
   if (change.gone) {
     steps.TakeAway(id);
   }
--- a/Tests/standin/steps_cluster.cc
+++ b/Tests/standin/steps_cluster.cc
@@ -11,6 +11,11 @@
 
 namespace {
 
+// How long a worker is away after a crash.
+constexpr Duration kCrashAway = std::chrono::seconds(2);
+// After this time without a heartbeat the store drops a worker's entry.
+constexpr Duration kEntryLifetime = std::chrono::milliseconds(4500);
+
 engine::WorkerInfo InfoOf(const InstanceSettings& settings) {
   const InstanceInfo& info = settings.info;
   return {.id = info.id,
@@ -58,6 +63,7 @@
   for (const InstanceSettings& it : settings.workers) {
     workers_[it.info.id] = std::make_unique<StepsWorkerServer>(
         io, wire_, InfoOf(it), seen_, delays_);
+    workers_[it.info.id]->on_crash = [this, id = it.info.id] { Crash(id); };
     machines_[it.info.id] = it.info.id;
   }
 }
@@ -136,7 +142,7 @@
 void StepsCluster::List(const std::string& id, bool draining) {
   engine::WorkerInfo& info = workers_.at(id)->worker().info();
   info.draining = draining;
-  if (!gone_.contains(id)) {
+  if (!gone_.contains(id) && !workers_.at(id)->away) {
     store_.store().Put(wire_.worker_prefix + info.id, wire_.encode_entry(info));
   }
 }
@@ -156,13 +162,37 @@
     return;
   }
   StepsWorkerServer& server = *workers_.at(id);
-  const std::string life = fmt::format("{}-life{}", id, machines_.size());
-  machines_[life] = id;
   server.silent = false;
-  server.worker().Crash(MonotonicNow(), life);
+  server.worker().Crash(MonotonicNow(), NextLife(id));
   List(id, false);
 }
 
+std::string StepsCluster::NextLife(const std::string& id) {
+  std::string life = fmt::format("{}-life{}", id, machines_.size());
+  machines_[life] = id;
+  return life;
+}
+
+void StepsCluster::Crash(const std::string& id) {
+  StepsWorkerServer& server = *workers_.at(id);
+  const std::string entry = wire_.worker_prefix + server.worker().info().id;
+  server.away = true;
+  server.worker().Crash(MonotonicNow(), NextLife(id));
+  delays_.After(kCrashAway, [this, id, &server] {
+    server.away = false;
+    List(id, server.worker().info().draining);
+  });
+  delays_.After(kEntryLifetime,
+                [this, entry] { store_.store().Remove(entry); });
+}
+
+void StepsCluster::SetProcessors(const std::string& id,
+                                 std::int64_t processors_milli) {
+  engine::WorkerInfo& info = workers_.at(id)->worker().info();
+  info.capacity.processors_milli = processors_milli;
+  List(id, info.draining);
+}
+
 void StepsCluster::Advance(Time now) {
   for (const auto& [id, worker] : workers_) {
     worker->worker().Advance(now);
--- a/Tests/standin/steps_cluster.h
+++ b/Tests/standin/steps_cluster.h
@@ -43,6 +43,9 @@
   // Writes the worker's entry in the store.
   void List(const std::string& id, bool draining);
 
+  // Changes the worker's capacity, and its entry in the store.
+  void SetProcessors(const std::string& id, std::int64_t processors_milli);
+
   // The worker is gone with all that runs there, and its entry too.
   void TakeAway(const std::string& id);
   // Another life of the worker comes, with another id. Nothing happens unless
@@ -50,6 +53,10 @@
   void BringBack(const std::string& id);
 
  private:
+  // The worker's process ends without notice; another one comes soon.
+  void Crash(const std::string& id);
+  // The id of another life of the worker.
+  std::string NextLife(const std::string& id);
   // Lets time pass at all workers.
   void Advance(Time now);
 
--- a/Tests/standin/steps_servers.cc
+++ b/Tests/standin/steps_servers.cc
@@ -101,6 +101,9 @@
     : ServerBase(io, delays), wire_(wire), worker_(std::move(info), seen) {
   worker_.plan_start = [this](const engine::StartRun& order) {
     const Payload payload = ParsePayload(order.payload);
+    if (payload.crash) {
+      return engine::RunPlan{.takes = *payload.crash, .crashes = true};
+    }
     return engine::RunPlan{.takes = payload.sleep.value_or(kDefaultRun),
                            .how = fail || payload.fail ? engine::RunEnd::kFailed
                                                        : engine::RunEnd::kDone};
@@ -119,7 +122,7 @@
 
 void StepsWorkerServer::OnRequest(const HttpRequest& request,
                                   const HttpServer::Responder& respond) {
-  if (silent) {
+  if (silent || away) {
     return delays().Lose(respond);
   }
   const auto decoded = wire_.decode_worker(request);
@@ -146,7 +149,9 @@
     return delays().After(late, [poll] { poll(MonotonicNow(), false); });
   }
   const Time now = MonotonicNow();
-  if (const auto answer = poll(now, false)) {
+  const auto answer = poll(now, false);
+  AwaitCrash(now);
+  if (answer) {
     return Answer(respond, *answer);
   }
   const auto& hold = std::get<engine::PollWorker>(call.request);
@@ -154,10 +159,20 @@
   Arm(now + kPoll);
 }
 
+void StepsWorkerServer::AwaitCrash(Time now) {
+  const Time due = worker_.NextCrash();
+  if (due <= now) {
+    on_crash();
+  } else if (due != kForever) {
+    Arm(due);
+  }
+}
+
 void StepsWorkerServer::OnTime(Time now) {
   worker_.Advance(now);
+  AwaitCrash(now);
   for (auto& [respond, response] : held_.Take(now)) {
-    if (silent) {
+    if (silent || away) {
       delays().Lose(respond);
     } else {
       Answer(respond, std::move(response));
--- a/Tests/standin/steps_servers.h
+++ b/Tests/standin/steps_servers.h
@@ -82,6 +82,10 @@
   engine::FakeWorker& worker() { return worker_; }
   // Takes calls and does not answer.
   bool silent = false;
+  // No process runs here, after a crash.
+  bool away = false;
+  // Called when a run crashes the process.
+  std::function<void()> on_crash = [] {};
   // All that is started fails.
   bool fail = false;
   // Orders to start, stop or pace a run are carried out so much later, and not
@@ -90,6 +94,8 @@
 
  private:
   void OnTime(Time now) override;
+  // Crashes the process if a run is due to do so, else waits for that.
+  void AwaitCrash(Time now);
 
   const StepsWire& wire_;
   engine::FakeWorker worker_;
