Engine: Splits the size check from callers' requests; one return to the queue

Crashes of flat jobs are counted in the metric too. The codec of crashes and stored starts has a case.

--- a/Source/engine/jobs/caller_requests.cc
+++ b/Source/engine/jobs/caller_requests.cc
@@ -7,6 +7,7 @@
 
 #include "engine/jobs/job_progress.h"
 #include "engine/jobs/job_table.h"
+#include "engine/jobs/size_check.h"
 #include "engine/members/membership.h"
 #include "engine/members/planned_stop.h"
 #include "engine/records/catalog.h"
@@ -47,35 +48,6 @@
          });
 }
 
-// Finds a task that fits on no worker of the service, even an empty one.
-std::optional<SpecFault> CheckSizes(const State& state,
-                                    const JobSpec& spec,
-                                    const std::string& service) {
-  Resources largest;
-  for (const auto& [id, it] : state.workers) {
-    if (it.info.service == service) {
-      const Resources& capacity = it.info.capacity;
-      largest.processors_milli =
-          std::max(largest.processors_milli, capacity.processors_milli);
-      largest.memory_mb = std::max(largest.memory_mb, capacity.memory_mb);
-      largest.accelerators =
-          std::max(largest.accelerators, capacity.accelerators);
-    }
-  }
-  if (largest == Resources()) {
-    return std::nullopt;
-  }
-  for (std::size_t it = 0; it < spec.steps.size(); ++it) {
-    const Resources needed = RoomOf(spec.steps[it]);
-    if (!Fits(needed, largest)) {
-      return SpecFault{.path = fmt::format("steps[{}]", it),
-                       .problem = DescribeMisfit(needed, largest),
-                       .allowed = "what the largest worker has"};
-    }
-  }
-  return std::nullopt;
-}
-
 void Create(Context& context,
             std::uint64_t call,
             const std::string& id,
--- /dev/null
+++ b/Source/engine/jobs/size_check.cc
@@ -0,0 +1,39 @@
+#include "engine/jobs/size_check.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "engine/state.h"
+
+namespace burdockrock::engine {
+
+std::optional<SpecFault> CheckSizes(const State& state,
+                                    const JobSpec& spec,
+                                    const std::string& service) {
+  Resources largest;
+  for (const auto& [id, it] : state.workers) {
+    if (it.info.service == service) {
+      const Resources& capacity = it.info.capacity;
+      largest.processors_milli =
+          std::max(largest.processors_milli, capacity.processors_milli);
+      largest.memory_mb = std::max(largest.memory_mb, capacity.memory_mb);
+      largest.accelerators =
+          std::max(largest.accelerators, capacity.accelerators);
+    }
+  }
+  if (largest == Resources()) {
+    return std::nullopt;
+  }
+  for (std::size_t it = 0; it < spec.steps.size(); ++it) {
+    const Resources needed = RoomOf(spec.steps[it]);
+    if (!Fits(needed, largest)) {
+      return SpecFault{.path = fmt::format("steps[{}]", it),
+                       .problem = DescribeMisfit(needed, largest),
+                       .allowed = "what the largest worker has"};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/jobs/size_check.h
@@ -0,0 +1,21 @@
+// Whether the tasks of a submitted job can fit on any worker.
+#ifndef BURDOCKROCK_ENGINE_JOBS_SIZE_CHECK_H_
+#define BURDOCKROCK_ENGINE_JOBS_SIZE_CHECK_H_
+
+#include <optional>
+#include <string>
+
+#include "engine/jobs/job_model.h"
+
+namespace burdockrock::engine {
+
+struct State;
+
+// Finds a task that fits on no worker of the service, even an empty one.
+std::optional<SpecFault> CheckSizes(const State& state,
+                                    const JobSpec& spec,
+                                    const std::string& service);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_JOBS_SIZE_CHECK_H_
--- a/Source/runtime/process_metrics.cc
+++ b/Source/runtime/process_metrics.cc
@@ -61,6 +61,8 @@
   }
   metrics_.GetCounter(kStartsTotal)
       .RaiseTo(static_cast<double>(figures.counters.starts));
+  metrics_.GetCounter(kTaskCrashesTotal)
+      .RaiseTo(static_cast<double>(figures.counters.crashes));
 }
 
 void ProcessMetrics::SetTraffic(std::string_view edge,
--- a/Source/scheduler/attempt_updates.cc
+++ b/Source/scheduler/attempt_updates.cc
@@ -86,13 +86,8 @@
   if (job == nullptr || job->tasks[index].state != TaskState::kDispatching) {
     return;
   }
-  Task& task = job->tasks[index];
-  task.dispatched = outcome == AppendOutcome::kCommitted;
-  task.state = TaskState::kQueued;
-  ++job->queued;
-  ++context.state().jobs.queued_tasks;
-  job->next_queued = std::min(job->next_queued, index);
-  QueueJob(context, *job);
+  job->tasks[index].dispatched = outcome == AppendOutcome::kCommitted;
+  RequeueRecorded(context, *job, index);
 }
 
 void OnAttemptRunning(Context& context,
--- a/Source/scheduler/jobs.cc
+++ b/Source/scheduler/jobs.cc
@@ -75,6 +75,14 @@
   QueueJob(context, job);
 }
 
+void RequeueRecorded(Context& context, Job& job, std::uint32_t index) {
+  job.tasks[index].state = TaskState::kQueued;
+  ++job.queued;
+  ++context.state().jobs.queued_tasks;
+  job.next_queued = std::min(job.next_queued, index);
+  QueueJob(context, job);
+}
+
 void FinishIfDone(Context& context, Job& job) {
   if (job.open > 0 || job.finished || !job.recorded) {
     return;
--- a/Source/scheduler/jobs.h
+++ b/Source/scheduler/jobs.h
@@ -160,6 +160,9 @@
 // Requeues a task that did not run; the try is not counted.
 void RequeueTask(Context& context, Job& job, std::uint32_t task);
 
+// Returns a task whose start was being recorded to the queue.
+void RequeueRecorded(Context& context, Job& job, std::uint32_t task);
+
 // Removes the job; its pending callers get the verdict that it may have run.
 void DropJob(Context& context, const std::string& id);
 
--- a/Source/scheduler/state.h
+++ b/Source/scheduler/state.h
@@ -53,6 +53,7 @@
   std::uint64_t answers[4] = {0, 0, 0, 0};  // by index of Verdict
   std::uint64_t starts = 0;
   std::uint64_t retries = 0;
+  std::uint64_t crashes = 0;  // of workers, counted against tasks
   std::uint64_t forwards = 0;
   std::uint64_t forwards_refused = 0;
   std::uint64_t claims = 0;
--- a/Source/scheduler/task_crashes.cc
+++ b/Source/scheduler/task_crashes.cc
@@ -29,6 +29,7 @@
     return OnAttemptLost(context, job, index);
   }
   ++task.crashes;
+  ++context.state().counters.crashes;
   task.last_crash = context.now();
   context.Log(EventNumber::kTaskCrashed,
               {{"job", job.id},
@@ -71,13 +72,8 @@
   if (job == nullptr || job->tasks[index].state != TaskState::kDispatching) {
     return;
   }
-  Task& task = job->tasks[index];
-  task.start_recorded = outcome == AppendOutcome::kCommitted;
-  task.state = TaskState::kQueued;
-  ++job->queued;
-  ++context.state().jobs.queued_tasks;
-  job->next_queued = std::min(job->next_queued, index);
-  QueueJob(context, *job);
+  job->tasks[index].start_recorded = outcome == AppendOutcome::kCommitted;
+  RequeueRecorded(context, *job, index);
 }
 
 bool IsIsolated(const Context& context, const Task& task) {
--- a/Tests/engine/codec_test.cc
+++ b/Tests/engine/codec_test.cc
@@ -63,6 +63,22 @@
   }
 }
 
+TEST_CASE("Crashes and stored starts are decoded as they were encoded") {
+  const JobRecord record{
+      .owner = "n0-1",
+      .generation = 2,
+      .write = 7,
+      .state = JobState::kFailed,
+      .queue = "q",
+      .cause = "3 workers crashed under task j.0.0.1",
+      .occurrences = {{.steps = {"00"},
+                       .crashed = {{.index = 1,
+                                    .runs = {1, 2},
+                                    .longest = milliseconds(3000)}},
+                       .starts = {{.index = 1, .run = 3, .worker = "w0-1"}}}}};
+  CHECK(std::get<JobRecord>(DecodeJob(EncodeJob(record))) == record);
+}
+
 TEST_CASE("Each call to a worker is decoded as it was encoded") {
   const WorkerRequest requests[] = {
       PollWorker{.fence = 3,
--- a/Tests/engine/crash_test.cc
+++ b/Tests/engine/crash_test.cc
@@ -1,6 +1,7 @@
 // Tests that a task under which workers crash is given up after a bounded
 // number of starts, and that no other task is.
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -90,18 +91,35 @@
   });
 }
 
+// Plays the job on 12 workers, whose tasks crash them after `delay`, and checks
+// that it is given up within `span`. `prepare` may add to the play.
+void PlayCrashes(
+    Duration delay,
+    const JobSpec& spec,
+    Duration span,
+    const std::function<void(Fleet&)>& prepare = [](Fleet&) {}) {
+  INFO("after " << ToMilliseconds(delay) << " ms");
+  Fleet fleet({.workers = 12, .state_kept = std::chrono::minutes(10)});
+  fleet.Settle();
+  PlanCrashes(fleet, delay);
+  prepare(fleet);
+  fleet.Submit("n0", kBad, spec);
+  fleet.Run(span);
+  CheckGivenUp(fleet, kBad);
+  CheckInvariants(fleet);
+}
+
+JobSpec Gang(std::uint32_t count) {
+  JobSpec spec = OneStep(count);
+  spec.steps[0].gang = true;
+  return spec;
+}
+
 // Guards against a task that is started without end because the loss of its
 // worker counts nothing against it.
 TEST_CASE("A task that crashes its workers is given up") {
   for (const Duration delay : kAllDelays) {
-    INFO("after " << ToMilliseconds(delay) << " ms");
-    Fleet fleet({.workers = 12});
-    fleet.Settle();
-    PlanCrashes(fleet, delay);
-    fleet.Submit("n0", kBad, OneStep(1));
-    fleet.Run(seconds(60));
-    CheckGivenUp(fleet, kBad);
-    CheckInvariants(fleet);
+    PlayCrashes(delay, OneStep(1), seconds(60));
   }
 }
 
@@ -109,57 +127,36 @@
 // crash.
 TEST_CASE("Crashes under a task outlive the owners of its job") {
   for (const Duration delay : kAllDelays) {
-    INFO("after " << ToMilliseconds(delay) << " ms");
-    Fleet fleet({.workers = 12});
-    fleet.Settle();
-    PlanCrashes(fleet, delay);
-    fleet.on_crash = [&](const std::string&) {
-      const std::string owner = OwnerOf(fleet, kBad);
-      if (!owner.empty()) {
-        Restart(fleet, owner);
-      }
-    };
-    fleet.Submit("n0", kBad, OneStep(1));
-    fleet.Run(seconds(120));
-    CheckGivenUp(fleet, kBad);
-    CheckInvariants(fleet);
+    PlayCrashes(delay, OneStep(1), seconds(120), [](Fleet& fleet) {
+      fleet.on_crash = [&fleet](const std::string&) {
+        const std::string owner = OwnerOf(fleet, kBad);
+        if (!owner.empty()) {
+          Restart(fleet, owner);
+        }
+      };
+    });
   }
 }
 
 // Guards against a count that is lost when all instances die at each crash.
 TEST_CASE("Crashes under a task outlive all instances") {
   for (const Duration delay : kAllDelays) {
-    INFO("after " << ToMilliseconds(delay) << " ms");
-    Fleet fleet({.workers = 12});
-    fleet.Settle();
-    PlanCrashes(fleet, delay);
-    fleet.on_crash = [&](const std::string&) {
-      for (const std::string& it : fleet.nodes()) {
-        if (fleet.IsUp(it)) {
-          Restart(fleet, it);
+    PlayCrashes(delay, OneStep(1), seconds(180), [](Fleet& fleet) {
+      fleet.on_crash = [&fleet](const std::string&) {
+        for (const std::string& it : fleet.nodes()) {
+          if (fleet.IsUp(it)) {
+            Restart(fleet, it);
+          }
         }
-      }
-    };
-    fleet.Submit("n0", kBad, OneStep(1));
-    fleet.Run(seconds(180));
-    CheckGivenUp(fleet, kBad);
-    CheckInvariants(fleet);
+      };
+    });
   }
 }
 
 // Guards against a gang whose members crash their workers at each start.
 TEST_CASE("A gang that crashes its workers is given up") {
   for (const Duration delay : kAllDelays) {
-    INFO("after " << ToMilliseconds(delay) << " ms");
-    Fleet fleet({.workers = 12});
-    fleet.Settle();
-    PlanCrashes(fleet, delay);
-    JobSpec spec = OneStep(3);
-    spec.steps[0].gang = true;
-    fleet.Submit("n0", kBad, spec);
-    fleet.Run(seconds(120));
-    CheckGivenUp(fleet, kBad);
-    CheckInvariants(fleet);
+    PlayCrashes(delay, Gang(3), seconds(120));
   }
 }
 
@@ -168,27 +165,21 @@
 TEST_CASE("Lasting tasks that crash their workers are given up") {
   for (const Duration delay : {milliseconds(10), milliseconds(400),
                                milliseconds(9000), milliseconds(40'000)}) {
-    INFO("after " << ToMilliseconds(delay) << " ms");
-    Fleet fleet({.workers = 12, .state_kept = std::chrono::minutes(10)});
-    fleet.Settle();
-    PlanCrashes(fleet, delay);
-    fleet.Submit("n0", kBad, Lasting(3));
-    fleet.Run(seconds(120) + 8 * delay);
-    CheckGivenUp(fleet, kBad);
-    CheckInvariants(fleet);
+    PlayCrashes(delay, Lasting(3), seconds(120) + 8 * delay);
   }
 }
 
 // Guards against copies of a task that are started without end, each after the
 // worker of the former run has crashed.
 TEST_CASE("A task with copies that crashes its workers is given up") {
+  JobSpec spec = OneStep(2);
+  spec.steps[0].concurrent = true;
   for (const Duration delay : kAllDelays) {
     INFO("after " << ToMilliseconds(delay) << " ms");
+    // Without the invariants: copies run at the same time.
     Fleet fleet({.workers = 12});
     fleet.Settle();
     PlanCrashes(fleet, delay);
-    JobSpec spec = OneStep(2);
-    spec.steps[0].concurrent = true;
     fleet.Submit("n0", kBad, spec);
     fleet.Run(seconds(60));
     CheckGivenUp(fleet, kBad);
@@ -197,53 +188,37 @@
 
 // Guards against occurrences of a repeated job that crash workers without end.
 TEST_CASE("A repeated job that crashes its workers is given up") {
-  Fleet fleet({.workers = 12});
-  fleet.Settle();
-  PlanCrashes(fleet, milliseconds(100));
   JobSpec spec = OneStep(1);
   spec.repetitions = 20;
-  spec.first_due_ms = ToMilliseconds(fleet.now());
+  spec.first_due_ms = 1'003'000;  // shortly after the fleet has settled
   spec.interval_ms = 2000;
-  fleet.Submit("n0", kBad, spec);
-  fleet.Run(seconds(60));
-  CheckGivenUp(fleet, kBad);
-  CheckInvariants(fleet);
+  PlayCrashes(milliseconds(100), spec, seconds(60));
 }
 
 // Guards against a crash that nobody counts, as the worker is back only after
 // its leases have expired and the service of machines does not answer.
 TEST_CASE("A crash counts when the worker is back after its leases") {
-  Fleet fleet({.workers = 12});
-  fleet.Settle();
-  PlanCrashes(fleet, milliseconds(100));
-  fleet.machines_answer = false;
-  fleet.crash_away = seconds(12);
-  fleet.Submit("n0", kBad, OneStep(1));
-  fleet.Run(seconds(150));
-  CheckGivenUp(fleet, kBad);
-  CheckInvariants(fleet);
+  PlayCrashes(milliseconds(100), OneStep(1), seconds(150), [](Fleet& fleet) {
+    fleet.machines_answer = false;
+    fleet.crash_away = seconds(12);
+  });
 }
 
 // Guards against a crash that is not counted, as the job's owner and that of
 // the worker are cut off from each other when it happens.
 TEST_CASE("A crash counts when its report is delayed") {
-  Fleet fleet({.workers = 12});
-  fleet.Settle();
-  PlanCrashes(fleet, milliseconds(100));
-  fleet.on_crash = [&](const std::string&) {
-    fleet.is_cut = [](const std::string& from, const std::string& to) {
-      return from == "n0" || to == "n0";
-    };
-    fleet.RunLater(milliseconds(2500), [&fleet] {
-      fleet.is_cut = [](const std::string&, const std::string&) {
-        return false;
+  PlayCrashes(milliseconds(100), OneStep(1), seconds(90), [](Fleet& fleet) {
+    fleet.on_crash = [&fleet](const std::string&) {
+      fleet.is_cut = [](const std::string& from, const std::string& to) {
+        return from == "n0" || to == "n0";
       };
-    });
-  };
-  fleet.Submit("n0", kBad, OneStep(1));
-  fleet.Run(seconds(90));
-  CheckGivenUp(fleet, kBad);
-  CheckInvariants(fleet);
+      fleet.RunLater(milliseconds(2500), [&fleet] {
+        fleet.is_cut = [](const std::string&, const std::string&) {
+          return false;
+        };
+      });
+    };
+  });
 }
 
 // Guards against work that is given up, or lost again and again, because it ran
@@ -278,8 +253,6 @@
   Fleet fleet({.workers = 6});
   fleet.Settle();
   PlanCrashes(fleet, milliseconds(400), seconds(3));
-  JobSpec gang = OneStep(6);
-  gang.steps[0].gang = true;
   for (const std::string& it : fleet.worker_names()) {
     fleet.worker(it).plan = [plan = fleet.worker(it).plan](
                                 const std::string& task, std::uint64_t run) {
@@ -288,7 +261,7 @@
     };
   }
   fleet.Submit("n0", "serve", Lasting(6));
-  fleet.Submit("n1", "gang", gang);
+  fleet.Submit("n1", "gang", Gang(6));
   for (int it = 0; it < 6; ++it) {
     fleet.Submit("n" + std::to_string(it % 3), kBad + std::to_string(it),
                  OneStep(1));
--- a/Tests/scheduler/crash_test.cc
+++ b/Tests/scheduler/crash_test.cc
@@ -1,6 +1,9 @@
 // Work under which workers and minions crash.
 #include <algorithm>
 #include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -109,6 +112,7 @@
     EntryGroup group({.entries = {3}, .workers = 6});
     REQUIRE(Settle(group));
     std::vector<std::string> good;
+    good.reserve(10);
     for (int it = 0; it < 10; ++it) {
       good.push_back(AcceptJob(group, "d0-e" + std::to_string(it % 3),
                                JobOf(JobKind::kBatch, 4, 4000)));
@@ -149,8 +153,8 @@
   CHECK(group.Violations() == "");
 }
 
-// Guards against a worker that nobody claims: it has lost its memory and refuses
-// the epoch of its owner, which waits for it.
+// Guards against a worker that nobody claims: it has lost its memory and
+// refuses the epoch of its owner, which waits for it.
 TEST_CASE("Claims a worker again that has forgotten its owner") {
   EntryGroup group({.entries = {3}, .workers = 2});
   REQUIRE(Settle(group));
