Engine: Tells that workers are closed, why, and that a task waits for them

On-call could not tell a task that waits for room from one whose workers accept nothing for now: tasks_wait (516) counted the workers in use alone, no line marked the end of a pause, and nothing said that a task waits for a worker to itself. The causes stand in one function, which is also what decides whether a worker accepts tasks. No decision changes.

condition_log_test has a case for it.

--- a/Source/engine/condition_log.cc
+++ b/Source/engine/condition_log.cc
@@ -170,6 +170,8 @@
                  {"ticketed", std::to_string(wait.ticketed)},
                  {"tickets", std::to_string(wait.tickets)},
                  {"denied", std::to_string(wait.denied)},
+                 {"closed", std::to_string(wait.closed)},
+                 {"alone", std::to_string(wait.alone)},
                  {"asked_ms", Milliseconds(wait.since_advice_check)}});
   }
   limiter.EndRound();
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -6,6 +6,7 @@
 
 #include "engine/jobs/candidates.h"
 #include "engine/jobs/placement_rule.h"
+#include "engine/jobs/task_crashes.h"
 
 namespace burdockrock::engine {
 
@@ -37,6 +38,21 @@
   }
 }
 
+// Listed workers that may run the step and accept no tasks, as far as is known
+// here.
+std::size_t CountClosed(const Context& context, const ReadyStep& ready) {
+  std::size_t closed = 0;
+  for (auto& [id, listed] : context.state.workers) {
+    const bool may_run =
+        listed.listed && listed.info.service == ready.queue->service &&
+        MayRunOn(ready.spec(), listed.info) && !ready.run().denied.contains(id);
+    if (may_run && UsableView(context.state, id, listed) == nullptr) {
+      ++closed;
+    }
+  }
+  return closed;
+}
+
 bool Waits(const ReadyStep& ready, const Task& task) {
   return task.phase == TaskPhase::kWaiting ||
          (task.phase == TaskPhase::kUnknown && ready.job->recovering);
@@ -72,7 +88,7 @@
     return WaitCause::kPlacement;
   }
   if (wait.room < least) {
-    return WaitCause::kRoom;
+    return wait.closed > 0 ? WaitCause::kClosed : WaitCause::kRoom;
   }
   return ready.run().advice_pending ? WaitCause::kAdvice : WaitCause::kTickets;
 }
@@ -91,6 +107,8 @@
       return "tickets";
     case WaitCause::kRoom:
       return "room";
+    case WaitCause::kClosed:
+      return "closed";
     case WaitCause::kPause:
       return "pause";
     case WaitCause::kPlacement:
@@ -116,9 +134,11 @@
     if (Waits(ready, it)) {
       ++wait.tasks;
       all_pause = all_pause && it.retry_at > context.now;
+      wait.alone += IsolationOf(context, it) > Duration(0) ? 1 : 0;
     }
   }
   CountRoom(context, ready, wait);
+  wait.closed = CountClosed(context, ready);
   wait.denied = ready.run().denied.size();
   if (ready.run().advice_checked_at != Time::min()) {
     wait.since_advice_check = context.now - ready.run().advice_checked_at;
--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -16,6 +16,7 @@
   kTickets,    // no worker with a ticket has room (for a gang: for all of it),
                // and no advice request is pending
   kRoom,       // no worker that may run it has room (for a gang: for all of it)
+  kClosed,     // the same, and some of these workers accept no tasks for now
   kPause,      // delay after a failed or refused start
   kPlacement,  // none of these: the next placement round can start it
 };
@@ -31,6 +32,8 @@
   std::size_t ticketed = 0;  // of these, on workers with a valid ticket
   std::size_t tickets = 0;   // valid tickets
   std::size_t denied = 0;    // workers that advice has ruled out
+  std::size_t closed = 0;    // workers that may run it and accept no tasks
+  std::size_t alone = 0;     // waiting tasks that have to be alone at a worker
   Duration since_advice_check{0};  // since advice was last considered; 0: never
 };
 
--- a/Source/engine/members/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -9,6 +9,7 @@
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/preemption.h"
 #include "engine/members/membership.h"
+#include "engine/workers/acceptance.h"
 #include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
--- a/Source/engine/workers/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -5,6 +5,7 @@
 #include "engine/jobs/preemption.h"
 #include "engine/members/membership.h"
 #include "engine/records/catalog.h"
+#include "engine/workers/acceptance.h"
 #include "engine/workers/run_ends.h"
 #include "engine/workers/worker_owner.h"
 #include "engine/workers/worker_runs.h"
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -9,6 +9,7 @@
 #include "engine/jobs/run_queries.h"
 #include "engine/members/membership.h"
 #include "engine/records/watches.h"
+#include "engine/workers/acceptance.h"
 #include "engine/workers/lease_bounds.h"
 #include "engine/workers/run_ends.h"
 #include "engine/workers/run_progress.h"
@@ -434,28 +435,10 @@
                   .accepting = Accepts(context, worker),
                   .slowness = worker.speed.slowness(),
                   .updated_at = context.now};
+  LogAcceptance(context, id, worker);
   context.state.placement_due = true;
 }
 
-bool Accepts(const Context& context, const OwnedWorker& worker) {
-  const ListedWorker* listed = FindWorker(context.state, worker.info.id);
-  const bool described =
-      std::all_of(worker.runs.begin(), worker.runs.end(),
-                  [](const auto& it) { return it.second.described; });
-  return listed != nullptr && listed->listed && !listed->info.draining &&
-         worker.claimed && described && !IsUnresponsive(worker) &&
-         worker.lease_until_ms != 0 && context.now >= worker.unhealthy_until &&
-         context.now >= worker.quarantine_until &&
-         context.now >= worker.stalled_until &&
-         context.now >= worker.leaving_until && !HasIsolatedRun(worker);
-}
-
-bool HasIsolatedRun(const OwnedWorker& worker) {
-  return std::any_of(
-      worker.runs.begin(), worker.runs.end(),
-      [](const auto& it) { return it.second.alone_for > Duration(0); });
-}
-
 Resources FreeRoom(const OwnedWorker& worker) {
   Resources free = worker.info.capacity;
   for (const auto& [task, run] : worker.runs) {
--- a/Source/engine/workers/worker_owner.h
+++ b/Source/engine/workers/worker_owner.h
@@ -42,12 +42,6 @@
 // has changed.
 void RoomChanged(Context& context, const std::string& id);
 
-// Whether new tasks may start at the worker.
-bool Accepts(const Context& context, const OwnedWorker& worker);
-
-// Whether the worker is kept for one run that has to be there alone.
-bool HasIsolatedRun(const OwnedWorker& worker);
-
 Resources FreeRoom(const OwnedWorker& worker);
 
 // The end of a lease that is requested now, in milliseconds on the worker's
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -93,6 +93,10 @@
     {EventNumber::kOffersUnanswered, Level::kWarning, "offers_unanswered",
      "A member does not answer offers of tasks and gets none until it says "
      "something"},
+    {EventNumber::kWorkerClosed, Level::kInfo, "worker_closed",
+     "A worker of this process accepts no new tasks for now"},
+    {EventNumber::kWorkerOpened, Level::kInfo, "worker_opened",
+     "A worker that was closed accepts new tasks again"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -54,6 +54,8 @@
   kClaimWaits = 316,
   kWorkerBack = 317,
   kOffersUnanswered = 318,
+  kWorkerClosed = 319,
+  kWorkerOpened = 320,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -55,6 +55,7 @@
 inline constexpr std::string_view kTaskCrashesTotal =
     "burdockrock_task_crashes_total";
 inline constexpr std::string_view kIsolatedRuns = "burdockrock_isolated_runs";
+inline constexpr std::string_view kClosedWorkers = "burdockrock_closed_workers";
 inline constexpr std::string_view kAnswersTotal = "burdockrock_answers_total";
 inline constexpr std::string_view kQueueLength = "burdockrock_queue_length";
 inline constexpr std::string_view kOwnedWorkers = "burdockrock_owned_workers";
@@ -125,6 +126,8 @@
      "Crashes of workers counted against the tasks that ran there"},
     {kIsolatedRuns, MetricKind::kGauge, "",
      "Runs that have an owned worker to themselves after such crashes"},
+    {kClosedWorkers, MetricKind::kGauge, "cause",
+     "Owned workers that accept no new tasks for now"},
     {kAnswersTotal, MetricKind::kCounter, "verdict",
      "Answers given to callers"},
     {kQueueLength, MetricKind::kGauge, "urgency",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -7,7 +7,7 @@
 
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/open_work.h"
-#include "engine/workers/worker_owner.h"
+#include "engine/workers/acceptance.h"
 
 namespace burdockrock {
 
@@ -30,8 +30,12 @@
   return out;
 }
 
-Json::Value DumpWorker(const engine::OwnedWorker& worker) {
+Json::Value DumpWorker(const engine::State& state,
+                       const engine::OwnedWorker& worker) {
   Json::Value out(Json::objectValue);
+  const auto closed =
+      engine::CloseCauseOf(state, worker, state.drive.driven_at);
+  out["closed"] = closed ? engine::CloseCauseName(*closed) : "";
   out["fence"] = Json::UInt64(worker.fence);
   out["claimed"] = worker.claimed;
   out["acknowledged"] = Json::UInt64(worker.acknowledged);
@@ -113,6 +117,16 @@
   metrics.Set(kOldestStopSeconds, labels, InSeconds(stops.oldest));
 }
 
+void SetClosedWorkers(Metrics& metrics, const engine::State& state, Time now) {
+  const auto closed = engine::CountClosed(state, now);
+  for (const engine::CloseCause it : engine::kAllCloseCauses) {
+    const auto found = closed.find(it);
+    metrics.Set(kClosedWorkers,
+                {{.name = "cause", .value = engine::CloseCauseName(it)}},
+                found == closed.end() ? 0 : static_cast<double>(found->second));
+  }
+}
+
 void SetOpenWork(Metrics& metrics, const engine::OpenWork& open) {
   metrics.Set(kRecoveringJobs, {}, static_cast<double>(open.recoveries.count));
   metrics.Set(kOldestRecoverySeconds, {}, InSeconds(open.recoveries.oldest));
@@ -130,7 +144,7 @@
   out["store_healthy"] = state.store.healthy;
   out["listed_workers"] = Json::UInt64(state.workers.size());
   for (const auto& [id, worker] : state.owned) {
-    out["workers"][id] = DumpWorker(worker);
+    out["workers"][id] = DumpWorker(state, worker);
   }
   for (const std::string& id : state.active) {
     out["jobs"][id] = DumpJob(state.jobs.at(id));
@@ -160,6 +174,7 @@
                   state.owned.begin(), state.owned.end(), [](const auto& it) {
                     return engine::HasIsolatedRun(it.second);
                   })));
+  SetClosedWorkers(metrics, state, now);
   SetAdvice(metrics, totals.advice);
   SetPacked(metrics, state);
   SetOpenWork(metrics, engine::CountOpenWork(state, now));
--- a/Tests/engine/condition_log_test.cc
+++ b/Tests/engine/condition_log_test.cc
@@ -150,6 +150,28 @@
   CHECK(NumberOf(lines[0], "for_ms") >= 1000);
 }
 
+// Guards against a wait for a closed worker that is logged as one for room, and
+// against a worker that closes and opens without a line.
+TEST_CASE("Logs that workers which may run a task are closed, and why") {
+  Fleet fleet({.workers = 1});
+  fleet.Settle();
+  fleet.command_fault = [](const std::string&, const std::string&,
+                           const WorkerRequest& request) {
+    return std::holds_alternative<StartRun>(request) ? CommandFault::kUnhealthy
+                                                     : CommandFault::kNone;
+  };
+  fleet.Submit("n0", "j1", OneStep(1));
+  fleet.Run(seconds(4));
+  const auto closed = LinesOf(fleet, EventNumber::kWorkerClosed);
+  REQUIRE_FALSE(closed.empty());
+  CHECK(FieldOf(closed[0], "worker") == "w0-1");
+  CHECK(FieldOf(closed[0], "cause") == "unhealthy");
+  const auto waits = LinesOf(fleet, EventNumber::kTasksWait);
+  REQUIRE_FALSE(waits.empty());
+  CHECK(FieldOf(waits[0], "cause") == "closed");
+  CHECK(NumberOf(waits[0], "closed") == 1);
+}
+
 // Guards against a wrong cause of a gang's wait. Gangs with room for only some
 // of their tasks were logged as waiting for the next round of placement, which
 // takes a few ms, for up to 30.6 s (188 of 334 such lines in a day).
