Engine: Announces that a worker accepts tasks again when its pause ends

Callers saw accepted jobs that never started, beside free room. An owner closes a worker for a time after failures of several jobs, a start that was refused as unhealthy, a stalled run, and while its machine is to be taken down. Whether it accepts is derived from the clock, but it was published only when something changed at the worker.

The drive over the owned workers now publishes a worker whenever its acceptance differs from what was published last. No task is started by it: placement learns what it should have known.

The case of the quarantine was wrong as it was committed: it left jobs behind whose failures kept the workers quarantined.

--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -123,6 +123,7 @@
   Time quarantine_until = Time::min();
   Time stalled_until = Time::min();  // a run there was stalled
   Time leaving_until = Time::min();  // its machine is about to go down
+  bool announced_accepting = false;  // as RoomChanged() published it last
   // Since when it accepts no new tasks, as it was logged; Time::min(): open.
   Time closed_since = Time::min();
 };
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -226,6 +226,17 @@
   }
 }
 
+// Whether a worker accepts tasks also changes by time alone, as at the end of a
+// pause, and a worker without runs has no other event.
+void AnnounceAcceptance(Context& context,
+                        const std::string& id,
+                        const OwnedWorker& worker) {
+  if (worker.claimed &&
+      worker.announced_accepting != Accepts(context, worker)) {
+    RoomChanged(context, id);
+  }
+}
+
 // Claims the workers that the current members assign to this instance.
 void ClaimOwn(Context& context) {
   const bool settled =
@@ -276,6 +287,7 @@
       SendPoll(context, id, worker);
     }
     DriveRuns(context, id, worker);
+    AnnounceAcceptance(context, id, worker);
   }
   for (const std::string& it : lost) {
     DeclareWorkerLost(context, it, LossKind::kSilent, "silent past its leases");
@@ -435,6 +447,7 @@
                   .accepting = Accepts(context, worker),
                   .slowness = worker.speed.slowness(),
                   .updated_at = context.now};
+  worker.announced_accepting = view.accepting;
   LogAcceptance(context, id, worker);
   context.state.placement_due = true;
 }
--- a/Tests/engine/waiting_test.cc
+++ b/Tests/engine/waiting_test.cc
@@ -68,7 +68,8 @@
   }
 }
 
-// Submits jobs whose tasks fail until all workers are quarantined.
+// Submits jobs whose tasks fail until all workers are quarantined, and cancels
+// those that are left.
 void QuarantineAll(Fleet& fleet) {
   for (const std::string& it : fleet.worker_names()) {
     fleet.worker(it).plan = [](const std::string& task, std::uint64_t) {
@@ -80,14 +81,15 @@
   int jobs = 0;
   REQUIRE(fleet.RunUntil(
       [&] {
-        for (const std::string& node : fleet.nodes()) {
-          fleet.Submit(node, fmt::format("{}{}", kFailing, ++jobs),
-                       OneStep(12));
-        }
+        fleet.Submit(fleet.nodes()[static_cast<std::size_t>(jobs) % 3],
+                     fmt::format("{}{}", kFailing, jobs), OneStep(12));
+        ++jobs;
         return NoneSeenAccepting(fleet);
       },
       seconds(20)));
-  // No failing task is left to start.
+  for (int it = 0; it < jobs; ++it) {
+    fleet.Cancel("n0", fmt::format("{}{}", kFailing, it));
+  }
   fleet.Run(milliseconds(1500));
 }
 
