Engine: Claims a worker that was declared lost with a higher fence

A worker that had been silent past its leases and was claimed again by the same owner was used by that owner alone. The other members keep a loss until they hear of a higher fence, since what they receive with the same fence may be older than the loss, and the owner claimed it with the fence that it had.

The claim now takes a fence above that of the loss. waiting_test, 'A worker that was lost and claimed again is used by all members', failed before and passes.

--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -27,9 +27,13 @@
 
 void BeginClaim(Context& context, const WorkerInfo& info) {
   OwnedWorker& worker = context.state.owned[info.id];
+  const RoomView& view = context.state.view[info.id];
   worker.info = info;
   // The previous owner's estimate, from its digest.
-  worker.speed = SpeedEstimate(context.state.view[info.id].slowness);
+  worker.speed = SpeedEstimate(view.slowness);
+  // The other members ignore what is announced with the fence with which the
+  // worker was declared lost, as it may be older than the loss.
+  worker.fence = view.lost ? view.fence : 0;
   worker.next_poll_at = context.now;
   worker.lease_bound = ReleasedLeaseEnd(context, info.id);
   AssumeForeignLeases(context, worker);
