Engine: Gives a large task an empty worker in spite of the reserve

A queue leaves 6% of each worker's processors free for each priority above its own. A task that needs more than the rest waited for good, also on an idle cell, although its worker's capacity is enough and the job had been accepted.

The reserve is now at most what the task itself would leave free, so that an empty worker always has room for one task that fits it.

--- a/Source/engine/jobs/placement_rule.cc
+++ b/Source/engine/jobs/placement_rule.cc
@@ -48,6 +48,17 @@
              : static_cast<double>(free - need) / static_cast<double>(capacity);
 }
 
+// Processors that are kept free for higher priorities. An empty worker always
+// has room for one task that fits its capacity.
+std::int64_t ReservedProcessors(const PlacementNeed& need,
+                                const Resources& capacity) {
+  const auto reserved = static_cast<std::int64_t>(
+      need.reserved_share * static_cast<double>(capacity.processors_milli));
+  const std::int64_t beside_task = std::max<std::int64_t>(
+      capacity.processors_milli - need.room.processors_milli, 0);
+  return std::min(reserved, beside_task);
+}
+
 }  // namespace
 
 double SpeedWeight(double stretch) {
@@ -64,9 +75,7 @@
 std::int64_t CountRoomFor(const PlacementNeed& need,
                           const WorkerInfo& worker,
                           Resources free) {
-  free.processors_milli -= static_cast<std::int64_t>(
-      need.reserved_share *
-      static_cast<double>(worker.capacity.processors_milli));
+  free.processors_milli -= ReservedProcessors(need, worker.capacity);
   return CountFitting(need.room, free);
 }
 
@@ -75,9 +84,7 @@
     return false;
   }
   Resources room = need.room;
-  room.processors_milli += static_cast<std::int64_t>(
-      need.reserved_share *
-      static_cast<double>(candidate.worker->capacity.processors_milli));
+  room.processors_milli += ReservedProcessors(need, candidate.worker->capacity);
   return Fits(room, candidate.free);
 }
 
