Engine: Remembers the fence with which a loss was announced

A worker that was declared lost before its owner had claimed it was announced to the other members with the fence of the unanswered claims, while the owner's own view kept none. Its next claim did not go above that fence, and the other members took the worker for lost for good.

The fence of the announcement is now kept in the view. waiting_test, 'A worker that was lost unclaimed is used by all members', failed before and passes.

--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -421,6 +421,9 @@
     ReportLostRuns(context, id, worker, crashed);
     AddLostWorker(context, worker, kind);
     context.state.digest.changed.insert(id);
+    // The loss is announced with this fence, also without a claim before.
+    RoomView& view = context.state.view[id];
+    view.fence = std::max(view.fence, worker.fence);
   }
   // Otherwise each ownership check would claim it again until its entry in the
   // store expires.
--- a/Tests/engine/waiting_test.cc
+++ b/Tests/engine/waiting_test.cc
@@ -211,6 +211,24 @@
   CheckStartsEverywhere(fleet, OneStep(44));
 }
 
+// The same with a worker that was lost before its owner could claim it.
+TEST_CASE("A worker that was lost unclaimed is used by all members") {
+  Fleet fleet;
+  fleet.command_fault = [](const std::string&, const std::string& worker,
+                           const WorkerRequest&) {
+    return worker == "w0" ? CommandFault::kUnreached : CommandFault::kNone;
+  };
+  fleet.Run(seconds(40));
+  fleet.command_fault = [](const std::string&, const std::string&,
+                           const WorkerRequest&) {
+    return CommandFault::kNone;
+  };
+  fleet.ListAgain("w0");
+  fleet.Run(seconds(5));
+  CHECK(AllSeenAccepting(fleet));
+  CheckStartsEverywhere(fleet, OneStep(44));
+}
+
 // Guards against a task that fits its worker and never starts: the share that a
 // queue leaves free for more urgent ones made it too large for any.
 TEST_CASE("A task that needs nearly all of a worker starts on an empty one") {
