--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -10,10 +10,6 @@
 constexpr Duration kMaxHold = std::chrono::milliseconds(6000);
 constexpr Duration kStopTime = std::chrono::milliseconds(100);
 
-WorkerAnswer Done(Time now) {
-  return WorkerDone{.clock_ms = ToMilliseconds(now)};
-}
-
 }  // namespace
 
 FakeWorker::FakeWorker(WorkerInfo info, std::vector<SeenRun>& seen)
@@ -79,6 +75,13 @@
   info_.id = new_id;
 }
 
+void FakeWorker::Restart(Time now, std::int64_t born) {
+  Crash(now, info_.id);
+  info_.born = born;
+  clock_start_ = now;
+  lease_ends_ = now;
+}
+
 Time FakeWorker::NextCrash() const {
   Time next = kForever;
   for (const auto& [task, run] : runs_) {
@@ -102,7 +105,8 @@
   if (ends_.empty() && it.wait > Duration(0)) {
     return std::nullopt;
   }
-  WorkerDone done{.clock_ms = ToMilliseconds(now)};
+  WorkerDone done = Done(now);
+  done.born = info_.born;
   for (const auto& [task, run] : runs_) {
     done.running.push_back({.task = task,
                             .run = run.number,
@@ -119,7 +123,7 @@
   if (IsFenced(it.fence)) {
     return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
   }
-  if (it.lease_until_ms <= ToMilliseconds(now)) {
+  if (it.lease_until_ms <= ToMilliseconds(now - clock_start_)) {
     return WorkerRefused{.kind = WorkerRefusalKind::kLate};
   }
   Renew(now, it.lease_until_ms);
@@ -174,6 +178,10 @@
   return Done(now);
 }
 
+WorkerDone FakeWorker::Done(Time now) const {
+  return {.clock_ms = ToMilliseconds(now - clock_start_)};
+}
+
 bool FakeWorker::IsFenced(std::uint64_t fence) {
   if (fence < fence_) {
     ++refused_fences_;
@@ -198,7 +206,7 @@
 }
 
 void FakeWorker::Renew(Time now, std::int64_t until_ms) {
-  const Time until = std::chrono::milliseconds(until_ms);
+  const Time until = clock_start_ + std::chrono::milliseconds(until_ms);
   lease_ends_ = std::max(lease_ends_, std::min(until, now + kMaxHold));
 }
 
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -54,6 +54,10 @@
   // `new_id`.
   void Crash(Time now, const std::string& new_id);
 
+  // The same with the old id: the new process starts at `born`, in Unix ms, and
+  // its clock begins anew.
+  void Restart(Time now, std::int64_t born);
+
   // When the next run crashes the process; kForever: none does.
   Time NextCrash() const;
 
@@ -99,6 +103,7 @@
   std::optional<WorkerAnswer> Answer(Time now, const StartRun& it);
   std::optional<WorkerAnswer> Answer(Time now, const StopRun& it);
   std::optional<WorkerAnswer> Answer(Time now, const PaceRun& it);
+  WorkerDone Done(Time now) const;
   bool IsFenced(std::uint64_t fence);
   void End(Time now, const std::string& task, RunEnd how);
   void Renew(Time now, std::int64_t until_ms);
@@ -109,6 +114,7 @@
   std::uint64_t fence_ = 0;
   std::uint64_t refused_fences_ = 0;
   std::uint64_t last_end_ = 0;
+  Time clock_start_{0};  // when its clock was 0
   Time lease_ends_{0};
   Time stalled_until_{0};
   std::map<std::string, Run> runs_;
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include "model/worker_incarnation.h"
+
 namespace burdockrock::engine {
 
 namespace {
@@ -25,10 +27,11 @@
 // acknowledged.
 constexpr Duration kCancelBound = milliseconds(3400);
 
-// "address|domain|service|processors|draining"
+// "address|domain|service|processors|draining|born"; the start may be missing.
 std::string WorkerText(const WorkerInfo& info) {
-  return fmt::format("{}|{}|{}|{}|{}", info.address, info.domain, info.service,
-                     info.capacity.processors_milli, info.draining ? 1 : 0);
+  return fmt::format("{}|{}|{}|{}|{}|{}", info.address, info.domain,
+                     info.service, info.capacity.processors_milli,
+                     info.draining ? 1 : 0, info.born);
 }
 
 std::vector<std::string> Split(std::string_view text) {
@@ -46,10 +49,12 @@
 std::variant<WorkerInfo, DocumentFault> ReadWorker(std::string_view id,
                                                    std::string_view text) {
   const auto parts = Split(text);
-  if (parts.size() != 5) {
+  if (parts.size() != 5 && parts.size() != 6) {
     return DocumentFault{.problem = "not a worker"};
   }
+  const std::int64_t born = parts.size() == 6 ? std::stoll(parts[5]) : 0;
   return WorkerInfo{.id = std::string(id),
+                    .born = born,
                     .address = parts[0],
                     .domain = parts[1],
                     .service = parts[2],
@@ -88,12 +93,14 @@
     const std::size_t number = workers_.size();
     const std::string name = fmt::format("w{}", number);
     workers_[name] = std::make_unique<FakeWorker>(
-        WorkerInfo{.id = name + "-1",
-                   .address = name,
-                   .domain = options_.domains[number % options_.domains.size()],
-                   .service = "s",
-                   .capacity = {.processors_milli = options_.processors_milli,
-                                .memory_mb = 1'000'000}},
+        WorkerInfo{
+            .id = name + "-1",
+            .born = options_.workers_tell_born ? ToMilliseconds(now_) : 0,
+            .address = name,
+            .domain = options_.domains[number % options_.domains.size()],
+            .service = "s",
+            .capacity = {.processors_milli = options_.processors_milli,
+                         .memory_mb = 1'000'000}},
         seen);
     ListWorker(*workers_[name]);
   }
@@ -401,17 +408,21 @@
   }
   const Duration latency =
       fault == CommandFault::kLate ? late_delay : worker_latency;
+  // A late command waits at the network and may meet the next process.
+  const bool late = fault == CommandFault::kLate;
   At(now_ + latency, [this, node, incarnation, call, called_at, answer, fault,
-                      target] {
-    if (crashed_.contains(call.address)) {
+                      target, late, born = target->info().born] {
+    if (crashed_.contains(call.address) ||
+        (!late && target->info().born != born)) {
       return fault == CommandFault::kNone ? answer(WorkerUnreached()) : void();
     }
-    if (target->info().id != call.worker) {
+    if (target->info().id != WorkerIdOf(call.worker)) {
       return answer(WorkerRefused{.kind = WorkerRefusalKind::kReplaced});
     }
     const auto* poll = std::get_if<PollWorker>(&call.request);
     if (poll != nullptr && fault == CommandFault::kNone) {
-      return AnswerPoll(node, incarnation, call, called_at, now_ + poll->wait);
+      return AnswerPoll(node, incarnation, call, called_at, now_ + poll->wait,
+                        target->info().born);
     }
     const auto result = target->Handle(now_, call.request);
     ExpectCrash(call.address);
@@ -425,13 +436,14 @@
                        std::uint64_t incarnation,
                        const CallWorker& call,
                        Time called_at,
-                       Time until) {
+                       Time until,
+                       std::int64_t born) {
   FakeWorker* target = FindWorkerAt(call.address);
   PollWorker poll = std::get<PollWorker>(call.request);
   std::optional<WorkerAnswer> result;
-  if (crashed_.contains(call.address)) {
+  if (crashed_.contains(call.address) || target->info().born != born) {
     result = WorkerUnreached();
-  } else if (target->info().id != call.worker) {
+  } else if (target->info().id != WorkerIdOf(call.worker)) {
     result = WorkerRefused{.kind = WorkerRefusalKind::kReplaced};
   } else {
     poll.wait = now_ >= until ? Duration(0) : poll.wait;
@@ -439,8 +451,8 @@
   }
   if (!result) {
     return At(now_ + kCheckInterval,
-              [this, node, incarnation, call, called_at, until] {
-                AnswerPoll(node, incarnation, call, called_at, until);
+              [this, node, incarnation, call, called_at, until, born] {
+                AnswerPoll(node, incarnation, call, called_at, until, born);
               });
   }
   AnswerInTime(called_at + call.timeout, *result,
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -43,6 +43,8 @@
   std::size_t workers = 6;    // likewise
   std::int64_t processors_milli = 8000;
   bool advice = false;
+  // Workers tell when they started, and start again under their ids.
+  bool workers_tell_born = false;
   Duration state_kept = std::chrono::seconds(120);
   std::uint32_t store_writes = 400;
   std::uint64_t seed = 1;
@@ -105,8 +107,8 @@
 
   void AddWorkers(std::size_t count);
 
-  // Ends the worker's process without notice. Another one, with a new id, is
-  // back after `away`.
+  // Ends the worker's process without notice. Another one is back after `away`,
+  // with a new id or, if workers tell their start, under the old one.
   void CrashWorker(const std::string& name, Duration away);
   // Time for which a worker is away that a run crashes.
   Duration crash_away = std::chrono::seconds(2);
@@ -236,7 +238,8 @@
                   std::uint64_t incarnation,
                   const CallWorker& call,
                   Time called_at,
-                  Time until);
+                  Time until,
+                  std::int64_t born);
   // Answers with WorkerUnreached if the reply would arrive after the deadline.
   void AnswerInTime(Time deadline,
                     const WorkerAnswer& result,
--- a/Tests/engine/fleet_machines.cc
+++ b/Tests/engine/fleet_machines.cc
@@ -21,14 +21,21 @@
 void Fleet::CrashWorker(const std::string& name, Duration away) {
   FakeWorker& worker = *workers_.at(name);
   const std::string old_id = worker.info().id;
-  worker.Crash(now_, fmt::format("{}-crash{}", name, ++crashes_));
+  ++crashes_;
+  if (options_.workers_tell_born) {
+    worker.Restart(now_, ToMilliseconds(now_ + away));
+  } else {
+    worker.Crash(now_, fmt::format("{}-crash{}", name, crashes_));
+  }
   crashed_.insert(name);
   At(now_ + away, [this, name, &worker] {
     crashed_.erase(name);
     ListWorker(worker);
   });
-  At(now_ + kEntryLifetime,
-     [this, old_id] { store.Remove("worker/" + old_id); });
+  if (!options_.workers_tell_born || away > kEntryLifetime) {
+    At(now_ + kEntryLifetime,
+       [this, old_id] { store.Remove("worker/" + old_id); });
+  }
   on_crash(name);
 }
 
