Engine: Kills the owner of a lost worker before it announces the loss again

The case needs a member that has received a worker's loss and still remembers the worker from its list. Since an owner claims such a worker with a fence above that of the loss, the loss that follows reaches the other members, which then forget the worker: the precondition no longer held a second later, and the case was red since that change. The owner is now killed 100 ms after the entry's removal, and not 1 s. What is checked, that the adoption does not wait for the worker, is unchanged.

--- a/Tests/engine/dead_worker_test.cc
+++ b/Tests/engine/dead_worker_test.cc
@@ -109,7 +109,8 @@
   fleet.store.Put("worker/w0-1", "w0|a|s|8000|0");
   fleet.Run(milliseconds(700));
   fleet.store.Remove("worker/w0-1");
-  fleet.Run(seconds(1));
+  // Before its owner claims it again and announces its loss anew.
+  fleet.Run(milliseconds(100));
   REQUIRE(is_gone());
   REQUIRE(fleet.state("n2").workers.contains("w0-1"));
   fleet.Kill("n0");
