Engine: Tells a worker's processes apart by its id and the time of its start

Callers saw tasks run again after they had ended and failed tasks repeated beyond their attempts. A worker that restarted under its id was taken for the process that it had been: its first ends were dropped as known and acknowledged unread by the numbers of before, tickets, rooms and refusals of advice outlived the process, a crash was told by another id at the same address alone, and late commands of before were accepted, as the new process knows no fence.

The engine now names a worker by its incarnation, ID#BORN, from the adapter's decoding on: in the tables of workers, ownership, ends and acknowledgements, leases and clocks, crashes, advice, stored records, peers' messages and logs. The services that know ids alone get the id. A start that it had not listed, or that may still take effect, can have reached the new process; its run is reported as lost only when a claim with a higher fence has shown what became of it, and one that is found there is stopped first. Polls after a call without a reply acknowledge nothing. An entry of a former process that is written late is not taken for a restart. All incarnations of a worker have the same owner. A remembered worker tells whether it was draining, so that its end is known to be a crash.

--- a/Source/cli/log_story.cc
+++ b/Source/cli/log_story.cc
@@ -24,7 +24,7 @@
     {"worker_claimed", "claim_refused", "ownership_lost", "worker_silent",
      "worker_gone", "worker_leaving", "worker_removed", "worker_quarantined",
      "worker_back", "claim_waits", "stop_unanswered", "worker_closed",
-     "worker_opened"});
+     "worker_opened", "worker_restarted"});
 constexpr auto kOfInstances = std::to_array<std::string_view>(
     {"started", "stopping", "drain_started", "handed_over", "registered",
      "registration_lost", "platform_unreachable", "platform_back"});
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -487,6 +487,7 @@
   }
   switch (report.state) {
     case RunState::kRunning:
+      task.worker = report.worker;  // its next incarnation may have the run
       MarkRunning(context, ref->job, ref->step, task);
       break;
     case RunState::kPending:
--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -11,6 +11,7 @@
 #include "engine/members/node_records.h"
 #include "engine/records/store_calls.h"
 #include "engine/workers/worker_owner.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -452,9 +453,11 @@
 std::string ChooseMember(const State& state,
                          std::string_view key,
                          std::string_view domain) {
-  std::string chosen = ChooseAmong(state, key, domain);
+  // All incarnations of a worker have the same owner.
+  const std::string_view id = WorkerIdOf(key);
+  std::string chosen = ChooseAmong(state, id, domain);
   if (chosen.empty() && !domain.empty()) {
-    chosen = ChooseAmong(state, key, {});
+    chosen = ChooseAmong(state, id, {});
   }
   return chosen;
 }
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -175,6 +175,7 @@
     codec.Field("address", it.address);
     codec.Field("domain", it.domain);
     codec.Field("service", it.service);
+    codec.Optional("draining", it.draining, false);
   }
 };
 
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -177,6 +177,7 @@
   std::string address{};
   std::string domain{};
   std::string service{};
+  bool draining = false;  // it had announced its end
 
   auto operator<=>(const RememberedWorker&) const = default;
 };
--- a/Source/engine/records/documents.cc
+++ b/Source/engine/records/documents.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "engine/call_fields.h"
+#include "model/worker_incarnation.h"
 #include "net/json.h"
 #include "wire/value_writer.h"
 
@@ -78,7 +79,11 @@
       .wave_status_prefix = "status/wave/",
       .decode_worker =
           [](std::string_view /*id*/, std::string_view text) {
-            return AsDocument(DecodeText<WorkerInfo>(text));
+            auto decoded = AsDocument(DecodeText<WorkerInfo>(text));
+            if (auto* info = std::get_if<WorkerInfo>(&decoded)) {
+              info->id = IncarnationName(info->id, info->born);
+            }
+            return decoded;
           },
       .decode_configuration =
           [](std::string_view text) {
--- a/Source/engine/records/watches.cc
+++ b/Source/engine/records/watches.cc
@@ -6,6 +6,7 @@
 #include "engine/records/store_calls.h"
 #include "engine/workers/upkeep.h"
 #include "engine/workers/worker_list.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -73,7 +74,9 @@
   const StoreDocuments& documents = context.state.options.documents;
   std::string& last = context.state.worker_entries[item.key];
   const ListedWorker* worker = FindWorker(
-      context.state, item.key.substr(documents.worker_prefix.size()));
+      context.state,
+      ListedIncarnation(context.state,
+                        item.key.substr(documents.worker_prefix.size())));
   // A worker that was declared lost or has left the list must be listed again.
   const bool known = worker != nullptr && worker->listed;
   if (known && documents.is_heartbeat &&
@@ -119,7 +122,8 @@
   } else if (list == WatchedList::kWorkers) {
     for (const auto& [id, worker] : context.state.workers) {
       if (worker.listed) {
-        missing.push_back(context.state.options.documents.worker_prefix + id);
+        missing.push_back(context.state.options.documents.worker_prefix +
+                          std::string(WorkerIdOf(id)));
       }
     }
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -490,7 +490,9 @@
   MembersCheck members_check{};
   UnresponsiveMembers unresponsive_members{};
   Configuration configuration{};
-  std::map<std::string, ListedWorker> workers{};  // by id
+  std::map<std::string, ListedWorker> workers{};  // by incarnation
+  // By worker id: the incarnation whose entry is in the store's list.
+  std::map<std::string, std::string> listed_incarnations{};
   std::map<std::string, OwnedWorker> owned{};
   WorkerResponses worker_responses{};
   Time ownership_checked_at = Time::min();
--- a/Source/engine/workers/acceptance.cc
+++ b/Source/engine/workers/acceptance.cc
@@ -4,11 +4,14 @@
 
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_restarts.h"
 
 namespace burdockrock::engine {
 
 const char* CloseCauseName(CloseCause cause) {
   switch (cause) {
+    case CloseCause::kRestarted:
+      return "restarted";
     case CloseCause::kUnlisted:
       return "unlisted";
     case CloseCause::kDraining:
@@ -36,6 +39,9 @@
 std::optional<CloseCause> CloseCauseOf(const State& state,
                                        const OwnedWorker& worker,
                                        Time now) {
+  if (HasRestarted(worker)) {
+    return CloseCause::kRestarted;
+  }
   const ListedWorker* listed = FindWorker(state, worker.info.id);
   if (listed == nullptr || !listed->listed) {
     return CloseCause::kUnlisted;
--- a/Source/engine/workers/acceptance.h
+++ b/Source/engine/workers/acceptance.h
@@ -16,6 +16,7 @@
 // Why a worker accepts no new tasks. Of several causes, the first one here is
 // given.
 enum class CloseCause {
+  kRestarted,     // another process answers under its id
   kUnlisted,      // it has left the store's list
   kDraining,      // it has announced its end
   kUnclaimed,     // it has not answered the claim, or has no lease yet
@@ -29,10 +30,10 @@
 };
 
 inline constexpr auto kAllCloseCauses = std::to_array<CloseCause>(
-    {CloseCause::kUnlisted, CloseCause::kDraining, CloseCause::kUnclaimed,
-     CloseCause::kUnresponsive, CloseCause::kUndescribed,
-     CloseCause::kUnhealthy, CloseCause::kQuarantined, CloseCause::kStalled,
-     CloseCause::kLeaving, CloseCause::kIsolated});
+    {CloseCause::kRestarted, CloseCause::kUnlisted, CloseCause::kDraining,
+     CloseCause::kUnclaimed, CloseCause::kUnresponsive,
+     CloseCause::kUndescribed, CloseCause::kUnhealthy, CloseCause::kQuarantined,
+     CloseCause::kStalled, CloseCause::kLeaving, CloseCause::kIsolated});
 
 // The name in the log and in metrics.
 const char* CloseCauseName(CloseCause cause);
--- a/Source/engine/workers/lost_workers.cc
+++ b/Source/engine/workers/lost_workers.cc
@@ -7,6 +7,7 @@
 
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -59,9 +60,9 @@
   std::set<std::string> taken_down;
   for (const auto& [name, machine] : machines) {
     if (machine.state == MachineState::kUp) {
-      alive.insert(machine.worker);
+      alive.insert(std::string(WorkerIdOf(machine.worker)));
     } else if (machine.state != MachineState::kDown) {
-      taken_down.insert(machine.worker);
+      taken_down.insert(std::string(WorkerIdOf(machine.worker)));
     }
   }
   // A list without a machine that is up means that the service has lost its
@@ -73,15 +74,16 @@
   for (const auto& [id, worker] : context.state.owned) {
     if (IsUnresponsive(worker) &&
         ListingCountsFrom(context, worker) <= requested_at &&
-        !alive.contains(id)) {
+        !alive.contains(std::string(WorkerIdOf(id)))) {
       ended.push_back(id);
     }
   }
   for (const std::string& it : ended) {
-    DeclareWorkerLost(
-        context, it,
-        taken_down.contains(it) ? LossKind::kTakenDown : LossKind::kEnded,
-        "its machine runs another worker or none");
+    DeclareWorkerLost(context, it,
+                      taken_down.contains(std::string(WorkerIdOf(it)))
+                          ? LossKind::kTakenDown
+                          : LossKind::kEnded,
+                      "its machine runs another worker or none");
   }
 }
 
--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -47,6 +47,8 @@
   Duration alone_for{0};
   Time move_requested = Time::min();  // last request to move the others away
   bool start_unanswered = false;      // a start may still take effect later
+  // It was found at the worker's next incarnation, which reports its end.
+  bool at_successor = false;
   bool stop_answered = false;
   Time confirmed = Time::min();   // the worker last confirmed the run
   bool offer_unanswered = false;  // the job's owner awaits the outcome
@@ -95,6 +97,10 @@
   bool ownership_check_due = false;
   bool ownership_check_in_flight = false;
   std::vector<PendingRunQuery> pending_run_queries{};
+  // The incarnation that answers under the worker's id instead of this one,
+  // which has ended; empty: none. Set while it is not known which of the runs
+  // in doubt began there.
+  std::string successor{};
   // This instance's registration was lost after the worker's last reply, so
   // others may have claimed the worker and renewed its leases.
   bool unverified = false;
--- a/Source/engine/workers/upkeep.cc
+++ b/Source/engine/workers/upkeep.cc
@@ -12,6 +12,7 @@
 #include "engine/workers/run_ends.h"
 #include "engine/workers/run_progress.h"
 #include "engine/workers/upkeep_rule.h"
+#include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
 
 namespace burdockrock::engine {
@@ -155,6 +156,9 @@
     return Call(context, ListMachines{.page = page.next});
   }
   upkeep.machines = std::exchange(upkeep.reading, {});
+  for (auto& [name, machine] : upkeep.machines) {
+    machine.worker = ListedIncarnation(context.state, machine.worker);
+  }
   upkeep.listed = true;
   for (auto& [number, wave] : upkeep.waves) {
     ApplyMachineListing(wave, upkeep.machines, upkeep.list_requested_at);
--- a/Source/engine/workers/worker_crashes.cc
+++ b/Source/engine/workers/worker_crashes.cc
@@ -41,7 +41,7 @@
       worker.leaving_until != Time::min() &&
       !HasPassed(context.now, worker.leaving_until, kTakeDownTime);
   // Without its entry it is not known whether it has announced its end.
-  return draining || leaving || listed == nullptr || listed->remembered_only;
+  return draining || leaving || listed == nullptr;
 }
 
 void DeclareCrashed(Context& context, const std::string& id, LostWorker& lost) {
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -3,6 +3,7 @@
 #include "engine/jobs/recovery.h"
 #include "engine/members/membership.h"
 #include "engine/workers/worker_owner.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -18,14 +19,39 @@
 // delayed it. Declaring the other one lost by the order of entries would then
 // run its tasks twice. The workers' owners therefore poll the address, where
 // only the running incarnation replies.
-void CheckWorkersAtAddress(Context& context, const WorkerInfo& info) {
+void CheckOtherIncarnations(Context& context, const WorkerInfo& info) {
   for (auto& [id, worker] : context.state.owned) {
-    if (id != info.id && worker.info.address == info.address) {
+    const bool other = id != info.id && (worker.info.address == info.address ||
+                                         WorkerIdOf(id) == WorkerIdOf(info.id));
+    if (other) {
       worker.ownership_check_due = worker.claimed;
     }
   }
 }
 
+void Unlist(Context& context, const std::string& name) {
+  const auto it = context.state.workers.find(name);
+  if (it == context.state.workers.end() || !it->second.listed) {
+    return;
+  }
+  it->second.listed = false;
+  it->second.unlisted_at = context.now;
+  context.Log(EventNumber::kWorkerRemoved, {{"worker", name}});
+  if (context.state.owned.contains(name)) {
+    RoomChanged(context, name);
+  }
+}
+
+// Whether the entry is one of a former process of the worker, written late. The
+// start of processes orders them only as far as the worker's wall clock does,
+// so the listed one is checked at the worker all the same.
+bool IsOfFormerProcess(const State& state,
+                       const std::string& listed,
+                       const WorkerInfo& info) {
+  return FindWorker(state, listed) != nullptr && info.born != 0 &&
+         info.born < BornOf(listed);
+}
+
 }  // namespace
 
 void OnWorkerItem(Context& context, const StoreItem& item) {
@@ -38,44 +64,48 @@
     return;
   }
   const auto& info = std::get<WorkerInfo>(decoded);
-  const bool is_new = !context.state.workers.contains(id);
+  const std::string& name = info.id;
+  const bool is_new = !context.state.workers.contains(name);
   if (is_new) {
-    CheckWorkersAtAddress(context, info);
+    CheckOtherIncarnations(context, info);
   }
-  ListedWorker& worker = context.state.workers[id];
+  std::string& listed = context.state.listed_incarnations[id];
+  if (IsOfFormerProcess(context.state, listed, info)) {
+    return;
+  }
+  if (listed != name) {
+    Unlist(context, listed);
+    listed = name;
+  }
+  ListedWorker& worker = context.state.workers[name];
   const bool changed = is_new || worker.info != info || !worker.listed;
   worker.listed = true;
   worker.remembered_only = false;
   if (info.draining && !worker.info.draining) {
     worker.draining_since = context.now;
-    context.Log(EventNumber::kWorkerLeaving, {{"worker", id}});
+    context.Log(EventNumber::kWorkerLeaving, {{"worker", name}});
   }
   worker.info = info;
   if (!changed) {
     return;
   }
-  const auto owned = context.state.owned.find(id);
+  const auto owned = context.state.owned.find(name);
   if (owned != context.state.owned.end()) {
     owned->second.info = info;
-    RoomChanged(context, id);
+    RoomChanged(context, name);
   }
   context.state.placement_due = true;
-  OnWorkerListed(context, id);
+  OnWorkerListed(context, name);
   ScheduleOwnershipCheck(context);
 }
 
 void OnWorkerRemoved(Context& context, const std::string& key) {
   const StoreDocuments& documents = context.state.options.documents;
   const std::string id = key.substr(documents.worker_prefix.size());
-  const auto it = context.state.workers.find(id);
-  if (it == context.state.workers.end() || !it->second.listed) {
-    return;
-  }
-  it->second.listed = false;
-  it->second.unlisted_at = context.now;
-  context.Log(EventNumber::kWorkerRemoved, {{"worker", id}});
-  if (context.state.owned.contains(id)) {
-    RoomChanged(context, id);
+  const auto listed = context.state.listed_incarnations.find(id);
+  if (listed != context.state.listed_incarnations.end()) {
+    Unlist(context, listed->second);
+    context.state.listed_incarnations.erase(listed);
   }
 }
 
@@ -102,7 +132,8 @@
   return RememberedWorker{.worker = worker,
                           .address = it->info.address,
                           .domain = it->info.domain,
-                          .service = it->info.service};
+                          .service = it->info.service,
+                          .draining = it->info.draining};
 }
 
 std::vector<RememberedWorker> AllRemembered(const State& state) {
@@ -137,7 +168,8 @@
         ListedWorker{.info = {.id = it.worker,
                               .address = it.address,
                               .domain = it.domain,
-                              .service = it.service},
+                              .service = it.service,
+                              .draining = it.draining},
                      .listed = false,
                      .remembered_only = true,
                      .unlisted_at = context.now};
@@ -149,6 +181,11 @@
   }
 }
 
+std::string ListedIncarnation(const State& state, const std::string& id) {
+  const auto listed = state.listed_incarnations.find(id);
+  return listed == state.listed_incarnations.end() ? id : listed->second;
+}
+
 const ListedWorker* FindWorker(const State& state, const std::string& id) {
   const auto it = state.workers.find(id);
   return it == state.workers.end() ? nullptr : &it->second;
--- a/Source/engine/workers/worker_list.h
+++ b/Source/engine/workers/worker_list.h
@@ -14,6 +14,10 @@
 // except those that this instance owns.
 void DriveWorkerList(Context& context);
 
+// The incarnation of the worker with this id that the store lists; the id
+// itself if it lists none.
+std::string ListedIncarnation(const State& state, const std::string& id);
+
 // Null when the worker is not known, or no longer known.
 const ListedWorker* FindWorker(const State& state, const std::string& id);
 
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -15,7 +15,9 @@
 #include "engine/workers/run_progress.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_listing.h"
+#include "engine/workers/worker_restarts.h"
 #include "engine/workers/worker_runs.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -25,15 +27,29 @@
   return ToMilliseconds(context.now) + worker.clock_offset_ms;
 }
 
+// The fence above which the worker has to be claimed. The other members ignore
+// what is announced with the fence with which it was declared lost, as that may
+// be older than the loss. A process that started again knows no fence, so that
+// commands for the one before are refused only after a claim with a higher one.
+std::uint64_t FenceToExceed(const State& state, const std::string& name) {
+  const std::string_view id = WorkerIdOf(name);
+  std::uint64_t fence = 0;
+  for (auto it = state.view.lower_bound(std::string(id));
+       it != state.view.end() && it->first.starts_with(id); ++it) {
+    const bool former = it->first != name && WorkerIdOf(it->first) == id;
+    if (former || (it->first == name && it->second.lost)) {
+      fence = std::max(fence, it->second.fence);
+    }
+  }
+  return fence;
+}
+
 void BeginClaim(Context& context, const WorkerInfo& info) {
   OwnedWorker& worker = context.state.owned[info.id];
-  const RoomView& view = context.state.view[info.id];
   worker.info = info;
   // The previous owner's estimate, from its digest.
-  worker.speed = SpeedEstimate(view.slowness);
-  // The other members ignore what is announced with the fence with which the
-  // worker was declared lost, as it may be older than the loss.
-  worker.fence = view.lost ? view.fence : 0;
+  worker.speed = SpeedEstimate(context.state.view[info.id].slowness);
+  worker.fence = FenceToExceed(context.state, info.id);
   worker.next_poll_at = context.now;
   worker.lease_bound = ReleasedLeaseEnd(context, info.id);
   AssumeForeignLeases(context, worker);
@@ -88,7 +104,7 @@
     }
     const std::string owner =
         ChooseMember(context.state, it.first, worker.info.domain);
-    if (owner == context.self()) {
+    if (owner == context.self() || HasRestarted(worker)) {
       return false;
     }
     // The rightful owner may not know a worker that has left the list.
@@ -125,7 +141,10 @@
 
 // Polls the worker. Leases last long enough for the next poll to get lost.
 void SendPoll(Context& context, const std::string& id, OwnedWorker& worker) {
-  PollWorker poll{.acknowledged = worker.acknowledged};
+  // After a call without a reply another process may answer, whose ends must
+  // not be dropped unread.
+  PollWorker poll{.acknowledged =
+                      worker.missed_since == Time(0) ? worker.acknowledged : 0};
   if (!worker.claimed) {
     if (context.state.members.fence <= worker.fence) {
       // The worker has refused this fence already.
@@ -161,12 +180,10 @@
   worker.ownership_check_due = false;
   worker.ownership_check_in_flight = true;
   ++context.state.totals.polls;
-  context.Emit(
-      CallWorker{.worker = id,
-                 .address = worker.info.address,
-                 .request = PollWorker{.fence = worker.fence,
-                                       .acknowledged = worker.acknowledged},
-                 .timeout = kPollSlack});
+  context.Emit(CallWorker{.worker = id,
+                          .address = worker.info.address,
+                          .request = PollWorker{.fence = worker.fence},
+                          .timeout = kPollSlack});
 }
 
 bool IsOwnershipCheck(const PollWorker& poll) {
@@ -261,6 +278,22 @@
   }
 }
 
+// Claims not answered yet of incarnations that a later one has succeeded. Their
+// polls would reach that one with a higher fence than its owner's.
+void DropSucceeded(Context& context) {
+  std::vector<std::string> ended;
+  for (const auto& [name, worker] : context.state.owned) {
+    if (!worker.claimed && !worker.poll_in_flight &&
+        HasClaimedSuccessor(context.state, name)) {
+      ended.push_back(name);
+    }
+  }
+  for (const std::string& it : ended) {
+    DeclareWorkerLost(context, it, LossKind::kEnded,
+                      "a later incarnation was claimed");
+  }
+}
+
 }  // namespace
 
 void ScheduleOwnershipCheck(Context& context) {
@@ -273,8 +306,12 @@
                 kOwnershipCheckInterval)) {
     ClaimOwn(context);
   }
+  DropSucceeded(context);
   std::vector<std::string> lost;
   for (auto& [id, worker] : context.state.owned) {
+    if (HasRestarted(worker)) {
+      continue;
+    }
     if (worker.claimed && worker.ownership_check_due &&
         !worker.ownership_check_in_flight) {
       SendOwnershipCheck(context, id, worker);
@@ -296,15 +333,21 @@
   for (const std::string& it : lost) {
     DeclareWorkerLost(context, it, LossKind::kSilent, "silent past its leases");
   }
+  DriveRestarts(context);
 }
 
 void OnPollReply(Context& context, const WorkerAnswered& event) {
   const auto it = context.state.owned.find(event.worker);
   const auto& poll = std::get<PollWorker>(event.request);
-  if (it == context.state.owned.end() || it->second.fence != poll.fence) {
+  if (it == context.state.owned.end() || it->second.fence != poll.fence ||
+      HasRestarted(it->second)) {
     return;
   }
   OwnedWorker& worker = it->second;
+  const auto* reply = std::get_if<WorkerDone>(&event.answer);
+  if (reply != nullptr && IsOtherIncarnation(event.worker, reply->born)) {
+    return OnWorkerRestarted(context, event.worker, reply->born);
+  }
   if (worker.claimed && worker.ownership_check_in_flight &&
       IsOwnershipCheck(poll) && event.called_at != worker.poll_sent_at) {
     worker.ownership_check_in_flight = false;
--- /dev/null
+++ b/Source/engine/workers/worker_restarts.cc
@@ -0,0 +1,128 @@
+#include "engine/workers/worker_restarts.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "engine/jobs/recovery.h"
+#include "engine/workers/run_ends.h"
+#include "engine/workers/worker_list.h"
+#include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_runs.h"
+#include "model/worker_incarnation.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+constexpr const char* kCause = "another process answers under its id";
+
+// Whether the run's start may take effect at the next incarnation: no listing
+// has shown that this one has it, or an earlier start has no reply.
+bool IsInDoubt(const LocalRun& run) {
+  const bool sent = run.command_sent_at != Time::min();
+  const bool listed = run.progress.first_at >= run.since;
+  return sent && (!listed || run.start_unanswered);
+}
+
+bool HasRunInDoubt(const OwnedWorker& worker) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [](const auto& it) { return IsInDoubt(it.second); });
+}
+
+// Makes the incarnation known before the store lists it. It accepts no tasks
+// until then, as its room and labels may differ.
+void AddIncarnation(Context& context, WorkerInfo info) {
+  const std::string name = info.id;
+  const bool added =
+      context.state.workers
+          .try_emplace(name, ListedWorker{.info = std::move(info),
+                                          .listed = false,
+                                          .remembered_only = true,
+                                          .unlisted_at = context.now})
+          .second;
+  if (added) {
+    OnWorkerListed(context, name);
+  }
+}
+
+// Whether it is known of all runs in doubt whether they began at the next
+// incarnation, and those that did have ended and their ends are stored.
+bool IsSettled(Context& context, OwnedWorker& worker) {
+  OwnedWorker* next = FindClaimed(context.state, worker.successor);
+  if (next == nullptr) {
+    // Without a claim their leases have to expire.
+    return context.now >= worker.lease_bound;
+  }
+  bool settled = true;
+  for (auto& [task, run] : worker.runs) {
+    if (!IsInDoubt(run)) {
+      continue;
+    }
+    const auto found = next->runs.find(task);
+    if (found != next->runs.end() && found->second.run == run.run) {
+      run.at_successor = true;
+      settled = false;
+      BeginRunStop(context, worker.successor, *next, task, found->second);
+    } else if (HasEndOf(*next, task, run.run)) {
+      run.at_successor = true;
+      settled = false;
+    }
+  }
+  return settled;
+}
+
+}  // namespace
+
+void OnWorkerRestarted(Context& context,
+                       const std::string& name,
+                       std::int64_t born) {
+  OwnedWorker& worker = context.state.owned.at(name);
+  WorkerInfo info = worker.info;
+  info.born = born;
+  info.id = IncarnationName(WorkerIdOf(name), born);
+  info.draining = false;
+  AddIncarnation(context, info);
+  ScheduleOwnershipCheck(context);
+  context.Log(EventNumber::kWorkerRestarted,
+              {{"worker", name},
+               {"next", info.id},
+               {"runs", std::to_string(worker.runs.size())}});
+  if (!HasRunInDoubt(worker)) {
+    return DeclareWorkerLost(context, name, LossKind::kEnded, kCause);
+  }
+  worker.successor = info.id;
+  RoomChanged(context, name);
+}
+
+void DriveRestarts(Context& context) {
+  std::vector<std::string> settled;
+  for (auto& [name, worker] : context.state.owned) {
+    if (HasRestarted(worker) && IsSettled(context, worker)) {
+      std::erase_if(worker.runs,
+                    [](const auto& it) { return it.second.at_successor; });
+      settled.push_back(name);
+    }
+  }
+  for (const std::string& it : settled) {
+    DeclareWorkerLost(context, it, LossKind::kEnded, kCause);
+  }
+}
+
+bool HasClaimedSuccessor(const State& state, const std::string& name) {
+  const std::string listed =
+      ListedIncarnation(state, std::string(WorkerIdOf(name)));
+  const auto next = state.view.find(listed);
+  if (listed == name || next == state.view.end() ||
+      next->second.owner.empty()) {
+    return false;
+  }
+  const auto own = state.view.find(name);
+  return own == state.view.end() || next->second.fence > own->second.fence;
+}
+
+bool HasRestarted(const OwnedWorker& worker) {
+  return !worker.successor.empty();
+}
+
+}  // namespace burdockrock::engine
--- a/Source/engine/workers/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -10,6 +10,7 @@
 #include "engine/records/catalog.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_restarts.h"
 
 namespace burdockrock::engine {
 
@@ -44,6 +45,9 @@
               OwnedWorker& worker,
               const std::string& task,
               LocalRun& run) {
+  if (HasRestarted(worker)) {
+    return;  // its next incarnation stops the run if it is there
+  }
   run.command_sent_at = context.now;
   run.command_in_flight = true;
   context.Emit(CallWorker{
@@ -292,7 +296,7 @@
 void OnCommandReply(Context& context, const WorkerAnswered& event) {
   RecordCommandReply(context, event);
   const auto worker = context.state.owned.find(event.worker);
-  if (worker == context.state.owned.end()) {
+  if (worker == context.state.owned.end() || HasRestarted(worker->second)) {
     return;
   }
   const auto* refused = std::get_if<WorkerRefused>(&event.answer);
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -97,6 +97,8 @@
      "A worker of this process accepts no new tasks for now"},
     {EventNumber::kWorkerOpened, Level::kInfo, "worker_opened",
      "A worker that was closed accepts new tasks again"},
+    {EventNumber::kWorkerRestarted, Level::kWarning, "worker_restarted",
+     "Another process answers under a worker's id; the one before has ended"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/runtime/engine_clients.cc
+++ b/Source/runtime/engine_clients.cc
@@ -1,8 +1,11 @@
 #include "runtime/engine_clients.h"
 
 #include <chrono>
+#include <map>
+#include <string_view>
 #include <utility>
 
+#include "model/worker_incarnation.h"
 #include "runtime/clock.h"
 
 namespace burdockrock {
@@ -27,6 +30,34 @@
           .connect_timeout = kConnectTimeout};
 }
 
+// The advice service knows workers by their ids alone.
+engine::AdviceRequest WithWorkerIds(engine::AdviceRequest request) {
+  for (std::string& it : request.workers) {
+    it = WorkerIdOf(it);
+  }
+  return request;
+}
+
+// Names the incarnations that the request named.
+engine::AdviceAnswer WithIncarnations(engine::AdviceAnswer answer,
+                                      const engine::AdviceRequest& request) {
+  auto* given = std::get_if<engine::AdviceGiven>(&answer);
+  if (given == nullptr) {
+    return answer;
+  }
+  std::map<std::string_view, std::string_view> names;
+  for (const std::string& it : request.workers) {
+    names[WorkerIdOf(it)] = it;
+  }
+  for (engine::Allowed& it : given->allowed) {
+    const auto name = names.find(it.worker);
+    if (name != names.end()) {
+      it.worker = name->second;
+    }
+  }
+  return answer;
+}
+
 // Null without an address.
 std::unique_ptr<HttpClient> OneCallAtATime(boost::asio::io_context& io,
                                            const std::string& address) {
@@ -67,7 +98,8 @@
 
 void EngineClients::CallWorker(const engine::CallWorker& call) {
   workers_.Get(call.address)
-      .Send(options_.codec.encode_worker(call.worker, call.request),
+      .Send(options_.codec.encode_worker(std::string(WorkerIdOf(call.worker)),
+                                         call.request),
             call.timeout,
             [this, worker = call.worker, request = call.request,
              asked = SteadyNow()](const HttpResult& result) {
@@ -85,11 +117,13 @@
         .request = call.request,
         .answer = engine::AdviceFailed{.detail = "no advice service is set"}});
   }
-  advice_->Send(options_.codec.encode_advice(call.request), call.timeout,
+  advice_->Send(options_.codec.encode_advice(WithWorkerIds(call.request)),
+                call.timeout,
                 [this, request = call.request](const HttpResult& result) {
                   options_.on_event(engine::AdviceAnswered{
                       .request = request,
-                      .answer = options_.codec.decode_advice(result)});
+                      .answer = WithIncarnations(
+                          options_.codec.decode_advice(result), request)});
                 });
 }
 
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -53,7 +53,7 @@
     return DocumentFault{.problem = "not a worker"};
   }
   const std::int64_t born = parts.size() == 6 ? std::stoll(parts[5]) : 0;
-  return WorkerInfo{.id = std::string(id),
+  return WorkerInfo{.id = IncarnationName(id, born),
                     .born = born,
                     .address = parts[0],
                     .domain = parts[1],
--- a/Tests/engine/restart_test.cc
+++ b/Tests/engine/restart_test.cc
@@ -330,4 +330,23 @@
   }
 }
 
+// Guards against a restart that on-call can't see: the lines name the process.
+TEST_CASE("The log names the process that ended and the next one") {
+  Fleet fleet(Telling());
+  fleet.Settle();
+  const std::int64_t born = fleet.worker("w0").info().born;
+  fleet.CrashWorker("w0", milliseconds(0));
+  fleet.Run(seconds(3));
+  const auto logs = [&](EventNumber number, std::int64_t of) {
+    return std::any_of(
+        fleet.log.begin(), fleet.log.end(), [&](const LogLine& it) {
+          return it.number == number &&
+                 it.fields[0].value == IncarnationName("w0-1", of);
+        });
+  };
+  CHECK(logs(EventNumber::kWorkerRestarted, born));
+  CHECK(logs(EventNumber::kWorkerGone, born));
+  CHECK(logs(EventNumber::kWorkerClaimed, fleet.worker("w0").info().born));
+}
+
 }  // namespace burdockrock::engine
--- a/Tests/platform/documents_test.cc
+++ b/Tests/platform/documents_test.cc
@@ -49,4 +49,25 @@
       IsHeartbeat(before, R"({"service":"s","sequence":5,"zone":"a"})"));
 }
 
+// Guards against a process that is taken for the one before it under the same
+// id: its entry differs by its start alone.
+TEST_CASE("An entry names the process by the worker's id and its start") {
+  const auto read = [](const char* born) {
+    return DecodeWorkerDocument(
+        "i-1", std::string(R"({"address":"a:1","zone":"z","service":"s",)") +
+                   born + R"("state":"ready","sequence":1})");
+  };
+  const auto told = read(R"("born":1764785000123,)");
+  REQUIRE(std::holds_alternative<engine::WorkerInfo>(told));
+  CHECK(std::get<engine::WorkerInfo>(told).id == "i-1#1764785000123");
+  CHECK(std::get<engine::WorkerInfo>(told).born == 1764785000123);
+  const auto untold = read("");
+  REQUIRE(std::holds_alternative<engine::WorkerInfo>(untold));
+  CHECK(std::get<engine::WorkerInfo>(untold).id == "i-1");
+  CHECK(std::holds_alternative<engine::DocumentFault>(
+      read(R"("born":"yesterday",)")));
+  CHECK_FALSE(IsHeartbeat(R"({"born":1764785000123,"sequence":9})",
+                          R"({"born":1764785009123,"sequence":1})"));
+}
+
 }  // namespace burdockrock::platform
--- a/Tests/platform/worker_codec_test.cc
+++ b/Tests/platform/worker_codec_test.cc
@@ -47,13 +47,15 @@
 }
 
 TEST_CASE("A listing is read whole") {
-  const WorkerAnswer answer = Decode(
-      200, R"({"clock_ms":482113,"running":[["a.0.1.17",2,"c1",41,3.6]],)"
-           R"("finished":[[58,"a.0.1.9",1,"done",""],)"
-           R"([59,"a.0.1.8",3,"lapsed","c2"]]})");
+  const WorkerAnswer answer =
+      Decode(200, R"({"clock_ms":482113,"born":1764785000123,)"
+                  R"("running":[["a.0.1.17",2,"c1",41,3.6]],)"
+                  R"("finished":[[58,"a.0.1.9",1,"done",""],)"
+                  R"([59,"a.0.1.8",3,"lapsed","c2"]]})");
   REQUIRE(std::holds_alternative<WorkerDone>(answer));
   const auto& done = std::get<WorkerDone>(answer);
   CHECK(done.clock_ms == 482113);
+  CHECK(done.born == 1764785000123);
   REQUIRE(done.running.size() == 1);
   CHECK(done.running[0] == RunningRow{.task = "a.0.1.17",
                                       .run = 2,
