--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -330,6 +330,14 @@
   AdvancePlatform();
 }
 
+void EntryGroup::ListAgain(const std::string& id) {
+  const auto it =
+      std::find_if(instances_.begin(), instances_.end(),
+                   [&](const InstanceInfo& info) { return info.id == id; });
+  platform_.instances().Upsert(*it, now_);
+  AdvancePlatform();
+}
+
 void EntryGroup::MarkLeaving(const std::string& id) {
   platform_.instances().MarkLeaving(id, true, now_);
   AdvancePlatform();
--- a/Tests/scheduler/entry_group.h
+++ b/Tests/scheduler/entry_group.h
@@ -101,6 +101,8 @@
   // Removes the instance from the platform's list, after the list's lag,
   // without any other change.
   void DropFromList(const std::string& id);
+  // Lists the instance as at the start, after the list's lag.
+  void ListAgain(const std::string& id);
   // Marks the instance as leaving in the platform's list, after the list's lag.
   void MarkLeaving(const std::string& id);
 
