Scheduler: Opens a probed worker when its probe ends unjudged

Callers saw tasks wait beside a worker that had been quarantined once. Cause: a worker on probation is closed while it has a booking, but only a judged end (done or failed of a job not bad) evaluated that again. A probe that was stopped, lapsed, crashed, was refused or belonged to a bad job left it closed, as did a booking that was still unacknowledged when the probation began. Evidence: two tests of wake_test.cc failed (the next job unfinished after 60 s). Change: each change of the bookings of a worker on probation evaluates it again; only live bookings count. WhyClosed names the condition, and the dump shows it.

--- a/Source/scheduler/dump.cc
+++ b/Source/scheduler/dump.cc
@@ -63,6 +63,7 @@
   }
   value["free"] = DumpResources(state.placement.free(*worker.index));
   value["open"] = state.placement.open(*worker.index);
+  value["closed"] = WhyClosed(state, worker);
   value["silent"] = worker.unresponsive;
   value["suspect"] = worker.suspect;
   value["leaving"] = worker.info.leaving;
--- a/Source/scheduler/ownership.cc
+++ b/Source/scheduler/ownership.cc
@@ -107,6 +107,12 @@
   return true;
 }
 
+bool HasLiveBooking(const WorkerRecord& worker) {
+  return std::any_of(
+      worker.bookings.begin(), worker.bookings.end(),
+      [](const auto& it) { return it.second.state != AttemptState::kEnded; });
+}
+
 }  // namespace
 
 std::string OwnerName(const std::string& instance,
@@ -188,19 +194,45 @@
   SendClaim(context, worker);
 }
 
+// A worker that is being handed over stays open until the other member has
+// claimed it: a start in the meantime is either executed or refused, and a
+// handover that is not accepted leaves no worker idle.
+const char* WhyClosed(const State& state, const WorkerRecord& worker) {
+  if (!IsOurs(worker)) {
+    return "not_owned";
+  }
+  if (worker.info.leaving) {
+    return "leaving";
+  }
+  if (worker.removed) {
+    return "removed";
+  }
+  if (worker.unresponsive) {
+    return "silent";
+  }
+  if (worker.suspect) {
+    return "suspect";
+  }
+  if (worker.claim_in_flight) {
+    return "claimed_again";
+  }
+  if (!worker.unchecked_journals.empty()) {
+    return "journals_unchecked";
+  }
+  if (worker.health.quarantined) {
+    return "quarantined";
+  }
+  if (worker.health.probing && HasLiveBooking(worker)) {
+    return "probed";
+  }
+  return state.drain.draining ? "draining" : "";
+}
+
 void UpdateOpen(Context& context, WorkerRecord& worker) {
   if (!worker.index) {
     return;
   }
-  // A worker that is being handed over stays open until the other member has
-  // claimed it: a start in the meantime is either executed or refused, and a
-  // handover that is not accepted leaves no worker idle.
-  const bool is_open =
-      IsOurs(worker) && !worker.info.leaving && !worker.removed &&
-      !worker.unresponsive && !worker.suspect && !worker.claim_in_flight &&
-      worker.unchecked_journals.empty() && !worker.health.quarantined &&
-      !(worker.health.probing && !worker.bookings.empty()) &&
-      !context.state().drain.draining;
+  const bool is_open = *WhyClosed(context.state(), worker) == '\0';
   const bool was_open = context.state().placement.open(*worker.index);
   context.state().placement.SetOpen(*worker.index, is_open);
   if (is_open && !was_open) {
@@ -214,10 +246,13 @@
     return false;
   }
   AddBooking(context, worker, std::move(booking));
+  return true;
+}
+
+void OnBookingsChanged(Context& context, WorkerRecord& worker) {
   if (worker.health.probing) {
     UpdateOpen(context, worker);
   }
-  return true;
 }
 
 Booking& AddBooking(Context& context, WorkerRecord& worker, Booking booking) {
@@ -225,7 +260,10 @@
   if (!booking.is_request) {
     context.state().ownership.attempt_workers[attempt] = worker.info.id;
   }
-  return worker.bookings.emplace(attempt, std::move(booking)).first->second;
+  Booking& added =
+      worker.bookings.emplace(attempt, std::move(booking)).first->second;
+  OnBookingsChanged(context, worker);
+  return added;
 }
 
 void EraseBooking(Context& context,
@@ -241,6 +279,7 @@
   }
   context.state().ownership.attempt_workers.erase(attempt);
   worker.bookings.erase(it);
+  OnBookingsChanged(context, worker);
 }
 
 CallId CommandWorker(Context& context,
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -28,6 +28,7 @@
 namespace burdockrock {
 
 class Context;
+struct State;
 
 // An attempt that occupies capacity of an owned worker, or has ended there and
 // is not yet acknowledged by the writer of its job's journal.
@@ -129,6 +130,9 @@
                 const Handover& handover);
 void OnWorkerAnswered(Context& context, const WorkerAnswered& answered);
 
+// Why the worker takes no new work; empty if it does.
+const char* WhyClosed(const State& state, const WorkerRecord& worker);
+
 // Opens or closes the worker for new work, according to its record.
 void UpdateOpen(Context& context, WorkerRecord& worker);
 
@@ -144,6 +148,10 @@
 // Records an attempt on the worker without reserving capacity.
 Booking& AddBooking(Context& context, WorkerRecord& worker, Booking booking);
 
+// Opens or closes a worker on probation, which takes one attempt at a time.
+// Follows each change of its bookings and of their states.
+void OnBookingsChanged(Context& context, WorkerRecord& worker);
+
 // Releases the attempt's capacity and removes its booking.
 void EraseBooking(Context& context,
                   WorkerRecord& worker,
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -303,6 +303,7 @@
                             : report.attempt.job,
                      failed, job != nullptr && job->bad);
   }
+  OnBookingsChanged(context, worker);
   ReportToWriter(context, worker, booking);
 }
 
