Scheduler: Opens a worker that fails its probe beyond the cap

Callers saw tasks wait beside an idle worker that is in no quarantine. Cause: a failed probe ends the probation, and the cap on quarantines then keeps the worker out of another one; nothing opened it. Evidence: 'Opens a worker that failed its probe beyond the cap' failed: neither the failing job nor the one after it ended in 120 and 60 s. Change: the worker is evaluated again on that path, too.

--- a/Source/scheduler/health.cc
+++ b/Source/scheduler/health.cc
@@ -58,6 +58,7 @@
   if (IsQuarantineCapReached(context)) {
     context.Log(EventNumber::kQuarantineCapReached,
                 {{"worker", worker.info.id}});
+    UpdateOpen(context, worker);
     return;
   }
   worker.health.quarantined = true;
