Scheduler: Uses a worker again that is listed again

Callers saw tasks wait beside a worker that one list had not named, and the tasks on it run into their leases' end without an end that anyone learned of. Cause: the renewals and the room of a removed worker stop; when a later list named it before its last lease had lapsed, only the mark of the removal went. Evidence: 'Uses a worker again that is listed again' failed: the new job was unfinished after 60 s and the running one after 120 s, 4 executions of 5. Change: a listed worker is evaluated with each list, and its renewals resume. Measured: the test passes with 5 executions.

--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -174,10 +174,10 @@
   if (worker.removed) {
     worker.removed = false;
     ownership.pending_checks.insert(info.id);
+    // The renewals stopped with the removal.
+    context.ScheduleAt(context.now(), TimerKind::kRenew, info.id);
   }
-  if (worker.info.leaving != was_leaving) {
-    UpdateOpen(context, worker);
-  }
+  UpdateOpen(context, worker);
 }
 
 void RemoveMissing(Context& context, const std::vector<InstanceInfo>& list) {
