Scheduler: Repeats the claim of an owned worker until it is accepted

Callers saw a task in state starting for ever, and tasks on a worker that had forgotten its owner run on or vanish without an end. Cause: an owned worker is claimed again to settle a start without an answer, or after it forgot its owner. If that claim was lost, the timer took the worker for owned and settled; the start stayed unverified, and nothing renewed. Evidence: the two tests 'Repeats the claim ...' of wake_test.cc failed: the job was unfinished after 60 s, 0 executions of 1. Change: the record keeps that a claim of an owned worker is wanted, until one is accepted or the worker is released; the claim timer repeats it. An answer that names an own claim whose answer was lost is no loss of the worker. Measured: both tests pass, as do the 90 other cases of scheduler_test.

--- a/Source/scheduler/ownership.cc
+++ b/Source/scheduler/ownership.cc
@@ -160,8 +160,9 @@
     return;
   }
   WorkerRecord& record = it->second;
-  if (record.unresponsive && IsOurs(record) && !record.claim_in_flight) {
-    SendClaim(context, record);
+  const bool must_claim = record.unresponsive || record.reclaiming;
+  if (must_claim && IsOurs(record) && !record.claim_in_flight) {
+    Reclaim(context, record);
     return;
   }
   if (!CheckWorker(context, record)) {
@@ -213,7 +214,7 @@
   if (worker.suspect) {
     return "suspect";
   }
-  if (worker.claim_in_flight) {
+  if (worker.claim_in_flight || worker.reclaiming) {
     return "claimed_again";
   }
   if (!worker.unchecked_journals.empty()) {
@@ -369,6 +370,7 @@
   if (!IsOurs(worker) || worker.claim_in_flight) {
     return;
   }
+  worker.reclaiming = true;
   SendClaim(context, worker);
   UpdateOpen(context, worker);
 }
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -72,6 +72,8 @@
   Time desired_since{0};  // assigned to this process, owned by another
   std::string desired;    // the member it is assigned to
   bool claim_in_flight = false;
+  // Claimed again by its owner, and the claim was not accepted yet.
+  bool reclaiming = false;
   std::uint32_t claim_refusals = 0;
   Time claim_after{0};
   bool suspect = false;       // a command failed since its last answer
--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -199,6 +199,7 @@
   worker.epoch = accepted.epoch;
   worker.owner = OwnName(context);
   worker.claim_refusals = 0;
+  worker.reclaiming = false;
   worker.desired_since = Time(0);
   worker.ownership_verified_at = purpose.sent;
   ++context.state().counters.claims;
@@ -234,8 +235,9 @@
 void OnStaleEpoch(Context& context,
                   WorkerRecord& worker,
                   const StaleEpoch& stale) {
-  const bool is_own_claim =
-      worker.claim_in_flight && stale.owner == OwnName(context);
+  // The answer to a claim of this process may be late or lost.
+  const bool is_own_claim = (worker.claim_in_flight || worker.reclaiming) &&
+                            stale.owner == OwnName(context);
   if (stale.epoch <= worker.epoch || is_own_claim) {
     return;  // this process has itself claimed the worker again
   }
@@ -511,6 +513,7 @@
     --state.ownership.owned;
   }
   worker.state = OwnerState::kFree;
+  worker.reclaiming = false;
   for (const auto& [attempt, booking] : worker.bookings) {
     state.ownership.attempt_workers.erase(attempt);
   }
