Scheduler: Ends the wait of a task for a worker to itself

Callers saw a task that two workers had crashed under wait for ever, and other tasks of its size wait with it beside room. Cause: after 20 s the task may run beside others, but nothing placed tasks then; only the digests of peers did so by chance, and an entry alone has none. While it waited, its size counted as one that fits nowhere in the pass.

--- a/Source/scheduler/job_records.cc
+++ b/Source/scheduler/job_records.cc
@@ -154,7 +154,7 @@
   if (task != nullptr && is_count) {
     task->crashes = static_cast<std::uint8_t>(
         std::min((*value)[0].asUInt(), unsigned{UINT8_MAX}));
-    task->last_crash = context.now();
+    NoteCrash(context, *task);
     task->start_recorded = (*value)[1].asBool();
     task->may_have_crashed = true;
   }
--- a/Source/scheduler/task_crashes.cc
+++ b/Source/scheduler/task_crashes.cc
@@ -22,6 +22,13 @@
 
 }  // namespace
 
+void NoteCrash(Context& context, Task& task) {
+  task.last_crash = context.now();
+  if (task.crashes >= kCrashesBeforeIsolation) {
+    context.ScheduleAfter(kIsolationTimeout, TimerKind::kSchedule);
+  }
+}
+
 void OnAttemptCrashed(Context& context, Job& job, std::uint32_t index) {
   Task& task = job.tasks[index];
   if (job.cancelled || job.judged_failed || IsExcused(context, task)) {
@@ -30,7 +37,7 @@
   }
   ++task.crashes;
   ++context.state().counters.crashes;
-  task.last_crash = context.now();
+  NoteCrash(context, task);
   context.Log(EventNumber::kTaskCrashed,
               {{"job", job.id},
                {"task", std::to_string(index)},
--- a/Source/scheduler/task_crashes.h
+++ b/Source/scheduler/task_crashes.h
@@ -21,6 +21,10 @@
 inline constexpr std::uint8_t kMaxTaskCrashes = 3;
 inline constexpr std::uint8_t kCrashesBeforeIsolation = 2;
 
+// Lets the task wait for a worker to itself from now on, for some time, if its
+// crashes call for that.
+void NoteCrash(Context& context, Task& task);
+
 // Counts a crash under the task, and retries it or ends it as failed.
 void OnAttemptCrashed(Context& context, Job& job, std::uint32_t task);
 
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -176,7 +176,10 @@
   if (PlaceTask(context, job, *index)) {
     return job.queued == 0 ? TryResult::kNothingLeft : TryResult::kStarted;
   }
-  pass.misfits.push_back(job.spec.resources);
+  // A task that waits for an empty worker says nothing of the room of others.
+  if (!IsIsolated(context, job.tasks[*index])) {
+    pass.misfits.push_back(job.spec.resources);
+  }
   return TryResult::kBlocked;
 }
 
