Scheduler: Tells waiting requests that room is free

Callers saw a request wait until its deadline beside a free minion. Cause: queued requests were looked at when a run ended or a peer's digest came, not when a minion was opened again or a booking without an answer was dropped. Evidence: 'Runs a waiting request when its minion answers again' failed; a trial with a limit of 20 s instead of 5 failed, too. Change: OnRoomFreed tells tasks and requests alike, at the end of the step. Measured: the trial with 20 s passes.

--- a/Source/scheduler/ownership.cc
+++ b/Source/scheduler/ownership.cc
@@ -229,6 +229,11 @@
   return state.drain.draining ? "draining" : "";
 }
 
+void OnRoomFreed(Context& context) {
+  context.state().tasks.pass_needed = true;
+  context.state().requests.pump_needed = true;
+}
+
 void UpdateOpen(Context& context, WorkerRecord& worker) {
   if (!worker.index) {
     return;
@@ -237,7 +242,7 @@
   const bool was_open = context.state().placement.open(*worker.index);
   context.state().placement.SetOpen(*worker.index, is_open);
   if (is_open && !was_open) {
-    context.state().tasks.pass_needed = true;
+    OnRoomFreed(context);
   }
 }
 
@@ -276,7 +281,7 @@
   }
   if (it->second.holds_room && worker.index) {
     context.state().placement.Give(*worker.index, it->second.resources);
-    context.state().tasks.pass_needed = true;
+    OnRoomFreed(context);
   }
   context.state().ownership.attempt_workers.erase(attempt);
   worker.bookings.erase(it);
@@ -363,7 +368,7 @@
     }
   }
   UpdateOpen(context, worker);
-  context.state().tasks.pass_needed = true;
+  OnRoomFreed(context);
 }
 
 void Reclaim(Context& context, WorkerRecord& worker) {
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -135,6 +135,9 @@
 // Why the worker takes no new work; empty if it does.
 const char* WhyClosed(const State& state, const WorkerRecord& worker);
 
+// Lets waiting tasks and requests use the room at the end of this step.
+void OnRoomFreed(Context& context);
+
 // Opens or closes the worker for new work, according to its record.
 void UpdateOpen(Context& context, WorkerRecord& worker);
 
--- a/Source/scheduler/reducer.cc
+++ b/Source/scheduler/reducer.cc
@@ -277,6 +277,9 @@
   Context context(state, event.now, effects);
   *state.wall_ms = state.self.wall_start_ms + ToMilliseconds(event.now);
   std::visit(EventHandler{.context = context}, event.body);
+  if (std::exchange(state.requests.pump_needed, false)) {
+    PumpRequests(context);
+  }
   if (state.tasks.pass_needed) {
     PlaceTasks(context);
   }
--- a/Source/scheduler/request_runs.cc
+++ b/Source/scheduler/request_runs.cc
@@ -98,7 +98,6 @@
                         .answer = ended.answer});
     }
   }
-  PumpRequests(context);
 }
 
 void OnRunNotStarted(Context& context,
--- a/Source/scheduler/requests.h
+++ b/Source/scheduler/requests.h
@@ -71,6 +71,7 @@
   // after the first run has ended.
   std::map<std::string, Time> accepted_forwards;
   double retry_tokens = 10;
+  bool pump_needed = false;  // run PumpRequests at the end of this step
   std::uint64_t next_id = 1;
 };
 
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -285,7 +285,7 @@
   Booking& booking = worker.bookings.at(report.attempt);
   if (booking.holds_room && worker.index) {
     context.state().placement.Give(*worker.index, booking.resources);
-    context.state().tasks.pass_needed = true;
+    OnRoomFreed(context);
   }
   booking.holds_room = false;
   booking.unverified = false;
