Scheduler: Places waiting tasks when the teams' quotas change

Callers saw tasks wait for a quota that had been raised, or for the share of an entry that was gone, until something else happened. Cause: a change of the policy, or of the number of entries that share a quota, asked for no placement. Evidence: the two tests 'Starts waiting tasks when ...' of wake_test.cc failed: 1 task of 2 ran after 20 and 30 s. Change: both ask for a placement at the end of their step. Measured: both tests pass.

--- a/Source/scheduler/config_state.cc
+++ b/Source/scheduler/config_state.cc
@@ -128,6 +128,8 @@
   config.view = view;
   config.loaded = true;
   SetWriteBudget(context.state());
+  // Quotas and weights of teams may have changed.
+  context.state().tasks.pass_needed = true;
   context.Log(EventNumber::kConfigurationApplied,
               {{"revision", std::to_string(view.revision)}});
   // Sends the document to the peers of the domain without waiting for the next
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -99,6 +99,8 @@
 // The peer's process is lost: the work that it was given may or may not be
 // running.
 void OnPeerLost(Context& context, const std::string& id) {
+  // Its share of the teams' quotas goes to the others.
+  context.state().tasks.pass_needed = true;
   FailForwarded(context, id);
   for (auto& [job_id, job] : context.state().jobs.jobs) {
     for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
