--- a/Source/scheduler/dump.cc
+++ b/Source/scheduler/dump.cc
@@ -95,6 +95,7 @@
   value["count"] = job.spec.count;
   value["queued"] = job.queued;
   value["open"] = job.open;
+  value["waits_for"] = job.queued > 0 ? job.waits_for : "";
   value["recorded"] = job.recorded;
   value["cancelled"] = job.cancelled;
   value["finished"] = job.finished;
--- a/Source/scheduler/jobs.h
+++ b/Source/scheduler/jobs.h
@@ -95,6 +95,7 @@
   std::uint64_t claim_ticket = 0;
   std::uint32_t next_queued = 0;  // no task below it is queued
   bool in_queue = false;
+  const char* waits_for = "";  // what its last try to place a task lacked
   std::uint32_t queued = 0;
   std::uint32_t open = 0;           // tasks that have not ended
   std::set<std::string> failed_on;  // workers; at most a few
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -155,32 +155,42 @@
 
 enum class TryResult { kStarted, kBlocked, kNothingLeft };
 
+TryResult Blocked(Job& job, const char* lacks) {
+  job.waits_for = lacks;
+  return TryResult::kBlocked;
+}
+
 TryResult TryJob(Context& context, Pass& pass, Job& job) {
+  job.waits_for = "";
   if (job.cancelled || job.finished || job.queued == 0) {
     return TryResult::kNothingLeft;
   }
-  if (context.now() < job.retry_at || !WithinQuota(context, job)) {
-    return TryResult::kBlocked;
+  if (context.now() < job.retry_at) {
+    return Blocked(job, "backoff");
+  }
+  if (!WithinQuota(context, job)) {
+    return Blocked(job, "quota");
   }
   if (job.spec.kind == JobKind::kGang) {
     return AssembleGang(context, job) ? TryResult::kNothingLeft
-                                      : TryResult::kBlocked;
+                                      : Blocked(job, "room_for_all");
   }
   const auto index = NextTask(job);
   if (!index) {
     return TryResult::kNothingLeft;
   }
   if (IsKnownMisfit(pass, job.spec.resources)) {
-    return TryResult::kBlocked;
+    return Blocked(job, "room");
   }
   if (PlaceTask(context, job, *index)) {
     return job.queued == 0 ? TryResult::kNothingLeft : TryResult::kStarted;
   }
   // A task that waits for an empty worker says nothing of the room of others.
-  if (!IsIsolated(context, job.tasks[*index])) {
-    pass.misfits.push_back(job.spec.resources);
+  if (IsIsolated(context, job.tasks[*index])) {
+    return Blocked(job, "empty_worker");
   }
-  return TryResult::kBlocked;
+  pass.misfits.push_back(job.spec.resources);
+  return Blocked(job, "room");
 }
 
 // Tries the jobs of a class until a task of a job with more queued tasks is
--- a/Tests/scheduler/wake_test.cc
+++ b/Tests/scheduler/wake_test.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "scheduler/context.h"
+#include "scheduler/dump.h"
 #include "scheduler/entry_group.h"
 #include "scheduler/failure_checks.h"
 #include "scheduler/work_samples.h"
@@ -199,6 +200,21 @@
   CHECK(group.VerdictOf(second) == Verdict(Ran{.answer = "second"}));
 }
 
+// Guards against a wait whose cause on-call can't see.
+TEST_CASE("Dumps why a task waits and why a worker is closed") {
+  EntryGroup group({.entries = {1}, .workers = 1});
+  REQUIRE(Settle(group));
+  const auto dump = [&] { return DumpState(group.state(kEntry), group.now()); };
+  AcceptJob(group, kEntry, JobOf(JobKind::kBatch, 8, 600'000));
+  const std::string job =
+      AcceptJob(group, kEntry, SmallJob(JobKind::kBatch, 1));
+  group.Run(seconds(1));
+  CHECK(dump()["jobs"][job]["waits_for"] == "room");
+  CHECK(dump()["workers"]["d0-w0"]["closed"] == "");
+  SetHealth(group, "d0-w0", true, false);
+  CHECK(dump()["workers"]["d0-w0"]["closed"] == "quarantined");
+}
+
 // Guards against tasks that wait for their team's quota, which was raised.
 TEST_CASE("Starts waiting tasks when the quota is raised") {
   EntryGroup group(
