Wire: Tells the processes of a worker apart

A worker may start again under the id that it had, and forgets all. Change: commands to workers name the process that they are meant for, answers and the platform's list tell when the process was born; 0 or absent: not told, as before. The stand-in refuses a command for another process as a stale epoch, and starts a worker anew on {"target": ID, "set": {"restart": true}}. Measured: standin_test passes, with a new test of the wire.

--- a/Source/model/work.h
+++ b/Source/model/work.h
@@ -74,6 +74,8 @@
   std::string address;  // "IP:PORT"
   bool leaving = false;
   Resources capacity;
+  // When its process started, in Unix milliseconds; 0: not told.
+  std::int64_t born = 0;
 
   auto operator<=>(const InstanceInfo&) const = default;
 };
--- a/Source/model/worker_message.h
+++ b/Source/model/worker_message.h
@@ -15,6 +15,9 @@
 
 namespace burdockrock {
 
+// `born` tells the processes of one worker apart: when the process started, in
+// Unix milliseconds. It is 0 if the worker does not tell it.
+
 // Rises with each claim of a worker; the worker refuses lower ones.
 using Epoch = std::uint64_t;
 
@@ -23,6 +26,8 @@
   Epoch epoch = 0;
   std::string owner;
   std::string incarnation;
+  // The process that it is meant for; another refuses it. 0: any.
+  std::int64_t born = 0;
   auto operator<=>(const ClaimCommand&) const = default;
 };
 
@@ -34,6 +39,8 @@
   std::string payload;
   Duration lease{0};
   bool hold = false;  // take the room and wait for RenewCommand::go
+  // The process that it is meant for; another refuses it. 0: any.
+  std::int64_t born = 0;
   auto operator<=>(const StartCommand&) const = default;
 };
 
@@ -44,6 +51,8 @@
   Resources resources;
   std::string payload;
   Duration lease{0};
+  // The process that it is meant for; another refuses it. 0: any.
+  std::int64_t born = 0;
   auto operator<=>(const RunCommand&) const = default;
 };
 
@@ -55,12 +64,16 @@
   std::uint64_t version = 0;
   std::vector<AttemptId> acknowledge;  // ended attempts that may be forgotten
   std::vector<AttemptId> go;           // held attempts that may run
+  // The process that it is meant for; another refuses it. 0: any.
+  std::int64_t born = 0;
   auto operator<=>(const RenewCommand&) const = default;
 };
 
 struct StopCommand {
   Epoch epoch = 0;
   std::vector<AttemptId> attempts;
+  // The process that it is meant for; another refuses it. 0: any.
+  std::int64_t born = 0;
   auto operator<=>(const StopCommand&) const = default;
 };
 
@@ -71,6 +84,7 @@
   Epoch epoch = 0;
   Resources capacity;
   std::vector<AttemptReport> attempts;
+  std::int64_t born = 0;
   auto operator<=>(const ClaimAccepted&) const = default;
 };
 
@@ -78,22 +92,26 @@
 struct StaleEpoch {
   Epoch epoch = 0;
   std::string owner;
+  std::int64_t born = 0;
   auto operator<=>(const StaleEpoch&) const = default;
 };
 
 struct StartDone {
+  std::int64_t born = 0;
   auto operator<=>(const StartDone&) const = default;
 };
 
 // A start or run was refused and nothing runs: "no_room", "already_ended".
 struct StartRefused {
   std::string reason;
+  std::int64_t born = 0;
   auto operator<=>(const StartRefused&) const = default;
 };
 
 struct RunEnded {
   Outcome outcome = Outcome::kDone;
   std::string answer;
+  std::int64_t born = 0;
   auto operator<=>(const RunEnded&) const = default;
 };
 
@@ -101,11 +119,13 @@
   std::uint64_t version = 0;
   std::vector<AttemptReport> attempts;  // all on the worker
   Resources usage;                      // lags by some seconds
+  std::int64_t born = 0;
   auto operator<=>(const RenewDone&) const = default;
 };
 
 struct StopDone {
   std::vector<AttemptId> stopped;
+  std::int64_t born = 0;
   auto operator<=>(const StopDone&) const = default;
 };
 
--- a/Source/wire/work_fields.h
+++ b/Source/wire/work_fields.h
@@ -80,6 +80,7 @@
     codec.Name("address", it.address);
     codec.Choice("state", it.leaving, "live", "leaving");
     codec.Optional("capacity", it.capacity, Resources());
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
--- a/Source/wire/worker_codec.cc
+++ b/Source/wire/worker_codec.cc
@@ -25,6 +25,7 @@
 // {"started": true}
 struct StartAnswer {
   bool started = false;
+  std::int64_t born = 0;
 };
 
 // The body of every 409. Only a claim's has `accepted`, the others have
@@ -34,6 +35,7 @@
   std::string reason;
   Epoch epoch = 0;
   std::string owner;
+  std::int64_t born = 0;
 };
 
 }  // namespace
@@ -45,6 +47,7 @@
     codec.Field("epoch", it.epoch);
     codec.Field("owner", it.owner);
     codec.Field("incarnation", it.incarnation);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -58,6 +61,7 @@
     codec.Field("payload", it.payload);
     codec.Field("lease_ms", it.lease);
     codec.Field("hold", it.hold);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -70,6 +74,7 @@
     codec.Field("resources", it.resources);
     codec.Field("payload", it.payload);
     codec.Field("lease_ms", it.lease);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -83,6 +88,7 @@
     codec.Field("version", it.version);
     codec.Field("acknowledge", it.acknowledge);
     codec.Field("go", it.go);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -92,6 +98,7 @@
   static void Visit(Codec& codec, Value& it) {
     codec.Field("epoch", it.epoch);
     codec.Field("attempts", it.attempts);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -103,6 +110,7 @@
     codec.Field("epoch", it.claim.epoch);
     codec.Field("capacity", it.claim.capacity);
     codec.Field("attempts", it.claim.attempts);
+    codec.Optional("born", it.claim.born, std::int64_t{0});
   }
 };
 
@@ -111,6 +119,7 @@
   template <typename Codec, typename Value>
   static void Visit(Codec& codec, Value& it) {
     codec.Field("started", it.started);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -120,6 +129,7 @@
   static void Visit(Codec& codec, Value& it) {
     codec.Field("outcome", it.outcome);
     codec.Field("answer", it.answer);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -130,6 +140,7 @@
     codec.Field("version", it.version);
     codec.Field("attempts", it.attempts);
     codec.Field("usage", it.usage);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -138,6 +149,7 @@
   template <typename Codec, typename Value>
   static void Visit(Codec& codec, Value& it) {
     codec.Field("stopped", it.stopped);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -149,6 +161,7 @@
     codec.Optional("reason", it.reason, std::string());
     codec.Field("epoch", it.epoch);
     codec.Field("owner", it.owner);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -217,7 +230,7 @@
   if (!std::get<StartAnswer>(decoded).started) {
     return Garbage("$.started: is false with status 200");
   }
-  return StartDone();
+  return StartDone{.born = std::get<StartAnswer>(decoded).born};
 }
 
 WorkerResult DecodeRun(const HttpResponse& response) {
@@ -246,9 +259,12 @@
   const bool is_start =
       kind == WorkerCommandKind::kStart || kind == WorkerCommandKind::kRun;
   if (is_start && refusal.reason != kStaleReason) {
-    return StartRefused{.reason = std::move(refusal.reason)};
+    return StartRefused{.reason = std::move(refusal.reason),
+                        .born = refusal.born};
   }
-  return StaleEpoch{.epoch = refusal.epoch, .owner = std::move(refusal.owner)};
+  return StaleEpoch{.epoch = refusal.epoch,
+                    .owner = std::move(refusal.owner),
+                    .born = refusal.born};
 }
 
 HttpResponse Response(const Json::Value& body, int status = kOkStatus) {
@@ -262,7 +278,8 @@
   Json::Value body =
       WriteValue(Refusal{.reason = is_claim ? "" : std::move(reason),
                          .epoch = in_force.epoch,
-                         .owner = in_force.owner});
+                         .owner = in_force.owner,
+                         .born = in_force.born});
   if (is_claim) {
     body["accepted"] = false;
   }
@@ -276,8 +293,8 @@
   HttpResponse operator()(const ClaimAccepted& it) const {
     return Response(WriteValue(ClaimAnswer{.accepted = true, .claim = it}));
   }
-  HttpResponse operator()(const StartDone&) const {
-    return Response(WriteValue(StartAnswer{.started = true}));
+  HttpResponse operator()(const StartDone& it) const {
+    return Response(WriteValue(StartAnswer{.started = true, .born = it.born}));
   }
   HttpResponse operator()(const StaleEpoch& it) const {
     return EncodeRefusal(kind, kStaleReason, it);
--- a/Tests/standin/standin_cluster.cc
+++ b/Tests/standin/standin_cluster.cc
@@ -1,5 +1,7 @@
 #include "standin/standin_cluster.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace burdockrock::standin {
@@ -10,6 +12,11 @@
 // cost the path of a run.
 constexpr std::size_t kNoExecutions = 0;
 
+std::int64_t WallMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 PlatformServerOptions OptionsOf(const StandinSettings& settings) {
   PlatformServerOptions options;
   options.listen = settings.platform_listen;
@@ -26,7 +33,10 @@
       platform_(io, OptionsOf(settings), delays_),
       platform_listen_(settings.platform_listen) {
   std::vector<InstanceInfo> list;
-  for (const InstanceSettings& it : settings.instances) {
+  for (InstanceSettings it : settings.instances) {
+    if (it.info.role != InstanceRole::kEntry) {
+      it.info.born = WallMilliseconds();
+    }
     list.push_back(it.info);
     instances_[it.info.id] = it.info;
     if (it.info.role == InstanceRole::kEntry) {
@@ -38,6 +48,7 @@
     options.default_run = it.default_run;
     options.max_executions = kNoExecutions;
     options.recorder = &recorder_;
+    options.born = it.info.born;
     workers_[it.info.id] = std::make_unique<WorkerServer>(
         io, it.info, std::move(options), delays_);
   }
@@ -88,6 +99,16 @@
   platform_.Pump();
 }
 
+std::optional<NetError> StandinCluster::Restart(const std::string& id) {
+  InstanceInfo& info = instances_.at(id);
+  // Two starts within a millisecond are told apart, too.
+  info.born = std::max(info.born + 1, WallMilliseconds());
+  WorkerServer& worker = *workers_.at(id);
+  worker.Restart(info.born);
+  SetListed(id, true);
+  return worker.Listen();
+}
+
 std::optional<NetError> StandinCluster::SetGone(const std::string& id,
                                                 bool gone) {
   SetListed(id, !gone);
--- a/Tests/standin/standin_cluster.h
+++ b/Tests/standin/standin_cluster.h
@@ -45,6 +45,10 @@
   void MarkLeaving(const std::string& id, bool leaving);
   void SetListed(const std::string& id, bool listed);
 
+  // Starts the worker anew under its id and address, as a process that was born
+  // now; the list shows it after its lag.
+  std::optional<NetError> Restart(const std::string& id);
+
   // Crashes the worker and takes it from the list, or brings it back empty.
   std::optional<NetError> SetGone(const std::string& id, bool gone);
 
--- a/Tests/standin/standin_control.cc
+++ b/Tests/standin/standin_control.cc
@@ -46,6 +46,7 @@
   ServerFaults server;
   bool crash = false;
   bool forget_epoch = false;
+  bool restart = false;
 };
 
 template <typename Keep>
@@ -63,6 +64,7 @@
   keep("usage_percent", it.faults.usage_percent);
   keep("crash", it.crash);
   keep("forget_epoch", it.forget_epoch);
+  keep("restart", it.restart);
   VisitServer(keep, it.server);
 }
 
@@ -81,6 +83,7 @@
   body["taken"] = WriteValue(worker.taken());
   body["epoch"] = WriteValue(worker.epoch());
   body["owner"] = worker.owner();
+  body["born"] = WriteValue(worker.options().born);
   body["overcommit_attempts"] = WriteValue(worker.overcommit_attempts());
   body["stale_commands"] = WriteValue(worker.stale_commands());
   body["lapsed_leases"] = WriteValue(worker.lapsed_leases());
@@ -277,6 +280,11 @@
   if (worker != nullptr) {
     fault = Apply(change, *worker);
   }
+  if (change.restart) {
+    if (const auto error = cluster_.Restart(id)) {
+      fault = error->message;
+    }
+  }
   if (leaving) {
     cluster_.MarkLeaving(id, *leaving);
   }
--- a/Tests/standin/wire_agreement_test.cc
+++ b/Tests/standin/wire_agreement_test.cc
@@ -106,6 +106,31 @@
   CHECK(ended.attempts.at(0).outcome == Outcome::kStopped);
 }
 
+// Guards against a command of before a restart that the new process carries
+// out.
+TEST_CASE("The time of a process's start crosses the wire") {
+  constexpr std::int64_t kBorn = 1'750'000'000'123;
+  WorkerModel worker = MakeWorker();
+  worker.Restart(kBorn, Time(0));
+  ClaimCommand claim{.epoch = 1, .owner = "e1", .born = kBorn - 1};
+  CHECK(Send(claim, worker, Time(0)) ==
+        WorkerResult(StaleEpoch{.born = kBorn}));
+  claim.born = kBorn;
+  const auto claimed = Send(claim, worker, Time(0));
+  CHECK(std::get<ClaimAccepted>(claimed).born == kBorn);
+  StartCommand start{.epoch = 1,
+                     .attempt = Attempt(0),
+                     .payload = "sleep_ms=5",
+                     .lease = kLease,
+                     .born = kBorn - 1};
+  CHECK(Send(start, worker, Time(0)) ==
+        WorkerResult(StaleEpoch{.epoch = 1, .owner = "e1", .born = kBorn}));
+  start.born = 0;
+  CHECK(Send(start, worker, Time(0)) == WorkerResult(StartDone{.born = kBorn}));
+  const RenewCommand renew{.epoch = 1, .lease = kLease, .born = kBorn};
+  CHECK(std::get<RenewDone>(Send(renew, worker, Time(0))).born == kBorn);
+}
+
 TEST_CASE("Runs cross the wire") {
   WorkerModel worker = MakeWorker();
   worker.Claim({.epoch = 1, .owner = "e1", .incarnation = ""}, Time(0));
--- a/Tests/standin/worker_model.cc
+++ b/Tests/standin/worker_model.cc
@@ -42,7 +42,8 @@
   }
   const bool repeated =
       command.epoch != 0 && command.epoch == epoch_ && command.owner == owner_;
-  if (command.epoch <= epoch_ && !repeated) {
+  const bool is_stale = command.epoch <= epoch_ && !repeated;
+  if (is_stale || !IsFor(command.born)) {
     ++stale_commands_;
     return in_force();
   }
@@ -52,8 +53,10 @@
   if (LosesAnswer()) {
     return std::nullopt;
   }
-  return ClaimAccepted{
-      .epoch = epoch_, .capacity = options_.capacity, .attempts = Reports()};
+  return ClaimAccepted{.epoch = epoch_,
+                       .capacity = options_.capacity,
+                       .attempts = Reports(),
+                       .born = options_.born};
 }
 
 std::optional<WorkerResult> WorkerModel::Start(const StartCommand& command,
@@ -62,8 +65,8 @@
   if (!ReachesWith(command.epoch)) {
     return std::nullopt;
   }
-  if (auto refused =
-          CheckStart(command.epoch, command.attempt, command.resources)) {
+  if (auto refused = CheckStart(command.epoch, command.born, command.attempt,
+                                command.resources)) {
     return refused;
   }
   if (Find(command.attempt) == nullptr) {
@@ -76,7 +79,7 @@
   if (LosesAnswer()) {
     return std::nullopt;
   }
-  return StartDone{};
+  return StartDone{.born = options_.born};
 }
 
 void WorkerModel::Run(const RunCommand& command, Time now, RunDone done) {
@@ -84,8 +87,8 @@
   if (!ReachesWith(command.epoch)) {
     return;
   }
-  if (auto refused =
-          CheckStart(command.epoch, command.attempt, command.resources)) {
+  if (auto refused = CheckStart(command.epoch, command.born, command.attempt,
+                                command.resources)) {
     AnswerRun(std::move(done), *std::move(refused));
     HandOutAnswers();
     return;
@@ -111,7 +114,7 @@
   if (!ReachesWith(command.epoch)) {
     return std::nullopt;
   }
-  if (!Accepts(command.epoch)) {
+  if (!Accepts(command.epoch, command.born)) {
     return in_force();
   }
   ExtendLeases(command.lease, now);
@@ -129,7 +132,8 @@
 }
 
 bool WorkerModel::RenewWaits(const RenewCommand& command) const {
-  return command.epoch == epoch_ && command.version == version_;
+  return command.epoch == epoch_ && command.version == version_ &&
+         IsFor(command.born);
 }
 
 std::optional<WorkerResult> WorkerModel::AnswerRenew(
@@ -137,12 +141,13 @@
   if (!ReachesWith(command.epoch)) {
     return std::nullopt;
   }
-  if (command.epoch != epoch_) {
+  if (command.epoch != epoch_ || !IsFor(command.born)) {
     return in_force();
   }
   return RenewDone{.version = version_,
                    .attempts = Reports(),
-                   .usage = Scale(reported_usage_, faults_.usage_percent)};
+                   .usage = Scale(reported_usage_, faults_.usage_percent),
+                   .born = options_.born};
 }
 
 std::optional<WorkerResult> WorkerModel::Stop(const StopCommand& command,
@@ -151,10 +156,10 @@
   if (!ReachesWith(command.epoch)) {
     return std::nullopt;
   }
-  if (!Accepts(command.epoch)) {
+  if (!Accepts(command.epoch, command.born)) {
     return in_force();
   }
-  StopDone answer;
+  StopDone answer{.born = options_.born};
   for (const AttemptId& id : command.attempts) {
     Attempt* attempt = Find(id);
     if (attempt == nullptr && !ended_.contains(id)) {
@@ -210,6 +215,15 @@
   return WorkDone{.done = attempt->run.DoneAt(now)};
 }
 
+void WorkerModel::Restart(std::int64_t born, Time now) {
+  Advance(now);
+  LoseAll(true, now);
+  owners_.clear();
+  version_ = 0;
+  away_until_ = Time(0);
+  options_.born = born;
+}
+
 void WorkerModel::Crash(bool forget_epoch, Time now) {
   Advance(now);
   LoseAll(forget_epoch, now);
@@ -275,8 +289,12 @@
   return true;
 }
 
-bool WorkerModel::Accepts(Epoch epoch) {
-  if (epoch == epoch_ && epoch != 0) {
+bool WorkerModel::IsFor(std::int64_t born) const {
+  return born == 0 || options_.born == 0 || born == options_.born;
+}
+
+bool WorkerModel::Accepts(Epoch epoch, std::int64_t born) {
+  if (epoch == epoch_ && epoch != 0 && IsFor(born)) {
     return true;
   }
   ++stale_commands_;
@@ -285,21 +303,22 @@
 
 std::optional<WorkerResult> WorkerModel::CheckStart(
     Epoch epoch,
+    std::int64_t born,
     const AttemptId& id,
     const Resources& resources) {
-  if (!Accepts(epoch)) {
+  if (!Accepts(epoch, born)) {
     return in_force();
   }
   if (ended_.contains(id)) {
-    return StartRefused{.reason = "already_ended"};
+    return StartRefused{.reason = "already_ended", .born = options_.born};
   }
   const Attempt* attempt = Find(id);
   if (attempt != nullptr && attempt->state == AttemptState::kEnded) {
-    return StartRefused{.reason = "already_ended"};
+    return StartRefused{.reason = "already_ended", .born = options_.born};
   }
   if (attempt == nullptr && !Fits(taken_ + resources, options_.capacity)) {
     ++overcommit_attempts_;
-    return StartRefused{.reason = "no_room"};
+    return StartRefused{.reason = "no_room", .born = options_.born};
   }
   return std::nullopt;
 }
@@ -370,8 +389,9 @@
   attempt.state = AttemptState::kEnded;
   attempt.outcome = outcome;
   for (RunDone& done : attempt.waiting) {
-    AnswerRun(std::move(done),
-              RunEnded{.outcome = outcome, .answer = attempt.payload.answer});
+    AnswerRun(std::move(done), RunEnded{.outcome = outcome,
+                                        .answer = attempt.payload.answer,
+                                        .born = options_.born});
   }
   attempt.waiting.clear();
   if (attempt.reported_until_acknowledged) {
@@ -459,7 +479,7 @@
   if (!ReachesWith(epoch)) {
     return nullptr;
   }
-  if (!Accepts(epoch)) {
+  if (!Accepts(epoch, 0)) {
     refusal = in_force();
     return nullptr;
   }
--- a/Tests/standin/worker_model.h
+++ b/Tests/standin/worker_model.h
@@ -58,6 +58,9 @@
   std::size_t max_executions = 10'000;
   // May be null; must outlive the worker.
   ExecutionRecorder* recorder = nullptr;
+  // When the process started, in Unix milliseconds. 0: it doesn't tell, and
+  // takes the commands that are meant for any process.
+  std::int64_t born = 0;
   // Called when an attempt has crashed the process; may be empty.
   std::function<void()> on_crash{};
 };
@@ -139,6 +142,9 @@
   // What runs goes on; starts that don't fit any more are refused.
   void SetCapacity(const Resources& capacity) { options_.capacity = capacity; }
 
+  // Starts a new process under the same id, which holds and knows nothing.
+  void Restart(std::int64_t born, Time now);
+
   // Loses all attempts. The highest epoch is kept unless `forget_epoch`.
   void Crash(bool forget_epoch, Time now);
 
@@ -150,7 +156,9 @@
   const WorkerOptions& options() const { return options_; }
   Epoch epoch() const { return epoch_; }
   const std::string& owner() const { return owner_; }
-  StaleEpoch in_force() const { return {.epoch = epoch_, .owner = owner_}; }
+  StaleEpoch in_force() const {
+    return {.epoch = epoch_, .owner = owner_, .born = options_.born};
+  }
   Resources taken() const { return taken_; }
   std::size_t live() const { return live_; }
 
@@ -188,8 +196,11 @@
   bool Reaches(const std::string& owner) const;
   bool ReachesWith(Epoch epoch) const;
   bool LosesAnswer();
-  bool Accepts(Epoch epoch);
+  // Whether a command that names this process is meant for this one.
+  bool IsFor(std::int64_t born) const;
+  bool Accepts(Epoch epoch, std::int64_t born);
   std::optional<WorkerResult> CheckStart(Epoch epoch,
+                                         std::int64_t born,
                                          const AttemptId& id,
                                          const Resources& resources);
   // `Command` is StartCommand or RunCommand.
--- a/Tests/standin/worker_server.cc
+++ b/Tests/standin/worker_server.cc
@@ -78,6 +78,11 @@
   worker_.Crash(forget_epoch, MonotonicNow());
 }
 
+void WorkerServer::Restart(std::int64_t born) {
+  Crash(true);
+  worker_.Restart(born, MonotonicNow());
+}
+
 void WorkerServer::SetPaused(bool paused) {
   worker_.faults().paused = paused;
   const Time now = MonotonicNow();
--- a/Tests/standin/worker_server.h
+++ b/Tests/standin/worker_server.h
@@ -27,6 +27,8 @@
   // Loses all attempts, cuts all connections and takes no new ones until
   // Listen.
   void Crash(bool forget_epoch);
+  // Crashes and goes on as a new process, once it listens.
+  void Restart(std::int64_t born);
   // A paused worker reads the commands that came meanwhile when it goes on.
   void SetPaused(bool paused);
 
