--- a/Tests/scheduler/entry_group.cc
+++ b/Tests/scheduler/entry_group.cc
@@ -23,6 +23,7 @@
   "services": {"desk": {}},
   "teams": {"default": {}, "other": {}}
 })";
+constexpr std::int64_t kFirstBorn = 1'700'000'000'000;
 constexpr std::uint64_t kMaxEventsPerRun = 50'000'000;
 
 std::string DomainOf(std::uint32_t domain) {
@@ -68,6 +69,7 @@
                             .domain = name,
                             .address = "peer:" + id});
     }
+    const std::int64_t born = options_.workers_tell_born ? kFirstBorn : 0;
     const auto add = [&](const std::string& id, InstanceRole role,
                          std::uint32_t number, const Resources& capacity) {
       machines_[id].model = std::make_unique<standin::WorkerModel>(
@@ -75,6 +77,7 @@
                                  .capacity = capacity,
                                  .default_run = options_.minion_run,
                                  .recorder = &recorder_,
+                                 .born = born,
                                  .on_crash = [this, id] { on_crash(id); }});
       instances_.push_back(
           {.id = id,
@@ -84,7 +87,8 @@
            .rack =
                name + "-r" + std::to_string(number / options_.workers_per_rack),
            .address = "worker:" + id,
-           .capacity = capacity});
+           .capacity = capacity,
+           .born = born});
     };
     for (std::uint32_t it = 0; it < options_.workers; ++it) {
       add(name + "-w" + std::to_string(it), InstanceRole::kWorker, it,
@@ -319,6 +323,21 @@
   DropFromList(id);
 }
 
+void EntryGroup::RestartWorker(const std::string& id) {
+  Machine& machine = machines_.at(id);
+  const auto it =
+      std::find_if(instances_.begin(), instances_.end(),
+                   [&](const InstanceInfo& info) { return info.id == id; });
+  if (options_.workers_tell_born) {
+    it->born = kFirstBorn + ToMilliseconds(now_);
+  }
+  machine.model->Restart(it->born, now_);
+  machine.killed = false;
+  machine.renews.clear();
+  platform_.instances().Upsert(*it, now_);
+  AdvancePlatform();
+}
+
 void EntryGroup::SetCapacity(const std::string& id, const Resources& capacity) {
   machines_.at(id).model->SetCapacity(capacity);
   platform_.instances().SetCapacity(id, capacity, now_);
--- a/Tests/scheduler/entry_group.h
+++ b/Tests/scheduler/entry_group.h
@@ -40,6 +40,7 @@
   Duration worker_delay = std::chrono::microseconds(200);
   Duration platform_delay = std::chrono::milliseconds(2);
   Duration list_lag = std::chrono::seconds(1);
+  bool workers_tell_born = false;
   // Probabilities that a peer message is lost, duplicated or delayed.
   double loss_probability = 0;
   double duplication_probability = 0;
@@ -93,6 +94,9 @@
   void CutDomain(std::uint32_t domain, bool cut);
   // Stops the worker's machine: connections are refused and its tasks are lost.
   void KillWorker(const std::string& id);
+  // Starts a new process of the worker under its id, which is listed after the
+  // list's lag. Workers tell when they were born if `workers_tell_born`.
+  void RestartWorker(const std::string& id);
   // Called when an attempt has crashed its worker.
   std::function<void(const std::string& worker)> on_crash =
       [](const std::string&) {};
