--- a/Source/scheduler/dump.cc
+++ b/Source/scheduler/dump.cc
@@ -63,6 +63,7 @@
   }
   value["free"] = DumpResources(state.placement.free(*worker.index));
   value["open"] = state.placement.open(*worker.index);
+  value["closed"] = WhyClosed(state, worker);
   value["silent"] = worker.unresponsive;
   value["suspect"] = worker.suspect;
   value["leaving"] = worker.info.leaving;
@@ -94,6 +95,7 @@
   value["count"] = job.spec.count;
   value["queued"] = job.queued;
   value["open"] = job.open;
+  value["waits_for"] = job.queued > 0 ? job.waits_for : "";
   value["recorded"] = job.recorded;
   value["cancelled"] = job.cancelled;
   value["finished"] = job.finished;
