--- a/Source/engine/call_fields.h
+++ b/Source/engine/call_fields.h
@@ -239,6 +239,7 @@
     codec.Field("clock_ms", it.clock_ms);
     codec.Optional("running", it.running, std::vector<engine::RunningRow>());
     codec.Optional("ended", it.ended, std::vector<engine::EndedRow>());
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -304,6 +305,7 @@
     codec.Field("capacity", it.capacity);
     codec.Optional("labels", it.labels, std::vector<std::string>());
     codec.Optional("draining", it.draining, false);
+    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
--- a/Source/engine/configuration.h
+++ b/Source/engine/configuration.h
@@ -87,6 +87,7 @@
   Resources capacity{};
   std::vector<std::string> labels{};  // the last one is its rack
   bool draining = false;
+  std::int64_t born = 0;  // of its process, in Unix milliseconds; 0: not told
 
   auto operator<=>(const WorkerInfo&) const = default;
 
--- a/Tests/platform/standin_wire.cc
+++ b/Tests/platform/standin_wire.cc
@@ -273,6 +273,9 @@
 HttpResponse EncodeWorkerDone(const WorkerDone& done) {
   Json::Value body(Json::objectValue);
   body["clock_ms"] = Json::Int64(done.clock_ms);
+  if (done.born != 0) {
+    body["born"] = Json::Int64(done.born);
+  }
   body["running"] = Json::Value(Json::arrayValue);
   for (const RunningRow& it : done.running) {
     Json::Value row(Json::arrayValue);
@@ -362,6 +365,9 @@
   body["address"] = info.address;
   body["zone"] = info.domain;
   body["state"] = info.draining ? "draining" : "ready";
+  if (info.born != 0) {
+    body["born"] = Json::Int64(info.born);
+  }
   Json::Value& capacity = body["capacity"];
   capacity["cpu"] = Json::Int64(info.capacity.processors_milli);
   capacity["mem_mb"] = Json::Int64(info.capacity.memory_mb);
--- a/Tests/platform/standin_wire_test.cc
+++ b/Tests/platform/standin_wire_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "net/json.h"
 #include "platform/documents.h"
 #include "platform/standin_wire.h"
 #include "platform/store_codec.h"
@@ -126,6 +127,17 @@
   CHECK(DecodeAdviceAnswer(wire.encode_advice(given)) == given);
 }
 
+TEST_CASE("The stand-in's workers tell when their process started") {
+  const standin::StepsWire wire = StandinWire();
+  const auto entry = ParseJson(wire.encode_entry({.born = 1764700000123}));
+  CHECK(std::get<Json::Value>(entry)["born"].asInt64() == 1764700000123);
+  const auto told =
+      ParseJson(wire.encode_worker(WorkerDone{.born = 1764700000123}).body);
+  CHECK(std::get<Json::Value>(told)["born"].asInt64() == 1764700000123);
+  const auto untold = ParseJson(wire.encode_worker(WorkerDone{}).body);
+  CHECK_FALSE(std::get<Json::Value>(untold).isMember("born"));
+}
+
 TEST_CASE("The stand-in refuses calls that the platform does not have") {
   const standin::StepsWire wire = StandinWire();
   CHECK(std::holds_alternative<DecodeError>(
