Standin: Restarts workers of jobs of steps under their id

Callers saw tasks run again after workers had restarted under the id that they had; the stand-ins gave each process another id, so that no play could show it.

The control takes "restart": {"away_ms": N, "new_id": BOOL} for a worker of steps. Its process ends with its connections, held calls and all that it knew; while it is away connections are refused; then another process begins at the same address with a later `born`. Late orders of before pass the check of the id and reach it. A crash by crash_ms is followed by a process under the old id or a new one, as "seed" has it. "relist" writes an entry anew without a restart.

--- a/Tests/standin/standin_control.cc
+++ b/Tests/standin/standin_control.cc
@@ -17,6 +17,15 @@
   out = place.value();
 }
 
+template <>
+struct FieldsOf<standin::StepsRestart> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("away_ms", it.away, Duration(0));
+    codec.Optional("new_id", it.new_id, false);
+  }
+};
+
 }  // namespace burdockrock
 
 namespace burdockrock::standin {
@@ -106,6 +115,8 @@
   std::optional<Duration> still;
   std::optional<Duration> late;
   std::optional<std::int64_t> processors_milli;
+  std::optional<StepsRestart> restart;
+  bool relist = false;
   bool gone = false;
   bool back = false;
 };
@@ -118,6 +129,8 @@
   keep("still_ms", it.still);
   keep("late_ms", it.late);
   keep("processors_milli", it.processors_milli);
+  keep("restart", it.restart);
+  keep("relist", it.relist);
   keep("gone", it.gone);
   keep("back", it.back);
 }
@@ -143,6 +156,12 @@
   if (change.processors_milli) {
     steps.SetProcessors(id, *change.processors_milli);
   }
+  if (change.relist) {
+    steps.List(id, worker->worker().info().draining);
+  }
+  if (change.restart) {
+    steps.Restart(id, *change.restart);
+  }
   if (change.gone) {
     steps.TakeAway(id);
   }
@@ -318,6 +337,7 @@
   }
   StepsStoreServer::StoreFaults& store = steps_->store().store_faults();
   bool forget_history = false;
+  std::optional<std::uint32_t> seed;
   std::string revoke;
   std::string id;
   StepsWorkerChange change;
@@ -328,6 +348,7 @@
     keep("slow_ms", steps_->store().faults().slow);
     keep("forget_history", forget_history);
     keep("revoke", revoke);
+    keep("seed", seed);
     keep("worker", id);
     VisitStepsWorker(keep, change);
   });
@@ -340,6 +361,9 @@
   if (!revoke.empty()) {
     steps_->store().store().Revoke(revoke);
   }
+  if (seed) {
+    steps_->SetSeed(*seed);
+  }
   return id.empty() ? "" : SetStepsWorker(id, change, *steps_);
 }
 
--- a/Tests/standin/steps_cluster.cc
+++ b/Tests/standin/steps_cluster.cc
@@ -1,5 +1,8 @@
 #include "standin/steps_cluster.h"
 
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
 #include <utility>
 
 #include <fmt/format.h>
@@ -11,6 +14,8 @@
 
 namespace {
 
+// Takes the end of a process out of the call that brings it about.
+constexpr Duration kCrashTakes = std::chrono::milliseconds(1);
 // How long a worker is away after a crash.
 constexpr Duration kCrashAway = std::chrono::seconds(2);
 // After this time without a heartbeat the store drops a worker's entry.
@@ -63,8 +68,15 @@
   for (const InstanceSettings& it : settings.workers) {
     workers_[it.info.id] = std::make_unique<StepsWorkerServer>(
         io, wire_, InfoOf(it), seen_, delays_);
-    workers_[it.info.id]->on_crash = [this, id = it.info.id] { Crash(id); };
+    workers_[it.info.id]->on_crash = [this, id = it.info.id] {
+      const bool new_id = chance_() % 2 == 0;
+      delays_.After(kCrashTakes, [this, id, new_id] {
+        Restart(id, {.away = kCrashAway, .new_id = new_id});
+      });
+    };
     machines_[it.info.id] = it.info.id;
+    workers_[it.info.id]->worker().info().born = NextBorn();
+    processes_.push_back({.machine = it.info.id, .born = last_born_});
   }
 }
 
@@ -130,6 +142,7 @@
   Json::Value body;
   body["now_ms"] = WriteTime(now);
   body["runs"] = std::move(runs);
+  body["processes"] = Processes();
   body["refused_fences"] = WriteValue(refused_fences);
   return body;
 }
@@ -154,7 +167,7 @@
   StepsWorkerServer& server = *workers_.at(id);
   store_.store().Remove(wire_.worker_prefix + server.worker().info().id);
   server.silent = true;
-  server.worker().Crash(MonotonicNow(), id + "-gone");
+  End(id, id + "-gone");
 }
 
 void StepsCluster::BringBack(const std::string& id) {
@@ -163,8 +176,9 @@
   }
   StepsWorkerServer& server = *workers_.at(id);
   server.silent = false;
-  server.worker().Crash(MonotonicNow(), NextLife(id));
-  List(id, false);
+  server.worker().info().id = NextLife(id);
+  server.worker().info().draining = false;
+  Begin(id);
 }
 
 std::string StepsCluster::NextLife(const std::string& id) {
@@ -173,17 +187,76 @@
   return life;
 }
 
-void StepsCluster::Crash(const std::string& id) {
+void StepsCluster::Restart(const std::string& id, const StepsRestart& how) {
+  if (gone_.contains(id)) {
+    return;
+  }
   StepsWorkerServer& server = *workers_.at(id);
-  const std::string entry = wire_.worker_prefix + server.worker().info().id;
-  server.away = true;
-  server.worker().Crash(MonotonicNow(), NextLife(id));
-  delays_.After(kCrashAway, [this, id, &server] {
-    server.away = false;
-    List(id, server.worker().info().draining);
+  const std::string ended_id = server.worker().info().id;
+  server.EndProcess();
+  End(id, how.new_id ? NextLife(id) : ended_id);
+  const std::uint64_t end = ends_[id];
+  delays_.After(how.away, [this, id, end] {
+    if (end == ends_[id]) {
+      Begin(id);
+    }
   });
   delays_.After(kEntryLifetime,
-                [this, entry] { store_.store().Remove(entry); });
+                [this, id, ended_id, end] { DropEntry(id, ended_id, end); });
+}
+
+void StepsCluster::Begin(const std::string& id) {
+  StepsWorkerServer& server = *workers_.at(id);
+  if (const auto error = server.BeginProcess(NextBorn())) {
+    fmt::print(stderr, "worker {} stays away: {}\n", id, error->message);
+    return;
+  }
+  processes_.push_back(
+      {.machine = id, .born = last_born_, .began = MonotonicNow()});
+  List(id, server.worker().info().draining);
+}
+
+void StepsCluster::End(const std::string& id, const std::string& next_id) {
+  const Time now = MonotonicNow();
+  workers_.at(id)->worker().Crash(now, next_id);
+  ++ends_[id];
+  for (Process& it : processes_) {
+    if (it.machine == id) {
+      it.ended = std::min(it.ended, now);
+    }
+  }
+}
+
+void StepsCluster::DropEntry(const std::string& id,
+                             const std::string& ended_id,
+                             std::uint64_t end) {
+  const StepsWorkerServer& server = *workers_.at(id);
+  const bool is_kept = server.worker().info().id == ended_id &&
+                       (!server.away || end != ends_[id]);
+  if (!is_kept) {
+    store_.store().Remove(wire_.worker_prefix + ended_id);
+  }
+}
+
+std::int64_t StepsCluster::NextBorn() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  last_born_ = std::max(
+      last_born_ + 1,
+      std::int64_t{std::chrono::floor<std::chrono::milliseconds>(now).count()});
+  return last_born_;
+}
+
+Json::Value StepsCluster::Processes() const {
+  Json::Value rows(Json::arrayValue);
+  for (const Process& it : processes_) {
+    Json::Value row;
+    row["machine"] = it.machine;
+    row["born"] = Json::Int64{it.born};
+    row["began_ms"] = WriteTime(it.began);
+    row["ended_ms"] = WriteTime(it.ended);
+    rows.append(std::move(row));
+  }
+  return rows;
 }
 
 void StepsCluster::SetProcessors(const std::string& id,
--- a/Tests/standin/steps_cluster.h
+++ b/Tests/standin/steps_cluster.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +20,12 @@
 
 namespace burdockrock::standin {
 
+// How a worker's process ends and another one begins.
+struct StepsRestart {
+  Duration away{0};
+  bool new_id = false;
+};
+
 class StepsCluster {
  public:
   StepsCluster(boost::asio::io_context& io,
@@ -52,9 +59,35 @@
   // the worker is gone.
   void BringBack(const std::string& id);
 
+  // The worker's process ends without notice, and another one begins later.
+  // Nothing happens if the worker is gone.
+  void Restart(const std::string& id, const StepsRestart& how);
+
+  // Decides which crashes are followed by a process under another id.
+  void SetSeed(std::uint32_t seed) { chance_.seed(seed); }
+
  private:
-  // The worker's process ends without notice; another one comes soon.
-  void Crash(const std::string& id);
+  // One process of a worker.
+  struct Process {
+    std::string machine;
+    std::int64_t born = 0;
+    Time began{0};
+    Time ended = kForever;
+  };
+
+  // The next process of the worker begins under the worker's present id.
+  void Begin(const std::string& id);
+  // All that its process knows is lost.
+  void End(const std::string& id, const std::string& next_id);
+  // Removes the entry of the process that has ended, unless one under its id
+  // keeps it up.
+  void DropEntry(const std::string& id,
+                 const std::string& ended_id,
+                 std::uint64_t end);
+  // Rises from process to process.
+  std::int64_t NextBorn();
+  // What Runs tells of processes.
+  Json::Value Processes() const;
   // The id of another life of the worker.
   std::string NextLife(const std::string& id);
   // Lets time pass at all workers.
@@ -69,6 +102,11 @@
   std::optional<StepsAdviceServer> advice_;
   std::map<std::string, std::unique_ptr<StepsWorkerServer>> workers_;
   std::set<std::string> gone_;
+  std::minstd_rand chance_;
+  std::int64_t last_born_ = 0;
+  // How many processes of each worker of the settings have ended.
+  std::map<std::string, std::uint64_t> ends_;
+  std::vector<Process> processes_;
   // The workers of the settings by the ids of all their lives.
   std::map<std::string, std::string> machines_;
 };
--- a/Tests/standin/steps_control_test.cc
+++ b/Tests/standin/steps_control_test.cc
@@ -63,6 +63,28 @@
                 ToMilliseconds(MonotonicNow() + std::chrono::minutes(1))};
   }
 
+  // A run that ends only when it is made to.
+  static engine::StartRun Endless(const std::string& task) {
+    engine::StartRun start = Start(task);
+    start.payload = "sleep_ms=60000";
+    return start;
+  }
+
+  Json::Value Poll(const engine::PollWorker& poll) {
+    const auto response = Ask(poll);
+    return std::get<Json::Value>(ParseJson(response->body))["result"]["value"];
+  }
+
+  // Lists the worker if the test has not yet done so.
+  std::int64_t BornOfEntry() {
+    if (store().Keys("worker/").empty()) {
+      steps_.List(kWorker, false);
+    }
+    return std::get<Json::Value>(
+               ParseJson(store().ValueOf("worker/w1")))["born"]
+        .asInt64();
+  }
+
   Json::Value Runs() {
     const HttpResponse response =
         control_.Handle({.path = "/control/steps/runs"});
@@ -161,6 +183,122 @@
   CHECK(body["runs"][1]["machine"] == kWorker);
 }
 
+TEST_CASE("A worker restarts under its id and knows nothing of before") {
+  Cell cell;
+  cell.Ask(Cell::Start("a.0.0.0"));
+  cell.Ask(Cell::Endless("b.0.0.0"));
+  cell.Ask(engine::PollWorker{.fence = 7});
+  const std::int64_t born = cell.BornOfEntry();
+
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","restart":{}}})") == 200);
+  CHECK(cell.worker().worker().info().id == kWorker);
+  CHECK(cell.BornOfEntry() > born);
+  const Json::Value answer = cell.Poll({.fence = 1});
+  CHECK(answer["born"] == cell.BornOfEntry());
+  CHECK(answer["clock_ms"].asInt64() < 60000);
+  CHECK_FALSE(answer.isMember("running"));
+  CHECK_FALSE(answer.isMember("ended"));
+
+  engine::StartRun again = Cell::Start("a.0.0.0");
+  again.fence = 1;
+  again.lease_until_ms = 60000;
+  cell.Ask(again);
+  CHECK(cell.Poll({.fence = 1})["ended"][0]["sequence"] == 1);
+  const Json::Value body = cell.Runs();
+  REQUIRE(body["runs"].size() == 3);
+  CHECK_FALSE(body["runs"][1]["ended_ms"].isNull());
+  CHECK(body["runs"][1]["how"].isNull());
+  CHECK(body["runs"][0]["acknowledged_ms"].isNull());
+  REQUIRE(body["processes"].size() == 2);
+  CHECK(body["processes"][0]["ended_ms"] == body["runs"][1]["ended_ms"]);
+  CHECK(body["processes"][1]["machine"] == kWorker);
+  CHECK(body["processes"][1]["born"] == cell.BornOfEntry());
+  CHECK(body["processes"][1]["ended_ms"].isNull());
+}
+
+TEST_CASE("A worker that restarts is away as long as it is told") {
+  Cell cell;
+  const Time before = MonotonicNow();
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","restart":{"away_ms":30}}})") ==
+        200);
+  const std::string entry = cell.store().ValueOf("worker/w1");
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","relist":true}})") == 200);
+  CHECK(cell.store().ValueOf("worker/w1") == entry);
+  CHECK_FALSE(cell.Ask(engine::PollWorker{.fence = 1}));
+  REQUIRE(RunUntil(cell.io(), [&] { return !cell.worker().away; }));
+  CHECK(MonotonicNow() - before >= milliseconds(30));
+  CHECK(cell.store().ValueOf("worker/w1") != entry);
+  CHECK(cell.Ask(engine::PollWorker{.fence = 1}));
+}
+
+TEST_CASE("A worker restarts under another id when told") {
+  Cell cell;
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","restart":{"new_id":true}}})") ==
+        200);
+  CHECK(cell.worker().worker().info().id != kWorker);
+}
+
+TEST_CASE("Late orders of before a restart reach the process after it") {
+  Cell cell;
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","late_ms":30}})") == 200);
+  cell.Ask(Cell::Start("a.0.0.0"));
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","restart":{}}})") == 200);
+  REQUIRE(RunUntil(cell.io(), [&] { return !cell.Runs()["runs"].empty(); }));
+  const Json::Value body = cell.Runs();
+  CHECK(body["runs"][0]["began_ms"].asInt64() >=
+        body["processes"][1]["began_ms"].asInt64());
+}
+
+// Guards against acknowledgements that the new process never got.
+TEST_CASE("A held call ends with the process that held it") {
+  Cell cell;
+  CHECK_FALSE(cell.Ask(
+      engine::PollWorker{.acknowledged = 1, .wait = milliseconds(1000)}));
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","restart":{}}})") == 200);
+  engine::StartRun start = Cell::Start("a.0.0.0");
+  start.lease_until_ms = 5000;
+  cell.Ask(start);
+  const Time until = MonotonicNow() + milliseconds(30);
+  REQUIRE(RunUntil(cell.io(), [&] { return MonotonicNow() >= until; }));
+  CHECK(cell.Poll({.fence = 2})["ended"].size() == 1);
+}
+
+TEST_CASE("A crash is followed by a process under the old id or a new one") {
+  Cell cell;
+  CHECK(cell.Post(R"({"steps":{"seed":5}})") == 200);
+  int kept = 0;
+  constexpr int kCrashes = 12;
+  for (int it = 1; it <= kCrashes; ++it) {
+    const std::string id = cell.worker().worker().info().id;
+    engine::StartRun start = Cell::Start("a.0.0.0");
+    start.run = it;
+    start.payload = "crash_ms=0";
+    cell.AskLife(id, start);
+    REQUIRE(RunUntil(cell.io(), [&] {
+      return !cell.Runs()["runs"][it - 1]["ended_ms"].isNull();
+    }));
+    kept += cell.worker().worker().info().id == id ? 1 : 0;
+    CHECK(cell.worker().away);
+    CHECK(cell.Post(R"({"steps":{"worker":"w1","restart":{}}})") == 200);
+  }
+  CHECK(kept > 0);
+  CHECK(kept < kCrashes);
+}
+
+TEST_CASE("A worker's entry is written anew without a restart when told") {
+  Cell cell;
+  const auto read = [&] {
+    const auto answer = cell.store().Handle(
+        MonotonicNow(), engine::StoreRead{.key = "worker/w1"});
+    return std::get<engine::StoreDone>(*answer).items.front();
+  };
+  cell.BornOfEntry();
+  const engine::StoreItem before = read();
+  CHECK(cell.Post(R"({"steps":{"worker":"w1","relist":true}})") == 200);
+  CHECK(read().value == before.value);
+  CHECK(read().revision > before.revision);
+}
+
 TEST_CASE("The store forgets its history and revokes keys when told") {
   Cell cell;
   cell.store().Put("member/n1", "x");
--- a/Tests/standin/steps_servers.cc
+++ b/Tests/standin/steps_servers.cc
@@ -111,6 +111,7 @@
 }
 
 std::optional<NetError> StepsWorkerServer::Listen() {
+  listens_ = true;
   return ListenOn(
       worker_.info().address,
       [this](const HttpRequest& request, const HttpServer::Responder& respond) {
@@ -120,6 +121,25 @@
       });
 }
 
+void StepsWorkerServer::EndProcess() {
+  away = true;
+  held_.Clear();
+  StopListening();
+}
+
+std::optional<NetError> StepsWorkerServer::BeginProcess(std::int64_t born) {
+  worker_.Restart(MonotonicNow(), born);
+  held_.Clear();
+  StopListening();
+  if (listens_) {
+    if (auto error = Listen()) {
+      return error;
+    }
+  }
+  away = false;
+  return std::nullopt;
+}
+
 void StepsWorkerServer::OnRequest(const HttpRequest& request,
                                   const HttpServer::Responder& respond) {
   if (silent || away) {
@@ -146,11 +166,18 @@
   if (late > Duration(0) &&
       !std::holds_alternative<engine::PollWorker>(call.request)) {
     delays().Lose(respond);
-    return delays().After(late, [poll] { poll(MonotonicNow(), false); });
+    return delays().After(late, [this, poll] {
+      if (!away) {
+        poll(MonotonicNow(), false);
+      }
+    });
   }
   const Time now = MonotonicNow();
   const auto answer = poll(now, false);
   AwaitCrash(now);
+  if (away) {
+    return delays().Lose(respond);
+  }
   if (answer) {
     return Answer(respond, *answer);
   }
@@ -161,7 +188,9 @@
 
 void StepsWorkerServer::AwaitCrash(Time now) {
   const Time due = worker_.NextCrash();
-  if (due <= now) {
+  if (due <= now && !away) {
+    away = true;
+    held_.Clear();
     on_crash();
   } else if (due != kForever) {
     Arm(due);
@@ -172,7 +201,7 @@
   worker_.Advance(now);
   AwaitCrash(now);
   for (auto& [respond, response] : held_.Take(now)) {
-    if (silent || away) {
+    if (silent) {
       delays().Lose(respond);
     } else {
       Answer(respond, std::move(response));
--- a/Tests/standin/steps_servers.h
+++ b/Tests/standin/steps_servers.h
@@ -31,6 +31,8 @@
   // Takes out those that have an answer.
   std::vector<std::pair<HttpServer::Responder, HttpResponse>> Take(Time now);
   bool empty() const { return calls_.empty(); }
+  // Forgets them without an answer.
+  void Clear() { calls_.clear(); }
 
  private:
   std::list<HeldCall> calls_;
@@ -80,9 +82,18 @@
   void OnRequest(const HttpRequest& request,
                  const HttpServer::Responder& respond);
   engine::FakeWorker& worker() { return worker_; }
+  const engine::FakeWorker& worker() const { return worker_; }
+
+  // Ends the process: cuts its connections and takes none. Not for use in a
+  // call to this server.
+  void EndProcess();
+  // Begins another process that knows nothing of before. Nothing when it
+  // listens, if the one before did.
+  std::optional<NetError> BeginProcess(std::int64_t born);
+
   // Takes calls and does not answer.
   bool silent = false;
-  // No process runs here, after a crash.
+  // No process runs here.
   bool away = false;
   // Called when a run crashes the process.
   std::function<void()> on_crash = [] {};
@@ -98,6 +109,7 @@
   void AwaitCrash(Time now);
 
   const StepsWire& wire_;
+  bool listens_ = false;
   engine::FakeWorker worker_;
   HeldCalls held_;
 };
