Soak: Judges ends by the process that had them

Callers saw tasks run again after they had ended on workers that had restarted. A worker may now be replaced under its id, and an end that nobody took note of dies with its process: a start after that is allowed, one after an end that was acknowledged while its process lived is a breach.

The checkers take a run's acknowledgement from the life of its process, as the stand-in's record tells it. A shrunk worker that restarts is not judged until it is known anew.

--- a/Tests/soak/checkers/history.py
+++ b/Tests/soak/checkers/history.py
@@ -44,12 +44,19 @@
     return math.inf if milliseconds is None else milliseconds / 1000
 
 
-def _run(row):
-    return Run(task=row["task"], run=row["run"],
-               machine=row.get("machine", row["worker"]),
+def _run(row, processes):
+    machine = row.get("machine", row["worker"])
+    acknowledged = row["acknowledged_ms"]
+    own = max((it for it in processes if it["machine"] == machine
+               and it["began_ms"] <= row["began_ms"]),
+              key=lambda it: it["began_ms"], default={"ended_ms": None})
+    # An end dies with its process if nobody took note of it before.
+    if _seconds(acknowledged) > _seconds(own["ended_ms"]):
+        acknowledged = None
+    return Run(task=row["task"], run=row["run"], machine=machine,
                payload=row["payload"], began=_seconds(row["began_ms"]),
                ended=_seconds(row["ended_ms"]), how=row["how"] or "",
-               acknowledged=_seconds(row["acknowledged_ms"]))
+               acknowledged=_seconds(acknowledged))
 
 
 class History:
@@ -63,8 +70,9 @@
             setattr(self, name, self._lines(name))
         self.meta = self._json("meta") or {}
         body = self._json("runs")
-        self.runs = body and sorted(map(_run, body["runs"]),
-                                    key=lambda it: (it.began, it.run))
+        self.runs = body and sorted(
+            (_run(it, body.get("processes", ())) for it in body["runs"]),
+            key=lambda it: (it.began, it.run))
         self.runs_until = body and _seconds(body["now_ms"])
         self.settled = self.meta.get("settled")
         self.grace_s = self._bound("grace_s")
--- a/Tests/soak/checkers/room.py
+++ b/Tests/soak/checkers/room.py
@@ -28,6 +28,8 @@
 def _room(history, machine, at):
     shrunk = any(it["began"] + SHRUNK_KNOWN_S <= at
                  and not history.faults_at(None, UNKNOWN, it["began"], at)
+                 and not history.faults_at(machine, "worker_restart",
+                                           it["began"], at)
                  for it in history.faults_at(machine, "worker_shrink", at, at))
     if shrunk and history.shrunk_milli is not None:
         return history.shrunk_milli
