Soak: Restarts workers under their id, one and many, and rewrites their entries

Three kinds of faults: a worker starts again, 0.3 of them under another id; a share of 0.3 to 1 of all workers at once; an entry is written anew without a restart. A worker is away for 0 ms, for less than a lease, or for longer than the lease and the life of its entry, beside any other fault of the same worker.

Seeds keep their schedules: each row of added kinds is drawn apart.

--- a/Tests/soak/faults.py
+++ b/Tests/soak/faults.py
@@ -10,9 +10,12 @@
 from cluster import TestFailure, call
 from fleet import SHRUNK_MILLI, WORKER_MILLI
 
-# Drawn apart from the other kinds, so that a seed keeps the schedule that it had
-# before they came.
-ADDED_KINDS = ("worker_shrink",)
+# Drawn apart from the other kinds, and each row from the other rows, so that a
+# seed keeps the schedule that it had before they came.
+ADDED_KINDS = {
+    "added": ("worker_shrink",),
+    "restart": ("worker_restart", "worker_restart_many", "worker_relist"),
+}
 QUEUES_ADDED = ("reviews", "appeals", "surveys")
 # A store's or worker's fault, a proxy's and a pause last from the first to
 # the second.
@@ -23,6 +26,13 @@
 RESTART_S = (0, 1.5)
 # Long enough for the worker's owner to have to know of it.
 SHRINK_S = (5, 8)
+# How long a worker is away that starts again: not at all, less than a lease,
+# longer than the lease and the life of its entry.
+AWAY_S = ((0, 0), (0.1, 2.5), (6.5, 9))
+RESTARTED_SHARE = (0.3, 1)
+NEW_ID_SHARE = 0.3
+RELISTED = (1, 20)
+RELIST_PAUSE_S = 0.05
 OVERLAP_S = (0, 0.8)
 IN_START_S = (0, 0.5)
 LOST_ANSWERS = (1, 300)
@@ -38,16 +48,17 @@
 
 
 def schedule(seed, settings):
-    weights = {kind: it for kind, it in settings["weights"].items() if it > 0}
-    base = {it: weights[it] for it in weights if it not in ADDED_KINDS}
-    added = {it: weights[it] for it in weights if it in ADDED_KINDS}
+    base = {kind: it for kind, it in settings["weights"].items() if it > 0}
+    rows = {name: {kind: base.pop(kind) for kind in kinds if kind in base}
+            for name, kinds in ADDED_KINDS.items()}
     times = settings["time"]
     faults = _draw(f"faults {seed}", str(seed), base, times,
                    times["between_faults_s"])
-    if added:
-        share = sum(added.values()) / (sum(base.values()) or 1)
-        faults += _draw(f"added faults {seed}", f"{seed} added", added, times,
-                        times["between_faults_s"] / share)
+    for name, row in rows.items():
+        share = sum(row.values()) / (sum(base.values()) or 1)
+        if share:
+            faults += _draw(f"{name} faults {seed}", f"{seed} {name}", row,
+                            times, times["between_faults_s"] / share)
     return sorted(faults, key=lambda it: it.at)
 
 
@@ -107,10 +118,11 @@
         family, _, rest = fault.kind.partition("_")
         chance = random.Random(fault.chance)
         try:
-            if family in ("store", "worker", "proxy"):
-                getattr(self, f"_play_{family}")(rest, chance)
+            play = getattr(self, f"_play_{fault.kind}", None)
+            if play:
+                play(chance)
             else:
-                getattr(self, f"_play_{fault.kind}")(chance)
+                getattr(self, f"_play_{family}")(rest, chance)
         except (Skipped, TestFailure):
             self.skipped[fault.kind] = self.skipped.get(fault.kind, 0) + 1
         except Exception as error:  # pylint: disable=broad-exception-caught
@@ -339,6 +351,48 @@
         finally:
             lock.release()
 
+    def _play_worker_restart(self, chance):
+        self._restart_workers("worker_restart", 1, chance)
+
+    def _play_worker_restart_many(self, chance):
+        share = chance.uniform(*RESTARTED_SHARE)
+        count = int(share * len(self._cluster.worker_names()))
+        self._restart_workers("worker_restart_many", max(2, count), chance)
+
+    def _restart_workers(self, kind, count, chance):
+        """Beside all other faults of the same workers."""
+        bounds = chance.choice(AWAY_S)
+        faults = []
+        longest_ms = 0
+        try:
+            for name in chance.sample(self._cluster.worker_names(), count):
+                away_ms = int(chance.uniform(*bounds) * 1000)
+                longest_ms = max(longest_ms, away_ms)
+                faults.append(self._history.begin(kind, name))
+                self._set_steps(worker=name, restart={
+                    "away_ms": away_ms,
+                    "new_id": chance.random() < NEW_ID_SHARE})
+            time.sleep(longest_ms / 1000)
+        except Skipped:
+            self._history.drop(faults.pop())
+            raise
+        finally:
+            for it in faults:
+                self._history.end(it)
+
+    def _play_worker_relist(self, chance):
+        name = chance.choice(self._cluster.worker_names())
+        fault = self._history.begin("worker_relist", name)
+        try:
+            for _ in range(chance.randint(*RELISTED)):
+                self._set_steps(worker=name, relist=True)
+                time.sleep(RELIST_PAUSE_S)
+        except Skipped:
+            self._history.drop(fault)
+            raise
+        finally:
+            self._history.end(fault)
+
     def _play_configuration(self, chance):
         lock = self._claim_name("configuration")
         try:
--- a/Tests/soak/run_one.py
+++ b/Tests/soak/run_one.py
@@ -8,7 +8,7 @@
 import time
 
 from callers import Asker, Caller, Jobs
-from cluster import TestFailure, own_loopback_ip
+from cluster import TestFailure, call, own_loopback_ip
 from faults import FaultRunner, schedule
 from fleet import FLEETS, SHRUNK_MILLI, WORKER_MILLI
 from history import AFTER_FAULT_S, History, Sampler, overlaps
@@ -79,6 +79,8 @@
     def _serve(self, proxy):
         times = self._settings["time"]
         self._cluster.start_serving()
+        call(self._cluster.control, "POST", "/control",
+             {"steps": {"seed": self._seed}})
         callers = self._make_callers(proxy)
         for it in callers:
             it.start()
