Soak: Submits jobs that fail each time

Callers saw a task started six times, each run failed, where two are allowed. The soak had failing runs only on failing workers, so that its checker of attempts had little to judge. A share of 0.03 of the jobs now fails each time, drawn apart from all other chances of a caller.

--- a/Tests/process/busy_callers.py
+++ b/Tests/process/busy_callers.py
@@ -51,10 +51,11 @@
     body: dict | None = None
 
 
-def payload(sleep_ms, crash_ms):
-    """What a stand-in's worker does: sleeps, or crashes after a while."""
+def payload(sleep_ms, crash_ms, fails=False):
+    """What a stand-in's worker does: sleeps and may fail then, or crashes after a
+    while."""
     crash = "" if crash_ms is None else f";crash_ms={crash_ms}"
-    return f"sleep_ms={sleep_ms}{crash}"
+    return f"sleep_ms={sleep_ms}{crash}{';fail=1' if fails else ''}"
 
 
 class OwnCalls:
@@ -62,10 +63,10 @@
     host = "burdockrock"
 
     @staticmethod
-    def submit(job_id, sleep_ms, crash_ms=None):
+    def submit(job_id, sleep_ms, crash_ms=None, fails=False):
         return Call("POST", "/v1/jobs", {
             "id": job_id, "queue": "proposals",
-            "payload": payload(sleep_ms, crash_ms),
+            "payload": payload(sleep_ms, crash_ms, fails),
             "steps": [{"count": 1, "estimate_ms": sleep_ms,
                        "each": {"processors_milli": 500, "memory_mb": 64}}]})
 
@@ -84,11 +85,11 @@
     host = "burdockrock"
 
     @staticmethod
-    def submit(_job_id, sleep_ms, crash_ms=None):
+    def submit(_job_id, sleep_ms, crash_ms=None, fails=False):
         return Call("POST", "/v1/jobs", {
             "kind": "batch", "count": 2, "run_time_ms": sleep_ms,
             "resources": {"processors_milli": 100, "memory_mb": 64},
-            "payload": payload(sleep_ms, crash_ms)})
+            "payload": payload(sleep_ms, crash_ms, fails)})
 
     @staticmethod
     def state(job_id):
@@ -106,9 +107,9 @@
     host = "grants.example"
 
     @staticmethod
-    def submit(job_id, sleep_ms, crash_ms=None):
+    def submit(job_id, sleep_ms, crash_ms=None, fails=False):
         return Call("POST", f"/proposals/{job_id}", {
-            "spec": payload(sleep_ms, crash_ms),
+            "spec": payload(sleep_ms, crash_ms, fails),
             "steps": [{"count": 1, "estimate_ms": sleep_ms, "cpu": 500,
                        "mem_mb": 64}]})
 
--- a/Tests/soak/callers.py
+++ b/Tests/soak/callers.py
@@ -119,6 +119,7 @@
         self._prefix = prefix
         self._chance = random.Random(prefix)
         self._crash_chance = random.Random(f"crashes {prefix}")
+        self._failing_chance = random.Random(f"failing {prefix}")
         self._stopping = threading.Event()
 
     def stop(self):
@@ -132,8 +133,9 @@
         self._asker.close()
 
     def _play(self, job_id):
-        submit = self._calls.submit(job_id, self._load["sleep_ms"],
-                                    self._crash_ms())
+        submit = self._calls.submit(
+            job_id, self._load["sleep_ms"], self._crash_ms(),
+            self._failing_chance.random() < self._load["failing"])
         while self._ask(submit, job_id)[0] not in (200, 202):
             if self._stopping.is_set():
                 return
--- a/Tests/soak/soak_settings.py
+++ b/Tests/soak/soak_settings.py
@@ -24,7 +24,7 @@
     "load": {"callers": (1, 2000), "proxied": (0, 2000),
              "sleep_ms": (1, 60000), "cancels": (0, 1), "abandons": (0, 1),
              "elsewhere": (0, 1), "pause_ms": (0, 60000),
-             "crashing": (0, 1)},
+             "crashing": (0, 1), "failing": (0, 1)},
     "time": {"warm_up_s": (0, 60), "faults_s": (1, 3600),
              "between_faults_s": (0.05, 60), "settle_s": (1, 120)},
     "weights": {it: (0, 1000) for it in WEIGHTS},
@@ -33,11 +33,11 @@
 DEFAULTS = {
     "fleet": {"entries": 3, "domains": 2, "workers_per_domain": 4},
     # Shares: of the jobs that are cancelled, of those that nobody asks for
-    # after their submission, of the questions for other callers' jobs, and of
-    # the jobs that crash their workers.
+    # after their submission, of the questions for other callers' jobs, of the
+    # jobs that crash their workers, and of those that fail each time.
     "load": {"callers": 24, "proxied": 6, "sleep_ms": 200, "cancels": 0.1,
              "abandons": 0.1, "elsewhere": 0.2, "pause_ms": 0,
-             "crashing": 0.0005},
+             "crashing": 0.0005, "failing": 0.03},
     "time": {"warm_up_s": 1, "faults_s": 18, "between_faults_s": 0.6,
              "settle_s": 45},
     "weights": WEIGHTS,
