--- a/Source/engine/call_fields.h
+++ b/Source/engine/call_fields.h
@@ -237,9 +237,9 @@
   template <typename Codec, typename Value>
   static void Visit(Codec& codec, Value& it) {
     codec.Field("clock_ms", it.clock_ms);
+    codec.Optional("born", it.born, std::int64_t{0});
     codec.Optional("running", it.running, std::vector<engine::RunningRow>());
     codec.Optional("ended", it.ended, std::vector<engine::EndedRow>());
-    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
@@ -299,13 +299,13 @@
   template <typename Codec, typename Value>
   static void Visit(Codec& codec, Value& it) {
     codec.Name("id", it.id);
+    codec.Optional("born", it.born, std::int64_t{0});
     codec.Name("address", it.address);
     codec.Name("domain", it.domain);
     codec.Name("service", it.service);
     codec.Field("capacity", it.capacity);
     codec.Optional("labels", it.labels, std::vector<std::string>());
     codec.Optional("draining", it.draining, false);
-    codec.Optional("born", it.born, std::int64_t{0});
   }
 };
 
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -202,9 +202,10 @@
 // The worker accepted the command or answered the poll.
 struct WorkerDone {
   std::int64_t clock_ms = 0;          // the worker's steady clock
+  std::int64_t born = 0;              // of a poll: its start in Unix ms; 0: not
+                                      // told
   std::vector<RunningRow> running{};  // of a poll
   std::vector<EndedRow> ended{};      // of a poll
-  std::int64_t born = 0;  // of a poll, as in WorkerInfo; 0: not told
   auto operator<=>(const WorkerDone&) const = default;
 };
 
--- a/Source/engine/configuration.h
+++ b/Source/engine/configuration.h
@@ -80,14 +80,14 @@
 
 // One incarnation of a worker as the platform lists it.
 struct WorkerInfo {
-  std::string id{};  // of this incarnation
+  std::string id{};       // IncarnationName(): of the worker's id and `born`
+  std::int64_t born = 0;  // its start in Unix ms; 0: not told
   std::string address{};
   std::string domain{};  // failure domain
   std::string service{};
   Resources capacity{};
   std::vector<std::string> labels{};  // the last one is its rack
   bool draining = false;
-  std::int64_t born = 0;  // of its process, in Unix milliseconds; 0: not told
 
   auto operator<=>(const WorkerInfo&) const = default;
 
--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -78,9 +78,8 @@
 void FakeWorker::Restart(Time now, std::int64_t born) {
   Crash(now, info_.id);
   info_.born = born;
-  started_ = now;
-  lease_ends_ = Time(0);
-  stalled_until_ = Time(0);
+  clock_start_ = now;
+  lease_ends_ = now;
 }
 
 Time FakeWorker::NextCrash() const {
@@ -106,7 +105,8 @@
   if (ends_.empty() && it.wait > Duration(0)) {
     return std::nullopt;
   }
-  WorkerDone done{.clock_ms = ClockMs(now), .born = info_.born};
+  WorkerDone done = Done(now);
+  done.born = info_.born;
   for (const auto& [task, run] : runs_) {
     done.running.push_back({.task = task,
                             .run = run.number,
@@ -123,13 +123,13 @@
   if (IsFenced(it.fence)) {
     return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
   }
-  if (it.lease_until_ms <= ClockMs(now)) {
+  if (it.lease_until_ms <= ToMilliseconds(now - clock_start_)) {
     return WorkerRefused{.kind = WorkerRefusalKind::kLate};
   }
   Renew(now, it.lease_until_ms);
   const auto there = runs_.find(it.task);
   if (there != runs_.end() && there->second.number == it.run) {
-    return WorkerDone{.clock_ms = ClockMs(now)};
+    return Done(now);
   }
   if (last_run_.contains(it.task) && it.run <= last_run_[it.task]) {
     return WorkerRefused{.kind = WorkerRefusalKind::kOldRun};
@@ -150,7 +150,7 @@
       .how = planned.how,
       .crashes = planned.crashes};
   NotePeak();
-  return WorkerDone{.clock_ms = ClockMs(now)};
+  return Done(now);
 }
 
 std::optional<WorkerAnswer> FakeWorker::Answer(Time now, const StopRun& it) {
@@ -167,7 +167,7 @@
   } else {
     last_run_[it.task] = std::max(last_run_[it.task], it.run);
   }
-  return WorkerDone{.clock_ms = ClockMs(now)};
+  return Done(now);
 }
 
 std::optional<WorkerAnswer> FakeWorker::Answer(Time now, const PaceRun& it) {
@@ -175,11 +175,11 @@
     return WorkerRefused{.kind = WorkerRefusalKind::kFenced};
   }
   paces[it.task] = it.percent;
-  return WorkerDone{.clock_ms = ClockMs(now)};
+  return Done(now);
 }
 
-std::int64_t FakeWorker::ClockMs(Time now) const {
-  return ToMilliseconds(now - started_);
+WorkerDone FakeWorker::Done(Time now) const {
+  return {.clock_ms = ToMilliseconds(now - clock_start_)};
 }
 
 bool FakeWorker::IsFenced(std::uint64_t fence) {
@@ -206,7 +206,7 @@
 }
 
 void FakeWorker::Renew(Time now, std::int64_t until_ms) {
-  const Time until = started_ + std::chrono::milliseconds(until_ms);
+  const Time until = clock_start_ + std::chrono::milliseconds(until_ms);
   lease_ends_ = std::max(lease_ends_, std::min(until, now + kMaxHold));
 }
 
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -54,8 +54,8 @@
   // `new_id`.
   void Crash(Time now, const std::string& new_id);
 
-  // Replaces the process by another one without any state under the same id.
-  // Its clock starts from 0; lease times are on that clock.
+  // The same with the old id: the new process starts at `born`, in Unix ms, and
+  // its clock begins anew.
   void Restart(Time now, std::int64_t born);
 
   // When the next run crashes the process; kForever: none does.
@@ -103,8 +103,7 @@
   std::optional<WorkerAnswer> Answer(Time now, const StartRun& it);
   std::optional<WorkerAnswer> Answer(Time now, const StopRun& it);
   std::optional<WorkerAnswer> Answer(Time now, const PaceRun& it);
-  // Of the process, whose clock it is.
-  std::int64_t ClockMs(Time now) const;
+  WorkerDone Done(Time now) const;
   bool IsFenced(std::uint64_t fence);
   void End(Time now, const std::string& task, RunEnd how);
   void Renew(Time now, std::int64_t until_ms);
@@ -115,7 +114,7 @@
   std::uint64_t fence_ = 0;
   std::uint64_t refused_fences_ = 0;
   std::uint64_t last_end_ = 0;
-  Time started_{0};  // where the clock of the process is 0
+  Time clock_start_{0};  // when its clock was 0
   Time lease_ends_{0};
   Time stalled_until_{0};
   std::map<std::string, Run> runs_;
