Soak: Runs flat jobs beside on the own path, and restarts their workers

The soak had no flat job, so that a restart of their workers would have shown nothing. A batch of two tasks is submitted each 0.1 s at the instances in turn; a flat worker starts again by "restart": {"away_ms": N}, the command of the workers of steps, and the fault is skipped while the stand-in refuses it, as it does here. Tasks that ran twice at once are a breach.

--- a/Tests/soak/callers.py
+++ b/Tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers of a soak: each goes on without a pause at one instance, submits
 jobs, asks for them until they end and cancels some."""
 
+import itertools
 import json
 import random
 import socket
@@ -10,6 +11,8 @@
 from busy_callers import REFUSED_PAUSE_S, Connection
 
 ANSWER_TIMEOUT_S = 15
+FLAT_PAUSE_S = 0.1
+FLAT_SLEEP_MS = 800
 RECENT_JOBS = 200
 MOST_QUESTIONS = 4000
 CRASH_MS = (10, 100, 400, 1500)
@@ -104,6 +107,32 @@
             return sorted(set(self.accepted) - self.ended)
 
 
+class FlatLoad(threading.Thread):
+    """Submits flat jobs at `places` in turn; nobody asks for them."""
+
+    def __init__(self, calls, places):
+        super().__init__(daemon=True)
+        self._calls = calls
+        self._places = places
+        self._stopping = threading.Event()
+
+    def stop(self):
+        self._stopping.set()
+
+    def run(self):
+        for place in itertools.cycle(self._places):
+            if self._stopping.wait(FLAT_PAUSE_S):
+                return
+            try:
+                connection = Connection(place()[1], self._calls.host)
+            except OSError:
+                continue
+            connection.settimeout(ANSWER_TIMEOUT_S)
+            if connection.send(self._calls.submit("", FLAT_SLEEP_MS)):
+                connection.read()
+            connection.close()
+
+
 class Caller(threading.Thread):
     """`place` gives the instance and the address to use now."""
 
--- a/Tests/soak/faults.py
+++ b/Tests/soak/faults.py
@@ -15,6 +15,7 @@
 ADDED_KINDS = {
     "added": ("worker_shrink",),
     "restart": ("worker_restart", "worker_restart_many", "worker_relist"),
+    "flat": ("flat_restart",),
 }
 QUEUES_ADDED = ("reviews", "appeals", "surveys")
 # A store's or worker's fault, a proxy's and a pause last from the first to
@@ -290,12 +291,13 @@
 
     # What happens to the store, the workers and connections.
 
-    def _set_steps(self, **faults):
-        status, _ = call(self._cluster.control, "POST", "/control",
-                         {"steps": faults})
-        if status != 200:
+    def _control(self, body):
+        if call(self._cluster.control, "POST", "/control", body)[0] != 200:
             raise Skipped
 
+    def _set_steps(self, **faults):
+        self._control({"steps": faults})
+
     def _for_a_time(self, kind, target, seconds, begin, end):
         lock = self._claim_name(f"{kind} {target}")
         fault = self._history.begin(kind, target)
@@ -354,6 +356,17 @@
     def _play_worker_restart(self, chance):
         self._restart_workers("worker_restart", 1, chance)
 
+    def _play_flat_restart(self, chance):
+        if not self._cluster.flat_calls:
+            raise Skipped
+        name = chance.choice(self._cluster.flat_worker_names())
+        away_ms = int(chance.uniform(*chance.choice(AWAY_S)) * 1000)
+        self._for_a_time(
+            "flat_restart", name, away_ms / 1000,
+            lambda: self._control({"target": name, "set": {
+                "restart": {"away_ms": away_ms}}}),
+            lambda: None)
+
     def _play_worker_restart_many(self, chance):
         share = chance.uniform(*RESTARTED_SHARE)
         count = int(share * len(self._cluster.worker_names()))
--- a/Tests/soak/fleet.py
+++ b/Tests/soak/fleet.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+from busy_callers import FlatCalls
 from cluster import STEPS_SERVICE, PortFinder, call
 from platform_cluster import HOST
 from run_stops import OwnPath, PlatformPath
@@ -43,6 +44,7 @@
 class SoakFleet:
     """What both paths have in common; mixed into their clusters. A slot is
     the place of an instance, which another one may take over."""
+    flat_calls = None
 
     def __init__(self, programs, folder, fleet, history):
         self.entries = entries_of(fleet)
@@ -71,6 +73,11 @@
         return [f"{domain}-{letter}{it}" for domain in self.domains
                 for it in range(self.workers_per_domain)]
 
+    def flat_worker_names(self):
+        """Those of flat jobs, where `flat_calls` submits them."""
+        return [f"{domain}-w{it}" for domain in self.domains
+                for it in range(self.workers_per_domain)]
+
     def steps_runs(self):
         """The stand-in's record of runs; None where it has none."""
         status, body = call(self.control, "GET", "/control/steps/runs")
@@ -112,6 +119,7 @@
 
 
 class OwnFleet(SoakFleet, OwnPath):
+    flat_calls = FlatCalls
     worker_letter = "s"
     grace_s = 40  # a stop may wait for a peer that takes over
     has_hangup = False
--- a/Tests/soak/run_one.py
+++ b/Tests/soak/run_one.py
@@ -7,7 +7,7 @@
 import pathlib
 import time
 
-from callers import Asker, Caller, Jobs
+from callers import Asker, Caller, FlatLoad, Jobs
 from cluster import TestFailure, call, own_loopback_ip
 from faults import FaultRunner, schedule
 from fleet import FLEETS, SHRUNK_MILLI, WORKER_MILLI
@@ -82,6 +82,10 @@
         call(self._cluster.control, "POST", "/control",
              {"steps": {"seed": self._seed}})
         callers = self._make_callers(proxy)
+        if self._cluster.flat_calls:
+            callers.append(FlatLoad(self._cluster.flat_calls, [
+                lambda it=it: self._cluster.place(it)
+                for it in range(len(self._cluster.slots))]))
         for it in callers:
             it.start()
         try:
@@ -164,6 +168,12 @@
         counters = self._cluster.steps_counters()
         if counters["doubled"]:
             self._problems.append(f"tasks ran twice at once: {counters}")
+        if self._cluster.flat_calls:
+            counters = self._cluster.counters()
+            self._history.write_json("flat", counters)
+            if counters["doubled"]:
+                self._problems.append("tasks of flat jobs ran twice at once: "
+                                      f"{counters['doubles']}")
 
     def _check(self):
         breaches = [Breach("driver", it) for it in self._problems]
