Tests: Lets advice tickets expire at the workers of the fleet

The fleet's workers took any ticket, so no test showed it. Tickets now hold their expiry and a worker refuses a start with one that has expired.

--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -1,6 +1,8 @@
 #include "engine/fake_worker.h"
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace burdockrock::engine {
@@ -9,13 +11,29 @@
 
 constexpr Duration kMaxHold = std::chrono::milliseconds(6000);
 constexpr Duration kStopTime = std::chrono::milliseconds(100);
+constexpr std::string_view kTicketPrefix = "until-";
 
 WorkerAnswer Done(Time now) {
   return WorkerDone{.clock_ms = ToMilliseconds(now)};
 }
 
+// Whether it is a ticket by TicketUntil() that has expired.
+bool HasExpired(std::string_view ticket, Time now) {
+  if (!ticket.starts_with(kTicketPrefix)) {
+    return false;
+  }
+  ticket.remove_prefix(kTicketPrefix.size());
+  std::int64_t until_ms = 0;
+  std::from_chars(ticket.data(), ticket.data() + ticket.size(), until_ms);
+  return ToMilliseconds(now) >= until_ms;
+}
+
 }  // namespace
 
+std::string TicketUntil(Time expires) {
+  return std::string(kTicketPrefix) + std::to_string(ToMilliseconds(expires));
+}
+
 FakeWorker::FakeWorker(WorkerInfo info, std::vector<SeenRun>& seen)
     : info_(std::move(info)), seen_(seen) {}
 
@@ -130,6 +148,9 @@
   if (last_run_.contains(it.task) && it.run <= last_run_[it.task]) {
     return WorkerRefused{.kind = WorkerRefusalKind::kOldRun};
   }
+  if (HasExpired(it.ticket, now)) {
+    return WorkerRefused{.kind = WorkerRefusalKind::kBadTicket};
+  }
   const RunPlan planned = plan_start ? plan_start(it) : plan(it.task, it.run);
   seen_.push_back({.task = it.task,
                    .run = it.run,
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -37,6 +37,10 @@
   bool crashes = false;  // the worker's process ends in place of the run
 };
 
+// A ticket with which fake workers start runs until `expires`. They check no
+// others.
+std::string TicketUntil(Time expires);
+
 class FakeWorker {
  public:
   FakeWorker(WorkerInfo info, std::vector<SeenRun>& seen);
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -180,6 +180,9 @@
   // Time that the advice service takes for a call.
   std::function<Duration(const AdviceRequest&)> advice_duration =
       [](const AdviceRequest&) { return std::chrono::milliseconds(20); };
+  // For how long after the reply workers accept the tickets of the advice
+  // service.
+  Duration tickets_valid = std::chrono::milliseconds(2500);
   // Handles an event of an instance. Tests replace it to measure the steps.
   std::function<
       Effects(const std::string& node, State& state, const Event& event)>
--- a/Tests/engine/fleet_machines.cc
+++ b/Tests/engine/fleet_machines.cc
@@ -157,17 +157,18 @@
 
 void Fleet::HandleAdviceCall(const std::string& node, const CallAdvice& call) {
   const std::uint64_t incarnation = nodes_.at(node).incarnation;
+  const Time answered_at = now_ + advice_duration(call.request);
   AdviceGiven given;
   for (const std::string& it : call.request.workers) {
     if (allows(call.request.step, it)) {
-      given.allowed.push_back({.worker = it, .ticket = "t"});
+      given.allowed.push_back(
+          {.worker = it, .ticket = TicketUntil(answered_at + tickets_valid)});
     }
   }
-  At(now_ + advice_duration(call.request),
-     [this, node, incarnation, call, given] {
-       Deliver(node, incarnation,
-               AdviceAnswered{.request = call.request, .answer = given});
-     });
+  At(answered_at, [this, node, incarnation, call, given] {
+    Deliver(node, incarnation,
+            AdviceAnswered{.request = call.request, .answer = given});
+  });
 }
 
 }  // namespace burdockrock::engine
