Advice: Renews the ticket of a task that waits for its worker to be emptied

Cause: its ticket is valid for about two seconds, its worker is emptied for up to ten, and workers were named as for any other task, by the room that is left there.

Calls for a step with such a task now name the emptiest workers first. While the task waits at its worker, the job's owner requests a new ticket shortly before the old one expires and sends it to the worker's owner as a renewal, which starts nothing: a new field of the offer, so that a renewal which arrives after the run was refused can't start it a second time. A renewal costs the service one call with a single worker for each such task about every second.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -54,7 +54,11 @@
 
 bool NeedsAdvice(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
-  if (!ready.queue->advice || step.advice_pending || CountWaiting(step) == 0) {
+  if (!ready.queue->advice || step.advice_pending) {
+    return false;
+  }
+  const bool renews = !WorkersToRenew(context, ready).empty();
+  if (CountWaiting(step) == 0 && !renews) {
     return false;
   }
   if (!ready.ready && HasValidTicket(context, step)) {
@@ -62,7 +66,7 @@
   }
   return HasPassed(context.now, step.advice_checked_at,
                    kQueryInterval + ready.queue->advice->decision) &&
-         !HasEnough(context, ready);
+         (renews || !HasEnough(context, ready));
 }
 
 AdviceReason ReasonOf(const Context& context, const ReadyStep& ready) {
@@ -78,10 +82,6 @@
                                        : AdviceReason::kLapsed;
 }
 
-Duration ExpectedTime(const AdvicePolicy& policy, std::size_t workers) {
-  return policy.decision + policy.each * static_cast<std::int64_t>(workers);
-}
-
 // How far the step may exceed its estimate.
 Duration SlackOf(const QueuePolicy& queue, const StepSpec& step) {
   const auto slack =
@@ -254,7 +254,7 @@
   }
   const AdviceQuery& query = node.mapped();
   StepRun* step = EndQuery(context, query);
-  const Job* job = FindJob(context.state, query.step.job);
+  Job* job = FindJob(context.state, query.step.job);
   const QueuePolicy* queue =
       job == nullptr ? nullptr
                      : FindQueueByName(context.state.configuration, job->queue);
@@ -273,6 +273,16 @@
   }
   UpdateShare(query, reply, *step, context.state.advice.shares[queue->name]);
   TakeTickets(context.now, *step, *queue->advice, query, reply);
+  std::set<std::string> allowed;
+  for (const AdvisedWorker& it : reply.allowed) {
+    allowed.insert(it.worker);
+  }
+  RenewTickets(context,
+               {.job = job,
+                .occurrence = query.step.occurrence,
+                .step = query.step.step,
+                .queue = queue},
+               allowed);
   context.state.placement_due = true;
 }
 
--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -6,12 +6,17 @@
 #include "engine/advice/advice_rule.h"
 #include "engine/jobs/placement_rule.h"
 #include "engine/jobs/task_copies.h"
+#include "engine/jobs/task_crashes.h"
 #include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
 
 namespace {
 
+// A ticket is renewed this long before it could not be used any more, in
+// addition to the service time.
+constexpr Duration kRenewalLead = milliseconds(400);
+
 // Workers without free room, where room may become free, are added only while
 // the call names fewer than this many workers of any kind.
 constexpr std::size_t kMaxRoomlessWorkers = 10;
@@ -21,6 +26,8 @@
   bool allowed = false;  // by an earlier reply whose ticket has expired
   bool has_room = false;
   double fits = 0;  // number of tasks that fit now
+  // Share of the worker that is free, if a task is to run alone there.
+  double empty = 0;
   double rank = 0;  // lower is better
 };
 
@@ -34,6 +41,13 @@
   return MayPreempt(context, ready) && HasRoomNow(need, candidate);
 }
 
+bool HasTaskToIsolate(const Context& context, const StepRun& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
+    return it.phase == TaskPhase::kWaiting &&
+           IsolationOf(context, it) > Duration(0);
+  });
+}
+
 const std::vector<Candidate>& CandidatesFor(const Context& context,
                                             const std::string& service,
                                             CandidatesByService& candidates) {
@@ -49,6 +63,7 @@
   const StepRun& step = ready.run();
   const PlacementNeed need = NeedOf(ready);
   const auto placed = CountPlaced(ready);
+  const bool alone = !ready.spec().gang && HasTaskToIsolate(context, step);
   std::vector<NamedWorker> names;
   for (const Candidate& candidate :
        CandidatesFor(context, ready.queue->service, candidates)) {
@@ -64,7 +79,8 @@
     if (there != placed.end() && there->second >= ready.spec().spread) {
       continue;  // the spread limit is reached
     }
-    const bool has_room = HasRoomNow(need, candidate) ||
+    // A worker is emptied for a task that is to run alone.
+    const bool has_room = alone || HasRoomNow(need, candidate) ||
                           CouldPreempt(context, ready, need, candidate);
     const bool known = ticket != step.tickets.end();
     // A further call is useful only for workers where a task starts at once.
@@ -72,11 +88,13 @@
     if ((known && IsValid(context, ticket->second)) || (queried && !has_room)) {
       continue;
     }
-    const auto fits = static_cast<double>(starts);
+    const auto fits =
+        static_cast<double>(alone ? std::max<std::int64_t>(starts, 1) : starts);
     names.push_back({.id = id,
                      .allowed = known,
                      .has_room = has_room,
                      .fits = fits,
+                     .empty = alone ? FreeShare(candidate) : 0,
                      // Steps with a speed weight prefer fast workers, others
                      // those where many tasks fit.
                      .rank = need.speed_weight > 0
@@ -119,32 +137,63 @@
   return fits;
 }
 
+std::set<std::string> WorkersToRenew(const Context& context,
+                                     const ReadyStep& ready) {
+  const StepRun& step = ready.run();
+  std::set<std::string> workers;
+  for (const Task& it : step.tasks) {
+    const auto ticket = step.tickets.find(it.worker);
+    if (ticket == step.tickets.end() ||
+        !MayAwaitEmptyWorker(context, ready.spec(), it)) {
+      continue;
+    }
+    const Duration lead =
+        kTicketMargin + kRenewalLead + ExpectedTime(*ready.queue->advice, 1);
+    if (ticket->second.expires <= context.now + lead) {
+      workers.insert(it.worker);
+    }
+  }
+  return workers;
+}
+
+Duration ExpectedTime(const AdvicePolicy& policy, std::size_t workers) {
+  return policy.decision + policy.each * static_cast<std::int64_t>(workers);
+}
+
 std::vector<std::string> ChooseWorkersForAdvice(
     Context& context,
     const ReadyStep& ready,
     CandidatesByService& candidates) {
+  const std::set<std::string> renewed = WorkersToRenew(context, ready);
+  if (CountTicketed(context, ready) >=
+      static_cast<std::int64_t>(CountWaiting(ready.run()))) {
+    return {renewed.begin(), renewed.end()};
+  }
   std::vector<NamedWorker> names = NamesFor(context, ready, candidates);
   // Shuffles workers of equal rank so that not all steps name the same ones.
   std::shuffle(names.begin(), names.end(), context.state.random);
-  std::stable_sort(
-      names.begin(), names.end(),
-      [](const NamedWorker& left, const NamedWorker& right) {
-        return std::tuple(!left.has_room, !left.allowed, left.rank) <
-               std::tuple(!right.has_room, !right.allowed, right.rank);
-      });
+  std::stable_sort(names.begin(), names.end(),
+                   [](const NamedWorker& left, const NamedWorker& right) {
+                     return std::tuple(-left.empty, !left.has_room,
+                                       !left.allowed, left.rank) <
+                            std::tuple(-right.empty, !right.has_room,
+                                       !right.allowed, right.rank);
+                   });
   AdviceCallDraft call{
       .waiting = CountWaiting(ready.run()),
       .gang = ready.spec().gang,
       .ticketed = static_cast<double>(CountTicketed(context, ready))};
   const double share = context.state.advice.shares[ready.queue->name].value();
-  std::vector<std::string> chosen;
+  std::vector<std::string> chosen(renewed.begin(), renewed.end());
   for (const NamedWorker& it : names) {
     const bool roomless = !it.has_room && chosen.size() >= kMaxRoomlessWorkers;
     if (roomless || chosen.size() == kMaxAdvisedWorkers ||
         HasEnoughWorkers(call)) {
       break;
     }
-    chosen.push_back(it.id);
+    if (!renewed.contains(it.id)) {
+      chosen.push_back(it.id);
+    }
     ++call.named;
     call.starts += it.fits * (it.allowed ? 1 : share);
     call.max_starts += it.fits;
@@ -152,7 +201,7 @@
   const StepRun& step = ready.run();
   const bool queried = step.advised_at != kForever;
   if (queried && !IsWorthACall(call, context.now - step.advice_called_at)) {
-    chosen.clear();
+    chosen.resize(renewed.size());
   }
   return chosen;
 }
--- a/Source/engine/advice/advised_names.h
+++ b/Source/engine/advice/advised_names.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,14 @@
 // How many tasks of the step fit at workers with a valid ticket.
 std::int64_t CountTicketed(const Context& context, const ReadyStep& ready);
 
+// Workers at which tasks of the step wait for other runs there to end, and
+// whose tickets expire soon.
+std::set<std::string> WorkersToRenew(const Context& context,
+                                     const ReadyStep& ready);
+
+// Service time of a call that names so many workers.
+Duration ExpectedTime(const AdvicePolicy& policy, std::size_t workers);
+
 // Ids of the workers to name, the best first; empty when the call is not worth
 // its service time.
 std::vector<std::string> ChooseWorkersForAdvice(
--- a/Source/engine/jobs/placement_round.cc
+++ b/Source/engine/jobs/placement_round.cc
@@ -36,7 +36,8 @@
         return offer.job == ready.job->id && offer.step == ready.step &&
                offer.occurrence == ready.occurrence &&
                offer.book_only == (kind == OfferKind::kBooking) &&
-               offer.preempts == (kind == OfferKind::kPreemption);
+               offer.preempts == (kind == OfferKind::kPreemption) &&
+               offer.renews == (kind == OfferKind::kRenewal);
       });
   if (it != offers.end()) {
     return *it;
@@ -50,7 +51,8 @@
                 .spec = ready.spec(),
                 .priority = ready.queue->priority,
                 .preempts = kind == OfferKind::kPreemption,
-                .book_only = kind == OfferKind::kBooking});
+                .book_only = kind == OfferKind::kBooking,
+                .renews = kind == OfferKind::kRenewal});
 }
 
 }  // namespace
@@ -160,9 +162,11 @@
   const std::string& owner = view.owner;
   const auto ticket = ready.run().tickets.find(offered.worker);
   Totals& totals = round.context.state.totals;
-  ++totals.offers;
+  totals.offers += kind == OfferKind::kRenewal ? 0 : 1;
   // A gang's start is a second offer of its booked room; only it is counted.
-  if (ticket != ready.run().tickets.end() && kind != OfferKind::kBooking) {
+  const bool starts =
+      kind != OfferKind::kBooking && kind != OfferKind::kRenewal;
+  if (ticket != ready.run().tickets.end() && starts) {
     ++totals.advice[ticket->second.reason].starts;
   }
   OfferTo(round, ready, owner, kind)
--- a/Source/engine/jobs/placement_round.h
+++ b/Source/engine/jobs/placement_round.h
@@ -68,7 +68,7 @@
 Candidate* ChooseEmpty(const PlacementChoice& choice,
                        const PlacementNeed& need);
 
-enum class OfferKind { kStart, kPreemption, kBooking };
+enum class OfferKind { kStart, kPreemption, kBooking, kRenewal };
 
 // A run that is offered to a worker.
 struct RunOffer {
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -289,6 +289,25 @@
   return steps;
 }
 
+void RenewTickets(Context& context,
+                  const ReadyStep& ready,
+                  const std::set<std::string>& workers) {
+  PlacementRound round{.context = context};
+  const std::vector<Task>& tasks = ready.run().tasks;
+  for (std::uint32_t it = 0; it < tasks.size(); ++it) {
+    if (MayAwaitEmptyWorker(context, ready.spec(), tasks[it]) &&
+        workers.contains(tasks[it].worker)) {
+      AddOffer(round, ready, it, OfferOf(context, tasks[it]),
+               OfferKind::kRenewal);
+    }
+  }
+  for (auto& [owner, offers] : round.offers) {
+    for (TaskOffer& it : offers) {
+      Send(context, owner, std::move(it));
+    }
+  }
+}
+
 void DrivePlacement(Context& context) {
   const Duration pause =
       context.state.placement_due ? kPlacementInterval : kIdlePlacementInterval;
--- a/Source/engine/jobs/placing.h
+++ b/Source/engine/jobs/placing.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,12 @@
                          const WorkerInfo& worker,
                          const Resources& free);
 
+// Sends the present tickets for tasks that wait for their workers to be emptied
+// to the owners of those of `workers`.
+void RenewTickets(Context& context,
+                  const ReadyStep& ready,
+                  const std::set<std::string>& workers);
+
 // Runs a placement round if one is due, and sends its offers.
 void DrivePlacement(Context& context);
 
--- a/Source/engine/jobs/task_crashes.cc
+++ b/Source/engine/jobs/task_crashes.cc
@@ -100,6 +100,14 @@
   return isolated ? IsolationSpan(crashes) : Duration(0);
 }
 
+bool MayAwaitEmptyWorker(const Context& context,
+                         const StepSpec& spec,
+                         const Task& task) {
+  // A gang is placed on empty workers only.
+  return task.phase == TaskPhase::kOffered && !spec.gang &&
+         IsolationOf(context, task) > Duration(0);
+}
+
 void ClearOutlastedCrashes(Context& context, Job& job, Task& task) {
   if (task.crashes.runs.empty() || task.phase != TaskPhase::kRunning ||
       !HasPassed(context.now, task.since, IsolationSpan(task.crashes))) {
--- a/Source/engine/jobs/task_crashes.h
+++ b/Source/engine/jobs/task_crashes.h
@@ -48,6 +48,12 @@
 // How long nothing else may run beside the next run of the task; 0: no limit.
 Duration IsolationOf(const Context& context, const Task& task);
 
+// Whether the task, which is to run alone, may be waiting at its worker for the
+// other runs there to end.
+bool MayAwaitEmptyWorker(const Context& context,
+                         const StepSpec& spec,
+                         const Task& task);
+
 // Clears the crashes of a task whose present run has lasted so much longer than
 // the crashed ones that it can't be their cause.
 void ClearOutlastedCrashes(Context& context, Job& job, Task& task);
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -76,6 +76,7 @@
     codec.Optional("priority", it.priority, std::uint32_t{0});
     codec.Optional("preempts", it.preempts, false);
     codec.Optional("book_only", it.book_only, false);
+    codec.Optional("renews", it.renews, false);
     codec.Optional("tasks", it.tasks, std::vector<engine::OfferedTask>());
   }
 };
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -81,6 +81,8 @@
   std::uint32_t priority = 0;
   bool preempts = false;   // may stop runs of less urgent work
   bool book_only = false;  // reserve the room, start later
+  // Only replaces the tickets of runs that wait for room at their workers.
+  bool renews = false;
   std::vector<OfferedTask> tasks{};
 
   auto operator<=>(const TaskOffer&) const = default;
--- a/Source/engine/workers/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -95,6 +95,21 @@
   return std::nullopt;
 }
 
+// A run that is gone or has started needs no ticket.
+void RenewTicket(Context& context,
+                 const OfferedTask& offered,
+                 const std::string& task) {
+  OwnedWorker* worker = FindClaimed(context.state, offered.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  const auto it = worker->runs.find(task);
+  if (it != worker->runs.end() && it->second.run == offered.run &&
+      it->second.phase == RunPhase::kAwaitingRoom) {
+    it->second.ticket = offered.ticket;
+  }
+}
+
 // Returns nothing when the offer is accepted and its outcome follows later.
 std::optional<OfferOutcome> TakeOffered(Context& context,
                                         const std::string& from,
@@ -173,6 +188,12 @@
                                                .occurrence = offer.occurrence,
                                                .step = offer.step,
                                                .index = it.index});
+    if (offer.renews) {
+      if (!stale) {
+        RenewTicket(context, it, task);
+      }
+      continue;
+    }
     const auto outcome = stale ? OfferOutcome::kOldOwner
                                : TakeOffered(context, from, offer, it, task);
     if (outcome) {
