Advice: Sends no query for a job that recovers

Queries were sent as soon as a job was adopted, though none of its tasks may start before all workers have reported its runs.

A step now waits for the recovery in the same way in advice, in placement and in the log. A lasting step is exempt once one of its tasks is known to have no run.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -54,7 +54,7 @@
 
 bool NeedsAdvice(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
-  if (!ready.queue->advice || step.advice_pending) {
+  if (!ready.queue->advice || step.advice_pending || WaitsForRecovery(ready)) {
     return false;
   }
   const bool renews = !WorkersToRenew(context, ready).empty();
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -227,6 +227,15 @@
 
 }  // namespace
 
+bool WaitsForRecovery(const ReadyStep& ready) {
+  const auto& tasks = ready.run().tasks;
+  return ready.job->recovering &&
+         (!ready.spec().lasting ||
+          std::none_of(tasks.begin(), tasks.end(), [](const Task& it) {
+            return it.phase == TaskPhase::kWaiting;
+          }));
+}
+
 std::map<std::string, std::uint32_t> CountPlaced(const ReadyStep& ready) {
   std::map<std::string, std::uint32_t> placed;
   if (ready.spec().spread == 0) {
@@ -322,10 +331,8 @@
     if (!it.job->stored || !it.job->verified) {
       continue;
     }
-    // A worker that has not reported yet may list failed runs of the job.
-    // Starting a task again before that could exceed the attempts that its
-    // queue allows. Lasting tasks have no such limit.
-    if (it.job->recovering && !it.spec().lasting) {
+    // Copies of lasting tasks need not wait for the reports.
+    if (WaitsForRecovery(it) && !it.spec().lasting) {
       continue;
     }
     if (it.spec().gang) {
--- a/Source/engine/jobs/placing.h
+++ b/Source/engine/jobs/placing.h
@@ -38,6 +38,13 @@
 std::vector<ReadyStep> ReadySteps(Context& context,
                                   const StepLead& lead = nullptr);
 
+// Whether no task of the step may start before all workers that may run it have
+// reported: one that has not may list failed runs of the job, and starting a
+// task again before that could exceed the attempts that its queue allows.
+// Lasting tasks, which have no such limit, are exempt once known to have no
+// run.
+bool WaitsForRecovery(const ReadyStep& ready);
+
 // Number of the step's tasks by worker. Empty if the step sets no limit on it.
 std::map<std::string, std::uint32_t> CountPlaced(const ReadyStep& ready);
 
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -58,17 +58,6 @@
          (task.phase == TaskPhase::kUnknown && ready.job->recovering);
 }
 
-// No task of the step may start before all workers that may run it have
-// reported. Lasting tasks known to have no run are exempt.
-bool WaitsForRecovery(const ReadyStep& ready) {
-  const auto& tasks = ready.run().tasks;
-  return ready.job->recovering &&
-         (!ready.spec().lasting ||
-          std::none_of(tasks.begin(), tasks.end(), [](const Task& it) {
-            return it.phase == TaskPhase::kWaiting;
-          }));
-}
-
 WaitCause CauseOf(const ReadyStep& ready,
                   const StepWait& wait,
                   bool all_pause) {
--- a/Tests/engine/advice_line_test.cc
+++ b/Tests/engine/advice_line_test.cc
@@ -1,6 +1,7 @@
 // The order in which steps get advice, and tickets that are valid when they are
 // used.
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,16 @@
   }
 }
 
+void RestartAll(Fleet& fleet) {
+  const auto nodes = fleet.nodes();
+  for (const std::string& it : nodes) {
+    fleet.Kill(it);
+  }
+  for (const std::string& it : nodes) {
+    fleet.Start(it);
+  }
+}
+
 }  // namespace
 
 // Guards against a task that is to run alone and whose ticket expires while its
@@ -64,4 +75,35 @@
   CheckInvariants(fleet);
 }
 
+// Guards against tickets that expire before a task may start, as the runs of an
+// adopted job are not known yet.
+TEST_CASE("No query for advice is sent while a job recovers") {
+  Fleet fleet({.workers = 9, .advice = true});
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(8)});
+  for (int it = 0; it < 40; ++it) {
+    fleet.Submit(fmt::format("n{}", it % 3), fmt::format("j{}", it),
+                 OneStep(4));
+  }
+  fleet.Run(seconds(2));
+  std::set<std::string> early;
+  std::size_t queries = 0;
+  fleet.step = [&](const std::string&, State& state, const Event& event) {
+    Effects effects = Step(state, event);
+    for (const auto& [call, it] : state.advice.queries) {
+      ++queries;
+      if (state.jobs.at(it.step.job).recovering) {
+        early.insert(it.step.job);
+      }
+    }
+    return effects;
+  };
+  RestartAll(fleet);
+  fleet.Run(seconds(20));
+  CHECK(queries > 0);
+  CHECK(early.size() == 0);
+  CHECK(CountEnds(fleet, RunEnd::kDone) >= 80);
+  CheckInvariants(fleet);
+}
+
 }  // namespace burdockrock::engine
