--- a/Tests/engine/advice_line_test.cc
+++ b/Tests/engine/advice_line_test.cc
@@ -1,6 +1,8 @@
 // The order in which steps get advice, and tickets that are valid when they are
 // used.
 #include <algorithm>
+#include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,6 +19,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr AdvicePolicy kLong = {.decision = milliseconds(500),
+                                .each = milliseconds(8),
+                                .valid = milliseconds(2000)};
+constexpr std::size_t kWaiting = 80;
+
+// Service time of a call that names so many workers.
+Duration TimeFor(std::size_t workers) {
+  return kLong.decision + kLong.each * static_cast<std::int64_t>(workers);
+}
+
 // Number of starts that were refused because their ticket had expired.
 std::size_t CountBadTickets(const Fleet& fleet) {
   const std::string cause = WorkerRefusalName(WorkerRefusalKind::kBadTicket);
@@ -55,6 +67,57 @@
   }
 }
 
+// Submits kWaiting jobs of `tasks` tasks and of equal priority, of which none
+// can start, as `q...`, and restarts all instances.
+void AdoptWaiting(Fleet& fleet, std::uint32_t tasks = 1) {
+  fleet.SetQueue({.name = "q",
+                  .host = "h",
+                  .prefix = "/q/",
+                  .service = "s",
+                  .priority = 1,
+                  .max_attempts = 3,
+                  .stretch = 2.2,
+                  .advice = kLong});
+  fleet.tickets_valid = kLong.valid;
+  fleet.advice_duration = [](const AdviceRequest& it) {
+    return TimeFor(it.workers.size());
+  };
+  fleet.Settle();
+  fleet.allows = [](const std::string& step, const std::string&) {
+    return !step.starts_with("q");
+  };
+  for (std::size_t it = 0; it < kWaiting; ++it) {
+    fleet.Submit(fmt::format("n{}", it % fleet.nodes().size()),
+                 fmt::format("q{}", it), OneStep(tasks, 2000));
+  }
+  fleet.Run(milliseconds(600));
+  RestartAll(fleet);
+  fleet.allows = [](const std::string& step, const std::string& worker) {
+    return std::hash<std::string>()(step + worker) % 10 < 4;
+  };
+}
+
+// Time from `since` to the last first run of the jobs `q...`, or kForever.
+Duration LastStart(const Fleet& fleet, Time since) {
+  std::map<std::string, Time> first;
+  for (const SeenRun& it : fleet.seen) {
+    if (it.task.starts_with("q")) {
+      first.try_emplace(it.task, it.began);
+    }
+  }
+  Duration last{0};
+  for (const auto& [task, began] : first) {
+    last = std::max(last, began - since);
+  }
+  return first.size() == kWaiting ? last : kForever;
+}
+
+// Time that one call for each of so many steps takes at the four of six
+// instances that make long calls.
+Duration TimeForAll(std::size_t steps) {
+  return TimeFor(12) * static_cast<std::int64_t>(steps) / 4;
+}
+
 }  // namespace
 
 // Guards against a task that is to run alone and whose ticket expires while its
@@ -106,4 +169,73 @@
   CheckInvariants(fleet);
 }
 
+// Guards against steps that lose their place each time that a query is given up
+// or its tickets expire, while later ones are answered.
+TEST_CASE("Adopted steps get their turn for advice beside new ones") {
+  Fleet fleet({.instances = 6, .workers = 30, .advice = true});
+  PlanAll(fleet, {.takes = seconds(1)});
+  AdoptWaiting(fleet);
+  const Time since = fleet.now();
+  for (int it = 0; it < 120; ++it) {
+    fleet.Submit(fmt::format("n{}", it % 6), fmt::format("new{}", it),
+                 OneStep(1, 2000));
+    fleet.Run(milliseconds(200));
+  }
+  fleet.Run(seconds(60));
+  const Duration last = LastStart(fleet, since);
+  INFO(ToMilliseconds(last), " ms; all together need ",
+       ToMilliseconds(TimeForAll(kWaiting)), " ms");
+  CHECK(last <= 2 * TimeForAll(kWaiting));
+}
+
+// The same beside lasting steps whose tasks end and are to run again.
+TEST_CASE(
+    "Adopted steps get their turn beside lasting steps that keep asking") {
+  constexpr std::size_t kLasting = 24;
+  Fleet fleet({.instances = 6, .workers = 30, .advice = true});
+  PlanAll(fleet, {.takes = seconds(1)});
+  AdoptWaiting(fleet);
+  const Time since = fleet.now();
+  fleet.Run(seconds(2));
+  for (std::size_t it = 0; it < kLasting; ++it) {
+    JobSpec spec = OneStep(2, 1000);
+    spec.steps[0].lasting = true;
+    fleet.Submit(fmt::format("n{}", it % 6), fmt::format("serve{}", it), spec);
+  }
+  fleet.Run(seconds(90));
+  const Duration last = LastStart(fleet, since);
+  const Duration all = TimeForAll(kWaiting + kLasting);
+  INFO(ToMilliseconds(last), " ms; all together need ", ToMilliseconds(all));
+  MESSAGE(ToMilliseconds(last), " ms; all together need ", ToMilliseconds(all));
+  CHECK(last <= 2 * all);
+}
+
+// Guards against calls that name workers whose room has gone while the query
+// waited: their tickets expire unused.
+TEST_CASE("Calls name workers that have room, also behind a long line") {
+  constexpr std::int64_t kSlots = 4;
+  Fleet fleet({.instances = 6, .workers = 60, .advice = true});
+  PlanAll(fleet, {.takes = seconds(6)});
+  AdoptWaiting(fleet, 8);
+  std::size_t calls = 0;
+  std::size_t late = 0;
+  fleet.advice_duration = [&](const AdviceRequest& it) {
+    std::map<std::string, std::int64_t> used;
+    for (const SeenRun& run : fleet.seen) {
+      used[run.worker] += run.ended > fleet.now() ? 1 : 0;
+    }
+    std::int64_t full = 0;
+    for (const std::string& worker : it.workers) {
+      full += used[worker] >= kSlots ? 1 : 0;
+    }
+    ++calls;
+    late += full * 2 > static_cast<std::int64_t>(it.workers.size()) ? 1 : 0;
+    return TimeFor(it.workers.size());
+  };
+  fleet.Run(seconds(40));
+  INFO("in ", late, " of ", calls, " calls most named workers were full");
+  CHECK(calls > 0);
+  CHECK(late * 20 <= calls);
+}
+
 }  // namespace burdockrock::engine
