Engine: Does not take an unlisted worker for one that had its upkeep

By review: a machine's worker is named by its incarnation only while the store lists it. When the entry lapsed after the order, the bare id differed from the name before, and the machine counted as done, which lets the next one go down beyond the cap. Another process is now told by another id or by two starts that differ. The worker to be emptied is looked up at each request, and one that has restarted has to be emptied again. upkeep_test passes; the sequence itself has no case.

--- a/Source/engine/workers/upkeep.cc
+++ b/Source/engine/workers/upkeep.cc
@@ -14,6 +14,7 @@
 #include "engine/workers/upkeep_rule.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -90,6 +91,8 @@
     return;
   }
   machine.prepare_requested = context.now;
+  machine.worker =
+      ListedIncarnation(context.state, std::string(WorkerIdOf(machine.worker)));
   const std::string owner = OwnerOfWorker(context, machine.worker);
   if (owner.empty()) {
     context.Log(EventNumber::kUpkeepWaits,
@@ -114,7 +117,10 @@
     machine.since = context.now;
     return false;
   }
-  if (!machine.empty) {
+  const std::string present =
+      ListedIncarnation(context.state, std::string(WorkerIdOf(machine.worker)));
+  if (!machine.empty || present != machine.worker) {
+    machine.empty = false;
     Prepare(context, name, machine);
     return false;
   }
--- a/Source/engine/workers/upkeep_rule.cc
+++ b/Source/engine/workers/upkeep_rule.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "model/worker_incarnation.h"
+
 namespace burdockrock::engine {
 
 namespace {
@@ -17,6 +19,12 @@
   machine.since = now;
 }
 
+// The start of a process is not known while its worker is not listed.
+bool IsAnotherProcess(std::string_view name, std::string_view before) {
+  return WorkerIdOf(name) != WorkerIdOf(before) ||
+         (BornOf(before) != 0 && IsOtherIncarnation(name, BornOf(before)));
+}
+
 // The machine is listed as up: again, or because it has not gone down yet.
 void ApplyUp(MachineProgress& machine,
              const Machine& listed,
@@ -24,8 +32,8 @@
   if (machine.phase != MachinePhase::kCommanded) {
     return;
   }
-  const bool renewed =
-      !machine.worker.empty() && listed.worker != machine.worker;
+  const bool renewed = !machine.worker.empty() &&
+                       IsAnotherProcess(listed.worker, machine.worker);
   const bool settled =
       machine.accepted && requested_at >= machine.since + kMinListingAge;
   if (renewed || settled) {
--- a/Source/model/worker_incarnation.cc
+++ b/Source/model/worker_incarnation.cc
@@ -40,6 +40,11 @@
   return born;
 }
 
+bool IsLaterIncarnation(std::string_view name, std::string_view other) {
+  return BornOf(other) != 0 && BornOf(name) > BornOf(other) &&
+         WorkerIdOf(name) == WorkerIdOf(other);
+}
+
 bool IsOtherIncarnation(std::string_view asked, std::int64_t born) {
   const std::int64_t expected = BornOf(asked);
   return expected != 0 && born != 0 && expected != born;
--- a/Source/model/worker_incarnation.h
+++ b/Source/model/worker_incarnation.h
@@ -25,6 +25,10 @@
 // another incarnation than the one asked. It can't be told if either is 0.
 bool IsOtherIncarnation(std::string_view asked, std::int64_t born);
 
+// Whether both name processes of one worker, and `name` started later than
+// `other` by the worker's clock. False if either start is not told.
+bool IsLaterIncarnation(std::string_view name, std::string_view other);
+
 }  // namespace burdockrock
 
 #endif  // BURDOCKROCK_MODEL_WORKER_INCARNATION_H_
