Engine: Holds back a loss until late starts at the next process are known

By review, and shown by a case. When the owner of a worker is lost, starts that it has sent can reach the worker's next process. A former process that was not claimed here is now held until the next one is claimed, and the runs that its claim lists have been stopped and their ends stored.

Also by review, without a case of their own: a refused fence is taken for a restart where the store lists a later process; a listed later process ends the one before at once; the loss of a process that is certain is announced with the highest fence known; a claim below an announced fence is repeated above it, since the others would ignore it; a lapsed or crashed run is not counted for a task that is at the next process; a gang's start is not sent to a process that has ended; late starts bound the wait from the restart on.

--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -438,7 +438,7 @@
     } else if (report.run == ref->task.run && IsPlaced(ref->task)) {
       Requeue(context, ref->task, Duration(0));
     }
-  } else {
+  } else if (!IsOfFormerProcess(ref->task, report)) {
     ApplyNewEnd(context, *ref, report);
   }
   ConfirmWhenStored(context, ref->job, from, report);
--- a/Source/engine/jobs/task_crashes.cc
+++ b/Source/engine/jobs/task_crashes.cc
@@ -8,6 +8,7 @@
 
 #include "engine/jobs/job_table.h"
 #include "engine/workers/worker_list.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -134,4 +135,12 @@
   }
 }
 
+bool IsOfFormerProcess(const Task& task, const EndReport& report) {
+  const bool placed =
+      task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
+  return (report.how == RunEnd::kLapsed || report.how == RunEnd::kCrashed) &&
+         report.run == task.run && placed &&
+         IsLaterIncarnation(task.worker, report.worker);
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/jobs/task_crashes.h
+++ b/Source/engine/jobs/task_crashes.h
@@ -67,6 +67,10 @@
                     const TaskName& name,
                     Task& task);
 
+// Whether the run is reported as lost with a process that its start did not
+// reach: it is at the worker's next incarnation.
+bool IsOfFormerProcess(const Task& task, const EndReport& report);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_JOBS_TASK_CRASHES_H_
--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -47,7 +47,8 @@
   Duration alone_for{0};
   Time move_requested = Time::min();  // last request to move the others away
   bool start_unanswered = false;      // a start may still take effect later
-  // It was found at the worker's next incarnation, which reports its end.
+  bool found = false;  // a claim listed it; a former owner has started it
+  // It began at the worker's next incarnation, which reports its end.
   bool at_successor = false;
   bool stop_answered = false;
   Time confirmed = Time::min();   // the worker last confirmed the run
@@ -101,6 +102,7 @@
   // which has ended; empty: none. Set while it is not known which of the runs
   // in doubt began there.
   std::string successor{};
+  Time restarted_at{0};  // when that became known
   // This instance's registration was lost after the worker's last reply, so
   // others may have claimed the worker and renewed its leases.
   bool unverified = false;
@@ -118,6 +120,7 @@
   std::int64_t clock_offset_ms = 0;  // worker's clock minus ours
   std::int64_t lease_until_ms = 0;   // requested last; on the worker's clock
   std::uint64_t highest_end = 0;     // highest sequence number of a listed end
+  std::uint64_t ends_at_claim = 0;   // the same when the claim was answered
   std::uint64_t acknowledged = 0;    // ends up to this number are stored
   std::map<std::string, LocalRun> runs{};    // by task
   std::map<std::uint64_t, LocalEnd> ends{};  // by sequence number
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -1,8 +1,11 @@
 #include "engine/workers/worker_list.h"
 
+#include <utility>
+
 #include "engine/jobs/recovery.h"
 #include "engine/members/membership.h"
 #include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_restarts.h"
 #include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
@@ -74,8 +77,11 @@
     return;
   }
   if (listed != name) {
-    Unlist(context, listed);
-    listed = name;
+    const std::string former = std::exchange(listed, name);
+    Unlist(context, former);
+    if (IsLaterIncarnation(name, former)) {
+      OnLaterIncarnationListed(context, former, info.born);
+    }
   }
   ListedWorker& worker = context.state.workers[name];
   const bool changed = is_new || worker.info != info || !worker.listed;
--- a/Source/engine/workers/worker_listing.cc
+++ b/Source/engine/workers/worker_listing.cc
@@ -28,6 +28,7 @@
                  .last_queried = context.now,
                  .checkpoint = row.checkpoint,
                  .since = context.now,
+                 .found = true,
                  .confirmed = context.now,
                  .progress = BeginProgress(context.now, row.percent)};
   const auto job = context.state.jobs.find(name.job);
--- a/Source/engine/workers/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -8,6 +8,7 @@
 #include "engine/workers/acceptance.h"
 #include "engine/workers/run_ends.h"
 #include "engine/workers/worker_owner.h"
+#include "engine/workers/worker_restarts.h"
 #include "engine/workers/worker_runs.h"
 
 namespace burdockrock::engine {
@@ -71,6 +72,10 @@
       if (offer.book_only) {
         return OfferOutcome::kBooked;
       }
+      if (HasRestarted(worker)) {
+        RemoveRun(context, id, worker, task);
+        return OfferOutcome::kNotServing;
+      }
       // The worker's capacity may have shrunk since the booking.
       if (!IsWithinCapacity(worker)) {
         RemoveRun(context, id, worker, task);
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <utility>
 
 #include "engine/jobs/job_runs.h"
@@ -36,8 +37,8 @@
   std::uint64_t fence = 0;
   for (auto it = state.view.lower_bound(std::string(id));
        it != state.view.end() && it->first.starts_with(id); ++it) {
-    const bool former = it->first != name && WorkerIdOf(it->first) == id;
-    if (former || (it->first == name && it->second.lost)) {
+    const bool other = it->first != name && WorkerIdOf(it->first) == id;
+    if (other || (it->first == name && it->second.lost)) {
       fence = std::max(fence, it->second.fence);
     }
   }
@@ -209,6 +210,13 @@
   worker.unresponsive_since = Time(0);
   worker.clock_offset_ms = done.clock_ms - ToMilliseconds(context.now);
   const bool claimed_now = !worker.claimed;
+  const std::uint64_t announced = context.state.view[id].fence;
+  if (claimed_now && announced > worker.fence) {
+    // The other members would ignore the claim.
+    worker.fence = announced;
+    worker.next_poll_at = context.now;
+    return;
+  }
   if (claimed_now) {
     worker.claimed = true;
     context.state.lost_workers.erase(id);
@@ -224,6 +232,9 @@
   const bool renew_now = claimed_now || was_unresponsive;
   worker.next_poll_at = context.now + (renew_now ? Duration(0) : kPollInterval);
   ApplyListing(context, id, worker, done, requested_at);
+  if (claimed_now) {
+    worker.ends_at_claim = worker.highest_end;
+  }
   AnswerRunQueries(context, id, worker);
   if (renew_now) {
     RoomChanged(context, id);
@@ -240,7 +251,7 @@
   }
   const WorkerRefusalKind kind = std::get<WorkerRefused>(event.answer).kind;
   if (kind == WorkerRefusalKind::kFenced) {
-    ReleaseWorker(context, event.worker);
+    OnFenced(context, event.worker);
   } else if (kind == WorkerRefusalKind::kReplaced) {
     DeclareWorkerLost(context, event.worker, LossKind::kEnded,
                       "replaced by another incarnation");
@@ -278,19 +289,20 @@
   }
 }
 
-// Claims not answered yet of incarnations that a later one has succeeded. Their
-// polls would reach that one with a higher fence than its owner's.
-void DropSucceeded(Context& context) {
-  std::vector<std::string> ended;
+// Ends claims of incarnations that a later one has succeeded: their polls would
+// reach the later one and take it from its owner.
+void EndSucceededClaims(Context& context) {
+  std::map<std::string, std::string> ended;
   for (const auto& [name, worker] : context.state.owned) {
-    if (!worker.claimed && !worker.poll_in_flight &&
-        HasClaimedSuccessor(context.state, name)) {
-      ended.push_back(name);
+    if (worker.claimed || worker.poll_in_flight || HasRestarted(worker)) {
+      continue;
+    }
+    if (auto next = ClaimedSuccessor(context.state, name)) {
+      ended.emplace(name, std::move(*next));
     }
   }
-  for (const std::string& it : ended) {
-    DeclareWorkerLost(context, it, LossKind::kEnded,
-                      "a later incarnation was claimed");
+  for (const auto& [name, next] : ended) {
+    OnWorkerRestarted(context, name, BornOf(next));
   }
 }
 
@@ -306,7 +318,7 @@
                 kOwnershipCheckInterval)) {
     ClaimOwn(context);
   }
-  DropSucceeded(context);
+  EndSucceededClaims(context);
   std::vector<std::string> lost;
   for (auto& [id, worker] : context.state.owned) {
     if (HasRestarted(worker)) {
@@ -406,7 +418,7 @@
         EventNumber::kClaimRefused,
         {{"worker", event.worker}, {"fence", std::to_string(poll.fence)}});
     if (worker.claimed) {
-      ReleaseWorker(context, event.worker);
+      OnFenced(context, event.worker);
     } else {
       RequestFenceAdvance(context);
     }
@@ -452,9 +464,14 @@
                        const std::string& id,
                        LossKind kind,
                        const char* cause) {
-  const auto node = context.state.owned.extract(id);
+  auto node = context.state.owned.extract(id);
   if (!node.empty()) {
-    const OwnedWorker& worker = node.mapped();
+    OwnedWorker& worker = node.mapped();
+    if (kind != LossKind::kSilent) {
+      // The end is certain, whoever owned the worker last; with a lower fence
+      // the other members would ignore it.
+      worker.fence = std::max(worker.fence, context.state.view[id].fence);
+    }
     const bool crashed = IsCrash(context, worker, kind);
     context.Log(EventNumber::kWorkerGone,
                 {{"worker", id},
--- a/Source/engine/workers/worker_restarts.cc
+++ b/Source/engine/workers/worker_restarts.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "engine/jobs/recovery.h"
+#include "engine/workers/lease_bounds.h"
 #include "engine/workers/run_ends.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
@@ -46,13 +47,35 @@
   }
 }
 
+// A start that was late can hold a lease at the next incarnation until then.
+Time LeasesInDoubtEnd(const Context& context, const OwnedWorker& worker) {
+  return std::max(worker.lease_bound, worker.restarted_at + LeaseSpan(context));
+}
+
+// Stops the runs that the claim of the next incarnation has listed. The former
+// owner of the one before may have sent their starts to it.
+bool FoundRunsAreOver(Context& context,
+                      const std::string& name,
+                      OwnedWorker& next) {
+  bool over = next.acknowledged >= next.ends_at_claim;
+  for (auto& [task, run] : next.runs) {
+    if (run.found) {
+      over = false;
+      BeginRunStop(context, name, next, task, run);
+    }
+  }
+  return over;
+}
+
 // Whether it is known of all runs in doubt whether they began at the next
 // incarnation, and those that did have ended and their ends are stored.
 bool IsSettled(Context& context, OwnedWorker& worker) {
   OwnedWorker* next = FindClaimed(context.state, worker.successor);
   if (next == nullptr) {
-    // Without a claim their leases have to expire.
-    return context.now >= worker.lease_bound;
+    return context.now >= LeasesInDoubtEnd(context, worker);
+  }
+  if (!worker.claimed) {
+    return FoundRunsAreOver(context, worker.successor, *next);
   }
   bool settled = true;
   for (auto& [task, run] : worker.runs) {
@@ -88,10 +111,13 @@
               {{"worker", name},
                {"next", info.id},
                {"runs", std::to_string(worker.runs.size())}});
-  if (!HasRunInDoubt(worker)) {
+  // What a former owner has sent to an incarnation that this instance had not
+  // claimed is not known here.
+  if (worker.claimed && !HasRunInDoubt(worker)) {
     return DeclareWorkerLost(context, name, LossKind::kEnded, kCause);
   }
   worker.successor = info.id;
+  worker.restarted_at = context.now;
   RoomChanged(context, name);
 }
 
@@ -109,16 +135,35 @@
   }
 }
 
-bool HasClaimedSuccessor(const State& state, const std::string& name) {
+std::optional<std::string> ClaimedSuccessor(const State& state,
+                                            const std::string& name) {
+  const std::string_view id = WorkerIdOf(name);
+  for (auto it = state.view.lower_bound(std::string(id));
+       it != state.view.end() && it->first.starts_with(id); ++it) {
+    if (IsLaterIncarnation(it->first, name) && !it->second.owner.empty() &&
+        !it->second.lost) {
+      return it->first;
+    }
+  }
+  return std::nullopt;
+}
+
+void OnFenced(Context& context, const std::string& name) {
   const std::string listed =
-      ListedIncarnation(state, std::string(WorkerIdOf(name)));
-  const auto next = state.view.find(listed);
-  if (listed == name || next == state.view.end() ||
-      next->second.owner.empty()) {
-    return false;
+      ListedIncarnation(context.state, std::string(WorkerIdOf(name)));
+  if (IsLaterIncarnation(listed, name)) {
+    return OnWorkerRestarted(context, name, BornOf(listed));
+  }
+  ReleaseWorker(context, name);
+}
+
+void OnLaterIncarnationListed(Context& context,
+                              const std::string& name,
+                              std::int64_t born) {
+  const auto it = context.state.owned.find(name);
+  if (it != context.state.owned.end() && !HasRestarted(it->second)) {
+    OnWorkerRestarted(context, name, born);
   }
-  const auto own = state.view.find(name);
-  return own == state.view.end() || next->second.fence > own->second.fence;
 }
 
 bool HasRestarted(const OwnedWorker& worker) {
--- a/Source/engine/workers/worker_restarts.h
+++ b/Source/engine/workers/worker_restarts.h
@@ -4,6 +4,7 @@
 #define BURDOCKROCK_ENGINE_WORKERS_WORKER_RESTARTS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "engine/context.h"
@@ -13,8 +14,8 @@
 // Called when a process that started at `born` (Unix ms) answers in place of
 // the owned incarnation `name`. What the worker had listed has ended. A start
 // that it had not listed yet, or that may still take effect, can have reached
-// the new process: if there is any, the incarnation is declared lost only when
-// it is known what became of it.
+// the new process: if there may be any, the incarnation is declared lost only
+// when it is known what became of it.
 void OnWorkerRestarted(Context& context,
                        const std::string& name,
                        std::int64_t born);
@@ -23,9 +24,19 @@
 // that are found at the next incarnation.
 void DriveRestarts(Context& context);
 
-// Whether the store lists another incarnation of the worker that a member has
-// claimed later than this one: with a higher fence.
-bool HasClaimedSuccessor(const State& state, const std::string& name);
+// Called when the store lists an incarnation that started at `born`, later than
+// `name` did.
+void OnLaterIncarnationListed(Context& context,
+                              const std::string& name,
+                              std::int64_t born);
+
+// Called when the worker has refused the fence of a claim that it had accepted:
+// another member owns it, or it answers as a later incarnation.
+void OnFenced(Context& context, const std::string& name);
+
+// A later incarnation of the worker that a member has claimed.
+std::optional<std::string> ClaimedSuccessor(const State& state,
+                                            const std::string& name);
 
 // Whether another process answers under the worker's id. The worker accepts
 // nothing and gets no commands.
--- a/Source/engine/workers/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -313,7 +313,7 @@
     return;
   }
   if (refused != nullptr && refused->kind == WorkerRefusalKind::kFenced) {
-    return ReleaseWorker(context, event.worker);
+    return OnFenced(context, event.worker);
   }
   const std::string& task = start != nullptr ? start->task : stop->task;
   const std::uint64_t number = start != nullptr ? start->run : stop->run;
--- a/Tests/engine/restart_test.cc
+++ b/Tests/engine/restart_test.cc
@@ -274,6 +274,43 @@
   }
 }
 
+// The same with starts of an owner that is gone, which the next owner does not
+// know.
+TEST_CASE("A start of a lost owner does not run a task twice") {
+  for (const Duration late : {milliseconds(200), milliseconds(600)}) {
+    for (const std::string name : {"w0", "w1", "w2"}) {
+      CAPTURE(ToMilliseconds(late));
+      CAPTURE(name);
+      Fleet fleet(Telling());
+      fleet.Settle();
+      PlanAll(fleet, {.takes = seconds(4)});
+      fleet.late_delay = late;
+      fleet.command_fault = [&](const std::string&, const std::string& worker,
+                                const WorkerRequest& request) {
+        return worker == name && std::holds_alternative<StartRun>(request)
+                   ? CommandFault::kLate
+                   : CommandFault::kNone;
+      };
+      const std::string owner = OwnerOf(fleet, name);
+      fleet.Submit(owner == "n0" ? "n1" : "n0", "j1", OneStep(24));
+      fleet.Run(milliseconds(100));
+      fleet.Kill(owner);
+      fleet.Run(milliseconds(50));
+      fleet.CrashWorker(name, milliseconds(20));
+      fleet.Run(seconds(1));
+      fleet.command_fault = [](const std::string&, const std::string&,
+                               const WorkerRequest&) {
+        return CommandFault::kNone;
+      };
+      fleet.Start(owner);
+      fleet.Run(seconds(60));
+      CHECK(fleet.StateOf(owner == "n0" ? "n1" : "n0", "j1") ==
+            JobState::kCompleted);
+      CheckInvariants(fleet);
+    }
+  }
+}
+
 // Guards against runs that are stopped or repeated because a worker's entry was
 // written again, or with an older one of a former process.
 TEST_CASE("A worker that is merely written anew has not restarted") {
