Scheduler: Tells the processes of a worker apart

Callers saw a request on a minion that started again wait for its deadline, with the slot taken for up to an hour, and a worker that had been leaving get no work after it started again under its id. Cause: a worker was known by its id alone. What a process before had was ended only by the report of a claim, which says nothing of runs with an open call, and the mark of leaving stayed for good. Change: the record keeps when the worker's process was born, each command names it, and each call remembers which process it was meant for. An answer or a list that tells of a new process ends what the one before had (tasks at work count as crashed), forgets its version, acknowledgements, usage and poll, and closes the worker until it is claimed again. Answers to commands to a process that is gone change nothing, except that a claim is repeated; a list with an earlier start is passed over. Workers that tell no start are treated as before. Event 321 and the dump name the processes. The test of the unique request lets a second pass before the next request, as a request in the instant of the restart is rightly refused as not_ready.

--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -97,6 +97,10 @@
      "A worker of this process accepts no new tasks for now"},
     {EventNumber::kWorkerOpened, Level::kInfo, "worker_opened",
      "A worker that was closed accepts new tasks again"},
+    {EventNumber::kWorkerRestarted, Level::kWarning, "worker_restarted",
+     "A worker runs under its id as a new process, and holds nothing of the "
+     "one "
+     "before"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -56,6 +56,7 @@
   kOffersUnanswered = 318,
   kWorkerClosed = 319,
   kWorkerOpened = 320,
+  kWorkerRestarted = 321,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
--- a/Source/scheduler/calls.h
+++ b/Source/scheduler/calls.h
@@ -65,7 +65,8 @@
 
 struct WorkerPurpose {
   std::string worker;
-  Epoch epoch = 0;  // the epoch carried by the command
+  Epoch epoch = 0;        // the epoch carried by the command
+  std::int64_t born = 0;  // the process that it was meant for
   WorkerPurposeBody body;
 };
 
--- a/Source/scheduler/dump.cc
+++ b/Source/scheduler/dump.cc
@@ -56,6 +56,7 @@
   Json::Value value(Json::objectValue);
   value["state"] = OwnerStateName(worker.state);
   value["epoch"] = Number(worker.epoch);
+  value["born"] = Json::Int64{worker.born};
   value["owner"] = worker.owner;
   value["desired"] = worker.desired;
   if (!worker.index) {
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -7,6 +7,7 @@
 #include "scheduler/context.h"
 #include "scheduler/journal_check.h"
 #include "scheduler/request_admission.h"
+#include "scheduler/worker_restarts.h"
 
 namespace burdockrock {
 
@@ -163,6 +164,14 @@
 void ApplyWorkerInfo(Context& context, const InstanceInfo& info) {
   Ownership& ownership = context.state().ownership;
   WorkerRecord& worker = ownership.workers[info.id];
+  // The list may lag behind the restart that an answer told of.
+  if (info.born != 0 && info.born < worker.born) {
+    return;
+  }
+  const bool is_new = info.born > worker.born;
+  if (is_new) {
+    OnProcessListed(context, worker, info.born);
+  }
   const bool was_leaving = worker.info.leaving;
   const bool resized = worker.info.capacity != info.capacity;
   worker.info = info;
@@ -179,6 +188,9 @@
     // The renewals stopped with the removal.
     context.ScheduleAt(context.now(), TimerKind::kRenew, info.id);
   }
+  if (worker.reclaiming && is_new) {
+    Reclaim(context, worker);
+  }
   UpdateOpen(context, worker);
 }
 
--- a/Source/scheduler/ownership.cc
+++ b/Source/scheduler/ownership.cc
@@ -62,10 +62,12 @@
                      ClaimCommand{.epoch = epoch,
                                   .owner = OwnerName(state.self.instance,
                                                      state.self.incarnation),
-                                  .incarnation = state.self.incarnation},
+                                  .incarnation = state.self.incarnation,
+                                  .born = worker.born},
                      kClaimTimeout,
                      {.worker = worker.info.id,
                       .epoch = epoch,
+                      .born = worker.born,
                       .body = ClaimPurpose{.sent = context.now()}});
 }
 
@@ -304,10 +306,12 @@
   if (std::holds_alternative<StartCommand>(command)) {
     worker.lease_sent = context.now();
   }
+  std::visit([&](auto& it) { it.born = worker.born; }, command);
   return context.CallWorker(worker.info.id, worker.info.address,
                             std::move(command), timeout,
                             {.worker = worker.info.id,
                              .epoch = worker.epoch,
+                             .born = worker.born,
                              .body = std::move(purpose)});
 }
 
@@ -402,7 +406,8 @@
       context.ScheduleAt(lapsed_at, TimerKind::kLeaseBound, id);
       return;
     }
-    EndAllAttempts(context, worker);
+    // It answers nothing and the platform no longer lists it.
+    EndAllAttempts(context, worker, worker.unresponsive);
     if (IsOurs(worker)) {
       ReleaseWorker(context, worker);
     }
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -59,6 +59,8 @@
 // A worker or minion of the own failure domain, as known to this process.
 struct WorkerRecord {
   InstanceInfo info;
+  // When its present process started, in Unix milliseconds; 0: not told.
+  std::int64_t born = 0;
   OwnerState state = OwnerState::kFree;
   std::optional<TargetIndex> index;  // while owned
   Epoch epoch = 0;                   // the highest known
--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -5,10 +5,12 @@
 #include <utility>
 #include <variant>
 
+#include "model/worker_incarnation.h"
 #include "scheduler/attempt_updates.h"
 #include "scheduler/context.h"
 #include "scheduler/journal_check.h"
 #include "scheduler/request_runs.h"
+#include "scheduler/worker_restarts.h"
 
 namespace burdockrock {
 
@@ -27,6 +29,10 @@
          worker.state == OwnerState::kHandingOver;
 }
 
+std::string NameOf(const WorkerRecord& worker) {
+  return IncarnationName(worker.info.id, worker.born);
+}
+
 std::string OwnName(const Context& context) {
   const StateOptions& self = context.state().self;
   return OwnerName(self.instance, self.incarnation);
@@ -186,7 +192,7 @@
   CheckJournals(context, worker);
   context.Log(
       EventNumber::kWorkerClaimed,
-      {{"worker", worker.info.id}, {"epoch", std::to_string(worker.epoch)}});
+      {{"worker", NameOf(worker)}, {"epoch", std::to_string(worker.epoch)}});
 }
 
 void OnClaimAccepted(Context& context,
@@ -415,6 +421,10 @@
                         WorkerRecord& worker,
                         const WorkerPurpose& purpose,
                         const WorkerResult& result) {
+  if (NoteProcess(context, worker, purpose, result) == Teller::kOther) {
+    OnOtherProcess(context, worker, purpose, result);
+    return;
+  }
   const auto* lost = std::get_if<WorkerUnreachable>(&result);
   if (lost != nullptr && lost->garbage) {
     context.Log(EventNumber::kWorkerMalformed,
@@ -448,7 +458,7 @@
   OnStaleEpoch(context, worker, *stale);
 }
 
-void EndAllAttempts(Context& context, WorkerRecord& worker) {
+void EndAllAttempts(Context& context, WorkerRecord& worker, bool is_gone) {
   std::vector<AttemptId> attempts;
   for (const auto& [attempt, booking] : worker.bookings) {
     if (booking.state != AttemptState::kEnded) {
@@ -459,15 +469,14 @@
   for (const AttemptId& it : attempts) {
     const Booking& booking = worker.bookings.at(it);
     context.Log(EventNumber::kAttemptLost,
-                {{"attempt", ToString(it)}, {"worker", worker.info.id}});
+                {{"attempt", ToString(it)}, {"worker", NameOf(worker)}});
     if (booking.is_request) {
       EraseBooking(context, worker, it);
       OnRunLost(context, it);
     } else {
-      // It answers nothing and the platform no longer lists it: its machine is
-      // gone, without notice unless it was leaving.
+      // Gone without notice unless it was leaving.
       const bool crashed =
-          WasAtWork(booking) && worker.unresponsive && !worker.info.leaving;
+          WasAtWork(booking) && is_gone && !worker.info.leaving;
       OnEndReported(context, worker,
                     {.attempt = it,
                      .resources = booking.resources,
@@ -478,6 +487,20 @@
   }
 }
 
+void OnClaimOfOtherProcess(Context& context,
+                           WorkerRecord& worker,
+                           const WorkerResult& result) {
+  worker.claim_in_flight = false;
+  const auto* stale = std::get_if<StaleEpoch>(&result);
+  if (stale != nullptr && stale->born == worker.born) {
+    OnClaimRefused(context, worker, *stale);
+  } else {
+    worker.claim_after = context.now();
+    context.ScheduleAt(worker.claim_after, TimerKind::kClaim, worker.info.id);
+  }
+  UpdateOpen(context, worker);
+}
+
 namespace {
 
 std::vector<Booking> LiveTasks(const WorkerRecord& worker) {
@@ -499,7 +522,7 @@
 void OrphanLiveAttempts(Context& context, WorkerRecord& worker) {
   for (const Booking& it : LiveTasks(worker)) {
     context.Log(EventNumber::kAttemptLost, {{"attempt", ToString(it.attempt)},
-                                            {"worker", worker.info.id}});
+                                            {"worker", NameOf(worker)}});
     OnAttemptMoved(context, it);
   }
 }
--- a/Source/scheduler/worker_answers.h
+++ b/Source/scheduler/worker_answers.h
@@ -15,8 +15,9 @@
                         const WorkerPurpose& purpose,
                         const WorkerResult& result);
 
-// All leases of the worker have lapsed: ends all attempts booked on it.
-void EndAllAttempts(Context& context, WorkerRecord& worker);
+// All leases of the worker have lapsed, or its process is gone: ends all
+// attempts booked on it. `is_gone`: its process is known to be gone.
+void EndAllAttempts(Context& context, WorkerRecord& worker, bool is_gone);
 
 // The worker was unresponsive until its leases lapsed: the writers of the
 // journals search for the task attempts booked on it.
@@ -25,6 +26,11 @@
 // The worker is owned by another member or was removed: drops its bookings.
 void ReleaseWorker(Context& context, WorkerRecord& worker);
 
+// Handles the answer to a claim of a process of the worker that is gone.
+void OnClaimOfOtherProcess(Context& context,
+                           WorkerRecord& worker,
+                           const WorkerResult& result);
+
 }  // namespace burdockrock
 
 #endif  // BURDOCKROCK_SCHEDULER_WORKER_ANSWERS_H_
--- a/Tests/scheduler/restart_test.cc
+++ b/Tests/scheduler/restart_test.cc
@@ -170,7 +170,8 @@
                        seconds(20)));
   const auto verdict = group.VerdictOf(first);
   CHECK((verdict && std::holds_alternative<MayHaveRun>(*verdict)));
-  Request next = DeskRequest("answer=next");
+  group.Run(seconds(1));
+  const Request next = DeskRequest("answer=next");
   const ReplyId second = group.Submit("d0-e0", next);
   CHECK(group.RunUntil([&] { return group.AnswerTo(second) != nullptr; },
                        seconds(5)));
