Standin: Takes a held call's acknowledgement and lease once, when it arrives

A worker of steps applied a held poll anew each 5 ms, so that an end that came while the call was held was dropped unread if the call acknowledged its number, as calls of before a restart do. Its lease was renewed with each turn too.

--- a/Tests/standin/steps_control_test.cc
+++ b/Tests/standin/steps_control_test.cc
@@ -263,6 +263,22 @@
   CHECK(cell.Poll({.fence = 2})["ended"].size() == 1);
 }
 
+// Guards against ends that are dropped unread while a call is held.
+TEST_CASE("A held call acknowledges no end that comes after it") {
+  Cell cell;
+  auto answer = std::make_shared<std::optional<HttpResponse>>();
+  cell.worker().OnRequest(
+      engine::EncodeWorkerCall(
+          kWorker,
+          engine::PollWorker{
+              .fence = 2, .acknowledged = 1, .wait = milliseconds(1000)}),
+      [answer](const HttpResponse& response) { *answer = response; });
+  cell.Ask(Cell::Start("a.0.0.0"));
+  REQUIRE(RunUntil(cell.io(), [&] { return answer->has_value(); }));
+  CHECK(cell.Runs()["runs"][0]["acknowledged_ms"].isNull());
+  CHECK(cell.Poll({.fence = 2})["ended"].size() == 1);
+}
+
 TEST_CASE("A crash is followed by a process under the old id or a new one") {
   Cell cell;
   CHECK(cell.Post(R"({"steps":{"seed":5}})") == 200);
--- a/Tests/standin/steps_servers.cc
+++ b/Tests/standin/steps_servers.cc
@@ -150,23 +150,28 @@
     return respond(ErrorResponse(ToString(*error)));
   }
   const auto& call = std::get<engine::AddressedWorkerRequest>(decoded);
-  const auto poll = [this, call](Time now,
-                                 bool late) -> std::optional<HttpResponse> {
+  auto poll = [this, call = call](
+                  Time now, bool late) mutable -> std::optional<HttpResponse> {
     if (call.worker != worker_.info().id) {
       return wire_.encode_worker(
           engine::WorkerRefused{.kind = engine::WorkerRefusalKind::kReplaced});
     }
-    engine::WorkerRequest order = call.request;
-    if (auto* hold = std::get_if<engine::PollWorker>(&order); hold && late) {
+    auto* hold = std::get_if<engine::PollWorker>(&call.request);
+    if (hold != nullptr && late) {
       hold->wait = Duration(0);
     }
-    const auto answer = worker_.Handle(now, order);
+    const auto answer = worker_.Handle(now, call.request);
+    if (hold != nullptr) {
+      // Taken note of once, when the call arrives.
+      hold->acknowledged = 0;
+      hold->lease_until_ms = 0;
+    }
     return answer ? std::optional(wire_.encode_worker(*answer)) : std::nullopt;
   };
   if (late > Duration(0) &&
       !std::holds_alternative<engine::PollWorker>(call.request)) {
     delays().Lose(respond);
-    return delays().After(late, [this, poll] {
+    return delays().After(late, [this, poll]() mutable {
       if (!away) {
         poll(MonotonicNow(), false);
       }
