Advice: Keeps waiting steps in the line of their owner

Causes: - A query joined a member's queue however long it was, its workers chosen before. It was given up after some seconds and went to the end of the line, or was answered when the room of its workers had gone. - The queue ranked calls by arrival, which repeated queries lost each time. - Calls for lasting steps overtook others by 10 s with every query.

A query is now sent only when a member can make its call soon, 0.8 s for long calls and 0.4 s for short ones; until then the step stays in its owner's line and no workers are chosen. Owners and members rank steps by the time since they became ready or had their last reply, which goes with the request (waited_ms). A member declines what it can't make in time after a call that has waited longer arrives; the step then keeps its place. The lead of 10 s is left to the first call for a lasting step and to renewals of tickets.

This works because the order no longer depends on messages that are given up: the step that has waited longest is next at its owner and at every member.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "engine/advice/advice_callers.h"
+#include "engine/advice/advice_queue.h"
 #include "engine/advice/advised_names.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/placing.h"
@@ -36,11 +37,6 @@
 // time of the service.
 constexpr Duration kQueryInterval = milliseconds(150);
 
-// A member whose wait has grown since its last report declines, and the query
-// goes to another member at once. After this many declines in a row, all
-// members are assumed to be busy.
-constexpr std::uint32_t kMaxDeclines = 3;
-
 bool HasEnough(const Context& context, const ReadyStep& ready) {
   return CountTicketed(context, ready) >=
          static_cast<std::int64_t>(CountWaiting(ready.run()));
@@ -96,40 +92,89 @@
   return kRequestLead + ExpectedTime(*queue.advice, kTypicalWorkers);
 }
 
+// Since when the step waits for a reply.
+Time WaitingSince(const Context& context, const ReadyStep& ready) {
+  return ready.ready
+             ? std::max(ready.run().ready_at, ready.run().advice_answered_at)
+             : context.now;
+}
+
+// Whether the step's query precedes others that wait for some seconds longer:
+// only once for a step of lasting tasks, as the steps that keep asking would
+// take all of the service's time.
+bool Precedes(const Context& context, const ReadyStep& ready) {
+  const bool first = ready.run().advice_answered_at == Time::min();
+  return (ready.spec().lasting && first) ||
+         !WorkersToRenew(context, ready).empty();
+}
+
+// After a query without a reply, only members are chosen that have sent an
+// update since then: a whole failure domain may be cut off at once.
+Time UpdatedSince(const StepRun& step) {
+  return step.advice_unanswered ? step.advice_called_at : Time::min();
+}
+
+// Steps that need advice, in the order in which they get it.
+std::vector<ReadyStep> StepsInLine(Context& context) {
+  std::vector<std::pair<AdviceRank, ReadyStep>> ranked;
+  for (const ReadyStep& it : ReadySteps(context, LeadOf)) {
+    it.run().advice_in_line = false;
+    if (NeedsAdvice(context, it)) {
+      ranked.emplace_back(RankOfCall(it.queue->priority, Precedes(context, it),
+                                     WaitingSince(context, it)),
+                          it);
+    }
+  }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.first < right.first;
+                   });
+  std::vector<ReadyStep> steps;
+  steps.reserve(ranked.size());
+  for (auto& [rank, it] : ranked) {
+    steps.push_back(it);
+  }
+  return steps;
+}
+
+// Whether a member could make such a call soon.
+bool IsTurn(const Context& context, const ReadyStep& ready) {
+  const Duration expected = ExpectedTime(*ready.queue->advice, kTypicalWorkers);
+  const std::uint32_t priority = ready.queue->priority;
+  const std::string member = ChooseAdviceCaller(context, priority, expected,
+                                                UpdatedSince(ready.run()));
+  return WaitLeftAt(context, member, priority) <= LongestWait(expected);
+}
+
 void SendQuery(Context& context,
                const ReadyStep& ready,
                std::vector<std::string> workers) {
   AdviceState& advice = context.state.advice;
   const Duration expected = ExpectedTime(*ready.queue->advice, workers.size());
-  // After a query without a reply, only members are chosen that have sent an
-  // update since then: a whole failure domain may be cut off at once.
-  const Time updated_since = ready.run().advice_unanswered
-                                 ? ready.run().advice_called_at
-                                 : Time::min();
-  const std::string member = ChooseAdviceCaller(context, ready.queue->priority,
-                                                expected, updated_since);
+  const std::string member = ChooseAdviceCaller(
+      context, ready.queue->priority, expected, UpdatedSince(ready.run()));
   const Duration wait = WaitAt(context, member, ready.queue->priority);
   const Duration timeout =
       wait + expected + (IsLongCall(expected) ? kLongReplySlack : kReplySlack);
-  const bool may_decline =
-      member != context.self() && ready.run().advice_declines < kMaxDeclines;
   const std::uint64_t call = ++advice.last_call;
   ready.run().advice_checked_at = context.now;
   ready.run().advice_called_at = context.now;
   ready.run().advice_pending = true;
   const TaskName step{
       .job = ready.job->id, .occurrence = ready.occurrence, .step = ready.step};
-  Send(
-      context, member,
-      PeerAdviceRequest{.call = call,
-                        .step = StepName(step),
-                        .priority = ready.queue->priority,
-                        .lasting = ready.spec().lasting,
-                        .expected = expected,
-                        .timeout = timeout,
-                        .max_wait = may_decline ? wait + WaitTolerance(expected)
-                                                : Duration(0),
-                        .workers = workers});
+  Send(context, member,
+       PeerAdviceRequest{
+           .call = call,
+           .step = StepName(step),
+           .priority = ready.queue->priority,
+           .precedes = Precedes(context, ready),
+           .waited = std::max(context.now - WaitingSince(context, ready),
+                              Duration(0)),
+           .expected = expected,
+           .timeout = timeout,
+           .max_wait =
+               std::min(wait, LongestWait(expected)) + WaitTolerance(expected),
+           .workers = workers});
   advice.queries.emplace(call, AdviceQuery{.step = step,
                                            .member = member,
                                            .workers = std::move(workers),
@@ -163,6 +208,7 @@
                  const AdviceQuery& query,
                  const AdviceReply& reply) {
   step.advised_at = std::min(step.advised_at, now);
+  step.advice_answered_at = now;
   std::set<std::string> allowed;
   for (const AdvisedWorker& it : reply.allowed) {
     allowed.insert(it.worker);
@@ -228,8 +274,14 @@
   }
   GiveUpOverdueQueries(context);
   CandidatesByService candidates;
-  for (const ReadyStep& it : ReadySteps(context, LeadOf)) {
-    if (!NeedsAdvice(context, it)) {
+  std::set<const QueuePolicy*> busy;  // their calls have to wait
+  for (const ReadyStep& it : StepsInLine(context)) {
+    it.run().advice_in_line = busy.contains(it.queue) || !IsTurn(context, it);
+    if (it.run().advice_in_line) {
+      // After a query without a reply fewer members are left to choose from.
+      if (!it.run().advice_unanswered) {
+        busy.insert(it.queue);
+      }
       continue;
     }
     std::vector<std::string> workers =
@@ -259,12 +311,10 @@
       job == nullptr ? nullptr
                      : FindQueueByName(context.state.configuration, job->queue);
   if (reply.declined && step != nullptr) {
-    ++step->advice_declines;
     step->advice_checked_at = Time::min();  // query another member at once
     return;
   }
   if (step != nullptr) {
-    step->advice_declines = 0;
     step->advice_unanswered = reply.failed;
   }
   CountReply(context, query, reply, step == nullptr);
--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -33,6 +33,10 @@
 // not significant.
 constexpr Duration kWaitTolerance = milliseconds(250);
 
+// Long enough that the next query arrives before a member has nothing to do.
+constexpr Duration kLongestLongWait = milliseconds(800);
+constexpr Duration kLongestShortWait = milliseconds(400);
+
 // A member is unresponsive when its reply is overdue by this time and it has
 // sent neither a digest nor a reply. It gets no queries until it sends one. Its
 // registration is no sign, because it outlasts a network cut.
@@ -214,6 +218,21 @@
   return overdue || FindMember(context.state, member) == nullptr;
 }
 
+Duration WaitLeftAt(const Context& context,
+                    const std::string& member,
+                    std::uint32_t priority) {
+  const Duration wait = WaitAt(context, member, priority);
+  const Time reported_at = LastUpdateOf(context, member);
+  if (member == context.self() || reported_at == Time::min()) {
+    return wait;
+  }
+  return std::max(wait - (context.now - reported_at), Duration(0));
+}
+
+Duration LongestWait(Duration expected) {
+  return IsLongCall(expected) ? kLongestLongWait : kLongestShortWait;
+}
+
 Duration WaitTolerance(Duration expected) {
   return IsLongCall(expected) ? kWaitTolerance : kShortWait;
 }
--- a/Source/engine/advice/advice_callers.h
+++ b/Source/engine/advice/advice_callers.h
@@ -39,6 +39,16 @@
                 const std::string& member,
                 std::uint32_t priority);
 
+// Estimated wait there by now: the reported calls were made meanwhile.
+Duration WaitLeftAt(const Context& context,
+                    const std::string& member,
+                    std::uint32_t priority);
+
+// The longest wait with which a query is sent. Steps that would wait longer
+// keep their place in the line of their owner, which names workers when their
+// turn has come.
+Duration LongestWait(Duration expected);
+
 // By how much the wait at a member may exceed its last report before the member
 // declines a call.
 Duration WaitTolerance(Duration expected);
--- a/Source/engine/advice/advice_queue.cc
+++ b/Source/engine/advice/advice_queue.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "engine/members/membership.h"
 
@@ -16,9 +17,9 @@
 // up.
 constexpr Duration kPriorityLead = milliseconds(250);
 
-// Calls for lasting tasks precede others that arrived up to this much earlier,
-// so that a task that has ended soon runs again.
-constexpr Duration kLastingLead = milliseconds(10'000);
+// The first calls for lasting tasks and the renewals precede others that wait
+// for up to this much longer.
+constexpr Duration kPrecedingLead = milliseconds(10'000);
 
 // An instance short of processor time receives the service's answers late. It
 // adds this lateness to its reported wait, so that queries go to other
@@ -42,16 +43,22 @@
   advice.overrun_at = now;
 }
 
+// Expected wait of a call that is the first one in the queue.
+Duration WaitForCallInFlight(const AdviceState& advice, Time now) {
+  const Duration late = LatenessAt(advice, now);
+  if (!advice.in_flight) {
+    return late;
+  }
+  const Duration left =
+      advice.in_flight->request.expected + late - (now - advice.called_at);
+  return late + std::max(left, Duration(0));
+}
+
 // Expected wait of one more call of this priority here.
 Duration WaitBehind(const State& state, Time now, std::uint32_t priority) {
   const AdviceState& advice = state.advice;
   const Duration late = LatenessAt(advice, now);
-  Duration wait = late;
-  if (advice.in_flight) {
-    const Duration elapsed = now - advice.called_at;
-    wait += std::max(advice.in_flight->request.expected + late - elapsed,
-                     Duration(0));
-  }
+  Duration wait = WaitForCallInFlight(advice, now);
   for (const QueuedAdviceCall& it : advice.call_queue) {
     const bool before =
         priority != kMostUrgent || it.request.priority == kMostUrgent;
@@ -60,18 +67,14 @@
   return wait;
 }
 
-// Lower ranks come first. The most urgent calls come first, the others roughly
-// in the order of their arrival: with strict priorities, the steps of the last
-// queue would get no tickets.
-std::tuple<bool, Time> RankOf(const QueuedAdviceCall& call) {
-  return {call.request.priority != kMostUrgent,
-          call.received_at + kPriorityLead * call.request.priority -
-              (call.request.lasting ? kLastingLead : Duration(0))};
+AdviceRank RankOf(const QueuedAdviceCall& call) {
+  const PeerAdviceRequest& request = call.request;
+  return RankOfCall(request.priority, request.precedes,
+                    call.received_at - request.waited);
 }
 
-std::deque<QueuedAdviceCall>::iterator NextCall(
-    std::deque<QueuedAdviceCall>& queue) {
-  return std::min_element(
+void SortQueue(std::deque<QueuedAdviceCall>& queue) {
+  std::stable_sort(
       queue.begin(), queue.end(),
       [](const QueuedAdviceCall& left, const QueuedAdviceCall& right) {
         return RankOf(left) < RankOf(right);
@@ -99,8 +102,48 @@
                 });
 }
 
+void Decline(Context& context, const QueuedAdviceCall& call) {
+  Send(
+      context, call.from,
+      AdviceReply{.call = call.request.call,
+                  .failed = true,
+                  .declined = true,
+                  .wait = AdviceWait(context.state, context.now),
+                  .urgent_wait = UrgentAdviceWait(context.state, context.now)});
+}
+
+// Declines the calls whose wait is longer than their senders accept, so that
+// those keep their place in the line of their step's owner.
+void DeclineLateCalls(Context& context) {
+  AdviceState& advice = context.state.advice;
+  SortQueue(advice.call_queue);
+  const Duration late = LatenessAt(advice, context.now);
+  Duration wait = WaitForCallInFlight(advice, context.now);
+  std::vector<QueuedAdviceCall> declined;
+  std::erase_if(advice.call_queue, [&](const QueuedAdviceCall& it) {
+    const Duration limit = it.request.max_wait;
+    const bool in_time =
+        limit == Duration(0) || context.now + wait <= it.received_at + limit;
+    if (in_time) {
+      wait += it.request.expected + late;
+    } else {
+      declined.push_back(it);
+    }
+    return !in_time;
+  });
+  for (const QueuedAdviceCall& it : declined) {
+    Decline(context, it);
+  }
+}
+
 }  // namespace
 
+AdviceRank RankOfCall(std::uint32_t priority, bool precedes, Time since) {
+  return {priority != kMostUrgent,
+          since + kPriorityLead * priority -
+              (precedes ? kPrecedingLead : Duration(0))};
+}
+
 void DriveAdviceQueue(Context& context) {
   AdviceState& advice = context.state.advice;
   if (advice.in_flight || context.now < advice.retry_at) {
@@ -110,9 +153,9 @@
   if (advice.call_queue.empty()) {
     return;
   }
-  const auto next = NextCall(advice.call_queue);
-  advice.in_flight = std::move(*next);
-  advice.call_queue.erase(next);
+  SortQueue(advice.call_queue);
+  advice.in_flight = std::move(advice.call_queue.front());
+  advice.call_queue.pop_front();
   advice.called_at = context.now;
   context.Emit(
       CallAdvice{.request = {.step = advice.in_flight->request.step,
@@ -123,19 +166,9 @@
 void OnPeerAdviceRequest(Context& context,
                          const std::string& from,
                          const PeerAdviceRequest& request) {
-  const Duration wait =
-      WaitBehind(context.state, context.now, request.priority);
-  if (request.max_wait != Duration(0) && wait > request.max_wait) {
-    return Send(context, from,
-                AdviceReply{.call = request.call,
-                            .failed = true,
-                            .declined = true,
-                            .wait = AdviceWait(context.state, context.now),
-                            .urgent_wait =
-                                UrgentAdviceWait(context.state, context.now)});
-  }
   context.state.advice.call_queue.push_back(
       {.from = from, .request = request, .received_at = context.now});
+  DeclineLateCalls(context);
 }
 
 void OnAdviceAnswered(Context& context, const AdviceAnswered& event) {
--- a/Source/engine/advice/advice_queue.h
+++ b/Source/engine/advice/advice_queue.h
@@ -4,16 +4,26 @@
 #ifndef BURDOCKROCK_ENGINE_ADVICE_ADVICE_QUEUE_H_
 #define BURDOCKROCK_ENGINE_ADVICE_ADVICE_QUEUE_H_
 
+#include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "engine/context.h"
 
 namespace burdockrock::engine {
 
+// Place of a call in the line; lower ranks come first. The most urgent calls
+// come first, the others roughly in the order in which their steps began to
+// wait: with strict priorities, the steps of the last queue would get no
+// tickets. `precedes`: as in PeerAdviceRequest.
+using AdviceRank = std::tuple<bool, Time>;
+AdviceRank RankOfCall(std::uint32_t priority, bool precedes, Time since);
+
 // Starts the next call when none is in flight.
 void DriveAdviceQueue(Context& context);
 
-// Queues the call, or declines it when its wait would be too long.
+// Queues the call. Declines those that would wait too long, which are the last
+// ones in the line.
 void OnPeerAdviceRequest(Context& context,
                          const std::string& from,
                          const PeerAdviceRequest& request);
--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -123,8 +123,11 @@
   const auto placed = CountPlaced(ready);
   std::int64_t fits = 0;
   for (const auto& [worker, ticket] : ready.run().tickets) {
+    if (!IsValid(context, ticket)) {
+      continue;
+    }
     const auto listed = context.state.workers.find(worker);
-    if (listed == context.state.workers.end() || !IsValid(context, ticket)) {
+    if (listed == context.state.workers.end()) {
       continue;
     }
     // Workers that placement does not use are not counted: their room would
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -99,9 +99,10 @@
   std::set<std::string> denied{};               // workers that advice ruled out
   Time advice_checked_at = Time::min();  // last check whether to request advice
   Time advice_called_at = Time::min();   // last advice request
-  bool advice_pending = false;           // an advice request is pending
-  bool advice_unanswered = false;     // the last advice request got no answer
-  std::uint32_t advice_declines = 0;  // consecutive, of the last advice request
+  Time advice_answered_at = Time::min();  // last reply of the advice service
+  bool advice_in_line = false;            // an advice request waits to be sent
+  bool advice_pending = false;            // an advice request is pending
+  bool advice_unanswered = false;  // the last advice request got no answer
   // Times for the log, which shows what the step waited for. kForever: not yet.
   Time ready_at = kForever;    // all that it depends on was done
   Time advised_at = kForever;  // first tickets
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -79,7 +79,8 @@
   if (wait.room < least) {
     return wait.closed > 0 ? WaitCause::kClosed : WaitCause::kRoom;
   }
-  return ready.run().advice_pending ? WaitCause::kAdvice : WaitCause::kTickets;
+  const bool asks = ready.run().advice_pending || ready.run().advice_in_line;
+  return asks ? WaitCause::kAdvice : WaitCause::kTickets;
 }
 
 }  // namespace
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -289,7 +289,8 @@
     codec.Field("call", it.call);
     codec.Field("step", it.step);
     codec.Optional("priority", it.priority, std::uint32_t{0});
-    codec.Optional("lasting", it.lasting, false);
+    codec.Optional("lasting", it.precedes, false);
+    codec.Optional("waited_ms", it.waited, Duration(0));
     codec.Optional("expected_ms", it.expected, Duration(0));
     codec.Optional("patience_ms", it.timeout, Duration(0));
     codec.Optional("most_wait_ms", it.max_wait, Duration(0));
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -316,7 +316,10 @@
   std::uint64_t call = 0;  // chosen by the sender
   std::string step{};
   std::uint32_t priority = 0;
-  bool lasting = false;  // the step's tasks are to run permanently
+  // Precedes calls that have waited for some seconds longer: the first one for
+  // lasting tasks, or one that renews a ticket.
+  bool precedes = false;
+  Duration waited{0};    // since the step was ready or had its last reply
   Duration expected{0};  // service time of the call
   Duration timeout{0};   // after which the sender gives up; 0: no limit
   // The receiver declines the call if it would wait longer; 0: no limit.
--- a/Tests/engine/advice_line_test.cc
+++ b/Tests/engine/advice_line_test.cc
@@ -206,7 +206,6 @@
   const Duration last = LastStart(fleet, since);
   const Duration all = TimeForAll(kWaiting + kLasting);
   INFO(ToMilliseconds(last), " ms; all together need ", ToMilliseconds(all));
-  MESSAGE(ToMilliseconds(last), " ms; all together need ", ToMilliseconds(all));
   CHECK(last <= 2 * all);
 }
 
