--- a/Source/scheduler/worker_restarts.cc
+++ b/Source/scheduler/worker_restarts.cc
@@ -25,8 +25,8 @@
 // Ends what the process before had, and forgets what it told of itself.
 void OnRestarted(Context& context, WorkerRecord& worker, std::int64_t born) {
   context.Log(EventNumber::kWorkerRestarted,
-              {{"worker", IncarnationName(worker.info.id, born)},
-               {"before", IncarnationName(worker.info.id, worker.born)}});
+              {{"worker", IncarnationName(worker.info.id, worker.born)},
+               {"next", IncarnationName(worker.info.id, born)}});
   // A poll of the process before doesn't keep the present one from its own.
   worker.poll = 0;
   worker.version = 0;
