Soak: Restarts flat workers by the stand-in's command

The stand-in of flat jobs takes restart as a flag and is back at once; the soak sent a time away, which was refused, so that the fault was always skipped.

--- a/Tests/soak/faults.py
+++ b/Tests/soak/faults.py
@@ -360,11 +360,9 @@
         if not self._cluster.flat_calls:
             raise Skipped
         name = chance.choice(self._cluster.flat_worker_names())
-        away_ms = int(chance.uniform(*chance.choice(AWAY_S)) * 1000)
         self._for_a_time(
-            "flat_restart", name, away_ms / 1000,
-            lambda: self._control({"target": name, "set": {
-                "restart": {"away_ms": away_ms}}}),
+            "flat_restart", name, 0,
+            lambda: self._control({"target": name, "set": {"restart": True}}),
             lambda: None)
 
     def _play_worker_restart_many(self, chance):
