--- a/Source/engine/jobs/task_crashes.cc
+++ b/Source/engine/jobs/task_crashes.cc
@@ -8,6 +8,7 @@
 
 #include "engine/jobs/job_table.h"
 #include "engine/workers/worker_list.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -100,6 +101,14 @@
   return isolated ? IsolationSpan(crashes) : Duration(0);
 }
 
+bool MayAwaitEmptyWorker(const Context& context,
+                         const StepSpec& spec,
+                         const Task& task) {
+  // A gang is placed on empty workers only.
+  return task.phase == TaskPhase::kOffered && !spec.gang &&
+         IsolationOf(context, task) > Duration(0);
+}
+
 void ClearOutlastedCrashes(Context& context, Job& job, Task& task) {
   if (task.crashes.runs.empty() || task.phase != TaskPhase::kRunning ||
       !HasPassed(context.now, task.since, IsolationSpan(task.crashes))) {
@@ -134,4 +143,12 @@
   }
 }
 
+bool IsOfFormerProcess(const Task& task, const EndReport& report) {
+  const bool placed =
+      task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
+  return (report.how == RunEnd::kLapsed || report.how == RunEnd::kCrashed) &&
+         report.run == task.run && placed &&
+         IsLaterIncarnation(task.worker, report.worker);
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/jobs/task_crashes.h
+++ b/Source/engine/jobs/task_crashes.h
@@ -48,6 +48,12 @@
 // How long nothing else may run beside the next run of the task; 0: no limit.
 Duration IsolationOf(const Context& context, const Task& task);
 
+// Whether the task, which is to run alone, may be waiting at its worker for the
+// other runs there to end.
+bool MayAwaitEmptyWorker(const Context& context,
+                         const StepSpec& spec,
+                         const Task& task);
+
 // Clears the crashes of a task whose present run has lasted so much longer than
 // the crashed ones that it can't be their cause.
 void ClearOutlastedCrashes(Context& context, Job& job, Task& task);
@@ -67,6 +73,10 @@
                     const TaskName& name,
                     Task& task);
 
+// Whether the run is reported as lost with a process that its start did not
+// reach: it is at the worker's next incarnation.
+bool IsOfFormerProcess(const Task& task, const EndReport& report);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_JOBS_TASK_CRASHES_H_
--- a/Source/scheduler/dump.cc
+++ b/Source/scheduler/dump.cc
@@ -56,6 +56,7 @@
   Json::Value value(Json::objectValue);
   value["state"] = OwnerStateName(worker.state);
   value["epoch"] = Number(worker.epoch);
+  value["born"] = Json::Int64{worker.born};
   value["owner"] = worker.owner;
   value["desired"] = worker.desired;
   if (!worker.index) {
@@ -63,6 +64,7 @@
   }
   value["free"] = DumpResources(state.placement.free(*worker.index));
   value["open"] = state.placement.open(*worker.index);
+  value["closed"] = WhyClosed(state, worker);
   value["silent"] = worker.unresponsive;
   value["suspect"] = worker.suspect;
   value["leaving"] = worker.info.leaving;
@@ -94,6 +96,7 @@
   value["count"] = job.spec.count;
   value["queued"] = job.queued;
   value["open"] = job.open;
+  value["waits_for"] = job.queued > 0 ? job.waits_for : "";
   value["recorded"] = job.recorded;
   value["cancelled"] = job.cancelled;
   value["finished"] = job.finished;
--- a/Source/scheduler/ownership.h
+++ b/Source/scheduler/ownership.h
@@ -28,6 +28,7 @@
 namespace burdockrock {
 
 class Context;
+struct State;
 
 // An attempt that occupies capacity of an owned worker, or has ended there and
 // is not yet acknowledged by the writer of its job's journal.
@@ -58,6 +59,8 @@
 // A worker or minion of the own failure domain, as known to this process.
 struct WorkerRecord {
   InstanceInfo info;
+  // When its present process started, in Unix milliseconds; 0: not told.
+  std::int64_t born = 0;
   OwnerState state = OwnerState::kFree;
   std::optional<TargetIndex> index;  // while owned
   Epoch epoch = 0;                   // the highest known
@@ -71,6 +74,8 @@
   Time desired_since{0};  // assigned to this process, owned by another
   std::string desired;    // the member it is assigned to
   bool claim_in_flight = false;
+  // Claimed again by its owner, and the claim was not accepted yet.
+  bool reclaiming = false;
   std::uint32_t claim_refusals = 0;
   Time claim_after{0};
   bool suspect = false;       // a command failed since its last answer
@@ -129,6 +134,12 @@
                 const Handover& handover);
 void OnWorkerAnswered(Context& context, const WorkerAnswered& answered);
 
+// Why the worker takes no new work; empty if it does.
+const char* WhyClosed(const State& state, const WorkerRecord& worker);
+
+// Lets waiting tasks and requests use the room at the end of this step.
+void OnRoomFreed(Context& context);
+
 // Opens or closes the worker for new work, according to its record.
 void UpdateOpen(Context& context, WorkerRecord& worker);
 
@@ -144,6 +155,10 @@
 // Records an attempt on the worker without reserving capacity.
 Booking& AddBooking(Context& context, WorkerRecord& worker, Booking booking);
 
+// Opens or closes a worker on probation, which takes one attempt at a time.
+// Follows each change of its bookings and of their states.
+void OnBookingsChanged(Context& context, WorkerRecord& worker);
+
 // Releases the attempt's capacity and removes its booking.
 void EraseBooking(Context& context,
                   WorkerRecord& worker,
--- a/Tests/standin/steps_servers.cc
+++ b/Tests/standin/steps_servers.cc
@@ -111,6 +111,7 @@
 }
 
 std::optional<NetError> StepsWorkerServer::Listen() {
+  listens_ = true;
   return ListenOn(
       worker_.info().address,
       [this](const HttpRequest& request, const HttpServer::Responder& respond) {
@@ -120,6 +121,25 @@
       });
 }
 
+void StepsWorkerServer::EndProcess() {
+  away = true;
+  held_.Clear();
+  StopListening();
+}
+
+std::optional<NetError> StepsWorkerServer::BeginProcess(std::int64_t born) {
+  worker_.Restart(MonotonicNow(), born);
+  held_.Clear();
+  StopListening();
+  if (listens_) {
+    if (auto error = Listen()) {
+      return error;
+    }
+  }
+  away = false;
+  return std::nullopt;
+}
+
 void StepsWorkerServer::OnRequest(const HttpRequest& request,
                                   const HttpServer::Responder& respond) {
   if (silent || away) {
@@ -130,27 +150,39 @@
     return respond(ErrorResponse(ToString(*error)));
   }
   const auto& call = std::get<engine::AddressedWorkerRequest>(decoded);
-  const auto poll = [this, call](Time now,
-                                 bool late) -> std::optional<HttpResponse> {
+  auto poll = [this, call = call](
+                  Time now, bool late) mutable -> std::optional<HttpResponse> {
     if (call.worker != worker_.info().id) {
       return wire_.encode_worker(
           engine::WorkerRefused{.kind = engine::WorkerRefusalKind::kReplaced});
     }
-    engine::WorkerRequest order = call.request;
-    if (auto* hold = std::get_if<engine::PollWorker>(&order); hold && late) {
+    auto* hold = std::get_if<engine::PollWorker>(&call.request);
+    if (hold != nullptr && late) {
       hold->wait = Duration(0);
     }
-    const auto answer = worker_.Handle(now, order);
+    const auto answer = worker_.Handle(now, call.request);
+    if (hold != nullptr) {
+      // Taken note of once, when the call arrives.
+      hold->acknowledged = 0;
+      hold->lease_until_ms = 0;
+    }
     return answer ? std::optional(wire_.encode_worker(*answer)) : std::nullopt;
   };
   if (late > Duration(0) &&
       !std::holds_alternative<engine::PollWorker>(call.request)) {
     delays().Lose(respond);
-    return delays().After(late, [poll] { poll(MonotonicNow(), false); });
+    return delays().After(late, [this, poll]() mutable {
+      if (!away) {
+        poll(MonotonicNow(), false);
+      }
+    });
   }
   const Time now = MonotonicNow();
   const auto answer = poll(now, false);
   AwaitCrash(now);
+  if (away) {
+    return delays().Lose(respond);
+  }
   if (answer) {
     return Answer(respond, *answer);
   }
@@ -161,7 +193,9 @@
 
 void StepsWorkerServer::AwaitCrash(Time now) {
   const Time due = worker_.NextCrash();
-  if (due <= now) {
+  if (due <= now && !away) {
+    away = true;
+    held_.Clear();
     on_crash();
   } else if (due != kForever) {
     Arm(due);
@@ -172,7 +206,7 @@
   worker_.Advance(now);
   AwaitCrash(now);
   for (auto& [respond, response] : held_.Take(now)) {
-    if (silent || away) {
+    if (silent) {
       delays().Lose(respond);
     } else {
       Answer(respond, std::move(response));
