Advice: Looks up tickets only of tasks that wait for a worker to itself

Each drive looked up the ticket of every task of every ready step, to find those few that have to be renewed. The phase of the task is now checked first; the result is the same.

--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -145,14 +145,14 @@
   const StepRun& step = ready.run();
   std::set<std::string> workers;
   for (const Task& it : step.tasks) {
-    const auto ticket = step.tickets.find(it.worker);
-    if (ticket == step.tickets.end() ||
-        !MayAwaitEmptyWorker(context, ready.spec(), it)) {
+    if (!MayAwaitEmptyWorker(context, ready.spec(), it)) {
       continue;
     }
+    const auto ticket = step.tickets.find(it.worker);
     const Duration lead =
         kTicketMargin + kRenewalLead + ExpectedTime(*ready.queue->advice, 1);
-    if (ticket->second.expires <= context.now + lead) {
+    if (ticket != step.tickets.end() &&
+        ticket->second.expires <= context.now + lead) {
       workers.insert(it.worker);
     }
   }
