--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -76,6 +76,7 @@
     codec.Optional("priority", it.priority, std::uint32_t{0});
     codec.Optional("preempts", it.preempts, false);
     codec.Optional("book_only", it.book_only, false);
+    codec.Optional("renews", it.renews, false);
     codec.Optional("tasks", it.tasks, std::vector<engine::OfferedTask>());
   }
 };
@@ -289,7 +290,8 @@
     codec.Field("call", it.call);
     codec.Field("step", it.step);
     codec.Optional("priority", it.priority, std::uint32_t{0});
-    codec.Optional("lasting", it.lasting, false);
+    codec.Optional("lasting", it.precedes, false);
+    codec.Optional("waited_ms", it.waited, Duration(0));
     codec.Optional("expected_ms", it.expected, Duration(0));
     codec.Optional("patience_ms", it.timeout, Duration(0));
     codec.Optional("most_wait_ms", it.max_wait, Duration(0));
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -7,6 +7,7 @@
 #include "scheduler/context.h"
 #include "scheduler/journal_check.h"
 #include "scheduler/request_admission.h"
+#include "scheduler/worker_restarts.h"
 
 namespace burdockrock {
 
@@ -99,6 +100,8 @@
 // The peer's process is lost: the work that it was given may or may not be
 // running.
 void OnPeerLost(Context& context, const std::string& id) {
+  // Its share of the teams' quotas goes to the others.
+  context.state().tasks.pass_needed = true;
   FailForwarded(context, id);
   for (auto& [job_id, job] : context.state().jobs.jobs) {
     for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
@@ -161,6 +164,14 @@
 void ApplyWorkerInfo(Context& context, const InstanceInfo& info) {
   Ownership& ownership = context.state().ownership;
   WorkerRecord& worker = ownership.workers[info.id];
+  // The list may lag behind the restart that an answer told of.
+  if (info.born != 0 && info.born < worker.born) {
+    return;
+  }
+  const bool is_new = info.born > worker.born;
+  if (is_new) {
+    OnProcessListed(context, worker, info.born);
+  }
   const bool was_leaving = worker.info.leaving;
   const bool resized = worker.info.capacity != info.capacity;
   worker.info = info;
@@ -174,10 +185,13 @@
   if (worker.removed) {
     worker.removed = false;
     ownership.pending_checks.insert(info.id);
+    // The renewals stopped with the removal.
+    context.ScheduleAt(context.now(), TimerKind::kRenew, info.id);
   }
-  if (worker.info.leaving != was_leaving) {
-    UpdateOpen(context, worker);
+  if (worker.reclaiming && is_new) {
+    Reclaim(context, worker);
   }
+  UpdateOpen(context, worker);
 }
 
 void RemoveMissing(Context& context, const std::vector<InstanceInfo>& list) {
--- a/Source/scheduler/ownership.cc
+++ b/Source/scheduler/ownership.cc
@@ -62,10 +62,12 @@
                      ClaimCommand{.epoch = epoch,
                                   .owner = OwnerName(state.self.instance,
                                                      state.self.incarnation),
-                                  .incarnation = state.self.incarnation},
+                                  .incarnation = state.self.incarnation,
+                                  .born = worker.born},
                      kClaimTimeout,
                      {.worker = worker.info.id,
                       .epoch = epoch,
+                      .born = worker.born,
                       .body = ClaimPurpose{.sent = context.now()}});
 }
 
@@ -107,6 +109,12 @@
   return true;
 }
 
+bool HasLiveBooking(const WorkerRecord& worker) {
+  return std::any_of(
+      worker.bookings.begin(), worker.bookings.end(),
+      [](const auto& it) { return it.second.state != AttemptState::kEnded; });
+}
+
 }  // namespace
 
 std::string OwnerName(const std::string& instance,
@@ -154,8 +162,9 @@
     return;
   }
   WorkerRecord& record = it->second;
-  if (record.unresponsive && IsOurs(record) && !record.claim_in_flight) {
-    SendClaim(context, record);
+  const bool must_claim = record.unresponsive || record.reclaiming;
+  if (must_claim && IsOurs(record) && !record.claim_in_flight) {
+    Reclaim(context, record);
     return;
   }
   if (!CheckWorker(context, record)) {
@@ -188,23 +197,54 @@
   SendClaim(context, worker);
 }
 
+// A worker that is being handed over stays open until the other member has
+// claimed it: a start in the meantime is either executed or refused, and a
+// handover that is not accepted leaves no worker idle.
+const char* WhyClosed(const State& state, const WorkerRecord& worker) {
+  if (!IsOurs(worker)) {
+    return "not_owned";
+  }
+  if (worker.info.leaving) {
+    return "leaving";
+  }
+  if (worker.removed) {
+    return "removed";
+  }
+  if (worker.unresponsive) {
+    return "silent";
+  }
+  if (worker.suspect) {
+    return "suspect";
+  }
+  if (worker.claim_in_flight || worker.reclaiming) {
+    return "claimed_again";
+  }
+  if (!worker.unchecked_journals.empty()) {
+    return "journals_unchecked";
+  }
+  if (worker.health.quarantined) {
+    return "quarantined";
+  }
+  if (worker.health.probing && HasLiveBooking(worker)) {
+    return "probed";
+  }
+  return state.drain.draining ? "draining" : "";
+}
+
+void OnRoomFreed(Context& context) {
+  context.state().tasks.pass_needed = true;
+  context.state().requests.pump_needed = true;
+}
+
 void UpdateOpen(Context& context, WorkerRecord& worker) {
   if (!worker.index) {
     return;
   }
-  // A worker that is being handed over stays open until the other member has
-  // claimed it: a start in the meantime is either executed or refused, and a
-  // handover that is not accepted leaves no worker idle.
-  const bool is_open =
-      IsOurs(worker) && !worker.info.leaving && !worker.removed &&
-      !worker.unresponsive && !worker.suspect && !worker.claim_in_flight &&
-      worker.unchecked_journals.empty() && !worker.health.quarantined &&
-      !(worker.health.probing && !worker.bookings.empty()) &&
-      !context.state().drain.draining;
+  const bool is_open = *WhyClosed(context.state(), worker) == '\0';
   const bool was_open = context.state().placement.open(*worker.index);
   context.state().placement.SetOpen(*worker.index, is_open);
   if (is_open && !was_open) {
-    context.state().tasks.pass_needed = true;
+    OnRoomFreed(context);
   }
 }
 
@@ -214,10 +254,13 @@
     return false;
   }
   AddBooking(context, worker, std::move(booking));
+  return true;
+}
+
+void OnBookingsChanged(Context& context, WorkerRecord& worker) {
   if (worker.health.probing) {
     UpdateOpen(context, worker);
   }
-  return true;
 }
 
 Booking& AddBooking(Context& context, WorkerRecord& worker, Booking booking) {
@@ -225,7 +268,10 @@
   if (!booking.is_request) {
     context.state().ownership.attempt_workers[attempt] = worker.info.id;
   }
-  return worker.bookings.emplace(attempt, std::move(booking)).first->second;
+  Booking& added =
+      worker.bookings.emplace(attempt, std::move(booking)).first->second;
+  OnBookingsChanged(context, worker);
+  return added;
 }
 
 void EraseBooking(Context& context,
@@ -237,10 +283,11 @@
   }
   if (it->second.holds_room && worker.index) {
     context.state().placement.Give(*worker.index, it->second.resources);
-    context.state().tasks.pass_needed = true;
+    OnRoomFreed(context);
   }
   context.state().ownership.attempt_workers.erase(attempt);
   worker.bookings.erase(it);
+  OnBookingsChanged(context, worker);
 }
 
 CallId CommandWorker(Context& context,
@@ -259,10 +306,12 @@
   if (std::holds_alternative<StartCommand>(command)) {
     worker.lease_sent = context.now();
   }
+  std::visit([&](auto& it) { it.born = worker.born; }, command);
   return context.CallWorker(worker.info.id, worker.info.address,
                             std::move(command), timeout,
                             {.worker = worker.info.id,
                              .epoch = worker.epoch,
+                             .born = worker.born,
                              .body = std::move(purpose)});
 }
 
@@ -294,9 +343,10 @@
     return;
   }
   const LeasePolicy& lease = context.policy().lease;
+  // A suspect worker is closed until it answers.
   RenewCommand renew{.epoch = worker.epoch,
                      .lease = lease.task_lease,
-                     .wait = lease.renew,
+                     .wait = worker.suspect ? Duration(0) : lease.renew,
                      .version = worker.version,
                      .acknowledge = std::move(worker.acknowledge),
                      .go = worker.go};
@@ -323,13 +373,14 @@
     }
   }
   UpdateOpen(context, worker);
-  context.state().tasks.pass_needed = true;
+  OnRoomFreed(context);
 }
 
 void Reclaim(Context& context, WorkerRecord& worker) {
   if (!IsOurs(worker) || worker.claim_in_flight) {
     return;
   }
+  worker.reclaiming = true;
   SendClaim(context, worker);
   UpdateOpen(context, worker);
 }
@@ -355,7 +406,8 @@
       context.ScheduleAt(lapsed_at, TimerKind::kLeaseBound, id);
       return;
     }
-    EndAllAttempts(context, worker);
+    // It answers nothing and the platform no longer lists it.
+    EndAllAttempts(context, worker, worker.unresponsive);
     if (IsOurs(worker)) {
       ReleaseWorker(context, worker);
     }
