--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -210,7 +210,8 @@
 struct ListedWorker {
   WorkerInfo info{};
   bool listed = true;
-  // Known only from a member; this instance has never seen it listed.
+  // Known only from a member or from its own reply; this instance has never seen
+  // it listed.
   bool remembered_only = false;
   Time unlisted_at{0};
   Time draining_since = kForever;
