Engine: Logs why a gang gives up its bookings, and its whole wait

On-call could not tell a gang that waits for tickets from one whose bookings fail: no event named a failed booking, and each one started the time of 516 over, so that a step that had been ready for 24 s showed 74 ms.

504 names the run, the task and the cause, how many were booked and how long the step has been ready; 503 tells the latter, too. 516 counts from when the step could run or its task last ran, and its cause is booking while room is being booked. Two gauges tell how many steps wait and the longest wait.

No decision is changed. condition_log_test has a case that failed before: there was no such event.

--- a/Source/engine/condition_log.cc
+++ b/Source/engine/condition_log.cc
@@ -152,9 +152,17 @@
 
 // Logs why tasks wait: for room, for tickets or for a reply.
 void LogWaits(Context& context) {
-  LogRepeatLimiter& limiter = context.state.condition_log.waits;
+  ConditionLogState& condition_log = context.state.condition_log;
+  LogRepeatLimiter& limiter = condition_log.waits;
+  condition_log.waiting_steps = 0;
+  condition_log.longest_wait = Duration(0);
   for (const ReadyStep& it : ReadySteps(context)) {
     const Time since = OldestWait(it);
+    if (since != kForever) {
+      ++condition_log.waiting_steps;
+      condition_log.longest_wait =
+          std::max(condition_log.longest_wait, context.now - since);
+    }
     const std::string step = StepName(
         {.job = it.job->id, .occurrence = it.occurrence, .step = it.step});
     if (since == kForever || !limiter.IsDue(step, context.now, since)) {
--- a/Source/engine/jobs/gang_bookings.cc
+++ b/Source/engine/jobs/gang_bookings.cc
@@ -1,5 +1,6 @@
 #include "engine/jobs/gang_bookings.h"
 
+#include <algorithm>
 #include <string>
 
 #include "engine/jobs/job_runs.h"
@@ -37,8 +38,39 @@
          IsRunOfThisOwner(job, task.run);
 }
 
+// From when the step could run to now, in milliseconds.
+std::string SinceReady(const Context& context, const StepRun& step) {
+  return std::to_string(step.ready_at == kForever
+                            ? 0
+                            : ToMilliseconds(context.now - step.ready_at));
+}
+
 }  // namespace
 
+void LogBackedOff(Context& context,
+                  Job& job,
+                  const TaskName& name,
+                  const char* cause) {
+  const StepRun& step = StepAt(job, name.occurrence, name.step);
+  if (step.gang_run == 0 || step.gang_backed_off_run == step.gang_run) {
+    return;  // each run is logged once
+  }
+  StepAt(job, name.occurrence, name.step).gang_backed_off_run = step.gang_run;
+  const auto booked = std::count_if(step.tasks.begin(), step.tasks.end(),
+                                    [](const Task& it) { return it.booked; });
+  context.Log(
+      EventNumber::kGangBackedOff,
+      {{"job", job.id},
+       {"step", std::to_string(name.step)},
+       {"run", std::to_string(step.gang_run)},
+       {"task", std::to_string(name.index)},
+       {"cause", cause},
+       {"started", step.gang_started_run == step.gang_run ? "yes" : "no"},
+       {"booked", std::to_string(booked)},
+       {"tasks", std::to_string(step.tasks.size())},
+       {"ready_ms", SinceReady(context, step)}});
+}
+
 // Without a start command nothing runs for a booking, so giving up a booking
 // that got no answer is safe, and a gang need not wait for a worker that is cut
 // off.
@@ -53,6 +85,7 @@
   if (!task.booked) {
     CloseWorkersOfOwner(context, task.worker);
   }
+  LogBackedOff(context, job, name, "unanswered");
   SendStop(context, job, name, task.worker, task.run);
   Requeue(context, task, Duration(0));
 }
--- a/Source/engine/jobs/gang_bookings.h
+++ b/Source/engine/jobs/gang_bookings.h
@@ -7,6 +7,12 @@
 
 namespace burdockrock::engine {
 
+// Logs that a gang which was not started yet releases what it has booked.
+void LogBackedOff(Context& context,
+                  Job& job,
+                  const TaskName& name,
+                  const char* cause);
+
 // If a gang member's start was not commanded in time, cancels its booking and
 // makes it wait for room again.
 void ExpireBooking(Context& context,
--- a/Source/engine/jobs/gang_placing.cc
+++ b/Source/engine/jobs/gang_placing.cc
@@ -129,11 +129,14 @@
     return;
   }
   step.gang_started_run = step.gang_run;
-  round.context.Log(EventNumber::kGangStarted,
-                    {{"job", ready.job->id},
-                     {"step", std::to_string(ready.step)},
-                     {"run", std::to_string(step.gang_run)},
-                     {"tasks", std::to_string(step.tasks.size())}});
+  round.context.Log(
+      EventNumber::kGangStarted,
+      {{"job", ready.job->id},
+       {"step", std::to_string(ready.step)},
+       {"run", std::to_string(step.gang_run)},
+       {"tasks", std::to_string(step.tasks.size())},
+       {"ready_ms",
+        std::to_string(ToMilliseconds(round.context.now - step.ready_at))}});
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     step.tasks[it].last_update = round.context.now;
     AddOffer(round, ready, it, OfferOf(round.context, step.tasks[it]),
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -68,11 +68,14 @@
   std::string checkpoint{};              // where the next run resumes
   std::string avoid_worker{};  // the worker where a run last failed or stalled
   Time since{0};               // when it entered its phase
-  Time last_update{0};         // last update on its run
-  Time last_query{0};          // last query for its run to the worker's owner
-  Time retry_at{0};            // not placed before this
-  bool booked = false;         // of a gang: the worker has reserved room for it
-  bool stopping = false;       // a stop command was sent
+  // Since when it has neither run nor been at work; offers that do not start a
+  // run leave it as it is.
+  Time idle_since{0};
+  Time last_update{0};    // last update on its run
+  Time last_query{0};     // last query for its run to the worker's owner
+  Time retry_at{0};       // not placed before this
+  bool booked = false;    // of a gang: the worker has reserved room for it
+  bool stopping = false;  // a stop command was sent
   Time stop_sent = Time::min();  // the last stop command
   Time stopping_since{0};        // the first stop command
   std::optional<TaskCopy> copy{};
@@ -112,7 +115,8 @@
   std::uint64_t gang_run = 0;          // the run number that all members share
   std::uint64_t gang_failed_run = 0;   // the last run counted as a failure
   std::uint64_t gang_started_run = 0;  // the last run with a start command
-  std::uint64_t gang_stored_run = 0;   // the last run that was to be stored
+  std::uint64_t gang_backed_off_run = 0;  // the last run logged as backed off
+  std::uint64_t gang_stored_run = 0;      // the last run that was to be stored
   std::uint64_t gang_stored_version = 0;  // of the progress that holds it
 };
 
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -73,8 +73,9 @@
 
 // Stops all members of a gang after one of them ended or was refused: their
 // room and runs are released, and the gang starts again as a whole.
-void StopGang(Context& context, const TaskRef& ref) {
+void StopGang(Context& context, const TaskRef& ref, const char* cause) {
   StepRun& step = ref.step;
+  LogBackedOff(context, ref.job, ref.name, cause);
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     TaskName name = ref.name;
     name.index = it;
@@ -126,7 +127,7 @@
   }
   Requeue(context, ref.task, PauseAfter(context, ref, answer));
   if (ref.spec.gang) {
-    StopGang(context, ref);
+    StopGang(context, ref, OfferOutcomeName(answer.outcome));
   }
 }
 
@@ -268,7 +269,7 @@
   if (report.run == task.run && IsPlaced(task) && !PromoteCopy(context, task)) {
     Requeue(context, task, kFailedTaskDelay);
     if (ref.spec.gang) {
-      StopGang(context, ref);
+      StopGang(context, ref, RunEndName(report.how));
     }
   }
 }
@@ -371,6 +372,9 @@
 }  // namespace
 
 void Requeue(Context& context, Task& task, Duration pause) {
+  if (task.phase == TaskPhase::kRunning) {
+    task.idle_since = context.now;
+  }
   task.phase = TaskPhase::kWaiting;
   task.since = context.now;
   task.retry_at = context.now + pause;
@@ -506,7 +510,7 @@
       }
       Requeue(context, task, Duration(0));
       if (ref->spec.gang) {
-        StopGang(context, *ref);
+        StopGang(context, *ref, RunStateName(report.state));
       }
       break;
     case RunState::kStalled:
@@ -557,7 +561,8 @@
                          .step = StepAt(job, name.occurrence, name.step),
                          .task = task,
                          .name = name,
-                         .spec = spec});
+                         .spec = spec},
+                 "worker_lost");
       }
     });
   }
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -44,6 +44,7 @@
     if (task.phase == TaskPhase::kUnknown) {
       task.phase = TaskPhase::kWaiting;
       task.since = context.now;
+      task.idle_since = context.now;
       task.may_have_crashed = IsStepReady(job, name.occurrence, name.step);
       CountLostStart(context, job, name, task);
     }
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -53,8 +53,15 @@
   return closed;
 }
 
+// Whether the task is a member of a gang whose start was not commanded yet.
+bool IsBooking(const ReadyStep& ready, const Task& task) {
+  const StepRun& step = ready.run();
+  return ready.spec().gang && task.phase == TaskPhase::kOffered &&
+         step.gang_started_run != step.gang_run;
+}
+
 bool Waits(const ReadyStep& ready, const Task& task) {
-  return task.phase == TaskPhase::kWaiting ||
+  return task.phase == TaskPhase::kWaiting || IsBooking(ready, task) ||
          (task.phase == TaskPhase::kUnknown && ready.job->recovering);
 }
 
@@ -67,6 +74,10 @@
   if (!ready.job->stored || !ready.job->verified) {
     return WaitCause::kRecord;
   }
+  if (std::any_of(ready.run().tasks.begin(), ready.run().tasks.end(),
+                  [&](const Task& it) { return IsBooking(ready, it); })) {
+    return WaitCause::kBooking;
+  }
   if (all_pause) {
     return WaitCause::kPause;
   }
@@ -101,6 +112,8 @@
       return "closed";
     case WaitCause::kPause:
       return "pause";
+    case WaitCause::kBooking:
+      return "booking";
     case WaitCause::kPlacement:
       return "placement";
   }
@@ -111,7 +124,7 @@
   Time since = kForever;
   for (const Task& it : ready.run().tasks) {
     if (Waits(ready, it)) {
-      since = std::min(since, std::max(it.since, ready.run().ready_at));
+      since = std::min(since, std::max(it.idle_since, ready.run().ready_at));
     }
   }
   return since;
--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -18,6 +18,7 @@
   kRoom,       // no worker that may run it has room (for a gang: for all of it)
   kClosed,     // the same, and some of these workers accept no tasks for now
   kPause,      // delay after a failed or refused start
+  kBooking,    // of a gang: some of its room is booked, and it is not started
   kPlacement,  // none of these: the next placement round can start it
 };
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -476,6 +476,8 @@
   LogRepeatLimiter stops{};       // by worker
   LogRepeatLimiter cancels{};     // by job
   LogRepeatLimiter waits{};       // by step
+  std::size_t waiting_steps = 0;  // at the last check
+  Duration longest_wait{0};       // of these
   // By job that may still run: when its cancel was acknowledged.
   std::map<std::string, Time> cancelled{};
 };
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -55,6 +55,9 @@
 inline constexpr std::string_view kTaskCrashesTotal =
     "burdockrock_task_crashes_total";
 inline constexpr std::string_view kIsolatedRuns = "burdockrock_isolated_runs";
+inline constexpr std::string_view kWaitingSteps = "burdockrock_waiting_steps";
+inline constexpr std::string_view kLongestWaitSeconds =
+    "burdockrock_longest_wait_seconds";
 inline constexpr std::string_view kClosedWorkers = "burdockrock_closed_workers";
 inline constexpr std::string_view kAnswersTotal = "burdockrock_answers_total";
 inline constexpr std::string_view kQueueLength = "burdockrock_queue_length";
@@ -126,6 +129,10 @@
      "Crashes of workers counted against the tasks that ran there"},
     {kIsolatedRuns, MetricKind::kGauge, "",
      "Runs that have an owned worker to themselves after such crashes"},
+    {kWaitingSteps, MetricKind::kGauge, "",
+     "Steps of own jobs whose turn has come and that have waiting tasks"},
+    {kLongestWaitSeconds, MetricKind::kGauge, "",
+     "How long the longest waiting of these tasks has waited, in seconds"},
     {kClosedWorkers, MetricKind::kGauge, "cause",
      "Owned workers that accept no new tasks for now"},
     {kAnswersTotal, MetricKind::kCounter, "verdict",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -127,6 +127,11 @@
   }
 }
 
+void SetWaits(Metrics& metrics, const engine::ConditionLogState& waits) {
+  metrics.Set(kWaitingSteps, {}, static_cast<double>(waits.waiting_steps));
+  metrics.Set(kLongestWaitSeconds, {}, InSeconds(waits.longest_wait));
+}
+
 void SetOpenWork(Metrics& metrics, const engine::OpenWork& open) {
   metrics.Set(kRecoveringJobs, {}, static_cast<double>(open.recoveries.count));
   metrics.Set(kOldestRecoverySeconds, {}, InSeconds(open.recoveries.oldest));
@@ -175,6 +180,7 @@
                     return engine::HasIsolatedRun(it.second);
                   })));
   SetClosedWorkers(metrics, state, now);
+  SetWaits(metrics, state.condition_log);
   SetAdvice(metrics, totals.advice);
   SetPacked(metrics, state);
   SetOpenWork(metrics, engine::CountOpenWork(state, now));
--- a/Tests/engine/condition_log_test.cc
+++ b/Tests/engine/condition_log_test.cc
@@ -193,6 +193,35 @@
   CheckInvariants(fleet);
 }
 
+// Guards against a wait of a gang that cannot be traced: no event said that a
+// booking had failed or why, and the time waited started over with each one.
+TEST_CASE(
+    "Logs why a gang gives up its bookings and how long it waits in all") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  fleet.is_cut = [](const std::string&, const std::string& to) {
+    return to == "n1";
+  };
+  JobSpec gang = OneStep(6, 8000);
+  gang.steps[0].gang = true;
+  fleet.Submit("n0", "j1", gang);
+  fleet.Run(seconds(4));
+  const auto given_up = LinesOf(fleet, EventNumber::kGangBackedOff);
+  REQUIRE_FALSE(given_up.empty());
+  CHECK(FieldOf(given_up[0], "job") == "j1");
+  CHECK(FieldOf(given_up[0], "cause") == "unanswered");
+  CHECK(FieldOf(given_up[0], "started") == "no");
+  CHECK(NumberOf(given_up[0], "booked") < 6);
+  CHECK(NumberOf(given_up[0], "ready_ms") >= 2000);
+  const auto waits = LinesOf(fleet, EventNumber::kTasksWait);
+  REQUIRE(waits.size() >= 2);
+  CHECK(FieldOf(waits[0], "cause") == "booking");
+  CHECK(NumberOf(waits.back(), "for_ms") >= 2000);
+  CHECK(fleet.state("n0").condition_log.waiting_steps == 1);
+  CHECK(fleet.state("n0").condition_log.longest_wait >= seconds(3));
+}
+
 // Guards against a wrong cause of a wait during recovery. A lasting task of an
 // adopted job was logged for 2.4 s as waiting for advice and then for
 // placement. In fact the report of one worker was missing: a task that is not
