--- /dev/null
+++ b/Tests/engine/gang_wait_test.cc
@@ -0,0 +1,197 @@
+// Tests that a gang starts soon after there is room for all of it.
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "engine/fleet.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A gang whose turn has come starts within this time if there is room.
+constexpr Duration kStartBound = seconds(3);
+constexpr AdvicePolicy kLong = {.decision = milliseconds(494),
+                                .each = milliseconds(7),
+                                .valid = milliseconds(2500)};
+constexpr std::int64_t kCapacity = 32'000;
+constexpr std::int64_t kTaskRoom = 13'450;
+constexpr std::uint32_t kWidth = 12;
+constexpr std::size_t kInstances = 9;
+constexpr std::size_t kWorkers = 90;
+// Of a hundred workers.
+constexpr std::size_t kAllowed = 35;
+
+JobSpec Gang(std::uint32_t width) {
+  JobSpec spec = OneStep(width, kTaskRoom);
+  spec.steps[0].gang = true;
+  spec.steps[0].estimate = seconds(6);
+  return spec;
+}
+
+// The advice service's policy, which does not change.
+bool Allows(const std::string& step, const std::string& worker) {
+  return std::hash<std::string>()(step + "@" + worker) % 100 < kAllowed;
+}
+
+std::string StepOf(const std::string& job) {
+  return job + ".0.0";
+}
+
+// Work that comes and goes all over the cell.
+class Load {
+ public:
+  Load(Fleet& fleet, Duration every, std::uint32_t tasks)
+      : fleet_(fleet), every_(every), tasks_(tasks) {
+    Next();
+  }
+
+  void Stop() { stopped_ = true; }
+
+ private:
+  void Next() {
+    if (stopped_) {
+      return;
+    }
+    fleet_.Submit(fmt::format("n{}", jobs_ % kInstances),
+                  fmt::format("load{}", jobs_), OneStep(tasks_, kTaskRoom));
+    ++jobs_;
+    fleet_.RunLater(every_, [this] { Next(); });
+  }
+
+  Fleet& fleet_;
+  Duration every_;
+  std::uint32_t tasks_;
+  std::size_t jobs_ = 0;
+  bool stopped_ = false;
+};
+
+void SetUp(Fleet& fleet) {
+  fleet.SetQueue({.name = "q",
+                  .host = "h",
+                  .prefix = "/q/",
+                  .service = "s",
+                  .priority = 1,
+                  .max_attempts = 3,
+                  .stretch = 2.2,
+                  .advice = kLong});
+  fleet.tickets_valid = kLong.valid;
+  fleet.allows = [](const std::string& step, const std::string& worker) {
+    return step.starts_with("load") || Allows(step, worker);
+  };
+  // Calls for the load take no time, so that only the gangs' calls count.
+  fleet.advice_duration = [](const AdviceRequest& it) {
+    return it.step.starts_with("load")
+               ? Duration(milliseconds(1))
+               : kLong.decision +
+                     kLong.each * static_cast<std::int64_t>(it.workers.size());
+  };
+  PlanAll(fleet, {.takes = milliseconds(800)});
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string& task, std::uint64_t) {
+      return RunPlan{.takes = task.starts_with("load") ? milliseconds(800)
+                                                       : seconds(6)};
+    };
+  }
+  fleet.Settle();
+}
+
+FleetOptions Cell(std::uint64_t seed) {
+  return {.instances = kInstances,
+          .workers = kWorkers,
+          .processors_milli = kCapacity,
+          .advice = true,
+          .seed = seed,
+          .timers = true};
+}
+
+// Tasks of the gang for which the workers that may run it have room now.
+std::int64_t RoomFor(const Fleet& fleet, const std::string& job) {
+  std::map<std::string, std::int64_t> used;
+  for (const SeenRun& it : fleet.seen) {
+    if (it.began <= fleet.now() && it.ended > fleet.now()) {
+      used[it.worker] += kTaskRoom;
+    }
+  }
+  std::int64_t room = 0;
+  for (const std::string& it : fleet.worker_names()) {
+    if (Allows(StepOf(job), it)) {
+      room += (kCapacity - used[it]) / kTaskRoom;
+    }
+  }
+  return room;
+}
+
+// How long a gang has waited.
+struct GangWait {
+  std::string job{};
+  Time roomless{0};            // when room for it twice over was last missing
+  Duration beside_room{0};     // the longest time without such a moment
+  Duration waited = kForever;  // from the submission to the last start
+};
+
+// Submits gangs at all instances and runs until all of them have started, for
+// `span` at most.
+std::vector<GangWait> RunGangs(Fleet& fleet, std::size_t count, Duration span) {
+  constexpr Duration kSample = milliseconds(50);
+  const Time since = fleet.now();
+  std::vector<GangWait> gangs;
+  for (std::size_t it = 0; it < count; ++it) {
+    gangs.push_back({.job = fmt::format("gang{}", it), .roomless = since});
+    fleet.Submit(fmt::format("n{}", it % kInstances), gangs.back().job,
+                 Gang(kWidth));
+  }
+  std::size_t started = 0;
+  while (started < count && fleet.now() - since < span) {
+    fleet.Run(kSample);
+    for (GangWait& it : gangs) {
+      if (it.waited != kForever) {
+        continue;
+      }
+      if (CountRuns(fleet, it.job) >= kWidth) {
+        it.waited = fleet.now() - since;
+        ++started;
+        continue;
+      }
+      if (RoomFor(fleet, it.job) < 2 * kWidth) {
+        it.roomless = fleet.now();
+      }
+      it.beside_room = std::max(it.beside_room, fleet.now() - it.roomless);
+    }
+  }
+  return gangs;
+}
+
+}  // namespace
+
+// Guards against a gang whose tickets lapse, or whose room is taken, before it
+// has both for all of its tasks.
+TEST_CASE("A gang starts while work comes and goes beside it") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    CAPTURE(seed);
+    Fleet fleet(Cell(seed));
+    SetUp(fleet);
+    Load load(fleet, milliseconds(52), 8);
+    fleet.Run(seconds(3));
+    for (const GangWait& it : RunGangs(fleet, 3, seconds(30))) {
+      INFO(it.job, " waited ", ToMilliseconds(it.waited), " ms, ",
+           ToMilliseconds(it.beside_room), " ms beside room");
+      CHECK(it.waited != kForever);
+      CHECK(it.beside_room <= kStartBound);
+    }
+    load.Stop();
+    fleet.Run(seconds(10));
+    CheckInvariants(fleet);
+  }
+}
+
+}  // namespace burdockrock::engine
