Engine: Books a gang's room before it asks for its tickets

Cause: a gang was booked only where it held valid tickets for all of its tasks at once. Tickets come 0.6 to 1.2 s after the call that names workers with room, and lapse 2.5 s later: others had taken the room by then, and the next call began with other workers.

Change: whether a worker is allowed does not change, so a gang remembers it. It books room at workers that are known to be allowed, and asks for the tickets of just those, ahead of the line; bookings last while their owner is asked about them, for 4 s in all. A refused, unanswered or lost booking is replaced alone under the same run number; when nothing fits, all are released at once, so that gangs don't hold room against each other. Further calls of a gang name only workers of which it does not know yet whether they are allowed. Reports on a booking that was given up no longer count for the run, and a booking whose stop is under way gives way to the gang's next run.

Why it works: what is scarce, room at allowed workers at one moment, is held while the slow question is asked, and a failure costs one member's booking instead of the whole gang's.

--- a/Source/engine/advice/advice_rule.cc
+++ b/Source/engine/advice/advice_rule.cc
@@ -45,8 +45,7 @@
   const auto waiting = static_cast<double>(call.waiting);
   const bool selective = since_call < kSelectivePeriod;
   if (call.gang) {
-    return call.ticketed + (selective ? call.starts : call.max_starts) >=
-           waiting;
+    return !selective || call.ticketed + call.starts >= waiting;
   }
   return !selective ||
          call.starts >= std::max(kMinStarts, kMinStartShare * waiting);
--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "engine/advice/advice_rule.h"
+#include "engine/jobs/gang_bookings.h"
 #include "engine/jobs/placement_rule.h"
 #include "engine/jobs/task_copies.h"
 #include "engine/jobs/task_crashes.h"
@@ -83,9 +84,12 @@
     const bool has_room = alone || HasRoomNow(need, candidate) ||
                           CouldPreempt(context, ready, need, candidate);
     const bool known = ticket != step.tickets.end();
-    // A further call is useful only for workers where a task starts at once.
+    // A further call is useful only for workers where a task starts at once. A
+    // gang remembers which workers are allowed, and room may come there later.
+    const bool gang = ready.spec().gang;
     const bool queried = step.advised_at != kForever;
-    if ((known && IsValid(context, ticket->second)) || (queried && !has_room)) {
+    if ((known && (gang || IsValid(context, ticket->second))) ||
+        (queried && !has_room && !gang)) {
       continue;
     }
     const auto fits =
@@ -123,7 +127,7 @@
   const auto placed = CountPlaced(ready);
   std::int64_t fits = 0;
   for (const auto& [worker, ticket] : ready.run().tickets) {
-    if (!IsValid(context, ticket)) {
+    if (!ready.spec().gang && !IsValid(context, ticket)) {
       continue;
     }
     const auto listed = context.state.workers.find(worker);
@@ -144,13 +148,15 @@
                                      const ReadyStep& ready) {
   const StepRun& step = ready.run();
   std::set<std::string> workers;
+  const Duration lead =
+      kTicketMargin + kRenewalLead + ExpectedTime(*ready.queue->advice, 1);
   for (const Task& it : step.tasks) {
-    if (!MayAwaitEmptyWorker(context, ready.spec(), it)) {
+    const bool only_booked =
+        ready.spec().gang && IsOnlyBooked(*ready.job, step, it);
+    if (!only_booked && !MayAwaitEmptyWorker(context, ready.spec(), it)) {
       continue;
     }
     const auto ticket = step.tickets.find(it.worker);
-    const Duration lead =
-        kTicketMargin + kRenewalLead + ExpectedTime(*ready.queue->advice, 1);
     if (ticket != step.tickets.end() &&
         ticket->second.expires <= context.now + lead) {
       workers.insert(it.worker);
@@ -188,8 +194,11 @@
       .ticketed = static_cast<double>(CountTicketed(context, ready))};
   const double share = context.state.advice.shares[ready.queue->name].value();
   std::vector<std::string> chosen(renewed.begin(), renewed.end());
+  const bool queried = ready.run().advised_at != kForever;
+  const bool learns = ready.spec().gang && queried;
   for (const NamedWorker& it : names) {
-    const bool roomless = !it.has_room && chosen.size() >= kMaxRoomlessWorkers;
+    const bool roomless =
+        !it.has_room && !learns && chosen.size() >= kMaxRoomlessWorkers;
     if (roomless || chosen.size() == kMaxAdvisedWorkers ||
         HasEnoughWorkers(call)) {
       break;
@@ -201,9 +210,8 @@
     call.starts += it.fits * (it.allowed ? 1 : share);
     call.max_starts += it.fits;
   }
-  const StepRun& step = ready.run();
-  const bool queried = step.advised_at != kForever;
-  if (queried && !IsWorthACall(call, context.now - step.advice_called_at)) {
+  if (queried &&
+      !IsWorthACall(call, context.now - ready.run().advice_called_at)) {
     chosen.resize(renewed.size());
   }
   return chosen;
--- a/Source/engine/advice/advised_names.h
+++ b/Source/engine/advice/advised_names.h
@@ -24,11 +24,13 @@
 // Whether the ticket is valid long enough to start a task with it.
 bool IsValid(const Context& context, const StepTicket& ticket);
 
-// How many tasks of the step fit at workers with a valid ticket.
+// How many tasks of the step fit at workers with a valid ticket. Of a gang: at
+// workers that are known to be allowed, whose tickets are requested once its
+// room is booked.
 std::int64_t CountTicketed(const Context& context, const ReadyStep& ready);
 
-// Workers at which tasks of the step wait for other runs there to end, and
-// whose tickets expire soon.
+// Workers whose tickets expire soon or have expired, and at which tasks of the
+// step wait for other runs there to end or room is booked for a gang.
 std::set<std::string> WorkersToRenew(const Context& context,
                                      const ReadyStep& ready);
 
--- a/Source/engine/jobs/gang_bookings.cc
+++ b/Source/engine/jobs/gang_bookings.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/job_table.h"
 #include "engine/limits.h"
 #include "engine/members/digests.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -29,15 +31,6 @@
   RequestRoomUpdate(context, worker);
 }
 
-// Members are booked first and started together, so a run does not begin before
-// this owner has commanded its start. A run of a former owner may have begun.
-bool IsOnlyBooked(Job& job, const TaskName& name, const Task& task) {
-  const StepRun& step = StepAt(job, name.occurrence, name.step);
-  return job.spec.steps[name.step].gang && task.phase == TaskPhase::kOffered &&
-         task.run == step.gang_run && task.run != step.gang_started_run &&
-         IsRunOfThisOwner(job, task.run);
-}
-
 // From when the step could run to now, in milliseconds.
 std::string SinceReady(const Context& context, const StepRun& step) {
   return std::to_string(step.ready_at == kForever
@@ -45,17 +38,62 @@
                             : ToMilliseconds(context.now - step.ready_at));
 }
 
+bool IsOwnerUnresponsive(const Context& context, const std::string& worker) {
+  const auto view = context.state.view.find(worker);
+  return view != context.state.view.end() &&
+         context.state.unresponsive_members.unresponsive.contains(
+             view->second.owner);
+}
+
 }  // namespace
 
+bool IsOnlyBooked(const Job& job, const StepRun& step, const Task& task) {
+  // A run of a former owner may have begun.
+  return task.phase == TaskPhase::kOffered && task.run == step.gang_run &&
+         task.run != step.gang_started_run && IsRunOfThisOwner(job, task.run);
+}
+
+bool IsBeingBooked(const Job& job, const StepRun& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
+    return IsOnlyBooked(job, step, it);
+  });
+}
+
+bool WasNeverStarted(const Job& job,
+                     const StepSpec& spec,
+                     const StepRun& step,
+                     std::uint64_t run) {
+  return spec.gang && IsRunOfThisOwner(job, run) && run > step.gang_started_run;
+}
+
+bool IsOfGivenUpBooking(const Job& job,
+                        const StepSpec& spec,
+                        const Task& task,
+                        std::uint64_t run,
+                        const std::string& worker) {
+  return spec.gang && run == task.run && IsRunOfThisOwner(job, run) &&
+         !task.worker.empty() && WorkerIdOf(worker) != WorkerIdOf(task.worker);
+}
+
+void NoteBooked(Context& context, Task& task) {
+  task.booked = true;
+  task.booked_at = context.now;
+  task.last_update = context.now;
+  context.state.placement_due = true;
+}
+
 void LogBackedOff(Context& context,
                   Job& job,
                   const TaskName& name,
+                  BackOff back_off,
                   const char* cause) {
-  const StepRun& step = StepAt(job, name.occurrence, name.step);
-  if (step.gang_run == 0 || step.gang_backed_off_run == step.gang_run) {
-    return;  // each run is logged once
+  StepRun& step = StepAt(job, name.occurrence, name.step);
+  std::uint64_t& logged_run = back_off == BackOff::kOne
+                                  ? step.gang_rebooked_run
+                                  : step.gang_backed_off_run;
+  if (std::exchange(logged_run, step.gang_run) == step.gang_run) {
+    return;
   }
-  StepAt(job, name.occurrence, name.step).gang_backed_off_run = step.gang_run;
   const auto booked = std::count_if(step.tasks.begin(), step.tasks.end(),
                                     [](const Task& it) { return it.booked; });
   context.Log(
@@ -65,12 +103,30 @@
        {"run", std::to_string(step.gang_run)},
        {"task", std::to_string(name.index)},
        {"cause", cause},
+       {"given_up", back_off == BackOff::kOne ? "one" : "all"},
        {"started", step.gang_started_run == step.gang_run ? "yes" : "no"},
        {"booked", std::to_string(booked)},
        {"tasks", std::to_string(step.tasks.size())},
        {"ready_ms", SinceReady(context, step)}});
 }
 
+void ReleaseBookings(Context& context,
+                     Job& job,
+                     const TaskName& name,
+                     const char* cause) {
+  StepRun& step = StepAt(job, name.occurrence, name.step);
+  LogBackedOff(context, job, name, BackOff::kAll, cause);
+  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+    Task& task = step.tasks[it];
+    if (IsOnlyBooked(job, step, task)) {
+      TaskName member = name;
+      member.index = it;
+      SendStop(context, job, member, task.worker, task.run);
+      Requeue(context, task, Duration(0));
+    }
+  }
+}
+
 // Without a start command nothing runs for a booking, so giving up a booking
 // that got no answer is safe, and a gang need not wait for a worker that is cut
 // off.
@@ -78,14 +134,21 @@
                    Job& job,
                    const TaskName& name,
                    Task& task) {
-  if (!IsOnlyBooked(job, name, task) ||
-      !HasPassed(context.now, task.since, kBookingTimeout)) {
+  if (!job.spec.steps[name.step].gang ||
+      !IsOnlyBooked(job, StepAt(job, name.occurrence, name.step), task)) {
+    return;
+  }
+  const Time seen = std::max(task.since, task.booked_at);
+  const bool unresponsive =
+      !task.booked && IsOwnerUnresponsive(context, task.worker);
+  if (!HasPassed(context.now, seen,
+                 unresponsive ? kOfferRetryDelay : kBookingTimeout)) {
     return;
   }
   if (!task.booked) {
     CloseWorkersOfOwner(context, task.worker);
   }
-  LogBackedOff(context, job, name, "unanswered");
+  LogBackedOff(context, job, name, BackOff::kOne, "unanswered");
   SendStop(context, job, name, task.worker, task.run);
   Requeue(context, task, Duration(0));
 }
--- a/Source/engine/jobs/gang_placing.cc
+++ b/Source/engine/jobs/gang_placing.cc
@@ -5,8 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "engine/jobs/gang_bookings.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
 
@@ -17,21 +19,28 @@
                      [phase](const Task& it) { return it.phase == phase; });
 }
 
-// Workers for all members, in the order of the tasks; empty if not all fit.
-std::vector<Candidate*> FitGang(const Context& context,
-                                const ReadyStep& ready,
-                                const std::vector<Candidate*>& eligible,
-                                const std::string& rack) {
-  PlacementChoice choice{.ready = ready, .eligible = eligible};
+// Workers for the members that wait, in the order of the tasks; empty if not
+// all fit.
+std::vector<Candidate*> FitWaiting(const Context& context,
+                                   const ReadyStep& ready,
+                                   const std::vector<Candidate*>& eligible,
+                                   const std::string& rack) {
+  PlacementChoice choice{
+      .ready = ready, .eligible = eligible, .placed = CountPlaced(ready)};
   PlacementNeed need = NeedOf(ready);
   need.rack = rack;
   std::vector<Candidate*> chosen;
   std::vector<Resources> taken;
+  bool all_fit = true;
   for (const Task& it : ready.run().tasks) {
+    if (it.phase != TaskPhase::kWaiting) {
+      continue;
+    }
     const bool alone = IsolationOf(context, it) > Duration(0);
     Candidate* best =
         alone ? ChooseEmpty(choice, need) : ChooseWorker(choice, need);
     if (best == nullptr) {
+      all_fit = false;
       break;
     }
     ++choice.placed[best->worker->id];
@@ -42,26 +51,41 @@
   for (std::size_t it = 0; it < chosen.size(); ++it) {
     chosen[it]->free += taken[it];
   }
-  if (chosen.size() < ready.run().tasks.size()) {
+  if (!all_fit) {
     chosen.clear();
   }
   return chosen;
 }
 
+// The rack in which members of the gang have room already; empty: none.
+std::string BookedRack(const Context& context, const ReadyStep& ready) {
+  for (const Task& it : ready.run().tasks) {
+    const ListedWorker* listed = FindWorker(context.state, it.worker);
+    if (it.phase == TaskPhase::kOffered && listed != nullptr) {
+      return std::string(listed->info.rack());
+    }
+  }
+  return {};
+}
+
 std::vector<Candidate*> FitGangAnywhere(const PlacementRound& round,
                                         const ReadyStep& ready,
                                         std::vector<Candidate>& candidates) {
   const std::vector<Candidate*> eligible =
       EligibleWorkers(round.context, ready, NeedOf(ready), candidates);
   if (!ready.spec().same_rack) {
-    return FitGang(round.context, ready, eligible, {});
+    return FitWaiting(round.context, ready, eligible, {});
+  }
+  if (const std::string rack = BookedRack(round.context, ready);
+      !rack.empty()) {
+    return FitWaiting(round.context, ready, eligible, rack);
   }
   std::set<std::string> racks;
   for (const Candidate* it : eligible) {
     racks.insert(it->worker->rack());
   }
   for (const std::string& it : racks) {
-    auto chosen = FitGang(round.context, ready, eligible, it);
+    auto chosen = FitWaiting(round.context, ready, eligible, it);
     if (!chosen.empty()) {
       return chosen;
     }
@@ -69,14 +93,36 @@
   return {};
 }
 
-void BookGang(PlacementRound& round, const ReadyStep& ready) {
+bool IsPaused(const Context& context, const StepRun& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
+    return it.phase == TaskPhase::kWaiting && it.retry_at > context.now;
+  });
+}
+
+// Books the chosen workers for the members that wait.
+void BookWaiting(PlacementRound& round,
+                 const ReadyStep& ready,
+                 const std::vector<Candidate*>& chosen) {
   StepRun& step = ready.run();
-  for (const Task& it : step.tasks) {
-    if (it.retry_at > round.context.now) {
-      return;
+  const Resources room = RoomOf(ready.spec());
+  std::size_t next = 0;
+  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+    Task& task = step.tasks[it];
+    if (task.phase != TaskPhase::kWaiting) {
+      continue;
     }
+    AssignWorker(round, room, *chosen[next++], task, step.gang_run);
+    AddOffer(round, ready, it, OfferOf(round.context, task),
+             OfferKind::kBooking);
   }
-  if (!HasAnyTicket(round.context, ready)) {
+  // The tickets for these workers are requested while their room is booked.
+  step.advice_checked_at = Time::min();
+}
+
+void BeginBooking(PlacementRound& round, const ReadyStep& ready) {
+  StepRun& step = ready.run();
+  if (IsPaused(round.context, step) ||
+      !MayPlaceAnywhere(round.context, ready)) {
     return;
   }
   const auto chosen = FitGangAnywhere(
@@ -89,18 +135,16 @@
     last = std::max(last, it.run);
   }
   step.gang_run = NextRun(*ready.job, last);
+  step.gang_booking_since = round.context.now;
   // All members resume from the same checkpoint.
   std::string checkpoint;
   for (const Task& it : step.tasks) {
     checkpoint = std::max(checkpoint, it.checkpoint);
   }
-  const Resources room = RoomOf(ready.spec());
-  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
-    step.tasks[it].checkpoint = checkpoint;
-    AssignWorker(round, room, *chosen[it], step.tasks[it], step.gang_run);
-    AddOffer(round, ready, it, OfferOf(round.context, step.tasks[it]),
-             OfferKind::kBooking);
+  for (Task& it : step.tasks) {
+    it.checkpoint = checkpoint;
   }
+  BookWaiting(round, ready, chosen);
 }
 
 // Whether the start of the gang's present run may be sent: it is stored, if it
@@ -118,14 +162,61 @@
   return ready.job->stored_version >= step.gang_stored_version;
 }
 
-// Starts all members together once room is booked for each of them: members
-// that start early wait for the late ones, and end if that takes too long.
-void StartGang(PlacementRound& round, const ReadyStep& ready) {
+// Whether a booked worker turned out not to be allowed.
+bool IsDenied(const ReadyStep& ready) {
+  const StepRun& step = ready.run();
+  return ready.queue->advice &&
+         std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
+           return it.phase == TaskPhase::kOffered &&
+                  !step.tickets.contains(it.worker);
+         });
+}
+
+void GiveUpBooking(PlacementRound& round,
+                   const ReadyStep& ready,
+                   const char* cause) {
+  ReleaseBookings(round.context, *ready.job,
+                  {.job = ready.job->id,
+                   .occurrence = ready.occurrence,
+                   .step = ready.step},
+                  cause);
+}
+
+// Books room for the members that still lack it. Gives up all of it when there
+// is none, so that gangs do not wait for each other's room.
+void ContinueBooking(PlacementRound& round, const ReadyStep& ready) {
+  const StepRun& step = ready.run();
+  if (HasPassed(round.context.now, step.gang_booking_since, kMaxBooking)) {
+    return GiveUpBooking(round, ready, "late");
+  }
+  if (IsDenied(ready)) {
+    return GiveUpBooking(round, ready, "denied");
+  }
+  const bool all_placed = std::none_of(
+      step.tasks.begin(), step.tasks.end(),
+      [](const Task& it) { return it.phase == TaskPhase::kWaiting; });
+  if (all_placed || IsPaused(round.context, step)) {
+    return;
+  }
+  const auto chosen = FitGangAnywhere(
+      round, ready, RoundCandidates(round, ready.queue->service));
+  if (chosen.empty()) {
+    return GiveUpBooking(round, ready, "no_room");
+  }
+  BookWaiting(round, ready, chosen);
+}
+
+// Starts all members together once room is booked for each of them and their
+// tickets are valid: members that start early wait for the late ones, and end
+// if that takes too long.
+void StartIfBooked(PlacementRound& round, const ReadyStep& ready) {
   StepRun& step = ready.run();
-  const bool all_booked = std::all_of(step.tasks.begin(), step.tasks.end(),
-                                      [](const Task& it) { return it.booked; });
-  if (!all_booked || step.gang_started_run == step.gang_run ||
-      !IsGangStored(round.context, ready)) {
+  const bool all_booked =
+      std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
+        return it.phase == TaskPhase::kOffered && it.booked &&
+               HasTicket(round.context, ready, it.worker);
+      });
+  if (!all_booked || !IsGangStored(round.context, ready)) {
     return;
   }
   step.gang_started_run = step.gang_run;
@@ -147,10 +238,12 @@
 }  // namespace
 
 void PlaceGang(PlacementRound& round, const ReadyStep& ready) {
-  if (AllInPhase(ready.run(), TaskPhase::kWaiting)) {
-    BookGang(round, ready);
-  } else if (AllInPhase(ready.run(), TaskPhase::kOffered)) {
-    StartGang(round, ready);
+  const StepRun& step = ready.run();
+  if (IsBeingBooked(*ready.job, step)) {
+    ContinueBooking(round, ready);
+    StartIfBooked(round, ready);
+  } else if (AllInPhase(step, TaskPhase::kWaiting)) {
+    BeginBooking(round, ready);
   }
 }
 
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -75,6 +75,7 @@
   Time last_query{0};     // last query for its run to the worker's owner
   Time retry_at{0};       // not placed before this
   bool booked = false;    // of a gang: the worker has reserved room for it
+  Time booked_at{0};      // when the worker's owner last confirmed the booking
   bool stopping = false;  // a stop command was sent
   Time stop_sent = Time::min();  // the last stop command
   Time stopping_since{0};        // the first stop command
@@ -112,10 +113,13 @@
   Time first_start = kForever;
   Time last_start = kForever;
   Time done_at = kForever;
-  std::uint64_t gang_run = 0;          // the run number that all members share
+  std::uint64_t gang_run = 0;  // the run number that all members share
+  Time gang_booking_since{0};  // when the room for that run was first requested
   std::uint64_t gang_failed_run = 0;   // the last run counted as a failure
   std::uint64_t gang_started_run = 0;  // the last run with a start command
-  std::uint64_t gang_backed_off_run = 0;  // the last run logged as backed off
+  // The last runs for which 504 told of one booking and of all of them.
+  std::uint64_t gang_rebooked_run = 0;
+  std::uint64_t gang_backed_off_run = 0;
   std::uint64_t gang_stored_run = 0;      // the last run that was to be stored
   std::uint64_t gang_stored_version = 0;  // of the progress that holds it
 };
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -75,7 +75,10 @@
 // room and runs are released, and the gang starts again as a whole.
 void StopGang(Context& context, const TaskRef& ref, const char* cause) {
   StepRun& step = ref.step;
-  LogBackedOff(context, ref.job, ref.name, cause);
+  if (IsBeingBooked(ref.job, step)) {
+    return ReleaseBookings(context, ref.job, ref.name, cause);
+  }
+  LogBackedOff(context, ref.job, ref.name, BackOff::kAll, cause);
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     TaskName name = ref.name;
     name.index = it;
@@ -125,8 +128,17 @@
   if (MustStoreStart(ref.task)) {
     MarkChanged(context, ref.job, true);  // the start is no longer open
   }
+  // A member whose booking is refused is booked elsewhere, unless its run
+  // number is used up.
+  const bool only_booked = ref.spec.gang &&
+                           IsOnlyBooked(ref.job, ref.step, ref.task) &&
+                           answer.outcome != OfferOutcome::kOldRun &&
+                           answer.outcome != OfferOutcome::kOldOwner;
   Requeue(context, ref.task, PauseAfter(context, ref, answer));
-  if (ref.spec.gang) {
+  if (only_booked) {
+    LogBackedOff(context, ref.job, ref.name, BackOff::kOne,
+                 OfferOutcomeName(answer.outcome));
+  } else if (ref.spec.gang) {
     StopGang(context, ref, OfferOutcomeName(answer.outcome));
   }
 }
@@ -419,9 +431,7 @@
       }
       MarkRunning(context, ref->job, ref->step, ref->task);
     } else if (it.outcome == OfferOutcome::kBooked) {
-      ref->task.booked = true;
-      ref->task.last_update = context.now;
-      context.state.placement_due = true;
+      NoteBooked(context, ref->task);
     } else {
       OnRefused(context, *ref, it);
     }
@@ -442,7 +452,13 @@
     } else if (report.run == ref->task.run && IsPlaced(ref->task)) {
       Requeue(context, ref->task, Duration(0));
     }
-  } else if (!IsOfFormerProcess(ref->task, report)) {
+  } else if (WasNeverStarted(ref->job, ref->spec, ref->step, report.run)) {
+    if (report.run == ref->task.run && report.worker == ref->task.worker) {
+      Requeue(context, ref->task, Duration(0));
+    }
+  } else if (!IsOfGivenUpBooking(ref->job, ref->spec, ref->task, report.run,
+                                 report.worker) &&
+             !IsOfFormerProcess(ref->task, report)) {
     ApplyNewEnd(context, *ref, report);
   }
   ConfirmWhenStored(context, ref->job, from, report);
@@ -486,7 +502,9 @@
     task.planned.reset();
     ref->step.gang_run = std::max(ref->step.gang_run, report.run);
   }
-  if (task.run != report.run || !IsPlaced(task)) {
+  if (task.run != report.run || !IsPlaced(task) ||
+      IsOfGivenUpBooking(ref->job, ref->spec, task, report.run,
+                         report.worker)) {
     return;
   }
   switch (report.state) {
@@ -496,6 +514,9 @@
       break;
     case RunState::kPending:
       task.last_update = context.now;
+      if (ref->spec.gang && IsOnlyBooked(ref->job, ref->step, task)) {
+        NoteBooked(context, task);
+      }
       break;
     case RunState::kAbsent:
       context.Log(EventNumber::kAttemptLost,
@@ -553,9 +574,12 @@
       if (PromoteCopy(context, task)) {
         return;
       }
-      Requeue(context, task, Duration(0));
       const StepSpec& spec = job.spec.steps[name.step];
-      if (spec.gang) {
+      const bool only_booked =
+          spec.gang &&
+          IsOnlyBooked(job, StepAt(job, name.occurrence, name.step), task);
+      Requeue(context, task, Duration(0));
+      if (spec.gang && !only_booked) {
         StopGang(context,
                  TaskRef{.job = job,
                          .step = StepAt(job, name.occurrence, name.step),
--- a/Source/engine/jobs/placement_round.cc
+++ b/Source/engine/jobs/placement_round.cc
@@ -77,11 +77,20 @@
          it->second.expires > context.now + kTicketMargin;
 }
 
-bool HasAnyTicket(const Context& context, const ReadyStep& ready) {
+bool MayPlaceAt(const Context& context,
+                const ReadyStep& ready,
+                const std::string& worker) {
+  return ready.spec().gang && ready.queue->advice
+             ? ready.run().tickets.contains(worker)
+             : HasTicket(context, ready, worker);
+}
+
+bool MayPlaceAnywhere(const Context& context, const ReadyStep& ready) {
   const auto& tickets = ready.run().tickets;
   return !ready.queue->advice ||
          std::any_of(tickets.begin(), tickets.end(), [&](const auto& it) {
-           return it.second.expires > context.now + kTicketMargin;
+           return ready.spec().gang ||
+                  it.second.expires > context.now + kTicketMargin;
          });
 }
 
@@ -95,7 +104,7 @@
     const bool has_room =
         HasRoomNow(need, it) || (may_preempt && HasRoom(need, it, true));
     if (has_room && MayRunOn(ready.spec(), *it.worker) &&
-        HasTicket(context, ready, it.worker->id)) {
+        MayPlaceAt(context, ready, it.worker->id)) {
       eligible.push_back(&it);
     }
   }
--- a/Source/engine/jobs/placement_round.h
+++ b/Source/engine/jobs/placement_round.h
@@ -31,9 +31,16 @@
                const ReadyStep& ready,
                const std::string& worker);
 
-// Whether that holds at any worker. Most waiting steps have no ticket; this
-// avoids a scan of all workers for them.
-bool HasAnyTicket(const Context& context, const ReadyStep& ready);
+// Whether tasks of the step may be placed at the worker: with a valid ticket,
+// or of a gang where it is known to be allowed, since its tickets are requested
+// for the workers that it has booked.
+bool MayPlaceAt(const Context& context,
+                const ReadyStep& ready,
+                const std::string& worker);
+
+// Whether they may be placed at any worker. Most waiting steps have no ticket;
+// this avoids a scan of all workers for them.
+bool MayPlaceAnywhere(const Context& context, const ReadyStep& ready);
 
 // Workers on which tasks of the step may run and that have room for at least
 // one: during a round, room only shrinks. Room is checked before the ticket
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -86,7 +86,7 @@
       std::any_of(tasks.begin(), tasks.end(),
                   [&](const Task& it) { return IsDue(round.context, it); });
   // Most ready steps have no task that waits.
-  if (!any_due || !HasAnyTicket(round.context, ready)) {
+  if (!any_due || !MayPlaceAnywhere(round.context, ready)) {
     return;
   }
   PlacementNeed need = NeedOf(ready);
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -31,7 +31,9 @@
     const auto fits = static_cast<std::size_t>(
         CountStarts(ready, placed, need, *it.worker, it.free));
     wait.room += fits;
-    if (HasValidTicket(context, ready, it.worker->id)) {
+    // A gang's tickets are requested for the workers that it has booked.
+    if (ready.spec().gang ? ready.run().tickets.contains(it.worker->id)
+                          : HasValidTicket(context, ready, it.worker->id)) {
       wait.ticketed += fits;
       ++wait.tickets;
     }
--- a/Source/engine/workers/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -70,6 +70,7 @@
   switch (run.phase) {
     case RunPhase::kBooked:
       if (offer.book_only) {
+        run.since = context.now;
         return OfferOutcome::kBooked;
       }
       if (HasRestarted(worker)) {
@@ -125,7 +126,13 @@
   if (worker == nullptr || worker->fence != offered.fence) {
     return OfferOutcome::kNotOwner;
   }
-  const auto there = worker->runs.find(task);
+  auto there = worker->runs.find(task);
+  if (there != worker->runs.end() && there->second.phase == RunPhase::kBooked &&
+      there->second.run < offered.run) {
+    // The stop of an earlier booking may still be under way or was lost.
+    RemoveRun(context, offered.worker, *worker, task);
+    there = worker->runs.end();
+  }
   if (there != worker->runs.end()) {
     return RepeatedOffer(context, offered.worker, *worker, task, there->second,
                          offer, offered);
