Engine: Starts a gang on several racks if none has room for all of it

Callers would see a gang that asks for one rack wait without an end: it was placed on one rack or not at all, also where no rack can ever hold it with the workers that advice allows there. On several racks it is slower, not wrong.

Change: such a gang prefers one rack for 1.5 s from its turn and then takes room on several, as delay scheduling does for work near its data.

--- a/Source/engine/jobs/gang_placing.cc
+++ b/Source/engine/jobs/gang_placing.cc
@@ -14,6 +14,10 @@
 
 namespace {
 
+// A gang that is faster on one rack prefers it for this long, and then starts
+// on several.
+constexpr Duration kMaxRackWait = milliseconds(1500);
+
 bool AllInPhase(const StepRun& step, TaskPhase phase) {
   return std::all_of(step.tasks.begin(), step.tasks.end(),
                      [phase](const Task& it) { return it.phase == phase; });
@@ -68,24 +72,18 @@
   return {};
 }
 
-std::vector<Candidate*> FitGangAnywhere(const PlacementRound& round,
-                                        const ReadyStep& ready,
-                                        std::vector<Candidate>& candidates) {
-  const std::vector<Candidate*> eligible =
-      EligibleWorkers(round.context, ready, NeedOf(ready), candidates);
-  if (!ready.spec().same_rack) {
-    return FitWaiting(round.context, ready, eligible, {});
-  }
-  if (const std::string rack = BookedRack(round.context, ready);
-      !rack.empty()) {
-    return FitWaiting(round.context, ready, eligible, rack);
+std::vector<Candidate*> FitInOneRack(const Context& context,
+                                     const ReadyStep& ready,
+                                     const std::vector<Candidate*>& eligible) {
+  if (const std::string rack = BookedRack(context, ready); !rack.empty()) {
+    return FitWaiting(context, ready, eligible, rack);
   }
   std::set<std::string> racks;
   for (const Candidate* it : eligible) {
     racks.insert(it->worker->rack());
   }
   for (const std::string& it : racks) {
-    auto chosen = FitWaiting(round.context, ready, eligible, it);
+    auto chosen = FitWaiting(context, ready, eligible, it);
     if (!chosen.empty()) {
       return chosen;
     }
@@ -93,6 +91,22 @@
   return {};
 }
 
+std::vector<Candidate*> FitGang(const PlacementRound& round,
+                                const ReadyStep& ready,
+                                std::vector<Candidate>& candidates) {
+  const std::vector<Candidate*> eligible =
+      EligibleWorkers(round.context, ready, NeedOf(ready), candidates);
+  if (ready.spec().same_rack) {
+    auto chosen = FitInOneRack(round.context, ready, eligible);
+    const bool waits_for_rack =
+        !HasPassed(round.context.now, ready.run().ready_at, kMaxRackWait);
+    if (!chosen.empty() || waits_for_rack) {
+      return chosen;
+    }
+  }
+  return FitWaiting(round.context, ready, eligible, {});
+}
+
 bool IsPaused(const Context& context, const StepRun& step) {
   return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
     return it.phase == TaskPhase::kWaiting && it.retry_at > context.now;
@@ -125,8 +139,8 @@
       !MayPlaceAnywhere(round.context, ready)) {
     return;
   }
-  const auto chosen = FitGangAnywhere(
-      round, ready, RoundCandidates(round, ready.queue->service));
+  const auto chosen =
+      FitGang(round, ready, RoundCandidates(round, ready.queue->service));
   if (chosen.empty()) {
     return;
   }
@@ -198,8 +212,8 @@
   if (all_placed || IsPaused(round.context, step)) {
     return;
   }
-  const auto chosen = FitGangAnywhere(
-      round, ready, RoundCandidates(round, ready.queue->service));
+  const auto chosen =
+      FitGang(round, ready, RoundCandidates(round, ready.queue->service));
   if (chosen.empty()) {
     return GiveUpBooking(round, ready, "no_room");
   }
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -27,11 +27,12 @@
 // acknowledged.
 constexpr Duration kCancelBound = milliseconds(3400);
 
-// "address|domain|service|processors|draining|born"; the start may be missing.
+// "address|domain|service|processors|draining|born|rack"; the last two may be
+// missing.
 std::string WorkerText(const WorkerInfo& info) {
-  return fmt::format("{}|{}|{}|{}|{}|{}", info.address, info.domain,
+  return fmt::format("{}|{}|{}|{}|{}|{}|{}", info.address, info.domain,
                      info.service, info.capacity.processors_milli,
-                     info.draining ? 1 : 0, info.born);
+                     info.draining ? 1 : 0, info.born, info.rack());
 }
 
 std::vector<std::string> Split(std::string_view text) {
@@ -49,10 +50,14 @@
 std::variant<WorkerInfo, DocumentFault> ReadWorker(std::string_view id,
                                                    std::string_view text) {
   const auto parts = Split(text);
-  if (parts.size() != 5 && parts.size() != 6) {
+  if (parts.size() < 5 || parts.size() > 7) {
     return DocumentFault{.problem = "not a worker"};
   }
-  const std::int64_t born = parts.size() == 6 ? std::stoll(parts[5]) : 0;
+  const std::int64_t born = parts.size() > 5 ? std::stoll(parts[5]) : 0;
+  std::vector<std::string> labels;
+  if (parts.size() > 6 && !parts[6].empty()) {
+    labels.push_back(parts[6]);
+  }
   return WorkerInfo{.id = IncarnationName(id, born),
                     .born = born,
                     .address = parts[0],
@@ -60,6 +65,7 @@
                     .service = parts[2],
                     .capacity = {.processors_milli = std::stoll(parts[3]),
                                  .memory_mb = 1'000'000},
+                    .labels = std::move(labels),
                     .draining = parts[4] == "1"};
 }
 
@@ -100,7 +106,11 @@
             .domain = options_.domains[number % options_.domains.size()],
             .service = "s",
             .capacity = {.processors_milli = options_.processors_milli,
-                         .memory_mb = 1'000'000}},
+                         .memory_mb = 1'000'000},
+            .labels = options_.workers_per_rack == 0
+                          ? std::vector<std::string>()
+                          : std::vector<std::string>{fmt::format(
+                                "r{}", number / options_.workers_per_rack)}},
         seen);
     ListWorker(*workers_[name]);
   }
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -42,6 +42,7 @@
   std::size_t instances = 3;  // assigned to the domains in turn
   std::size_t workers = 6;    // likewise
   std::int64_t processors_milli = 8000;
+  std::size_t workers_per_rack = 0;  // 0: the workers name no rack
   bool advice = false;
   // Workers tell when they started, and start again under their ids.
   bool workers_tell_born = false;
--- a/Tests/engine/gang_wait_test.cc
+++ b/Tests/engine/gang_wait_test.cc
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -287,4 +288,39 @@
   CheckInvariants(fleet);
 }
 
+// Guards against a gang that no rack can hold and that waits for one for ever:
+// on several racks it is slower.
+TEST_CASE("A gang for one rack starts on several if none has room for it") {
+  FleetOptions options = Cell(1);
+  options.workers_per_rack = 5;
+  Fleet fleet(options);
+  SetUp(fleet);
+  JobSpec spec = Gang(kWidth);
+  spec.steps[0].same_rack = true;
+  fleet.Submit("n0", "wide", spec);
+  CHECK(fleet.RunUntil([&] { return CountRuns(fleet, "wide") >= kWidth; },
+                       kStartBound));
+  fleet.Run(seconds(10));
+  CHECK(fleet.StateOf("n0", "wide") == JobState::kCompleted);
+  CheckInvariants(fleet);
+}
+
+// The same gang prefers one rack that has room.
+TEST_CASE("A gang for one rack starts on one if it has room") {
+  FleetOptions options = Cell(1);
+  options.workers_per_rack = 30;
+  Fleet fleet(options);
+  SetUp(fleet);
+  JobSpec spec = Gang(kWidth);
+  spec.steps[0].same_rack = true;
+  fleet.Submit("n0", "narrow", spec);
+  CHECK(fleet.RunUntil([&] { return CountRuns(fleet, "narrow") >= kWidth; },
+                       kStartBound));
+  std::set<std::size_t> racks;
+  for (const SeenRun& it : fleet.seen) {
+    racks.insert(std::stoul(it.worker.substr(1)) / options.workers_per_rack);
+  }
+  CHECK(racks.size() == 1);
+}
+
 }  // namespace burdockrock::engine
