--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -76,6 +76,7 @@
   Time retry_at{0};       // not placed before this
   bool booked = false;    // of a gang: the worker has reserved room for it
   Time booked_at{0};      // when the worker's owner last confirmed the booking
+  Time offered_at{0};     // of a gang: when its last offer was sent
   bool stopping = false;  // a stop command was sent
   Time stop_sent = Time::min();  // the last stop command
   Time stopping_since{0};        // the first stop command
--- a/Source/engine/jobs/placement_round.cc
+++ b/Source/engine/jobs/placement_round.cc
@@ -223,6 +223,7 @@
   task.since = round.context.now;
   task.last_update = round.context.now;
   task.booked = false;
+  task.offered_at = round.context.now;
 }
 
 }  // namespace burdockrock::engine
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -100,9 +100,6 @@
   if (it != worker->runs.end() && it->second.run == query.run) {
     it->second.owner = to;
     it->second.last_queried = context.now;
-    if (it->second.phase == RunPhase::kBooked) {
-      it->second.since = context.now;  // the job's owner still needs the room
-    }
     const bool is_running = it->second.phase == RunPhase::kRunning;
     return Send(context, to,
                 RunReports{.runs = {{.task = query.task,
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -97,8 +97,8 @@
 inline constexpr Duration kCommandRetryDelay = milliseconds(100);
 // A start without a reply for this long is withdrawn.
 inline constexpr Duration kStartTimeout = milliseconds(1200);
-// Room that is booked for a gang is released after this long without a start,
-// and without a query from the gang's owner.
+// Room that is booked for a gang is released after this long without a start
+// and without a repetition of the booking.
 inline constexpr Duration kBookingTimeout = milliseconds(2000);
 // Room that is booked for a gang is released after this long in all, so that a
 // gang whose advice is not answered does not keep others waiting.
--- a/Tests/engine/gang_wait_test.cc
+++ b/Tests/engine/gang_wait_test.cc
@@ -323,4 +323,36 @@
   CHECK(racks.size() == 1);
 }
 
+// Guards against a member whose start was lost, so that the others wait for it
+// until they end alone: its worker's owner still has the room booked.
+TEST_CASE("A gang's start that is lost is repeated") {
+  for (const std::uint32_t width : {1U, kWidth}) {
+    CAPTURE(width);
+    Fleet fleet(Cell(1));
+    SetUp(fleet);
+    fleet.allows = [&](const std::string&, const std::string& worker) {
+      return !fleet.state("n0").owned.contains(worker);
+    };
+    Time lost_until{0};
+    fleet.on_peer = [&](const std::string&, const SendPeer& send) {
+      const auto* offer = std::get_if<TaskOffer>(&send.message);
+      if (offer != nullptr && !offer->book_only && lost_until == Time(0) &&
+          offer->job == "gang") {
+        lost_until = fleet.now() + milliseconds(20);
+      }
+    };
+    fleet.is_cut = [&](const std::string& from, const std::string& to) {
+      return from != to && fleet.now() < lost_until;
+    };
+    fleet.Submit("n0", "gang", Gang(width));
+    CHECK(fleet.RunUntil([&] { return CountRuns(fleet, "gang") >= width; },
+                         kStartBound));
+    fleet.Run(seconds(10));
+    CHECK(lost_until != Time(0));
+    CHECK(CountRuns(fleet, "gang") == width);
+    CHECK(fleet.StateOf("n0", "gang") == JobState::kCompleted);
+    CheckInvariants(fleet);
+  }
+}
+
 }  // namespace burdockrock::engine
