Runtime: Counts and logs messages between instances that are lost

A batch whose request failed was gone without a trace, and so were the oldest messages of a full queue. Nothing told whether a wait was caused by a lost message.

EnginePeerClient ignored the result of its requests.

"Messages of a failed request are counted and logged by kind" covers a refused connection. Without the change there is nothing that it could read: the code before offers no count and writes no line.

--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -99,6 +99,8 @@
      "A worker that was closed accepts new tasks again"},
     {EventNumber::kWorkerRestarted, Level::kWarning, "worker_restarted",
      "Another process answers under a worker's id; the one before has ended"},
+    {EventNumber::kPeerMessagesLost, Level::kInfo, "peer_messages_lost",
+     "Messages to another entry instance were given up undelivered"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -57,6 +57,7 @@
   kWorkerClosed = 319,
   kWorkerOpened = 320,
   kWorkerRestarted = 321,
+  kPeerMessagesLost = 322,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -33,6 +33,10 @@
     "burdockrock_peer_sent_bytes_total";
 inline constexpr std::string_view kPeerReceivedMessagesTotal =
     "burdockrock_peer_received_messages_total";
+inline constexpr std::string_view kPeerFailedBatchesTotal =
+    "burdockrock_peer_failed_batches_total";
+inline constexpr std::string_view kPeerDroppedMessagesTotal =
+    "burdockrock_peer_dropped_messages_total";
 inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
 inline constexpr std::string_view kHoldsTotal = "burdockrock_holds_total";
 inline constexpr std::string_view kOffersTotal = "burdockrock_offers_total";
@@ -106,6 +110,11 @@
      "Bytes of these messages, without HTTP's headers"},
     {kPeerReceivedMessagesTotal, MetricKind::kCounter, "kind",
      "Messages of other entry instances about jobs of steps"},
+    {kPeerFailedBatchesTotal, MetricKind::kCounter, "cause",
+     "Failed requests with such messages: not_connected, broken, no_answer or "
+     "refused"},
+    {kPeerDroppedMessagesTotal, MetricKind::kCounter, "kind",
+     "Such messages that were given up undelivered"},
     {kStartsTotal, MetricKind::kCounter, "",
      "Attempts started on workers and minions"},
     {kHoldsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -40,7 +40,9 @@
                .minimum = options_.log_level,
                .instance = options_.engine.self.node,
                .sink = options_.log_sink}),
-      peer_client_(io, options_.engine.self.incarnation),
+      peer_client_(io,
+                   options_.engine.self.incarnation,
+                   [this](const LogLine& it) { logger_.Write(it); }),
       shell_(io, engine::MakeState(options_.engine), MakeHooks()),
       peer_server_({.on_message =
                         [this](engine::PeerMessageReceived it) {
@@ -186,6 +188,19 @@
                     {{.name = "kind", .value = std::string(kind)}})
         .RaiseTo(static_cast<double>(it.messages));
   }
+  const PeerLosses& losses = peer_client_.losses();
+  for (const auto& [cause, it] : losses.failed_batches()) {
+    metrics_
+        .GetCounter(kPeerFailedBatchesTotal,
+                    {{.name = "cause", .value = std::string(cause)}})
+        .RaiseTo(static_cast<double>(it));
+  }
+  for (const auto& [kind, it] : losses.dropped()) {
+    metrics_
+        .GetCounter(kPeerDroppedMessagesTotal,
+                    {{.name = "kind", .value = std::string(kind)}})
+        .RaiseTo(static_cast<double>(it));
+  }
   if (const auto usage = ReadProcessUsage()) {
     metrics_.Set(kResidentBytes, {},
                  static_cast<double>(usage->resident_bytes));
@@ -201,6 +216,7 @@
     if (ec) {
       return;
     }
+    peer_client_.LogLosses();
     logger_.Flush();
     if (++housekeepings_ % kHousekeepingsPerSweep == 0) {
       peer_client_.Sweep();
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -9,6 +9,7 @@
 
 #include "engine/members/peer_codec.h"
 #include "net/json.h"
+#include "runtime/clock.h"
 
 namespace burdockrock {
 
@@ -22,24 +23,48 @@
 constexpr std::size_t kMaxWaitingBytes = 1'048'576;
 constexpr std::size_t kMaxBatchBytes = 262'144;
 
+constexpr int kOkStatus = 200;
+// Some messages of the batch were garbled; the others were taken.
+constexpr int kBadRequestStatus = 400;
+
+std::optional<PeerFailure> FailureOf(const HttpResult& result, Duration took) {
+  if (const auto* response = std::get_if<HttpResponse>(&result)) {
+    const bool taken =
+        response->status == kOkStatus || response->status == kBadRequestStatus;
+    return taken ? std::nullopt : std::optional(PeerFailure::kRefused);
+  }
+  if (!std::get<HttpFailure>(result).may_have_been_received) {
+    return PeerFailure::kNotConnected;
+  }
+  return took < kRequestTimeout ? PeerFailure::kBroken : PeerFailure::kNoAnswer;
+}
+
 }  // namespace
 
 EnginePeerClient::EnginePeerClient(boost::asio::io_context& io,
-                                   std::string incarnation)
+                                   std::string incarnation,
+                                   std::function<void(const LogLine&)> log)
     : io_(io),
       incarnation_(std::move(incarnation)),
-      pool_(io, {.max_connections = 1, .connect_timeout = kConnectTimeout}) {}
+      pool_(io, {.max_connections = 1, .connect_timeout = kConnectTimeout}),
+      losses_(std::move(log)) {}
+
+void EnginePeerClient::LogLosses() {
+  losses_.WriteLines(SteadyNow());
+}
 
 void EnginePeerClient::Send(const engine::SendPeer& send) {
   Link& link = links_[send.address];
   const std::string& text = TextOf(send.message);
-  EdgeTraffic& kind = kinds_[engine::PeerMethods()[send.message.index()]];
-  ++kind.messages;
-  kind.bytes += text.size();
+  const char* kind = engine::PeerMethods()[send.message.index()];
+  EdgeTraffic& traffic = kinds_[kind];
+  ++traffic.messages;
+  traffic.bytes += text.size();
   link.waiting_bytes += text.size();
-  link.waiting.push_back(text);
+  link.waiting.push_back({.kind = kind, .text = text});
   while (link.waiting_bytes > kMaxWaitingBytes && link.waiting.size() > 1) {
-    link.waiting_bytes -= link.waiting.front().size();
+    losses_.NoteDropped(send.address, link.waiting.front().kind);
+    link.waiting_bytes -= link.waiting.front().text.size();
     link.waiting.pop_front();
   }
   if (!std::exchange(link.in_flight, true)) {
@@ -75,8 +100,9 @@
   std::string body = "[";
   while (!link.waiting.empty() && body.size() < kMaxBatchBytes) {
     body += body.size() > 1 ? "," : "";
-    body += link.waiting.front();
-    link.waiting_bytes -= link.waiting.front().size();
+    body += link.waiting.front().text;
+    link.waiting_bytes -= link.waiting.front().text.size();
+    link.sent_kinds.push_back(link.waiting.front().kind);
     link.waiting.pop_front();
     ++messages_;
   }
@@ -85,9 +111,23 @@
   request.method = "POST";
   request.path = "/rpc";
   request.body = std::move(body);
+  link.sent_at = SteadyNow();
   pool_.Get(address).Send(
       std::move(request), kRequestTimeout,
-      [this, address](const HttpResult&) { Flush(address); });
+      [this, address](const HttpResult& it) { OnResult(address, it); });
+}
+
+void EnginePeerClient::OnResult(const std::string& address,
+                                const HttpResult& result) {
+  Link& link = links_[address];
+  const auto kinds = std::exchange(link.sent_kinds, {});
+  if (const auto failure = FailureOf(result, SteadyNow() - link.sent_at)) {
+    losses_.NoteFailedBatch(address, *failure);
+    for (const char* it : kinds) {
+      losses_.NoteDropped(address, it);
+    }
+  }
+  Flush(address);
 }
 
 EdgeTraffic EnginePeerClient::traffic() const {
--- a/Source/runtime/engine_peers.h
+++ b/Source/runtime/engine_peers.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <jsonrpccpp/server.h>
 
@@ -16,6 +17,7 @@
 #include "runtime/client_pool.h"
 #include "runtime/edge_traffic.h"
 #include "runtime/kind_traffic.h"
+#include "runtime/peer_losses.h"
 #include "runtime/peer_server.h"
 
 namespace burdockrock {
@@ -24,17 +26,29 @@
 // What can't be delivered in time is dropped: the engine repeats it.
 class EnginePeerClient {
  public:
-  EnginePeerClient(boost::asio::io_context& io, std::string incarnation);
+  EnginePeerClient(
+      boost::asio::io_context& io,
+      std::string incarnation,
+      std::function<void(const LogLine&)> log = [](const LogLine&) {});
 
   void Send(const engine::SendPeer& send);
   void Sweep() { pool_.Sweep(); }
+  // Logs what was lost. Call it from a timer.
+  void LogLosses();
   EdgeTraffic traffic() const;
   const KindTraffic& kinds() const { return kinds_; }
+  const PeerLosses& losses() const { return losses_; }
 
  private:
+  struct QueuedMessage {
+    const char* kind = "";  // of engine::PeerMethods()
+    std::string text{};     // a notification
+  };
   struct Link {
-    std::deque<std::string> waiting;  // notifications
+    std::deque<QueuedMessage> waiting;
+    std::vector<const char*> sent_kinds;  // in the batch in flight
     std::size_t waiting_bytes = 0;
+    Time sent_at{0};
     bool in_flight = false;
   };
 
@@ -42,6 +56,7 @@
   const std::string& TextOf(const engine::PeerMessage& message);
   void Flush(const std::string& address);
   void FlushSoon(const std::string& address);
+  void OnResult(const std::string& address, const HttpResult& result);
 
   boost::asio::io_context& io_;
   std::string incarnation_;
@@ -49,6 +64,7 @@
   std::map<std::string, Link> links_;  // by address
   std::uint64_t messages_ = 0;
   KindTraffic kinds_;
+  PeerLosses losses_;
   std::optional<engine::PeerMessage> last_message_;
   std::string last_text_;  // of it
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/Tests/runtime/engine_peers_test.cc
+++ b/Tests/runtime/engine_peers_test.cc
@@ -1,7 +1,9 @@
 // Messages between engines, on the loopback interface.
 #include "runtime/engine_peers.h"
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -14,6 +16,7 @@
 #include "engine/members/peer_codec.h"
 #include "net/http_server.h"
 #include "net/json.h"
+#include "runtime/clock.h"
 
 namespace burdockrock {
 
@@ -28,6 +31,24 @@
                        .accepting = true}}};
 }
 
+// Nothing listens there.
+std::string UnusedAddress(boost::asio::io_context& io) {
+  HttpServer server(io, {},
+                    [](const HttpRequest&, const HttpServer::Responder&) {});
+  return fmt::format("127.0.0.1:{}", std::get<std::uint16_t>(server.Listen()));
+}
+
+// Fails the test if the condition does not hold within 20 s.
+void RunUntil(boost::asio::io_context& io,
+              const std::function<bool()>& condition) {
+  const Time end = SteadyNow() + std::chrono::seconds(20);
+  while (!condition()) {
+    REQUIRE(SteadyNow() < end);
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+}
+
 }  // namespace
 
 // The metrics of a site that was short of processor time told only that 700
@@ -73,4 +94,33 @@
   CHECK(receiver.kinds().size() == 2);
 }
 
+// Guards against messages that are lost without a trace.
+TEST_CASE("Messages of a failed request are counted and logged by kind") {
+  boost::asio::io_context io;
+  std::vector<LogLine> lines;
+  EnginePeerClient sender(io, "n1-5",
+                          [&](const LogLine& it) { lines.push_back(it); });
+  const std::string address = UnusedAddress(io);
+  const auto send = [&](engine::PeerMessage it) {
+    sender.Send({.to = "n2-4", .address = address, .message = std::move(it)});
+  };
+  send(SomeRoom());
+  send(engine::AdviceReply{.call = 1});
+  send(engine::AdviceReply{.call = 2});
+  RunUntil(io, [&] { return sender.losses().dropped().size() == 2; });
+  CHECK(sender.losses().dropped() ==
+        PeerLosses::Counts{{"advice_reply", 2}, {"room_digest", 1}});
+  CHECK(sender.losses().failed_batches().at("not_connected") >= 1);
+  sender.LogLosses();
+  send(engine::AdviceReply{.call = 3});
+  RunUntil(io,
+           [&] { return sender.losses().dropped().at("advice_reply") == 3; });
+  sender.LogLosses();
+  // The later loss is part of the next line.
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].number == EventNumber::kPeerMessagesLost);
+  CHECK(lines[0].fields[0].value == address);
+  CHECK(lines[0].fields[1].value == "advice_reply:2,room_digest:1");
+}
+
 }  // namespace burdockrock
