Runtime: Sends messages between instances again until they are acknowledged

EnginePeerClient forgot a batch when it sent it. PeerChannel now keeps it until the peer has answered and sends it again after 50 ms, then after pauses that double up to 400 ms, so that a process that has ended is not called all the time. Messages that are of no use any more are left out: what is late is worse than lost, as its sender has asked again. The bounds follow the engine's repeats. Batches have numbers, and a receiver leaves out one that it took before; so all messages are idempotent in respect of this. A batch also names the incarnation it is for: else a process that starts at the address of another one would take the replies to that one's calls for replies to its own.

--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -35,6 +35,8 @@
     "burdockrock_peer_received_messages_total";
 inline constexpr std::string_view kPeerFailedBatchesTotal =
     "burdockrock_peer_failed_batches_total";
+inline constexpr std::string_view kPeerResentMessagesTotal =
+    "burdockrock_peer_resent_messages_total";
 inline constexpr std::string_view kPeerDroppedMessagesTotal =
     "burdockrock_peer_dropped_messages_total";
 inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
@@ -113,6 +115,8 @@
     {kPeerFailedBatchesTotal, MetricKind::kCounter, "cause",
      "Failed requests with such messages: not_connected, broken, no_answer or "
      "refused"},
+    {kPeerResentMessagesTotal, MetricKind::kCounter, "kind",
+     "Such messages that were sent again after a failed request"},
     {kPeerDroppedMessagesTotal, MetricKind::kCounter, "kind",
      "Such messages that were given up undelivered"},
     {kStartsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr int kOkStatus = 200;
-constexpr int kBadRequestStatus = 400;
 constexpr int kNotFoundStatus = 404;
 
 constexpr Duration kHousekeepingPeriod = std::chrono::seconds(1);
@@ -44,7 +42,8 @@
                    options_.engine.self.incarnation,
                    [this](const LogLine& it) { logger_.Write(it); }),
       shell_(io, engine::MakeState(options_.engine), MakeHooks()),
-      peer_server_({.on_message =
+      peer_server_({.incarnation = options_.engine.self.incarnation,
+                    .on_message =
                         [this](engine::PeerMessageReceived it) {
                           shell_.Handle(std::move(it), peers_body_arrived_);
                         },
@@ -145,8 +144,7 @@
     response.status = kNotFoundStatus;
   } else {
     peers_body_arrived_ = SteadyNow();
-    response.body = peer_server_.HandleBody(request.body);
-    response.status = response.body.empty() ? kOkStatus : kBadRequestStatus;
+    response = peer_server_.HandleRequest(request, peers_body_arrived_);
   }
   responder(std::move(response));
 }
@@ -201,6 +199,12 @@
                     {{.name = "kind", .value = std::string(kind)}})
         .RaiseTo(static_cast<double>(it));
   }
+  for (const auto& [kind, it] : losses.resent()) {
+    metrics_
+        .GetCounter(kPeerResentMessagesTotal,
+                    {{.name = "kind", .value = std::string(kind)}})
+        .RaiseTo(static_cast<double>(it));
+  }
   if (const auto usage = ReadProcessUsage()) {
     metrics_.Set(kResidentBytes, {},
                  static_cast<double>(usage->resident_bytes));
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -1,5 +1,7 @@
 #include "runtime/engine_peers.h"
 
+#include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -7,6 +9,7 @@
 #include <jsonrpccpp/common/exception.h>
 #include <boost/asio/post.hpp>
 
+#include "engine/limits.h"
 #include "engine/members/peer_codec.h"
 #include "net/json.h"
 #include "runtime/clock.h"
@@ -19,14 +22,37 @@
 // anyway, and a new connection finds it sooner than an old one that hangs.
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-// Of notifications that wait for one peer; older ones are dropped first.
-constexpr std::size_t kMaxWaitingBytes = 1'048'576;
-constexpr std::size_t kMaxBatchBytes = 262'144;
+// Pauses after failures, which double. The first one is short, as most failures
+// are single ones; the longest spares a machine whose process has ended.
+constexpr Duration kFirstPause = std::chrono::milliseconds(50);
+constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+
+// Messages that are late are worse than none: the engine has asked again, or
+// elsewhere, and places tasks by what it knows then. An offer, an end or a
+// report of runs is of use until the engine repeats it or releases the room
+// that is booked for it.
+constexpr Duration kUsefulFor = engine::kBookingTimeout;
+// Replies and digests that are older than a failed request and one more try
+// tell of room and tickets that others have used since.
+constexpr Duration kStateUsefulFor =
+    kRequestTimeout + std::chrono::milliseconds(250);
+// The receiver can't know how long a request for advice, or the tickets of a
+// reply, took to come.
+constexpr Duration kAdviceUsefulFor = std::chrono::milliseconds(500);
+
+// A sender that ended does not send an old batch later than this.
+constexpr Duration kTakenKeptFor = std::chrono::seconds(60);
+constexpr const char* kSenderKey = "from";
+constexpr const char* kReceiverKey = "to";
+constexpr const char* kBatchKey = "batch";
 
 constexpr int kOkStatus = 200;
 // Some messages of the batch were garbled; the others were taken.
 constexpr int kBadRequestStatus = 400;
 
+// The batch is for a process that has ended.
+constexpr int kGoneStatus = 410;
+
 std::optional<PeerFailure> FailureOf(const HttpResult& result, Duration took) {
   if (const auto* response = std::get_if<HttpResponse>(&result)) {
     const bool taken =
@@ -39,6 +65,32 @@
   return took < kRequestTimeout ? PeerFailure::kBroken : PeerFailure::kNoAnswer;
 }
 
+Duration UsefulFor(const engine::PeerMessage& message) {
+  if (std::holds_alternative<engine::PeerAdviceRequest>(message) ||
+      std::holds_alternative<engine::AdviceReply>(message)) {
+    return kAdviceUsefulFor;
+  }
+  const bool tells_state =
+      std::holds_alternative<engine::RoomDigest>(message) ||
+      std::holds_alternative<engine::DigestRequest>(message) ||
+      std::holds_alternative<engine::JobQuery>(message) ||
+      std::holds_alternative<engine::JobReply>(message);
+  return tells_state ? kStateUsefulFor : kUsefulFor;
+}
+
+DigestScope ScopeOf(const engine::PeerMessage& message) {
+  const auto* digest = std::get_if<engine::RoomDigest>(&message);
+  if (digest == nullptr) {
+    return DigestScope::kNoDigest;
+  }
+  if (digest->whole) {
+    return DigestScope::kWhole;
+  }
+  return digest->workers.empty() && digest->waiting.empty()
+             ? DigestScope::kUnchanged
+             : DigestScope::kChanges;
+}
+
 }  // namespace
 
 EnginePeerClient::EnginePeerClient(boost::asio::io_context& io,
@@ -53,20 +105,32 @@
   losses_.WriteLines(SteadyNow());
 }
 
+EnginePeerClient::Link& EnginePeerClient::LinkTo(const std::string& address) {
+  const auto found = links_.find(address);
+  if (found != links_.end()) {
+    return found->second;
+  }
+  PeerChannelOptions options;
+  options.on_dropped = [this, address](const char* kind) {
+    losses_.NoteDropped(address, kind);
+  };
+  options.on_resent = [this](const char* kind) { losses_.NoteResent(kind); };
+  return links_.try_emplace(address, io_, std::move(options)).first->second;
+}
+
 void EnginePeerClient::Send(const engine::SendPeer& send) {
-  Link& link = links_[send.address];
+  Link& link = LinkTo(send.address);
   const std::string& text = TextOf(send.message);
   const char* kind = engine::PeerMethods()[send.message.index()];
   EdgeTraffic& traffic = kinds_[kind];
   ++traffic.messages;
   traffic.bytes += text.size();
-  link.waiting_bytes += text.size();
-  link.waiting.push_back({.kind = kind, .text = text});
-  while (link.waiting_bytes > kMaxWaitingBytes && link.waiting.size() > 1) {
-    losses_.NoteDropped(send.address, link.waiting.front().kind);
-    link.waiting_bytes -= link.waiting.front().text.size();
-    link.waiting.pop_front();
-  }
+  link.channel.Add({.to = send.to,
+                    .kind = kind,
+                    .text = text,
+                    .digest = ScopeOf(send.message),
+                    .queued_at = SteadyNow(),
+                    .useful_for = UsefulFor(send.message)});
   if (!std::exchange(link.in_flight, true)) {
     FlushSoon(send.address);
   }
@@ -92,26 +156,21 @@
 }
 
 void EnginePeerClient::Flush(const std::string& address) {
-  Link& link = links_[address];
-  if (link.waiting.empty()) {
+  Link& link = LinkTo(address);
+  auto batch = link.channel.TakeBatch(SteadyNow());
+  if (!batch) {
     link.in_flight = false;
     return;
   }
-  std::string body = "[";
-  while (!link.waiting.empty() && body.size() < kMaxBatchBytes) {
-    body += body.size() > 1 ? "," : "";
-    body += link.waiting.front().text;
-    link.waiting_bytes -= link.waiting.front().text.size();
-    link.sent_kinds.push_back(link.waiting.front().kind);
-    link.waiting.pop_front();
-    ++messages_;
-  }
-  body += "]";
+  messages_ += batch->messages;
+  link.sent_at = SteadyNow();
   HttpRequest request;
   request.method = "POST";
   request.path = "/rpc";
-  request.body = std::move(body);
-  link.sent_at = SteadyNow();
+  request.query = {{kSenderKey, incarnation_},
+                   {kReceiverKey, batch->to},
+                   {kBatchKey, std::to_string(batch->number)}};
+  request.body = std::move(batch->body);
   pool_.Get(address).Send(
       std::move(request), kRequestTimeout,
       [this, address](const HttpResult& it) { OnResult(address, it); });
@@ -119,17 +178,31 @@
 
 void EnginePeerClient::OnResult(const std::string& address,
                                 const HttpResult& result) {
-  Link& link = links_[address];
-  const auto kinds = std::exchange(link.sent_kinds, {});
+  Link& link = LinkTo(address);
   if (const auto failure = FailureOf(result, SteadyNow() - link.sent_at)) {
     losses_.NoteFailedBatch(address, *failure);
-    for (const char* it : kinds) {
-      losses_.NoteDropped(address, it);
+    if (*failure != PeerFailure::kRefused) {
+      return FlushLater(address);
     }
+    link.channel.DropBatch();
   }
+  link.pause = Duration(0);
+  link.channel.Acknowledge();
   Flush(address);
 }
 
+void EnginePeerClient::FlushLater(const std::string& address) {
+  Link& link = LinkTo(address);
+  link.pause = std::clamp(2 * link.pause, kFirstPause, kLongestPause);
+  link.retry.expires_after(link.pause);
+  link.retry.async_wait([this, address, alive = std::weak_ptr<bool>(alive_)](
+                            boost::system::error_code ec) {
+    if (!ec && !alive.expired()) {
+      Flush(address);
+    }
+  });
+}
+
 EdgeTraffic EnginePeerClient::traffic() const {
   return {.messages = messages_, .bytes = pool_.bytes()};
 }
@@ -156,6 +229,47 @@
   return errors;
 }
 
+HttpResponse EnginePeerServer::HandleRequest(const HttpRequest& request,
+                                             Time now) {
+  const auto receiver = request.query.find(kReceiverKey);
+  if (receiver != request.query.end() &&
+      receiver->second != options_.incarnation) {
+    return {.status = kGoneStatus};
+  }
+  if (WasTaken(request, now)) {
+    return {};
+  }
+  std::string errors = HandleBody(request.body);
+  const int status = errors.empty() ? kOkStatus : kBadRequestStatus;
+  return {.status = status, .body = std::move(errors)};
+}
+
+// Its sender had no answer and sent it again. Numbers of one sender rise.
+bool EnginePeerServer::WasTaken(const HttpRequest& request, Time now) {
+  const auto sender = request.query.find(kSenderKey);
+  const auto batch = request.query.find(kBatchKey);
+  if (sender == request.query.end() || batch == request.query.end()) {
+    return false;
+  }
+  std::uint64_t number = 0;
+  const char* end = batch->second.data() + batch->second.size();
+  if (std::from_chars(batch->second.data(), end, number).ptr != end) {
+    return false;
+  }
+  if (!taken_.contains(sender->second)) {
+    std::erase_if(taken_, [&](const auto& it) {
+      return now >= it.second.at + kTakenKeptFor;
+    });
+  }
+  TakenBatch& taken = taken_[sender->second];
+  taken.at = now;
+  if (number <= taken.number) {
+    return true;
+  }
+  taken.number = number;
+  return false;
+}
+
 // Overrides the library's table of member functions: all methods differ only
 // in their message's type.
 void EnginePeerServer::HandleNotificationCall(jsonrpc::Procedure& procedure,
--- a/Source/runtime/engine_peers.h
+++ b/Source/runtime/engine_peers.h
@@ -2,28 +2,30 @@
 #ifndef BURDOCKROCK_RUNTIME_ENGINE_PEERS_H_
 #define BURDOCKROCK_RUNTIME_ENGINE_PEERS_H_
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include <jsonrpccpp/server.h>
 
 #include "engine/event.h"
+#include "net/tcp.h"
 #include "observe/log.h"
 #include "runtime/client_pool.h"
 #include "runtime/edge_traffic.h"
 #include "runtime/kind_traffic.h"
+#include "runtime/peer_channel.h"
 #include "runtime/peer_losses.h"
 #include "runtime/peer_server.h"
 
 namespace burdockrock {
 
-// Sends what the engine says, in order and one batch at a time for each peer.
-// What can't be delivered in time is dropped: the engine repeats it.
+// Sends what the engine says, in order and one batch at a time for each peer. A
+// batch that is not acknowledged is sent again while its messages are of use.
+// Later they are dropped: the engine repeats them.
 class EnginePeerClient {
  public:
   EnginePeerClient(
@@ -40,22 +42,23 @@
   const PeerLosses& losses() const { return losses_; }
 
  private:
-  struct QueuedMessage {
-    const char* kind = "";  // of engine::PeerMethods()
-    std::string text{};     // a notification
-  };
   struct Link {
-    std::deque<QueuedMessage> waiting;
-    std::vector<const char*> sent_kinds;  // in the batch in flight
-    std::size_t waiting_bytes = 0;
+    Link(boost::asio::io_context& io, PeerChannelOptions options)
+        : channel(std::move(options)), retry(io) {}
+
+    PeerChannel channel;
+    bool in_flight = false;  // or about to be sent
     Time sent_at{0};
-    bool in_flight = false;
+    Duration pause{0};  // after the last failure; 0: none since
+    SteadyTimer retry;
   };
 
+  Link& LinkTo(const std::string& address);
   // A digest goes to all members: it is written as text once.
   const std::string& TextOf(const engine::PeerMessage& message);
   void Flush(const std::string& address);
   void FlushSoon(const std::string& address);
+  void FlushLater(const std::string& address);
   void OnResult(const std::string& address, const HttpResult& result);
 
   boost::asio::io_context& io_;
@@ -71,6 +74,7 @@
 };
 
 struct EnginePeerServerOptions {
+  std::string incarnation{};  // of this process
   std::function<void(engine::PeerMessageReceived)> on_message{};
   std::function<void(const LogLine&)> log{};
 };
@@ -85,6 +89,9 @@
   // `body` is one notification or a batch. Returns the errors for its sender,
   // empty if there are none.
   std::string HandleBody(const std::string& body);
+  // The same for a whole request. A batch that was taken before, or is for
+  // another incarnation, is left out.
+  HttpResponse HandleRequest(const HttpRequest& request, Time now);
 
   EdgeTraffic traffic() const { return traffic_; }
   // Without bytes: a batch is read as a whole.
@@ -94,7 +101,16 @@
   void HandleNotificationCall(jsonrpc::Procedure& procedure,
                               const Json::Value& params) override;
 
+  // The last batch of one sender.
+  struct TakenBatch {
+    std::uint64_t number = 0;
+    Time at{0};
+  };
+
+  bool WasTaken(const HttpRequest& request, Time now);
+
   EnginePeerServerOptions options_;
+  std::map<std::string, TakenBatch> taken_;  // by incarnation
   EdgeTraffic traffic_;
   KindTraffic kinds_;
 };
--- a/Source/runtime/peer_losses.h
+++ b/Source/runtime/peer_losses.h
@@ -34,6 +34,7 @@
   void NoteFailedBatch(const std::string& address, PeerFailure failure);
   // `kind` is one of engine::PeerMethods().
   void NoteDropped(const std::string& address, const char* kind);
+  void NoteResent(const char* kind) { ++resent_[kind]; }
 
   // Writes one line for each peer whose last line was written long enough ago
   // and for which messages were dropped since.
@@ -41,6 +42,7 @@
 
   const Counts& failed_batches() const { return failed_batches_; }  // by cause
   const Counts& dropped() const { return dropped_; }                // by kind
+  const Counts& resent() const { return resent_; }                  // by kind
 
  private:
   // Of one peer, since its last line.
@@ -53,6 +55,7 @@
   std::function<void(const LogLine&)> log_;
   Counts failed_batches_;
   Counts dropped_;
+  Counts resent_;
   std::map<std::string, Unlogged> unlogged_;  // by address
 };
 
--- a/Tests/runtime/engine_peers_test.cc
+++ b/Tests/runtime/engine_peers_test.cc
@@ -123,4 +123,105 @@
   CHECK(lines[0].fields[1].value == "advice_reply:2,room_digest:1");
 }
 
+// Guards against messages that are lost with a request that got no answer, and
+// against peers that take them twice.
+TEST_CASE("Messages without an answer are sent again and taken once") {
+  boost::asio::io_context io;
+  std::vector<engine::PeerMessage> said;
+  EnginePeerServer receiver(
+      {.incarnation = "n2-4",
+       .on_message =
+           [&](engine::PeerMessageReceived it) {
+             said.push_back(std::move(it.message));
+           },
+       .log = [](const LogLine&) { FAIL("a message was refused"); }});
+  // Whether the first request is lost or only its answer.
+  bool taken = false;
+  SUBCASE("The request is lost") {}
+  SUBCASE("The answer is lost") {
+    taken = true;
+  }
+  std::vector<HttpServer::Responder> unanswered;
+  std::size_t requests = 0;
+  HttpServer server(
+      io, {},
+      [&](const HttpRequest& request, const HttpServer::Responder& responder) {
+        if (++requests == 1) {
+          unanswered.push_back(responder);
+          if (taken) {
+            receiver.HandleRequest(request, SteadyNow());
+          }
+          return;
+        }
+        responder(receiver.HandleRequest(request, SteadyNow()));
+      });
+  const std::string address =
+      fmt::format("127.0.0.1:{}", std::get<std::uint16_t>(server.Listen()));
+  EnginePeerClient sender(io, "n1-5");
+  const auto send = [&](engine::PeerMessage it) {
+    sender.Send({.to = "n2-4", .address = address, .message = std::move(it)});
+  };
+  const std::vector<engine::PeerMessage> messages = {
+      engine::TaskStops{{{.task = "t1"}}}, engine::TaskStops{{{.task = "t2"}}},
+      engine::TaskStops{{{.task = "t3"}}}};
+  send(messages[0]);
+  send(messages[1]);
+  RunUntil(io, [&] { return requests > 0; });
+  send(messages[2]);
+  RunUntil(io, [&] { return requests == 3; });
+  CHECK(said == messages);
+  CHECK(requests == 3);
+  CHECK(sender.losses().failed_batches() ==
+        PeerLosses::Counts{{"no_answer", 1}});
+  CHECK(sender.losses().resent() == PeerLosses::Counts{{"task_stops", 2}});
+  CHECK(sender.losses().dropped().empty());
+}
+
+// Guards against messages that are lost because the peer's process starts a
+// moment later, and against connects as fast as they are refused.
+TEST_CASE("An address without a process is tried again at growing intervals") {
+  boost::asio::io_context io;
+  const std::string address = UnusedAddress(io);
+  EnginePeerClient sender(io, "n1-5");
+  sender.Send({.to = "n2-4",
+               .address = address,
+               .message = engine::TaskStops{{{.task = "t1"}}}});
+  RunUntil(io, [&] { return !sender.losses().dropped().empty(); });
+  CHECK(sender.losses().dropped().at("task_stops") == 1);
+  const auto failed = sender.losses().failed_batches().at("not_connected");
+  CHECK(failed >= 3);
+  CHECK(failed <= 10);
+}
+
+// Guards against replies to the calls of a process that has ended which its
+// successor at the same address takes for replies to its own.
+TEST_CASE("Messages to the process before at an address are not taken") {
+  boost::asio::io_context io;
+  std::vector<engine::PeerMessage> said;
+  EnginePeerServer receiver(
+      {.incarnation = "n2-5",
+       .on_message =
+           [&](engine::PeerMessageReceived it) {
+             said.push_back(std::move(it.message));
+           },
+       .log = [](const LogLine&) { FAIL("a message was refused"); }});
+  HttpServer server(
+      io, {},
+      [&](const HttpRequest& request, const HttpServer::Responder& responder) {
+        responder(receiver.HandleRequest(request, SteadyNow()));
+      });
+  const std::string address =
+      fmt::format("127.0.0.1:{}", std::get<std::uint16_t>(server.Listen()));
+  EnginePeerClient sender(io, "n1-5");
+  sender.Send({.to = "n2-4",
+               .address = address,
+               .message = engine::JobReply{.call = 1}});
+  sender.Send({.to = "n2-5",
+               .address = address,
+               .message = engine::JobReply{.call = 2}});
+  RunUntil(io, [&] { return !said.empty(); });
+  CHECK(said == std::vector<engine::PeerMessage>{engine::JobReply{.call = 2}});
+  CHECK(sender.losses().dropped() == PeerLosses::Counts{{"job_reply", 1}});
+}
+
 }  // namespace burdockrock
