Engine: Queries a second member when a long reply is overdue

A ready step waited up to 5.9 s beside room after one lost advice reply of a live member: a long query was given up only 4 s after its reply was due, because a query that is given up and repeated loses its place in the member's queue. In a calm cell nothing may wait for more than 3 s.

300 ms after the reply was due the step may now query again, if another member can make the call at once. The first query stays open and keeps its place: the reply that comes first is used, and the tickets of a later one are added to those of the first, which they don't replace. Where all members are busy replies are late rather than lost, and nothing changes.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -26,6 +26,12 @@
 // more time because a repeated query loses its place in the member's queue.
 constexpr Duration kReplySlack = milliseconds(1500);
 constexpr Duration kLongReplySlack = milliseconds(4000);
+// When the reply of a long call is overdue by this time, the step may query
+// another member, while the first query stays open: its reply may only be late.
+constexpr Duration kSecondQueryDelay = milliseconds(300);
+// Only a member that makes the call within this time gets such a query. Where
+// all are busy replies are late, and more calls would make them later.
+constexpr Duration kIdleWait = milliseconds(250);
 // A step's tickets are requested this long before the step is ready, in
 // addition to the time of the call.
 constexpr Duration kRequestLead = milliseconds(400);
@@ -202,6 +208,11 @@
   share.Update(allowed, named);
 }
 
+// Whether the step has sent no other query since.
+bool IsLast(const StepRun& step, const AdviceQuery& query) {
+  return step.advice_called_at == query.sent_at;
+}
+
 void TakeTickets(Time now,
                  StepRun& step,
                  const AdvicePolicy& policy,
@@ -212,6 +223,10 @@
   std::set<std::string> allowed;
   for (const AdvisedWorker& it : reply.allowed) {
     allowed.insert(it.worker);
+    // The reply to an earlier query may have older tickets.
+    if (!IsLast(step, query) && step.tickets.contains(it.worker)) {
+      continue;
+    }
     step.tickets[it.worker] = StepTicket{.text = it.ticket,
                                          .expires = now + policy.valid,
                                          .reason = query.reason};
@@ -224,15 +239,30 @@
   }
 }
 
-// Allows another query for the step. Null when the job is not known any more.
-StepRun* EndQuery(Context& context, const AdviceQuery& query) {
+// Null when the job is not known any more.
+StepRun* FindStep(Context& context, const AdviceQuery& query) {
   Job* job = FindJob(context.state, query.step.job);
-  if (job == nullptr) {
-    return nullptr;
+  return job == nullptr ? nullptr
+                        : &StepAt(*job, query.step.occurrence, query.step.step);
+}
+
+// Lets steps query another member when the reply of a long call is overdue.
+void ReleaseOverdueSteps(Context& context) {
+  for (const auto& [call, query] : context.state.advice.queries) {
+    const bool overdue = IsLongCall(query.expected) &&
+                         context.now >= query.due + kSecondQueryDelay;
+    StepRun* step = overdue ? FindStep(context, query) : nullptr;
+    if (step == nullptr || !step->advice_pending || !IsLast(*step, query)) {
+      continue;
+    }
+    const std::string other = ChooseAdviceCaller(context, query.priority,
+                                                 query.expected, Time::min());
+    if (other != query.member &&
+        WaitLeftAt(context, other, query.priority) <= kIdleWait) {
+      step->advice_pending = false;
+      step->advice_checked_at = Time::min();
+    }
   }
-  StepRun& step = StepAt(*job, query.step.occurrence, query.step.step);
-  step.advice_pending = false;
-  return &step;
 }
 
 void CountReply(Context& context,
@@ -256,7 +286,9 @@
     if (context.now < it.second.deadline && !lost) {
       return false;
     }
-    if (StepRun* step = EndQuery(context, it.second)) {
+    StepRun* step = FindStep(context, it.second);
+    if (step != nullptr && IsLast(*step, it.second)) {
+      step->advice_pending = false;
       step->advice_unanswered = true;
       step->advice_checked_at = Time::min();  // query another member at once
     }
@@ -273,6 +305,7 @@
     return;
   }
   GiveUpOverdueQueries(context);
+  ReleaseOverdueSteps(context);
   CandidatesByService candidates;
   std::set<const QueuePolicy*> busy;  // their calls have to wait
   for (const ReadyStep& it : StepsInLine(context)) {
@@ -305,16 +338,21 @@
     return;
   }
   const AdviceQuery& query = node.mapped();
-  StepRun* step = EndQuery(context, query);
+  StepRun* step = FindStep(context, query);
+  // A reply to an earlier query is of use only if it brings tickets.
+  const bool is_last = step != nullptr && IsLast(*step, query);
+  if (is_last) {
+    step->advice_pending = false;
+  }
   Job* job = FindJob(context.state, query.step.job);
   const QueuePolicy* queue =
       job == nullptr ? nullptr
                      : FindQueueByName(context.state.configuration, job->queue);
-  if (reply.declined && step != nullptr) {
+  if (reply.declined && is_last) {
     step->advice_checked_at = Time::min();  // query another member at once
     return;
   }
-  if (step != nullptr) {
+  if (is_last) {
     step->advice_unanswered = reply.failed;
   }
   CountReply(context, query, reply, step == nullptr);
