Engine: Makes one call for an advice request that arrives twice

Messages between members may arrive more than once, but each arrival of a PeerAdviceRequest made a call to the advice service, which serves one at a time. The queue now leaves out a request that is queued, in flight or was answered lately.

--- a/Source/engine/advice/advice_queue.cc
+++ b/Source/engine/advice/advice_queue.cc
@@ -26,6 +26,9 @@
 // instances. The lateness decays to zero over this time after a call, so that
 // the instance gets queries again.
 constexpr Duration kLateSpan = milliseconds(2000);
+// The channel between members sends nothing again for longer.
+constexpr Duration kAnsweredKeptFor = milliseconds(5000);
+
 // The last call's weight in the lateness is one in this many parts.
 constexpr std::int64_t kLateParts = 2;
 
@@ -102,6 +105,27 @@
                 });
 }
 
+// Whether the call is queued, in flight, or was answered lately. A request may
+// arrive more than once.
+bool IsKnown(const AdviceState& advice,
+             const std::string& from,
+             std::uint64_t call) {
+  const auto is_call = [&](const QueuedAdviceCall& it) {
+    return it.from == from && it.request.call == call;
+  };
+  return advice.answered.contains({from, call}) ||
+         (advice.in_flight && is_call(*advice.in_flight)) ||
+         std::any_of(advice.call_queue.begin(), advice.call_queue.end(),
+                     is_call);
+}
+
+void NoteAnswered(AdviceState& advice, Time now, const QueuedAdviceCall& call) {
+  std::erase_if(advice.answered, [&](const auto& it) {
+    return now >= it.second + kAnsweredKeptFor;
+  });
+  advice.answered.emplace(std::pair(call.from, call.request.call), now);
+}
+
 void Decline(Context& context, const QueuedAdviceCall& call) {
   Send(
       context, call.from,
@@ -166,6 +190,9 @@
 void OnPeerAdviceRequest(Context& context,
                          const std::string& from,
                          const PeerAdviceRequest& request) {
+  if (IsKnown(context.state.advice, from, request.call)) {
+    return;
+  }
   context.state.advice.call_queue.push_back(
       {.from = from, .request = request, .received_at = context.now});
   DeclineLateCalls(context);
@@ -177,6 +204,7 @@
     return;
   }
   const QueuedAdviceCall call = *std::exchange(advice.in_flight, std::nullopt);
+  NoteAnswered(advice, context.now, call);
   NoteLateness(advice, context.now, call.request.expected);
   AdviceReply reply{
       .call = call.request.call,
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -392,6 +392,8 @@
   std::deque<QueuedAdviceCall> call_queue{};
   std::optional<QueuedAdviceCall> in_flight{};
   Time called_at{0};  // start of the call in flight
+  // Calls that were answered lately, by the sender and its number of the call.
+  std::map<std::pair<std::string, std::uint64_t>, Time> answered{};
   Time retry_at{0};
   Duration overrun{0};  // how far recent calls exceeded their expected time
   Time overrun_at{0};
--- a/Tests/engine/lost_messages_test.cc
+++ b/Tests/engine/lost_messages_test.cc
@@ -253,4 +253,32 @@
   CHECK(waited <= kWaitBound);
 }
 
+// Guards against calls to the service for requests that arrive again.
+TEST_CASE("An advice request that arrives twice makes one call") {
+  Fleet fleet({.advice = true});
+  fleet.Settle();
+  std::vector<std::string> steps;
+  fleet.advice_duration = [&](const AdviceRequest& it) {
+    steps.push_back(it.step);
+    return milliseconds(100);
+  };
+  const auto request = [&](std::uint64_t call) {
+    fleet.DeliverPeerMessage(
+        "n0", "n1-1",
+        PeerAdviceRequest{.call = call,
+                          .step = fmt::format("j{}.0.0", call),
+                          .expected = milliseconds(100),
+                          .workers = {"w0-1"}});
+  };
+  request(1);
+  request(2);
+  fleet.Run(milliseconds(50));  // one call is in flight, the other waits
+  request(1);
+  request(2);
+  fleet.Run(milliseconds(400));  // both are answered
+  request(1);
+  fleet.Run(milliseconds(400));
+  CHECK(fmt::format("{}", fmt::join(steps, " ")) == "j1.0.0 j2.0.0");
+}
+
 }  // namespace burdockrock::engine
