Engine: Makes no call for a declined advice request that arrives again

Its sender has been told that the call is not made, and has asked elsewhere. The queue now knows declined requests like answered ones.

--- a/Source/engine/advice/advice_queue.cc
+++ b/Source/engine/advice/advice_queue.cc
@@ -127,6 +127,7 @@
 }
 
 void Decline(Context& context, const QueuedAdviceCall& call) {
+  NoteAnswered(context.state.advice, context.now, call);
   Send(
       context, call.from,
       AdviceReply{.call = call.request.call,
--- a/Tests/engine/lost_messages_test.cc
+++ b/Tests/engine/lost_messages_test.cc
@@ -281,4 +281,31 @@
   CHECK(fmt::format("{}", fmt::join(steps, " ")) == "j1.0.0 j2.0.0");
 }
 
+// Guards against a call whose sender has been told that it is not made.
+TEST_CASE("A declined advice request that arrives again makes no call") {
+  Fleet fleet({.advice = true});
+  fleet.Settle();
+  std::vector<std::string> steps;
+  fleet.advice_duration = [&](const AdviceRequest& it) {
+    steps.push_back(it.step);
+    return milliseconds(300);
+  };
+  const auto request = [&](std::uint64_t call) {
+    fleet.DeliverPeerMessage(
+        "n0", "n1-1",
+        PeerAdviceRequest{.call = call,
+                          .step = fmt::format("j{}.0.0", call),
+                          .expected = milliseconds(300),
+                          .max_wait = milliseconds(100),
+                          .workers = {"w0-1"}});
+  };
+  request(1);
+  fleet.Run(milliseconds(50));
+  request(2);  // would wait for 250 ms
+  fleet.Run(milliseconds(500));
+  request(2);
+  fleet.Run(milliseconds(500));
+  CHECK(fmt::format("{}", fmt::join(steps, " ")) == "j1.0.0");
+}
+
 }  // namespace burdockrock::engine
