--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr int kOkStatus = 200;
-constexpr int kBadRequestStatus = 400;
 constexpr int kNotFoundStatus = 404;
 
 constexpr Duration kHousekeepingPeriod = std::chrono::seconds(1);
@@ -40,9 +38,12 @@
                .minimum = options_.log_level,
                .instance = options_.engine.self.node,
                .sink = options_.log_sink}),
-      peer_client_(io, options_.engine.self.incarnation),
+      peer_client_(io,
+                   options_.engine.self.incarnation,
+                   [this](const LogLine& it) { logger_.Write(it); }),
       shell_(io, engine::MakeState(options_.engine), MakeHooks()),
-      peer_server_({.on_message =
+      peer_server_({.incarnation = options_.engine.self.incarnation,
+                    .on_message =
                         [this](engine::PeerMessageReceived it) {
                           shell_.Handle(std::move(it), peers_body_arrived_);
                         },
@@ -143,8 +144,7 @@
     response.status = kNotFoundStatus;
   } else {
     peers_body_arrived_ = SteadyNow();
-    response.body = peer_server_.HandleBody(request.body);
-    response.status = response.body.empty() ? kOkStatus : kBadRequestStatus;
+    response = peer_server_.HandleRequest(request, peers_body_arrived_);
   }
   responder(std::move(response));
 }
@@ -186,6 +186,25 @@
                     {{.name = "kind", .value = std::string(kind)}})
         .RaiseTo(static_cast<double>(it.messages));
   }
+  const PeerLosses& losses = peer_client_.losses();
+  for (const auto& [cause, it] : losses.failed_batches()) {
+    metrics_
+        .GetCounter(kPeerFailedBatchesTotal,
+                    {{.name = "cause", .value = std::string(cause)}})
+        .RaiseTo(static_cast<double>(it));
+  }
+  for (const auto& [kind, it] : losses.dropped()) {
+    metrics_
+        .GetCounter(kPeerDroppedMessagesTotal,
+                    {{.name = "kind", .value = std::string(kind)}})
+        .RaiseTo(static_cast<double>(it));
+  }
+  for (const auto& [kind, it] : losses.resent()) {
+    metrics_
+        .GetCounter(kPeerResentMessagesTotal,
+                    {{.name = "kind", .value = std::string(kind)}})
+        .RaiseTo(static_cast<double>(it));
+  }
   if (const auto usage = ReadProcessUsage()) {
     metrics_.Set(kResidentBytes, {},
                  static_cast<double>(usage->resident_bytes));
@@ -201,6 +220,7 @@
     if (ec) {
       return;
     }
+    peer_client_.LogLosses();
     logger_.Flush();
     if (++housekeepings_ % kHousekeepingsPerSweep == 0) {
       peer_client_.Sweep();
--- a/Tests/runtime/engine_peers_test.cc
+++ b/Tests/runtime/engine_peers_test.cc
@@ -1,7 +1,9 @@
 // Messages between engines, on the loopback interface.
 #include "runtime/engine_peers.h"
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -14,6 +16,7 @@
 #include "engine/members/peer_codec.h"
 #include "net/http_server.h"
 #include "net/json.h"
+#include "runtime/clock.h"
 
 namespace burdockrock {
 
@@ -28,6 +31,24 @@
                        .accepting = true}}};
 }
 
+// Nothing listens there.
+std::string UnusedAddress(boost::asio::io_context& io) {
+  HttpServer server(io, {},
+                    [](const HttpRequest&, const HttpServer::Responder&) {});
+  return fmt::format("127.0.0.1:{}", std::get<std::uint16_t>(server.Listen()));
+}
+
+// Fails the test if the condition does not hold within 20 s.
+void RunUntil(boost::asio::io_context& io,
+              const std::function<bool()>& condition) {
+  const Time end = SteadyNow() + std::chrono::seconds(20);
+  while (!condition()) {
+    REQUIRE(SteadyNow() < end);
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+}
+
 }  // namespace
 
 // The metrics of a site that was short of processor time told only that 700
@@ -73,4 +94,134 @@
   CHECK(receiver.kinds().size() == 2);
 }
 
+// Guards against messages that are lost without a trace.
+TEST_CASE("Messages of a failed request are counted and logged by kind") {
+  boost::asio::io_context io;
+  std::vector<LogLine> lines;
+  EnginePeerClient sender(io, "n1-5",
+                          [&](const LogLine& it) { lines.push_back(it); });
+  const std::string address = UnusedAddress(io);
+  const auto send = [&](engine::PeerMessage it) {
+    sender.Send({.to = "n2-4", .address = address, .message = std::move(it)});
+  };
+  send(SomeRoom());
+  send(engine::AdviceReply{.call = 1});
+  send(engine::AdviceReply{.call = 2});
+  RunUntil(io, [&] { return sender.losses().dropped().size() == 2; });
+  CHECK(sender.losses().dropped() ==
+        PeerLosses::Counts{{"advice_reply", 2}, {"room_digest", 1}});
+  CHECK(sender.losses().failed_batches().at("not_connected") >= 1);
+  sender.LogLosses();
+  send(engine::AdviceReply{.call = 3});
+  RunUntil(io,
+           [&] { return sender.losses().dropped().at("advice_reply") == 3; });
+  sender.LogLosses();
+  // The later loss is part of the next line.
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].number == EventNumber::kPeerMessagesLost);
+  CHECK(lines[0].fields[0].value == address);
+  CHECK(lines[0].fields[1].value == "advice_reply:2,room_digest:1");
+}
+
+// Guards against messages that are lost with a request that got no answer, and
+// against peers that take them twice.
+TEST_CASE("Messages without an answer are sent again and taken once") {
+  boost::asio::io_context io;
+  std::vector<engine::PeerMessage> said;
+  EnginePeerServer receiver(
+      {.incarnation = "n2-4",
+       .on_message =
+           [&](engine::PeerMessageReceived it) {
+             said.push_back(std::move(it.message));
+           },
+       .log = [](const LogLine&) { FAIL("a message was refused"); }});
+  // Whether the first request is lost or only its answer.
+  bool taken = false;
+  SUBCASE("The request is lost") {}
+  SUBCASE("The answer is lost") {
+    taken = true;
+  }
+  std::vector<HttpServer::Responder> unanswered;
+  std::size_t requests = 0;
+  HttpServer server(
+      io, {},
+      [&](const HttpRequest& request, const HttpServer::Responder& responder) {
+        if (++requests == 1) {
+          unanswered.push_back(responder);
+          if (taken) {
+            receiver.HandleRequest(request, SteadyNow());
+          }
+          return;
+        }
+        responder(receiver.HandleRequest(request, SteadyNow()));
+      });
+  const std::string address =
+      fmt::format("127.0.0.1:{}", std::get<std::uint16_t>(server.Listen()));
+  EnginePeerClient sender(io, "n1-5");
+  const auto send = [&](engine::PeerMessage it) {
+    sender.Send({.to = "n2-4", .address = address, .message = std::move(it)});
+  };
+  const std::vector<engine::PeerMessage> messages = {
+      engine::TaskStops{{{.task = "t1"}}}, engine::TaskStops{{{.task = "t2"}}},
+      engine::TaskStops{{{.task = "t3"}}}};
+  send(messages[0]);
+  send(messages[1]);
+  RunUntil(io, [&] { return requests > 0; });
+  send(messages[2]);
+  RunUntil(io, [&] { return requests == 3; });
+  CHECK(said == messages);
+  CHECK(requests == 3);
+  CHECK(sender.losses().failed_batches() ==
+        PeerLosses::Counts{{"no_answer", 1}});
+  CHECK(sender.losses().resent() == PeerLosses::Counts{{"task_stops", 2}});
+  CHECK(sender.losses().dropped().empty());
+}
+
+// Guards against messages that are lost because the peer's process starts a
+// moment later, and against connects as fast as they are refused.
+TEST_CASE("An address without a process is tried again at growing intervals") {
+  boost::asio::io_context io;
+  const std::string address = UnusedAddress(io);
+  EnginePeerClient sender(io, "n1-5");
+  sender.Send({.to = "n2-4",
+               .address = address,
+               .message = engine::TaskStops{{{.task = "t1"}}}});
+  RunUntil(io, [&] { return !sender.losses().dropped().empty(); });
+  CHECK(sender.losses().dropped().at("task_stops") == 1);
+  const auto failed = sender.losses().failed_batches().at("not_connected");
+  CHECK(failed >= 3);
+  CHECK(failed <= 10);
+}
+
+// Guards against replies to the calls of a process that has ended which its
+// successor at the same address takes for replies to its own.
+TEST_CASE("Messages to the process before at an address are not taken") {
+  boost::asio::io_context io;
+  std::vector<engine::PeerMessage> said;
+  EnginePeerServer receiver(
+      {.incarnation = "n2-5",
+       .on_message =
+           [&](engine::PeerMessageReceived it) {
+             said.push_back(std::move(it.message));
+           },
+       .log = [](const LogLine&) { FAIL("a message was refused"); }});
+  HttpServer server(
+      io, {},
+      [&](const HttpRequest& request, const HttpServer::Responder& responder) {
+        responder(receiver.HandleRequest(request, SteadyNow()));
+      });
+  const std::string address =
+      fmt::format("127.0.0.1:{}", std::get<std::uint16_t>(server.Listen()));
+  EnginePeerClient sender(io, "n1-5");
+  sender.Send({.to = "n2-4",
+               .address = address,
+               .message = engine::JobReply{.call = 1}});
+  sender.Send({.to = "n2-5",
+               .address = address,
+               .message = engine::JobReply{.call = 2}});
+  RunUntil(io, [&] { return !said.empty(); });
+  CHECK(said == std::vector<engine::PeerMessage>{engine::JobReply{.call = 2}});
+  CHECK(sender.losses().dropped() == PeerLosses::Counts{{"job_reply", 1}});
+}
+
 }  // namespace burdockrock
