--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -27,11 +27,16 @@
 // acknowledged.
 constexpr Duration kCancelBound = milliseconds(3400);
 
-// "address|domain|service|processors|draining|born"; the start may be missing.
+// "address|domain|service|processors|draining|born|label|label..."; the start
+// and the labels may be missing.
 std::string WorkerText(const WorkerInfo& info) {
-  return fmt::format("{}|{}|{}|{}|{}|{}", info.address, info.domain,
-                     info.service, info.capacity.processors_milli,
-                     info.draining ? 1 : 0, info.born);
+  std::string text = fmt::format("{}|{}|{}|{}|{}|{}", info.address, info.domain,
+                                 info.service, info.capacity.processors_milli,
+                                 info.draining ? 1 : 0, info.born);
+  for (const std::string& it : info.labels) {
+    text += "|" + it;
+  }
+  return text;
 }
 
 std::vector<std::string> Split(std::string_view text) {
@@ -49,10 +54,13 @@
 std::variant<WorkerInfo, DocumentFault> ReadWorker(std::string_view id,
                                                    std::string_view text) {
   const auto parts = Split(text);
-  if (parts.size() != 5 && parts.size() != 6) {
+  constexpr std::size_t kFixed = 6;
+  if (parts.size() < kFixed - 1) {
     return DocumentFault{.problem = "not a worker"};
   }
-  const std::int64_t born = parts.size() == 6 ? std::stoll(parts[5]) : 0;
+  const std::int64_t born = parts.size() >= kFixed ? std::stoll(parts[5]) : 0;
+  const auto fixed =
+      static_cast<std::ptrdiff_t>(std::min(parts.size(), kFixed));
   return WorkerInfo{.id = IncarnationName(id, born),
                     .born = born,
                     .address = parts[0],
@@ -60,6 +68,7 @@
                     .service = parts[2],
                     .capacity = {.processors_milli = std::stoll(parts[3]),
                                  .memory_mb = 1'000'000},
+                    .labels = {parts.begin() + fixed, parts.end()},
                     .draining = parts[4] == "1"};
 }
 
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -182,6 +182,9 @@
   // Time that the advice service takes for a call.
   std::function<Duration(const AdviceRequest&)> advice_duration =
       [](const AdviceRequest&) { return std::chrono::milliseconds(20); };
+  // Whether a call to the advice service fails.
+  std::function<bool(const AdviceRequest&)> advice_fails =
+      [](const AdviceRequest&) { return false; };
   // For how long after the reply workers accept the tickets of the advice
   // service.
   Duration tickets_valid = std::chrono::milliseconds(2500);
--- a/Tests/engine/fleet_machines.cc
+++ b/Tests/engine/fleet_machines.cc
@@ -165,6 +165,13 @@
 void Fleet::HandleAdviceCall(const std::string& node, const CallAdvice& call) {
   const std::uint64_t incarnation = nodes_.at(node).incarnation;
   const Time answered_at = now_ + advice_duration(call.request);
+  if (advice_fails(call.request)) {
+    return At(answered_at, [this, node, incarnation, call] {
+      Deliver(node, incarnation,
+              AdviceAnswered{.request = call.request,
+                             .answer = AdviceFailed{.detail = "503"}});
+    });
+  }
   AdviceGiven given;
   for (const std::string& it : call.request.workers) {
     if (allows(call.request.step, it)) {
