Placing: Keeps no room for urgent tasks while half of the service is free

A task of a queue with priority 2 or 3 that needs most of a worker never started beside a small lasting one, on any of six workers that were nearly empty.

Cause: each worker keeps 6 of 100 of its processors free for each priority above, at most what the task leaves free of an empty worker. Beside 500 of 8,000 in use a task of 7,000 needed all 8,000, for as long as the lasting task ran. Likewise, a large task has no room on workers that are all in use to a little under a half.

Evidence: wait_bounds_test "A large task starts beside small lasting ones" failed before the change for priorities 2 and 3: CHECK( fleet.RunUntil([&] { return CountRuns(fleet, "large") == 2; }, kWaitBound) ) is NOT correct.

Change: a step reserves only where less than half of its service's processors would be free beside all its waiting tasks.

Result: the test passes, as does "Room is kept for urgent tasks where half of all is in use", which held before, and "Urgent work preempts work that checkpoints". That one failed with a first form which did not count the step's own tasks: a wide step took what was kept.

Why it works: a reserve lets short urgent tasks start where all else is taken. While half of the service is free beside the step, they find room without it.

--- a/Source/engine/jobs/candidates.cc
+++ b/Source/engine/jobs/candidates.cc
@@ -1,5 +1,7 @@
 #include "engine/jobs/candidates.h"
 
+#include <cstdint>
+
 #include <xxhash.h>
 
 #include "engine/members/membership.h"
@@ -8,6 +10,9 @@
 
 namespace {
 
+// Interval of counts of the services' room, which look at all workers.
+constexpr Duration kRoomCountInterval = milliseconds(100);
+
 // Upper bound of the preference for another owner's worker.
 constexpr double kMaxForeignPreference = 0.5;
 
@@ -38,6 +43,18 @@
   }
 }
 
+void CountRooms(State& state) {
+  auto& services = state.service_rooms.services;
+  services.clear();
+  for (auto& [id, listed] : state.workers) {
+    if (const RoomView* view = UsableView(state, id, listed)) {
+      ServiceRoom& service = services[listed.info.service];
+      service.free += view->free.processors_milli;
+      service.all += listed.info.capacity.processors_milli;
+    }
+  }
+}
+
 }  // namespace
 
 // Caches the view and whether its owner is a member, because each placement
@@ -88,4 +105,17 @@
   return candidates;
 }
 
+bool IsHalfFreeBeside(const Context& context,
+                      const std::string& service,
+                      std::int64_t processors_milli) {
+  ServiceRooms& rooms = context.state.service_rooms;
+  if (HasPassed(context.now, rooms.counted_at, kRoomCountInterval)) {
+    rooms.counted_at = context.now;
+    CountRooms(context.state);
+  }
+  const auto it = rooms.services.find(service);
+  return it != rooms.services.end() &&
+         2 * (it->second.free - processors_milli) > it->second.all;
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/jobs/candidates.h
+++ b/Source/engine/jobs/candidates.h
@@ -2,6 +2,7 @@
 #ifndef BURDOCKROCK_ENGINE_JOBS_CANDIDATES_H_
 #define BURDOCKROCK_ENGINE_JOBS_CANDIDATES_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,13 @@
 std::vector<Candidate> CandidatesOf(const Context& context,
                                     const std::string& service);
 
+// Whether more than half of the processors of the service's workers that accept
+// tasks would be free beside such tasks. The count may be a placement interval
+// old.
+bool IsHalfFreeBeside(const Context& context,
+                      const std::string& service,
+                      std::int64_t processors_milli);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_JOBS_CANDIDATES_H_
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "engine/jobs/candidates.h"
 #include "engine/jobs/gang_placing.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/placement_round.h"
@@ -196,6 +197,21 @@
          });
 }
 
+// Urgent tasks need no reserve as long as half of the service is free.
+bool Reserves(const Context& context,
+              const QueuePolicy& queue,
+              const StepSpec& spec,
+              const StepRun& step) {
+  if (queue.priority == kMostUrgent) {
+    return false;
+  }
+  const auto waiting = std::count_if(
+      step.tasks.begin(), step.tasks.end(),
+      [](const Task& it) { return it.phase == TaskPhase::kWaiting; });
+  return !IsHalfFreeBeside(context, queue.service,
+                           waiting * RoomOf(spec).processors_milli);
+}
+
 void AddReadySteps(Context& context,
                    Job& job,
                    const QueuePolicy& queue,
@@ -216,11 +232,13 @@
       if (ready) {
         step.ready_at = std::min(step.ready_at, context.now);
       }
-      out.push_back({.job = &job,
-                     .occurrence = k,
-                     .step = s,
-                     .queue = &queue,
-                     .ready = ready});
+      out.push_back(
+          {.job = &job,
+           .occurrence = k,
+           .step = s,
+           .queue = &queue,
+           .ready = ready,
+           .reserves = Reserves(context, queue, job.spec.steps[s], step)});
     }
   }
 }
@@ -273,11 +291,12 @@
 }
 
 PlacementNeed NeedOf(const ReadyStep& ready) {
+  const double reserved =
+      kReservePerPriority * static_cast<double>(ready.queue->priority);
   return {.step = &ready.spec(),
           .room = RoomOf(ready.spec()),
           .speed_weight = SpeedWeight(ready.queue->stretch),
-          .reserved_share =
-              kReservePerPriority * static_cast<double>(ready.queue->priority)};
+          .reserved_share = ready.reserves ? reserved : 0};
 }
 
 std::vector<ReadyStep> ReadySteps(Context& context, const StepLead& lead) {
--- a/Source/engine/jobs/placing.h
+++ b/Source/engine/jobs/placing.h
@@ -22,6 +22,8 @@
   std::uint32_t step = 0;
   const QueuePolicy* queue = nullptr;
   bool ready = true;  // false: its dependencies are expected to be done soon
+  // Whether the step leaves room free for higher priorities.
+  bool reserves = true;
 
   const StepSpec& spec() const { return job->spec.steps[step]; }
   StepRun& run() const { return job->occurrences[occurrence].steps[step]; }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -154,6 +154,17 @@
   std::map<std::string, Time> replaced_at{};
 };
 
+// Processors, in thousandths, of a service's workers that accept tasks.
+struct ServiceRoom {
+  std::int64_t free = 0;
+  std::int64_t all = 0;
+};
+
+struct ServiceRooms {
+  Time counted_at = Time::min();
+  std::map<std::string, ServiceRoom> services{};
+};
+
 // The member of a machine that may be chosen as an owner.
 struct ChoosableMember {
   std::string incarnation{};
@@ -536,6 +547,7 @@
   std::map<std::string, TaskStops> stops{};
   bool placement_due = false;
   Time placed_at = Time::min();
+  ServiceRooms service_rooms{};
   ConditionLogState condition_log{};
   EndLog end_log{};
   Totals totals{};
--- a/Tests/engine/wait_bounds_test.cc
+++ b/Tests/engine/wait_bounds_test.cc
@@ -46,7 +46,7 @@
 
 std::vector<Shape> Shapes() {
   std::vector<Shape> shapes;
-  for (const char *it : {"plain", "gang", "spread", "lasting"}) {
+  for (const char* it : {"plain", "gang", "spread", "lasting"}) {
     shapes.push_back({.name = it, .step = OneStep(kTasks).steps[0]});
   }
   shapes[1].step.gang = true;
@@ -56,7 +56,7 @@
 }
 
 // The policy of the advice service: six of ten workers, others for each step.
-bool Allows(const std::string &step, const std::string &worker) {
+bool Allows(const std::string& step, const std::string& worker) {
   return std::hash<std::string>()(step + "@" + worker) % 10 < 6;
 }
 
@@ -69,24 +69,24 @@
 }
 
 // Lasting tasks do not end, except those of a job's first step of two.
-bool IsEndless(const std::string &task) {
+bool IsEndless(const std::string& task) {
   return task.starts_with("fill") || task.starts_with("lasting-late") ||
          (task.starts_with("lasting") &&
           task.find(".0.1.") != std::string::npos);
 }
 
-void PlanShapes(Fleet &fleet) {
-  for (const std::string &it : fleet.worker_names()) {
-    fleet.worker(it).plan = [](const std::string &task, std::uint64_t) {
-      return RunPlan{.takes = kFirstStep,
-                     .how = task.starts_with("failing") ? RunEnd::kFailed
-                                                        : RunEnd::kDone,
-                     .endless = IsEndless(task)};
+void PlanShapes(Fleet& fleet) {
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string& task, std::uint64_t) {
+      return RunPlan{
+          .takes = kFirstStep,
+          .how = task.starts_with("failing") ? RunEnd::kFailed : RunEnd::kDone,
+          .endless = IsEndless(task)};
     };
   }
 }
 
-void SetUp(Fleet &fleet, const AdvicePolicy &advice) {
+void SetUp(Fleet& fleet, const AdvicePolicy& advice) {
   fleet.SetQueue({.name = "q",
                   .host = "h",
                   .prefix = "/q/",
@@ -96,7 +96,7 @@
                   .stretch = 2.2,
                   .advice = advice});
   fleet.allows = Allows;
-  fleet.advice_duration = [advice](const AdviceRequest &it) {
+  fleet.advice_duration = [advice](const AdviceRequest& it) {
     return advice.decision +
            advice.each * static_cast<std::int64_t>(it.workers.size());
   };
@@ -105,7 +105,7 @@
 }
 
 // A job of a plain step and then one of the shape.
-JobSpec WithShape(const Shape &shape) {
+JobSpec WithShape(const Shape& shape) {
   JobSpec spec = OneStep(kFirstTasks);
   spec.steps.push_back(shape.step);
   spec.steps[1].after = {0};
@@ -114,17 +114,18 @@
 
 // How a step of a job has gone so far.
 struct StepSeen {
-  std::set<std::string> started{}; // tasks
+  std::set<std::string> started{};  // tasks
   std::set<std::string> running{};
-  Time last_first{0}; // the last first start of a task
+  Time last_first{0};  // the last first start of a task
   Time last_end{0};
 };
 
-StepSeen SeenOf(const Fleet &fleet, const std::string &job,
+StepSeen SeenOf(const Fleet& fleet,
+                const std::string& job,
                 std::uint32_t step = 1) {
   const std::string prefix = fmt::format("{}.0.{}.", job, step);
   StepSeen seen;
-  for (const SeenRun &it : fleet.seen) {
+  for (const SeenRun& it : fleet.seen) {
     if (!it.task.starts_with(prefix)) {
       continue;
     }
@@ -141,17 +142,18 @@
 }
 
 // Submits a job of each shape to the instances that are up, in turn.
-std::vector<std::string>
-SubmitShapes(Fleet &fleet, const std::string &name,
-             const std::function<JobSpec(const Shape &)> &spec = WithShape) {
+std::vector<std::string> SubmitShapes(
+    Fleet& fleet,
+    const std::string& name,
+    const std::function<JobSpec(const Shape&)>& spec = WithShape) {
   std::vector<std::string> up;
-  for (const std::string &it : fleet.nodes()) {
+  for (const std::string& it : fleet.nodes()) {
     if (fleet.IsUp(it)) {
       up.push_back(it);
     }
   }
   std::vector<std::string> jobs;
-  for (const Shape &it : Shapes()) {
+  for (const Shape& it : Shapes()) {
     jobs.push_back(fmt::format("{}-{}", it.name, name));
     fleet.Submit(up[jobs.size() % up.size()], jobs.back(), spec(it));
   }
@@ -159,9 +161,10 @@
 }
 
 // Whether the step of each job has started, and lasting ones run.
-bool HaveStarted(const Fleet &fleet, const std::vector<std::string> &jobs,
+bool HaveStarted(const Fleet& fleet,
+                 const std::vector<std::string>& jobs,
                  std::uint32_t step = 1) {
-  return std::all_of(jobs.begin(), jobs.end(), [&](const std::string &it) {
+  return std::all_of(jobs.begin(), jobs.end(), [&](const std::string& it) {
     const StepSeen seen = SeenOf(fleet, it, step);
     return (it.starts_with("lasting") && step == 1
                 ? seen.running.size()
@@ -172,19 +175,19 @@
 // A fault of the cell and its end.
 struct Fault {
   std::string name{};
-  std::function<void(Fleet &)> begin{};
+  std::function<void(Fleet&)> begin{};
   Duration lasts = seconds(3);
-  std::function<void(Fleet &)> end = [](Fleet &) {};
+  std::function<void(Fleet&)> end = [](Fleet&) {};
 };
 
 // How a fault is played.
 struct Play {
   AdvicePolicy advice{};
-  Duration before{0}; // from the submissions to the fault
+  Duration before{0};  // from the submissions to the fault
   std::uint64_t seed = 1;
 };
 
-void CheckAfterFault(const Fault &fault, const Play &play) {
+void CheckAfterFault(const Fault& fault, const Play& play) {
   INFO(fault.name, ", advice of ", ToMilliseconds(play.advice.decision),
        " ms, after ", ToMilliseconds(play.before), " ms, seed ", play.seed);
   FleetOptions options = Cell();
@@ -199,7 +202,7 @@
   const Time ended = fleet.now();
   fleet.RunUntil([&] { return HaveStarted(fleet, during); },
                  kCalm + kWaitBound);
-  for (const std::string &it : during) {
+  for (const std::string& it : during) {
     const StepSeen seen = SeenOf(fleet, it);
     INFO(it, ": ", seen.started.size(), " started, ", seen.running.size(),
          " run");
@@ -209,7 +212,7 @@
   const Time since = fleet.now();
   const auto after = SubmitShapes(fleet, "after");
   fleet.Run(2 * kWaitBound + kFirstStep);
-  for (const std::string &it : after) {
+  for (const std::string& it : after) {
     const StepSeen first = SeenOf(fleet, it, 0);
     const StepSeen second = SeenOf(fleet, it);
     INFO(it, " waited ", ToMilliseconds(first.last_first - since), " and ",
@@ -222,8 +225,8 @@
   CheckInvariants(fleet);
 }
 
-void CheckAfterFaults(const std::vector<Fault> &faults) {
-  for (const Fault &it : faults) {
+void CheckAfterFaults(const std::vector<Fault>& faults) {
+  for (const Fault& it : faults) {
     for (const Duration before : {milliseconds(300), milliseconds(1200)}) {
       for (const std::uint64_t seed : {1, 2}) {
         CheckAfterFault(it, {.advice = kShort, .before = before, .seed = seed});
@@ -233,74 +236,77 @@
   }
 }
 
-template <typename Message> Fault LoseAll(const std::string &name) {
+template <typename Message>
+Fault LoseAll(const std::string& name) {
   return {.name = "lost " + name,
           .begin =
-              [](Fleet &fleet) {
+              [](Fleet& fleet) {
                 auto lost = std::make_shared<bool>(false);
-                fleet.on_peer = [lost](const std::string &,
-                                       const SendPeer &it) {
+                fleet.on_peer = [lost](const std::string&, const SendPeer& it) {
                   *lost = std::holds_alternative<Message>(it.message);
                 };
-                fleet.is_cut = [lost](const std::string &,
-                                      const std::string &) { return *lost; };
+                fleet.is_cut = [lost](const std::string&, const std::string&) {
+                  return *lost;
+                };
               },
           .end =
-              [](Fleet &fleet) {
-                fleet.is_cut = [](const std::string &, const std::string &) {
+              [](Fleet& fleet) {
+                fleet.is_cut = [](const std::string&, const std::string&) {
                   return false;
                 };
               }};
 }
 
 template <typename Command>
-Fault CommandsHave(const std::string &name, CommandFault fault) {
+Fault CommandsHave(const std::string& name, CommandFault fault) {
   return {.name = name,
           .begin =
-              [fault](Fleet &fleet) {
-                fleet.command_fault = [fault](const std::string &,
-                                              const std::string &,
-                                              const WorkerRequest &it) {
+              [fault](Fleet& fleet) {
+                fleet.command_fault = [fault](const std::string&,
+                                              const std::string&,
+                                              const WorkerRequest& it) {
                   return std::holds_alternative<Command>(it)
                              ? fault
                              : CommandFault::kNone;
                 };
               },
           .end =
-              [](Fleet &fleet) {
-                fleet.command_fault =
-                    [](const std::string &, const std::string &,
-                       const WorkerRequest &) { return CommandFault::kNone; };
+              [](Fleet& fleet) {
+                fleet.command_fault = [](const std::string&, const std::string&,
+                                         const WorkerRequest&) {
+                  return CommandFault::kNone;
+                };
               }};
 }
 
 // Faults of the store at the instance, or at all of them.
-Fault StoreHas(const std::string &name, StoreFault fault,
-               const std::string &instance = "") {
+Fault StoreHas(const std::string& name,
+               StoreFault fault,
+               const std::string& instance = "") {
   return {
       .name = name,
       .begin =
-          [=](Fleet &fleet) {
-            fleet.store_fault = [=](const std::string &node,
-                                    const StoreRequest &) {
+          [=](Fleet& fleet) {
+            fleet.store_fault = [=](const std::string& node,
+                                    const StoreRequest&) {
               return instance.empty() || node == instance ? fault
                                                           : StoreFault::kNone;
             };
           },
       .end =
-          [](Fleet &fleet) {
-            fleet.store_fault = [](const std::string &, const StoreRequest &) {
+          [](Fleet& fleet) {
+            fleet.store_fault = [](const std::string&, const StoreRequest&) {
               return StoreFault::kNone;
             };
           }};
 }
 
-void RestartAll(Fleet &fleet) {
+void RestartAll(Fleet& fleet) {
   const auto nodes = fleet.nodes();
-  for (const std::string &it : nodes) {
+  for (const std::string& it : nodes) {
     fleet.Kill(it);
   }
-  for (const std::string &it : nodes) {
+  for (const std::string& it : nodes) {
     fleet.Start(it);
   }
 }
@@ -314,7 +320,7 @@
 }
 
 // Fills the workers with runs of a job that lasts until it is cancelled.
-void Fill(Fleet &fleet, std::uint32_t tasks, std::int64_t processors_milli) {
+void Fill(Fleet& fleet, std::uint32_t tasks, std::int64_t processors_milli) {
   JobSpec spec = OneStep(tasks, processors_milli);
   fleet.Submit("n0", "fill", spec);
   REQUIRE(fleet.RunUntil([&] { return CountRuns(fleet, "fill") >= tasks; },
@@ -323,7 +329,8 @@
 
 // Submits a job of each shape that finds no room, makes room after `roomless`
 // and checks that the jobs start.
-void CheckRoomIsUsed(std::size_t instances, const AdvicePolicy &advice,
+void CheckRoomIsUsed(std::size_t instances,
+                     const AdvicePolicy& advice,
                      Duration roomless) {
   CAPTURE(instances);
   CAPTURE(ToMilliseconds(advice.decision));
@@ -331,21 +338,21 @@
   const std::size_t workers = std::max(kWorkers, instances);
   Fleet fleet(Cell(instances, workers));
   SetUp(fleet, advice);
-  fleet.allows = [](const std::string &step, const std::string &worker) {
+  fleet.allows = [](const std::string& step, const std::string& worker) {
     return step.starts_with("fill") || Allows(step, worker);
   };
   Fill(fleet, static_cast<std::uint32_t>(workers), 7500);
-  const auto jobs = SubmitShapes(fleet, "late", [](const Shape &it) -> JobSpec {
+  const auto jobs = SubmitShapes(fleet, "late", [](const Shape& it) -> JobSpec {
     return {.payload = "p", .steps = {it.step}};
   });
   fleet.Run(roomless);
-  for (const std::string &it : jobs) {
+  for (const std::string& it : jobs) {
     REQUIRE(SeenOf(fleet, it, 0).started.empty());
   }
   CancelNow(fleet, "n0", "fill");
   const Time since = fleet.now();
   fleet.Run(kWaitBound);
-  for (const std::string &it : jobs) {
+  for (const std::string& it : jobs) {
     const StepSeen seen = SeenOf(fleet, it, 0);
     INFO(it, ": ", seen.started.size(), " started after ",
          ToMilliseconds(seen.last_first - since), " ms");
@@ -360,10 +367,10 @@
   CAPTURE(instances);
   Fleet fleet(Cell(instances, instances));
   SetUp(fleet, kShort);
-  fleet.allows = [](const std::string &, const std::string &) { return true; };
+  fleet.allows = [](const std::string&, const std::string&) { return true; };
   const auto all = static_cast<std::uint32_t>(instances);
-  for (const std::string &it : fleet.worker_names()) {
-    fleet.worker(it).plan = [](const std::string &, std::uint64_t) {
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string&, std::uint64_t) {
       return RunPlan{.endless = true};
     };
   }
@@ -371,7 +378,7 @@
   fleet.Submit("n1", "small", OneLasting(all, 15));
   REQUIRE(fleet.RunUntil([&] { return CountRuns(fleet, "small") == all; },
                          seconds(10)));
-  const auto jobs = SubmitShapes(fleet, "late", [](const Shape &it) -> JobSpec {
+  const auto jobs = SubmitShapes(fleet, "late", [](const Shape& it) -> JobSpec {
     return {.payload = "p", .steps = {it.step}};
   });
   fleet.Run(seconds(5));
@@ -380,7 +387,7 @@
   CancelNow(fleet, "n0", "fill");
   const Time since = fleet.now();
   fleet.Run(seconds(6));
-  for (const std::string &it : jobs) {
+  for (const std::string& it : jobs) {
     const StepSeen seen = SeenOf(fleet, it, 0);
     INFO(it, ": ", seen.started.size(), " started after ",
          ToMilliseconds(seen.last_first - since), " ms");
@@ -390,20 +397,20 @@
 }
 
 // Gives the workers racks of so many.
-void SetRacks(Fleet &fleet, std::size_t each) {
+void SetRacks(Fleet& fleet, std::size_t each) {
   std::size_t number = 0;
-  for (const std::string &it : fleet.worker_names()) {
+  for (const std::string& it : fleet.worker_names()) {
     fleet.worker(it).info().labels = {fmt::format("rack{}", number / each)};
     ++number;
     fleet.ListAgain(it);
   }
 }
 
-} // namespace
+}  // namespace
 
 // Guards against waits that need no fault.
 TEST_CASE("Steps start within the bound in a calm cell") {
-  CheckAfterFaults({{.name = "no fault", .begin = [](Fleet &) {}}});
+  CheckAfterFaults({{.name = "no fault", .begin = [](Fleet&) {}}});
 }
 
 // Guards against steps that notice late that room became free, as their tickets
@@ -423,6 +430,46 @@
   }
 }
 
+// Guards against a large task that waits for the end of small lasting ones.
+TEST_CASE("A large task starts beside small lasting ones") {
+  for (const std::uint32_t priority : {1, 2, 3}) {
+    CAPTURE(priority);
+    Fleet fleet({.workers = 6, .timers = true});
+    fleet.AddQueue("low", priority);
+    fleet.Settle();
+    PlanAll(fleet, {.endless = true});
+    fleet.Submit("n0", "small", OneLasting(6, 500));
+    REQUIRE(fleet.RunUntil([&] { return CountRuns(fleet, "small") == 6; },
+                           kWaitBound));
+    fleet.SendRequest("n0", {.query = CallerQuery::kSubmit,
+                             .host = "h",
+                             .path = "/low/large",
+                             .spec = OneStep(2, 7000)});
+    CHECK(fleet.RunUntil([&] { return CountRuns(fleet, "large") == 2; },
+                         kWaitBound));
+    CheckInvariants(fleet);
+  }
+}
+
+// Guards against room that less urgent tasks take from urgent ones.
+TEST_CASE("Room is kept for urgent tasks where half of all is in use") {
+  Fleet fleet({.workers = 6, .timers = true});
+  fleet.AddQueue("low", 3);
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  Fill(fleet, 6, 6000);
+  fleet.SendRequest("n0", {.query = CallerQuery::kSubmit,
+                           .host = "h",
+                           .path = "/low/later",
+                           .spec = OneStep(6)});
+  fleet.Run(kWaitBound);
+  CHECK(CountRuns(fleet, "later") == 0);
+  fleet.Submit("n0", "urgent", OneStep(12));
+  CHECK(fleet.RunUntil([&] { return CountRuns(fleet, "urgent") == 12; },
+                       milliseconds(200)));
+  CheckInvariants(fleet);
+}
+
 // Guards against a gang whose tickets are for workers of several racks, of
 // which none has room for all of it, while another rack has.
 TEST_CASE("A gang of one rack starts where one rack holds it") {
@@ -430,7 +477,7 @@
   SetRacks(fleet, 3);
   PlanShapes(fleet);
   SetUp(fleet, kLong);
-  fleet.allows = [](const std::string &, const std::string &worker) {
+  fleet.allows = [](const std::string&, const std::string& worker) {
     return worker != "w0" && worker != "w11" && worker != "w13";
   };
   JobSpec gang = OneStep(5, 3500);
@@ -446,17 +493,15 @@
 // Guards against a step that may use few workers, by their labels, and waits on
 // for tickets of others.
 TEST_CASE("A step that few workers may run starts within the bound") {
-  for (const Shape &it : Shapes()) {
+  for (const Shape& it : Shapes()) {
     CAPTURE(it.name);
     Fleet fleet(Cell());
-    for (const char *name : {"w1", "w5", "w9", "w12", "w14", "w16"}) {
+    for (const char* name : {"w1", "w5", "w9", "w12", "w14", "w16"}) {
       fleet.worker(name).info().labels = {"special", "rack0"};
       fleet.ListAgain(name);
     }
     SetUp(fleet, kLong);
-    fleet.allows = [](const std::string &, const std::string &) {
-      return true;
-    };
+    fleet.allows = [](const std::string&, const std::string&) { return true; };
     Shape shape = it;
     shape.step.label = "special";
     fleet.Submit("n0", it.name, WithShape(shape));
@@ -492,8 +537,8 @@
   for (const RunEnd how : {RunEnd::kDone, RunEnd::kFailed}) {
     Fleet fleet(Cell());
     SetUp(fleet, kLong);
-    for (const std::string &it : fleet.worker_names()) {
-      fleet.worker(it).plan = [how](const std::string &, std::uint64_t run) {
+    for (const std::string& it : fleet.worker_names()) {
+      fleet.worker(it).plan = [how](const std::string&, std::uint64_t run) {
         return RunPlan{.takes = seconds(5), .how = how, .endless = run > 1};
       };
     }
@@ -515,14 +560,12 @@
     CAPTURE(gang);
     Fleet fleet(Cell());
     SetUp(fleet, kShort);
-    fleet.allows = [](const std::string &, const std::string &) {
-      return true;
-    };
-    for (const std::string &it : fleet.worker_names()) {
-      fleet.worker(it).plan = [&fleet](const std::string &task, std::uint64_t) {
+    fleet.allows = [](const std::string&, const std::string&) { return true; };
+    for (const std::string& it : fleet.worker_names()) {
+      fleet.worker(it).plan = [&fleet](const std::string& task, std::uint64_t) {
         const auto runs =
             std::count_if(fleet.seen.begin(), fleet.seen.end(),
-                          [&](const SeenRun &run) { return run.task == task; });
+                          [&](const SeenRun& run) { return run.task == task; });
         const bool crashes = task == "bad.0.0.0" && runs < 2;
         return RunPlan{.takes = milliseconds(300),
                        .endless = !crashes,
@@ -533,7 +576,7 @@
     bad.steps[0].gang = gang;
     fleet.Submit("n0", "bad", bad);
     std::size_t crashes = 0;
-    fleet.on_crash = [&](const std::string &) { ++crashes; };
+    fleet.on_crash = [&](const std::string&) { ++crashes; };
     REQUIRE(fleet.RunUntil([&] { return crashes == 2; }, seconds(20)));
     fleet.Run(seconds(4));
     const auto running = [&] {
@@ -556,7 +599,7 @@
   fleet.Run(milliseconds(300));
   RestartAll(fleet);
   fleet.RunUntil([&] { return HaveStarted(fleet, jobs); }, kCalm + kWaitBound);
-  for (const std::string &it : jobs) {
+  for (const std::string& it : jobs) {
     INFO(it, ": ", SeenOf(fleet, it).started.size(), " started");
     CHECK(HaveStarted(fleet, {it}));
   }
@@ -579,23 +622,23 @@
   CheckAfterFaults(
       {{.name = "failed advice",
         .begin =
-            [](Fleet &fleet) {
-              fleet.advice_fails = [](const AdviceRequest &) { return true; };
+            [](Fleet& fleet) {
+              fleet.advice_fails = [](const AdviceRequest&) { return true; };
             },
         .end =
-            [](Fleet &fleet) {
-              fleet.advice_fails = [](const AdviceRequest &) { return false; };
+            [](Fleet& fleet) {
+              fleet.advice_fails = [](const AdviceRequest&) { return false; };
             }},
        {.name = "late advice",
         .begin =
-            [](Fleet &fleet) {
-              fleet.advice_duration = [](const AdviceRequest &) {
+            [](Fleet& fleet) {
+              fleet.advice_duration = [](const AdviceRequest&) {
                 return Duration(milliseconds(2500));
               };
             },
         .end =
-            [](Fleet &fleet) {
-              fleet.advice_duration = [](const AdviceRequest &) {
+            [](Fleet& fleet) {
+              fleet.advice_duration = [](const AdviceRequest&) {
                 return Duration(milliseconds(500));
               };
             }}});
@@ -628,68 +671,68 @@
 TEST_CASE("Steps start within the bound after faults of members") {
   CheckAfterFaults(
       {{.name = "member killed",
-        .begin = [](Fleet &fleet) { fleet.Kill("n1"); },
+        .begin = [](Fleet& fleet) { fleet.Kill("n1"); },
         .lasts = seconds(0)},
        {.name = "member restarted",
-        .begin = [](Fleet &fleet) { fleet.Kill("n1"); },
+        .begin = [](Fleet& fleet) { fleet.Kill("n1"); },
         .lasts = seconds(1),
-        .end = [](Fleet &fleet) { fleet.Start("n1"); }},
+        .end = [](Fleet& fleet) { fleet.Start("n1"); }},
        {.name = "members killed",
         .begin =
-            [](Fleet &fleet) {
+            [](Fleet& fleet) {
               fleet.Kill("n1");
               fleet.Kill("n2");
             },
         .lasts = seconds(0)},
        {.name = "member frozen",
-        .begin = [](Fleet &fleet) { fleet.Freeze("n1", seconds(3)); }},
+        .begin = [](Fleet& fleet) { fleet.Freeze("n1", seconds(3)); }},
        {.name = "member cut off",
         .begin =
-            [](Fleet &fleet) {
-              fleet.is_cut = [](const std::string &from,
-                                const std::string &to) {
+            [](Fleet& fleet) {
+              fleet.is_cut = [](const std::string& from,
+                                const std::string& to) {
                 return from == "n1" || to == "n1";
               };
             },
         .end =
-            [](Fleet &fleet) {
-              fleet.is_cut = [](const std::string &, const std::string &) {
+            [](Fleet& fleet) {
+              fleet.is_cut = [](const std::string&, const std::string&) {
                 return false;
               };
             }},
        {.name = "member slow",
-        .begin = [](Fleet &fleet) { fleet.Slow("n1", milliseconds(40)); },
-        .end = [](Fleet &fleet) { fleet.Slow("n1", Duration(0)); }},
+        .begin = [](Fleet& fleet) { fleet.Slow("n1", milliseconds(40)); },
+        .end = [](Fleet& fleet) { fleet.Slow("n1", Duration(0)); }},
        {.name = "all restarted", .begin = RestartAll, .lasts = seconds(0)}});
 }
 
 // Guards against steps that wait on for workers that crashed, hung or were
 // paused.
 TEST_CASE("Steps start within the bound after faults of workers") {
-  const auto crash = [](Fleet &fleet, Duration away) {
-    for (const char *it : {"w0", "w1", "w2", "w3"}) {
+  const auto crash = [](Fleet& fleet, Duration away) {
+    for (const char* it : {"w0", "w1", "w2", "w3"}) {
       fleet.CrashWorker(it, away);
     }
   };
   CheckAfterFaults(
       {{.name = "workers crash",
-        .begin = [=](Fleet &fleet) { crash(fleet, seconds(2)); },
+        .begin = [=](Fleet& fleet) { crash(fleet, seconds(2)); },
         .lasts = seconds(2)},
        {.name = "workers crash for good",
-        .begin = [=](Fleet &fleet) { crash(fleet, seconds(60)); },
+        .begin = [=](Fleet& fleet) { crash(fleet, seconds(60)); },
         .lasts = seconds(0)},
        {.name = "workers and a member crash",
         .begin =
-            [=](Fleet &fleet) {
+            [=](Fleet& fleet) {
               crash(fleet, seconds(60));
               fleet.Kill("n1");
             },
         .lasts = seconds(0)},
        {.name = "all take-downs prepared",
         .begin =
-            [](Fleet &fleet) {
-              for (const std::string &node : fleet.nodes()) {
-                for (const auto &[id, worker] : fleet.state(node).owned) {
+            [](Fleet& fleet) {
+              for (const std::string& node : fleet.nodes()) {
+                for (const auto& [id, worker] : fleet.state(node).owned) {
                   fleet.DeliverPeerMessage(
                       node, fleet.state(node).options.self.incarnation,
                       PrepareWorker{.worker = id});
@@ -699,22 +742,22 @@
         .lasts = seconds(0)},
        {.name = "runs stand still",
         .begin =
-            [](Fleet &fleet) {
-              for (const std::string &it : fleet.worker_names()) {
+            [](Fleet& fleet) {
+              for (const std::string& it : fleet.worker_names()) {
                 fleet.worker(it).Stall(fleet.now(), fleet.now() + seconds(6));
               }
             },
         .lasts = seconds(6)},
        {.name = "all tasks fail",
         .begin =
-            [](Fleet &fleet) {
+            [](Fleet& fleet) {
               for (int it = 0; it < 12; ++it) {
                 fleet.Submit(fmt::format("n{}", it % kInstances),
                              fmt::format("failing{}", it), OneStep(12));
               }
             },
         .end =
-            [](Fleet &fleet) {
+            [](Fleet& fleet) {
               for (int it = 0; it < 12; ++it) {
                 fleet.Cancel("n0", fmt::format("failing{}", it));
               }
@@ -722,4 +765,4 @@
             }}});
 }
 
-} // namespace burdockrock::engine
+}  // namespace burdockrock::engine
