Placing: Lasting tasks leave no room free for urgent ones

A lasting task waited beside room as long as its service was full of other work.

Cause: room that is kept for higher priorities was closed to it until other runs had ended, which may take as long as they like. The bound for a lasting task holds however full the service is.

Evidence: wait_bounds_test "A lasting task starts in room that is kept for urgent ones" failed before the change: CHECK( fleet.RunUntil([&] { return CountRuns(fleet, "lasting") == 6; }, kWaitBound) ) is NOT correct.

Change: lasting steps do not reserve.

Result: the test passes.

Why it works: what the bound counts as room for a lasting task is now room for placement.

--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -197,12 +197,14 @@
          });
 }
 
-// Urgent tasks need no reserve as long as half of the service is free.
+// Urgent tasks need no reserve as long as half of the service is free, and
+// lasting ones would wait for it until other work has ended, however long that
+// runs.
 bool Reserves(const Context& context,
               const QueuePolicy& queue,
               const StepSpec& spec,
               const StepRun& step) {
-  if (queue.priority == kMostUrgent) {
+  if (queue.priority == kMostUrgent || spec.lasting) {
     return false;
   }
   const auto waiting = std::count_if(
--- a/Tests/engine/wait_bounds_test.cc
+++ b/Tests/engine/wait_bounds_test.cc
@@ -451,6 +451,23 @@
   }
 }
 
+// Guards against a lasting task that waits beside room as long as its cell is
+// full of other work.
+TEST_CASE("A lasting task starts in room that is kept for urgent ones") {
+  Fleet fleet({.workers = 6, .timers = true});
+  fleet.AddQueue("low", 2);
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  Fill(fleet, 6, 7000);
+  fleet.SendRequest("n0", {.query = CallerQuery::kSubmit,
+                           .host = "h",
+                           .path = "/low/lasting",
+                           .spec = OneLasting(6, 500)});
+  CHECK(fleet.RunUntil([&] { return CountRuns(fleet, "lasting") == 6; },
+                       kWaitBound));
+  CheckInvariants(fleet);
+}
+
 // Guards against room that less urgent tasks take from urgent ones.
 TEST_CASE("Room is kept for urgent tasks where half of all is in use") {
   Fleet fleet({.workers = 6, .timers = true});
