Scheduler: Keeps the holds of a gang when one of its tasks is refused

Callers' gangs waited for up to 16 s beside room, and longer the more other work came and went. One owner that refused one task made the writer release the room of all others and wait for a back-off that doubled each time and was never reset. As the writer begins with the owner that reports the most free room, an owner whose room is split over many workers could refuse the gang for ever. Late answers about stopped tasks counted as further failures.

A refused task is now offered elsewhere while the others stay held. Without any known place the gang waits for two digests, and then releases its room. The back-off ends at 2 s and starts over when the gang has started; a gang that has backed off already doesn't back off again.

It works as a refusal says nothing of the tasks that are held elsewhere: their room is as good for the next try as for this one, and the hold still ends.

--- a/Source/scheduler/attempt_updates.cc
+++ b/Source/scheduler/attempt_updates.cc
@@ -151,7 +151,7 @@
   }
   RequeueTask(context, *job, attempt.task);
   if (job->spec.kind == JobKind::kGang) {
-    BackOffGang(context, *job, why);
+    OnGangTaskRefused(context, *job, why);
   }
 }
 
--- a/Source/scheduler/gangs.cc
+++ b/Source/scheduler/gangs.cc
@@ -12,7 +12,10 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxBackoffShift = 5;
+constexpr std::uint32_t kMaxBackoffShift = 2;
+// A gang that knows no place for a task that was refused waits for so many
+// digests of its peers before it releases the others' room.
+constexpr std::int64_t kDigestsToWait = 2;
 
 // How many tasks of a gang a peer has room for.
 struct PeerShare {
@@ -88,6 +91,33 @@
   return recorded;
 }
 
+bool IsAssembling(const Job& job) {
+  return !job.gang_running && !job.recovering && job.hold_until != Time(0);
+}
+
+// Offers the tasks that were refused to other owners, while the others keep
+// their room. Returns false if there is no place for one of them now.
+bool CompleteGang(Context& context, Job& job) {
+  State& state = context.state();
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    if (job.tasks[it].state != TaskState::kQueued) {
+      continue;
+    }
+    const auto local =
+        state.placement.PickWorker(job.spec.resources, WorkerPolicy::kPack);
+    if (local) {
+      HoldLocally(context, job, it, *local);
+      continue;
+    }
+    const std::string peer = ChoosePeerForTask(context, job.spec.resources);
+    if (peer.empty()) {
+      return false;
+    }
+    HoldAtPeer(context, job, it, peer);
+  }
+  return true;
+}
+
 bool HasEnded(const Task& task) {
   return task.state == TaskState::kEnding || task.state == TaskState::kDone ||
          task.state == TaskState::kFailed ||
@@ -110,6 +140,18 @@
 }  // namespace
 
 bool AssembleGang(Context& context, Job& job) {
+  if (IsAssembling(job)) {
+    if (CompleteGang(context, job)) {
+      return true;
+    }
+    const Time end =
+        context.now() + context.policy().membership.digest * kDigestsToWait;
+    if (end < job.hold_until) {
+      job.hold_until = end;
+      context.ScheduleAt(end, TimerKind::kGang, job.id);
+    }
+    return false;
+  }
   if (!IsWhollyQueued(job)) {
     return false;
   }
@@ -161,6 +203,7 @@
   job.gang_running = true;
   job.go_sent = true;
   job.hold_until = Time(0);
+  job.backoffs = 0;
   context.Log(EventNumber::kGangStarted,
               {{"job", job.id}, {"tasks", std::to_string(job.tasks.size())}});
   for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
@@ -168,6 +211,12 @@
   }
 }
 
+void OnGangTaskRefused(Context& context, Job& job, const std::string& why) {
+  if (!IsAssembling(job)) {
+    BackOffGang(context, job, why);
+  }
+}
+
 void BackOffGang(Context& context, Job& job, const std::string& why) {
   if (job.judged_failed) {
     return;
@@ -177,8 +226,9 @@
     FailGang(context, job);
     return;
   }
+  // A gang that has backed off may still be told how its tasks were stopped.
   const bool is_idle = !job.gang_running && job.hold_until == Time(0);
-  if (is_idle && job.retry_at > context.now()) {
+  if (is_idle) {
     return;
   }
   job.gang_running = false;
--- a/Source/scheduler/gangs.h
+++ b/Source/scheduler/gangs.h
@@ -1,7 +1,8 @@
 // Gangs: all tasks start, or none.
 //
 // A gang is assembled in two phases. First each task is held: its worker
-// reserves the room and waits. When all tasks are held, the go is sent to all.
+// reserves the room and waits. A task that is refused is offered elsewhere
+// while the others stay held. When all tasks are held, the go is sent to all.
 // Room is held for gang.hold at most, then released, and the gang is retried
 // after a jittered backoff. This prevents the deadlock of two gangs that each
 // hold half of what both need.
@@ -16,13 +17,18 @@
 
 class Context;
 
-// Tries to find room for all tasks at once. Returns false if there is none now.
+// Tries to find room for all tasks at once, or, in assembly, for those that
+// were refused. Returns false if there is none now.
 bool AssembleGang(Context& context, Job& job);
 
 // Called when a task of the gang is held; sends the go when all are.
 void OnGangTaskHeld(Context& context, Job& job);
 
-// Called when a task of the gang was refused, failed or was lost. Stops all
+// Called when a task of the gang that is queued again was refused. In assembly
+// it is offered elsewhere, and the others keep their room.
+void OnGangTaskRefused(Context& context, Job& job, const std::string& why);
+
+// Called when a task of the gang failed or was lost. Stops all
 // others and retries the gang as a whole after a backoff; fails the gang if one
 // of its tasks has ended. `why` goes to the log.
 void BackOffGang(Context& context, Job& job, const std::string& why);
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -168,7 +168,9 @@
   if (context.now() < job.retry_at) {
     return Blocked(job, "backoff");
   }
-  if (!WithinQuota(context, job)) {
+  // A gang in assembly was let in as a whole.
+  const bool is_held = job.hold_until != Time(0);
+  if (!is_held && !WithinQuota(context, job)) {
     return Blocked(job, "quota");
   }
   if (job.spec.kind == JobKind::kGang) {
