Scheduler: Remembers the size that a peer had no room for, not only that

Small tasks waited beside room of a peer behind larger ones. A digest tells the sum of what is free; where that is split over many workers, a larger task is offered, refused, and offered again with the next digest. Meanwhile the offer counted against the peer's room, and its refusal closed the peer for work of any size until the next digest.

A refusal for want of room now closes the peer for tasks of that size and larger ones until its next digest, and what was offered counts as free again.

The new test on the code before, 12 larger tasks in front of the small one: wait_bounds_test.cc:305: CHECK( StartsWithin(group, small, kStartBound) ) is NOT correct (batches and gangs) With the change it passes, as do all scheduler tests.

It works as the refusal tells of one size only; the small task is tried again in the step of the refusal, and no longer after one digest for each larger one.

--- a/Source/scheduler/gangs.cc
+++ b/Source/scheduler/gangs.cc
@@ -34,8 +34,7 @@
     if (!IsDomainPeer(context, peer) || !IsUsable(context, peer)) {
       continue;
     }
-    const std::int64_t places =
-        CountFitting(need, peer.digest.free - peer.offered_resources);
+    const std::int64_t places = PlacesAt(peer, need);
     if (places > 0) {
       shares.push_back({.peer = id, .places = places});
     }
--- a/Source/scheduler/membership.cc
+++ b/Source/scheduler/membership.cc
@@ -288,6 +288,7 @@
   peer.digest_at = context.now();
   peer.forwarded_requests.clear();
   peer.offered_resources = {};
+  peer.refused_sizes.clear();
   peer.refused_work = false;
   YieldJournals(context, received.from, digest.logs);
   if (role_changed) {
@@ -397,6 +398,15 @@
   return static_cast<std::size_t>(live) + 1;
 }
 
+std::int64_t PlacesAt(const Peer& peer, const Resources& need) {
+  const bool is_refused =
+      std::any_of(peer.refused_sizes.begin(), peer.refused_sizes.end(),
+                  [&](const Resources& it) { return Fits(it, need); });
+  return is_refused
+             ? 0
+             : CountFitting(need, peer.digest.free - peer.offered_resources);
+}
+
 bool IsWatcher(const Context& context) {
   const State& state = context.state();
   const std::uint64_t own = StableHash("watcher", state.self.instance);
--- a/Source/scheduler/membership.h
+++ b/Source/scheduler/membership.h
@@ -31,7 +31,10 @@
   // capacity is smaller than the digest reports by that much.
   std::map<std::string, std::int64_t> forwarded_requests;
   Resources offered_resources;
-  bool refused_work = false;            // it refused work since its digest
+  // Sizes of tasks that no worker of it had room for since its digest: what is
+  // free there may be split over many.
+  std::vector<Resources> refused_sizes;
+  bool refused_work = false;  // it refused work since its digest otherwise
   std::uint64_t offer_sequence = 0;     // of the last offer sent to it
   std::uint64_t accepted_sequence = 0;  // of the last offer accepted from it
   Time pulled_at{0};                    // when it was last sent PullDocuments
@@ -93,6 +96,9 @@
 // Whether the peer is alive and in the own domain.
 bool IsDomainPeer(const Context& context, const Peer& peer);
 
+// How many tasks of this size the peer has room for, as far as is known.
+std::int64_t PlacesAt(const Peer& peer, const Resources& need);
+
 // Whether this process is the member that watches the platform for all of its
 // domain.
 bool IsWatcher(const Context& context);
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -19,6 +19,8 @@
 constexpr Duration kMovedRetention = std::chrono::minutes(10);
 // Reason of a refusal: the attempt may be running, but under another owner.
 constexpr char kMoved[] = "moved";
+// Reason of a refusal: no worker has room for a task of that size.
+constexpr char kNoRoom[] = "no_room";
 // Reason of a refusal: the attempt is not here, and an offer of it that is
 // still in transit will be refused.
 constexpr char kStopped[] = "stopped";
@@ -178,7 +180,7 @@
                                   : WorkerPolicy::kPack;
   const auto index = state.placement.PickWorker(offer.resources, policy);
   if (!index) {
-    Refuse(context, from, offer.sequence, offer.attempt, "no_room");
+    Refuse(context, from, offer.sequence, offer.attempt, kNoRoom);
     return;
   }
   WorkerRecord& worker =
@@ -219,7 +221,20 @@
       task->owner == from && task->offer_sequence == refused.sequence &&
       (task->state == TaskState::kStarting ||
        task->state == TaskState::kStopping);
-  context.state().membership.peers.at(from).refused_work = true;
+  Peer& peer = context.state().membership.peers.at(from);
+  if (job != nullptr && refused.reason == kNoRoom) {
+    const Resources& need = job->spec.resources;
+    if (PlacesAt(peer, need) > 0) {
+      peer.refused_sizes.push_back(need);
+    }
+    const bool is_counted = is_current && task->state == TaskState::kStarting &&
+                            task->last_sent >= peer.digest_at;
+    if (is_counted) {
+      peer.offered_resources -= need;
+    }
+  } else {
+    peer.refused_work = true;
+  }
   if (is_current) {
     OnAttemptNotStarted(context, refused.attempt, refused.reason);
   }
@@ -254,7 +269,7 @@
                      const std::string& why) {
   const Booking booking = worker.bookings.at(attempt);
   EraseBooking(context, worker, attempt);
-  if (why == "no_room") {
+  if (why == kNoRoom) {
     // The worker has less free capacity than its bookings imply. It gets no
     // more starts until it has reported what it runs.
     worker.suspect = true;
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -309,9 +309,8 @@
 std::string ChoosePeerForTask(Context& context, const Resources& need) {
   std::vector<const Peer*> candidates;
   for (const auto& [id, peer] : context.state().membership.peers) {
-    const Resources room = peer.digest.free - peer.offered_resources;
     if (IsDomainPeer(context, peer) && IsUsable(context, peer) &&
-        Fits(need, room)) {
+        PlacesAt(peer, need) > 0) {
       candidates.push_back(&peer);
     }
   }
--- a/Tests/scheduler/wait_bounds_test.cc
+++ b/Tests/scheduler/wait_bounds_test.cc
@@ -287,6 +287,25 @@
   CHECK(StartsWithin(group, job, milliseconds(100)));
 }
 
+// Guards against a small task that waits beside a peer's room: larger ones, for
+// which that room is too split, are offered there again and again.
+TEST_CASE("A task starts beside others for which the room is too split") {
+  for (const JobKind kind : {JobKind::kBatch, JobKind::kGang}) {
+    EntryGroup group({.entries = {2}, .workers = 4});
+    REQUIRE(Settle(group));
+    FillAll(group, [](const std::string& owner, int /*number*/) {
+      return owner == kEntry ? 8000 : 4000;
+    });
+    group.Run(seconds(1));
+    for (int it = 0; it < 12; ++it) {
+      AcceptJob(group, kEntry, JobOfSize(kind, 1, 7000, 1'000));
+    }
+    const std::string small =
+        AcceptJob(group, kEntry, JobOfSize(JobKind::kBatch, 1, 3000, 60'000));
+    CHECK(StartsWithin(group, small, kStartBound));
+  }
+}
+
 // Guards against a request that waits beside a free slot of another entry.
 TEST_CASE("A request runs beside free slots of another entry") {
   EntryGroup group({.entries = {2}, .workers = 0, .minions = 2});
