Scheduler: Lets one of two gangs that hold the same room give up at once

Gangs of several entries for which there was room for one at a time took the room from each other: each held a part, waited for the rest until its hold ended, and tried again with the digest that told both of the same free room.

Gangs now have a rank, the same for all members. An owner without room for a hold tells whether a gang of a higher rank holds room there; if so, the gang that asked gives up at once. Else the owner lets the gangs of a lower rank that hold room there give up.

It works as of all gangs that wait for each other one has the highest rank: it keeps what it holds, and those that hold what it lacks release it.

--- a/Source/scheduler/gangs.cc
+++ b/Source/scheduler/gangs.cc
@@ -1,6 +1,7 @@
 #include "scheduler/gangs.h"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 #include "scheduler/attempt_updates.h"
@@ -94,6 +95,13 @@
   return !job.gang_running && !job.recovering && job.hold_until != Time(0);
 }
 
+// The order is arbitrary, but the same for all members.
+bool Outranks(const std::string& left, const std::string& right) {
+  const std::uint64_t left_rank = StableHash("gang", left);
+  const std::uint64_t right_rank = StableHash("gang", right);
+  return left_rank != right_rank ? left_rank < right_rank : left < right;
+}
+
 // Offers the tasks that were refused to other owners, while the others keep
 // their room. Returns false if there is no place for one of them now.
 bool CompleteGang(Context& context, Job& job) {
@@ -143,6 +151,11 @@
     if (CompleteGang(context, job)) {
       return true;
     }
+    if (IsOutranked(context, job.id)) {
+      BackOffGang(context, job, kOutranked);
+      return false;
+    }
+    OutrankOthers(context, job.id);
     const Time end =
         context.now() + context.policy().membership.digest * kDigestsToWait;
     if (end < job.hold_until) {
@@ -210,8 +223,48 @@
   }
 }
 
+bool IsOutranked(const Context& context, const std::string& job) {
+  const auto precedes = [&](const auto& it) {
+    return it.second.state == AttemptState::kHeld &&
+           Outranks(it.first.job, job);
+  };
+  const auto& workers = context.state().ownership.workers;
+  return std::any_of(workers.begin(), workers.end(), [&](const auto& it) {
+    const auto& bookings = it.second.bookings;
+    return std::any_of(bookings.begin(), bookings.end(), precedes);
+  });
+}
+
+void OutrankOthers(Context& context, const std::string& job) {
+  std::map<std::string, Booking> others;  // one for each gang
+  for (const auto& [id, worker] : context.state().ownership.workers) {
+    for (const auto& [attempt, booking] : worker.bookings) {
+      if (booking.state == AttemptState::kHeld && Outranks(job, attempt.job)) {
+        others.emplace(attempt.job, booking);
+      }
+    }
+  }
+  for (const auto& [id, booking] : others) {
+    Job* own = FindJob(context, id);
+    if (own != nullptr) {
+      OnGangOutranked(context, *own);
+    } else if (!booking.offered_by.empty()) {
+      // No offer has this number: the attempt is held until it is stopped.
+      context.Send(booking.offered_by, TaskRefused{.sequence = 0,
+                                                   .attempt = booking.attempt,
+                                                   .reason = kOutranked});
+    }
+  }
+}
+
+void OnGangOutranked(Context& context, Job& job) {
+  if (IsAssembling(job)) {
+    BackOffGang(context, job, kOutranked);
+  }
+}
+
 void OnGangTaskRefused(Context& context, Job& job, const std::string& why) {
-  if (!IsAssembling(job)) {
+  if (!IsAssembling(job) || why == kOutranked) {
     BackOffGang(context, job, why);
   }
 }
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "scheduler/attempt_updates.h"
 #include "scheduler/context.h"
+#include "scheduler/gangs.h"
 #include "scheduler/job_status.h"
 #include "scheduler/request_admission.h"
 #include "scheduler/tasks.h"
@@ -180,7 +181,13 @@
                                   : WorkerPolicy::kPack;
   const auto index = state.placement.PickWorker(offer.resources, policy);
   if (!index) {
-    Refuse(context, from, offer.sequence, offer.attempt, kNoRoom);
+    const bool is_outranked =
+        offer.hold && IsOutranked(context, offer.attempt.job);
+    Refuse(context, from, offer.sequence, offer.attempt,
+           is_outranked ? kOutranked : kNoRoom);
+    if (offer.hold && !is_outranked) {
+      OutrankOthers(context, offer.attempt.job);
+    }
     return;
   }
   WorkerRecord& worker =
@@ -206,6 +213,12 @@
     }
     return;
   }
+  if (refused.reason == kOutranked && refused.sequence == 0) {
+    if (job != nullptr && task->attempt == refused.attempt.number) {
+      OnGangOutranked(context, *job);
+    }
+    return;
+  }
   const bool is_stopped = refused.reason == kStopped && job != nullptr &&
                           task->attempt == refused.attempt.number &&
                           task->owner == from &&
@@ -222,7 +235,8 @@
       (task->state == TaskState::kStarting ||
        task->state == TaskState::kStopping);
   Peer& peer = context.state().membership.peers.at(from);
-  if (job != nullptr && refused.reason == kNoRoom) {
+  if (job != nullptr &&
+      (refused.reason == kNoRoom || refused.reason == kOutranked)) {
     const Resources& need = job->spec.resources;
     if (PlacesAt(peer, need) > 0) {
       peer.refused_sizes.push_back(need);
--- a/Tests/scheduler/wait_bounds_test.cc
+++ b/Tests/scheduler/wait_bounds_test.cc
@@ -178,6 +178,32 @@
   CheckChurned(JobKind::kService, 4);
 }
 
+// Guards against gangs that take the room from each other until both wait long.
+// There is room for one at a time.
+TEST_CASE("One of several gangs that compete for room starts soon") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    const auto entries = static_cast<std::uint32_t>(2 + seed % 4);
+    CAPTURE(entries);
+    EntryGroup group({.entries = {entries}, .workers = 12, .seed = seed});
+    REQUIRE(Settle(group));
+    for (const std::string& it : group.entries()) {
+      group.Submit(it, JobOf(JobKind::kGang, seed % 2 == 0 ? 60 : 90, 1'000));
+    }
+    for (std::size_t started = 1; started <= entries; ++started) {
+      CAPTURE(started);
+      CHECK(group.RunUntil(
+          [&] {
+            return group.LogLinesOf(EventNumber::kGangStarted).size() >=
+                   started;
+          },
+          kStartBound + seconds(1)));
+    }
+    CHECK(Overcommits(group) == 0);
+    CHECK(group.Violations() == "");
+  }
+}
+
 // Guards against a gang that is offered again and again where the room is too
 // split for its tasks, while others have room for it twice over.
 TEST_CASE("A gang starts beside owners whose room is too split") {
