Scheduler: Tries the jobs behind many that have no room

A small job behind 64 or more others without room waited beside room until they had started: a pass ends after so many blocked jobs, and the next one begins at the head again.

If passes ran meanwhile, for which room may have come, it goes round once more. It ends when all jobs have been tried, and no timer remains.

It works as each job is tried after the last change of the room, while steps stay as short as before and the jobs at the head still come first.

--- a/Source/scheduler/reducer.cc
+++ b/Source/scheduler/reducer.cc
@@ -55,6 +55,10 @@
              [](Context& context, const std::string&) {
                context.state().tasks.pass_needed = true;
              }},
+    TimerRow{TimerKind::kSweep,
+             [](Context& context, const std::string&) {
+               context.state().tasks.sweep_due = true;
+             }},
     TimerRow{
         TimerKind::kDrain,
         [](Context& context, const std::string&) { OnDrainTimer(context); }},
@@ -283,6 +287,9 @@
   if (state.tasks.pass_needed) {
     PlaceTasks(context);
   }
+  if (std::exchange(state.tasks.sweep_due, false)) {
+    SweepTasks(context);
+  }
   EraseDroppedLogs(state);
   return effects;
 }
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -17,9 +17,11 @@
 
 // Limits of one pass, which keep the step short. A gang and the last queued
 // task of a job, such as the task of a job of one, don't count as starts. A
-// pass that reaches the limit of starts is followed by another at once.
+// pass that reaches the limit of starts is followed by another at once, one
+// that reaches the limit of blocked jobs by a sweep over the jobs behind them.
 constexpr std::size_t kMaxStartsPerPass = 256;
 constexpr std::size_t kMaxBlockedPerPass = 64;
+constexpr Duration kSweepPause = std::chrono::milliseconds(10);
 
 struct PassTeam {
   double usage = 0;
@@ -217,6 +219,10 @@
         job->in_queue = false;
       }
       jobs.erase(jobs.begin() + static_cast<std::ptrdiff_t>(cursor));
+      const auto next = state.tasks.sweep[which].find(first.team);
+      if (next != state.tasks.sweep[which].end() && cursor < next->second) {
+        --next->second;
+      }
     } else if (result == TryResult::kBlocked) {
       ++cursor;
       ++pass.blocked;
@@ -268,6 +274,29 @@
   return false;
 }
 
+bool MayPlace(Context& context) {
+  const State& state = context.state();
+  return state.jobs.queued_tasks > 0 && !state.drain.draining &&
+         IsServing(context);
+}
+
+void PlaceAll(Context& context, Pass& pass) {
+  BeginPass(context, pass);
+  while (pass.starts < kMaxStartsPerPass && PlaceNext(context, pass)) {
+    ++pass.starts;
+  }
+}
+
+bool HasReachedLimit(const Pass& pass) {
+  return pass.starts >= kMaxStartsPerPass || pass.blocked >= kMaxBlockedPerPass;
+}
+
+void ScheduleSweep(Context& context) {
+  Time& next = context.state().tasks.next_sweep;
+  next = context.now() + kSweepPause;
+  context.ScheduleAt(next, TimerKind::kSweep);
+}
+
 }  // namespace
 
 void RecordDispatch(Context& context, Job& job, std::uint32_t index) {
@@ -290,20 +319,47 @@
 }
 
 void PlaceTasks(Context& context) {
-  State& state = context.state();
-  state.tasks.pass_needed = false;
-  if (state.jobs.queued_tasks == 0 || state.drain.draining ||
-      !IsServing(context)) {
+  TaskQueue& queue = context.state().tasks;
+  queue.pass_needed = false;
+  if (!MayPlace(context)) {
     return;
   }
   Pass pass;
-  BeginPass(context, pass);
-  while (pass.starts < kMaxStartsPerPass && PlaceNext(context, pass)) {
-    ++pass.starts;
-  }
-  if (pass.starts == kMaxStartsPerPass) {
+  PlaceAll(context, pass);
+  if (pass.starts >= kMaxStartsPerPass) {
     context.ScheduleAt(context.now(), TimerKind::kSchedule);
   }
+  if (!HasReachedLimit(pass)) {
+    queue.sweeping = false;
+  } else if (queue.sweeping) {
+    queue.sweep_again = true;
+  } else {
+    queue.sweeping = true;
+    queue.sweep = std::move(pass.cursors);
+    ScheduleSweep(context);
+  }
+}
+
+void SweepTasks(Context& context) {
+  TaskQueue& queue = context.state().tasks;
+  if (!queue.sweeping || context.now() < queue.next_sweep) {
+    return;
+  }
+  if (!MayPlace(context)) {
+    queue.sweeping = false;
+    return;
+  }
+  Pass pass{.cursors = queue.sweep};
+  PlaceAll(context, pass);
+  if (HasReachedLimit(pass)) {
+    queue.sweep = std::move(pass.cursors);
+  } else if (std::exchange(queue.sweep_again, false)) {
+    queue.sweep = {};
+  } else {
+    queue.sweeping = false;
+    return;
+  }
+  ScheduleSweep(context);
 }
 
 std::string ChoosePeerForTask(Context& context, const Resources& need) {
--- a/Source/scheduler/tasks.h
+++ b/Source/scheduler/tasks.h
@@ -29,6 +29,13 @@
   // first.
   std::array<std::uint64_t, kUrgencyCount> picks{};
   bool pass_needed = false;  // run a placement pass at the end of this step
+  // A sweep tries the jobs behind those that passes reach, some at a time.
+  bool sweeping = false;
+  bool sweep_due = false;    // go on at the end of this step
+  Time next_sweep{0};        // an earlier timer belongs to a sweep that ended
+  bool sweep_again = false;  // passes ran since it began: room may have come
+  // The next job that it tries, by class and team; none: the first.
+  std::array<std::map<std::string, std::size_t>, kUrgencyCount> sweep;
 };
 
 // Adds the job to the queue, unless it is there, and requests a placement pass.
@@ -39,9 +46,12 @@
 // have run.
 void RecordDispatch(Context& context, Job& job, std::uint32_t task);
 
-// Runs one placement pass over the queued jobs.
+// Runs one placement pass over the queued jobs, from the head.
 void PlaceTasks(Context& context);
 
+// Goes on with the sweep.
+void SweepTasks(Context& context);
+
 // The parameters of a start on an owned worker.
 struct StartTask {
   AttemptId attempt;
--- a/Source/scheduler/timers.h
+++ b/Source/scheduler/timers.h
@@ -30,6 +30,7 @@
   kRetryTask,        // id: job; a failed task may be tried again
   kJobDeadline,      // id: job
   kSchedule,         // place waiting tasks
+  kSweep,            // place tasks behind many that wait
   kDrain,            // check whether the drain is complete
 };
 
--- a/Tests/scheduler/wait_bounds_test.cc
+++ b/Tests/scheduler/wait_bounds_test.cc
@@ -313,6 +313,45 @@
   CHECK(StartsWithin(group, job, milliseconds(100)));
 }
 
+// Guards against a small job that waits beside room, as more jobs in front of
+// it than one pass tries have none.
+TEST_CASE("A small job starts behind many that do not fit") {
+  EntryGroup group({.entries = {1}, .workers = 2});
+  REQUIRE(Settle(group));
+  AcceptJob(group, kEntry, JobOfSize(JobKind::kBatch, 2, 6000, 600'000));
+  group.Run(seconds(1));
+  for (int it = 0; it < 70; ++it) {
+    group.Submit(kEntry, JobOfSize(JobKind::kBatch, 1, 8000 - it, 1'000));
+  }
+  group.Run(seconds(5));
+  const std::string small =
+      AcceptJob(group, kEntry, SmallJob(JobKind::kBatch, 1));
+  CHECK(StartsWithin(group, small, kStartBound));
+}
+
+// Guards against the same behind gangs and another team's jobs, among which
+// some leave the queue meanwhile.
+TEST_CASE("A small job starts behind many gangs that do not fit") {
+  EntryGroup group({.entries = {1}, .workers = 2});
+  REQUIRE(Settle(group));
+  AcceptJob(group, kEntry, JobOfSize(JobKind::kBatch, 2, 6000, 600'000));
+  group.Run(seconds(1));
+  std::vector<ReplyId> gangs;
+  for (int it = 0; it < 300; ++it) {
+    JobSpec gang = JobOf(JobKind::kGang, 5, 1'000);
+    gang.team = it % 2 == 0 ? "default" : "other";
+    gangs.push_back(group.Submit(kEntry, gang));
+  }
+  group.Run(seconds(5));
+  const ReplyId small = group.Submit(kEntry, SmallJob(JobKind::kBatch, 1));
+  for (std::size_t it = 0; it < 40; ++it) {
+    group.QueryWork(kEntry, group.JobIdOf(gangs[it * 3]), true);
+  }
+  group.Run(milliseconds(500));
+  REQUIRE(group.VerdictOf(small) == Verdict(Accepted{}));
+  CHECK(StartsWithin(group, group.JobIdOf(small), kStartBound));
+}
+
 // Guards against a small task that waits beside a peer's room: larger ones, for
 // which that room is too split, are offered there again and again.
 TEST_CASE("A task starts beside others for which the room is too split") {
