Scheduler: Starts the other tasks of a job beside an isolated one

The tasks of a job waited for up to 20 s beside room when one of them had crashed two workers and waited for a worker to itself: only the first queued task of a job is tried, and that one blocked its job.

The next task that may run beside others is now tried when an isolated one finds no empty worker.

The new test on the code before, a batch and a service of four: wait_bounds_test.cc:373: CHECK( group.RunUntil( ... status->running == 3; }, kStartBound) ) is NOT correct (both) With the change it passes, as do all scheduler tests.

It works as the isolated task stays the first one to be tried, and still takes an empty worker of its writer when there is one.

--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -99,6 +99,19 @@
   return std::nullopt;
 }
 
+// The next queued task after `index` that may run beside others.
+std::optional<std::uint32_t> NextBeside(const Context& context,
+                                        const Job& job,
+                                        std::uint32_t index) {
+  for (std::uint32_t it = index + 1; it < job.tasks.size(); ++it) {
+    if (job.tasks[it].state == TaskState::kQueued &&
+        !IsIsolated(context, job.tasks[it])) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
 WorkerPolicy PolicyOf(const Job& job) {
   return job.spec.kind == JobKind::kService ? WorkerPolicy::kSpread
                                             : WorkerPolicy::kPack;
@@ -189,9 +202,15 @@
   if (PlaceTask(context, job, *index)) {
     return job.queued == 0 ? TryResult::kNothingLeft : TryResult::kStarted;
   }
-  // A task that waits for an empty worker says nothing of the room of others.
   if (IsIsolated(context, job.tasks[*index])) {
-    return Blocked(job, "empty_worker");
+    // A task that waits for an empty worker says nothing of the room of others.
+    const auto other = NextBeside(context, job, *index);
+    if (!other) {
+      return Blocked(job, "empty_worker");
+    }
+    if (PlaceTask(context, job, *other)) {
+      return TryResult::kStarted;
+    }
   }
   pass.misfits.push_back(job.spec.resources);
   return Blocked(job, "room");
--- a/Tests/scheduler/wait_bounds_test.cc
+++ b/Tests/scheduler/wait_bounds_test.cc
@@ -13,6 +13,7 @@
 #include "scheduler/context.h"
 #include "scheduler/entry_group.h"
 #include "scheduler/failure_checks.h"
+#include "scheduler/task_crashes.h"
 #include "scheduler/work_samples.h"
 
 namespace burdockrock {
@@ -352,6 +353,34 @@
   CHECK(StartsWithin(group, group.JobIdOf(small), kStartBound));
 }
 
+// Guards against tasks that wait beside room with one of their job that waits
+// for a worker to itself.
+TEST_CASE("An isolated task does not hold back the others of its job") {
+  for (const JobKind kind : {JobKind::kBatch, JobKind::kService}) {
+    EntryGroup group({.entries = {1}, .workers = 2});
+    REQUIRE(Settle(group));
+    AcceptJob(group, kEntry, JobOfSize(JobKind::kBatch, 2, 4000, 600'000));
+    group.Run(seconds(1));
+    const ReplyId reply = group.Submit(kEntry, JobOf(kind, 4, 60'000));
+    auto& jobs = group.state(kEntry).jobs.jobs;
+    const std::string job =
+        std::find_if(jobs.begin(), jobs.end(), [](const auto& it) {
+          return !it.second.recorded;
+        })->first;
+    Task& task = jobs.at(job).tasks[0];
+    task.crashes = kCrashesBeforeIsolation;
+    task.last_crash = group.now();
+    CHECK(group.RunUntil(
+        [&] {
+          const auto status = group.StatusOf(job);
+          return status && status->running == 3;
+        },
+        kStartBound));
+    CHECK(group.VerdictOf(reply) == Verdict(Accepted{}));
+    CHECK(jobs.at(job).tasks[0].state == TaskState::kQueued);
+  }
+}
+
 // Guards against a small task that waits beside a peer's room: larger ones, for
 // which that room is too split, are offered there again and again.
 TEST_CASE("A task starts beside others for which the room is too split") {
