--- a/Source/scheduler/gangs.cc
+++ b/Source/scheduler/gangs.cc
@@ -1,6 +1,7 @@
 #include "scheduler/gangs.h"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 #include "scheduler/attempt_updates.h"
@@ -12,7 +13,10 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxBackoffShift = 5;
+constexpr std::uint32_t kMaxBackoffShift = 2;
+// A gang that knows no place for a task that was refused waits for so many
+// digests of its peers before it releases the others' room.
+constexpr std::int64_t kDigestsToWait = 2;
 
 // How many tasks of a gang a peer has room for.
 struct PeerShare {
@@ -31,8 +35,7 @@
     if (!IsDomainPeer(context, peer) || !IsUsable(context, peer)) {
       continue;
     }
-    const std::int64_t places =
-        CountFitting(need, peer.digest.free - peer.offered_resources);
+    const std::int64_t places = PlacesAt(peer, need);
     if (places > 0) {
       shares.push_back({.peer = id, .places = places});
     }
@@ -88,6 +91,40 @@
   return recorded;
 }
 
+bool IsAssembling(const Job& job) {
+  return !job.gang_running && !job.recovering && job.hold_until != Time(0);
+}
+
+// The order is arbitrary, but the same for all members.
+bool Outranks(const std::string& left, const std::string& right) {
+  const std::uint64_t left_rank = StableHash("gang", left);
+  const std::uint64_t right_rank = StableHash("gang", right);
+  return left_rank != right_rank ? left_rank < right_rank : left < right;
+}
+
+// Offers the tasks that were refused to other owners, while the others keep
+// their room. Returns false if there is no place for one of them now.
+bool CompleteGang(Context& context, Job& job) {
+  State& state = context.state();
+  for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
+    if (job.tasks[it].state != TaskState::kQueued) {
+      continue;
+    }
+    const auto local =
+        state.placement.PickWorker(job.spec.resources, WorkerPolicy::kPack);
+    if (local) {
+      HoldLocally(context, job, it, *local);
+      continue;
+    }
+    const std::string peer = ChoosePeerForTask(context, job.spec.resources);
+    if (peer.empty()) {
+      return false;
+    }
+    HoldAtPeer(context, job, it, peer);
+  }
+  return true;
+}
+
 bool HasEnded(const Task& task) {
   return task.state == TaskState::kEnding || task.state == TaskState::kDone ||
          task.state == TaskState::kFailed ||
@@ -110,6 +147,23 @@
 }  // namespace
 
 bool AssembleGang(Context& context, Job& job) {
+  if (IsAssembling(job)) {
+    if (CompleteGang(context, job)) {
+      return true;
+    }
+    if (IsOutranked(context, job.id)) {
+      BackOffGang(context, job, kOutranked);
+      return false;
+    }
+    OutrankOthers(context, job.id);
+    const Time end =
+        context.now() + context.policy().membership.digest * kDigestsToWait;
+    if (end < job.hold_until) {
+      job.hold_until = end;
+      context.ScheduleAt(end, TimerKind::kGang, job.id);
+    }
+    return false;
+  }
   if (!IsWhollyQueued(job)) {
     return false;
   }
@@ -161,6 +215,7 @@
   job.gang_running = true;
   job.go_sent = true;
   job.hold_until = Time(0);
+  job.backoffs = 0;
   context.Log(EventNumber::kGangStarted,
               {{"job", job.id}, {"tasks", std::to_string(job.tasks.size())}});
   for (std::uint32_t it = 0; it < job.tasks.size(); ++it) {
@@ -168,6 +223,52 @@
   }
 }
 
+bool IsOutranked(const Context& context, const std::string& job) {
+  const auto precedes = [&](const auto& it) {
+    return it.second.state == AttemptState::kHeld &&
+           Outranks(it.first.job, job);
+  };
+  const auto& workers = context.state().ownership.workers;
+  return std::any_of(workers.begin(), workers.end(), [&](const auto& it) {
+    const auto& bookings = it.second.bookings;
+    return std::any_of(bookings.begin(), bookings.end(), precedes);
+  });
+}
+
+void OutrankOthers(Context& context, const std::string& job) {
+  std::map<std::string, Booking> others;  // one for each gang
+  for (const auto& [id, worker] : context.state().ownership.workers) {
+    for (const auto& [attempt, booking] : worker.bookings) {
+      if (booking.state == AttemptState::kHeld && Outranks(job, attempt.job)) {
+        others.emplace(attempt.job, booking);
+      }
+    }
+  }
+  for (const auto& [id, booking] : others) {
+    Job* own = FindJob(context, id);
+    if (own != nullptr) {
+      OnGangOutranked(context, *own);
+    } else if (!booking.offered_by.empty()) {
+      // No offer has this number: the attempt is held until it is stopped.
+      context.Send(booking.offered_by, TaskRefused{.sequence = 0,
+                                                   .attempt = booking.attempt,
+                                                   .reason = kOutranked});
+    }
+  }
+}
+
+void OnGangOutranked(Context& context, Job& job) {
+  if (IsAssembling(job)) {
+    BackOffGang(context, job, kOutranked);
+  }
+}
+
+void OnGangTaskRefused(Context& context, Job& job, const std::string& why) {
+  if (!IsAssembling(job) || why == kOutranked) {
+    BackOffGang(context, job, why);
+  }
+}
+
 void BackOffGang(Context& context, Job& job, const std::string& why) {
   if (job.judged_failed) {
     return;
@@ -177,8 +278,9 @@
     FailGang(context, job);
     return;
   }
+  // A gang that has backed off may still be told how its tasks were stopped.
   const bool is_idle = !job.gang_running && job.hold_until == Time(0);
-  if (is_idle && job.retry_at > context.now()) {
+  if (is_idle) {
     return;
   }
   job.gang_running = false;
--- a/Source/scheduler/task_exchange.cc
+++ b/Source/scheduler/task_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "scheduler/attempt_updates.h"
 #include "scheduler/context.h"
+#include "scheduler/gangs.h"
 #include "scheduler/job_status.h"
 #include "scheduler/request_admission.h"
 #include "scheduler/tasks.h"
@@ -19,6 +20,8 @@
 constexpr Duration kMovedRetention = std::chrono::minutes(10);
 // Reason of a refusal: the attempt may be running, but under another owner.
 constexpr char kMoved[] = "moved";
+// Reason of a refusal: no worker has room for a task of that size.
+constexpr char kNoRoom[] = "no_room";
 // Reason of a refusal: the attempt is not here, and an offer of it that is
 // still in transit will be refused.
 constexpr char kStopped[] = "stopped";
@@ -178,7 +181,13 @@
                                   : WorkerPolicy::kPack;
   const auto index = state.placement.PickWorker(offer.resources, policy);
   if (!index) {
-    Refuse(context, from, offer.sequence, offer.attempt, "no_room");
+    const bool is_outranked =
+        offer.hold && IsOutranked(context, offer.attempt.job);
+    Refuse(context, from, offer.sequence, offer.attempt,
+           is_outranked ? kOutranked : kNoRoom);
+    if (offer.hold && !is_outranked) {
+      OutrankOthers(context, offer.attempt.job);
+    }
     return;
   }
   WorkerRecord& worker =
@@ -204,6 +213,12 @@
     }
     return;
   }
+  if (refused.reason == kOutranked && refused.sequence == 0) {
+    if (job != nullptr && task->attempt == refused.attempt.number) {
+      OnGangOutranked(context, *job);
+    }
+    return;
+  }
   const bool is_stopped = refused.reason == kStopped && job != nullptr &&
                           task->attempt == refused.attempt.number &&
                           task->owner == from &&
@@ -219,7 +234,21 @@
       task->owner == from && task->offer_sequence == refused.sequence &&
       (task->state == TaskState::kStarting ||
        task->state == TaskState::kStopping);
-  context.state().membership.peers.at(from).refused_work = true;
+  Peer& peer = context.state().membership.peers.at(from);
+  if (job != nullptr &&
+      (refused.reason == kNoRoom || refused.reason == kOutranked)) {
+    const Resources& need = job->spec.resources;
+    if (PlacesAt(peer, need) > 0) {
+      peer.refused_sizes.push_back(need);
+    }
+    const bool is_counted = is_current && task->state == TaskState::kStarting &&
+                            task->last_sent >= peer.digest_at;
+    if (is_counted) {
+      peer.offered_resources -= need;
+    }
+  } else {
+    peer.refused_work = true;
+  }
   if (is_current) {
     OnAttemptNotStarted(context, refused.attempt, refused.reason);
   }
@@ -254,7 +283,7 @@
                      const std::string& why) {
   const Booking booking = worker.bookings.at(attempt);
   EraseBooking(context, worker, attempt);
-  if (why == "no_room") {
+  if (why == kNoRoom) {
     // The worker has less free capacity than its bookings imply. It gets no
     // more starts until it has reported what it runs.
     worker.suspect = true;
--- a/Source/scheduler/tasks.cc
+++ b/Source/scheduler/tasks.cc
@@ -17,9 +17,11 @@
 
 // Limits of one pass, which keep the step short. A gang and the last queued
 // task of a job, such as the task of a job of one, don't count as starts. A
-// pass that reaches the limit of starts is followed by another at once.
+// pass that reaches the limit of starts is followed by another at once, one
+// that reaches the limit of blocked jobs by a sweep over the jobs behind them.
 constexpr std::size_t kMaxStartsPerPass = 256;
 constexpr std::size_t kMaxBlockedPerPass = 64;
+constexpr Duration kSweepPause = std::chrono::milliseconds(10);
 
 struct PassTeam {
   double usage = 0;
@@ -97,6 +99,19 @@
   return std::nullopt;
 }
 
+// The next queued task after `index` that may run beside others.
+std::optional<std::uint32_t> NextBeside(const Context& context,
+                                        const Job& job,
+                                        std::uint32_t index) {
+  for (std::uint32_t it = index + 1; it < job.tasks.size(); ++it) {
+    if (job.tasks[it].state == TaskState::kQueued &&
+        !IsIsolated(context, job.tasks[it])) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
 WorkerPolicy PolicyOf(const Job& job) {
   return job.spec.kind == JobKind::kService ? WorkerPolicy::kSpread
                                             : WorkerPolicy::kPack;
@@ -168,7 +183,9 @@
   if (context.now() < job.retry_at) {
     return Blocked(job, "backoff");
   }
-  if (!WithinQuota(context, job)) {
+  // A gang in assembly was let in as a whole.
+  const bool is_held = job.hold_until != Time(0);
+  if (!is_held && !WithinQuota(context, job)) {
     return Blocked(job, "quota");
   }
   if (job.spec.kind == JobKind::kGang) {
@@ -185,9 +202,15 @@
   if (PlaceTask(context, job, *index)) {
     return job.queued == 0 ? TryResult::kNothingLeft : TryResult::kStarted;
   }
-  // A task that waits for an empty worker says nothing of the room of others.
   if (IsIsolated(context, job.tasks[*index])) {
-    return Blocked(job, "empty_worker");
+    // A task that waits for an empty worker says nothing of the room of others.
+    const auto other = NextBeside(context, job, *index);
+    if (!other) {
+      return Blocked(job, "empty_worker");
+    }
+    if (PlaceTask(context, job, *other)) {
+      return TryResult::kStarted;
+    }
   }
   pass.misfits.push_back(job.spec.resources);
   return Blocked(job, "room");
@@ -215,6 +238,10 @@
         job->in_queue = false;
       }
       jobs.erase(jobs.begin() + static_cast<std::ptrdiff_t>(cursor));
+      const auto next = state.tasks.sweep[which].find(first.team);
+      if (next != state.tasks.sweep[which].end() && cursor < next->second) {
+        --next->second;
+      }
     } else if (result == TryResult::kBlocked) {
       ++cursor;
       ++pass.blocked;
@@ -266,6 +293,29 @@
   return false;
 }
 
+bool MayPlace(Context& context) {
+  const State& state = context.state();
+  return state.jobs.queued_tasks > 0 && !state.drain.draining &&
+         IsServing(context);
+}
+
+void PlaceAll(Context& context, Pass& pass) {
+  BeginPass(context, pass);
+  while (pass.starts < kMaxStartsPerPass && PlaceNext(context, pass)) {
+    ++pass.starts;
+  }
+}
+
+bool HasReachedLimit(const Pass& pass) {
+  return pass.starts >= kMaxStartsPerPass || pass.blocked >= kMaxBlockedPerPass;
+}
+
+void ScheduleSweep(Context& context) {
+  Time& next = context.state().tasks.next_sweep;
+  next = context.now() + kSweepPause;
+  context.ScheduleAt(next, TimerKind::kSweep);
+}
+
 }  // namespace
 
 void RecordDispatch(Context& context, Job& job, std::uint32_t index) {
@@ -288,28 +338,54 @@
 }
 
 void PlaceTasks(Context& context) {
-  State& state = context.state();
-  state.tasks.pass_needed = false;
-  if (state.jobs.queued_tasks == 0 || state.drain.draining ||
-      !IsServing(context)) {
+  TaskQueue& queue = context.state().tasks;
+  queue.pass_needed = false;
+  if (!MayPlace(context)) {
     return;
   }
   Pass pass;
-  BeginPass(context, pass);
-  while (pass.starts < kMaxStartsPerPass && PlaceNext(context, pass)) {
-    ++pass.starts;
-  }
-  if (pass.starts == kMaxStartsPerPass) {
+  PlaceAll(context, pass);
+  if (pass.starts >= kMaxStartsPerPass) {
     context.ScheduleAt(context.now(), TimerKind::kSchedule);
   }
+  if (!HasReachedLimit(pass)) {
+    queue.sweeping = false;
+  } else if (queue.sweeping) {
+    queue.sweep_again = true;
+  } else {
+    queue.sweeping = true;
+    queue.sweep = std::move(pass.cursors);
+    ScheduleSweep(context);
+  }
+}
+
+void SweepTasks(Context& context) {
+  TaskQueue& queue = context.state().tasks;
+  if (!queue.sweeping || context.now() < queue.next_sweep) {
+    return;
+  }
+  if (!MayPlace(context)) {
+    queue.sweeping = false;
+    return;
+  }
+  Pass pass{.cursors = queue.sweep};
+  PlaceAll(context, pass);
+  if (HasReachedLimit(pass)) {
+    queue.sweep = std::move(pass.cursors);
+  } else if (std::exchange(queue.sweep_again, false)) {
+    queue.sweep = {};
+  } else {
+    queue.sweeping = false;
+    return;
+  }
+  ScheduleSweep(context);
 }
 
 std::string ChoosePeerForTask(Context& context, const Resources& need) {
   std::vector<const Peer*> candidates;
   for (const auto& [id, peer] : context.state().membership.peers) {
-    const Resources room = peer.digest.free - peer.offered_resources;
     if (IsDomainPeer(context, peer) && IsUsable(context, peer) &&
-        Fits(need, room)) {
+        PlacesAt(peer, need) > 0) {
       candidates.push_back(&peer);
     }
   }
