Engine: Lets adopters that ask at once share the polls of the workers

In a profile of all instances while jobs were adopted, a quarter of their processor time went to replies of workers.

An owner proves that a worker is still its own by a poll without a wait when an adopter's query is younger than the last such proof. Each adopter and each newly adopted job asked for a proof of its own, so that polls of one worker followed each other without a pause while jobs were adopted.

A second proof within 100 ms waits until they have passed. Adopters ask again after 120 ms, so the proof is there by then, and a single adopter waits for nothing.

--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -86,6 +86,10 @@
 // Pause between two polls. Ends within it share a listing.
 inline constexpr Duration kPollInterval = milliseconds(100);
 inline constexpr Duration kPollRetryDelay = milliseconds(150);
+// Minimum time between two polls of a worker that only prove its ownership.
+// Many adopters that ask for proof at once share one. Below
+// kAdoptQueryInterval, so that the proof is there when they ask again.
+inline constexpr Duration kOwnershipProofInterval = milliseconds(100);
 // A worker that has not replied for this long gets no further lease, so that
 // the time by which all its runs have ended is known.
 inline constexpr Duration kMaxRenewalWithoutAnswer = milliseconds(1500);
--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -97,6 +97,7 @@
   Time owned_as_of = Time::min();    // latest time of certain ownership
   bool ownership_check_due = false;
   bool ownership_check_in_flight = false;
+  Time ownership_check_sent_at = Time::min();
   std::vector<PendingRunQuery> pending_run_queries{};
   // The incarnation that answers under the worker's id instead of this one,
   // which has ended; empty: none. Set while it is not known which of the runs
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -180,6 +180,7 @@
                         OwnedWorker& worker) {
   worker.ownership_check_due = false;
   worker.ownership_check_in_flight = true;
+  worker.ownership_check_sent_at = context.now;
   ++context.state.totals.polls;
   context.Emit(CallWorker{.worker = id,
                           .address = worker.info.address,
@@ -187,6 +188,13 @@
                           .timeout = kPollSlack});
 }
 
+bool MaySendOwnershipCheck(const Context& context, const OwnedWorker& worker) {
+  return worker.claimed && worker.ownership_check_due &&
+         !worker.ownership_check_in_flight &&
+         HasPassed(context.now, worker.ownership_check_sent_at,
+                   kOwnershipProofInterval);
+}
+
 bool IsOwnershipCheck(const PollWorker& poll) {
   return poll.lease_until_ms == 0 && poll.wait == Duration(0);
 }
@@ -324,8 +332,7 @@
     if (HasRestarted(worker)) {
       continue;
     }
-    if (worker.claimed && worker.ownership_check_due &&
-        !worker.ownership_check_in_flight) {
+    if (MaySendOwnershipCheck(context, worker)) {
       SendOwnershipCheck(context, id, worker);
     }
     if (IsUnresponsive(worker) && IsRegistrationCurrent(context) &&
