Engine: Polls only the workers more often whose answers get lost

One call to one worker without a reply had all workers of its instance polled with a wait of 300 ms in place of 1,900 ms for ten seconds: a crashed or frozen worker multiplied the looks at all others, and what the workers answer to them.

The time of the last unanswered call is kept for each worker. The shorter wait is used for that worker, and for all workers of the instance once a quarter of those that respond have lost an answer: then the loss is near the instance, and an end whose listing is lost has to be learned soon at any of them.

A bound of two workers in place of the share failed an existing test, "Jobs complete when all replies of workers become slow" (3.08 s, 3.0 s allowed), as instances there own two workers.

--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -198,10 +198,9 @@
   ResponseTime response_time{};
 };
 
-// Reply times and unanswered calls of the owned workers.
+// Reply times of the owned workers.
 struct WorkerResponses {
-  ResponseTime response_time{};      // of commands
-  Time unanswered_at = Time::min();  // the last call without a reply
+  ResponseTime response_time{};  // of commands
 };
 
 // A worker of the platform's list. One that leaves the list is kept for
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -24,6 +24,10 @@
 
 namespace {
 
+// Calls without a reply to this share of an instance's workers show that
+// answers of the others get lost as well.
+constexpr double kLossyShare = 0.25;
+
 std::int64_t WorkerClock(const Context& context, const OwnedWorker& worker) {
   return ToMilliseconds(context.now) + worker.clock_offset_ms;
 }
@@ -116,16 +120,32 @@
   });
 }
 
-bool AnswersGetLost(const Context& context) {
-  const Time lost_at = context.state.worker_responses.unanswered_at;
-  return lost_at != Time::min() && context.now - lost_at < kLossyPeriod;
+bool LostAnswer(const Context& context, const OwnedWorker& worker) {
+  return worker.unanswered_at != Time::min() &&
+         context.now - worker.unanswered_at < kLossyPeriod;
+}
+
+// Whether answers of the worker get lost. One of many other workers that does
+// not answer shows nothing of this one; several show that the loss is near this
+// instance.
+bool AnswersGetLost(const Context& context, const OwnedWorker& worker) {
+  if (LostAnswer(context, worker)) {
+    return true;
+  }
+  const auto& owned = context.state.owned;
+  const auto lossy =
+      std::count_if(owned.begin(), owned.end(), [&](const auto& it) {
+        return !IsUnresponsive(it.second) && LostAnswer(context, it.second);
+      });
+  return lossy > 0 && static_cast<double>(lossy) >=
+                          kLossyShare * static_cast<double>(owned.size());
 }
 
 // Uses the full slack for an unresponsive worker, whose replies may merely have
 // become slow.
 Duration PollSlack(const Context& context, const OwnedWorker& worker) {
   if (worker.claimed && !IsUnresponsive(worker) &&
-      (HasMissedPoll(worker) || AnswersGetLost(context))) {
+      (HasMissedPoll(worker) || AnswersGetLost(context, worker))) {
     return context.state.worker_responses.response_time.Timeout(kMinPollSlack,
                                                                 kPollSlack);
   }
@@ -137,7 +157,7 @@
   if (worker.missed_since != Time(0)) {
     return Duration(0);
   }
-  return AnswersGetLost(context) ? kLossyPollWait : kPollWait;
+  return AnswersGetLost(context, worker) ? kLossyPollWait : kPollWait;
 }
 
 // Polls the worker. Leases last long enough for the next poll to get lost.
@@ -398,7 +418,7 @@
              worker.missed_since == Time(0)) {
     worker.missed_since = worker.poll_sent_at;
     worker.next_poll_at = context.now;
-    context.state.worker_responses.unanswered_at = context.now;
+    worker.unanswered_at = context.now;
     return;
   } else if (!IsUnresponsive(worker)) {
     if (worker.missed_since == Time(0)) {
--- a/Source/engine/workers/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -32,11 +32,12 @@
 }
 
 void RecordCommandReply(Context& context, const WorkerAnswered& event) {
-  WorkerResponses& answers = context.state.worker_responses;
-  if (std::holds_alternative<WorkerUnreached>(event.answer)) {
-    answers.unanswered_at = context.now;
-  } else {
-    RecordResponseTime(context, event);
+  if (!std::holds_alternative<WorkerUnreached>(event.answer)) {
+    return RecordResponseTime(context, event);
+  }
+  const auto worker = context.state.owned.find(event.worker);
+  if (worker != context.state.owned.end()) {
+    worker->second.unanswered_at = context.now;
   }
 }
 
