Engine: Chooses owners only for workers that may be the instance's own

Each check of the ownership chose an owner for every worker of the list, though workers of a domain that has members are assigned to one of these. Each change of the members and of the list causes such a check.

Workers of other domains that have members are passed over, and so are those that the instance owns already. The result is the same by the definition of ChooseMember(). No test counts processor time.

--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "engine/jobs/job_runs.h"
@@ -297,6 +298,16 @@
   }
 }
 
+// Domains in which a member may be chosen. Their workers are assigned to one of
+// their own members.
+std::set<std::string> DomainsWithMembers(const State& state) {
+  std::set<std::string> domains;
+  for (const auto& [node, it] : state.members.choosable) {
+    domains.insert(it.domain);
+  }
+  return domains;
+}
+
 // Claims the workers that the current members assign to this instance.
 void ClaimOwn(Context& context) {
   const bool settled =
@@ -308,10 +319,16 @@
     return;
   }
   context.state.ownership_checked_at = context.now;
+  // Choosing a member is slow, and the members of another domain outnumber this
+  // instance by far.
+  std::set<std::string> foreign = DomainsWithMembers(context.state);
+  foreign.erase(context.state.options.self.domain);
+  foreign.erase(std::string());
   for (const auto& [id, it] : context.state.workers) {
-    const bool own =
-        ChooseMember(context.state, id, it.info.domain) == context.self();
-    if (own && !context.state.owned.contains(id)) {
+    if (foreign.contains(it.info.domain) || context.state.owned.contains(id)) {
+      continue;
+    }
+    if (ChooseMember(context.state, id, it.info.domain) == context.self()) {
       BeginClaim(context, it.info);
     }
   }
