--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -97,6 +97,7 @@
   Time owned_as_of = Time::min();    // latest time of certain ownership
   bool ownership_check_due = false;
   bool ownership_check_in_flight = false;
+  Time ownership_check_sent_at = Time::min();
   std::vector<PendingRunQuery> pending_run_queries{};
   // The incarnation that answers under the worker's id instead of this one,
   // which has ended; empty: none. Set while it is not known which of the runs
@@ -109,6 +110,7 @@
   Time missed_since{0};        // first poll without a reply; 0: none
   Time unresponsive_since{0};  // the same, once a second poll has failed
   bool unresponsive_logged = false;
+  Time unanswered_at = Time::min();  // the last call without a reply
   // Expiry of all leases that this instance renewed there.
   Time lease_bound{0};
   // Latest expiry of leases that another owner may have renewed there,
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "engine/jobs/job_runs.h"
@@ -24,6 +25,10 @@
 
 namespace {
 
+// Calls without a reply to this share of an instance's workers show that
+// answers of the others get lost as well.
+constexpr double kLossyShare = 0.25;
+
 std::int64_t WorkerClock(const Context& context, const OwnedWorker& worker) {
   return ToMilliseconds(context.now) + worker.clock_offset_ms;
 }
@@ -116,16 +121,32 @@
   });
 }
 
-bool AnswersGetLost(const Context& context) {
-  const Time lost_at = context.state.worker_responses.unanswered_at;
-  return lost_at != Time::min() && context.now - lost_at < kLossyPeriod;
+bool LostAnswer(const Context& context, const OwnedWorker& worker) {
+  return worker.unanswered_at != Time::min() &&
+         context.now - worker.unanswered_at < kLossyPeriod;
+}
+
+// Whether answers of the worker get lost. One of many other workers that does
+// not answer shows nothing of this one; several show that the loss is near this
+// instance.
+bool AnswersGetLost(const Context& context, const OwnedWorker& worker) {
+  if (LostAnswer(context, worker)) {
+    return true;
+  }
+  const auto& owned = context.state.owned;
+  const auto lossy =
+      std::count_if(owned.begin(), owned.end(), [&](const auto& it) {
+        return !IsUnresponsive(it.second) && LostAnswer(context, it.second);
+      });
+  return lossy > 0 && static_cast<double>(lossy) >=
+                          kLossyShare * static_cast<double>(owned.size());
 }
 
 // Uses the full slack for an unresponsive worker, whose replies may merely have
 // become slow.
 Duration PollSlack(const Context& context, const OwnedWorker& worker) {
   if (worker.claimed && !IsUnresponsive(worker) &&
-      (HasMissedPoll(worker) || AnswersGetLost(context))) {
+      (HasMissedPoll(worker) || AnswersGetLost(context, worker))) {
     return context.state.worker_responses.response_time.Timeout(kMinPollSlack,
                                                                 kPollSlack);
   }
@@ -137,7 +158,7 @@
   if (worker.missed_since != Time(0)) {
     return Duration(0);
   }
-  return AnswersGetLost(context) ? kLossyPollWait : kPollWait;
+  return AnswersGetLost(context, worker) ? kLossyPollWait : kPollWait;
 }
 
 // Polls the worker. Leases last long enough for the next poll to get lost.
@@ -180,6 +201,7 @@
                         OwnedWorker& worker) {
   worker.ownership_check_due = false;
   worker.ownership_check_in_flight = true;
+  worker.ownership_check_sent_at = context.now;
   ++context.state.totals.polls;
   context.Emit(CallWorker{.worker = id,
                           .address = worker.info.address,
@@ -187,6 +209,13 @@
                           .timeout = kPollSlack});
 }
 
+bool MaySendOwnershipCheck(const Context& context, const OwnedWorker& worker) {
+  return worker.claimed && worker.ownership_check_due &&
+         !worker.ownership_check_in_flight &&
+         HasPassed(context.now, worker.ownership_check_sent_at,
+                   kOwnershipProofInterval);
+}
+
 bool IsOwnershipCheck(const PollWorker& poll) {
   return poll.lease_until_ms == 0 && poll.wait == Duration(0);
 }
@@ -269,6 +298,16 @@
   }
 }
 
+// Domains in which a member may be chosen. Their workers are assigned to one of
+// their own members.
+std::set<std::string> DomainsWithMembers(const State& state) {
+  std::set<std::string> domains;
+  for (const auto& [node, it] : state.members.choosable) {
+    domains.insert(it.domain);
+  }
+  return domains;
+}
+
 // Claims the workers that the current members assign to this instance.
 void ClaimOwn(Context& context) {
   const bool settled =
@@ -280,10 +319,16 @@
     return;
   }
   context.state.ownership_checked_at = context.now;
+  // Choosing a member is slow, and the members of another domain outnumber this
+  // instance by far.
+  std::set<std::string> foreign = DomainsWithMembers(context.state);
+  foreign.erase(context.state.options.self.domain);
+  foreign.erase(std::string());
   for (const auto& [id, it] : context.state.workers) {
-    const bool own =
-        ChooseMember(context.state, id, it.info.domain) == context.self();
-    if (own && !context.state.owned.contains(id)) {
+    if (foreign.contains(it.info.domain) || context.state.owned.contains(id)) {
+      continue;
+    }
+    if (ChooseMember(context.state, id, it.info.domain) == context.self()) {
       BeginClaim(context, it.info);
     }
   }
@@ -320,16 +365,17 @@
   }
   EndSucceededClaims(context);
   std::vector<std::string> lost;
+  // Leases of all members are compared, so this is not done in each step.
+  const bool checks_leases = context.state.drive.ticked_at == context.now;
   for (auto& [id, worker] : context.state.owned) {
     if (HasRestarted(worker)) {
       continue;
     }
-    if (worker.claimed && worker.ownership_check_due &&
-        !worker.ownership_check_in_flight) {
+    if (MaySendOwnershipCheck(context, worker)) {
       SendOwnershipCheck(context, id, worker);
     }
-    if (IsUnresponsive(worker) && IsRegistrationCurrent(context) &&
-        LeasesHaveExpired(context, worker)) {
+    if (checks_leases && IsUnresponsive(worker) &&
+        IsRegistrationCurrent(context) && LeasesHaveExpired(context, worker)) {
       if (MayDeclareLost(context, worker)) {
         lost.push_back(id);
         continue;
@@ -391,7 +437,7 @@
              worker.missed_since == Time(0)) {
     worker.missed_since = worker.poll_sent_at;
     worker.next_poll_at = context.now;
-    context.state.worker_responses.unanswered_at = context.now;
+    worker.unanswered_at = context.now;
     return;
   } else if (!IsUnresponsive(worker)) {
     if (worker.missed_since == Time(0)) {
