Engine: Keeps what a booking protocol must not release

- A start that was sent twice, executed the first time and refused the second time by an owner that had lost the worker, released a member that runs.
Starts are sent once again; a lost one ends with its booking.
- An absent run counted for a member wherever it was placed: after an adoption or a restart of the worker also for its run elsewhere.
It counts at its worker only, and while a job recovers such a member is not taken to wait.
- An absent booking released all others, and a booking that had been stopped once was refused at every worker of that owner.
Both are replaced alone now.
- Bookings were repeated only if no query had confirmed them, which does not prolong them.
- After an adoption, members of an incomplete gang were left to wait for the ones that are gone; they are stopped, so that the gang starts again.
- A gang that holds room does not wait for an idle member when its advice is overdue; the channel repeats a batch that the peer could not take for now.

All cases of engine_test and runtime_test pass; no case was added.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -10,6 +10,7 @@
 #include "engine/advice/advice_callers.h"
 #include "engine/advice/advice_queue.h"
 #include "engine/advice/advised_names.h"
+#include "engine/jobs/gang_bookings.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/placing.h"
 #include "engine/members/membership.h"
@@ -246,7 +247,8 @@
                         : &StepAt(*job, query.step.occurrence, query.step.step);
 }
 
-// Lets steps query another member when the reply of a long call is overdue.
+// Lets steps query another member when the reply of a long call is overdue. One
+// that holds room for a gang does not wait for an idle member.
 void ReleaseOverdueSteps(Context& context) {
   for (const auto& [call, query] : context.state.advice.queries) {
     const bool overdue = IsLongCall(query.expected) &&
@@ -257,8 +259,11 @@
     }
     const std::string other = ChooseAdviceCaller(context, query.priority,
                                                  query.expected, Time::min());
+    const bool holds_room =
+        IsBeingBooked(*FindJob(context.state, query.step.job), *step);
     if (other != query.member &&
-        WaitLeftAt(context, other, query.priority) <= kIdleWait) {
+        (holds_room ||
+         WaitLeftAt(context, other, query.priority) <= kIdleWait)) {
       step->advice_pending = false;
       step->advice_checked_at = Time::min();
     }
--- a/Source/engine/jobs/gang_placing.cc
+++ b/Source/engine/jobs/gang_placing.cc
@@ -196,15 +196,14 @@
                   cause);
 }
 
-// Repeats the bookings that were not confirmed lately, so that they last until
-// the tickets have come.
+// Repeats the bookings, so that they last until the tickets have come: a
+// worker's owner releases those that are not repeated.
 void RepeatBookings(PlacementRound& round, const ReadyStep& ready) {
   StepRun& step = ready.run();
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     Task& task = step.tasks[it];
-    const Time confirmed_or_sent = std::max(task.booked_at, task.offered_at);
     if (IsOnlyBooked(*ready.job, step, task) &&
-        HasPassed(round.context.now, confirmed_or_sent, kOfferRetryDelay)) {
+        HasPassed(round.context.now, task.offered_at, kOfferRetryDelay)) {
       task.offered_at = round.context.now;
       AddOffer(round, ready, it, OfferOf(round.context, task),
                OfferKind::kBooking);
@@ -236,32 +235,6 @@
   BookWaiting(round, ready, chosen);
 }
 
-// Sends the start of each member that is not known to run.
-void SendStarts(PlacementRound& round, const ReadyStep& ready) {
-  StepRun& step = ready.run();
-  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
-    Task& task = step.tasks[it];
-    if (task.phase == TaskPhase::kOffered && !task.stopping) {
-      task.offered_at = round.context.now;
-      task.last_update = round.context.now;
-      AddOffer(round, ready, it, OfferOf(round.context, task),
-               OfferKind::kStart);
-    }
-  }
-}
-
-// Whether starts that were sent some time ago are not answered: the others wait
-// in vain for a member whose start was lost.
-bool AwaitsStarts(const Context& context, const ReadyStep& ready) {
-  const StepRun& step = ready.run();
-  return step.gang_run == step.gang_started_run &&
-         std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
-           return it.phase == TaskPhase::kOffered && !it.stopping &&
-                  it.run == step.gang_run &&
-                  HasPassed(context.now, it.offered_at, kOfferRetryDelay);
-         });
-}
-
 // Starts all members together once room is booked for each of them and their
 // tickets are valid: members that start early wait for the late ones, and end
 // if that takes too long.
@@ -269,7 +242,7 @@
   StepRun& step = ready.run();
   const bool all_booked =
       std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
-        return it.phase == TaskPhase::kOffered && it.booked &&
+        return it.phase == TaskPhase::kOffered && it.booked && !it.stopping &&
                HasTicket(round.context, ready, it.worker);
       });
   if (!all_booked || !IsGangStored(round.context, ready)) {
@@ -284,7 +257,11 @@
        {"tasks", std::to_string(step.tasks.size())},
        {"ready_ms",
         std::to_string(ToMilliseconds(round.context.now - step.ready_at))}});
-  SendStarts(round, ready);
+  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+    step.tasks[it].last_update = round.context.now;
+    AddOffer(round, ready, it, OfferOf(round.context, step.tasks[it]),
+             OfferKind::kStart);
+  }
 }
 
 }  // namespace
@@ -295,8 +272,6 @@
     ContinueBooking(round, ready);
     RepeatBookings(round, ready);
     StartIfBooked(round, ready);
-  } else if (AwaitsStarts(round.context, ready)) {
-    SendStarts(round, ready);
   } else if (AllInPhase(step, TaskPhase::kWaiting)) {
     BeginBooking(round, ready);
   }
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -86,6 +86,21 @@
   }
 }
 
+// Lets a task wait again whose run is not there. Another run of a gang's member
+// may be reported as long as the job recovers. A member that was only booked is
+// booked elsewhere; otherwise the gang starts again as a whole.
+void ReleaseMember(Context& context, const TaskRef& ref, const char* cause) {
+  const bool only_booked =
+      ref.spec.gang && IsOnlyBooked(ref.job, ref.step, ref.task);
+  Requeue(context, ref.task, Duration(0));
+  if (ref.spec.gang && ref.job.recovering) {
+    ref.task.phase = TaskPhase::kUnknown;
+  }
+  if (ref.spec.gang && !only_booked) {
+    StopGang(context, ref, cause);
+  }
+}
+
 // Whether the known state of the worker does not explain its refusal, so that
 // it would be chosen again at once.
 bool LooksFree(const Context& context,
@@ -519,6 +534,9 @@
       }
       break;
     case RunState::kAbsent:
+      if (report.worker != task.worker) {
+        break;  // of a booking that was given up, or of a former incarnation
+      }
       context.Log(EventNumber::kAttemptLost,
                   {{"task", report.task},
                    {"run", std::to_string(report.run)},
@@ -529,10 +547,7 @@
       if (PromoteCopy(context, task)) {
         break;
       }
-      Requeue(context, task, Duration(0));
-      if (ref->spec.gang) {
-        StopGang(context, *ref, RunStateName(report.state));
-      }
+      ReleaseMember(context, *ref, RunStateName(report.state));
       break;
     case RunState::kStalled:
       OnStalled(context, *ref);
@@ -574,20 +589,13 @@
       if (PromoteCopy(context, task)) {
         return;
       }
-      const StepSpec& spec = job.spec.steps[name.step];
-      const bool only_booked =
-          spec.gang &&
-          IsOnlyBooked(job, StepAt(job, name.occurrence, name.step), task);
-      Requeue(context, task, Duration(0));
-      if (spec.gang && !only_booked) {
-        StopGang(context,
-                 TaskRef{.job = job,
-                         .step = StepAt(job, name.occurrence, name.step),
-                         .task = task,
-                         .name = name,
-                         .spec = spec},
-                 "worker_lost");
-      }
+      ReleaseMember(context,
+                    TaskRef{.job = job,
+                            .step = StepAt(job, name.occurrence, name.step),
+                            .task = task,
+                            .name = name,
+                            .spec = job.spec.steps[name.step]},
+                    "worker_lost");
     });
   }
 }
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -35,6 +35,20 @@
 // each query to all members.
 constexpr Duration kUnlistedRepeatInterval = milliseconds(5000);
 
+// Stops what is left of a gang of which members are missing: they would wait
+// for those in vain, and it starts again only as a whole.
+void StopIncompleteGangs(Context& context, Job& job) {
+  ForEachTask(job, [&](const TaskName& name, Task& task) {
+    const StepRun& step = StepAt(job, name.occurrence, name.step);
+    if (job.spec.steps[name.step].gang &&
+        std::any_of(step.tasks.begin(), step.tasks.end(), [](const Task& it) {
+          return it.phase == TaskPhase::kWaiting;
+        })) {
+      StopTask(context, job, name, task);
+    }
+  });
+}
+
 // Ends the recovery, as all members and workers that may run the job's tasks
 // are accounted for. Tasks without a reported run wait to be placed.
 void FinishRecovery(Context& context, Job& job) {
@@ -49,6 +63,7 @@
       CountLostStart(context, job, name, task);
     }
   });
+  StopIncompleteGangs(context, job);
   context.state.placement_due = true;
   CompleteIfDone(context, job);
 }
--- a/Source/engine/workers/worker_offers.cc
+++ b/Source/engine/workers/worker_offers.cc
@@ -138,10 +138,12 @@
                          offer, offered);
   }
   // A query for the run can overtake its offer. Once the reply was "not here",
-  // the task may have a later run elsewhere.
+  // the task may have a later run elsewhere. A late booking runs nothing, and
+  // is released when it is not repeated.
   const auto& refused = context.state.known[offer.job].refused_runs;
   const auto last = refused.find(task);
-  if (last != refused.end() && offered.run <= last->second) {
+  if (!offer.book_only && last != refused.end() &&
+      offered.run <= last->second) {
     return OfferOutcome::kOldRun;
   }
   if (HasEndOf(*worker, task, offered.run)) {
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -52,11 +52,16 @@
 
 // The batch is for a process that has ended.
 constexpr int kGoneStatus = 410;
+// The peer could not take the batch now, such as when it is overloaded.
+constexpr int kFirstServerErrorStatus = 500;
 
 std::optional<PeerFailure> FailureOf(const HttpResult& result, Duration took) {
   if (const auto* response = std::get_if<HttpResponse>(&result)) {
     const bool taken =
         response->status == kOkStatus || response->status == kBadRequestStatus;
+    if (response->status >= kFirstServerErrorStatus) {
+      return PeerFailure::kBroken;
+    }
     return taken ? std::nullopt : std::optional(PeerFailure::kRefused);
   }
   if (!std::get<HttpFailure>(result).may_have_been_received) {
