Engine: Keeps a job that is submitted again while it is adopted

Cause: the owner was lost, and its caller submitted the job again to the instance that was writing the adoption. The adoption was stored, but the job was not taken into memory, as its creation was under way; the creation then met the adopted record and was dropped as one of another owner. The record names a member that lives, so that nobody adopts it. Evidence: the instance logs 411 for the other jobs of the same write (revision 422) and 210 for this one with that revision; no instance lists it.

Change: the adoption ends the creation that is under way, whose caller is told that the job is accepted, and a conflict of that creation no longer concerns the adopted job.

--- a/Source/engine/jobs/adoption.cc
+++ b/Source/engine/jobs/adoption.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "engine/jobs/job_progress.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/recovery.h"
 #include "engine/members/membership.h"
@@ -260,7 +261,12 @@
                std::uint64_t revision) {
   context.state.orphans.erase(id);
   const CatalogEntry& entry = context.state.catalog[id];
-  if (!entry.record || !entry.spec || context.state.jobs.contains(id)) {
+  if (!entry.record || !entry.spec) {
+    return;
+  }
+  // A repeated submission may have arrived while the adoption was written.
+  OnCreateConflict(context, id, {.key = JobKey(id), .revision = revision});
+  if (context.state.jobs.contains(id)) {
     return;
   }
   Job job = RestoreJob(context, id, entry);
--- a/Source/engine/jobs/job_progress.cc
+++ b/Source/engine/jobs/job_progress.cc
@@ -206,8 +206,8 @@
                       const std::string& id,
                       const StoreItem& item) {
   Job* job = FindJob(context.state, id);
-  if (job == nullptr) {
-    return;
+  if (job == nullptr || job->stored) {
+    return;  // this instance has adopted the job meanwhile
   }
   context.Log(EventNumber::kJobRepeated,
               {{"job", id}, {"revision", std::to_string(item.revision)}});
