Teams: Keeps what a team has running at all workers within its cap

Cause: nothing on the path of jobs of steps knew a cap.

Change: the owner of a job counts each run from its offer until its end is known, as it already must so that no task runs twice, and starts a run only within what it holds of the cap. One member a team, chosen by hashing, grants parts of the cap. Holdings have no lease. A member that leaves is replaced as the owner of its jobs, and an audit (each stored job has a member as its owner, no member has left since, all have reported) lets the accountant drop its holding, or a new accountant begin. A holding follows a lower cap by the same share without a message.

--- a/Source/engine/jobs/adoption.cc
+++ b/Source/engine/jobs/adoption.cc
@@ -11,6 +11,7 @@
 #include "engine/records/catalog.h"
 #include "engine/records/record_writer.h"
 #include "engine/records/store_calls.h"
+#include "engine/teams/quota.h"
 
 namespace burdockrock::engine {
 
@@ -45,7 +46,7 @@
 void BeginScan(Context& context, const std::string& prefix) {
   OrphanScan& scan = context.state.scans[prefix];
   if (!scan.in_flight) {
-    scan.after.clear();
+    scan = OrphanScan{.began = context.now};
     ReadScanPage(context, prefix, scan);
   }
 }
@@ -227,12 +228,17 @@
   for (const StoreItem& item : page->items) {
     if (const auto name = ParseOwnedKey(item.key)) {
       NoteOrphan(context, *name, TeamOfOwnedValue(item.value));
+      it->second.all_owned =
+          it->second.all_owned && IsOwnedByMember(context.state, name->owner);
     }
   }
   if (page->more && !page->items.empty()) {
     it->second.after = page->items.back().key;
     ReadScanPage(context, prefix, it->second);
   } else {
+    if (prefix == kOwnedPrefix && it->second.all_owned) {
+      OnAllOwned(context, it->second.began);
+    }
     context.state.scans.erase(it);
   }
 }
--- a/Source/engine/jobs/gang_placing.cc
+++ b/Source/engine/jobs/gang_placing.cc
@@ -8,6 +8,8 @@
 #include "engine/jobs/gang_bookings.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/teams/quota.h"
+#include "engine/teams/quota_demand.h"
 #include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
@@ -113,6 +115,17 @@
   });
 }
 
+// What the members that wait for a worker count together.
+Resources ChargeOfWaiting(const ReadyStep& ready) {
+  Resources charge;
+  for (const Task& it : ready.run().tasks) {
+    if (it.phase == TaskPhase::kWaiting) {
+      charge += ChargeOfRun(ready.spec());
+    }
+  }
+  return charge;
+}
+
 // Books the chosen workers for the members that wait.
 void BookWaiting(PlacementRound& round,
                  const ReadyStep& ready,
@@ -120,6 +133,7 @@
   StepRun& step = ready.run();
   const Resources room = RoomOf(ready.spec());
   std::size_t next = 0;
+  TakeQuota(round.context, *ready.job, ChargeOfWaiting(ready));
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     Task& task = step.tasks[it];
     if (task.phase != TaskPhase::kWaiting) {
@@ -136,7 +150,8 @@
 void BeginBooking(PlacementRound& round, const ReadyStep& ready) {
   StepRun& step = ready.run();
   if (IsPaused(round.context, step) ||
-      !MayPlaceAnywhere(round.context, ready)) {
+      !MayPlaceAnywhere(round.context, ready) ||
+      !HasQuota(round.context, *ready.job, ChargeOfWaiting(ready))) {
     return;
   }
   const auto chosen =
@@ -227,6 +242,9 @@
   if (all_placed || IsPaused(round.context, step)) {
     return;
   }
+  if (!HasQuota(round.context, *ready.job, ChargeOfWaiting(ready))) {
+    return GiveUpBooking(round, ready, "quota");
+  }
   const auto chosen =
       FitGang(round, ready, RoundCandidates(round, ready.queue->service));
   if (chosen.empty()) {
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -14,6 +14,8 @@
 #include "engine/jobs/task_crashes.h"
 #include "engine/members/membership.h"
 #include "engine/members/unresponsive_members.h"
+#include "engine/teams/quota.h"
+#include "engine/teams/quota_demand.h"
 #include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
@@ -101,6 +103,9 @@
     if (!IsDue(round.context, task) || IsBeingStored(*ready.job, task)) {
       continue;
     }
+    if (!HasQuota(round.context, *ready.job, ChargeOfRun(ready.spec()))) {
+      return;
+    }
     const bool alone = IsolationOf(round.context, task) > Duration(0);
     need.avoid_worker = task.avoid_worker;
     choice.preempts = false;
@@ -123,6 +128,7 @@
       continue;
     }
     AssignWorker(round, need.room, *best, task, *run);
+    TakeQuota(round.context, *ready.job, ChargeOfRun(ready.spec()));
     if (choice.preempts) {
       best->preemptible -= need.room;
       round.context.state.view[task.worker].yielding -= need.room;
@@ -141,6 +147,10 @@
     if (!WaitsForCopy(task) || task.retry_at > round.context.now) {
       continue;
     }
+    const Resources charge = ChargeOfRun(ready.spec());
+    if (!HasQuota(round.context, *ready.job, charge)) {
+      return;
+    }
     const PlacementNeed need = NeedOf(ready);
     const PlacementChoice choice{
         .ready = ready,
@@ -154,6 +164,7 @@
       continue;
     }
     TakeRoom(round, need.room, *best);
+    TakeQuota(round.context, *ready.job, charge);
     task.copy_wanted = false;
     task.copy = TaskCopy{.run = NextRun(*ready.job, HighestRun(task)),
                          .worker = best->worker->id,
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -7,6 +7,8 @@
 #include "engine/jobs/candidates.h"
 #include "engine/jobs/placement_rule.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/teams/quota.h"
+#include "engine/teams/quota_demand.h"
 
 namespace burdockrock::engine {
 
@@ -67,7 +69,17 @@
          (task.phase == TaskPhase::kUnknown && ready.job->recovering);
 }
 
-WaitCause CauseOf(const ReadyStep& ready,
+// What has to fit at once into what is held of the team's cap.
+Resources LeastCharge(const ReadyStep& ready, const StepWait& wait) {
+  Resources charge;
+  for (std::size_t it = 0; it < (ready.spec().gang ? wait.tasks : 1); ++it) {
+    charge += ChargeOfRun(ready.spec());
+  }
+  return charge;
+}
+
+WaitCause CauseOf(const Context& context,
+                  const ReadyStep& ready,
                   const StepWait& wait,
                   bool all_pause) {
   if (WaitsForRecovery(ready)) {
@@ -83,6 +95,9 @@
   if (all_pause) {
     return WaitCause::kPause;
   }
+  if (!HasQuota(context, *ready.job, LeastCharge(ready, wait))) {
+    return WaitCause::kQuota;
+  }
   // All tasks of a gang start together.
   const std::size_t least = ready.spec().gang ? ready.run().tasks.size() : 1;
   const std::size_t usable = ready.queue->advice ? wait.ticketed : wait.room;
@@ -112,6 +127,8 @@
       return "room";
     case WaitCause::kClosed:
       return "closed";
+    case WaitCause::kQuota:
+      return "quota";
     case WaitCause::kPause:
       return "pause";
     case WaitCause::kBooking:
@@ -148,7 +165,7 @@
   if (ready.run().advice_checked_at != Time::min()) {
     wait.since_advice_check = context.now - ready.run().advice_checked_at;
   }
-  wait.cause = CauseOf(ready, wait, all_pause);
+  wait.cause = CauseOf(context, ready, wait, all_pause);
   return wait;
 }
 
--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -17,6 +17,7 @@
                // and no advice request is pending
   kRoom,       // no worker that may run it has room (for a gang: for all of it)
   kClosed,     // the same, and some of these workers accept no tasks for now
+  kQuota,      // what is held of the team's cap has no room for it
   kPause,      // delay after a failed or refused start
   kBooking,    // of a gang: some of its room is booked, and it is not started
   kPlacement,  // none of these: the next placement round can start it
--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -10,6 +10,7 @@
 #include "engine/jobs/job_progress.h"
 #include "engine/members/node_records.h"
 #include "engine/records/store_calls.h"
+#include "engine/teams/quota.h"
 #include "engine/workers/worker_owner.h"
 #include "model/worker_incarnation.h"
 
@@ -257,6 +258,7 @@
   if (node.empty()) {
     return;
   }
+  ++members.departures;
   if (IsSelf(context, node.key())) {
     LoseRegistration(context, "removed");
     return;
@@ -390,6 +392,7 @@
   RebuildChoosableMembers(members);
   MarkOwnershipUnverified(context);
   MarkWorkersUnverified(context);
+  ForgetHoldings(context.state.quota);
 }
 
 void RequestFenceAdvance(Context& context) {
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -286,6 +286,65 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::QuotaHolding> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Name("team", it.team);
+    codec.Optional("claim", it.claim, std::uint64_t{0});
+    codec.Optional("grant", it.grant, std::uint64_t{0});
+    codec.Optional("held", it.held, Resources());
+    codec.Optional("wanted", it.wanted, Resources());
+    codec.Optional("least", it.least, Resources());
+  }
+};
+
+template <>
+struct FieldsOf<engine::QuotaHoldings> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("teams", it.teams);
+  }
+};
+
+template <>
+struct FieldsOf<engine::QuotaGrant> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Name("team", it.team);
+    codec.Field("claim", it.claim);
+    codec.Field("number", it.number);
+    codec.Optional("held", it.held, Resources());
+    codec.Optional("cap", it.cap, Resources());
+  }
+};
+
+template <>
+struct FieldsOf<engine::QuotaGrants> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("teams", it.teams);
+  }
+};
+
+template <>
+struct FieldsOf<engine::QuotaClaim> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Name("team", it.team);
+    codec.Field("claim", it.claim);
+    codec.Optional("grant", it.grant, std::uint64_t{0});
+  }
+};
+
+template <>
+struct FieldsOf<engine::QuotaClaims> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("teams", it.teams);
+  }
+};
+
 template <>
 struct FieldsOf<engine::PeerAdviceRequest> {
   template <typename Codec, typename Value>
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -413,6 +413,60 @@
   auto operator<=>(const DigestRequest&) const = default;
 };
 
+// What runs of the jobs that the sender owns may take at workers, by team.
+// Sent to the team's accountant.
+struct QuotaHolding {
+  std::string team{};
+  std::uint64_t claim = 0;  // of the accountant; 0: the sender knows none
+  std::uint64_t grant = 0;  // number of the last grant that it applied
+  Resources held{};         // no run beyond this is started
+  Resources wanted{};       // what its runs and waiting tasks take
+  Resources least{};        // the least that would help: one task, or a gang
+
+  auto operator<=>(const QuotaHolding&) const = default;
+};
+
+struct QuotaHoldings {
+  std::vector<QuotaHolding> teams{};
+
+  auto operator<=>(const QuotaHoldings&) const = default;
+};
+
+// A change of what one member holds of a team's cap.
+struct QuotaGrant {
+  std::string team{};
+  std::uint64_t claim = 0;   // of the sender
+  std::uint64_t number = 0;  // rises with each grant to the same member
+  Resources held{};
+  Resources cap{};  // of which `held` is a part
+
+  auto operator<=>(const QuotaGrant&) const = default;
+};
+
+struct QuotaGrants {
+  std::vector<QuotaGrant> teams{};
+
+  auto operator<=>(const QuotaGrants&) const = default;
+};
+
+// A member's claim to be the accountant of a team. Receivers reply with what
+// they hold, and take no grants of lower claims from then on.
+struct QuotaClaim {
+  std::string team{};
+  std::uint64_t claim = 0;
+  // Number of the last grant to the receiver. One that takes up the claim again
+  // has given up what it held, and must not apply earlier grants.
+  std::uint64_t grant = 0;
+
+  auto operator<=>(const QuotaClaim&) const = default;
+};
+
+struct QuotaClaims {
+  std::vector<QuotaClaim> teams{};
+
+  auto operator<=>(const QuotaClaims&) const = default;
+};
+
 using PeerMessage = std::variant<RoomDigest,
                                  TaskOffer,
                                  OfferAnswers,
@@ -433,7 +487,10 @@
                                  LeaseReport,
                                  DigestRequest,
                                  StoppedRenewing,
-                                 WorkersCrashed>;
+                                 WorkersCrashed,
+                                 QuotaHoldings,
+                                 QuotaGrants,
+                                 QuotaClaims>;
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -26,6 +26,7 @@
 #include "engine/records/record_writer.h"
 #include "engine/records/store_calls.h"
 #include "engine/records/watches.h"
+#include "engine/teams/quota.h"
 #include "engine/workers/lease_bounds.h"
 #include "engine/workers/run_ends.h"
 #include "engine/workers/run_review.h"
@@ -70,6 +71,11 @@
   void operator()(const StoppedRenewing&) { OnStoppedRenewing(context, from); }
   void operator()(const DigestRequest&) { OnDigestRequest(context, from); }
   void operator()(const WorkersCrashed& it) { OnWorkersCrashed(context, it); }
+  void operator()(const QuotaHoldings& it) {
+    OnQuotaHoldings(context, from, it);
+  }
+  void operator()(const QuotaGrants& it) { OnQuotaGrants(context, from, it); }
+  void operator()(const QuotaClaims& it) { OnQuotaClaims(context, from, it); }
 };
 
 // Passes the store's reply to the handler of its purpose.
@@ -202,6 +208,8 @@
   DriveAdvice(context);
   DrainInbox(context);
   DriveAdviceQueue(context);
+  DriveQuota(context);
+  DrainInbox(context);
   DrivePlacement(context);
   DrainInbox(context);
   DriveProgress(context);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -27,6 +27,7 @@
 #include "engine/options.h"
 #include "engine/records/record.h"
 #include "engine/response_time.h"
+#include "engine/teams/quota_state.h"
 #include "engine/workers/end_log.h"
 #include "engine/workers/owned_worker.h"
 #include "engine/workers/pool_rule.h"
@@ -195,7 +196,8 @@
   NodesState nodes{};
   // By node; derived from `present` and `departed` when they change.
   std::map<std::string, ChoosableMember> choosable{};
-  std::uint64_t version = 1;  // increases with each change of the members
+  std::uint64_t version = 1;     // increases with each change of the members
+  std::uint64_t departures = 0;  // registrations that ended, as seen here
 };
 
 struct RoomView;
@@ -317,6 +319,8 @@
 struct OrphanScan {
   bool in_flight = false;
   std::string after{};
+  Time began{0};
+  bool all_owned = true;  // each job so far has a member as its owner
 };
 
 // A stored job whose owner is lost.
@@ -544,6 +548,7 @@
   PoolsState pools{};
   AdviceState advice{};
   DigestState digest{};
+  QuotaState quota{};
   StopState stop{};
   std::deque<PeerMessage> inbox{};  // messages of this instance to itself
   DriveState drive{};
--- /dev/null
+++ b/Source/engine/teams/quota.h
@@ -0,0 +1,49 @@
+// Keeps what a team has running at all workers together within its cap.
+//
+// Each job's owner counts what the runs of its jobs may take, and starts a run
+// only within what it holds of the team's cap. One member, chosen by hashing,
+// accounts for a team and grants parts of the cap to the owners. Holdings need
+// no lease: a member that leaves is replaced as the owner of its jobs, and the
+// accountant counts its holding until the new owners have reported theirs. A
+// new accountant grants nothing until all members have reported.
+#ifndef BURDOCKROCK_ENGINE_TEAMS_QUOTA_H_
+#define BURDOCKROCK_ENGINE_TEAMS_QUOTA_H_
+
+#include <string>
+
+#include "engine/context.h"
+
+namespace burdockrock::engine {
+
+// Updates what own jobs need, accounts for the teams of this instance, and
+// sends what is due.
+void DriveQuota(Context& context);
+
+void OnQuotaHoldings(Context& context,
+                     const std::string& from,
+                     const QuotaHoldings& holdings);
+void OnQuotaGrants(Context& context,
+                   const std::string& from,
+                   const QuotaGrants& grants);
+void OnQuotaClaims(Context& context,
+                   const std::string& from,
+                   const QuotaClaims& claims);
+
+// Whether runs that take `need` may start for the job's team.
+bool HasQuota(const Context& context, const Job& job, const Resources& need);
+
+// Counts a start until the next DriveQuota() counts it with the others.
+void TakeQuota(Context& context, const Job& job, const Resources& need);
+
+// Called when this instance's registration was lost: the other members give
+// what it held to new owners of its jobs, and account for its teams.
+void ForgetHoldings(QuotaState& quota);
+
+// Told of each entry of a scan of the owners of all stored jobs, and of its
+// end. `began` is when the scan began.
+bool IsOwnedByMember(const State& state, const std::string& owner);
+void OnAllOwned(Context& context, Time began);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_TEAMS_QUOTA_H_
--- /dev/null
+++ b/Source/engine/teams/quota_demand.cc
@@ -0,0 +1,85 @@
+#include "engine/teams/quota_demand.h"
+
+#include <algorithm>
+
+#include "engine/jobs/job_table.h"
+#include "engine/teams/quota_ledger.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+bool MayRun(const Task& task) {
+  return task.phase == TaskPhase::kOffered ||
+         task.phase == TaskPhase::kRunning || task.phase == TaskPhase::kUnknown;
+}
+
+// Whether each step waits for the one before it, so that only one of them runs
+// at a time.
+bool IsChain(const JobSpec& spec) {
+  for (std::uint32_t it = 1; it < spec.steps.size(); ++it) {
+    const auto& after = spec.steps[it].after;
+    if (std::find(after.begin(), after.end(), it - 1) == after.end()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+Resources Times(const Resources& each, std::int64_t n) {
+  return {.processors_milli = each.processors_milli * n,
+          .memory_mb = each.memory_mb * n,
+          .accelerators = each.accelerators * n};
+}
+
+Resources ChargeOfStep(const StepSpec& spec, const StepRun& step) {
+  std::int64_t runs = 0;
+  for (const Task& it : step.tasks) {
+    runs += (MayRun(it) ? 1 : 0) + (it.copy ? 1 : 0);
+  }
+  return Times(ChargeOfRun(spec), runs);
+}
+
+void AddWaiting(const StepSpec& spec, const StepRun& step, QuotaDemand& sum) {
+  const std::int64_t waiting = std::count_if(
+      step.tasks.begin(), step.tasks.end(),
+      [](const Task& it) { return it.phase == TaskPhase::kWaiting; });
+  if (waiting == 0) {
+    return;
+  }
+  const Resources each = ChargeOfRun(spec);
+  const Resources least = spec.gang ? Times(each, waiting) : each;
+  const bool first = sum.waiting == Resources();
+  sum.waiting += Times(each, waiting);
+  if (first || Fits(least, sum.least)) {
+    sum.least = least;
+  }
+}
+
+}  // namespace
+
+Resources ChargeOfRun(const StepSpec& step) {
+  return {.processors_milli = step.each.processors_milli,
+          .memory_mb = step.each.memory_mb,
+          .accelerators = step.each.accelerators};
+}
+
+QuotaDemand DemandOf(const Job& job, const MayStart& may_start) {
+  QuotaDemand sum;
+  const bool chain = IsChain(job.spec);
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    const auto& steps = job.occurrences[k].steps;
+    Resources charge;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      const Resources of_step = ChargeOfStep(job.spec.steps[s], steps[s]);
+      charge = chain ? LargerOf(charge, of_step) : charge + of_step;
+      if (!IsFinal(job.state) && IsStepReady(job, k, s) && may_start(k, s)) {
+        AddWaiting(job.spec.steps[s], steps[s], sum);
+      }
+    }
+    sum.charge += charge;
+  }
+  return sum;
+}
+
+}  // namespace burdockrock::engine
--- /dev/null
+++ b/Source/engine/teams/quota_demand.h
@@ -0,0 +1,37 @@
+// What one job's runs may take of its team's cap, and what its waiting tasks
+// would add.
+#ifndef BURDOCKROCK_ENGINE_TEAMS_QUOTA_DEMAND_H_
+#define BURDOCKROCK_ENGINE_TEAMS_QUOTA_DEMAND_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "engine/jobs/job.h"
+#include "model/resources.h"
+
+namespace burdockrock::engine {
+
+struct QuotaDemand {
+  // Upper bound of what runs at workers: a run counts from its offer until its
+  // end is known, and each task of an adopted job that may have one.
+  Resources charge{};
+  Resources waiting{};  // of tasks that could start now, but for the cap
+  Resources least{};    // the smallest of these: one task, or a whole gang
+
+  auto operator<=>(const QuotaDemand&) const = default;
+};
+
+// Whether tasks of a step whose turn has come could start now. What is held for
+// a step that waits for something else would be lost to the team's other jobs.
+using MayStart =
+    std::function<bool(std::uint32_t occurrence, std::uint32_t step)>;
+
+QuotaDemand DemandOf(const Job& job, const MayStart& may_start);
+
+// What one run of the step counts. Filling tasks count with their processors
+// too, although they reserve none at their worker.
+Resources ChargeOfRun(const StepSpec& step);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_TEAMS_QUOTA_DEMAND_H_
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -101,6 +101,10 @@
      "Another process answers under a worker's id; the one before has ended"},
     {EventNumber::kPeerMessagesLost, Level::kInfo, "peer_messages_lost",
      "Messages to another entry instance were given up undelivered"},
+    {EventNumber::kQuotaSettled, Level::kInfo, "quota_settled",
+     "This instance knows what all members hold of a team's cap and grants "
+     "from "
+     "it"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -58,6 +58,7 @@
   kWorkerOpened = 320,
   kWorkerRestarted = 321,
   kPeerMessagesLost = 322,
+  kQuotaSettled = 323,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -52,6 +52,10 @@
     "burdockrock_jobs_refused_total";
 inline constexpr std::string_view kKeysRefusedTotal =
     "burdockrock_keys_refused_total";
+inline constexpr std::string_view kTeamCharge =
+    "burdockrock_team_processors_milli";
+inline constexpr std::string_view kTeamHeld =
+    "burdockrock_team_held_processors_milli";
 inline constexpr std::string_view kJobsCompletedTotal =
     "burdockrock_jobs_completed_total";
 inline constexpr std::string_view kJobsFailedTotal =
@@ -150,6 +154,11 @@
      "Steps of own jobs whose turn has come and that have waiting tasks"},
     {kLongestWaitSeconds, MetricKind::kGauge, "",
      "How long the longest waiting of these tasks has waited, in seconds"},
+    {kTeamCharge, MetricKind::kGauge, "team",
+     "What runs of own jobs of the team take, in thousandths of a processor"},
+    {kTeamHeld, MetricKind::kGauge, "team",
+     "What this instance holds of the team's cap for them, in thousandths of a "
+     "processor"},
     {kClosedWorkers, MetricKind::kGauge, "cause",
      "Owned workers that accept no new tasks for now"},
     {kAnswersTotal, MetricKind::kCounter, "verdict",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -133,6 +133,16 @@
   metrics.Set(kLongestWaitSeconds, {}, InSeconds(waits.longest_wait));
 }
 
+void SetTeams(Metrics& metrics, const engine::QuotaState& quota) {
+  for (const auto& [team, share] : quota.shares) {
+    const Labels labels = {{.name = "team", .value = team}};
+    metrics.Set(kTeamCharge, labels,
+                static_cast<double>(share.charge.processors_milli));
+    metrics.Set(kTeamHeld, labels,
+                static_cast<double>(share.held.processors_milli));
+  }
+}
+
 void SetOpenWork(Metrics& metrics, const engine::OpenWork& open) {
   metrics.Set(kRecoveringJobs, {}, static_cast<double>(open.recoveries.count));
   metrics.Set(kOldestRecoverySeconds, {}, InSeconds(open.recoveries.oldest));
@@ -183,6 +193,7 @@
                   })));
   SetClosedWorkers(metrics, state, now);
   SetWaits(metrics, state.condition_log);
+  SetTeams(metrics, state.quota);
   SetAdvice(metrics, totals.advice);
   SetPacked(metrics, state);
   SetOpenWork(metrics, engine::CountOpenWork(state, now));
--- /dev/null
+++ b/Tests/engine/quota_ledger_test.cc
@@ -0,0 +1,124 @@
+// The decisions on a team's cap, as pure functions.
+#include "engine/teams/quota_ledger.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include <doctest/doctest.h>
+
+#include "engine/jobs/job_table.h"
+#include "engine/teams/quota_demand.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+Resources Cores(std::int64_t n) {
+  return {.processors_milli = 1000 * n};
+}
+
+const MayStart kAnyStep = [](std::uint32_t, std::uint32_t) { return true; };
+
+QuotaHolder Asks(std::int64_t held,
+                 std::int64_t wanted,
+                 std::int64_t least,
+                 int at) {
+  return {.held = Cores(held),
+          .wanted = Cores(wanted),
+          .least = Cores(least),
+          .asked_at = Time(at)};
+}
+
+QuotaLedger Settled(std::map<std::string, QuotaHolder> holders) {
+  return {.claim = 1, .settled = true, .holders = std::move(holders)};
+}
+
+}  // namespace
+
+// Guards against grants that together exceed the cap when all members ask at
+// once.
+TEST_CASE("The grants of a burst stay within the cap, oldest request first") {
+  const QuotaLedger ledger = Settled({{"n0", Asks(0, 30, 1, 2)},
+                                      {"n1", Asks(5, 45, 1, 1)},
+                                      {"n2", Asks(0, 30, 1, 3)}});
+  const auto grants = DecideGrants(ledger, Cores(60));
+  REQUIRE(grants.size() == 2);
+  CHECK(grants[0] == HolderGrant{.holder = "n1", .held = Cores(45)});
+  CHECK(grants[1].holder == "n0");
+  CHECK(grants[1].held.processors_milli == 15'000);
+}
+
+// Guards against holdings that an accountant has not heard of yet.
+TEST_CASE("An accountant that does not know all holdings grants nothing") {
+  QuotaLedger ledger = Settled({{"n0", Asks(0, 1, 1, 1)}});
+  ledger.settled = false;
+  CHECK(DecideGrants(ledger, Cores(60)).empty());
+}
+
+// Guards against gangs that hold a part of their need and block each other.
+TEST_CASE("A gang gets all of its need or nothing") {
+  const QuotaLedger ledger =
+      Settled({{"n0", Asks(50, 50, 0, 1)}, {"n1", Asks(0, 20, 20, 1)}});
+  CHECK(DecideGrants(ledger, Cores(60)).empty());
+  CHECK(DecideGrants(ledger, Cores(70)).size() == 1);
+}
+
+// Guards against a task that never runs because it is larger than the cap.
+TEST_CASE("A task that is larger than the cap runs when nothing else does") {
+  const QuotaLedger alone = Settled({{"n0", Asks(0, 8, 8, 1)}});
+  REQUIRE(DecideGrants(alone, Cores(5)).size() == 1);
+  CHECK(DecideGrants(alone, Cores(5))[0].held == Cores(8));
+  const QuotaLedger beside =
+      Settled({{"n0", Asks(0, 8, 8, 1)}, {"n1", Asks(1, 1, 0, 1)}});
+  CHECK(DecideGrants(beside, Cores(5)).empty());
+}
+
+// Guards against starts on holdings of a cap that was lowered since.
+TEST_CASE("A holding follows a lower cap, and a higher one only by a grant") {
+  CHECK(FollowCap(Cores(20), Cores(100), Cores(40)) == Cores(8));
+  CHECK(FollowCap(Cores(20), Cores(100), Cores(200)) == Cores(20));
+  CHECK(FollowCap(Cores(20), Resources(), Cores(40)) == Resources());
+  CHECK(FollowCap(Cores(20), Cores(40), Resources()) == Cores(20));
+}
+
+// Guards against runs of an adopted job that nobody counts while they are
+// looked for.
+TEST_CASE("Tasks of an adopted job count until it is known that none runs") {
+  Job job = MakeJob("j", {.steps = {{.count = 3, .each = Cores(1)}}}, "q");
+  job.occurrences[0].begun = true;
+  for (Task& it : StepAt(job, 0, 0).tasks) {
+    it.phase = TaskPhase::kUnknown;
+  }
+  CHECK(DemandOf(job, kAnyStep) == QuotaDemand{.charge = Cores(3)});
+  StepAt(job, 0, 0).tasks[0].phase = TaskPhase::kWaiting;
+  StepAt(job, 0, 0).tasks[1].phase = TaskPhase::kDone;
+  CHECK(DemandOf(job, kAnyStep) == QuotaDemand{.charge = Cores(1),
+                                               .waiting = Cores(1),
+                                               .least = Cores(1)});
+}
+
+// Guards against a part of the cap that is held while its step waits for
+// advice.
+TEST_CASE("Tasks that could not start yet ask for nothing") {
+  Job job = MakeJob("j", {.steps = {{.count = 3, .each = Cores(1)}}}, "q");
+  job.occurrences[0].begun = true;
+  StepAt(job, 0, 0);
+  const MayStart none = [](std::uint32_t, std::uint32_t) { return false; };
+  CHECK(DemandOf(job, none) == QuotaDemand());
+  CHECK(DemandOf(job, kAnyStep).waiting == Cores(3));
+}
+
+TEST_CASE("Steps that follow each other count once") {
+  JobSpec spec{.steps = {{.count = 2, .each = Cores(1)},
+                         {.count = 5, .each = Cores(1), .after = {0}}}};
+  Job job = MakeJob("j", spec, "q");
+  for (std::uint32_t s = 0; s < 2; ++s) {
+    for (Task& it : StepAt(job, 0, s).tasks) {
+      it.phase = TaskPhase::kUnknown;
+    }
+  }
+  CHECK(DemandOf(job, kAnyStep).charge == Cores(5));
+}
+
+}  // namespace burdockrock::engine
