--- a/Source/engine/teams/quota.h
+++ b/Source/engine/teams/quota.h
@@ -43,9 +43,12 @@
 // what it held to new owners of its jobs, and account for its teams.
 void ForgetHoldings(QuotaState& quota);
 
-// Told of each entry of a scan of the owners of all stored jobs, and of its
-// end. `began` is when the scan began.
+// Whether a stored job with this owner counts as owned for an audit: the owner
+// is registered, so that it can report what it holds.
 bool IsOwnedByMember(const State& state, const std::string& owner);
+
+// Called when a scan that began at `began` has found an owner that is a member
+// for each stored job.
 void OnAllOwned(Context& context, Time began);
 
 }  // namespace burdockrock::engine
