--- a/review/stand/deployment.h
+++ b/review/stand/deployment.h
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -235,10 +236,37 @@
     });
   }
 
+  // The calls below need the world's lock.
+
+  // Requests a wave, as the operator does.
+  void RequestWave(std::uint64_t wave,
+                   const std::set<std::string>& machines,
+                   int cap) {
+    waves_[wave] = machines;
+    Json::Value json;
+    json["wave"] = Json::UInt64(wave);
+    json["machines"] = Json::Value(Json::arrayValue);
+    for (const std::string& it : machines) {
+      json["machines"].append(it);
+    }
+    json["duration_s"] = 60;
+    json["cap"] = cap;
+    const std::string text = Write(json);
+    store_.Put("op/wave/" + std::to_string(wave), text);
+    world_.Record("the operator requests " + text);
+  }
+  // "running", "completed" or empty.
+  std::string StateOfWave(std::uint64_t wave) {
+    return Parse(store_.TextOf("status/wave/" + std::to_string(wave)))["state"]
+        .asString();
+  }
+  bool HadUpkeep(const std::string& machine, std::uint64_t wave) const {
+    return upkeeps_.contains({machine, wave});
+  }
+
   Store& store() { return store_; }
   std::vector<std::unique_ptr<Minion>>& minions() { return minions_; }
   std::vector<Entry>& entries() { return entries_; }
-  // Needs the world's lock.
   std::deque<RunRecord>& runs() { return runs_; }
 
   static std::string ZoneOf(int number) {
@@ -247,6 +275,8 @@
   }
 
  private:
+  static constexpr std::int64_t kMaintenanceMs = 2000;
+
   Address store_address() const { return {net_ + "7", 8169}; }
   Address cloud_address() const { return {net_ + "8", 8169}; }
 
@@ -297,8 +327,11 @@
 
   std::optional<Response> Cloud(const Request& request) {
     const std::lock_guard lock(world_.mutex);
+    if (request.path == "/machine-upkeep") {
+      return BeginUpkeep(request);
+    }
     if (request.path != "/machines") {
-      return Response{.status = 409, .body = R"({"reason":"wave"})"};
+      return Response{.status = 400};
     }
     Json::Value json;
     json["machines"] = Json::Value(Json::arrayValue);
@@ -306,7 +339,7 @@
       Json::Value machine;
       machine["machine"] = it->options().machine;
       machine["pool"] = kService;
-      machine["state"] = it->IsUp() ? "up" : "down";
+      machine["state"] = it->state();
       machine["zone"] = it->options().zone;
       machine["labels"].append("a");
       machine["labels"].append(it->options().rack);
@@ -320,6 +353,55 @@
     return Response{.body = Write(json)};
   }
 
+  Response BeginUpkeep(const Request& request) {
+    const Json::Value body = Parse(request.body);
+    const std::string machine = body["machine"].asString();
+    const std::uint64_t wave = body["wave"].asUInt64();
+    const auto holder = request.headers.find("x-duty-holder");
+    const auto token = request.headers.find("x-fencing-token");
+    const std::uint64_t fence =
+        token == request.headers.end()
+            ? 0
+            : std::strtoull(token->second.c_str(), nullptr, 10);
+    const auto answer = [&](int status, const char* reason) {
+      world_.Record(
+          "upkeep of " + machine + " for wave " + std::to_string(wave) +
+          " ordered by " +
+          (holder == request.headers.end() ? "?" : holder->second) + ", fence " +
+          std::to_string(fence) + ", answer " + std::to_string(status) + " " +
+          reason);
+      Json::Value json(Json::objectValue);
+      if (status == 409) {
+        json["reason"] = reason;
+      }
+      return Response{.status = status, .body = Write(json)};
+    };
+    for (const auto& it : minions_) {
+      if (it->options().machine != machine) {
+        continue;
+      }
+      std::uint64_t& highest = machine_fences_[machine];
+      if (fence < highest) {
+        return answer(409, "fence");
+      }
+      highest = fence;
+      const auto of_wave = waves_.find(wave);
+      if (of_wave == waves_.end() || !of_wave->second.contains(machine)) {
+        return answer(409, "wave");
+      }
+      if (upkeeps_.contains({machine, wave})) {
+        return answer(200, "done");
+      }
+      if (!it->IsUp()) {
+        return answer(409, "busy");
+      }
+      upkeeps_.insert({machine, wave});
+      it->BeginUpkeep(kMaintenanceMs);
+      return answer(200, "begins");
+    }
+    return answer(400, "no such machine");
+  }
+
   // The fields of DEPLOY.md, filled in by the template of the deploy file.
   Json::Value SettingsOf(const Entry& entry) const {
     Json::Value json;
@@ -402,6 +484,9 @@
   std::deque<RunRecord> runs_;
   std::vector<std::unique_ptr<Minion>> minions_;
   std::vector<Entry> entries_;
+  std::map<std::uint64_t, std::set<std::string>> waves_;
+  std::set<std::pair<std::string, std::uint64_t>> upkeeps_;  // machine and wave
+  std::map<std::string, std::uint64_t> machine_fences_;
   std::unique_ptr<Server> store_server_;
   std::unique_ptr<Server> cloud_server_;
 };
--- a/review/stand/minion.h
+++ b/review/stand/minion.h
@@ -26,8 +26,8 @@
   std::uint64_t run = 0;
   std::int64_t started = 0;
   std::int64_t ended = -1;
-  std::string how;              // empty: not ended; "crashed" with its minion
-  std::int64_t noted = -1;      // when `acknowledged` reached the end
+  std::string how;          // empty: not ended; "crashed" with its minion
+  std::int64_t noted = -1;  // when `acknowledged` reached the end
 };
 
 struct MinionOptions {
@@ -70,6 +70,7 @@
   // Starts a new life, with a new id.
   void Start() {
     ++life_;
+    state_ = "up";
     id_ = "i-" + options_.machine + "-" + std::to_string(life_);
     clock_start_ = world_.Now() - 1'000'000 * life_;
     up_ = true;
@@ -106,20 +107,21 @@
 
   // Ends the minion without a word. All that ran there is gone.
   void Crash() {
-    up_ = false;
-    server_.reset();
-    for (const auto& [key, index] : here_) {
-      RunRecord& run = runs_[index];
-      run.ended = world_.Now();
-      run.how = "crashed";
-    }
-    here_.clear();
+    Leave("crashed", "down", 3 * kBeatMs);
     world_.Record("minion " + id_ + " crashes");
-    old_entries_.emplace_back(world_.Now() + 3 * kBeatMs, "servers/" + id_);
-    world_.cv.notify_all();
+  }
+
+  // Takes the machine down for its upkeep; a new minion comes afterwards.
+  void BeginUpkeep(std::int64_t takes_ms) {
+    Leave("upkeep", "upkeep", 0);
+    up_again_at_ = world_.Now() + takes_ms;
   }
 
   void Tick() {
+    if (up_again_at_ >= 0 && world_.Now() >= up_again_at_) {
+      up_again_at_ = -1;
+      Start();
+    }
     if (!store_.IsDown()) {
       if (std::exchange(entry_due_, false)) {
         store_.Put("servers/" + id_, entry_);
@@ -151,6 +153,7 @@
   }
 
   bool IsUp() const { return up_; }
+  const std::string& state() const { return state_; }  // of the machine
   const std::string& id() const { return id_; }
   const MinionOptions& options() const { return options_; }
   std::size_t most_unnoted() const { return most_unnoted_; }
@@ -175,6 +178,19 @@
     std::size_t index = 0;  // in `runs_`
   };
 
+  void Leave(const char* how, const char* state, std::int64_t entry_stays_ms) {
+    up_ = false;
+    state_ = state;
+    server_.reset();
+    for (const auto& [key, index] : here_) {
+      runs_[index].ended = world_.Now();
+      runs_[index].how = how;
+    }
+    here_.clear();
+    old_entries_.emplace_back(world_.Now() + entry_stays_ms, "servers/" + id_);
+    world_.cv.notify_all();
+  }
+
   std::int64_t Clock() const { return world_.Now() - clock_start_; }
 
   Response Refuse(const char* reason) const {
@@ -353,6 +369,8 @@
   std::deque<std::pair<std::int64_t, std::string>> old_entries_;
   int life_ = 0;
   bool up_ = false;
+  std::string state_ = "down";
+  std::int64_t up_again_at_ = -1;
   std::int64_t clock_start_ = 0;
   std::int64_t lease_until_ = 0;
   std::uint64_t fence_ = 0;
--- a/review/stand/store.h
+++ b/review/stand/store.h
@@ -80,6 +80,12 @@
     }
   }
 
+  // The item's value; empty if there is none.
+  std::string TextOf(const std::string& key) const {
+    const auto it = items_.find(key);
+    return it == items_.end() ? "" : DecodeBase64(it->second.value);
+  }
+
   bool IsDown() const { return down_; }
 
   void Tick() {
--- a/review/stand/world.h
+++ b/review/stand/world.h
@@ -81,6 +81,27 @@
   return out;
 }
 
+inline std::string DecodeBase64(const std::string& text) {
+  static const std::string kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  std::uint32_t bits = 0;
+  int count = 0;
+  for (const char it : text) {
+    const std::size_t digit = kDigits.find(it);
+    if (digit == std::string::npos) {
+      break;
+    }
+    bits = bits << 6U | static_cast<std::uint32_t>(digit);
+    count += 6;
+    if (count >= 8) {
+      count -= 8;
+      out += static_cast<char>(bits >> static_cast<unsigned>(count) & 255U);
+    }
+  }
+  return out;
+}
+
 // Bytes that the base64 text stands for.
 inline std::size_t DecodedSize(const std::string& text) {
   std::size_t padding = 0;
