Review: Ends of a minion that starts again are acknowledged unread

A poll acknowledges the ends that were stored. A minion that starts again under its id between two polls takes this for its own ends, whose numbers begin anew, and forgets them before anyone has read them. Their tasks are started again, although they have ended done and these ends are taken note of.

The stand-in of a minion tells when it was born, and its clock starts anew with each life.

--- a/review/stand/deployment.h
+++ b/review/stand/deployment.h
@@ -39,6 +39,7 @@
   int machines = 3;
   std::int64_t cpu = 32'000;
   int max_attempts = 4;
+  bool minions_keep_ids = false;
 };
 
 struct Entry {
@@ -88,7 +89,8 @@
                         .rack = "r1-" + std::to_string(it),
                         .service = kService,
                         .address = {net_ + std::to_string(100 + it), 8080},
-                        .cpu = options_.cpu},
+                        .cpu = options_.cpu,
+                        .keeps_id = options_.minions_keep_ids},
           runs_));
       minions_.back()->Start();
     }
--- a/review/stand/minion.h
+++ b/review/stand/minion.h
@@ -38,6 +38,9 @@
   Address address;
   std::int64_t cpu = 32'000;
   std::int64_t mem_mb = 65'536;
+  // A minion that starts again has the id that it had, and tells when it was
+  // born.
+  bool keeps_id = false;
 };
 
 // How long a task runs: the number after "ms=" in the job's text; tasks without
@@ -54,6 +57,9 @@
   static constexpr std::int64_t kMaxHoldMs = 6000;
   static constexpr std::int64_t kStopMs = 30;
   static constexpr std::int64_t kBeatMs = 1500;
+  // From the start of a life to its first entry in the store.
+  static constexpr std::int64_t kFirstBeatMs = 200;
+  static constexpr std::int64_t kNever = INT64_MAX;
   static constexpr std::size_t kMostEnds = 500;  // of one response
 
   Minion(World& world,
@@ -71,8 +77,10 @@
   void Start() {
     ++life_;
     state_ = "up";
-    id_ = "i-" + options_.machine + "-" + std::to_string(life_);
-    clock_start_ = world_.Now() - 1'000'000 * life_;
+    id_ = "i-" + options_.machine +
+          (options_.keeps_id ? "" : "-" + std::to_string(life_));
+    born_ = options_.keeps_id ? World::WallMs() : 0;
+    clock_start_ = world_.Now();
     up_ = true;
     fence_ = 0;
     last_end_ = 0;
@@ -100,9 +108,12 @@
     entry["labels"].append(options_.rack);
     entry["clock_ms"] = Json::Int64(Clock());
     entry["sequence"] = 1;
+    if (born_ != 0) {
+      entry["born"] = Json::Int64(born_);
+    }
     entry_ = Write(entry);
-    entry_due_ = true;
-    world_.Record("minion " + id_ + " is up");
+    entry_due_at_ = world_.Now() + kFirstBeatMs;
+    world_.Record("minion " + Label() + " is up");
   }
 
   // Ends the minion without a word. All that ran there is gone.
@@ -111,6 +122,14 @@
     world_.Record("minion " + id_ + " crashes");
   }
 
+  // Ends the minion without a word; its next life begins soon.
+  void Restart(std::int64_t after_ms) {
+    Leave("crashed", "down", 3 * kBeatMs);
+    old_entries_.pop_back();  // the next life writes it anew
+    up_again_at_ = world_.Now() + after_ms;
+    world_.Record("minion " + Label() + " crashes and starts again");
+  }
+
   // Takes the machine down for its upkeep; a new minion comes afterwards.
   void BeginUpkeep(std::int64_t takes_ms) {
     Leave("upkeep", "upkeep", 0);
@@ -123,7 +142,8 @@
       Start();
     }
     if (!store_.IsDown()) {
-      if (std::exchange(entry_due_, false)) {
+      if (world_.Now() >= entry_due_at_) {
+        entry_due_at_ = kNever;
         store_.Put("servers/" + id_, entry_);
       }
       while (!old_entries_.empty() &&
@@ -155,6 +175,18 @@
   bool IsUp() const { return up_; }
   const std::string& state() const { return state_; }  // of the machine
   const std::string& id() const { return id_; }
+  // The id, and the number of the life where lives share it.
+  std::string Label() const {
+    return options_.keeps_id ? id_ + "/" + std::to_string(life_) : id_;
+  }
+  std::size_t CountStartsSince(std::int64_t since) const {
+    std::size_t count = 0;
+    for (auto it = runs_.rbegin(); it != runs_.rend() && it->started >= since;
+         ++it) {
+      count += it->minion == Label() ? 1 : 0;
+    }
+    return count;
+  }
   const MinionOptions& options() const { return options_; }
   std::size_t most_unnoted() const { return most_unnoted_; }
 
@@ -229,6 +261,9 @@
 
   std::optional<Response> Handle(const Request& request) {
     std::unique_lock lock(world_.mutex);
+    if (!up_) {
+      return std::nullopt;  // arrived at a life that has ended
+    }
     const auto expected = request.headers.find("x-expected-instance");
     if (expected != request.headers.end() && expected->second != id_) {
       return Response{.status = 421};
@@ -280,6 +315,9 @@
     }
     Json::Value json;
     json["clock_ms"] = Json::Int64(Clock());
+    if (born_ != 0) {
+      json["born"] = Json::Int64(born_);
+    }
     json["running"] = Json::Value(Json::arrayValue);
     json["finished"] = Json::Value(Json::arrayValue);
     for (const auto& [key, index] : here_) {
@@ -336,7 +374,7 @@
     if (body["deadline_ms"].asInt64() <= Clock()) {
       return Refuse("late");
     }
-    runs_.push_back({.minion = id_,
+    runs_.push_back({.minion = Label(),
                      .task = key.first,
                      .run = key.second,
                      .started = world_.Now(),
@@ -365,12 +403,13 @@
   std::unique_ptr<Server> server_;
   std::string id_;
   std::string entry_;
-  bool entry_due_ = false;
+  std::int64_t entry_due_at_ = kNever;
   std::deque<std::pair<std::int64_t, std::string>> old_entries_;
   int life_ = 0;
   bool up_ = false;
   std::string state_ = "down";
   std::int64_t up_again_at_ = -1;
+  std::int64_t born_ = 0;
   std::int64_t clock_start_ = 0;
   std::int64_t lease_until_ = 0;
   std::uint64_t fence_ = 0;
