Engine: Runs whose ends a worker does not list yet are not lost

Cause: a worker lists the oldest 500 of its unacknowledged ends. Without the store none is acknowledged, and RemoveUnlisted took a run that was in neither list for lost. The same list was read as whole by a new owner of a worker, when it reported the worker to the adopters of jobs, when it answered queries about runs that it did not know, and when it claimed a worker's next process.

Change: the codec tells whether a reply may lack ends. A run that is gone meanwhile is kept as unread, without room, and goes on to its job's owner. A worker is covered, a query answered as absent and a restart settled only after a reply with all ends. Events 324 and 325 and two gauges show it. The stand-ins list 500 ends at a time.

--- a/Source/engine/call_fields.h
+++ b/Source/engine/call_fields.h
@@ -261,6 +261,7 @@
     codec.Optional("born", it.born, std::int64_t{0});
     codec.Optional("running", it.running, std::vector<engine::RunningRow>());
     codec.Optional("ended", it.ended, std::vector<engine::EndedRow>());
+    codec.Optional("more_ends", it.more_ends, false);
   }
 };
 
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -207,7 +207,10 @@
   std::int64_t born = 0;              // of a poll: its start in Unix ms; 0: not
                                       // told
   std::vector<RunningRow> running{};  // of a poll
-  std::vector<EndedRow> ended{};      // of a poll
+  std::vector<EndedRow> ended{};      // of a poll, the oldest first
+  // Of a poll: there may be later ends than `ended` has. A worker lists a
+  // bounded number of ends, and the next ones once these are acknowledged.
+  bool more_ends = false;
   auto operator<=>(const WorkerDone&) const = default;
 };
 
--- a/Source/engine/jobs/open_work.cc
+++ b/Source/engine/jobs/open_work.cc
@@ -58,6 +58,9 @@
     if (!worker.claimed) {
       Add(open.claims, now - ClaimedSince(worker, now));
     }
+    for (const auto& [task, it] : worker.unread) {
+      Add(open.unread_runs, now - it.since);
+    }
     for (const auto& [task, run] : worker.runs) {
       if (run.phase == RunPhase::kStopping) {
         Add(open.stops_at_workers, now - run.since);
--- a/Source/engine/jobs/open_work.h
+++ b/Source/engine/jobs/open_work.h
@@ -27,6 +27,8 @@
   OpenItems stops_of_jobs{};
   // The same for runs on own workers.
   OpenItems stops_at_workers{};
+  // Runs that have ended on own workers and whose ends are not listed yet.
+  OpenItems unread_runs{};
 
   auto operator<=>(const OpenWork&) const = default;
 };
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -20,6 +20,45 @@
 // about its runs: one read for every two queries.
 constexpr Duration kOwnerCheckInterval = milliseconds(1000);
 
+// The run, also when it has ended and its end was not read. To the job's owner
+// such a run goes on until the end is reported.
+LocalRun* FindLocalRun(OwnedWorker& worker,
+                       const std::string& task,
+                       std::uint64_t run) {
+  const auto it = worker.runs.find(task);
+  if (it != worker.runs.end() && it->second.run == run) {
+    return &it->second;
+  }
+  const auto unread = worker.unread.find(task);
+  const bool found =
+      unread != worker.unread.end() && unread->second.run.run == run;
+  return found ? &unread->second.run : nullptr;
+}
+
+RunReport MakeRunReport(const std::string& worker,
+                        const std::string& task,
+                        const LocalRun& run) {
+  return {.task = task,
+          .run = run.run,
+          .worker = worker,
+          .state = run.phase == RunPhase::kRunning ? RunState::kRunning
+                                                   : RunState::kPending,
+          .checkpoint = run.checkpoint};
+}
+
+// A query that is repeated keeps the time of the first one.
+void AddPendingQuery(OwnedWorker& worker, PendingRunQuery query) {
+  auto& pending = worker.pending_run_queries;
+  const bool known =
+      std::any_of(pending.begin(), pending.end(), [&](const auto& it) {
+        return it.from == query.from && it.task == query.task &&
+               it.run == query.run;
+      });
+  if (!known) {
+    pending.push_back(std::move(query));
+  }
+}
+
 // Reports that the run is not here, and refuses an offer of it that the query
 // may have overtaken.
 void ReportAbsent(Context& context,
@@ -96,27 +135,21 @@
     }
     return;
   }
-  const auto it = worker->runs.find(query.task);
-  if (it != worker->runs.end() && it->second.run == query.run) {
-    it->second.owner = to;
-    it->second.last_queried = context.now;
-    const bool is_running = it->second.phase == RunPhase::kRunning;
-    return Send(context, to,
-                RunReports{.runs = {{.task = query.task,
-                                     .run = query.run,
-                                     .worker = query.worker,
-                                     .state = is_running ? RunState::kRunning
-                                                         : RunState::kPending,
-                                     .checkpoint = it->second.checkpoint}}});
+  if (LocalRun* run = FindLocalRun(*worker, query.task, query.run)) {
+    run->owner = to;
+    run->last_queried = context.now;
+    return Send(
+        context, to,
+        RunReports{.runs = {MakeRunReport(query.worker, query.task, *run)}});
   }
   if (RepeatEndReports(*worker, query.task)) {
     return;  // the run's end serves as the reply
   }
   worker->ownership_check_due = true;
-  worker->pending_run_queries.push_back({.from = to,
-                                         .task = query.task,
-                                         .run = query.run,
-                                         .received_at = context.now});
+  AddPendingQuery(*worker, {.from = to,
+                            .task = query.task,
+                            .run = query.run,
+                            .received_at = context.now});
 }
 
 void AnswerRunQueries(Context& context,
@@ -126,18 +159,22 @@
   for (const PendingRunQuery& it :
        std::exchange(worker.pending_run_queries, {})) {
     if (it.received_at > worker.owned_as_of) {
+      worker.ownership_check_due = true;
       open.push_back(it);
       continue;
     }
-    const auto run = worker.runs.find(it.task);
-    const bool is_present =
-        run != worker.runs.end() && run->second.run == it.run;
-    if (!is_present && !RepeatEndReports(worker, it.task)) {
-      ReportAbsent(context, it.from,
-                   {.task = it.task, .run = it.run, .worker = id});
+    if (FindLocalRun(worker, it.task, it.run) != nullptr ||
+        RepeatEndReports(worker, it.task)) {
+      continue;
+    }
+    // The run's end may come after those that the worker lists.
+    if (it.received_at > worker.ends_complete_as_of) {
+      open.push_back(it);
+      continue;
     }
+    ReportAbsent(context, it.from,
+                 {.task = it.task, .run = it.run, .worker = id});
   }
-  worker.ownership_check_due = worker.ownership_check_due || !open.empty();
   worker.pending_run_queries = std::move(open);
 }
 
@@ -175,27 +212,29 @@
     if (!worker.claimed) {
       continue;
     }
-    // Only workers whose ownership was proven after the query first arrived.
-    if (worker.owned_as_of >= queried_at ||
-        IsOwnedThoughUnresponsive(context, worker, queried_at)) {
+    // Only workers whose ownership was proven after the query first arrived,
+    // and not those with ends of runs that are not known here.
+    const bool owned = worker.owned_as_of >= queried_at ||
+                       IsOwnedThoughUnresponsive(context, worker, queried_at);
+    if (owned && worker.ends_known) {
       report.covered.push_back({.worker = id, .fence = worker.fence});
     } else {
-      worker.ownership_check_due = true;
+      worker.ownership_check_due = worker.ownership_check_due || !owned;
     }
-    for (auto& [task, run] : worker.runs) {
+    const auto add = [&, &worker_name = id](const std::string& task,
+                                            LocalRun& run) {
       const auto name = ParseTaskName(task);
-      if (!name || !jobs.contains(name->job)) {
-        continue;
+      if (name && jobs.contains(name->job)) {
+        run.owner = from;
+        run.last_queried = context.now;
+        report.runs.push_back(MakeRunReport(worker_name, task, run));
       }
-      run.owner = from;
-      run.last_queried = context.now;
-      report.runs.push_back({.task = task,
-                             .run = run.run,
-                             .worker = id,
-                             .state = run.phase == RunPhase::kRunning
-                                          ? RunState::kRunning
-                                          : RunState::kPending,
-                             .checkpoint = run.checkpoint});
+    };
+    for (auto& [task, run] : worker.runs) {
+      add(task, run);
+    }
+    for (auto& [task, it] : worker.unread) {
+      add(task, it.run);
     }
     AddEndsOfJobs(id, worker, jobs, report.ends);
   }
--- a/Source/engine/records/catalog.cc
+++ b/Source/engine/records/catalog.cc
@@ -98,6 +98,9 @@
     for (const auto& [task, run] : worker.runs) {
       keep(task);
     }
+    for (const auto& [task, it] : worker.unread) {
+      keep(task);
+    }
     for (const auto& [sequence, end] : worker.ends) {
       keep(end.row.task);
     }
--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -60,6 +60,12 @@
   Time pace_changed_at = kForever;    // last change of `pace`
 };
 
+// A run that has ended at the worker, before its end could be read.
+struct UnreadRun {
+  LocalRun run{};  // as it was last known
+  Time since{0};   // when a listing first lacked it
+};
+
 // An end that the worker lists, until the job's owner has stored it.
 struct LocalEnd {
   EndedRow row{};
@@ -122,9 +128,16 @@
   std::int64_t clock_offset_ms = 0;  // worker's clock minus ours
   std::int64_t lease_until_ms = 0;   // requested last; on the worker's clock
   std::uint64_t highest_end = 0;     // highest sequence number of a listed end
-  std::uint64_t ends_at_claim = 0;   // the same when the claim was answered
-  std::uint64_t acknowledged = 0;    // ends up to this number are stored
-  std::map<std::string, LocalRun> runs{};    // by task
+  bool ends_cut = false;             // the last listing lacked ends
+  // Whether a listing since the claim had all ends of the worker. Until then
+  // there may be ends of runs that are not known here.
+  bool ends_known = false;
+  std::uint64_t ends_at_claim = 0;  // `highest_end` when `ends_known` was set
+  Time ends_complete_as_of = Time::min();  // when the last such one was sent
+  std::uint64_t acknowledged = 0;          // ends up to this number are stored
+  std::map<std::string, LocalRun> runs{};  // by task
+  // Runs whose ends are not listed yet, by task. They take no room.
+  std::map<std::string, UnreadRun> unread{};
   std::map<std::uint64_t, LocalEnd> ends{};  // by sequence number
   std::uint64_t version = 0;                 // of the free room, for digests
   SpeedEstimate speed{};
--- a/Source/engine/workers/run_ends.cc
+++ b/Source/engine/workers/run_ends.cc
@@ -97,6 +97,10 @@
     }
     worker.runs.erase(run);
   }
+  const auto unread = worker.unread.find(row.task);
+  if (unread != worker.unread.end() && unread->second.run.run <= row.run) {
+    worker.unread.erase(unread);
+  }
   if (const auto name = ParseTaskName(row.task)) {
     context.state.end_log.Add(context.now, {.task = *name,
                                             .run = row.run,
@@ -228,6 +232,9 @@
       ReportLostRun(context, id, task, run);
     }
   }
+  for (const auto& [task, it] : worker.unread) {
+    ReportLostRun(context, id, task, it.run);
+  }
 }
 
 std::string OwnerOfJob(const State& state, const std::string& job) {
--- a/Source/engine/workers/run_ends.h
+++ b/Source/engine/workers/run_ends.h
@@ -43,7 +43,7 @@
                    const std::string& task,
                    const LocalRun& run);
 // Reports all runs of a lost worker, except those that are reported as crashed,
-// and its ends that are not stored.
+// its ends that are not stored, and the runs whose ends were not read.
 void ReportLostRuns(Context& context,
                     const std::string& id,
                     const OwnedWorker& worker,
--- a/Source/engine/workers/worker_listing.cc
+++ b/Source/engine/workers/worker_listing.cc
@@ -1,5 +1,6 @@
 #include "engine/workers/worker_listing.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -68,9 +69,22 @@
   ConfirmRun(context, id, row.task, run);
 }
 
-// Removes runs that the worker had and no longer lists: they have ended, and
-// their ends are in this listing or were acknowledged. A listing that was
-// requested before the run was confirmed need not contain it.
+// The run has ended, and the worker does not list its end.
+void OnRunDisappeared(Context& context,
+                      const std::string& id,
+                      const OwnedWorker& worker,
+                      const std::string& task,
+                      LocalRun& run) {
+  if (run.offer_unanswered) {
+    AnswerPendingOffer(context, id, task, run, OfferOutcome::kStopped);
+  } else if (!HasEndOf(worker, task, run.run)) {
+    ReportLostRun(context, id, task, run);
+  }
+}
+
+// Removes runs that the worker had and no longer lists: they have ended. Their
+// ends are in this listing, were acknowledged, or come after those listed. A
+// listing that was requested before the run was confirmed need not contain it.
 void RemoveUnlisted(Context& context,
                     const std::string& id,
                     OwnedWorker& worker,
@@ -92,19 +106,56 @@
     }
   }
   for (const std::string& it : missing) {
-    LocalRun& run = worker.runs[it];
-    if (run.offer_unanswered) {
-      AnswerPendingOffer(context, id, it, run, OfferOutcome::kStopped);
-    } else if (!HasEndOf(worker, it, run.run)) {
-      ReportLostRun(context, id, it, run);
+    auto node = worker.runs.extract(it);
+    if (listing.more_ends && !HasEndOf(worker, it, node.mapped().run)) {
+      worker.unread.insert_or_assign(
+          it, UnreadRun{.run = std::move(node.mapped()), .since = context.now});
+    } else {
+      OnRunDisappeared(context, id, worker, it, node.mapped());
     }
-    worker.runs.erase(it);
   }
   if (!missing.empty()) {
     RoomChanged(context, id);
   }
 }
 
+// Takes note of whether the listing has all ends of the worker. If so, the runs
+// that had ended before it was requested and whose ends it lacks are lost.
+void ApplyEndsBound(Context& context,
+                    const std::string& id,
+                    OwnedWorker& worker,
+                    const WorkerDone& listing,
+                    Time requested_at) {
+  if (worker.ends_cut != listing.more_ends) {
+    worker.ends_cut = listing.more_ends;
+    context.Log(worker.ends_cut ? EventNumber::kWorkerEndsCut
+                                : EventNumber::kWorkerEndsRead,
+                {{"worker", id},
+                 {"acknowledged", std::to_string(worker.acknowledged)},
+                 {"listed", std::to_string(listing.ended.size())},
+                 {"unread", std::to_string(worker.unread.size())}});
+  }
+  if (listing.more_ends) {
+    return;
+  }
+  worker.ends_complete_as_of =
+      std::max(worker.ends_complete_as_of, requested_at);
+  if (!worker.ends_known) {
+    worker.ends_known = true;
+    worker.ends_at_claim = worker.highest_end;
+  }
+  std::vector<std::string> lost;
+  for (const auto& [task, it] : worker.unread) {
+    if (it.since < requested_at) {
+      lost.push_back(task);
+    }
+  }
+  for (const std::string& it : lost) {
+    auto node = worker.unread.extract(it);
+    OnRunDisappeared(context, id, worker, it, node.mapped().run);
+  }
+}
+
 }  // namespace
 
 void ApplyListing(Context& context,
@@ -123,6 +174,7 @@
     ApplyRunning(context, id, worker, it);
   }
   RemoveUnlisted(context, id, worker, listing, requested_at);
+  ApplyEndsBound(context, id, worker, listing, requested_at);
   if (ended) {
     RoomChanged(context, id);
   }
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -261,9 +261,6 @@
   const bool renew_now = claimed_now || was_unresponsive;
   worker.next_poll_at = context.now + (renew_now ? Duration(0) : kPollInterval);
   ApplyListing(context, id, worker, done, requested_at);
-  if (claimed_now) {
-    worker.ends_at_claim = worker.highest_end;
-  }
   AnswerRunQueries(context, id, worker);
   if (renew_now) {
     RoomChanged(context, id);
--- a/Source/engine/workers/worker_restarts.cc
+++ b/Source/engine/workers/worker_restarts.cc
@@ -28,7 +28,9 @@
 
 bool HasRunInDoubt(const OwnedWorker& worker) {
   return std::any_of(worker.runs.begin(), worker.runs.end(),
-                     [](const auto& it) { return IsInDoubt(it.second); });
+                     [](const auto& it) { return IsInDoubt(it.second); }) ||
+         std::any_of(worker.unread.begin(), worker.unread.end(),
+                     [](const auto& it) { return IsInDoubt(it.second.run); });
 }
 
 // Makes the incarnation known before the store lists it. It accepts no tasks
@@ -57,7 +59,7 @@
 bool FoundRunsAreOver(Context& context,
                       const std::string& name,
                       OwnedWorker& next) {
-  bool over = next.acknowledged >= next.ends_at_claim;
+  bool over = next.ends_known && next.acknowledged >= next.ends_at_claim;
   for (auto& [task, run] : next.runs) {
     if (run.found) {
       over = false;
@@ -77,20 +79,28 @@
   if (!worker.claimed) {
     return FoundRunsAreOver(context, worker.successor, *next);
   }
-  bool settled = true;
-  for (auto& [task, run] : worker.runs) {
+  // Until all ends of the next incarnation are known, a run that is not listed
+  // there may have ended there.
+  bool settled = next->ends_known;
+  const auto check = [&](const std::string& task, LocalRun& run) {
     if (!IsInDoubt(run)) {
-      continue;
+      return;
     }
     const auto found = next->runs.find(task);
     if (found != next->runs.end() && found->second.run == run.run) {
       run.at_successor = true;
       settled = false;
       BeginRunStop(context, worker.successor, *next, task, found->second);
-    } else if (HasEndOf(*next, task, run.run)) {
+    } else if (HasEndOf(*next, task, run.run) || next->unread.contains(task)) {
       run.at_successor = true;
       settled = false;
     }
+  };
+  for (auto& [task, run] : worker.runs) {
+    check(task, run);
+  }
+  for (auto& [task, it] : worker.unread) {
+    check(task, it.run);
   }
   return settled;
 }
@@ -127,6 +137,8 @@
     if (HasRestarted(worker) && IsSettled(context, worker)) {
       std::erase_if(worker.runs,
                     [](const auto& it) { return it.second.at_successor; });
+      std::erase_if(worker.unread,
+                    [](const auto& it) { return it.second.run.at_successor; });
       settled.push_back(name);
     }
   }
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -105,6 +105,11 @@
      "This instance knows what all members hold of a team's cap and grants "
      "from "
      "it"},
+    {EventNumber::kWorkerEndsCut, Level::kWarning, "worker_ends_cut",
+     "A worker has more unacknowledged ends than it lists; the later ones are "
+     "read once these are stored"},
+    {EventNumber::kWorkerEndsRead, Level::kInfo, "worker_ends_read",
+     "A worker lists all of its ends again"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -59,6 +59,8 @@
   kWorkerRestarted = 321,
   kPeerMessagesLost = 322,
   kQuotaSettled = 323,
+  kWorkerEndsCut = 324,
+  kWorkerEndsRead = 325,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -84,6 +84,9 @@
 inline constexpr std::string_view kOldestRecoverySeconds =
     "burdockrock_oldest_recovery_seconds";
 inline constexpr std::string_view kOpenClaims = "burdockrock_open_claims";
+inline constexpr std::string_view kUnreadRuns = "burdockrock_unread_runs";
+inline constexpr std::string_view kOldestUnreadRunSeconds =
+    "burdockrock_oldest_unread_run_seconds";
 inline constexpr std::string_view kOpenStops = "burdockrock_open_stops";
 inline constexpr std::string_view kOldestStopSeconds =
     "burdockrock_oldest_stop_seconds";
@@ -182,6 +185,10 @@
      "Since when the oldest of these was adopted, in seconds"},
     {kOpenClaims, MetricKind::kGauge, "",
      "Workers that have not answered a claim"},
+    {kUnreadRuns, MetricKind::kGauge, "",
+     "Runs that have ended and whose ends the workers do not list yet"},
+    {kOldestUnreadRunSeconds, MetricKind::kGauge, "",
+     "Since when the oldest of these has not been listed, in seconds"},
     {kOpenStops, MetricKind::kGauge, "side",
      "Runs that were ordered to stop and have not ended as far as is known"},
     {kOldestStopSeconds, MetricKind::kGauge, "side",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -153,6 +153,8 @@
   metrics.Set(kRecoveringJobs, {}, static_cast<double>(open.recoveries.count));
   metrics.Set(kOldestRecoverySeconds, {}, InSeconds(open.recoveries.oldest));
   metrics.Set(kOpenClaims, {}, static_cast<double>(open.claims.count));
+  metrics.Set(kUnreadRuns, {}, static_cast<double>(open.unread_runs.count));
+  metrics.Set(kOldestUnreadRunSeconds, {}, InSeconds(open.unread_runs.oldest));
   SetStops(metrics, "job", open.stops_of_jobs);
   SetStops(metrics, "worker", open.stops_at_workers);
 }
--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -132,8 +132,12 @@
                             .figure = figure(task)});
   }
   for (const auto& [sequence, end] : ends_) {
+    if (done.ended.size() == kMaxListedEnds) {
+      break;
+    }
     done.ended.push_back(end.row);
   }
+  done.more_ends = done.ended.size() < ends_.size();
   return done;
 }
 
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -43,6 +43,10 @@
 
 class FakeWorker {
  public:
+  // A reply to a poll lists the oldest ends, at most this many, as workers on
+  // the platform do.
+  static constexpr std::size_t kMaxListedEnds = 500;
+
   FakeWorker(WorkerInfo info, std::vector<SeenRun>& seen);
 
   // Returns nothing when a long poll has to wait for an end.
@@ -82,6 +86,9 @@
   // Calls that were refused because of a higher fence.
   std::uint64_t refused_fences() const { return refused_fences_; }
 
+  // Ends that were not acknowledged.
+  std::size_t kept_ends() const { return ends_.size(); }
+
   // The most processors that were in use at once, in thousandths.
   std::int64_t peak() const { return peak_; }
   // Starts after which more processors were in use than the capacity has.
--- a/Tests/platform/worker_codec_test.cc
+++ b/Tests/platform/worker_codec_test.cc
@@ -1,7 +1,9 @@
 // Orders to workers and advice against texts written by hand.
 #include <chrono>
+#include <string>
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include "platform/worker_codec.h"
 
@@ -71,6 +73,23 @@
                                   .checkpoint = "c2"});
 }
 
+// Guards against runs that count as lost as their ends come after those listed.
+TEST_CASE("A listing with as many ends as fit may lack others") {
+  const auto with_ends = [](int n) {
+    std::string body = R"({"clock_ms":1,"running":[],"finished":[)";
+    for (int it = 1; it <= n; ++it) {
+      body += fmt::format("{}[{},\"t.0.0.{}\",1,\"done\",\"\"]",
+                          it == 1 ? "" : ",", it, it);
+    }
+    const auto answer =
+        DecodeWorkerAnswer(HttpResponse{.status = 200, .body = body + "]}"});
+    return std::get<WorkerDone>(answer);
+  };
+  CHECK_FALSE(with_ends(499).more_ends);
+  CHECK(with_ends(500).more_ends);
+  CHECK(with_ends(500).ended.size() == 500);
+}
+
 TEST_CASE("Each refusal is told apart") {
   const auto kind = [](int status, const char* body) {
     const WorkerAnswer answer = Decode(status, body);
