Records: A record above the store's bound stops no other writes

Cause, three faults in a row: an adopter restored all occurrences of the job and stored each, 1.2 MB; nothing knew the store's value_bytes; and a write that the store rejects for good was repeated before all others.

Change: an adopter restores what the record names or what is due; records hold ranges of done occurrences; the number of open occurrences, the size of a record and of a transaction follow from platform.value_bytes; a submission that can't be stored is refused with its size. The stand-in's store keeps the bounds of values, keys and entries.

--- a/Source/cli/queues_store.cc
+++ b/Source/cli/queues_store.cc
@@ -45,6 +45,9 @@
         "'burdockrock queues get' before trying again",
         unknown->detail);
   }
+  if (const auto* rejected = std::get_if<engine::StoreRejected>(&answer)) {
+    return fmt::format("the store does not accept this: {}", rejected->detail);
+  }
   return "the store gave another answer than asked for; check --store";
 }
 
--- a/Source/engine/call_codec.cc
+++ b/Source/engine/call_codec.cc
@@ -19,7 +19,7 @@
     "read",        "range",       "watch",    "transaction",
     "grant_lease", "renew_lease", "end_lease"};
 constexpr AlternativeNames<StoreAnswer> kStoreOutcomes = {
-    "done", "conflict", "absent", "refused", "unknown"};
+    "done", "conflict", "absent", "refused", "unknown", "rejected"};
 constexpr AlternativeNames<WorkerRequest> kWorkerMethods = {"hold", "start",
                                                             "stop", "pace"};
 constexpr AlternativeNames<WorkerAnswer> kWorkerOutcomes = {"done", "refused",
--- a/Source/engine/call_fields.h
+++ b/Source/engine/call_fields.h
@@ -183,6 +183,14 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::StoreRejected> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Optional("detail", it.detail, std::string());
+  }
+};
+
 template <>
 struct FieldsOf<engine::PollWorker> {
   template <typename Codec, typename Value>
--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -137,8 +137,19 @@
   auto operator<=>(const StoreUnknown&) const = default;
 };
 
-using StoreAnswer = std::
-    variant<StoreDone, StoreConflict, StoreAbsent, StoreRefused, StoreUnknown>;
+// The store does not accept the request, whenever it is sent: for example, a
+// value is too large. It had no effect.
+struct StoreRejected {
+  std::string detail{};
+  auto operator<=>(const StoreRejected&) const = default;
+};
+
+using StoreAnswer = std::variant<StoreDone,
+                                 StoreConflict,
+                                 StoreAbsent,
+                                 StoreRefused,
+                                 StoreUnknown,
+                                 StoreRejected>;
 
 // Workers.
 
--- a/Source/engine/jobs/adoption.cc
+++ b/Source/engine/jobs/adoption.cc
@@ -10,6 +10,7 @@
 #include "engine/jobs/recovery.h"
 #include "engine/members/membership.h"
 #include "engine/records/catalog.h"
+#include "engine/records/record_size.h"
 #include "engine/records/record_writer.h"
 #include "engine/records/store_calls.h"
 #include "engine/teams/quota_accounts.h"
@@ -84,7 +85,7 @@
 OrphanStep NextStep(Context& context,
                     const std::string& id,
                     const Orphan& orphan) {
-  if (orphan.writing) {
+  if (orphan.writing || context.now < orphan.retry_at) {
     return OrphanStep::kWait;
   }
   const CatalogEntry& entry = context.state.catalog[id];
@@ -117,21 +118,21 @@
 void WriteAdoption(Context& context, const std::string& id, Orphan& orphan) {
   orphan.writing = true;
   const CatalogEntry& entry = context.state.catalog[id];
-  QueueChange(
-      context,
-      Change{
-          .kind = ChangeKind::kAdoptJob,
-          .job = id,
-          // Fails if the former owner has registered again, which the store
-          // knows before this instance does.
-          .conditions = {{.key = JobKey(id), .revision = entry.record_revision},
-                         {.key = MemberKey(entry.record->owner),
-                          .revision = 0}},
-          .puts = {{.key = JobKey(id),
-                    .value = EncodeJob(AdoptedRecord(context, entry))},
-                   {.key = OwnedKey(context.self(), id),
-                    .value = EncodeOwned(orphan.entry)}},
-          .removes = {OwnedKey(entry.record->owner, id)}});
+  QueueChange(context,
+              Change{.kind = ChangeKind::kAdoptJob,
+                     .job = id,
+                     // Fails if the former owner has registered again, which
+                     // the store knows before this instance does.
+                     .conditions = {{.key = JobKey(id),
+                                     .revision = entry.record_revision},
+                                    {.key = MemberKey(entry.record->owner),
+                                     .revision = 0}},
+                     .puts = {{.key = JobKey(id),
+                               .value = EncodeRecord(
+                                   context, id, AdoptedRecord(context, entry))},
+                              {.key = OwnedKey(context.self(), id),
+                               .value = EncodeOwned(orphan.entry)}},
+                     .removes = {OwnedKey(entry.record->owner, id)}});
 }
 
 void RestoreStep(const std::string& marks, StepRun& step) {
@@ -183,6 +184,51 @@
   }
 }
 
+void RestoreDone(const JobRecord& record, Job& job) {
+  for (const OccurrenceRange& range : record.done) {
+    const std::size_t end = std::min<std::size_t>(std::size_t{range.last} + 1,
+                                                  job.occurrences.size());
+    for (std::uint32_t k = range.first; k < end; ++k) {
+      for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+        RestoreStep(std::string(job.spec.steps[s].count, kDoneMark),
+                    StepAt(job, k, s));
+      }
+      ++job.done_occurrences;
+    }
+  }
+}
+
+void RestoreOccurrence(const OccurrenceRecord& record, Job& job) {
+  if (record.number >= job.occurrences.size()) {
+    return;
+  }
+  for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+    const bool known = s < record.steps.size();
+    RestoreStep(known ? record.steps[s] : std::string(),
+                StepAt(job, record.number, s));
+  }
+  job.done_occurrences += IsOccurrenceDone(job, record.number) ? 1 : 0;
+}
+
+// Restores the occurrences that the record does not name and that may have
+// begun. Those that the former owner held back are left out; if one of these
+// has begun after all, BeginOccurrences() awaits the reports of its runs.
+void RestoreDue(const Context& context, Job& job) {
+  std::size_t open = MaxOpenOccurrences(job.spec, context.state.options.bounds);
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    const Occurrence& it = job.occurrences[k];
+    if (it.due_ms > context.wall_ms || open == 0) {
+      return;
+    }
+    if (it.steps.empty()) {
+      for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+        RestoreStep(std::string(), StepAt(job, k, s));
+      }
+    }
+    open -= IsOccurrenceDone(job, k) ? 0 : 1;
+  }
+}
+
 Job RestoreJob(const Context& context,
                const std::string& id,
                const CatalogEntry& entry) {
@@ -192,21 +238,13 @@
   job.accepted_ms = record.accepted_ms;
   job.created = context.now;
   job.stored = true;
-  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-    // Includes occurrences that the record lacks: they may have begun after it
-    // was written.
-    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
-      const auto it = std::find_if(
-          record.occurrences.begin(), record.occurrences.end(),
-          [k](const OccurrenceRecord& o) { return o.number == k; });
-      const bool known = it != record.occurrences.end() && s < it->steps.size();
-      RestoreStep(known ? it->steps[s] : std::string(), StepAt(job, k, s));
-    }
-  }
+  RestoreDone(record, job);
   for (const OccurrenceRecord& it : record.occurrences) {
+    RestoreOccurrence(it, job);
     RestoreEnded(it, job);
     RestoreCrashes(context.now, it, job);
   }
+  RestoreDue(context, job);
   job.started = record.state == JobState::kRunning;
   return job;
 }
@@ -311,6 +349,14 @@
   context.state.jobs.emplace(id, std::move(job));
 }
 
+void OnAdoptRejected(Context& context, const std::string& id) {
+  const auto it = context.state.orphans.find(id);
+  if (it != context.state.orphans.end()) {
+    it->second.writing = false;
+    it->second.retry_at = context.now + kRejectedWritePause;
+  }
+}
+
 void OnAdoptConflict(Context& context, const std::string& id) {
   const auto it = context.state.orphans.find(id);
   if (it != context.state.orphans.end()) {
--- a/Source/engine/jobs/adoption.h
+++ b/Source/engine/jobs/adoption.h
@@ -28,6 +28,9 @@
 // begins its recovery.
 void OnAdopted(Context& context, const std::string& id, std::uint64_t revision);
 
+// The store rejected the adoption, which is tried again after a pause.
+void OnAdoptRejected(Context& context, const std::string& id);
+
 // The adoption was not written, as the store had changed: reads the record
 // again.
 void OnAdoptConflict(Context& context, const std::string& id);
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -165,13 +165,18 @@
   JobState stored_state = JobState::kQueued;  // as reported to callers
   bool started = false;                       // any task has started
   std::vector<Occurrence> occurrences{};
-  std::uint64_t revision = 0;  // store revision of its record
-  std::uint64_t version = 1;   // of the progress; rises with each change
+  std::uint32_t next_occurrence = 0;   // the first that has not begun
+  std::uint32_t open_occurrences = 0;  // begun and not done
+  std::uint32_t done_occurrences = 0;
+  bool occurrences_held = false;  // a due one waits for an open one to be done
+  std::uint64_t revision = 0;     // store revision of its record
+  std::uint64_t version = 1;      // of the progress; rises with each change
   std::uint64_t stored_version = 0;
   std::uint64_t writing_version = 0;  // 0: none in flight
   JobState writing_state = JobState::kQueued;
   Time changed_at = kForever;  // the oldest change that is not yet written
   bool urgent_write = false;   // write without waiting for more changes
+  Time save_after{0};          // no write before, as the store rejected one
   Time confirmed_at{0};  // last write of the record that was requested or done
   // False after the registration was lost: another instance may have adopted
   // the job; the next write to the store shows whether one has.
--- a/Source/engine/jobs/job_progress.cc
+++ b/Source/engine/jobs/job_progress.cc
@@ -1,5 +1,6 @@
 #include "engine/jobs/job_progress.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -7,6 +8,7 @@
 #include "engine/jobs/caller_requests.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/records/record_size.h"
 #include "engine/records/record_writer.h"
 #include "engine/teams/quota_demand.h"
 
@@ -76,7 +78,8 @@
       .version = job.version,
       .conditions = {{.key = JobKey(job.id), .revision = job.revision}},
       .puts = {
-          {.key = JobKey(job.id), .value = EncodeJob(RecordOf(context, job))}}};
+          {.key = JobKey(job.id),
+           .value = EncodeRecord(context, job.id, RecordOf(context, job))}}};
   if (IsFinal(job.state)) {
     change.removes.push_back(OwnedKey(context.self(), job.id));
   }
@@ -108,6 +111,48 @@
              .removes = {JobKey(job.id), SpecKey(job.id)}});
 }
 
+// Removes a job that this instance has not created.
+void DropUnstored(Context& context, Job& job) {
+  AnswerStatusWaiters(context, job, true);
+  const std::string id = job.id;
+  const std::vector<PendingCaller> cancel_waiters =
+      std::move(job.cancel_waiters);
+  context.state.active.erase(id);
+  context.state.jobs.erase(id);
+  RedirectCancelWaiters(context, id, cancel_waiters);
+}
+
+// Whether the record only tells that the occurrence has begun.
+bool IsBlank(const OccurrenceRecord& record) {
+  return record.ended.empty() && record.crashed.empty() &&
+         record.starts.empty() &&
+         std::all_of(record.steps.begin(), record.steps.end(),
+                     [](const std::string& marks) {
+                       return marks.find_first_not_of(FailureMark(0)) ==
+                              std::string::npos;
+                     });
+}
+
+void AddDone(std::uint32_t number, std::vector<OccurrenceRange>& done) {
+  if (!done.empty() && done.back().last + 1 == number) {
+    done.back().last = number;
+  } else {
+    done.push_back({.first = number, .last = number});
+  }
+}
+
+// Adds an occurrence of a repeated job. An adopter restores all that are due,
+// so that only what it can't know is stored.
+void AddOccurrence(const Job& job, std::uint32_t number, JobRecord& record) {
+  if (IsOccurrenceDone(job, number)) {
+    return AddDone(number, record.done);
+  }
+  OccurrenceRecord occurrence = RecordOf(job, number);
+  if (!IsBlank(occurrence)) {
+    record.occurrences.push_back(std::move(occurrence));
+  }
+}
+
 }  // namespace
 
 JobRecord RecordOf(const Context& context, const Job& job) {
@@ -119,14 +164,35 @@
                    .ended_ms = job.ended_ms,
                    .accepted_ms = job.accepted_ms,
                    .cause = job.cause};
+  const bool repeated = job.occurrences.size() > 1;
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-    if (!job.occurrences[k].steps.empty()) {
+    if (job.occurrences[k].steps.empty()) {
+      continue;
+    }
+    if (repeated) {
+      AddOccurrence(job, k, record);
+    } else {
       record.occurrences.push_back(RecordOf(job, k));
     }
   }
   return record;
 }
 
+std::string EncodeRecord(Context& context,
+                         const std::string& job,
+                         JobRecord record) {
+  const Bounds& bounds = context.state.options.bounds;
+  BoundedRecord bounded = EncodeWithin(bounds, std::move(record));
+  if (bounded.shortened) {
+    ++context.state.totals.shortened_records;
+    context.Log(EventNumber::kRecordShortened,
+                {{"job", job},
+                 {"bytes", std::to_string(bounded.text.size())},
+                 {"limit", std::to_string(bounds.max_value_bytes)}});
+  }
+  return std::move(bounded.text);
+}
+
 OwnedEntry OwnedEntryOf(const Job& job) {
   OwnedEntry entry{.team = job.team, .excess = job.excess};
   if (!job.team.empty()) {
@@ -153,7 +219,8 @@
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     const bool changed = job.version > job.stored_version;
-    if (!job.stored || !changed || job.writing_version != 0) {
+    if (!job.stored || !changed || job.writing_version != 0 ||
+        context.now < job.save_after) {
       continue;
     }
     if (job.urgent_write ||
@@ -223,12 +290,7 @@
   for (const std::uint64_t it : std::exchange(job->submit_waiters, {})) {
     context.Emit(AnswerCaller{.call = it, .answer = JobAccepted{}});
   }
-  AnswerStatusWaiters(context, *job, true);
-  const std::vector<PendingCaller> cancel_waiters =
-      std::move(job->cancel_waiters);
-  context.state.active.erase(id);
-  context.state.jobs.erase(id);
-  RedirectCancelWaiters(context, id, cancel_waiters);
+  DropUnstored(context, *job);
 }
 
 void OnSaved(Context& context,
@@ -281,6 +343,33 @@
   DropJob(context, id, item.revision == 0 ? "no record" : "adopted");
 }
 
+void OnCreateRejected(Context& context,
+                      const std::string& id,
+                      const std::string& detail) {
+  Job* job = FindJob(context.state, id);
+  if (job == nullptr || job->stored) {
+    return;
+  }
+  for (const std::uint64_t it : std::exchange(job->submit_waiters, {})) {
+    context.Emit(AnswerCaller{
+        .call = it,
+        .answer = BadRequest{.fault = {.path = "steps",
+                                       .problem = "the store does not accept "
+                                                  "the job: " +
+                                                  detail,
+                                       .allowed = "a smaller job"}}});
+  }
+  DropUnstored(context, *job);
+}
+
+void OnSaveRejected(Context& context, const std::string& id) {
+  if (Job* job = FindJob(context.state, id)) {
+    job->writing_version = 0;
+    job->urgent_write = true;
+    job->save_after = context.now + kRejectedWritePause;
+  }
+}
+
 void MarkOwnershipUnverified(Context& context) {
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
--- a/Source/engine/jobs/job_progress.h
+++ b/Source/engine/jobs/job_progress.h
@@ -50,6 +50,20 @@
                        const std::string& from,
                        const EndReport& report);
 
+// The store rejected the write and will do so again. The job was not created;
+// its callers are told.
+void OnCreateRejected(Context& context,
+                      const std::string& id,
+                      const std::string& detail);
+// The job goes on, and its progress is written again after a pause.
+void OnSaveRejected(Context& context, const std::string& id);
+
+// Encodes a job's record within the bounds of the store, and logs when it has
+// to be shortened.
+std::string EncodeRecord(Context& context,
+                         const std::string& job,
+                         JobRecord record);
+
 // The job's progress as it is stored.
 JobRecord RecordOf(const Context& context, const Job& job);
 
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -187,6 +187,7 @@
   }
   if (step.done == step.tasks.size()) {
     step.done_at = context.now;
+    OnStepDone(ref.job, ref.name.occurrence);
   }
   context.state.placement_due = true;
 }
--- a/Source/engine/jobs/job_table.cc
+++ b/Source/engine/jobs/job_table.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "engine/jobs/job_runs.h"
+#include "engine/records/record_size.h"
 
 namespace burdockrock::engine {
 
@@ -37,6 +38,36 @@
   return text;
 }
 
+// Whether the job has as many open occurrences as its record can hold.
+bool IsHeldBack(const Context& context, const Job& job) {
+  return job.open_occurrences > 0 &&
+         job.open_occurrences >=
+             MaxOpenOccurrences(job.spec, context.state.options.bounds);
+}
+
+void LogHeldBack(Context& context, Job& job, bool held) {
+  if (held == job.occurrences_held) {
+    return;
+  }
+  job.occurrences_held = held;
+  context.Log(
+      held ? EventNumber::kOccurrencesHeld : EventNumber::kOccurrencesReleased,
+      {{"job", job.id},
+       {"next", std::to_string(job.next_occurrence)},
+       {"open", std::to_string(job.open_occurrences)}});
+}
+
+// A former owner may have started tasks of the occurrence: what has not been
+// reported yet may run.
+void AwaitReports(Occurrence& occurrence) {
+  for (StepRun& step : occurrence.steps) {
+    for (Task& it : step.tasks) {
+      it.phase =
+          it.phase == TaskPhase::kWaiting ? TaskPhase::kUnknown : it.phase;
+    }
+  }
+}
+
 }  // namespace
 
 Job* FindJob(State& state, const std::string& id) {
@@ -93,13 +124,22 @@
 }
 
 void BeginOccurrences(Context& context, Job& job) {
-  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+  while (job.next_occurrence < job.occurrences.size()) {
+    const std::uint32_t k = job.next_occurrence;
     Occurrence& it = job.occurrences[k];
-    if (it.begun || it.due_ms > context.wall_ms) {
-      continue;
+    const bool due = it.due_ms <= context.wall_ms;
+    const bool held = due && IsHeldBack(context, job);
+    LogHeldBack(context, job, held);
+    if (!due || held) {
+      return;
     }
+    ++job.next_occurrence;
     it.begun = true;
     StepAt(job, k, 0);
+    job.open_occurrences += IsOccurrenceDone(job, k) ? 0 : 1;
+    if (job.recovering) {
+      AwaitReports(it);
+    }
     context.state.placement_due = true;
   }
 }
@@ -109,6 +149,23 @@
   return !steps.empty() && steps[step].done == job.spec.steps[step].count;
 }
 
+bool IsOccurrenceDone(const Job& job, std::uint32_t occurrence) {
+  for (std::uint32_t it = 0; it < job.spec.steps.size(); ++it) {
+    if (!IsStepDone(job, occurrence, it)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void OnStepDone(Job& job, std::uint32_t occurrence) {
+  if (!IsOccurrenceDone(job, occurrence)) {
+    return;
+  }
+  ++job.done_occurrences;
+  job.open_occurrences -= job.occurrences[occurrence].begun ? 1 : 0;
+}
+
 bool IsStepReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
   const auto& after = job.spec.steps[step].after;
   return job.occurrences[occurrence].begun &&
@@ -152,14 +209,9 @@
 }
 
 void CompleteIfDone(Context& context, Job& job) {
-  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
-      if (!IsStepDone(job, k, s)) {
-        return;
-      }
-    }
+  if (job.done_occurrences == job.occurrences.size()) {
+    EndJob(context, job, JobState::kCompleted, "all tasks done");
   }
-  EndJob(context, job, JobState::kCompleted, "all tasks done");
 }
 
 void StopTask(Context& context, Job& job, const TaskName& name, Task& task) {
--- a/Source/engine/jobs/job_table.h
+++ b/Source/engine/jobs/job_table.h
@@ -27,12 +27,20 @@
 // Marks the job's progress as changed, so that it will be stored.
 void MarkChanged(Context& context, Job& job, bool urgent);
 
-// Begins the occurrences that are due.
+// Begins the occurrences that are due, as long as no more than
+// MaxOpenOccurrences() are open.
 void BeginOccurrences(Context& context, Job& job);
 
 // Whether all tasks of the step are done.
 bool IsStepDone(const Job& job, std::uint32_t occurrence, std::uint32_t step);
 
+// Whether all tasks of the occurrence are done.
+bool IsOccurrenceDone(const Job& job, std::uint32_t occurrence);
+
+// Counts the occurrence as done if the step that has just been done was its
+// last one.
+void OnStepDone(Job& job, std::uint32_t occurrence);
+
 // Whether the occurrence has begun and all steps that this one depends on are
 // done.
 bool IsStepReady(const Job& job, std::uint32_t occurrence, std::uint32_t step);
--- a/Source/engine/jobs/submissions.cc
+++ b/Source/engine/jobs/submissions.cc
@@ -13,6 +13,7 @@
 #include "engine/members/membership.h"
 #include "engine/members/planned_stop.h"
 #include "engine/records/catalog.h"
+#include "engine/records/record_size.h"
 #include "engine/records/record_writer.h"
 #include "engine/teams/access_rule.h"
 #include "engine/teams/admission.h"
@@ -124,6 +125,9 @@
     return Refuse(context, call, id, RefusalCause::kStoreUnavailable);
   }
   auto fault = CheckSpec(spec);
+  if (!fault) {
+    fault = CheckStoredSize(spec, context.state.options.bounds);
+  }
   if (!fault) {
     fault = CheckSizes(context.state, spec, queue.service);
   }
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -56,6 +56,11 @@
 inline constexpr Duration kWorkerWatchInterval = milliseconds(600);
 // Entries in one transaction; a limit of the platform's interface.
 inline constexpr std::size_t kMaxTransactionEntries = 32;
+// Longest key, in bytes; a limit of the platform's interface.
+inline constexpr std::size_t kMaxKeyBytes = 200;
+// A write that the store rejected is tried again after this long: the job goes
+// on meanwhile, and what it then stores may be accepted.
+inline constexpr Duration kRejectedWritePause = milliseconds(10'000);
 // More than one hides the store's latency; each more makes the batches smaller.
 inline constexpr std::size_t kMaxTransactionsInFlight = 2;
 // Share of the store's write rate for all instances together. The rest is for
--- a/Source/engine/options.h
+++ b/Source/engine/options.h
@@ -61,6 +61,8 @@
   Duration settle_time = std::chrono::milliseconds(4500);
   // Write calls per second that the store accepts from the whole deployment.
   std::uint32_t store_writes = 400;
+  // Size of the largest value that the store accepts, in bytes.
+  std::size_t max_value_bytes = 1'048'576;
 
   auto operator<=>(const Bounds&) const = default;
 };
--- a/Source/engine/records/record.h
+++ b/Source/engine/records/record.h
@@ -112,6 +112,14 @@
   auto operator<=>(const OccurrenceRecord&) const = default;
 };
 
+// Consecutive occurrences, from `first` to `last`.
+struct OccurrenceRange {
+  std::uint32_t first = 0;
+  std::uint32_t last = 0;
+
+  auto operator<=>(const OccurrenceRange&) const = default;
+};
+
 inline constexpr char kDoneMark = 'D';
 // Conversion between a number of failed runs and its mark.
 char FailureMark(std::uint32_t failures);
@@ -127,7 +135,10 @@
   std::int64_t ended_ms = 0;     // wall time since 1970; 0: not ended
   std::int64_t accepted_ms = 0;  // wall time since 1970
   std::string cause{};           // of a job that failed
-  std::vector<OccurrenceRecord> occurrences{};  // those that have begun
+  // Those that have begun. A repeated job's record leaves out those that are
+  // done, and those of which there is nothing to tell yet.
+  std::vector<OccurrenceRecord> occurrences{};
+  std::vector<OccurrenceRange> done{};  // of a repeated job, in order
 
   auto operator<=>(const JobRecord&) const = default;
 };
--- a/Source/engine/records/record_fields.h
+++ b/Source/engine/records/record_fields.h
@@ -127,6 +127,15 @@
   }
 };
 
+template <>
+struct FieldsOf<engine::OccurrenceRange> {
+  template <typename Codec, typename Value>
+  static void Visit(Codec& codec, Value& it) {
+    codec.Field("first", it.first);
+    codec.Field("last", it.last);
+  }
+};
+
 template <>
 struct FieldsOf<engine::JobRecord> {
   template <typename Codec, typename Value>
@@ -141,6 +150,7 @@
     codec.Optional("cause", it.cause, std::string());
     codec.Optional("occurrences", it.occurrences,
                    std::vector<engine::OccurrenceRecord>());
+    codec.Optional("done", it.done, std::vector<engine::OccurrenceRange>());
   }
 };
 
--- a/Source/engine/records/record_writer.cc
+++ b/Source/engine/records/record_writer.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "engine/jobs/adoption.h"
 #include "engine/jobs/job_progress.h"
 #include "engine/members/membership.h"
@@ -21,15 +23,51 @@
           .revision = context.state.members.fence};
 }
 
+std::size_t ValueBytes(const Change& change) {
+  std::size_t n = 0;
+  for (const StorePut& it : change.puts) {
+    n += it.value.size();
+  }
+  return n;
+}
+
+// What of the change the store would reject for its size.
+std::string Oversized(const Context& context, const Change& change) {
+  const std::size_t limit = context.state.options.bounds.max_value_bytes;
+  for (const StorePut& it : change.puts) {
+    if (it.key.size() > kMaxKeyBytes) {
+      return fmt::format("key {} has {} bytes of {}", it.key, it.key.size(),
+                         kMaxKeyBytes);
+    }
+    if (it.value.size() > limit) {
+      return fmt::format("{} has {} bytes of {}", it.key, it.value.size(),
+                         limit);
+    }
+  }
+  return {};
+}
+
 Batch TakeBatch(Context& context) {
   Batch batch{.fence = context.state.members.fence};
   std::deque<Change>& queue = context.state.writer.queue;
   std::size_t entries = 1;
-  while (!queue.empty() &&
-         entries + queue.front().entries() <= kMaxTransactionEntries) {
-    entries += queue.front().entries();
+  std::size_t bytes = 0;
+  while (!queue.empty()) {
+    const Change& next = queue.front();
+    entries += next.entries();
+    bytes += ValueBytes(next);
+    const bool fits = entries <= kMaxTransactionEntries &&
+                      bytes <= context.state.options.bounds.max_value_bytes &&
+                      !next.alone && next.oversized.empty();
+    if (!fits && !batch.changes.empty()) {
+      break;
+    }
+    const bool last = next.alone;
     batch.changes.push_back(std::move(queue.front()));
     queue.pop_front();
+    if (last) {
+      break;
+    }
   }
   return batch;
 }
@@ -82,6 +120,60 @@
   }
 }
 
+void Requeue(Context& context, std::vector<Change> changes) {
+  std::deque<Change>& queue = context.state.writer.queue;
+  for (auto it = changes.rbegin(); it != changes.rend(); ++it) {
+    queue.push_front(std::move(*it));
+  }
+}
+
+// The store will never take the change. What it belongs to goes on without it,
+// and so do the other changes.
+void OnChangeRejected(Context& context,
+                      const Change& change,
+                      const std::string& detail) {
+  ++context.state.totals.rejected_writes;
+  context.Log(EventNumber::kWriteRejected,
+              {{"job", change.job},
+               {"write", ChangeKindName(change.kind)},
+               {"key", change.puts.empty() ? "" : change.puts.front().key},
+               {"bytes", std::to_string(ValueBytes(change))},
+               {"problem", detail}});
+  switch (change.kind) {
+    case ChangeKind::kCreateJob:
+      return OnCreateRejected(context, change.job, detail);
+    case ChangeKind::kSaveJob:
+      return OnSaveRejected(context, change.job);
+    case ChangeKind::kAdoptJob:
+      return OnAdoptRejected(context, change.job);
+    case ChangeKind::kRemoveJob:
+      return;
+  }
+}
+
+// A transaction is rejected as a whole: its changes are sent one by one.
+void OnBatchRejected(Context& context,
+                     std::vector<Change> changes,
+                     const std::string& detail) {
+  if (changes.size() == 1) {
+    return OnChangeRejected(context, changes.front(), detail);
+  }
+  for (Change& it : changes) {
+    it.alone = true;
+  }
+  Requeue(context, std::move(changes));
+}
+
+// Drops the changes at the front that can't be sent.
+void DropOversized(Context& context) {
+  std::deque<Change>& queue = context.state.writer.queue;
+  while (!queue.empty() && !queue.front().oversized.empty()) {
+    const Change change = std::move(queue.front());
+    queue.pop_front();
+    OnChangeRejected(context, change, change.oversized);
+  }
+}
+
 using Items = std::map<std::string, StoreItem>;
 
 StoreItem ItemAt(const Items& items, const std::string& key) {
@@ -109,13 +201,6 @@
                      });
 }
 
-void Requeue(Context& context, std::vector<Change> changes) {
-  std::deque<Change>& queue = context.state.writer.queue;
-  for (auto it = changes.rbegin(); it != changes.rend(); ++it) {
-    queue.push_front(std::move(*it));
-  }
-}
-
 void OnConflict(Context& context, Batch batch, const StoreConflict& conflict) {
   Items items;
   for (const StoreItem& it : conflict.items) {
@@ -164,6 +249,7 @@
 }  // namespace
 
 void QueueChange(Context& context, Change change) {
+  change.oversized = Oversized(context, change);
   context.state.writer.queue.push_back(std::move(change));
 }
 
@@ -172,6 +258,7 @@
   // While the fence is being advanced a transaction would be conditional on the
   // old fence.
   const bool advancing = context.state.members.advancing_fence;
+  DropOversized(context);
   while (!writer.queue.empty() && IsRegistered(context.state) && !advancing &&
          context.now >= writer.retry_at &&
          writer.in_flight.size() < kMaxTransactionsInFlight &&
@@ -181,6 +268,7 @@
     SendStoreRequest(context, TransactionOf(context, batch),
                      ForBatch{.batch = id});
     writer.in_flight.emplace(id, std::move(batch));
+    DropOversized(context);
   }
 }
 
@@ -201,6 +289,9 @@
   if (const auto* conflict = std::get_if<StoreConflict>(&answer)) {
     return OnConflict(context, std::move(sent), *conflict);
   }
+  if (const auto* rejected = std::get_if<StoreRejected>(&answer)) {
+    return OnBatchRejected(context, std::move(sent.changes), rejected->detail);
+  }
   if (std::holds_alternative<StoreUnknown>(answer)) {
     for (Change& it : sent.changes) {
       it.may_be_applied = true;
--- a/Source/engine/records/store_calls.cc
+++ b/Source/engine/records/store_calls.cc
@@ -50,6 +50,12 @@
     if (!watching) {
       RecordFailure(context, unknown->detail);
     }
+  } else if (const auto* rejected = std::get_if<StoreRejected>(&event.answer);
+             rejected != nullptr &&
+             !std::holds_alternative<ForBatch>(node.mapped())) {
+    // Other requests than a job's writes are all needed.
+    ++context.state.totals.rejected_writes;
+    RecordFailure(context, rejected->detail);
   } else {
     RecordSuccess(context);
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -255,6 +255,20 @@
 
 enum class ChangeKind { kCreateJob, kSaveJob, kAdoptJob, kRemoveJob };
 
+constexpr const char* ChangeKindName(ChangeKind kind) {
+  switch (kind) {
+    case ChangeKind::kCreateJob:
+      return "create";
+    case ChangeKind::kSaveJob:
+      return "save";
+    case ChangeKind::kAdoptJob:
+      return "adopt";
+    case ChangeKind::kRemoveJob:
+      return "remove";
+  }
+  return "";
+}
+
 // A write that is queued for the store. All of it goes into one transaction.
 struct Change {
   ChangeKind kind = ChangeKind::kSaveJob;
@@ -264,6 +278,10 @@
   std::vector<StorePut> puts{};
   std::vector<std::string> removes{};
   bool may_be_applied = false;  // an earlier attempt got no reply
+  bool alone = false;           // the store rejected a transaction with others
+  // What of it exceeds a bound of the store, so that it is never sent; empty:
+  // nothing.
+  std::string oversized{};
 
   std::size_t entries() const {
     return conditions.size() + puts.size() + removes.size();
@@ -332,6 +350,7 @@
   std::string owner{};  // the lost incarnation
   OwnedEntry entry{};
   bool writing = false;  // the write of its adoption is in flight
+  Time retry_at{0};      // no write before, as the store rejected one
 };
 
 // Queries about the adopted jobs whose recovery is not complete.
@@ -508,7 +527,9 @@
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   std::uint64_t lost_runs = 0;
-  std::uint64_t crashes = 0;  // of workers under own tasks
+  std::uint64_t crashes = 0;            // of workers under own tasks
+  std::uint64_t rejected_writes = 0;    // by the store, or not sent for it
+  std::uint64_t shortened_records = 0;  // to fit in the store
   AdviceCounts advice{};
 };
 
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -143,6 +143,11 @@
      "them is started meanwhile"},
     {EventNumber::kAdviceUsed, Level::kInfo, "advice_used",
      "Calls for advice on this process's steps since its start, by reason"},
+    {EventNumber::kWriteRejected, Level::kError, "write_rejected",
+     "The store does not accept a write, or it exceeds a bound of the store; "
+     "other writes go on"},
+    {EventNumber::kRecordShortened, Level::kWarning, "record_shortened",
+     "A job's record was stored without lists of runs, as it was too large"},
     {EventNumber::kAttemptLost, Level::kWarning, "attempt_lost",
      "An attempt to run a task was lost with its worker or lease"},
     {EventNumber::kAttemptRestarted, Level::kInfo, "attempt_restarted",
@@ -183,6 +188,11 @@
      "A worker crashed while it ran the task; after the crashes allowed its "
      "job "
      "fails"},
+    {EventNumber::kOccurrencesHeld, Level::kWarning, "occurrences_held",
+     "Due occurrences of a repeated job wait, as it has the most open ones "
+     "that its record can hold"},
+    {EventNumber::kOccurrencesReleased, Level::kInfo, "occurrences_released",
+     "No due occurrence of the job waits for open ones any more"},
     {EventNumber::kConfigurationApplied, Level::kInfo, "configuration_applied",
      "A configuration is in force in this process"},
     {EventNumber::kConfigurationRefusedOlder, Level::kWarning,
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -78,6 +78,8 @@
   kJobRecovered = 413,
   kJobRecovering = 414,
   kAdviceUsed = 415,
+  kWriteRejected = 416,
+  kRecordShortened = 417,
 
   // Tasks
   kAttemptLost = 501,
@@ -97,6 +99,8 @@
   kRunsDone = 515,
   kTasksWait = 516,
   kTaskCrashed = 517,
+  kOccurrencesHeld = 518,
+  kOccurrencesReleased = 519,
 
   // Configuration
   kConfigurationApplied = 601,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -84,6 +84,10 @@
 inline constexpr std::string_view kOldestRecoverySeconds =
     "burdockrock_oldest_recovery_seconds";
 inline constexpr std::string_view kOpenClaims = "burdockrock_open_claims";
+inline constexpr std::string_view kWritesRejectedTotal =
+    "burdockrock_store_writes_rejected_total";
+inline constexpr std::string_view kRecordsShortenedTotal =
+    "burdockrock_records_shortened_total";
 inline constexpr std::string_view kUnreadRuns = "burdockrock_unread_runs";
 inline constexpr std::string_view kOldestUnreadRunSeconds =
     "burdockrock_oldest_unread_run_seconds";
@@ -185,6 +189,10 @@
      "Since when the oldest of these was adopted, in seconds"},
     {kOpenClaims, MetricKind::kGauge, "",
      "Workers that have not answered a claim"},
+    {kWritesRejectedTotal, MetricKind::kCounter, "",
+     "Writes that the store does not accept, or that exceed its bounds"},
+    {kRecordsShortenedTotal, MetricKind::kCounter, "",
+     "Records of jobs stored without lists of runs, as they were too large"},
     {kUnreadRuns, MetricKind::kGauge, "",
      "Runs that have ended and whose ends the workers do not list yet"},
     {kOldestUnreadRunSeconds, MetricKind::kGauge, "",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -193,6 +193,8 @@
   Raise(metrics, kJobsAdoptedTotal, totals.adopted);
   Raise(metrics, kRunsLostTotal, totals.lost_runs);
   Raise(metrics, kTaskCrashesTotal, totals.crashes);
+  Raise(metrics, kWritesRejectedTotal, totals.rejected_writes);
+  Raise(metrics, kRecordsShortenedTotal, totals.shortened_records);
   metrics.Set(kOwnedWorkers, {}, static_cast<double>(state.owned.size()));
   metrics.Set(kIsolatedRuns, {},
               static_cast<double>(std::count_if(
--- a/Tests/engine/codec_test.cc
+++ b/Tests/engine/codec_test.cc
@@ -56,6 +56,7 @@
       StoreAbsent{},
       StoreRefused{.detail = "busy"},
       StoreUnknown{.detail = "lost"},
+      StoreRejected{.detail = "too large"},
   };
   for (const StoreAnswer& it : answers) {
     INFO("alternative " << it.index());
--- a/Tests/engine/fake_store.cc
+++ b/Tests/engine/fake_store.cc
@@ -113,6 +113,10 @@
 std::optional<StoreAnswer> FakeStore::Answer(Time /*now*/,
                                              const StoreTransaction& it) {
   ++transactions_;
+  if (!Accepts(it)) {
+    ++rejected_;
+    return StoreRejected{.detail = "status 400"};
+  }
   StoreConflict conflict;
   bool holds = true;
   for (const StoreCondition& condition : it.conditions) {
@@ -165,6 +169,16 @@
   return StoreDone{};
 }
 
+bool FakeStore::Accepts(const StoreTransaction& it) const {
+  const std::size_t entries =
+      it.conditions.size() + it.puts.size() + it.removes.size();
+  return entries <= kMaxEntries &&
+         std::all_of(it.puts.begin(), it.puts.end(), [&](const StorePut& put) {
+           return put.key.size() <= kMaxKeyBytes &&
+                  put.value.size() <= max_value_bytes && !rejects(put);
+         });
+}
+
 void FakeStore::Write(const std::string& key,
                       const std::string& value,
                       std::uint64_t lease) {
--- a/Tests/engine/fake_store.h
+++ b/Tests/engine/fake_store.h
@@ -2,7 +2,9 @@
 #ifndef BURDOCKROCK_TESTS_ENGINE_FAKE_STORE_H_
 #define BURDOCKROCK_TESTS_ENGINE_FAKE_STORE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +39,16 @@
   std::string ValueOf(const std::string& key) const;
   std::uint64_t transactions() const { return transactions_; }
 
+  // Bounds of the platform's store; what exceeds them is rejected.
+  std::size_t max_value_bytes = 1'048'576;
+  static constexpr std::size_t kMaxKeyBytes = 200;
+  static constexpr std::size_t kMaxEntries = 32;  // of a transaction
+  std::uint64_t rejected() const { return rejected_; }
+  // Whether the store rejects a put for a reason of its own.
+  std::function<bool(const StorePut&)> rejects = [](const StorePut&) {
+    return false;
+  };
+
  private:
   struct Lease {
     Duration ttl{0};
@@ -59,6 +71,7 @@
   std::optional<StoreAnswer> Answer(Time now, const StoreLeaseGrant& it);
   std::optional<StoreAnswer> Answer(Time now, const StoreLeaseRenew& it);
   std::optional<StoreAnswer> Answer(Time now, const StoreLeaseEnd& it);
+  bool Accepts(const StoreTransaction& it) const;
   void Write(const std::string& key,
              const std::string& value,
              std::uint64_t lease);
@@ -69,6 +82,7 @@
   std::uint64_t oldest_ = 0;
   std::uint64_t last_lease_ = 0;
   std::uint64_t transactions_ = 0;
+  std::uint64_t rejected_ = 0;
   std::map<std::string, Entry> entries_;
   std::map<std::uint64_t, Lease> leases_;
   std::vector<Change> history_;
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -76,6 +76,7 @@
 }  // namespace
 
 Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
+  store.max_value_bytes = options_.max_value_bytes;
   configuration_.services = {{.name = "s"}};
   QueuePolicy queue{.name = kQueue,
                     .host = "h",
@@ -176,7 +177,8 @@
                .domain = node.domain,
                .address = node.address},
       .bounds = {.state_kept = options_.state_kept,
-                 .store_writes = options_.store_writes},
+                 .store_writes = options_.store_writes,
+                 .max_value_bytes = options_.max_value_bytes},
       .seed = options_.seed + node.incarnation};
   options.documents.decode_worker = ReadWorker;
   options.documents.decode_configuration =
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -48,6 +48,7 @@
   bool workers_tell_born = false;
   Duration state_kept = std::chrono::seconds(120);
   std::uint32_t store_writes = 400;
+  std::size_t max_value_bytes = 1'048'576;  // of the store
   std::uint64_t seed = 1;
   // Instances get TimePassed when NextTime() is due, as in a process, instead
   // of every 5 ms.
--- a/Tests/platform/caller_codec_test.cc
+++ b/Tests/platform/caller_codec_test.cc
@@ -158,7 +158,8 @@
       R"("internal_ports":[7720,7735],"listen":{"frontend":"10.1.0.13:1",)"
       R"("readiness":"10.1.0.13:2"},"limits":{"cpu_share":0.25,"cores":1,)"
       R"("max_fds":4100},"bounds":{"max_hold_ms":5000,"grace_s":6},)"
-      R"("platform":{"address":"10.200.1.7:3","min_ttl_ms":1000}})";
+      R"("platform":{"address":"10.200.1.7:3","min_ttl_ms":1000,)"
+      R"("value_bytes":65536}})";
   const auto settings = ReadSettings(good, "f.json");
   REQUIRE(std::holds_alternative<Settings>(settings));
   const auto& it = std::get<Settings>(settings);
@@ -167,6 +168,7 @@
   CHECK(it.self.weight == 25);
   CHECK(it.bounds.max_lease == milliseconds(5000));
   CHECK(it.max_connections == 3200);
+  CHECK(it.bounds.max_value_bytes == 65536);
   const auto problem = [](const std::string& text) {
     const auto read = ReadSettings(text, "f.json");
     REQUIRE(std::holds_alternative<SettingError>(read));
--- a/Tests/platform/store_codec_test.cc
+++ b/Tests/platform/store_codec_test.cc
@@ -118,6 +118,8 @@
   const StoreTransaction transaction;
   DecodeAs<StoreRefused>(transaction, 503, "");
   DecodeAs<StoreRefused>(transaction, 429, "");
+  DecodeAs<StoreRejected>(transaction, 400, "");
+  DecodeAs<StoreRejected>(transaction, 403, "");
   DecodeAs<StoreUnknown>(transaction, 500, "");
   DecodeAs<StoreUnknown>(transaction, 200, "not json");
   DecodeAs<StoreUnknown>(transaction, 200, R"({"revision":"x"})");
--- a/Tests/process/platform_cluster.py
+++ b/Tests/process/platform_cluster.py
@@ -88,7 +88,8 @@
                        "stop_timeout_ms": 400, "drain_ms": 2000,
                        "status_s": 120} | bounds,
             "platform": {"address": self.steps_store, "writes_per_s": 400,
-                         "reads_per_s": 2000, "min_ttl_ms": 1000},
+                         "reads_per_s": 2000, "min_ttl_ms": 1000,
+                         "value_bytes": 1048576},
             "advice": self._advice,
             "limits": {"cpu_share": 1, "cores": 1, "max_fds": 4100}})
 
