Net: Acknowledgements reach only the process that listed the ends

Cause: a worker that starts again numbers its ends from 1, and the expected instance of a call names the id alone. A poll that was sent before the owner knew of the restart acknowledged ends of the next process that nobody had read.

Change: the HTTP client knows which process has answered on a connection. An acknowledgement goes only over a connection to the process that listed the ends, which ends with it; over another one the poll acknowledges nothing and does not wait. Polls prefer a connection that is known.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <optional>
 #include <utility>
 
 #include <fmt/format.h>
@@ -28,6 +30,7 @@
       : request(std::move(with)), done(std::move(then)), timer(io) {}
 
   HttpRequest request;
+  std::optional<HttpPeerRequest> to_peer;  // in place of `request`
   Done done;
   SteadyTimer timer;
   Duration timeout{0};
@@ -47,7 +50,19 @@
 }
 
 void HttpClient::Send(HttpRequest request, Duration timeout, Done done) {
-  auto call = std::make_shared<Call>(io_, std::move(request), std::move(done));
+  Enqueue(std::make_shared<Call>(io_, std::move(request), std::move(done)),
+          timeout);
+}
+
+void HttpClient::SendToPeer(HttpPeerRequest request,
+                            Duration timeout,
+                            Done done) {
+  auto call = std::make_shared<Call>(io_, HttpRequest(), std::move(done));
+  call->to_peer = std::move(request);
+  Enqueue(call, timeout);
+}
+
+void HttpClient::Enqueue(const CallPointer& call, Duration timeout) {
   call->sequence = ++calls_;
   outstanding_.insert(call);
   if (closed_) {
@@ -119,6 +134,10 @@
 void HttpClient::OnDone(HttpClientConnection* connection, HttpResult result) {
   const auto it = connections_.find(connection);
   const CallPointer call = std::exchange(it->second.call, nullptr);
+  const auto* response = std::get_if<HttpResponse>(&result);
+  if (call->to_peer && response != nullptr) {
+    it->second.peer = call->to_peer->identify(*response);
+  }
   if (connection->usable()) {
     idle_.push_back(connection);
   } else {
@@ -181,23 +200,42 @@
 
 void HttpClient::Assign() {
   while (!queue_.empty()) {
-    HttpClientConnection* connection = TakeIdle();
+    const CallPointer call = queue_.front();
+    HttpClientConnection* connection =
+        TakeIdle(call->to_peer ? call->to_peer->peer : std::string());
     if (connection == nullptr) {
       break;
     }
-    const CallPointer call = queue_.front();
     Unqueue(call);
-    call->connection = connection;
-    connections_[connection].call = call;
-    connection->Start(std::move(call->request));
+    StartCall(call, connection);
   }
   OpenConnections();
 }
 
-HttpClientConnection* HttpClient::TakeIdle() {
+void HttpClient::StartCall(const CallPointer& call,
+                           HttpClientConnection* connection) {
+  Slot& slot = connections_[connection];
+  call->connection = connection;
+  slot.call = call;
+  if (!call->to_peer) {
+    return connection->Start(std::move(call->request));
+  }
+  HttpPeerRequest& it = *call->to_peer;
+  const bool known = !it.peer.empty() && slot.peer == it.peer;
+  connection->Start(std::move(known ? it.request : it.to_unknown));
+}
+
+HttpClientConnection* HttpClient::TakeIdle(const std::string& peer) {
   while (!idle_.empty()) {
-    HttpClientConnection* connection = idle_.back();
-    idle_.pop_back();
+    const auto known =
+        peer.empty() ? idle_.rend()
+                     : std::find_if(idle_.rbegin(), idle_.rend(),
+                                    [&](HttpClientConnection* it) {
+                                      return connections_[it].peer == peer;
+                                    });
+    const auto taken = known == idle_.rend() ? idle_.rbegin() : known;
+    HttpClientConnection* connection = *taken;
+    idle_.erase(std::next(taken).base());
     if (connection->CheckOpen()) {
       return connection;
     }
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -31,6 +31,18 @@
   Duration connect_timeout = std::chrono::seconds(1);
 };
 
+// A request that is meant for one of the processes which may listen at the
+// endpoint one after the other.
+struct HttpPeerRequest {
+  HttpRequest request{};
+  std::string peer{};  // the process that it is meant for
+  // Sent in place of `request` over a connection on which the peer has not
+  // answered: its other end may be another process.
+  HttpRequest to_unknown{};
+  // The process that sent the response; empty if the response does not tell.
+  std::function<std::string(const HttpResponse&)> identify{};
+};
+
 // All calls are on the thread that runs the io_context. No request is ever sent
 // twice.
 class HttpClient : private HttpClientConnectionOwner {
@@ -46,6 +58,10 @@
   // `timeout` is for the whole call: queue, connect, request and answer. `done`
   // is called once, never within Send.
   void Send(HttpRequest request, Duration timeout, Done done);
+  // The same, over a connection on which the peer has answered if one is free.
+  // A connection ends with the process at its other end, so that `request`
+  // never reaches another one.
+  void SendToPeer(HttpPeerRequest request, Duration timeout, Done done);
 
   // Fails all outstanding calls before it returns, and each later one.
   void Close();
@@ -62,6 +78,7 @@
   struct Slot {
     std::shared_ptr<HttpClientConnection> connection;
     CallPointer call;  // null while idle or connecting
+    std::string peer;  // the process that has answered on it; empty: not known
   };
 
   void OnConnected(HttpClientConnection* connection) override;
@@ -72,11 +89,14 @@
   void OnSent(std::size_t bytes) override;
   void OnReceived(std::size_t bytes) override;
 
+  void Enqueue(const CallPointer& call, Duration timeout);
+  void StartCall(const CallPointer& call, HttpClientConnection* connection);
   void FailLater(const CallPointer& call, std::string message);
   void StartTimer(const CallPointer& call, Duration timeout);
   void OnTimeout(const CallPointer& call);
   void Assign();
-  HttpClientConnection* TakeIdle();
+  // Prefers a connection on which `peer` has answered, then the last used one.
+  HttpClientConnection* TakeIdle(const std::string& peer);
   void OpenConnections();
   void Unqueue(const CallPointer& call);
   void FailQueuedUpTo(std::uint64_t sequence, const std::string& message);
--- a/Source/runtime/engine_clients.cc
+++ b/Source/runtime/engine_clients.cc
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -58,6 +60,15 @@
   return answer;
 }
 
+// The name of the process that answered a poll of `worker`; empty if it is
+// another one, or if the answer is no list.
+std::string SentBy(const std::string& worker,
+                   const engine::WorkerAnswer& answer) {
+  const auto* done = std::get_if<engine::WorkerDone>(&answer);
+  const bool same = done != nullptr && !IsOtherIncarnation(worker, done->born);
+  return same ? worker : std::string();
+}
+
 // Null without an address.
 std::unique_ptr<HttpClient> OneCallAtATime(boost::asio::io_context& io,
                                            const std::string& address) {
@@ -97,20 +108,66 @@
 }
 
 void EngineClients::CallWorker(const engine::CallWorker& call) {
+  if (std::holds_alternative<engine::PollWorker>(call.request)) {
+    return Poll(call);
+  }
   workers_.Get(call.address)
-      .Send(options_.codec.encode_worker(std::string(WorkerIdOf(call.worker)),
-                                         call.request),
-            call.timeout,
+      .Send(Encode(call.worker, call.request), call.timeout,
             [this, worker = call.worker, request = call.request,
              asked = SteadyNow()](const HttpResult& result) {
-              options_.on_event(engine::WorkerAnswered{
-                  .worker = worker,
-                  .request = request,
-                  .answer = options_.codec.decode_worker(result),
-                  .called_at = asked});
+              OnWorkerResult(worker, request, asked,
+                             options_.codec.decode_worker(result));
             });
 }
 
+// A worker that starts again under its id numbers its ends anew, so that an
+// acknowledgement that is meant for the process before would drop ends that
+// nobody has read. It is sent only over connections to the process that listed
+// them. Over another one a poll without a wait shows which process is there.
+void EngineClients::Poll(const engine::CallWorker& call) {
+  const auto& poll = std::get<engine::PollWorker>(call.request);
+  engine::PollWorker to_unknown = poll;
+  if (poll.acknowledged > 0) {
+    to_unknown.acknowledged = 0;
+    to_unknown.wait = Duration(0);
+  }
+  // Decoded once, when the response is identified.
+  const auto answer = std::make_shared<std::optional<engine::WorkerAnswer>>();
+  workers_.Get(call.address)
+      .SendToPeer({.request = Encode(call.worker, poll),
+                   .peer = call.worker,
+                   .to_unknown = Encode(call.worker, to_unknown),
+                   .identify =
+                       [this, worker = call.worker,
+                        answer](const HttpResponse& response) {
+                         *answer = options_.codec.decode_worker(response);
+                         return SentBy(worker, **answer);
+                       }},
+                  call.timeout,
+                  [this, worker = call.worker, request = call.request, answer,
+                   asked = SteadyNow()](const HttpResult& result) {
+                    OnWorkerResult(worker, request, asked,
+                                   *answer
+                                       ? std::move(**answer)
+                                       : options_.codec.decode_worker(result));
+                  });
+}
+
+HttpRequest EngineClients::Encode(const std::string& worker,
+                                  const engine::WorkerRequest& request) const {
+  return options_.codec.encode_worker(std::string(WorkerIdOf(worker)), request);
+}
+
+void EngineClients::OnWorkerResult(const std::string& worker,
+                                   const engine::WorkerRequest& request,
+                                   Time asked,
+                                   engine::WorkerAnswer answer) {
+  options_.on_event(engine::WorkerAnswered{.worker = worker,
+                                           .request = request,
+                                           .answer = std::move(answer),
+                                           .called_at = asked});
+}
+
 void EngineClients::CallAdvice(const engine::CallAdvice& call) {
   if (!advice_) {
     return options_.on_event(engine::AdviceAnswered{
--- a/Source/runtime/engine_clients.h
+++ b/Source/runtime/engine_clients.h
@@ -55,6 +55,14 @@
   void CallMachines(const engine::CallMachines& call);
 
  private:
+  void Poll(const engine::CallWorker& call);
+  HttpRequest Encode(const std::string& worker,
+                     const engine::WorkerRequest& request) const;
+  void OnWorkerResult(const std::string& worker,
+                      const engine::WorkerRequest& request,
+                      Time asked,
+                      engine::WorkerAnswer answer);
+
   EngineClientsOptions options_;
   HttpClient store_;
   HttpClient watches_;
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -448,6 +448,10 @@
       return AnswerPoll(node, incarnation, call, called_at, now_ + poll->wait,
                         target->info().born);
     }
+    if (poll != nullptr && poll->acknowledged > 0 &&
+        !HasAnswered(node, incarnation, *target)) {
+      return;  // its connection ended with the process that it was meant for
+    }
     const auto result = target->Handle(now_, call.request);
     ExpectCrash(call.address);
     if (fault == CommandFault::kNone) {
@@ -471,6 +475,10 @@
     result = WorkerRefused{.kind = WorkerRefusalKind::kReplaced};
   } else {
     poll.wait = now_ >= until ? Duration(0) : poll.wait;
+    if (poll.acknowledged > 0 && !HasAnswered(node, incarnation, *target)) {
+      poll.acknowledged = 0;
+      poll.wait = Duration(0);
+    }
     result = target->Handle(now_, poll);
   }
   if (!result) {
@@ -479,14 +487,25 @@
                 AnswerPoll(node, incarnation, call, called_at, until, born);
               });
   }
-  AnswerInTime(called_at + call.timeout, *result,
-               [this, node, incarnation, call, called_at](WorkerAnswer it) {
-                 Deliver(node, incarnation,
-                         WorkerAnswered{.worker = call.worker,
-                                        .request = call.request,
-                                        .answer = std::move(it),
-                                        .called_at = called_at});
-               });
+  AnswerInTime(
+      called_at + call.timeout, *result,
+      [this, node, incarnation, call, called_at, born](WorkerAnswer it) {
+        if (std::holds_alternative<WorkerDone>(it)) {
+          answered_[{node, incarnation, call.address}] = born;
+        }
+        Deliver(node, incarnation,
+                WorkerAnswered{.worker = call.worker,
+                               .request = call.request,
+                               .answer = std::move(it),
+                               .called_at = called_at});
+      });
+}
+
+bool Fleet::HasAnswered(const std::string& node,
+                        std::uint64_t incarnation,
+                        const FakeWorker& worker) const {
+  const auto it = answered_.find({node, incarnation, worker.info().address});
+  return it != answered_.end() && it->second == worker.info().born;
 }
 
 void Fleet::AnswerInTime(Time deadline,
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -11,6 +11,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "engine/event.h"
@@ -256,6 +257,11 @@
                   Time called_at,
                   Time until,
                   std::int64_t born);
+  // Whether the worker's process has answered a poll of this process of an
+  // instance. The edges send acknowledgements only to such a process.
+  bool HasAnswered(const std::string& node,
+                   std::uint64_t incarnation,
+                   const FakeWorker& worker) const;
   // Answers with WorkerUnreached if the reply would arrive after the deadline.
   void AnswerInTime(Time deadline,
                     const WorkerAnswer& result,
@@ -280,7 +286,11 @@
   std::map<std::string, Time> down_until_;
   std::map<std::string, std::uint64_t> machine_fences_;
   std::set<std::string>
-      unresponsive_;               // addresses of workers that do not reply
+      unresponsive_;  // addresses of workers that do not reply
+  // Start of the process that answered the last poll, by the polling process
+  // and the worker's address.
+  std::map<std::tuple<std::string, std::uint64_t, std::string>, std::int64_t>
+      answered_;
   std::set<std::string> crashed_;  // addresses where no process runs
   std::size_t crashes_ = 0;
 };
--- a/Tests/engine/restart_test.cc
+++ b/Tests/engine/restart_test.cc
@@ -119,6 +119,31 @@
   }
 }
 
+// Guards against ends of a new process that a poll acknowledges unread: the
+// poll was sent before the restart was known, and tasks ended before it came.
+TEST_CASE("Short tasks of workers that restart at once are started once") {
+  Fleet fleet(Telling(10));
+  fleet.Settle();
+  PlanAll(fleet, {.takes = milliseconds(20)});
+  constexpr int kJobs = 480;
+  constexpr int kJobsPerRestart = 24;
+  const std::vector<std::string> workers = fleet.worker_names();
+  for (int it = 0; it < kJobs; ++it) {
+    fleet.Submit(fmt::format("n{}", it % 3), fmt::format("j{}", it),
+                 OneStep(3));
+    fleet.Run(milliseconds(25));
+    if (it % kJobsPerRestart == 0) {
+      const auto n = static_cast<std::size_t>(it / kJobsPerRestart);
+      fleet.CrashWorker(workers.at(n % workers.size()), milliseconds(30));
+    }
+  }
+  fleet.Run(seconds(15));
+  for (int it = 0; it < kJobs; ++it) {
+    CHECK(fleet.StateOf("n0", fmt::format("j{}", it)) == JobState::kCompleted);
+  }
+  CheckInvariants(fleet);
+}
+
 // Guards against failed tasks that are repeated beyond their attempts, since
 // the failures of the new process were dropped as known.
 TEST_CASE("Tasks that fail after a restart are given up") {
