Tests: Splits the fleet's workers from its other parts

Change: calls to workers move to fleet_workers.cc, and the name of a change's kind from state.h to the file that logs it.

--- a/Source/engine/records/record_writer.cc
+++ b/Source/engine/records/record_writer.cc
@@ -127,6 +127,20 @@
   }
 }
 
+const char* ChangeKindName(ChangeKind kind) {
+  switch (kind) {
+    case ChangeKind::kCreateJob:
+      return "create";
+    case ChangeKind::kSaveJob:
+      return "save";
+    case ChangeKind::kAdoptJob:
+      return "adopt";
+    case ChangeKind::kRemoveJob:
+      return "remove";
+  }
+  return "";
+}
+
 // The store will never take the change. What it belongs to goes on without it,
 // and so do the other changes.
 void OnChangeRejected(Context& context,
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -255,20 +255,6 @@
 
 enum class ChangeKind { kCreateJob, kSaveJob, kAdoptJob, kRemoveJob };
 
-constexpr const char* ChangeKindName(ChangeKind kind) {
-  switch (kind) {
-    case ChangeKind::kCreateJob:
-      return "create";
-    case ChangeKind::kSaveJob:
-      return "save";
-    case ChangeKind::kAdoptJob:
-      return "adopt";
-    case ChangeKind::kRemoveJob:
-      return "remove";
-  }
-  return "";
-}
-
 // A write that is queued for the store. All of it goes into one transaction.
 struct Change {
   ChangeKind kind = ChangeKind::kSaveJob;
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -210,6 +210,9 @@
       [](const std::string&, const SendPeer&) {};
 
  private:
+  // Time between two looks at whether a watch or a long poll has an answer.
+  static constexpr Duration kCheckInterval = std::chrono::milliseconds(10);
+
   struct Node {
     std::string domain{};
     std::string address{};
--- /dev/null
+++ b/Tests/engine/fleet_workers.cc
@@ -0,0 +1,132 @@
+// Calls of the fleet's instances to its workers.
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "engine/fleet.h"
+#include "model/worker_incarnation.h"
+
+namespace burdockrock::engine {
+
+void Fleet::HandleWorkerCall(const std::string& node, const CallWorker& call) {
+  const std::uint64_t incarnation = nodes_.at(node).incarnation;
+  FakeWorker* target = FindWorkerAt(call.address);
+  const CommandFault fault =
+      target == nullptr || unresponsive_.contains(call.address)
+          ? CommandFault::kUnreached
+          : command_fault(node, call.address, call.request);
+  const Time called_at = now_;
+  const auto answer = [this, node, incarnation, call,
+                       called_at](WorkerAnswer it) {
+    Deliver(node, incarnation,
+            WorkerAnswered{.worker = call.worker,
+                           .request = call.request,
+                           .answer = std::move(it),
+                           .called_at = called_at});
+  };
+  if (crashed_.contains(call.address)) {
+    return At(now_ + 2 * worker_latency,
+              [answer] { answer(WorkerUnreached{.may_have_run = false}); });
+  }
+  if (fault == CommandFault::kUnhealthy) {
+    return At(now_ + 2 * worker_latency, [answer] {
+      answer(WorkerRefused{.kind = WorkerRefusalKind::kUnhealthy});
+    });
+  }
+  if (fault != CommandFault::kNone) {
+    At(now_ + call.timeout, [answer] { answer(WorkerUnreached()); });
+  }
+  if (fault == CommandFault::kUnreached) {
+    return;
+  }
+  const Duration latency =
+      fault == CommandFault::kLate ? late_delay : worker_latency;
+  // A late command waits at the network and may meet the next process.
+  const bool late = fault == CommandFault::kLate;
+  At(now_ + latency, [this, node, incarnation, call, called_at, answer, fault,
+                      target, late, born = target->info().born] {
+    if (crashed_.contains(call.address) ||
+        (!late && target->info().born != born)) {
+      return fault == CommandFault::kNone ? answer(WorkerUnreached()) : void();
+    }
+    if (target->info().id != WorkerIdOf(call.worker)) {
+      return answer(WorkerRefused{.kind = WorkerRefusalKind::kReplaced});
+    }
+    const auto* poll = std::get_if<PollWorker>(&call.request);
+    if (poll != nullptr && fault == CommandFault::kNone) {
+      return AnswerPoll(node, incarnation, call, called_at, now_ + poll->wait,
+                        target->info().born);
+    }
+    if (poll != nullptr && poll->acknowledged > 0 &&
+        !HasAnswered(node, incarnation, *target)) {
+      return;  // its connection ended with the process that it was meant for
+    }
+    const auto result = target->Handle(now_, call.request);
+    ExpectCrash(call.address);
+    if (fault == CommandFault::kNone) {
+      AnswerInTime(called_at + call.timeout, *result, answer);
+    }
+  });
+}
+
+void Fleet::AnswerPoll(const std::string& node,
+                       std::uint64_t incarnation,
+                       const CallWorker& call,
+                       Time called_at,
+                       Time until,
+                       std::int64_t born) {
+  FakeWorker* target = FindWorkerAt(call.address);
+  PollWorker poll = std::get<PollWorker>(call.request);
+  std::optional<WorkerAnswer> result;
+  if (crashed_.contains(call.address) || target->info().born != born) {
+    result = WorkerUnreached();
+  } else if (target->info().id != WorkerIdOf(call.worker)) {
+    result = WorkerRefused{.kind = WorkerRefusalKind::kReplaced};
+  } else {
+    poll.wait = now_ >= until ? Duration(0) : poll.wait;
+    if (poll.acknowledged > 0 && !HasAnswered(node, incarnation, *target)) {
+      poll.acknowledged = 0;
+      poll.wait = Duration(0);
+    }
+    result = target->Handle(now_, poll);
+  }
+  if (!result) {
+    return At(now_ + kCheckInterval,
+              [this, node, incarnation, call, called_at, until, born] {
+                AnswerPoll(node, incarnation, call, called_at, until, born);
+              });
+  }
+  AnswerInTime(
+      called_at + call.timeout, *result,
+      [this, node, incarnation, call, called_at, born](WorkerAnswer it) {
+        if (std::holds_alternative<WorkerDone>(it)) {
+          answered_[{node, incarnation, call.address}] = born;
+        }
+        Deliver(node, incarnation,
+                WorkerAnswered{.worker = call.worker,
+                               .request = call.request,
+                               .answer = std::move(it),
+                               .called_at = called_at});
+      });
+}
+
+bool Fleet::HasAnswered(const std::string& node,
+                        std::uint64_t incarnation,
+                        const FakeWorker& worker) const {
+  const auto it = answered_.find({node, incarnation, worker.info().address});
+  return it != answered_.end() && it->second == worker.info().born;
+}
+
+void Fleet::AnswerInTime(Time deadline,
+                         const WorkerAnswer& result,
+                         const std::function<void(WorkerAnswer)>& answer) {
+  const Time at = now_ + worker_latency;
+  if (at <= deadline) {
+    return At(at, [answer, result] { answer(result); });
+  }
+  At(std::max(now_, deadline), [answer] { answer(WorkerUnreached()); });
+}
+
+}  // namespace burdockrock::engine
