Tests: The stand-in's store rejects on the platform's wire, too

Cause: EncodeStore answered a rejected transaction with 503, so that processes under test took it for an outage; only the engine's tests met the bounds of values, keys and entries. Change: it answers 400.

--- a/Tests/platform/standin_wire.cc
+++ b/Tests/platform/standin_wire.cc
@@ -19,6 +19,7 @@
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kConflict = 409;
+constexpr int kBadRequest = 400;
 constexpr int kConditionFailed = 412;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
@@ -215,7 +216,9 @@
     return StatusOnly(std::holds_alternative<StoreWatch>(request) ? kGone
                                                                   : kNotFound);
   }
-  return StatusOnly(kUnavailable);
+  return StatusOnly(std::holds_alternative<StoreRejected>(answer)
+                        ? kBadRequest
+                        : kUnavailable);
 }
 
 WorkerRequest ReadHold(JsonFields& fields, std::optional<SpecFault>&) {
--- a/Tests/platform/standin_wire_test.cc
+++ b/Tests/platform/standin_wire_test.cc
@@ -55,7 +55,8 @@
        StoreConflict{.items = {kItem, StoreItem{.key = "job/8"}}}},
       {StoreLeaseGrant{}, StoreDone{.lease = 3}},
       {StoreLeaseRenew{}, StoreAbsent{}},
-      {StoreWatch{}, StoreAbsent{}}};
+      {StoreWatch{}, StoreAbsent{}},
+      {StoreTransaction{}, StoreRejected{.detail = "status 400"}}};
   for (const auto& [request, answer] : answers) {
     CHECK(passed_on(request, answer) == answer);
   }
