Upkeep: A rejected status of a wave does not hold up the others

Cause: a status that the store did not take was written again in the next step, and before those of other waves: a rejection for good kept all of them from being told, at the rate of the store's answers.

Shown by: refusals_test.cc; without the pause the second wave is never told as completed.

--- a/Source/engine/workers/upkeep.cc
+++ b/Source/engine/workers/upkeep.cc
@@ -74,7 +74,8 @@
 }
 
 void DriveStatus(Context& context, WaveProgress& progress) {
-  if (context.state.upkeep.writing_status) {
+  if (context.state.upkeep.writing_status ||
+      context.now < progress.status_after) {
     return;
   }
   if (!progress.running_stored) {
@@ -300,9 +301,16 @@
                         const StoreAnswer& answer) {
   context.state.upkeep.writing_status = false;
   const auto it = context.state.upkeep.waves.find(wave);
-  if (it == context.state.upkeep.waves.end() ||
-      !std::holds_alternative<StoreDone>(answer)) {
-    return;  // DriveUpkeep writes it again
+  if (it == context.state.upkeep.waves.end()) {
+    return;
+  }
+  if (!std::holds_alternative<StoreDone>(answer)) {
+    // DriveUpkeep writes it again, and those of other waves meanwhile.
+    it->second.status_after =
+        context.now + (std::holds_alternative<StoreRejected>(answer)
+                           ? kRejectedWritePause
+                           : kStoreRetryDelay);
+    return;
   }
   it->second.running_stored = true;
   it->second.completed_stored = completed;
--- a/Source/engine/workers/upkeep_rule.h
+++ b/Source/engine/workers/upkeep_rule.h
@@ -35,6 +35,8 @@
   std::map<std::string, MachineProgress> machines{};
   bool running_stored = false;
   bool completed_stored = false;
+  Time status_after{
+      0};  // no write of the status before, as the last one failed
 };
 
 using MachineList = std::map<std::string, Machine>;  // by name
