Engine: Requests that are refused for good are repeated with a pause and a line

Cause: a registration that the store rejects was sent again at the rate of its answers; other rejected requests counted as an outage and refused submissions; and a worker that refuses polls (400, 429, 503) was given up without a line. A rejection is an answer: the store counts as reachable. The writer's state moves to a header of its own.

Shown by: refusals_test.cc, two cases; both fail without these changes.

--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -176,7 +176,8 @@
   const bool members_read =
       context.state.watches[static_cast<std::size_t>(WatchedList::kMembers)]
           .complete;
-  if (members.fence == 0 && !members.registering && members_read) {
+  if (members.fence == 0 && !members.registering && members_read &&
+      context.now >= members.register_after) {
     Register(context);
   }
   if (!members.renewing && context.now >= members.renew_at) {
@@ -334,6 +335,8 @@
   }
   if (std::holds_alternative<StoreAbsent>(answer)) {
     LoseRegistration(context, "lease ended before it was used");
+  } else if (std::holds_alternative<StoreRejected>(answer)) {
+    members.register_after = context.now + kStoreRetryDelay;
   }
 }
 
--- a/Source/engine/records/store_calls.cc
+++ b/Source/engine/records/store_calls.cc
@@ -50,15 +50,15 @@
     if (!watching) {
       RecordFailure(context, unknown->detail);
     }
-  } else if (const auto* rejected = std::get_if<StoreRejected>(&event.answer);
-             rejected != nullptr &&
-             !std::holds_alternative<ForBatch>(node.mapped())) {
-    // Other requests than a job's writes are all needed.
-    ++context.state.totals.rejected_writes;
-    RecordFailure(context, rejected->detail);
   } else {
     RecordSuccess(context);
   }
+  // The record writer logs rejected changes of jobs itself.
+  const auto* rejected = std::get_if<StoreRejected>(&event.answer);
+  if (rejected != nullptr && !std::holds_alternative<ForBatch>(node.mapped())) {
+    ++context.state.totals.rejected_writes;
+    context.Log(EventNumber::kWriteRejected, {{"problem", rejected->detail}});
+  }
   return std::move(node.mapped());
 }
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -26,6 +26,7 @@
 #include "engine/members/peer_message.h"
 #include "engine/options.h"
 #include "engine/records/record.h"
+#include "engine/records/writer_state.h"
 #include "engine/response_time.h"
 #include "engine/teams/admission_rule.h"
 #include "engine/teams/entitlement_rule.h"
@@ -185,6 +186,7 @@
   Time renewal_sent{0};
   bool granting = false;
   bool registering = false;
+  Time register_after{0};  // no attempt before, as the store rejected one
   bool advancing_fence = false;
   bool fence_advance_due = false;
   Time fence_advanced_at = Time::min();
@@ -251,44 +253,6 @@
   bool owner_is_member = false;
 };
 
-// Group commit.
-
-enum class ChangeKind { kCreateJob, kSaveJob, kAdoptJob, kRemoveJob };
-
-// A write that is queued for the store. All of it goes into one transaction.
-struct Change {
-  ChangeKind kind = ChangeKind::kSaveJob;
-  std::string job{};
-  std::uint64_t version = 0;  // of the job's progress that it writes
-  std::vector<StoreCondition> conditions{};
-  std::vector<StorePut> puts{};
-  std::vector<std::string> removes{};
-  bool may_be_applied = false;  // an earlier attempt got no reply
-  bool alone = false;           // the store rejected a transaction with others
-  // What of it exceeds a bound of the store, so that it is never sent; empty:
-  // nothing.
-  std::string oversized{};
-
-  std::size_t entries() const {
-    return conditions.size() + puts.size() + removes.size();
-  }
-};
-
-// Changes that one transaction writes.
-struct Batch {
-  std::vector<Change> changes{};
-  std::uint64_t fence = 0;
-};
-
-struct WriterState {
-  double tokens = 0;    // transactions that may be sent now (token bucket)
-  Time refilled_at{0};  // when `tokens` was last computed
-  std::deque<Change> queue{};
-  std::map<std::uint64_t, Batch> in_flight{};
-  std::uint64_t last_batch = 0;
-  Time retry_at{0};
-};
-
 // A cached job of another owner, as read from the store.
 struct CatalogEntry {
   std::optional<JobSpec> spec{};
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -444,13 +444,18 @@
     RoomChanged(context, event.worker);
     ReportUnreached(context, event.worker, worker);
   }
-  if (refused == nullptr) {
-    const auto& unreached = std::get<WorkerUnreached>(event.answer);
-    if (std::exchange(worker.unresponsive_logged, true)) {
-      return;
+  const bool is_refusal_of_owner =
+      refused != nullptr && (refused->kind == WorkerRefusalKind::kReplaced ||
+                             refused->kind == WorkerRefusalKind::kFenced);
+  if (!is_refusal_of_owner) {
+    if (!std::exchange(worker.unresponsive_logged, true)) {
+      const auto* unreached = std::get_if<WorkerUnreached>(&event.answer);
+      context.Log(EventNumber::kWorkerSilent,
+                  {{"worker", event.worker},
+                   {"problem", unreached != nullptr
+                                   ? unreached->detail
+                                   : WorkerRefusalName(refused->kind)}});
     }
-    context.Log(EventNumber::kWorkerSilent,
-                {{"worker", event.worker}, {"problem", unreached.detail}});
     return;
   }
   if (refused->kind == WorkerRefusalKind::kReplaced) {
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -148,6 +148,9 @@
      "other writes go on"},
     {EventNumber::kRecordShortened, Level::kWarning, "record_shortened",
      "A job's record was stored without lists of runs, as it was too large"},
+    {EventNumber::kEndsNotStored, Level::kWarning, "ends_not_stored",
+     "Ends of a job are acknowledged though the store does not accept its "
+     "record; their tasks may run again after the loss of this instance"},
     {EventNumber::kAttemptLost, Level::kWarning, "attempt_lost",
      "An attempt to run a task was lost with its worker or lease"},
     {EventNumber::kAttemptRestarted, Level::kInfo, "attempt_restarted",
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -80,6 +80,7 @@
   kAdviceUsed = 415,
   kWriteRejected = 416,
   kRecordShortened = 417,
+  kEndsNotStored = 418,
 
   // Tasks
   kAttemptLost = 501,
--- a/Tests/engine/refusals_test.cc
+++ b/Tests/engine/refusals_test.cc
@@ -106,4 +106,37 @@
   CHECK(fleet.store.ValueOf("status/wave/1") == "completed");
 }
 
+// Guards against an instance that sends its registration as fast as the store
+// rejects it.
+TEST_CASE("A rejected registration is tried again after a pause") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.Kill("n0");
+  Reject(fleet, "member/n0");
+  fleet.Run(seconds(5));
+  fleet.Start("n0");
+  constexpr Duration kTried = seconds(3);
+  fleet.Run(kTried);
+  CHECK(fleet.store.rejected() >= 2);
+  CHECK(fleet.store.rejected() <= 1 + kTried / kStoreRetryDelay);
+  AcceptAll(fleet);
+  fleet.Run(seconds(2));
+  CHECK(fleet.state("n0").members.fence != 0);
+}
+
+// Guards against a worker whose refusals of polls no line tells.
+TEST_CASE("A worker that refuses its polls is logged once") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.log.clear();
+  fleet.command_fault = [](const std::string&, const std::string& worker,
+                           const WorkerRequest& request) {
+    const bool refuses =
+        worker == "w0" && std::holds_alternative<PollWorker>(request);
+    return refuses ? CommandFault::kUnhealthy : CommandFault::kNone;
+  };
+  fleet.Run(seconds(3));
+  CHECK(CountLines(fleet, EventNumber::kWorkerSilent) == 1);
+}
+
 }  // namespace burdockrock::engine
