Records: Earlier releases read most records, and rejected ones hide no ends

Cause: records with ranges of done occurrences can't be read by the release before, from the first occurrence that is done. And a job whose progress the store rejects kept its ends unacknowledged: with more than a worker lists, the ends of other jobs there were never listed.

Change: done occurrences are listed one by one, as before, until they take over 32 KB.

Shown by: record_size_test.cc (the text of a record as earlier releases write it, both ways; a record that outgrows the bound without an adoption) and refusals_test.cc (the ends of another job).

--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -177,6 +177,7 @@
   Time changed_at = kForever;  // the oldest change that is not yet written
   bool urgent_write = false;   // write without waiting for more changes
   Time save_after{0};          // no write before, as the store rejected one
+  std::uint32_t rejected_saves = 0;  // in a row
   Time confirmed_at{0};  // last write of the record that was requested or done
   // False after the registration was lost: another instance may have adopted
   // the job; the next write to the store shows whether one has.
--- a/Source/engine/jobs/job_progress.cc
+++ b/Source/engine/jobs/job_progress.cc
@@ -86,10 +86,11 @@
   QueueChange(context, std::move(change));
 }
 
-void ConfirmEnds(Context& context, Job& job) {
+// Confirms the ends that are in the job's progress up to `version`.
+void ConfirmEnds(Context& context, Job& job, std::uint64_t version) {
   std::map<std::string, EndsStored> by_member;
   std::erase_if(job.unstored_ends, [&](const UnstoredEnd& it) {
-    if (it.version > job.stored_version) {
+    if (it.version > version) {
       return false;
     }
     by_member[it.from].ends.push_back(it.end);
@@ -143,8 +144,11 @@
 
 // Adds an occurrence of a repeated job. An adopter restores all that are due,
 // so that only what it can't know is stored.
-void AddOccurrence(const Job& job, std::uint32_t number, JobRecord& record) {
-  if (IsOccurrenceDone(job, number)) {
+void AddOccurrence(const Job& job,
+                   std::uint32_t number,
+                   bool ranges,
+                   JobRecord& record) {
+  if (ranges && IsOccurrenceDone(job, number)) {
     return AddDone(number, record.done);
   }
   OccurrenceRecord occurrence = RecordOf(job, number);
@@ -165,12 +169,14 @@
                    .accepted_ms = job.accepted_ms,
                    .cause = job.cause};
   const bool repeated = job.occurrences.size() > 1;
+  const bool ranges =
+      !ListsDone(job.spec, job.done_occurrences, context.state.options.bounds);
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
     if (job.occurrences[k].steps.empty()) {
       continue;
     }
     if (repeated) {
-      AddOccurrence(job, k, record);
+      AddOccurrence(job, k, ranges, record);
     } else {
       record.occurrences.push_back(RecordOf(job, k));
     }
@@ -305,10 +311,11 @@
   job->stored_version = version;
   job->confirmed_at = context.now;
   job->writing_version = 0;
+  job->rejected_saves = 0;
   job->stored_state = job->writing_state;
   job->verified = job->verified || version == job->version;
   context.state.placement_due = true;
-  ConfirmEnds(context, *job);
+  ConfirmEnds(context, *job, job->stored_version);
   if (!IsFinal(job->stored_state)) {
     return;
   }
@@ -363,11 +370,21 @@
 }
 
 void OnSaveRejected(Context& context, const std::string& id) {
-  if (Job* job = FindJob(context.state, id)) {
-    job->writing_version = 0;
-    job->urgent_write = true;
-    job->save_after = context.now + kRejectedWritePause;
+  Job* job = FindJob(context.state, id);
+  if (job == nullptr) {
+    return;
+  }
+  if (++job->rejected_saves >= kRejectedSavesTolerated &&
+      !job->unstored_ends.empty()) {
+    context.Log(EventNumber::kEndsNotStored,
+                {{"job", id},
+                 {"ends", std::to_string(job->unstored_ends.size())},
+                 {"rejected", std::to_string(job->rejected_saves)}});
+    ConfirmEnds(context, *job, job->writing_version);
   }
+  job->writing_version = 0;
+  job->urgent_write = true;
+  job->save_after = context.now + kRejectedWritePause;
 }
 
 void MarkOwnershipUnverified(Context& context) {
@@ -413,7 +430,7 @@
        .end = {.worker = report.worker, .sequence = report.sequence},
        .version = job.version});
   if (job.stored_version >= job.version) {
-    ConfirmEnds(context, job);
+    ConfirmEnds(context, job, job.stored_version);
   }
 }
 
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -61,6 +61,10 @@
 // A write that the store rejected is tried again after this long: the job goes
 // on meanwhile, and what it then stores may be accepted.
 inline constexpr Duration kRejectedWritePause = milliseconds(10'000);
+// After so many rejected writes of a job's progress its ends are acknowledged
+// all the same. A worker lists a bounded number of unacknowledged ends, and
+// those of other jobs would never be listed.
+inline constexpr std::uint32_t kRejectedSavesTolerated = 2;
 // More than one hides the store's latency; each more makes the batches smaller.
 inline constexpr std::size_t kMaxTransactionsInFlight = 2;
 // Share of the store's write rate for all instances together. The rest is for
--- a/Source/engine/records/record.h
+++ b/Source/engine/records/record.h
@@ -135,10 +135,12 @@
   std::int64_t ended_ms = 0;     // wall time since 1970; 0: not ended
   std::int64_t accepted_ms = 0;  // wall time since 1970
   std::string cause{};           // of a job that failed
-  // Those that have begun. A repeated job's record leaves out those that are
-  // done, and those of which there is nothing to tell yet.
+  // Those that have begun. A repeated job's record leaves out those of which
+  // there is nothing to tell yet, and those in `done`.
   std::vector<OccurrenceRecord> occurrences{};
-  std::vector<OccurrenceRange> done{};  // of a repeated job, in order
+  // Of a repeated job with many done occurrences, in order. Earlier releases
+  // can't read a record that has it.
+  std::vector<OccurrenceRange> done{};
 
   auto operator<=>(const JobRecord&) const = default;
 };
--- a/Source/engine/records/record_size.cc
+++ b/Source/engine/records/record_size.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kOccurrenceBytes = 96;
 constexpr std::size_t kStepBytes = 4;
 constexpr std::size_t kHeadBytes = 1024;
+// Most bytes of a record for occurrences that are done and listed one by one.
+constexpr std::size_t kListedDoneBytes = 32'768;
 
 std::size_t OccurrenceBytes(const JobSpec& spec) {
   std::size_t n = kOccurrenceBytes;
@@ -34,6 +36,11 @@
       bounds.max_value_bytes / kMarksShare / OccurrenceBytes(spec), 1);
 }
 
+bool ListsDone(const JobSpec& spec, std::size_t done, const Bounds& bounds) {
+  return done * OccurrenceBytes(spec) <=
+         std::min(kListedDoneBytes, bounds.max_value_bytes / kMarksShare);
+}
+
 std::optional<SpecFault> CheckStoredSize(const JobSpec& spec,
                                          const Bounds& bounds) {
   const std::size_t record = kHeadBytes + OccurrenceBytes(spec);
--- a/Source/engine/records/record_size.h
+++ b/Source/engine/records/record_size.h
@@ -17,6 +17,10 @@
 // job's record grows with these, whatever the number of its repetitions.
 std::size_t MaxOpenOccurrences(const JobSpec& spec, const Bounds& bounds);
 
+// Whether the job's record lists its `done` occurrences one by one, as earlier
+// releases read them, rather than as ranges.
+bool ListsDone(const JobSpec& spec, std::size_t done, const Bounds& bounds);
+
 // The part of the spec because of which the store can't hold the job.
 std::optional<SpecFault> CheckStoredSize(const JobSpec& spec,
                                          const Bounds& bounds);
--- a/Tests/engine/listed_ends_test.cc
+++ b/Tests/engine/listed_ends_test.cc
@@ -8,6 +8,7 @@
 
 #include "engine/context.h"
 #include "engine/fleet.h"
+#include "engine/workers/worker_restarts.h"
 
 namespace burdockrock::engine {
 
@@ -59,10 +60,14 @@
   };
 }
 
-void CheckAllRanOnce(Fleet& fleet) {
+void CheckAllCompleted(Fleet& fleet) {
   for (std::uint32_t it = 0; it < kJobs; ++it) {
     CHECK(fleet.StateOf("n1", fmt::format("j{}", it)) == JobState::kCompleted);
   }
+}
+
+void CheckAllRanOnce(Fleet& fleet) {
+  CheckAllCompleted(fleet);
   CHECK(fleet.seen.size() == kJobs * kTasksPerJob);
   CheckInvariants(fleet);
 }
@@ -170,6 +175,36 @@
   CheckAllRanOnce(fleet);
 }
 
+// Guards against tasks that wait for ends which are gone with their worker.
+TEST_CASE("Runs whose ends a lost worker did not list are started again") {
+  Fleet fleet = MakeFleet();
+  RunThroughOutage(fleet);
+  REQUIRE(!OwnerOf(fleet, "w0").empty());
+  fleet.CrashWorker("w0", seconds(1));
+  EndOutage(fleet);
+  fleet.Run(seconds(20));
+  CheckAllCompleted(fleet);
+  CheckInvariants(fleet);
+}
+
+// Guards against a run in doubt that counts as not begun at the worker's next
+// process, as its end comes after those that this one lists.
+TEST_CASE("A restart is settled once all ends of the next process are known") {
+  State state;
+  Effects effects;
+  Context context{.state = state, .effects = effects, .now = seconds(100)};
+  OwnedWorker& ended = state.owned["w#1"];
+  ended.claimed = true;
+  ended.successor = "w#2";
+  ended.runs["j.0.0.0"] = {.run = 1, .command_sent_at = seconds(99)};
+  state.owned["w#2"].claimed = true;
+  DriveRestarts(context);
+  CHECK(state.owned.contains("w#1"));
+  state.owned["w#2"].ends_known = true;
+  DriveRestarts(context);
+  CHECK_FALSE(state.owned.contains("w#1"));
+}
+
 // Guards against room that stays blocked by runs that have ended.
 TEST_CASE("Runs whose ends are not listed yet take no room") {
   Fleet fleet = MakeFleet();
--- a/Tests/engine/record_size_test.cc
+++ b/Tests/engine/record_size_test.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -122,6 +123,7 @@
     return EncodeJob(RecordOf(context, job)).size();
   };
   CHECK(bytes(100'000, 99'990) <= bytes(100'000, 1000) * 12 / 10);
+  CHECK(bytes(100'000, 99'990) < 1000);
 }
 
 // Guards against a job long overdue that begins all of its occurrences at once.
@@ -149,6 +151,52 @@
   CheckInvariants(fleet);
 }
 
+// Guards against a record that outgrows the bound without an adoption: the runs
+// of failing tasks are listed in it until these are done.
+TEST_CASE("The record of a job with failing tasks stays within the bound") {
+  constexpr std::size_t kSmall = 2048;
+  constexpr std::uint32_t kTasks = 120;
+  Fleet fleet({.processors_milli = 32'000, .max_value_bytes = kSmall});
+  fleet.Settle();
+  for (const std::string& it : fleet.worker_names()) {
+    fleet.worker(it).plan = [](const std::string&, std::uint64_t run) {
+      return run == 1
+                 ? RunPlan{.takes = milliseconds(300), .how = RunEnd::kFailed}
+                 : RunPlan{.takes = seconds(3)};
+    };
+  }
+  fleet.Submit("n0", "failing", OneStep(kTasks));
+  fleet.Submit("n0", "other", OneStep(4));
+  fleet.Run(seconds(12));
+  CHECK(fleet.state("n0").totals.shortened_records > 0);
+  CHECK(fleet.store.rejected() == 0);
+  CHECK(fleet.StateOf("n1", "failing") == JobState::kCompleted);
+  CHECK(fleet.StateOf("n1", "other") == JobState::kCompleted);
+  CheckInvariants(fleet);
+}
+
+// Guards against an earlier release that can't read the records of this one, or
+// the other way round, in a rolling upgrade.
+TEST_CASE(
+    "A record with few done occurrences has the form of earlier releases") {
+  constexpr const char* kEarlier =
+      R"({"accepted_ms":0,"generation":0,"occurrences":[{"steps":["D"]},)"
+      R"({"number":1,"steps":["D"]}],"owner":"n0-1","queue":"q",)"
+      R"("state":"queued","write":1})";
+  State state;
+  state.options.self.incarnation = "n0-1";
+  Effects effects;
+  Context context{.state = state, .effects = effects};
+  Job job = WithDone(100'000, 0, 2);
+  job.generation = 0;
+  CHECK(EncodeJob(RecordOf(context, job)) == kEarlier);
+  const auto read = DecodeJob(kEarlier);
+  REQUIRE(std::holds_alternative<JobRecord>(read));
+  CHECK(std::get<JobRecord>(read) == RecordOf(context, job));
+  CHECK(RecordOf(context, WithDone(100'000, 0, 2000)).done ==
+        std::vector<OccurrenceRange>{{.first = 0, .last = 1999}});
+}
+
 TEST_CASE("A record above the bound is stored without lists of runs") {
   JobRecord record{.owner = "n0", .queue = "q"};
   OccurrenceRecord occurrence{.steps = {std::string(100, '1')}};
--- a/Tests/engine/refusals_test.cc
+++ b/Tests/engine/refusals_test.cc
@@ -85,6 +85,29 @@
   CheckInvariants(fleet);
 }
 
+// Guards against ends of other jobs that are never listed: a worker keeps more
+// ends than it lists of a job whose progress the store does not accept.
+TEST_CASE(
+    "The ends of a job that can't be stored do not hide those of others") {
+  Fleet fleet({.workers = 1, .processors_milli = 32'000});
+  fleet.Settle();
+  PlanAll(fleet, {.takes = milliseconds(300)});
+  fleet.worker("w0").processors = [](const std::string&) { return 250; };
+  fleet.Submit("n0", "bad", OneStep(700, 250));
+  fleet.Run(milliseconds(300));
+  Reject(fleet, JobKey("bad"));
+  fleet.Run(seconds(3));
+  CHECK(fleet.worker("w0").kept_ends() > FakeWorker::kMaxListedEnds);
+  fleet.Submit("n1", "other", OneStep(4, 250));
+  fleet.Run(seconds(25));
+  CHECK(fleet.StateOf("n1", "other") == JobState::kCompleted);
+  CHECK(CountLines(fleet, EventNumber::kEndsNotStored) > 0);
+  AcceptAll(fleet);
+  fleet.Run(seconds(15));
+  CHECK(fleet.StateOf("n1", "bad") == JobState::kCompleted);
+  CheckInvariants(fleet);
+}
+
 // Guards against a wave whose status is written again and again without a pause
 // and before those of the others.
 TEST_CASE("A rejected status of a wave does not hold up the others") {
