Engine: Ends of runs and named tasks get files of their own

Change: the counting of ends moves to job_ends.cc and the look-up of tasks by name to task_ref.cc, unchanged; RunUntil moves to run_until.h.

--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -9,6 +9,7 @@
 #include "engine/jobs/recovery.h"
 #include "engine/jobs/task_copies.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/jobs/task_ref.h"
 #include "engine/members/digests.h"
 #include "engine/members/membership.h"
 #include "engine/workers/worker_list.h"
@@ -17,18 +18,6 @@
 
 namespace {
 
-// Whether a run of the task is offered to a worker or running there.
-bool IsPlaced(const Task& task) {
-  return task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kRunning;
-}
-
-void MarkStarted(Context& context, Job& job) {
-  if (!job.started) {
-    job.started = true;
-    context.state.digest.waiting_changed = true;
-  }
-}
-
 void MarkRunning(Context& context, Job& job, StepRun& step, Task& task) {
   if (task.phase != TaskPhase::kRunning) {
     step.first_start = std::min(step.first_start, context.now);
@@ -41,51 +30,6 @@
   task.last_update = context.now;
 }
 
-// Number of counted runs kept per task to ignore repeated reports of an end.
-// Reports repeat within seconds, in which a task can't end this often.
-constexpr std::size_t kEndedRunsKept = 16;
-
-// A task with the job and step that it belongs to.
-struct TaskRef {
-  Job& job;
-  StepRun& step;
-  Task& task;
-  TaskName name;
-  const StepSpec& spec;
-};
-
-std::optional<TaskRef> FindTaskRef(Context& context, const std::string& task) {
-  const auto name = ParseTaskName(task);
-  if (!name) {
-    return std::nullopt;
-  }
-  Job* job = FindJob(context.state, name->job);
-  Task* found = job == nullptr ? nullptr : FindTask(*job, *name);
-  if (found == nullptr) {
-    return std::nullopt;
-  }
-  return TaskRef{.job = *job,
-                 .step = StepAt(*job, name->occurrence, name->step),
-                 .task = *found,
-                 .name = *name,
-                 .spec = job->spec.steps[name->step]};
-}
-
-// Stops all members of a gang after one of them ended or was refused: their
-// room and runs are released, and the gang starts again as a whole.
-void StopGang(Context& context, const TaskRef& ref, const char* cause) {
-  StepRun& step = ref.step;
-  if (IsBeingBooked(ref.job, step)) {
-    return ReleaseBookings(context, ref.job, ref.name, cause);
-  }
-  LogBackedOff(context, ref.job, ref.name, BackOff::kAll, cause);
-  for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
-    TaskName name = ref.name;
-    name.index = it;
-    StopTask(context, ref.job, name, step.tasks[it]);
-  }
-}
-
 // Lets a task wait again whose run is not there. Another run of a gang's member
 // may be reported as long as the job recovers. A member that was only booked is
 // booked elsewhere; otherwise the gang starts again as a whole.
@@ -158,40 +102,6 @@
   }
 }
 
-void MarkDone(Context& context, const TaskRef& ref, std::uint64_t run) {
-  StepRun& step = ref.step;
-  const auto finish = [&](Task& task, std::uint32_t index) {
-    if (task.phase == TaskPhase::kDone) {
-      return;
-    }
-    TaskName name = ref.name;
-    name.index = index;
-    // A stop of the run that has just ended would only cause another report of
-    // its end.
-    const bool over = index == ref.name.index && task.run == run;
-    if (task.copy) {
-      StopOtherRun(context, ref.job, name, task, run);
-    } else if (!over) {
-      StopTask(context, ref.job, name, task);
-    }
-    task.phase = TaskPhase::kDone;
-    task.since = context.now;
-    ++step.done;
-  };
-  if (ref.spec.gang) {
-    for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
-      finish(step.tasks[it], it);
-    }
-  } else {
-    finish(ref.task, ref.name.index);
-  }
-  if (step.done == step.tasks.size()) {
-    step.done_at = context.now;
-    OnStepDone(ref.job, ref.name.occurrence);
-  }
-  context.state.placement_due = true;
-}
-
 // The run exists but makes no progress.
 void OnStalled(Context& context, const TaskRef& ref) {
   ref.task.last_update = context.now;
@@ -229,79 +139,6 @@
   }
 }
 
-// Counts a failed run; a gang's run once, however many members report it.
-std::uint32_t CountFailure(const TaskRef& ref, std::uint64_t run) {
-  if (!ref.spec.gang) {
-    return ++ref.task.failures;
-  }
-  StepRun& step = ref.step;
-  Task& first = step.tasks.front();
-  if (step.gang_failed_run < run) {
-    step.gang_failed_run = run;
-    ++first.failures;
-  }
-  return first.failures;
-}
-
-void OnFailed(Context& context, const TaskRef& ref, const EndReport& report) {
-  const std::uint32_t failures = CountFailure(ref, report.run);
-  ref.task.avoid_worker = report.worker;
-  const QueuePolicy* queue =
-      FindQueueByName(context.state.configuration, ref.job.queue);
-  const bool last =
-      queue != nullptr && !ref.spec.lasting && failures >= queue->max_attempts;
-  if (last) {
-    EndJob(context, ref.job, JobState::kFailed, "attempts used up");
-  }
-}
-
-void CountEnd(Context& context, const TaskRef& ref, const EndReport& report) {
-  std::set<std::uint64_t>& ended = ref.task.ended_runs;
-  if (ended.size() > kEndedRunsKept) {
-    ended.erase(ended.begin());
-  }
-  if (report.how == RunEnd::kFailed) {
-    OnFailed(context, ref, report);
-  }
-  ref.task.may_have_crashed =
-      ref.task.may_have_crashed && report.how == RunEnd::kCrashed;
-  MarkChanged(context, ref.job, false);
-}
-
-void ApplyNewEnd(Context& context,
-                 const TaskRef& ref,
-                 const EndReport& report) {
-  Task& task = ref.task;
-  MarkStarted(context, ref.job);
-  if (!report.checkpoint.empty()) {
-    task.checkpoint = report.checkpoint;
-  }
-  const bool lasting = ref.spec.lasting;
-  if (report.how == RunEnd::kDone && !lasting) {
-    MarkDone(context, ref, report.run);
-    MarkChanged(context, ref.job, false);
-    CompleteIfDone(context, ref.job);
-    return;
-  }
-  if (report.how == RunEnd::kCrashed) {
-    CountReportedCrash(context, ref.job, ref.name, task, report);
-  }
-  // An end that was counted before an adoption must still release its task: the
-  // run may have been reported by a former owner of the worker.
-  if (task.ended_runs.insert(report.run).second) {
-    CountEnd(context, ref, report);
-  }
-  if (IsCopy(task, report.run)) {
-    return OnCopyReport(context, task, RunState::kAbsent);
-  }
-  if (report.run == task.run && IsPlaced(task) && !PromoteCopy(context, task)) {
-    Requeue(context, task, kFailedTaskDelay);
-    if (ref.spec.gang) {
-      StopGang(context, ref, RunEndName(report.how));
-    }
-  }
-}
-
 // If a task had two runs when its job was adopted, keeps the one reported
 // second as the copy. False if the report is of no such run.
 bool AdoptCopy(Context& context, const TaskRef& ref, const RunReport& report) {
@@ -454,40 +291,6 @@
   }
 }
 
-void OnEndReport(Context& context,
-                 const std::string& from,
-                 const EndReport& report) {
-  const auto ref = FindTaskRef(context, report.task);
-  if (!ref) {
-    return;
-  }
-  if (ref->task.phase == TaskPhase::kDone || IsFinal(ref->job.state)) {
-    // The result no longer counts, but the run has to be released.
-    if (IsCopy(ref->task, report.run)) {
-      OnCopyReport(context, ref->task, RunState::kAbsent);
-    } else if (report.run == ref->task.run && IsPlaced(ref->task)) {
-      Requeue(context, ref->task, Duration(0));
-    }
-  } else if (WasNeverStarted(ref->job, ref->spec, ref->step, report.run)) {
-    if (report.run == ref->task.run && report.worker == ref->task.worker) {
-      Requeue(context, ref->task, Duration(0));
-    }
-  } else if (!IsOfGivenUpBooking(ref->job, ref->spec, ref->task, report.run,
-                                 report.worker) &&
-             !IsOfFormerProcess(ref->task, report)) {
-    ApplyNewEnd(context, *ref, report);
-  }
-  ConfirmWhenStored(context, ref->job, from, report);
-}
-
-void OnEndReports(Context& context,
-                  const std::string& from,
-                  const EndReports& reports) {
-  for (const EndReport& it : reports.ends) {
-    OnEndReport(context, from, it);
-  }
-}
-
 void OnRunReport(Context& context, const RunReport& report) {
   const auto ref = FindTaskRef(context, report.task);
   if (ref && IsCopy(ref->task, report.run)) {
--- a/Source/engine/jobs/job_runs.h
+++ b/Source/engine/jobs/job_runs.h
@@ -1,5 +1,5 @@
 // Tracks the runs of the jobs that this instance owns: replies to offers,
-// reported ends and states, lost workers, and repeated queries and stops.
+// reported states, lost workers, and repeated queries and stops.
 #ifndef BURDOCKROCK_ENGINE_JOBS_JOB_RUNS_H_
 #define BURDOCKROCK_ENGINE_JOBS_JOB_RUNS_H_
 
@@ -13,15 +13,9 @@
 void OnOfferAnswers(Context& context,
                     const std::string& from,
                     const OfferAnswers& answers);
-void OnEndReports(Context& context,
-                  const std::string& from,
-                  const EndReports& reports);
 void OnRunReports(Context& context, const RunReports& reports);
 
 // A single report, also as part of the recovery of an adopted job.
-void OnEndReport(Context& context,
-                 const std::string& from,
-                 const EndReport& report);
 void OnRunReport(Context& context, const RunReport& report);
 
 // Makes the task wait for a worker again, after `pause` at the earliest.
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "engine/condition_log.h"
+#include "engine/jobs/job_ends.h"
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/task_crashes.h"
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -10,6 +10,7 @@
 #include "engine/condition_log.h"
 #include "engine/jobs/adoption.h"
 #include "engine/jobs/caller_requests.h"
+#include "engine/jobs/job_ends.h"
 #include "engine/jobs/job_progress.h"
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/job_standing.h"
--- a/Tests/runtime/engine_clients_test.cc
+++ b/Tests/runtime/engine_clients_test.cc
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -17,7 +16,7 @@
 
 #include "engine/call_codec.h"
 #include "net/http_server.h"
-#include "runtime/clock.h"
+#include "runtime/run_until.h"
 
 namespace burdockrock {
 
@@ -27,16 +26,6 @@
 
 constexpr std::int64_t kBorn = 1'764'700'000'000;
 
-void RunUntil(boost::asio::io_context& io,
-              const std::function<bool()>& condition) {
-  const Time end = SteadyNow() + std::chrono::seconds(20);
-  while (!condition()) {
-    REQUIRE(SteadyNow() < end);
-    io.restart();
-    io.run_one_for(milliseconds(50));
-  }
-}
-
 // One process of a worker: it answers polls, and keeps what they say.
 class WorkerProcess {
  public:
--- a/Tests/runtime/engine_peers_test.cc
+++ b/Tests/runtime/engine_peers_test.cc
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -17,6 +16,7 @@
 #include "net/http_server.h"
 #include "net/json.h"
 #include "runtime/clock.h"
+#include "runtime/run_until.h"
 
 namespace burdockrock {
 
@@ -38,17 +38,6 @@
   return fmt::format("127.0.0.1:{}", std::get<std::uint16_t>(server.Listen()));
 }
 
-// Fails the test if the condition does not hold within 20 s.
-void RunUntil(boost::asio::io_context& io,
-              const std::function<bool()>& condition) {
-  const Time end = SteadyNow() + std::chrono::seconds(20);
-  while (!condition()) {
-    REQUIRE(SteadyNow() < end);
-    io.restart();
-    io.run_one_for(std::chrono::milliseconds(50));
-  }
-}
-
 }  // namespace
 
 // The metrics of a site that was short of processor time told only that 700
