Advice: Counts idle time beside a line, and names gangs that await members

The logs and metrics could not tell a service that is asked too much from instances that do not ask it, nor a gang without room from one of which a member is believed to run.

- burdockrock_advice_idle_seconds_total: time in which an instance makes no call while its own steps wait for one.
- 516 names the cause 'members' where a gang waits for the end of another member's run; it named room, advice or placement.
- FakeWorker::EndRun ends a run from outside, as workers do with the other members of a broken gang.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -319,12 +319,24 @@
   });
 }
 
+// Adds the time since the last check in which this instance could have made a
+// call for one of the steps in its line.
+void NoteIdleTime(Context& context) {
+  AdviceState& advice = context.state.advice;
+  const bool idle = !advice.in_flight && advice.call_queue.empty();
+  if (idle && advice.line_checked_at < context.now) {
+    advice.idle_beside_line += context.now - advice.line_checked_at;
+  }
+}
+
 }  // namespace
 
 void DriveAdvice(Context& context) {
   if (!IsRegistered(context.state)) {
     return;
   }
+  NoteIdleTime(context);
+  context.state.advice.line_checked_at = kForever;
   GiveUpOverdueQueries(context);
   ReleaseOverdueSteps(context);
   CandidatesByService candidates;
@@ -332,6 +344,7 @@
   for (const ReadyStep& it : StepsInLine(context)) {
     it.run().advice_in_line = busy.contains(it.queue) || !IsTurn(context, it);
     if (it.run().advice_in_line) {
+      context.state.advice.line_checked_at = context.now;
       // After a query without a reply fewer members are left to choose from.
       if (!it.run().advice_unanswered) {
         busy.insert(it.queue);
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -7,6 +7,7 @@
 #include "engine/jobs/candidates.h"
 #include "engine/jobs/placement_rule.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/jobs/task_ref.h"
 #include "engine/teams/quota.h"
 #include "engine/teams/quota_demand.h"
 
@@ -69,6 +70,14 @@
          (task.phase == TaskPhase::kUnknown && ready.job->recovering);
 }
 
+// Whether a member of a gang has a run, so that the others can't be booked.
+bool HasPlacedMember(const ReadyStep& ready) {
+  const auto& tasks = ready.run().tasks;
+  return ready.spec().gang &&
+         std::any_of(tasks.begin(), tasks.end(),
+                     [](const Task& it) { return IsPlaced(it); });
+}
+
 // What has to fit at once into what is held of the team's cap.
 Resources LeastCharge(const ReadyStep& ready, const StepWait& wait) {
   Resources charge;
@@ -92,6 +101,9 @@
                   [&](const Task& it) { return IsBooking(ready, it); })) {
     return WaitCause::kBooking;
   }
+  if (HasPlacedMember(ready)) {
+    return WaitCause::kMembers;
+  }
   if (all_pause) {
     return WaitCause::kPause;
   }
@@ -138,6 +150,8 @@
       return "pause";
     case WaitCause::kBooking:
       return "booking";
+    case WaitCause::kMembers:
+      return "members";
     case WaitCause::kPlacement:
       return "placement";
   }
--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -21,6 +21,7 @@
   kQuota,      // what is held of the team's cap has no room for it
   kPause,      // delay after a failed or refused start
   kBooking,    // of a gang: some of its room is booked, and it is not started
+  kMembers,    // of a gang: runs of other members are not known to have ended
   kPlacement,  // none of these: the next placement round can start it
 };
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -394,6 +394,9 @@
   // With an overdue reply, and no message since.
   std::set<std::string> unresponsive{};
   std::map<std::string, AllowedShare> shares{};  // by queue
+  // Time in which this instance made no call while own steps waited for one.
+  Duration idle_beside_line{0};
+  Time line_checked_at = kForever;  // since when steps wait; kForever: none do
 };
 
 // What one team sends.
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -108,6 +108,8 @@
     "burdockrock_advice_seconds_total";
 inline constexpr std::string_view kAdviceStartsTotal =
     "burdockrock_advice_starts_total";
+inline constexpr std::string_view kAdviceIdleSecondsTotal =
+    "burdockrock_advice_idle_seconds_total";
 inline constexpr std::string_view kResidentBytes = "burdockrock_resident_bytes";
 inline constexpr std::string_view kProcessorSecondsTotal =
     "burdockrock_processor_seconds_total";
@@ -220,6 +222,9 @@
      "Time that these calls take the service, in seconds"},
     {kAdviceStartsTotal, MetricKind::kCounter, "reason",
      "Tasks offered with the tickets of these calls"},
+    {kAdviceIdleSecondsTotal, MetricKind::kCounter, "",
+     "Time without a call by this process while own steps waited for one, in "
+     "seconds"},
     {kResidentBytes, MetricKind::kGauge, "",
      "Resident memory of this process, in bytes"},
     {kProcessorSecondsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -95,7 +95,10 @@
   }
 }
 
-void SetAdvice(Metrics& metrics, const engine::AdviceCounts& counts) {
+void SetAdvice(Metrics& metrics, const engine::State& state) {
+  metrics.GetCounter(kAdviceIdleSecondsTotal, {})
+      .RaiseTo(InSeconds(state.advice.idle_beside_line));
+  const engine::AdviceCounts& counts = state.totals.advice;
   for (const engine::AdviceReason it : engine::kAllAdviceReasons) {
     const Labels labels = {
         {.name = "reason", .value = engine::AdviceReasonName(it)}};
@@ -204,7 +207,7 @@
   SetClosedWorkers(metrics, state, now);
   SetWaits(metrics, state.condition_log);
   SetTeams(metrics, state);
-  SetAdvice(metrics, totals.advice);
+  SetAdvice(metrics, state);
   SetPacked(metrics, state);
   SetOpenWork(metrics, engine::CountOpenWork(state, now));
 }
--- a/Tests/engine/condition_log_test.cc
+++ b/Tests/engine/condition_log_test.cc
@@ -193,6 +193,37 @@
   CheckInvariants(fleet);
 }
 
+// Guards against a gang that is logged as waiting for room while the run of a
+// member is believed to be at a worker that does not answer.
+TEST_CASE("Logs that a gang waits for the run of another member to end") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.endless = true});
+  JobSpec gang = OneStep(2, 8000);
+  gang.steps[0].gang = true;
+  fleet.Submit("n0", "j1", gang);
+  fleet.Run(seconds(2));
+  REQUIRE(fleet.seen.size() == 2);
+  const auto name_of = [](const std::string& worker) {
+    return worker.substr(0, worker.find('-'));
+  };
+  const std::string lost = name_of(fleet.seen[0].worker);
+  fleet.command_fault = [lost](const std::string&, const std::string& worker,
+                               const WorkerRequest&) {
+    return worker == lost ? CommandFault::kUnreached : CommandFault::kNone;
+  };
+  const SeenRun other = fleet.seen[1];
+  fleet.worker(name_of(other.worker))
+      .EndRun(fleet.now(), other.task, RunEnd::kBroken);
+  fleet.Run(seconds(4));
+  const auto waits = LinesOf(fleet, EventNumber::kTasksWait);
+  REQUIRE_FALSE(waits.empty());
+  CHECK(FieldOf(waits[0], "cause") == "members");
+  fleet.Run(seconds(10));
+  CHECK(CountRuns(fleet, "j1") == 4);
+  CheckInvariants(fleet);
+}
+
 // Guards against a wait of a gang that cannot be traced: no event said that a
 // booking had failed or why, and the time waited started over with each one.
 TEST_CASE(
--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -100,6 +100,13 @@
   lease_ends_ = now;
 }
 
+void FakeWorker::EndRun(Time now, const std::string& task, RunEnd how) {
+  Advance(now);
+  if (runs_.contains(task)) {
+    End(now, task, how);
+  }
+}
+
 Time FakeWorker::NextCrash() const {
   Time next = kForever;
   for (const auto& [task, run] : runs_) {
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -66,6 +66,9 @@
   // its clock begins anew.
   void Restart(Time now, std::int64_t born);
 
+  // Ends the task's run now, if it is at the worker.
+  void EndRun(Time now, const std::string& task, RunEnd how);
+
   // When the next run crashes the process; kForever: none does.
   Time NextCrash() const;
 
