--- a/Tests/engine/advice_line_test.cc
+++ b/Tests/engine/advice_line_test.cc
@@ -23,6 +23,9 @@
                                 .each = milliseconds(8),
                                 .valid = milliseconds(2000)};
 constexpr std::size_t kWaiting = 80;
+// Of the time in which its own steps wait for a call, an instance makes none
+// for this share at most: one of nine is kept free for short calls.
+constexpr double kMaxIdleShare = 0.15;
 
 // Service time of a call that names so many workers.
 Duration TimeFor(std::size_t workers) {
@@ -118,6 +121,28 @@
   return TimeFor(12) * static_cast<std::int64_t>(steps) / 4;
 }
 
+// Shares of the time in which steps of an instance waited in its line.
+struct LineUse {
+  std::size_t samples = 0;
+  std::size_t idle = 0;  // of these, in which that instance made no call
+
+  double idle_share() const {
+    return static_cast<double>(idle) /
+           static_cast<double>(std::max<std::size_t>(samples, 1));
+  }
+};
+
+void Sample(const Fleet& fleet, LineUse& use) {
+  for (const std::string& it : fleet.nodes()) {
+    const AdviceState& advice = fleet.state(it).advice;
+    if (advice.line_checked_at == kForever) {
+      continue;
+    }
+    ++use.samples;
+    use.idle += !advice.in_flight && advice.call_queue.empty() ? 1 : 0;
+  }
+}
+
 }  // namespace
 
 // Guards against a task that is to run alone and whose ticket expires while its
@@ -209,6 +234,27 @@
   CHECK(last <= 2 * all);
 }
 
+// Guards against ready steps that wait beside room for calls while instances
+// that are kept free for short calls make none.
+TEST_CASE("All instances make long calls while steps wait for them") {
+  Fleet fleet({.instances = 9, .workers = 45, .advice = true});
+  PlanAll(fleet, {.takes = seconds(1)});
+  AdoptWaiting(fleet);
+  const Time since = fleet.now();
+  LineUse use;
+  fleet.RunUntil(
+      [&] {
+        Sample(fleet, use);
+        return LastStart(fleet, since) != kForever;
+      },
+      seconds(60));
+  INFO("idle for ", use.idle, " of ", use.samples, " samples");
+  CHECK(use.samples > 0);
+  CHECK(use.idle_share() <= kMaxIdleShare);
+  CHECK(LastStart(fleet, since) != kForever);
+  CheckInvariants(fleet);
+}
+
 // Guards against calls that name workers whose room has gone while the query
 // waited: their tickets expire unused.
 TEST_CASE("Calls name workers that have room, also behind a long line") {
