Advice: Instances kept for short calls help with long ones

One in three instances of a fleet of nine, and some one in five of larger ones, made no long calls to the advice service, also while nobody made short ones: the others worked off the line of all ready steps alone.

One in three of these instances, rounded up, stays reserved. The others take a long call when they are idle, those that make long calls are busy, and the reserved ones have no wait for short calls. Short calls go to the reserved ones first.

--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -25,6 +25,9 @@
 constexpr std::size_t kSmallFleet = 9;
 constexpr std::size_t kMembersPerShortCaller = 3;
 constexpr std::size_t kFurtherPerShortCaller = 5;
+// One in so many of these, rounded up, never makes long calls. The others help
+// with long calls while short ones do not need them.
+constexpr std::size_t kShortCallersPerReserved = 3;
 // Short calls also go to instances that make long ones when they would wait
 // longer than this at the others.
 constexpr Duration kShortWait = milliseconds(80);
@@ -43,7 +46,8 @@
 constexpr Duration kReplyOverdue = milliseconds(300);
 
 struct Callers {
-  std::vector<std::string> for_short{};  // make no long calls
+  std::vector<std::string> reserved{};  // make no long calls
+  std::vector<std::string> helpers{};   // make them when no short ones wait
   std::vector<std::string> for_all{};
 };
 
@@ -91,17 +95,24 @@
 Callers CallersOf(const Context& context, Time updated_since) {
   const std::vector<std::string> members = MembersInOrder(context);
   const std::size_t short_callers = CountShortCallers(members.size());
+  const std::size_t reserved =
+      (short_callers + kShortCallersPerReserved - 1) / kShortCallersPerReserved;
   Callers callers;
   for (std::size_t it = 0; it < members.size(); ++it) {
-    if (IsResponsive(context, members[it], updated_since)) {
-      auto& group = it < short_callers ? callers.for_short : callers.for_all;
-      group.push_back(members[it]);
+    if (!IsResponsive(context, members[it], updated_since)) {
+      continue;
     }
+    auto& group = it >= short_callers                  ? callers.for_all
+                  : callers.reserved.size() < reserved ? callers.reserved
+                                                       : callers.helpers;
+    group.push_back(members[it]);
   }
   if (callers.for_all.empty()) {
-    callers.for_all = callers.for_short;
-  } else if (callers.for_short.empty()) {
-    callers.for_short = callers.for_all;
+    callers.for_all =
+        callers.helpers.empty() ? callers.reserved : callers.helpers;
+  }
+  if (callers.reserved.empty()) {
+    callers.reserved = callers.for_all;
   }
   return callers;
 }
@@ -133,6 +144,16 @@
   return best;
 }
 
+// Whether an instance that is kept for short calls makes a long one: it is
+// idle, those that make long ones are busy for longer, and short calls need not
+// wait at the reserved ones.
+bool MayHelp(const ShortestWait& reserved,
+             const ShortestWait& helper,
+             const ShortestWait& all) {
+  return !helper.member.empty() && reserved.wait <= kShortWait &&
+         helper.wait <= kShortWait && all.wait > kWaitTolerance;
+}
+
 }  // namespace
 
 bool IsLongCall(Duration expected) {
@@ -166,11 +187,15 @@
                                Time updated_since) {
   const Callers callers = CallersOf(context, updated_since);
   const ShortestWait all = FindShortestWait(context, callers.for_all, priority);
+  const ShortestWait reserved =
+      FindShortestWait(context, callers.reserved, priority);
+  const ShortestWait helper =
+      FindShortestWait(context, callers.helpers, priority);
   if (IsLongCall(expected)) {
-    return all.member;
+    return MayHelp(reserved, helper, all) ? helper.member : all.member;
   }
-  const ShortestWait best =
-      FindShortestWait(context, callers.for_short, priority);
+  const ShortestWait& best =
+      reserved.wait <= std::max(kShortWait, helper.wait) ? reserved : helper;
   return best.wait <= std::max(kShortWait, all.wait) ? best.member : all.member;
 }
 
