--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -144,14 +144,12 @@
   return best;
 }
 
-// Whether an instance that is kept for short calls makes a long one: it is
-// idle, those that make long ones are busy for longer, and short calls need not
-// wait at the reserved ones.
-bool MayHelp(const ShortestWait& reserved,
-             const ShortestWait& helper,
-             const ShortestWait& all) {
+// Whether an instance that is kept for short calls makes a long one while those
+// that make long ones are busy: it is idle, and short calls need not wait at
+// the reserved ones.
+bool MayHelp(const ShortestWait& reserved, const ShortestWait& helper) {
   return !helper.member.empty() && reserved.wait <= kShortWait &&
-         helper.wait <= kShortWait && all.wait > kWaitTolerance;
+         helper.wait <= kShortWait;
 }
 
 }  // namespace
@@ -187,12 +185,16 @@
                                Time updated_since) {
   const Callers callers = CallersOf(context, updated_since);
   const ShortestWait all = FindShortestWait(context, callers.for_all, priority);
+  const bool is_long = IsLongCall(expected);
+  if (is_long && all.wait <= kWaitTolerance) {
+    return all.member;
+  }
   const ShortestWait reserved =
       FindShortestWait(context, callers.reserved, priority);
   const ShortestWait helper =
       FindShortestWait(context, callers.helpers, priority);
-  if (IsLongCall(expected)) {
-    return MayHelp(reserved, helper, all) ? helper.member : all.member;
+  if (is_long) {
+    return MayHelp(reserved, helper) ? helper.member : all.member;
   }
   const ShortestWait& best =
       reserved.wait <= std::max(kShortWait, helper.wait) ? reserved : helper;
