Engine: Beliefs in runs of lost workers end

A job's owner that missed the loss of a worker believed its task to be running for ever: the task stood in no line and in no gauge of waits, and a gang with such a member never started again. Three causes: - A worker's owner answered queries about a lost worker only as long as it announced the loss (20 s); now while no member has claimed it again. - Orders to stop runs there got no answer at all, and tasks that are being stopped were not queried. Both are answered and queried now. - The job's owner forgot an unlisted worker after 25 s also while tasks were placed there, so that a member that had never seen it could not be told to claim it and to find out about its leases. It is kept as long as it is used.

No task starts by a clock: a run is given up on the reply of a member that knows the loss, or after the leases that it could have.

--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -177,13 +177,18 @@
                const TaskName& name,
                Task& task,
                std::map<std::string, RunQueries>& queries) {
-  const Duration timeout =
-      task.phase == TaskPhase::kOffered ? kOfferRetryDelay : kRunQueryDelay;
+  // Stops are repeated on their own, but tell nothing of a worker that its
+  // present owner has never seen.
+  const Duration timeout = task.phase == TaskPhase::kOffered && !task.stopping
+                               ? kOfferRetryDelay
+                               : kRunQueryDelay;
   // The worker's owner has to be queried even if it reports the run on its own:
   // it treats a run that is never queried as abandoned.
   const bool due = HasPassed(context.now, task.last_update, timeout) ||
                    HasPassed(context.now, task.last_query, kRunQueryDelay);
-  if (!IsPlaced(task) || task.stopping || !due) {
+  const bool stops =
+      task.stopping && !HasPassed(context.now, task.last_query, kRunQueryDelay);
+  if (!IsPlaced(task) || stops || !due) {
     return;
   }
   task.last_update = context.now - timeout + kOfferRetryDelay;
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -46,6 +46,14 @@
           .checkpoint = run.checkpoint};
 }
 
+// Whether the worker was declared lost, by this or another member, and not
+// claimed since. An own loss is announced for a limited time only.
+bool IsLost(const State& state, const std::string& worker) {
+  const auto view = state.view.find(worker);
+  return state.lost_workers.contains(worker) ||
+         (view != state.view.end() && view->second.lost);
+}
+
 // A query that is repeated keeps the time of the first one.
 void AddPendingQuery(OwnedWorker& worker, PendingRunQuery query) {
   auto& pending = worker.pending_run_queries;
@@ -130,7 +138,7 @@
   }
   OwnedWorker* worker = FindClaimed(context.state, query.worker);
   if (worker == nullptr) {
-    if (context.state.lost_workers.contains(query.worker)) {
+    if (IsLost(context.state, query.worker)) {
       ReportAbsent(context, to, query);
     }
     return;
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -1,8 +1,11 @@
 #include "engine/workers/worker_list.h"
 
+#include <set>
 #include <utility>
 
+#include "engine/jobs/job_table.h"
 #include "engine/jobs/recovery.h"
+#include "engine/jobs/task_ref.h"
 #include "engine/members/membership.h"
 #include "engine/workers/worker_owner.h"
 #include "engine/workers/worker_restarts.h"
@@ -55,6 +58,22 @@
          info.born < BornOf(listed);
 }
 
+// Takes out of `workers` those at which tasks of own jobs are believed to run.
+// Only with what is known of such a worker can a member that has never seen it
+// claim it and find out that it is lost.
+void KeepWorkersInUse(Context& context, std::set<std::string>& workers) {
+  for (const std::string& id : context.state.active) {
+    ForEachTask(context.state.jobs.at(id), [&](const TaskName&, Task& task) {
+      if (IsPlaced(task)) {
+        workers.erase(task.worker);
+      }
+      if (task.copy) {
+        workers.erase(task.copy->worker);
+      }
+    });
+  }
+}
+
 }  // namespace
 
 void OnWorkerItem(Context& context, const StoreItem& item) {
@@ -116,11 +135,19 @@
 }
 
 void DriveWorkerList(Context& context) {
-  std::erase_if(context.state.workers, [&](const auto& it) {
-    return !it.second.listed && !context.state.owned.contains(it.first) &&
-           HasPassed(context.now, it.second.unlisted_at,
-                     kUnlistedWorkerKeptFor);
-  });
+  std::set<std::string> expired;
+  for (const auto& [id, it] : context.state.workers) {
+    if (!it.listed && !context.state.owned.contains(id) &&
+        HasPassed(context.now, it.unlisted_at, kUnlistedWorkerKeptFor)) {
+      expired.insert(id);
+    }
+  }
+  if (!expired.empty()) {
+    KeepWorkersInUse(context, expired);
+  }
+  for (const std::string& it : expired) {
+    context.state.workers.erase(it);
+  }
 }
 
 bool MayRunTasks(const State& state, const std::string& worker) {
