Platform: Watches of the store are decoded by simdjson

The body of a watch is read by simdjson straight into StoreDone. Whatever is not exactly as expected takes the path through jsoncpp, which names the fault.

--- a/Tests/platform/store_codec_test.cc
+++ b/Tests/platform/store_codec_test.cc
@@ -5,6 +5,7 @@
 
 #include "platform/base64.h"
 #include "platform/store_codec.h"
+#include "platform/store_lists.h"
 
 namespace burdockrock::platform {
 
@@ -77,6 +78,29 @@
   DecodeAs<StoreAbsent>(StoreWatch{}, 410, "");
 }
 
+// Guards against an answer that is read as another one than its text says, as
+// long lists of a watch are read without the general parser.
+TEST_CASE("Watches whose text is not as expected are refused") {
+  const std::string start = R"({"events":[{"key":"m/a",)";
+  CHECK(ReadWatchBody(start + R"("value":"bg==","revision":4}],"as_of":5})"));
+  for (const std::string it :
+       {R"("value":"b!==","revision":4}],"as_of":5})",
+        R"("value":"bg==","revision":"4"}],"as_of":5})",
+        R"("value":"bg==","revision":-4}],"as_of":5})",
+        R"("value":7,"revision":4}],"as_of":5})",
+        R"("revision":4}],"as_of":[]})",
+        R"("value":"bg==","revision":4}],"as_of":5}})",
+        R"("value":"bg==","revision":4}],"as_of":5)",
+        "\"value\":\"bg==\",\"v\":\"\xff\",\"revision\":4}],\"as_of\":5}"}) {
+    CAPTURE(it);
+    CHECK_FALSE(ReadWatchBody(start + it));
+    DecodeAs<StoreUnknown>(StoreWatch{}, 200, start + it);
+  }
+  const auto unknown = DecodeAs<StoreUnknown>(
+      StoreWatch{}, 200, start + R"("value":"b!==","revision":4}],"as_of":5})");
+  CHECK(unknown.detail.find("events[0].value") != std::string::npos);
+}
+
 TEST_CASE("Transactions") {
   const StoreTransaction transaction{
       .conditions = {{.key = "a", .revision = 0}},
