Engine: A worker that has come back is not reported as lost

A loss now counts only while the worker is neither listed nor claimed here, besides an own loss that is still announced, as before.

Also from the review: the reader of watches refuses a removal mark that is no boolean and revisions above the signed range, as the general path does (both in its test); time without a registration does not count as idle beside a line.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -332,11 +332,14 @@
 }  // namespace
 
 void DriveAdvice(Context& context) {
-  if (!IsRegistered(context.state)) {
-    return;
+  const bool registered = IsRegistered(context.state);
+  if (registered) {
+    NoteIdleTime(context);
   }
-  NoteIdleTime(context);
   context.state.advice.line_checked_at = kForever;
+  if (!registered) {
+    return;
+  }
   GiveUpOverdueQueries(context);
   ReleaseOverdueSteps(context);
   CandidatesByService candidates;
--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -16,12 +16,12 @@
 
 namespace {
 
-// Calls with at least this service time are long. Some instances make only
+// Calls with at least this service time are long. Some instances are kept for
 // shorter ones.
 constexpr Duration kLongCall = milliseconds(100);
-// Short calls must not wait behind long ones, so some instances make no long
-// calls: one in three of a small fleet, rounded up, and one in five of further
-// members, because more would be idle while the others have full queues.
+// Short calls must not wait behind long ones, so some instances are kept for
+// them: one in three of a small fleet, rounded up, and one in five of further
+// members.
 constexpr std::size_t kSmallFleet = 9;
 constexpr std::size_t kMembersPerShortCaller = 3;
 constexpr std::size_t kFurtherPerShortCaller = 5;
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -46,12 +46,16 @@
           .checkpoint = run.checkpoint};
 }
 
-// Whether the worker was declared lost, by this or another member, and not
-// claimed since. An own loss is announced for a limited time only.
+// Whether the worker was declared lost, by this or another member, and has not
+// come back since: a loss removes it from the list, and its return may be known
+// before a new claim is. An own loss is announced for a limited time only.
 bool IsLost(const State& state, const std::string& worker) {
+  if (state.lost_workers.contains(worker)) {
+    return true;
+  }
   const auto view = state.view.find(worker);
-  return state.lost_workers.contains(worker) ||
-         (view != state.view.end() && view->second.lost);
+  return view != state.view.end() && view->second.lost &&
+         !state.owned.contains(worker) && !state.workers.contains(worker);
 }
 
 // A query that is repeated keeps the time of the first one.
--- a/Tests/platform/store_codec_test.cc
+++ b/Tests/platform/store_codec_test.cc
@@ -88,6 +88,8 @@
         R"("value":"bg==","revision":"4"}],"as_of":5})",
         R"("value":"bg==","revision":-4}],"as_of":5})",
         R"("value":7,"revision":4}],"as_of":5})",
+        R"("value":"bg==","revision":9223372036854775808}],"as_of":5})",
+        R"("value":"bg==","revision":4,"tombstone":1}],"as_of":5})",
         R"("revision":4}],"as_of":[]})",
         R"("value":"bg==","revision":4}],"as_of":5}})",
         R"("value":"bg==","revision":4}],"as_of":5)",
