--- a/Source/engine/workers/worker_runs.cc
+++ b/Source/engine/workers/worker_runs.cc
@@ -264,16 +264,9 @@
                  const std::string& from,
                  const TaskStops& stops) {
   for (const TaskStop& it : stops.stops) {
-    const auto name = ParseTaskName(it.task);
-    if (!name) {
-      continue;
-    }
     OwnedWorker* worker = FindClaimed(context.state, it.worker);
-    if (worker == nullptr) {
-      // Nothing stops if the worker is lost, and its loss may not be announced
-      // any more.
-      ReportRun(context, from,
-                {.task = it.task, .run = it.run, .worker = it.worker});
+    const auto name = ParseTaskName(it.task);
+    if (worker == nullptr || !name) {
       continue;
     }
     KnownJob& known = context.state.known[name->job];
