Tests: Workers of the fleet end gangs as broken or alone

No worker of the tests' cell ended the other members of a gang when one member ended or was lost, nor a member whose gang stayed incomplete. Tests ended such runs by hand, at times of their own choice.

With FleetOptions::gang_width, which is unset by default, the members of a gang begin work once all are present, end as done together, end as broken within 10 ms of another member's end, and end as alone after gang_timeout.

--- a/Tests/engine/fake_worker.cc
+++ b/Tests/engine/fake_worker.cc
@@ -71,6 +71,9 @@
 
 std::uint32_t FakeWorker::PercentOf(const Run& run, Time now) const {
   constexpr std::uint32_t kAll = 100;
+  if (run.waits) {
+    return 0;
+  }
   if (run.ends == kForever || run.takes == Duration(0)) {
     return kAll;
   }
@@ -107,6 +110,19 @@
   }
 }
 
+void FakeWorker::BeginWork(Time now, const std::string& task) {
+  Advance(now);
+  const auto it = runs_.find(task);
+  if (it == runs_.end() || !it->second.waits) {
+    return;
+  }
+  Run& run = it->second;
+  run.waits = false;
+  if (!run.endless && !run.stopping) {
+    run.ends = std::max(now, stalled_until_) + run.takes;
+  }
+}
+
 Time FakeWorker::NextCrash() const {
   Time next = kForever;
   for (const auto& [task, run] : runs_) {
@@ -173,14 +189,18 @@
                    .payload = it.payload,
                    .checkpoint = it.checkpoint,
                    .began = now});
-  runs_[it.task] = Run{
-      .number = it.run,
-      .seen = seen_.size() - 1,
-      .ends = planned.endless ? kForever
-                              : std::max(now, stalled_until_) + planned.takes,
-      .takes = planned.takes,
-      .how = planned.how,
-      .crashes = planned.crashes};
+  const bool waits = in_gang(it.task);
+  runs_[it.task] =
+      Run{.number = it.run,
+          .seen = seen_.size() - 1,
+          .ends = planned.endless || waits
+                      ? kForever
+                      : std::max(now, stalled_until_) + planned.takes,
+          .takes = planned.takes,
+          .how = planned.how,
+          .crashes = planned.crashes,
+          .endless = planned.endless,
+          .waits = waits};
   NotePeak();
   return Done(now);
 }
--- a/Tests/engine/fake_worker.h
+++ b/Tests/engine/fake_worker.h
@@ -69,6 +69,9 @@
   // Ends the task's run now, if it is at the worker.
   void EndRun(Time now, const std::string& task, RunEnd how);
 
+  // Lets the task's run begin its work: all members of its gang are present.
+  void BeginWork(Time now, const std::string& task);
+
   // When the next run crashes the process; kForever: none does.
   Time NextCrash() const;
 
@@ -80,6 +83,11 @@
   // Used in place of `plan` where it is set.
   std::function<RunPlan(const StartRun& order)> plan_start{};
 
+  // Whether the task is a member of a gang. Its run does no work until
+  // BeginWork().
+  std::function<bool(const std::string& task)> in_gang =
+      [](const std::string&) { return false; };
+
   // The service figure that the worker lists for a run.
   std::function<std::int64_t(const std::string& task)> figure =
       [](const std::string&) { return 0; };
@@ -109,6 +117,8 @@
     RunEnd how = RunEnd::kDone;
     bool crashes = false;
     bool stopping = false;
+    bool endless = false;
+    bool waits = false;  // for the other members of its gang
   };
 
   std::uint32_t PercentOf(const Run& run, Time now) const;
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -89,6 +89,9 @@
   }
   SetQueue(queue);
   AddWorkers(options_.workers);
+  if (options_.gang_width) {
+    TendGangs();
+  }
   for (std::size_t it = 0; it < options_.instances; ++it) {
     const std::string name = fmt::format("n{}", it);
     nodes_[name].domain = options_.domains[it % options_.domains.size()];
@@ -115,6 +118,11 @@
                           : std::vector<std::string>{fmt::format(
                                 "r{}", number / options_.workers_per_rack)}},
         seen);
+    if (options_.gang_width) {
+      workers_[name]->in_gang = [this](const std::string& task) {
+        return GangWidth(task) > 0;
+      };
+    }
     ListWorker(*workers_[name]);
   }
 }
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "engine/event.h"
@@ -55,6 +56,11 @@
   // of every 5 ms.
   bool timers = false;
   bool teams = false;  // instances take part in the accounting of teams
+  // Members of the gang that a step (StepName) is; 0: it is none. Where set,
+  // workers end the members of gangs that are broken or stay incomplete.
+  std::function<std::size_t(const std::string& step)> gang_width{};
+  // Time after which a member of an incomplete gang ends as alone.
+  Duration gang_timeout = std::chrono::milliseconds(3000);
 };
 
 // Instances are named n0, n1, ... and workers w0, w1, ...
@@ -225,6 +231,11 @@
     std::set<std::uint64_t> unanswered{};  // requests of callers
     bool drained = false;  // exits when all of them are answered
   };
+  // One run of a gang.
+  struct Gang {
+    std::vector<std::size_t> members{};  // in `seen`
+    bool working = false;                // all members have been present
+  };
   // A scheduled action.
   struct Due {
     Time at{0};
@@ -270,6 +281,10 @@
                     const WorkerAnswer& result,
                     const std::function<void(WorkerAnswer)>& answer);
   void ListWorker(const FakeWorker& worker);
+  // Members of the gang that the task belongs to; 0: to none.
+  std::size_t GangWidth(const std::string& task) const;
+  void TendGangs();
+  void TendGang(const std::string& step, Gang& gang);
   void ExpectCrash(const std::string& name);
   FakeWorker* FindWorkerAt(const std::string& address);
   void Tick(const std::string& node, std::uint64_t incarnation);
@@ -296,6 +311,9 @@
       answered_;
   std::set<std::string> crashed_;  // addresses where no process runs
   std::size_t crashes_ = 0;
+  // Runs of gangs, by step and run.
+  std::map<std::pair<std::string, std::uint64_t>, Gang> gangs_;
+  std::size_t gangs_seen_ = 0;  // runs in `seen` that `gangs_` covers
 };
 
 // A job of one step of equal tasks.
