--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -186,9 +186,9 @@
   // it treats a run that is never queried as abandoned.
   const bool due = HasPassed(context.now, task.last_update, timeout) ||
                    HasPassed(context.now, task.last_query, kRunQueryDelay);
-  const bool stops =
+  const bool queried_lately =
       task.stopping && !HasPassed(context.now, task.last_query, kRunQueryDelay);
-  if (!IsPlaced(task) || stops || !due) {
+  if (!IsPlaced(task) || queried_lately || !due) {
     return;
   }
   task.last_update = context.now - timeout + kOfferRetryDelay;
--- a/Tests/platform/store_codec_test.cc
+++ b/Tests/platform/store_codec_test.cc
@@ -5,7 +5,7 @@
 
 #include "platform/base64.h"
 #include "platform/store_codec.h"
-#include "platform/store_lists.h"
+#include "platform/watch_body.h"
 
 namespace burdockrock::platform {
 
