Tests: A worker leaves the list as its owner restarts (known red)

A worker has a rightful owner by the list of members. While that instance is away another one claims the worker. If the worker can't be reached any more, and its entry is removed before the rightful owner has started again, then: - the former owner keeps the worker, and may not declare it lost, since only the rightful owner may; - the rightful owner has never seen the worker and does not claim it; - the job's owner queries the former owner, which answers that the run is there. The task stands in no line and in no gauge of waits, and never starts again; of a gang none does.

--- a/Tests/engine/lost_worker_test.cc
+++ b/Tests/engine/lost_worker_test.cc
@@ -158,4 +158,48 @@
   }
 }
 
+// Guards against a task that its job's owner believes to be running for ever.
+// Its worker leaves while the worker's rightful owner restarts: the former
+// owner must not declare the loss, and the rightful one has never seen the
+// worker.
+TEST_CASE("A task starts again whose worker left as its owner restarted") {
+  for (const bool gang : {false, true}) {
+    CAPTURE(gang);
+    Fleet fleet({.instances = kInstances,
+                 .workers = kWorkers,
+                 .processors_milli = kCapacity});
+    fleet.Settle();
+    PlanAll(fleet, {.takes = seconds(90)});
+    JobSpec spec = OneStep(9, kCapacity);
+    spec.steps[0].gang = gang;
+    fleet.Submit("n0", "job", spec);
+    fleet.Run(seconds(1));
+    const auto away = std::find_if(
+        fleet.seen.begin(), fleet.seen.end(), [&](const SeenRun& run) {
+          return fleet.state("n0").view.at(run.worker).owner != "n0-1";
+        });
+    REQUIRE(away != fleet.seen.end());
+    const std::string id = away->worker;
+    const std::string task = away->task;
+    const std::string owner = AddressOf(fleet.state("n0").view.at(id).owner);
+    fleet.Kill(owner);
+    fleet.Run(seconds(5));
+    REQUIRE(AddressOf(fleet.state("n0").view.at(id).owner) != owner);
+    const std::string dark = AddressOf(id);
+    fleet.command_fault = [dark](const std::string&, const std::string& worker,
+                                 const WorkerRequest&) {
+      return worker == dark ? CommandFault::kUnreached : CommandFault::kNone;
+    };
+    fleet.store.Remove("worker/" + id);
+    fleet.Run(milliseconds(100));
+    fleet.Start(owner);
+    fleet.Run(kLongCut + kRestartBound);
+    const auto runs =
+        std::count_if(fleet.seen.begin(), fleet.seen.end(),
+                      [&](const SeenRun& run) { return run.task == task; });
+    CHECK(runs >= 2);
+    CheckInvariants(fleet);
+  }
+}
+
 }  // namespace burdockrock::engine
