Engine: Rightful owners are told of unreachable workers that left the list

Callers saw tasks that are believed to run and never run again. Cause: the belief in a run ends when its worker is declared lost, which only the worker's rightful owner may do; a rightful owner that read the list after the worker had left it does not know the worker, and nobody told it. Only members that had not completed their claim did.

A member that has claimed such a worker now tells the rightful owner while the worker does not answer, each 3 s. That member claims it by what it was told, collects the reports on leases, and declares the worker lost once they have ended, as for any other silent worker. No task is started by a clock.

--- a/Source/engine/workers/owned_worker.h
+++ b/Source/engine/workers/owned_worker.h
@@ -116,6 +116,8 @@
   Time missed_since{0};        // first poll without a reply; 0: none
   Time unresponsive_since{0};  // the same, once a second poll has failed
   bool unresponsive_logged = false;
+  // When its rightful owner was last told that it left the list.
+  Time owner_told_at = Time::min();
   Time unanswered_at = Time::min();  // the last call without a reply
   // Expiry of all leases that this instance renewed there.
   Time lease_bound{0};
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -15,6 +15,7 @@
 #include "engine/workers/lease_bounds.h"
 #include "engine/workers/run_ends.h"
 #include "engine/workers/run_progress.h"
+#include "engine/workers/worker_handover.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_listing.h"
 #include "engine/workers/worker_restarts.h"
@@ -113,10 +114,7 @@
     if (owner == context.self() || HasRestarted(worker)) {
       return false;
     }
-    // The rightful owner may not know a worker that has left the list.
-    if (auto remembered = RememberedFor(context.state, it.first)) {
-      Send(context, owner, RunQueries{.remembered = {std::move(*remembered)}});
-    }
+    TellRightfulOwner(context, it.first);
     return true;
   });
 }
@@ -379,6 +377,9 @@
       }
       RequestMembers(context);
     }
+    if (checks_leases && IsUnresponsive(worker)) {
+      TellOfUnreachable(context, id, worker);
+    }
     if (!worker.poll_in_flight && context.now >= worker.next_poll_at) {
       SendPoll(context, id, worker);
     }
