Engine: Only workers with tickets are looked up for steps with advice

Each placement round collected all workers of a service, for the sake of steps that may start only where they hold a valid ticket.

A round now looks up the workers of a step's tickets, and all workers only for queues without advice. The mean slowness of a service, which the candidates are compared with, comes from the count of rooms that is made each 100 ms.

--- a/Source/engine/jobs/candidates.cc
+++ b/Source/engine/jobs/candidates.cc
@@ -1,6 +1,7 @@
 #include "engine/jobs/candidates.h"
 
 #include <cstdint>
+#include <map>
 
 #include <xxhash.h>
 
@@ -28,31 +29,42 @@
   return kMaxForeignPreference * static_cast<double>(hash >> 11U) / 0x1p53;
 }
 
-// Scales slowness to a mean of 1. Estimates are wrong by a similar factor for
-// all workers, so only differences between workers count. A worker without data
-// counts as average.
-void NormalizeSlowness(std::vector<Candidate>& candidates) {
-  double sum = 0;
-  double n = 0;
-  for (const Candidate& it : candidates) {
-    sum += it.slowness;
-    n += it.slowness > 0 ? 1 : 0;
-  }
-  for (Candidate& it : candidates) {
-    it.slowness = it.slowness > 0 ? it.slowness * n / sum : 1;
-  }
+// Estimates are wrong by a similar factor for all workers, so only differences
+// between workers count. A worker without data counts as average.
+double RelativeSlowness(const RoomView& view, double mean) {
+  return view.slowness > 0 && mean > 0
+             ? static_cast<double>(view.slowness) / mean
+             : 1;
 }
 
 void CountRooms(State& state) {
   auto& services = state.service_rooms.services;
   services.clear();
+  std::map<std::string, double> rated;  // workers whose slowness is known
   for (auto& [id, listed] : state.workers) {
     if (const RoomView* view = UsableView(state, id, listed)) {
       ServiceRoom& service = services[listed.info.service];
       service.free += view->free.processors_milli;
       service.all += listed.info.capacity.processors_milli;
+      service.slowness += static_cast<double>(view->slowness);
+      rated[listed.info.service] += view->slowness > 0 ? 1 : 0;
     }
   }
+  for (auto& [name, it] : services) {
+    it.slowness = rated[name] > 0 ? it.slowness / rated[name] : 0;
+  }
+}
+
+Candidate MakeCandidate(const Context& context,
+                        const ListedWorker& listed,
+                        const RoomView& view,
+                        double mean_slowness) {
+  return {.worker = &listed.info,
+          .free = view.free,
+          .preemptible = view.yielding,
+          .own_domain = listed.info.domain == context.state.options.self.domain,
+          .preference = PreferenceFor(context, listed.info.id, view.owner),
+          .slowness = RelativeSlowness(view, mean_slowness)};
 }
 
 }  // namespace
@@ -87,24 +99,33 @@
 std::vector<Candidate> CandidatesOf(const Context& context,
                                     const std::string& service) {
   State& state = context.state;
+  const double slowness = RoomOfService(context, service).slowness;
   std::vector<Candidate> candidates;
   candidates.reserve(state.workers.size());
   for (auto& [id, listed] : state.workers) {
     const RoomView* view = UsableView(state, id, listed);
     if (view != nullptr && listed.info.service == service) {
-      candidates.push_back(
-          {.worker = &listed.info,
-           .free = view->free,
-           .preemptible = view->yielding,
-           .own_domain = listed.info.domain == state.options.self.domain,
-           .preference = PreferenceFor(context, id, view->owner),
-           .slowness = static_cast<double>(view->slowness)});
+      candidates.push_back(MakeCandidate(context, listed, *view, slowness));
     }
   }
-  NormalizeSlowness(candidates);
   return candidates;
 }
 
+std::optional<Candidate> CandidateAt(const Context& context,
+                                     const std::string& worker) {
+  const auto listed = context.state.workers.find(worker);
+  if (listed == context.state.workers.end()) {
+    return std::nullopt;
+  }
+  const RoomView* view = UsableView(context.state, worker, listed->second);
+  if (view == nullptr) {
+    return std::nullopt;
+  }
+  const std::string& service = listed->second.info.service;
+  return MakeCandidate(context, listed->second, *view,
+                       RoomOfService(context, service).slowness);
+}
+
 ServiceRoom RoomOfService(const Context& context, const std::string& service) {
   ServiceRooms& rooms = context.state.service_rooms;
   if (HasPassed(context.now, rooms.counted_at, kRoomCountInterval)) {
--- a/Source/engine/jobs/candidates.h
+++ b/Source/engine/jobs/candidates.h
@@ -3,6 +3,7 @@
 #define BURDOCKROCK_ENGINE_JOBS_CANDIDATES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,12 @@
 std::vector<Candidate> CandidatesOf(const Context& context,
                                     const std::string& service);
 
-// Processors of the service's workers that accept tasks. The count may be a
-// tenth of a second old.
+// The worker, if it accepts tasks.
+std::optional<Candidate> CandidateAt(const Context& context,
+                                     const std::string& worker);
+
+// Processors and speed of the service's workers that accept tasks. The count
+// may be a tenth of a second old.
 ServiceRoom RoomOfService(const Context& context, const std::string& service);
 
 // Whether more than half of the processors of the service's workers that accept
--- a/Source/engine/jobs/gang_placing.cc
+++ b/Source/engine/jobs/gang_placing.cc
@@ -93,11 +93,9 @@
   return {};
 }
 
-std::vector<Candidate*> FitGang(const PlacementRound& round,
-                                const ReadyStep& ready,
-                                std::vector<Candidate>& candidates) {
+std::vector<Candidate*> FitGang(PlacementRound& round, const ReadyStep& ready) {
   const std::vector<Candidate*> eligible =
-      EligibleWorkers(round.context, ready, NeedOf(ready), candidates);
+      EligibleWorkers(round, ready, NeedOf(ready));
   if (ready.spec().same_rack) {
     auto chosen = FitInOneRack(round.context, ready, eligible);
     const bool waits_for_rack =
@@ -154,8 +152,7 @@
       !HasQuota(round.context, *ready.job, ChargeOfWaiting(ready))) {
     return;
   }
-  const auto chosen =
-      FitGang(round, ready, RoundCandidates(round, ready.queue->service));
+  const auto chosen = FitGang(round, ready);
   if (chosen.empty()) {
     return;
   }
@@ -245,8 +242,7 @@
   if (!HasQuota(round.context, *ready.job, ChargeOfWaiting(ready))) {
     return GiveUpBooking(round, ready, "quota");
   }
-  const auto chosen =
-      FitGang(round, ready, RoundCandidates(round, ready.queue->service));
+  const auto chosen = FitGang(round, ready);
   if (chosen.empty()) {
     return GiveUpBooking(round, ready, "no_room");
   }
--- a/Source/engine/jobs/placement_round.cc
+++ b/Source/engine/jobs/placement_round.cc
@@ -20,12 +20,41 @@
   return HasRoomNow(need, after_preemption);
 }
 
+bool IsUsable(const Context& context, const StepTicket& ticket) {
+  return ticket.expires > context.now + kTicketMargin;
+}
+
 bool IsAllowed(const PlacementChoice& choice, const Candidate& candidate) {
   const std::string& id = candidate.worker->id;
   return id != choice.excluded_worker &&
          (choice.only_worker.empty() || id == choice.only_worker);
 }
 
+// Null if the worker accepts no tasks.
+Candidate* FindCandidate(PlacementRound& round, const std::string& worker) {
+  const auto [it, is_new] = round.candidates.try_emplace(worker);
+  if (is_new) {
+    it->second = CandidateAt(round.context, worker);
+  }
+  return it->second ? &*it->second : nullptr;
+}
+
+const std::vector<Candidate*>& ServiceCandidates(PlacementRound& round,
+                                                 const std::string& service) {
+  const auto [it, is_new] = round.by_service.try_emplace(service);
+  if (is_new) {
+    for (const auto& [worker, listed] : round.context.state.workers) {
+      Candidate* candidate = listed.info.service == service
+                                 ? FindCandidate(round, worker)
+                                 : nullptr;
+      if (candidate != nullptr) {
+        it->second.push_back(candidate);
+      }
+    }
+  }
+  return it->second;
+}
+
 TaskOffer& OfferTo(PlacementRound& round,
                    const ReadyStep& ready,
                    const std::string& owner,
@@ -57,13 +86,23 @@
 
 }  // namespace
 
-std::vector<Candidate>& RoundCandidates(PlacementRound& round,
-                                        const std::string& service) {
-  const auto it = round.by_service.find(service);
-  if (it != round.by_service.end()) {
-    return it->second;
+std::vector<Candidate*> RoundCandidates(PlacementRound& round,
+                                        const ReadyStep& ready) {
+  const std::string& service = ready.queue->service;
+  if (!ready.queue->advice) {
+    return ServiceCandidates(round, service);
   }
-  return round.by_service[service] = CandidatesOf(round.context, service);
+  std::vector<Candidate*> candidates;
+  for (const auto& [worker, ticket] : ready.run().tickets) {
+    if (!ready.spec().gang && !IsUsable(round.context, ticket)) {
+      continue;
+    }
+    Candidate* it = FindCandidate(round, worker);
+    if (it != nullptr && it->worker->service == service) {
+      candidates.push_back(it);
+    }
+  }
+  return candidates;
 }
 
 bool HasTicket(const Context& context,
@@ -73,41 +112,27 @@
     return true;
   }
   const auto it = ready.run().tickets.find(worker);
-  return it != ready.run().tickets.end() &&
-         it->second.expires > context.now + kTicketMargin;
-}
-
-bool MayPlaceAt(const Context& context,
-                const ReadyStep& ready,
-                const std::string& worker) {
-  return ready.spec().gang && ready.queue->advice
-             ? ready.run().tickets.contains(worker)
-             : HasTicket(context, ready, worker);
+  return it != ready.run().tickets.end() && IsUsable(context, it->second);
 }
 
 bool MayPlaceAnywhere(const Context& context, const ReadyStep& ready) {
   const auto& tickets = ready.run().tickets;
   return !ready.queue->advice ||
          std::any_of(tickets.begin(), tickets.end(), [&](const auto& it) {
-           return ready.spec().gang ||
-                  it.second.expires > context.now + kTicketMargin;
+           return ready.spec().gang || IsUsable(context, it.second);
          });
 }
 
-std::vector<Candidate*> EligibleWorkers(const Context& context,
+std::vector<Candidate*> EligibleWorkers(PlacementRound& round,
                                         const ReadyStep& ready,
-                                        const PlacementNeed& need,
-                                        std::vector<Candidate>& candidates) {
-  const bool may_preempt = MayPreempt(context, ready);
-  std::vector<Candidate*> eligible;
-  for (Candidate& it : candidates) {
+                                        const PlacementNeed& need) {
+  const bool may_preempt = MayPreempt(round.context, ready);
+  std::vector<Candidate*> eligible = RoundCandidates(round, ready);
+  std::erase_if(eligible, [&](const Candidate* it) {
     const bool has_room =
-        HasRoomNow(need, it) || (may_preempt && HasRoom(need, it, true));
-    if (has_room && MayRunOn(ready.spec(), *it.worker) &&
-        MayPlaceAt(context, ready, it.worker->id)) {
-      eligible.push_back(&it);
-    }
-  }
+        HasRoomNow(need, *it) || (may_preempt && HasRoom(need, *it, true));
+    return !has_room || !MayRunOn(ready.spec(), *it->worker);
+  });
   return eligible;
 }
 
@@ -135,17 +160,15 @@
   return best;
 }
 
-Candidate* ChooseAlone(const Context& context,
-                       const PlacementChoice& choice,
-                       std::vector<Candidate>& candidates) {
+Candidate* ChooseAlone(const PlacementChoice& choice,
+                       const std::vector<Candidate*>& candidates) {
   Candidate* best = nullptr;
   double best_share = -1;
-  for (Candidate& it : candidates) {
-    const double share = FreeShare(it);
-    if (share > best_share && IsAllowed(choice, it) &&
-        MayRunOn(choice.ready.spec(), *it.worker) &&
-        HasTicket(context, choice.ready, it.worker->id)) {
-      best = &it;
+  for (Candidate* it : candidates) {
+    const double share = FreeShare(*it);
+    if (share > best_share && IsAllowed(choice, *it) &&
+        MayRunOn(choice.ready.spec(), *it->worker)) {
+      best = it;
       best_share = share;
     }
   }
--- a/Source/engine/jobs/placement_round.h
+++ b/Source/engine/jobs/placement_round.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "engine/context.h"
@@ -17,38 +19,37 @@
 // State of one placement round.
 struct PlacementRound {
   Context& context;
-  std::map<std::string, std::vector<Candidate>> by_service{};
+  // By worker, those that were looked up, with the room that the round has left
+  // there. Unset if the worker accepts no tasks.
+  std::unordered_map<std::string, std::optional<Candidate>> candidates{};
+  // All of a service, for queues without advice.
+  std::map<std::string, std::vector<Candidate*>> by_service{};
   // By owner of the workers.
   std::map<std::string, std::vector<TaskOffer>> offers{};
 };
 
-// The workers of a service, with the room that the round has left there.
-std::vector<Candidate>& RoundCandidates(PlacementRound& round,
-                                        const std::string& service);
+// The workers at which tasks of the step may be placed, in the order of their
+// names and with the room that the round has left there. With advice only those
+// with tickets are looked up, a small part of all workers. The pointers stay
+// valid during the round.
+std::vector<Candidate*> RoundCandidates(PlacementRound& round,
+                                        const ReadyStep& ready);
 
 // Whether a start of the step's tasks at the worker has the advice it needs.
 bool HasTicket(const Context& context,
                const ReadyStep& ready,
                const std::string& worker);
 
-// Whether tasks of the step may be placed at the worker: with a valid ticket,
-// or of a gang where it is known to be allowed, since its tickets are requested
-// for the workers that it has booked.
-bool MayPlaceAt(const Context& context,
-                const ReadyStep& ready,
-                const std::string& worker);
-
-// Whether they may be placed at any worker. Most waiting steps have no ticket;
-// this avoids a scan of all workers for them.
+// Whether tasks of the step may be placed at any worker: where it has a valid
+// ticket, or of a gang where it is known to be allowed, since its tickets are
+// requested for the workers that it has booked. Most waiting steps have none.
 bool MayPlaceAnywhere(const Context& context, const ReadyStep& ready);
 
 // Workers on which tasks of the step may run and that have room for at least
-// one: during a round, room only shrinks. Room is checked before the ticket
-// because the ticket is looked up by name.
-std::vector<Candidate*> EligibleWorkers(const Context& context,
+// one: during a round, room only shrinks.
+std::vector<Candidate*> EligibleWorkers(PlacementRound& round,
                                         const ReadyStep& ready,
-                                        const PlacementNeed& need,
-                                        std::vector<Candidate>& candidates);
+                                        const PlacementNeed& need);
 
 // The workers from which one is chosen, and what restricts the choice.
 struct PlacementChoice {
@@ -67,9 +68,8 @@
 
 // The worker to which a task comes that has to be alone there: the one with the
 // largest free share, which is empty or soon will be.
-Candidate* ChooseAlone(const Context& context,
-                       const PlacementChoice& choice,
-                       std::vector<Candidate>& candidates);
+Candidate* ChooseAlone(const PlacementChoice& choice,
+                       const std::vector<Candidate*>& candidates);
 
 // The same for a member of a gang, which comes to an empty worker only.
 Candidate* ChooseEmpty(const PlacementChoice& choice,
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -70,9 +70,7 @@
                      PlacementChoice& choice) {
   const auto choose = [&] {
     return IsolationOf(round.context, task) > Duration(0)
-               ? ChooseAlone(
-                     round.context, choice,
-                     RoundCandidates(round, choice.ready.queue->service))
+               ? ChooseAlone(choice, RoundCandidates(round, choice.ready))
                : ChooseWorker(choice, need);
   };
   if (!task.planned) {
@@ -97,11 +95,9 @@
     return;
   }
   PlacementNeed need = NeedOf(ready);
-  PlacementChoice choice{
-      .ready = ready,
-      .eligible = EligibleWorkers(round.context, ready, need,
-                                  RoundCandidates(round, ready.queue->service)),
-      .placed = CountPlaced(ready)};
+  PlacementChoice choice{.ready = ready,
+                         .eligible = EligibleWorkers(round, ready, need),
+                         .placed = CountPlaced(ready)};
   for (std::uint32_t it = 0; it < tasks.size(); ++it) {
     Task& task = tasks[it];
     if (!IsDue(round.context, task) || IsBeingStored(*ready.job, task)) {
@@ -158,9 +154,7 @@
     const PlacementNeed need = NeedOf(ready);
     const PlacementChoice choice{
         .ready = ready,
-        .eligible =
-            EligibleWorkers(round.context, ready, need,
-                            RoundCandidates(round, ready.queue->service)),
+        .eligible = EligibleWorkers(round, ready, need),
         .placed = CountPlaced(ready),
         .excluded_worker = task.worker};
     Candidate* best = ChooseWorker(choice, need);
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -162,6 +162,8 @@
 struct ServiceRoom {
   std::int64_t free = 0;
   std::int64_t all = 0;
+  // Mean of RoomView::slowness where it is known; 0: nowhere.
+  double slowness = 0;
 };
 
 struct ServiceRooms {
