Engine: Adopters wait for workers that no member has seen

Callers' tasks ran again whose runs had ended (TWICE): a failure domain is cut off, the entries of its workers lapse, and all instances restart. No member remembers these workers then. Adopters took the list for complete 2.3 s after their registration and started the tasks; the workers came back into the list later, with the ends of the first runs, which were then acknowledged.

The worker of a machine that is up and that is not listed is remembered like one that left the list: it goes to all adopters with the reports that these wait for anyway, its rightful owner claims it, and adopters wait until it is listed and claimed, or until the leases of former members have ended. Until the comparison is made its member says so (compares_machines), and is asked again. Without a list of machines in time adopters go on as before, so that a service that is away delays nothing.

Class: what is missing from a list was taken for absent without a second source. By the same list, workers that are known have been declared lost before.

--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -12,6 +12,7 @@
 #include "engine/jobs/job_runs.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/jobs/unseen_workers.h"
 #include "engine/members/membership.h"
 #include "engine/records/record_writer.h"
 #include "engine/records/watches.h"
@@ -21,12 +22,6 @@
 
 namespace {
 
-// Time from the registration until the list of workers counts as settled. A
-// worker whose entry lapsed in an outage of the store is listed again within
-// about 2 s; until then an instance that has just started knows neither the
-// worker nor what runs there.
-constexpr Duration kListSettleTime = milliseconds(2300);
-
 // Interval between queries to all members, in case the known owner of a worker
 // is a former one.
 constexpr Duration kQueryAllInterval = milliseconds(1000);
@@ -69,42 +64,6 @@
   CompleteIfDone(context, job);
 }
 
-// The reports since the last registration; earlier ones don't count, as this
-// instance may have missed workers that were listed and removed in between.
-UnseenWorkers& UnseenNow(Context& context) {
-  UnseenWorkers& unseen = context.state.unseen_workers;
-  const Time registered_at = context.state.members.registered_at;
-  if (unseen.registered_at != registered_at) {
-    unseen = UnseenWorkers{.registered_at = registered_at};
-  }
-  return unseen;
-}
-
-// Whether workers that this instance never saw in the list may run tasks.
-bool MayMissWorkers(Context& context) {
-  return !UnseenNow(context).all_reported &&
-         !HasPassed(context.now, context.state.members.registered_at,
-                    kUnlistedWorkerKeptFor);
-}
-
-// Whether all workers that may run an adopted job's tasks are known. The list
-// alone is not enough: workers of a failure domain that is cut off lapse from
-// it and keep running, so members that have followed the list are queried.
-bool KnowsAllWorkers(Context& context) {
-  if (!ListsAreRead(context.state)) {
-    return false;
-  }
-  if (!MayMissWorkers(context)) {
-    return true;
-  }
-  const auto others = OtherMembers(context);
-  return HasPassed(context.now, context.state.members.registered_at,
-                   kListSettleTime) &&
-         std::all_of(others.begin(), others.end(), [&](const std::string& it) {
-           return UnseenNow(context).reported_by.contains(it);
-         });
-}
-
 // Whether a report of a member, or one that covers a worker, is missing.
 bool AwaitsReports(const Job& job) {
   return !job.unreported_workers.empty() || !job.awaited_members.empty();
@@ -316,9 +275,7 @@
   // Processed before the covered workers: reporting a worker doesn't cover it.
   OnWorkersRemembered(context, report.remembered);
   // Each query since the registration has requested them, if needed.
-  UnseenWorkers& unseen = UnseenNow(context);
-  unseen.reported_by.insert(from);
-  unseen.all_reported = unseen.all_reported || report.all_remembered;
+  NoteReportOfUnseen(context, from, report);
   for (const RunReport& it : report.runs) {
     OnRunReport(context, it);
   }
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "engine/jobs/unseen_workers.h"
+#include "engine/members/member_features.h"
 #include "engine/members/membership.h"
 #include "engine/records/catalog.h"
 #include "engine/workers/run_ends.h"
@@ -258,6 +260,7 @@
   if (query.wants_workers) {
     report.remembered = AllRemembered(context.state);
     report.all_remembered = RemembersAll(context);
+    report.compares_machines = KnowsRelays(from) && AwaitsMachines(context);
   }
   Send(context, from, std::move(report));
 }
--- /dev/null
+++ b/Source/engine/jobs/unseen_workers.h
@@ -0,0 +1,44 @@
+// Whether an instance that has just started knows all workers that may run
+// tasks of adopted jobs. The list alone is not enough: the entries of workers
+// that are cut off lapse while these keep running.
+#ifndef BURDOCKROCK_ENGINE_JOBS_UNSEEN_WORKERS_H_
+#define BURDOCKROCK_ENGINE_JOBS_UNSEEN_WORKERS_H_
+
+#include <string>
+
+#include "engine/context.h"
+#include "engine/workers/upkeep_rule.h"
+
+namespace burdockrock::engine {
+
+// Whether workers that this instance never saw in the list may run tasks.
+bool MayMissWorkers(Context& context);
+
+// Whether all workers that may run an adopted job's tasks are known.
+bool KnowsAllWorkers(Context& context);
+
+// Takes in what a member remembers of workers that have left the list.
+void NoteReportOfUnseen(Context& context,
+                        const std::string& from,
+                        const AdoptReport& report);
+
+// Whether this instance has to compare the list of machines with that of
+// workers, and has not yet. One member does so after a restart of all: no
+// member then remembers workers that left the list before.
+bool AwaitsMachines(Context& context);
+
+// Whether the list of machines is to be requested for that now.
+bool NeedsMachinesForUnseen(Context& context);
+
+// Remembers the workers of the listed machines that are not in the list of
+// workers. They are waited for until they are listed or their leases end.
+void CompareMachines(Context& context,
+                     const MachineList& machines,
+                     Time requested_at);
+
+// The list of machines could not be read.
+void OnMachinesUnread(Context& context);
+
+}  // namespace burdockrock::engine
+
+#endif  // BURDOCKROCK_ENGINE_JOBS_UNSEEN_WORKERS_H_
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -322,6 +322,9 @@
   std::set<std::string> reported_by{};  // incarnations
   // A member that has followed the list for long enough has reported.
   bool all_reported = false;
+  // This instance has compared the list of machines with that of workers, or
+  // got no list in time.
+  bool machines_compared = false;
 };
 
 // Waves of upkeep, and the state of their duty: the one instance that sends
--- a/Source/engine/workers/upkeep.cc
+++ b/Source/engine/workers/upkeep.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "engine/jobs/job_runs.h"
+#include "engine/jobs/unseen_workers.h"
 #include "engine/members/membership.h"
 #include "engine/records/store_calls.h"
 #include "engine/workers/lost_workers.h"
@@ -171,6 +172,7 @@
     ApplyMachineListing(wave, upkeep.machines, upkeep.list_requested_at);
   }
   DeclareLostWorkers(context, upkeep.machines, upkeep.list_requested_at);
+  CompareMachines(context, upkeep.machines, upkeep.list_requested_at);
 }
 
 void RequestListing(Context& context) {
@@ -254,7 +256,8 @@
   const bool list_due =
       on_duty &&
       HasPassed(context.now, upkeep.list_requested_at, kListInterval);
-  if (may_list && (list_due || NeedsMachineListing(context))) {
+  if (may_list && (list_due || NeedsMachineListing(context) ||
+                   NeedsMachinesForUnseen(context))) {
     RequestListing(context);
   }
   upkeep.listed = upkeep.listed && on_duty;
@@ -287,11 +290,13 @@
   const bool listing = std::holds_alternative<ListMachines>(event.request);
   if (listing && std::holds_alternative<MachineRefused>(event.answer)) {
     upkeep.retry_at = context.now + kListInterval;  // rate limit exceeded
+    OnMachinesUnread(context);
   }
   const auto* none = std::get_if<MachineUnanswered>(&event.answer);
   if (none != nullptr) {
     upkeep.retry_at = context.now + kCallRetry;
     context.Log(EventNumber::kMachinesUnanswered, {{"problem", none->detail}});
+    OnMachinesUnread(context);
   }
 }
 
--- a/Source/engine/workers/worker_handover.cc
+++ b/Source/engine/workers/worker_handover.cc
@@ -1,12 +1,28 @@
 #include "engine/workers/worker_handover.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "engine/members/membership.h"
 #include "engine/workers/worker_list.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
+std::uint64_t FenceToExceed(const State& state, const std::string& name) {
+  const std::string_view id = WorkerIdOf(name);
+  std::uint64_t fence = 0;
+  for (auto it = state.view.lower_bound(std::string(id));
+       it != state.view.end() && it->first.starts_with(id); ++it) {
+    const bool other = it->first != name && WorkerIdOf(it->first) == id;
+    if (other || (it->first == name && it->second.lost)) {
+      fence = std::max(fence, it->second.fence);
+    }
+  }
+  return fence;
+}
+
 void TellRightfulOwner(Context& context, const std::string& worker) {
   auto remembered = RememberedFor(context.state, worker);
   if (!remembered) {
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -48,6 +48,18 @@
   }
 }
 
+// Forgets a worker that was known from its machine only, by its id, now that
+// its process is listed.
+void ForgetUnlisted(Context& context, const std::string& id) {
+  const auto it = context.state.workers.find(id);
+  if (it == context.state.workers.end() || !it->second.info.address.empty()) {
+    return;
+  }
+  OnWorkerCleared(context, id);
+  context.state.owned.erase(id);
+  context.state.workers.erase(it);
+}
+
 // Whether the entry is one of a former process of the worker, written late. The
 // start of processes orders them only as far as the worker's wall clock does,
 // so the listed one is checked at the worker all the same.
@@ -87,6 +99,9 @@
   }
   const auto& info = std::get<WorkerInfo>(decoded);
   const std::string& name = info.id;
+  if (name != id) {
+    ForgetUnlisted(context, id);
+  }
   const bool is_new = !context.state.workers.contains(name);
   if (is_new) {
     CheckOtherIncarnations(context, info);
--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -34,23 +34,6 @@
   return ToMilliseconds(context.now) + worker.clock_offset_ms;
 }
 
-// The fence above which the worker has to be claimed. The other members ignore
-// what is announced with the fence with which it was declared lost, as that may
-// be older than the loss. A process that started again knows no fence, so that
-// commands for the one before are refused only after a claim with a higher one.
-std::uint64_t FenceToExceed(const State& state, const std::string& name) {
-  const std::string_view id = WorkerIdOf(name);
-  std::uint64_t fence = 0;
-  for (auto it = state.view.lower_bound(std::string(id));
-       it != state.view.end() && it->first.starts_with(id); ++it) {
-    const bool other = it->first != name && WorkerIdOf(it->first) == id;
-    if (other || (it->first == name && it->second.lost)) {
-      fence = std::max(fence, it->second.fence);
-    }
-  }
-  return fence;
-}
-
 void BeginClaim(Context& context, const WorkerInfo& info) {
   OwnedWorker& worker = context.state.owned[info.id];
   worker.info = info;
@@ -58,6 +41,10 @@
   worker.speed = SpeedEstimate(context.state.view[info.id].slowness);
   worker.fence = FenceToExceed(context.state, info.id);
   worker.next_poll_at = context.now;
+  if (info.address.empty()) {
+    worker.missed_since = context.now;
+    worker.unresponsive_since = context.now;
+  }
   worker.lease_bound = ReleasedLeaseEnd(context, info.id);
   AssumeForeignLeases(context, worker);
 }
@@ -380,7 +367,9 @@
     if (checks_leases && IsUnresponsive(worker)) {
       TellOfUnreachable(context, id, worker);
     }
-    if (!worker.poll_in_flight && context.now >= worker.next_poll_at) {
+    const bool may_poll =
+        !worker.poll_in_flight && !worker.info.address.empty();
+    if (may_poll && context.now >= worker.next_poll_at) {
       SendPoll(context, id, worker);
     }
     DriveRuns(context, id, worker);
