Engine: Digests with what teams send are passed on at once

Counts of what teams send come with the digests, and entitlements are judged by windows of 5 s. Passed on up to a second late, 147 members together admitted 324 jobs of a team where 200 are the most that the test allows (entitlement_test, red with the relays alone). Digests with such a count now go on at once, as those with a worker's owner do; without teams in the configuration there are none. entitlement_test and digest_relay_test pass.

--- a/Source/engine/members/digest_relay.cc
+++ b/Source/engine/members/digest_relay.cc
@@ -75,11 +75,12 @@
   if (relay.waiting.empty()) {
     relay.waiting_since = context.now;
   }
-  relay.urgent =
-      relay.urgent || std::any_of(digest.workers.begin(), digest.workers.end(),
-                                  [&](const WorkerRoom& it) {
-                                    return IsNews(context.state, it);
-                                  });
+  // What teams send is counted in windows that a late digest would miss.
+  relay.urgent = relay.urgent || digest.load ||
+                 std::any_of(digest.workers.begin(), digest.workers.end(),
+                             [&](const WorkerRoom& it) {
+                               return IsNews(context.state, it);
+                             });
   relay.waiting.push_back({.from = from, .digest = digest});
   relay.waiting.back().digest.pass_on = false;
 }
