--- a/Source/engine/jobs/candidates.cc
+++ b/Source/engine/jobs/candidates.cc
@@ -11,8 +11,9 @@
 
 namespace {
 
-// Interval of counts of the services' room, which look at all workers.
-constexpr Duration kRoomCountInterval = milliseconds(100);
+// Interval of counts of the services' room and of their speed, which look at
+// all workers.
+constexpr Duration kCountInterval = milliseconds(100);
 
 // Upper bound of the preference for another owner's worker.
 constexpr double kMaxForeignPreference = 0.5;
@@ -40,19 +41,40 @@
 void CountRooms(State& state) {
   auto& services = state.service_rooms.services;
   services.clear();
-  std::map<std::string, double> rated;  // workers whose slowness is known
   for (auto& [id, listed] : state.workers) {
     if (const RoomView* view = UsableView(state, id, listed)) {
       ServiceRoom& service = services[listed.info.service];
       service.free += view->free.processors_milli;
       service.all += listed.info.capacity.processors_milli;
-      service.slowness += static_cast<double>(view->slowness);
-      rated[listed.info.service] += view->slowness > 0 ? 1 : 0;
     }
   }
-  for (auto& [name, it] : services) {
-    it.slowness = rated[name] > 0 ? it.slowness / rated[name] : 0;
+}
+
+void CountSpeeds(State& state) {
+  auto& services = state.service_speeds.services;
+  services.clear();
+  std::map<std::string, double> rated;  // workers whose slowness is known
+  for (auto& [id, listed] : state.workers) {
+    const RoomView* view = UsableView(state, id, listed);
+    if (view != nullptr && view->slowness > 0) {
+      services[listed.info.service] += static_cast<double>(view->slowness);
+      rated[listed.info.service] += 1;
+    }
+  }
+  for (auto& [name, slowness] : services) {
+    slowness /= rated[name];
+  }
+}
+
+// The mean slowness of the service's workers; 0 if it is known of none.
+double SlownessOf(const Context& context, const std::string& service) {
+  ServiceSpeeds& speeds = context.state.service_speeds;
+  if (HasPassed(context.now, speeds.counted_at, kCountInterval)) {
+    speeds.counted_at = context.now;
+    CountSpeeds(context.state);
   }
+  const auto it = speeds.services.find(service);
+  return it == speeds.services.end() ? 0 : it->second;
 }
 
 Candidate MakeCandidate(const Context& context,
@@ -99,7 +121,7 @@
 std::vector<Candidate> CandidatesOf(const Context& context,
                                     const std::string& service) {
   State& state = context.state;
-  const double slowness = RoomOfService(context, service).slowness;
+  const double slowness = SlownessOf(context, service);
   std::vector<Candidate> candidates;
   candidates.reserve(state.workers.size());
   for (auto& [id, listed] : state.workers) {
@@ -123,12 +145,12 @@
   }
   const std::string& service = listed->second.info.service;
   return MakeCandidate(context, listed->second, *view,
-                       RoomOfService(context, service).slowness);
+                       SlownessOf(context, service));
 }
 
 ServiceRoom RoomOfService(const Context& context, const std::string& service) {
   ServiceRooms& rooms = context.state.service_rooms;
-  if (HasPassed(context.now, rooms.counted_at, kRoomCountInterval)) {
+  if (HasPassed(context.now, rooms.counted_at, kCountInterval)) {
     rooms.counted_at = context.now;
     CountRooms(context.state);
   }
--- a/Source/engine/jobs/candidates.h
+++ b/Source/engine/jobs/candidates.h
@@ -26,8 +26,8 @@
 std::optional<Candidate> CandidateAt(const Context& context,
                                      const std::string& worker);
 
-// Processors and speed of the service's workers that accept tasks. The count
-// may be a tenth of a second old.
+// Processors of the service's workers that accept tasks. The count may be a
+// tenth of a second old.
 ServiceRoom RoomOfService(const Context& context, const std::string& service);
 
 // Whether more than half of the processors of the service's workers that accept
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -162,8 +162,6 @@
 struct ServiceRoom {
   std::int64_t free = 0;
   std::int64_t all = 0;
-  // Mean of RoomView::slowness where it is known; 0: nowhere.
-  double slowness = 0;
 };
 
 struct ServiceRooms {
@@ -171,6 +169,13 @@
   std::map<std::string, ServiceRoom> services{};
 };
 
+// By service, the mean of RoomView::slowness of those workers for which it is
+// known.
+struct ServiceSpeeds {
+  Time counted_at = Time::min();
+  std::map<std::string, double> services{};
+};
+
 // The member of a machine that may be chosen as an owner.
 struct ChoosableMember {
   std::string incarnation{};
@@ -459,7 +464,7 @@
 struct DigestRelayState {
   std::vector<RelayedDigest> waiting{};
   Time waiting_since{0};  // arrival of the first of these
-  bool urgent = false;    // one of these changes a worker's owner or acceptance
+  bool urgent = false;    // one of these must be passed on at once
   Time passed_on_at = Time::min();
   std::uint64_t sent = 0;  // own digests, which go to relays in turn
 };
@@ -579,6 +584,7 @@
   bool placement_due = false;
   Time placed_at = Time::min();
   ServiceRooms service_rooms{};
+  ServiceSpeeds service_speeds{};
   ConditionLogState condition_log{};
   EndLog end_log{};
   Totals totals{};
