--- a/Tests/engine/digest_relay_test.cc
+++ b/Tests/engine/digest_relay_test.cc
@@ -160,7 +160,7 @@
   const std::string owner = OwnerOfRuns(fleet);
   const auto relays = RelaysOf(fleet, owner);
   REQUIRE(relays.size() == 2);
-  const std::string mute = relays.front();
+  const std::string& mute = relays.front();
   fleet.is_cut = [mute](const std::string& from, const std::string& to) {
     return from == mute && to != mute;
   };
