Engine: The comparison of machines is reported by the member that made it

With the chosen member dead but still registered all said no, and adopters went on without a comparison. A record with an address replaces one without. Standby pools are left out, and so are workers of which a process with a time of start is known. The end of a worker without an entry is not taken for a crash, as before. - Digests that were passed on may arrive after later ones: counts of waiting jobs, of arrivals and waits for advice are not taken from older ones. The two relays of a member differ. A digest that was passed on no longer counts as an answer to an offer. - The wait for a machine whose worker is in no list has a test with its bound, the leases of former members (takeover_review_test); lasting_job names the heir by its incarnation for it.

--- a/Source/engine/calls.h
+++ b/Source/engine/calls.h
@@ -291,6 +291,7 @@
   std::string pool{};  // the service whose workers run there
   MachineState state = MachineState::kUp;
   std::string worker{};  // the present incarnation; empty: none
+  std::string domain{};  // failure domain
 
   auto operator<=>(const Machine&) const = default;
 };
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -104,10 +104,8 @@
                                      QueryRound& round) {
   std::set<std::string> members = job.awaited_members;
   if (round.unseen) {
-    const std::set<std::string>& reported_by =
-        context.state.unseen_workers.reported_by;
     for (const std::string& it : OtherMembers(context)) {
-      if (!reported_by.contains(it)) {
+      if (AwaitsReportOfUnseen(context, it)) {
         members.insert(it);
       }
     }
@@ -188,9 +186,7 @@
       }
     }
     sent_at = send_all ? context.now : sent_at;
-    query.wants_workers =
-        round.unseen &&
-        !context.state.unseen_workers.reported_by.contains(member);
+    query.wants_workers = round.unseen && AwaitsReportOfUnseen(context, member);
     Send(context, member, std::move(query));
   }
 }
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -260,7 +260,7 @@
   if (query.wants_workers) {
     report.remembered = AllRemembered(context.state);
     report.all_remembered = RemembersAll(context);
-    report.compares_machines = KnowsRelays(from) && AwaitsMachines(context);
+    report.machines_compared = KnowsRelays(from) && HasCompared(context);
   }
   Send(context, from, std::move(report));
 }
--- a/Source/engine/jobs/unseen_workers.cc
+++ b/Source/engine/jobs/unseen_workers.cc
@@ -1,12 +1,14 @@
 #include "engine/jobs/unseen_workers.h"
 
 #include <algorithm>
-#include <utility>
+#include <string_view>
 #include <vector>
 
+#include "engine/members/member_features.h"
 #include "engine/members/membership.h"
 #include "engine/records/watches.h"
 #include "engine/workers/worker_list.h"
+#include "model/worker_incarnation.h"
 
 namespace burdockrock::engine {
 
@@ -22,6 +24,9 @@
 // Time from the registration until the machines are listed, which takes a few
 // calls. Most workers that return are listed again by then.
 constexpr Duration kCompareAfter = milliseconds(1800);
+// Time from the registration in which refused calls are tried again. Many
+// members list machines after a restart of all.
+constexpr Duration kRefusedFor = milliseconds(5000);
 
 // The reports since the last registration; earlier ones don't count, as this
 // instance may have missed workers that were listed and removed in between.
@@ -38,11 +43,47 @@
   return HasPassed(context.now, context.state.members.registered_at, span);
 }
 
+// Whether a process of the worker is known, under any time of its start.
+bool KnowsProcess(const State& state, const std::string& worker) {
+  const std::string_view id = WorkerIdOf(worker);
+  const auto it = state.workers.lower_bound(std::string(id));
+  return it != state.workers.end() && WorkerIdOf(it->first) == id;
+}
+
+bool IsStandby(const Configuration& configuration, const std::string& pool) {
+  return std::any_of(
+      configuration.services.begin(), configuration.services.end(),
+      [&](const ServicePolicy& it) { return it.name == pool && it.standby; });
+}
+
 bool IsMissing(const State& state, const Machine& machine) {
   const auto view = state.view.find(machine.worker);
   const bool lost = view != state.view.end() && view->second.lost;
   return machine.state == MachineState::kUp && !machine.worker.empty() &&
-         !lost && FindWorker(state, machine.worker) == nullptr;
+         !lost && !IsStandby(state.configuration, machine.pool) &&
+         !KnowsProcess(state, machine.worker);
+}
+
+std::string ChosenToCompare(const State& state) {
+  return ChooseMember(state, kComparison, {});
+}
+
+bool AwaitsComparison(Context& context) {
+  return IsRegistered(context.state) && MayMissWorkers(context) &&
+         !UnseenNow(context).machines_compared &&
+         ChosenToCompare(context.state) == context.self();
+}
+
+// Whether the chosen member has compared, as it must have said itself: one that
+// does not know yet that it is chosen may still do so. An earlier release never
+// says so.
+bool IsCompared(Context& context) {
+  const std::string chosen = ChosenToCompare(context.state);
+  if (chosen == context.self()) {
+    return UnseenNow(context).machines_compared;
+  }
+  return !KnowsRelays(chosen) ||
+         UnseenNow(context).compared_by.contains(chosen);
 }
 
 }  // namespace
@@ -61,7 +102,7 @@
   }
   const auto others = OtherMembers(context);
   return HasPassedSinceRegistration(context, kListSettleTime) &&
-         !AwaitsMachines(context) &&
+         IsCompared(context) &&
          std::all_of(others.begin(), others.end(), [&](const std::string& it) {
            return UnseenNow(context).reported_by.contains(it);
          });
@@ -71,27 +112,36 @@
                         const std::string& from,
                         const AdoptReport& report) {
   UnseenWorkers& unseen = UnseenNow(context);
-  if (!report.compares_machines) {
-    unseen.reported_by.insert(from);
+  unseen.reported_by.insert(from);
+  if (report.machines_compared) {
+    unseen.compared_by.insert(from);
   }
   unseen.all_reported = unseen.all_reported || report.all_remembered;
 }
 
-bool AwaitsMachines(Context& context) {
-  return IsRegistered(context.state) && MayMissWorkers(context) &&
-         !UnseenNow(context).machines_compared &&
-         ChooseMember(context.state, kComparison, {}) == context.self();
+bool AwaitsReportOfUnseen(const Context& context, const std::string& member) {
+  const UnseenWorkers& unseen = context.state.unseen_workers;
+  const bool compares = KnowsRelays(member) &&
+                        ChosenToCompare(context.state) == member &&
+                        !unseen.compared_by.contains(member);
+  return !unseen.reported_by.contains(member) || compares;
+}
+
+bool HasCompared(const Context& context) {
+  const UnseenWorkers& unseen = context.state.unseen_workers;
+  return unseen.machines_compared &&
+         unseen.registered_at == context.state.members.registered_at;
 }
 
 bool NeedsMachinesForUnseen(Context& context) {
   return HasPassedSinceRegistration(context, kCompareAfter) &&
-         ListsAreRead(context.state) && AwaitsMachines(context);
+         ListsAreRead(context.state) && AwaitsComparison(context);
 }
 
 void CompareMachines(Context& context,
                      const MachineList& machines,
                      Time requested_at) {
-  if (!AwaitsMachines(context) ||
+  if (!AwaitsComparison(context) ||
       requested_at < context.state.members.registered_at + kCompareAfter) {
     return;
   }
@@ -99,7 +149,8 @@
   std::vector<RememberedWorker> missing;
   for (const auto& [name, it] : machines) {
     if (IsMissing(context.state, it)) {
-      missing.push_back({.worker = it.worker, .service = it.pool});
+      missing.push_back(
+          {.worker = it.worker, .domain = it.domain, .service = it.pool});
       context.Log(EventNumber::kWorkerRemoved,
                   {{"worker", it.worker}, {"machine", name}});
     }
@@ -107,9 +158,9 @@
   OnWorkersRemembered(context, missing);
 }
 
-void OnMachinesUnread(Context& context) {
-  if (HasPassedSinceRegistration(context, kListSettleTime) &&
-      AwaitsMachines(context)) {
+void OnMachinesUnread(Context& context, bool refused) {
+  const Duration limit = refused ? kRefusedFor : kListSettleTime;
+  if (HasPassedSinceRegistration(context, limit) && AwaitsComparison(context)) {
     UnseenNow(context).machines_compared = true;
   }
 }
--- a/Source/engine/jobs/unseen_workers.h
+++ b/Source/engine/jobs/unseen_workers.h
@@ -22,10 +22,14 @@
                         const std::string& from,
                         const AdoptReport& report);
 
-// Whether this instance has to compare the list of machines with that of
-// workers, and has not yet. One member does so after a restart of all: no
-// member then remembers workers that left the list before.
-bool AwaitsMachines(Context& context);
+// Whether the member has still to report what it remembers of workers, or that
+// it has compared the machines.
+bool AwaitsReportOfUnseen(const Context& context, const std::string& member);
+
+// Whether this instance has compared the list of machines with that of workers
+// since its registration. After a restart of all no member remembers workers
+// that left the list before; one member, chosen by hashing, finds them so.
+bool HasCompared(const Context& context);
 
 // Whether the list of machines is to be requested for that now.
 bool NeedsMachinesForUnseen(Context& context);
@@ -36,8 +40,9 @@
                      const MachineList& machines,
                      Time requested_at);
 
-// The list of machines could not be read.
-void OnMachinesUnread(Context& context);
+// The list of machines could not be read. `refused`: for the rate of calls, so
+// that another try soon is likely to succeed.
+void OnMachinesUnread(Context& context, bool refused);
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/members/digest_relay.cc
+++ b/Source/engine/members/digest_relay.cc
@@ -9,7 +9,6 @@
 #include "engine/members/digests.h"
 #include "engine/members/member_features.h"
 #include "engine/members/membership.h"
-#include "engine/members/unresponsive_members.h"
 
 namespace burdockrock::engine {
 
@@ -20,6 +19,8 @@
 // Digests go to so many relays of a failure domain in turn. The next one then
 // reveals that a relay did not pass on the last one.
 constexpr std::uint64_t kRelaysInTurn = 2;
+// Draws for a second relay that differs from the first one.
+constexpr std::uint64_t kMaxDraws = 8;
 // Longest wait for a digest of the relay's own.
 constexpr Duration kRelayDelay = milliseconds(1000);
 
@@ -30,10 +31,31 @@
          view->second.lost != room.lost;
 }
 
+// The relay whose turn it is; another one than that of the other turn if the
+// hashing gives one.
 std::string RelayOf(const Context& context, const std::string& domain) {
-  const std::uint64_t turn = context.state.digest_relay.sent % kRelaysInTurn;
-  return ChooseMember(context.state,
-                      fmt::format("relay/{}/{}", turn, context.self()), domain);
+  const auto choose = [&](std::uint64_t draw) {
+    return ChooseMember(context.state,
+                        fmt::format("relay/{}/{}", draw, context.self()),
+                        domain);
+  };
+  const std::string first = choose(0);
+  if (context.state.digest_relay.sent % kRelaysInTurn == 0) {
+    return first;
+  }
+  std::string second = first;
+  for (std::uint64_t draw = 1; draw < kMaxDraws && second == first; ++draw) {
+    second = choose(draw);
+  }
+  return second;
+}
+
+// Offers may go to the member again: it is at work, though it has sent nothing
+// to this instance.
+void NoteHeardOf(Context& context, const std::string& member) {
+  if (context.state.unresponsive_members.unresponsive.erase(member) > 0) {
+    context.state.placement_due = true;
+  }
 }
 
 }  // namespace
@@ -109,7 +131,7 @@
   for (const RelayedDigest& it : relayed.digests) {
     if (it.from != context.self() &&
         FindMember(context.state, it.from) != nullptr) {
-      NoteMessageReceived(context, it.from);
+      NoteHeardOf(context, it.from);
       OnRoomDigest(context, it.from, it.digest);
     }
   }
--- a/Source/engine/members/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -303,6 +303,9 @@
 void OnRoomDigest(Context& context,
                   const std::string& from,
                   const RoomDigest& digest) {
+  // One that was passed on may come after a later one. Rooms have versions.
+  const bool outdated =
+      digest.sequence < context.state.digest.received_up_to[from];
   NoteSequence(context, from, digest);
   if (digest.pass_on) {
     KeepForOthers(context, from, digest);
@@ -310,6 +313,9 @@
   for (const WorkerRoom& it : digest.workers) {
     OnRoom(context, from, it);
   }
+  if (outdated) {
+    return;
+  }
   UpdateAdviceCaller(context, from, digest.advice_wait,
                      digest.advice_urgent_wait);
   if (digest.load) {
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -314,7 +314,7 @@
     codec.Optional("remembered", it.remembered,
                    std::vector<engine::RememberedWorker>());
     codec.Optional("all_remembered", it.all_remembered, false);
-    codec.Optional("compares_machines", it.compares_machines, false);
+    codec.Optional("machines_compared", it.machines_compared, false);
   }
 };
 
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -225,7 +225,7 @@
 // not have been reported yet.
 struct RememberedWorker {
   std::string worker{};
-  std::string address{};  // empty, as `domain`: known from its machine only
+  std::string address{};  // empty: known from its machine only
   std::string domain{};
   std::string service{};
   bool draining = false;  // it had announced its end
@@ -331,10 +331,10 @@
   // Together with the store's list, `remembered` holds every worker that may
   // run tasks.
   bool all_remembered = false;
-  // For `wants_workers`: the sender is about to compare the list of machines
-  // with that of workers, and `remembered` is not final. Only to members for
-  // which KnowsRelays() is true.
-  bool compares_machines = false;
+  // For `wants_workers`: the sender has compared the list of machines with that
+  // of workers, and `remembered` holds what is missing there. Only to members
+  // for which KnowsRelays() is true.
+  bool machines_compared = false;
 
   auto operator<=>(const AdoptReport&) const = default;
 };
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -330,6 +330,8 @@
   // This instance has compared the list of machines with that of workers, or
   // got no list in time.
   bool machines_compared = false;
+  // Members that reported that they have.
+  std::set<std::string> compared_by{};
 };
 
 // Waves of upkeep, and the state of their duty: the one instance that sends
--- a/Source/engine/workers/upkeep.cc
+++ b/Source/engine/workers/upkeep.cc
@@ -290,13 +290,13 @@
   const bool listing = std::holds_alternative<ListMachines>(event.request);
   if (listing && std::holds_alternative<MachineRefused>(event.answer)) {
     upkeep.retry_at = context.now + kListInterval;  // rate limit exceeded
-    OnMachinesUnread(context);
+    OnMachinesUnread(context, true);
   }
   const auto* none = std::get_if<MachineUnanswered>(&event.answer);
   if (none != nullptr) {
     upkeep.retry_at = context.now + kCallRetry;
     context.Log(EventNumber::kMachinesUnanswered, {{"problem", none->detail}});
-    OnMachinesUnread(context);
+    OnMachinesUnread(context, true);
   }
 }
 
--- a/Source/engine/workers/worker_crashes.cc
+++ b/Source/engine/workers/worker_crashes.cc
@@ -41,7 +41,8 @@
       worker.leaving_until != Time::min() &&
       !HasPassed(context.now, worker.leaving_until, kTakeDownTime);
   // Without its entry it is not known whether it has announced its end.
-  return draining || leaving || listed == nullptr;
+  const bool has_entry = listed != nullptr && !listed->info.address.empty();
+  return draining || leaving || !has_entry;
 }
 
 void DeclareCrashed(Context& context, const std::string& id, LostWorker& lost) {
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -48,6 +48,13 @@
   }
 }
 
+// Whether the worker is known, with its address if the record has one.
+bool IsKnownAsWell(const State& state, const RememberedWorker& worker) {
+  const auto it = state.workers.find(worker.worker);
+  return it != state.workers.end() &&
+         (worker.address.empty() || !it->second.info.address.empty());
+}
+
 // Forgets a worker that was known from its machine only, by its id, now that
 // its process is listed.
 void ForgetUnlisted(Context& context, const std::string& id) {
@@ -209,7 +216,7 @@
   for (const RememberedWorker& it : workers) {
     const auto view = context.state.view.find(it.worker);
     const bool lost = view != context.state.view.end() && view->second.lost;
-    if (lost || context.state.workers.contains(it.worker)) {
+    if (lost || IsKnownAsWell(context.state, it)) {
       continue;
     }
     context.state.workers[it.worker] =
@@ -221,6 +228,10 @@
                      .listed = false,
                      .remembered_only = true,
                      .unlisted_at = context.now};
+    const auto owned = context.state.owned.find(it.worker);
+    if (owned != context.state.owned.end()) {
+      owned->second.info.address = it.address;
+    }
     OnWorkerListed(context, it.worker);
     changed = true;
   }
--- a/Tests/engine/fleet_machines.cc
+++ b/Tests/engine/fleet_machines.cc
@@ -108,7 +108,8 @@
                              .state = up        ? MachineState::kUp
                                       : crashed ? MachineState::kDown
                                                 : MachineState::kUpkeep,
-                             .worker = up ? worker->info().id : std::string()});
+                             .worker = up ? worker->info().id : std::string(),
+                             .domain = worker->info().domain});
   }
   return page;
 }
--- a/Tests/engine/lasting_job.cc
+++ b/Tests/engine/lasting_job.cc
@@ -6,7 +6,8 @@
 
 std::string JobAdoptedBy(const Fleet& fleet, const std::string& heir) {
   std::string job = "j";
-  while (ChooseMember(fleet.state(heir), job, {}) != heir + "-1") {
+  const std::string& self = fleet.state(heir).options.self.incarnation;
+  while (ChooseMember(fleet.state(heir), job, {}) != self) {
     job += "1";
   }
   return job;
--- a/Tests/engine/takeover_review_test.cc
+++ b/Tests/engine/takeover_review_test.cc
@@ -327,6 +327,34 @@
   }
 }
 
+// Guards against a recovery that waits for ever. The machine is up with a
+// worker that is in no list and that nobody reaches; one instance does not
+// restart.
+TEST_CASE("A worker in no list delays a restart of all by its leases at most") {
+  constexpr Duration kLeasesBound = seconds(22);
+  for (const bool all_back : {true, false}) {
+    Fleet fleet({.teams = true});
+    const std::string job = BeginLasting(fleet, "n1", "n1");
+    fleet.command_fault = UnreachableFrom({"n0", "n1", "n2"});
+    for (const std::string& it : fleet.nodes()) {
+      fleet.Kill(it);
+    }
+    fleet.worker("w0").Crash(fleet.now(), "w0-2");
+    fleet.Run(seconds(2));
+    fleet.Start("n1");
+    fleet.Start("n2");
+    if (all_back) {
+      fleet.Start("n0");
+    }
+    fleet.Run(milliseconds(2500));
+    fleet.store.Remove("worker/w0-1");
+    fleet.Run(kLeasesBound);
+    INFO("all back " << all_back);
+    CHECK(RunningTasks(fleet, job, "w0-1").size() == kLastingTasks);
+    CheckInvariants(fleet);
+  }
+}
+
 constexpr const char* kEntryOfW0 = "w0|a|s|8000|0";
 
 // Guards against an outdated announcement that a worker is lost. The worker is
