--- a/Tests/platform/machine_codec_test.cc
+++ b/Tests/platform/machine_codec_test.cc
@@ -44,7 +44,8 @@
         MachineAnswer(MachinePage{.machines = {{.name = "m-1",
                                                 .pool = "s",
                                                 .state = MachineState::kUpkeep,
-                                                .worker = "i-1"}}}));
+                                                .worker = "i-1",
+                                                .domain = "a"}}}));
   const BeginUpkeep order{.machine = "m-1"};
   CHECK(DecodeMachineAnswer(order, Answer(200, "{}")) ==
         MachineAnswer(MachineTaken{}));
