--- a/Source/engine/members/digest_relay.cc
+++ b/Source/engine/members/digest_relay.cc
@@ -39,7 +39,7 @@
                         fmt::format("relay/{}/{}", draw, context.self()),
                         domain);
   };
-  const std::string first = choose(0);
+  std::string first = choose(0);
   if (context.state.digest_relay.sent % kRelaysInTurn == 0) {
     return first;
   }
