Runtime: A process that is short of processor time logs what its time goes to

No log had the times of steps or the waits of events: they are served as totals since the start, so that an overload by due work could not be told from one by messages, nor its time from that of the lines of 322, which cover up to 10 s. Event 326 has both for the last 5 s, where something waited for 250 ms.

--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -110,6 +110,8 @@
      "read once these are stored"},
     {EventNumber::kWorkerEndsRead, Level::kInfo, "worker_ends_read",
      "A worker lists all of its ends again"},
+    {EventNumber::kProcessorShort, Level::kWarning, "processor_short",
+     "Events or timers of this process have waited for long"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -61,6 +61,7 @@
   kQuotaSettled = 323,
   kWorkerEndsCut = 324,
   kWorkerEndsRead = 325,
+  kProcessorShort = 326,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -41,6 +41,7 @@
       peer_client_(io,
                    options_.engine.self.incarnation,
                    [this](const LogLine& it) { logger_.Write(it); }),
+      load_log_([this](const LogLine& it) { logger_.Write(it); }),
       shell_(io, engine::MakeState(options_.engine), MakeHooks()),
       peer_server_({.incarnation = options_.engine.self.incarnation,
                     .on_message =
@@ -102,11 +103,22 @@
             }
           },
       .step_took =
-          [this](Duration it) { step_seconds_.Observe(InSeconds(it)); },
+          [this](Duration it) {
+            step_seconds_.Observe(InSeconds(it));
+            const Time driven_at = shell_.state().drive.driven_at;
+            load_log_.NoteStep(
+                it, std::exchange(last_driven_at_, driven_at) != driven_at);
+          },
       .event_waited =
-          [this](Duration it) { queue_seconds_.Observe(InSeconds(it)); },
+          [this](Duration it) {
+            queue_seconds_.Observe(InSeconds(it));
+            load_log_.NoteWait(it);
+          },
       .timer_late =
-          [this](Duration it) { late_seconds_.Observe(InSeconds(it)); },
+          [this](Duration it) {
+            late_seconds_.Observe(InSeconds(it));
+            load_log_.NoteWait(it);
+          },
   };
 }
 
@@ -214,6 +226,22 @@
   return metrics_.ToText();
 }
 
+LoadTotals EngineInstance::ReadLoad() const {
+  LoadTotals totals{.peers_received = peer_server_.traffic().messages,
+                    .peers_sent = peer_client_.traffic().messages};
+  for (const auto& [kind, it] : peer_client_.losses().resent()) {
+    totals.peers_resent += it;
+  }
+  for (const auto& [kind, it] : peer_client_.losses().dropped()) {
+    totals.peers_given_up += it;
+  }
+  if (const auto usage = ReadProcessUsage()) {
+    totals.processor = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(usage->processor_seconds));
+  }
+  return totals;
+}
+
 void EngineInstance::ArmHousekeeping() {
   housekeeping_timer_.expires_after(kHousekeepingPeriod);
   housekeeping_timer_.async_wait([this](boost::system::error_code ec) {
@@ -221,6 +249,7 @@
       return;
     }
     peer_client_.LogLosses();
+    load_log_.WriteLine(SteadyNow(), ReadLoad());
     logger_.Flush();
     if (++housekeepings_ % kHousekeepingsPerSweep == 0) {
       peer_client_.Sweep();
