Tests: A fleet that is short of processor time does not come back after a cut

The fleet of the tests gets steps that take time, by event, run of due work and message, and links that send batches as processes do: one at a time for each receiver, again after a second without an answer, and given up when they are of no use any more.

--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -168,8 +168,12 @@
 }
 
 void Fleet::Kill(const std::string& node) {
-  ++nodes_.at(node).incarnation;
-  nodes_.at(node).state.reset();
+  Node& it = nodes_.at(node);
+  ++it.incarnation;
+  it.state.reset();
+  it.waiting.clear();
+  it.links.clear();
+  it.taken.clear();
 }
 
 void Fleet::Start(const std::string& name) {
@@ -215,8 +219,8 @@
   nodes_.at(node).frozen_until = now_ + span;
 }
 
-void Fleet::Slow(const std::string& node, Duration each) {
-  nodes_.at(node).event_cost = each;
+void Fleet::SetCost(const std::string& node, StepCost cost) {
+  nodes_.at(node).cost = cost;
 }
 
 void Fleet::DeliverPeerMessage(const std::string& node,
@@ -278,29 +282,69 @@
 void Fleet::Deliver(const std::string& name,
                     std::uint64_t incarnation,
                     EventBody body) {
+  Deliver(name, incarnation, Arrival{.body = std::move(body), .at = now_});
+}
+
+void Fleet::Deliver(const std::string& name,
+                    std::uint64_t incarnation,
+                    Arrival arrival) {
   Node& node = nodes_.at(name);
   if (node.incarnation != incarnation || !node.state) {
     return;
   }
   if (node.frozen_until > now_) {
     return At(node.frozen_until,
-              [this, name, incarnation, body = std::move(body)] {
-                Deliver(name, incarnation, body);
+              [this, name, incarnation, arrival = std::move(arrival)] {
+                Deliver(name, incarnation, arrival);
               });
   }
-  if (node.busy_until > now_) {
-    return At(node.busy_until,
-              [this, name, incarnation, body = std::move(body)] {
-                Deliver(name, incarnation, body);
-              });
+  if (node.busy_until <= now_ && node.waiting.empty()) {
+    return Handle(name, arrival);
+  }
+  node.waiting.push_back(std::move(arrival));
+  if (node.waiting.size() == 1) {
+    At(node.busy_until,
+       [this, name, incarnation] { HandleWaiting(name, incarnation); });
+  }
+}
+
+void Fleet::HandleWaiting(const std::string& name, std::uint64_t incarnation) {
+  Node& node = nodes_.at(name);
+  if (node.incarnation != incarnation || !node.state) {
+    return;
+  }
+  if (node.frozen_until <= now_) {
+    const Arrival next = std::move(node.waiting.front());
+    node.waiting.pop_front();
+    Handle(name, next);
+  }
+  if (!node.waiting.empty()) {
+    At(std::max(node.busy_until, node.frozen_until),
+       [this, name, incarnation] { HandleWaiting(name, incarnation); });
+  }
+}
+
+void Fleet::Handle(const std::string& name, const Arrival& arrival) {
+  Node& node = nodes_.at(name);
+  const std::uint64_t incarnation = node.incarnation;
+  on_waited(now_ - arrival.at);
+  node.busy_until = now_ + node.cost.event;
+  if (arrival.body) {
+    const Time driven_at = node.state->drive.driven_at;
+    const Effects effects = step(name, *node.state,
+                                 Event{.now = now_,
+                                       .wall_ms = ToMilliseconds(now_),
+                                       .body = *arrival.body});
+    const bool drove = node.state->drive.driven_at != driven_at;
+    node.busy_until += drove ? node.cost.due_work : Duration(0);
+    for (const Effect& it : effects) {
+      const bool sends = std::holds_alternative<SendPeer>(it);
+      node.busy_until += sends ? node.cost.message : Duration(0);
+      ApplyEffect(name, it);
+    }
   }
-  node.busy_until = now_ + node.event_cost;
-  const Effects effects = step(name, *node.state,
-                               Event{.now = now_,
-                                     .wall_ms = ToMilliseconds(now_),
-                                     .body = std::move(body)});
-  for (const Effect& it : effects) {
-    ApplyEffect(name, it);
+  if (arrival.on_handled) {
+    arrival.on_handled();
   }
   if (options_.timers) {
     ArmTimer(name, incarnation);
@@ -330,7 +374,7 @@
   At(now_ + kCheckInterval / 2, [this, name, incarnation] {
     const Node& node = nodes_.at(name);
     if (node.incarnation == incarnation && node.state) {
-      if (node.busy_until <= now_) {
+      if (node.busy_until <= now_ && node.waiting.empty()) {
         Deliver(name, incarnation, TimePassed());
       }
       Tick(name, incarnation);
@@ -410,6 +454,9 @@
 void Fleet::HandlePeerSend(const std::string& node, const SendPeer& send) {
   run_reports_ += std::holds_alternative<RunReports>(send.message) ? 1 : 0;
   on_peer(node, send);
+  if (options_.batches) {
+    return AddToLink(node, send);
+  }
   if (is_cut(node, send.address)) {
     return;
   }
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -3,7 +3,10 @@
 #ifndef BURDOCKROCK_TESTS_ENGINE_FLEET_H_
 #define BURDOCKROCK_TESTS_ENGINE_FLEET_H_
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +23,7 @@
 #include "engine/fake_worker.h"
 #include "engine/reducer.h"
 #include "engine/state.h"
+#include "runtime/peer_channel.h"
 
 namespace burdockrock::engine {
 
@@ -56,6 +60,9 @@
   // of every 5 ms.
   bool timers = false;
   bool teams = false;  // instances take part in the accounting of teams
+  // Messages between instances go in batches that time out and are sent again,
+  // as those of processes do. Else each goes alone, and none is given up.
+  bool batches = false;
   // Members of the gang that a step (StepName) is; 0: it is none. Where set,
   // workers end the members of gangs that are broken or stay incomplete.
   std::function<std::size_t(const std::string& step)> gang_width{};
@@ -63,6 +70,15 @@
   Duration gang_timeout = std::chrono::milliseconds(3000);
 };
 
+// Time that an instance takes for its steps. Other events wait meanwhile.
+struct StepCost {
+  Duration event{0};     // each event
+  Duration due_work{0};  // each run of the work that is due
+  Duration message{0};   // each message that is sent to a member
+
+  auto operator<=>(const StepCost&) const = default;
+};
+
 // Instances are named n0, n1, ... and workers w0, w1, ...
 class Fleet {
  public:
@@ -160,9 +176,11 @@
   // Number of BeginUpkeep commands still to come whose reply is lost.
   int lost_machine_replies = 0;
 
-  // Sets the time that the instance takes for each event. Others wait
-  // meanwhile.
-  void Slow(const std::string& node, Duration each);
+  void SetCost(const std::string& node, StepCost cost);
+  // Sets the time that the instance takes for each event.
+  void Slow(const std::string& node, Duration each) {
+    SetCost(node, {.event = each});
+  }
 
   Time now() const { return now_; }
   const State& state(const std::string& node) const;
@@ -218,19 +236,42 @@
   // Called for each message sent between instances, including lost ones.
   std::function<void(const std::string& from, const SendPeer& send)> on_peer =
       [](const std::string&, const SendPeer&) {};
+  // Called with the time for which each event has waited for its step.
+  std::function<void(Duration)> on_waited = [](Duration) {};
+  // Called with the kind of each message between instances that is given up
+  // undelivered, and of each that is sent again; see FleetOptions::batches.
+  std::function<void(const char* kind)> on_dropped = [](const char*) {};
+  std::function<void(const char* kind)> on_resent = [](const char*) {};
 
  private:
   // Time between two looks at whether a watch or a long poll has an answer.
   static constexpr Duration kCheckInterval = std::chrono::milliseconds(10);
 
+  enum class BatchResult { kTaken, kRefused, kFailed };
+  // What has arrived at an instance.
+  struct Arrival {
+    std::optional<EventBody> body{};  // none in a batch that was taken before
+    std::function<void()> on_handled{};
+    Time at{0};
+  };
+  // Messages from one process of an instance to the instance at one address.
+  struct Link {
+    PeerChannel channel;
+    bool in_flight = false;     // or about to be sent
+    std::uint64_t request = 0;  // number of the last one
+    Duration pause{0};          // after the last failure; 0: none since
+  };
   struct Node {
     std::string domain{};
     std::string address{};
     std::uint64_t incarnation = 0;
     std::unique_ptr<State> state{};
     Time frozen_until{0};
-    Duration event_cost{0};
+    StepCost cost{};
     Time busy_until{0};
+    std::deque<Arrival> waiting{};
+    std::map<std::string, Link> links{};           // by address
+    std::map<std::string, std::uint64_t> taken{};  // last batch, by sender
     Time armed_for = kForever;
     std::set<std::uint64_t> unanswered{};  // requests of callers
     bool drained = false;  // exits when all of them are answered
@@ -254,6 +295,11 @@
   void Deliver(const std::string& node,
                std::uint64_t incarnation,
                EventBody body);
+  void Deliver(const std::string& node,
+               std::uint64_t incarnation,
+               Arrival arrival);
+  void HandleWaiting(const std::string& node, std::uint64_t incarnation);
+  void Handle(const std::string& node, const Arrival& arrival);
   void ApplyEffect(const std::string& node, const Effect& effect);
   void RecordAnswer(const std::string& node, const AnswerCaller& it);
   void EndWhenAnswered(const std::string& node);
@@ -265,6 +311,21 @@
   MachineAnswer Move(const MoveMachine& command);
   MachineAnswer TakeDown(const BeginUpkeep& command);
   void HandlePeerSend(const std::string& node, const SendPeer& send);
+  Link& LinkTo(const std::string& node, const std::string& address);
+  void AddToLink(const std::string& node, const SendPeer& send);
+  void Flush(const std::string& node,
+             std::uint64_t incarnation,
+             const std::string& address);
+  // The result of the link's request, if it is still awaited.
+  void EndRequest(const std::string& node,
+                  std::uint64_t incarnation,
+                  const std::string& address,
+                  std::uint64_t request,
+                  BatchResult result);
+  void TakeBatch(const std::string& sender,
+                 const std::string& address,
+                 const ChannelBatch& batch,
+                 std::function<void(BatchResult)> answer);
   void AnswerWatch(const std::string& node,
                    std::uint64_t incarnation,
                    const CallStore& call,
@@ -299,6 +360,7 @@
   std::uint64_t last_number_ = 0;
   std::uint64_t last_call_ = 0;
   std::uint64_t run_reports_ = 0;
+  std::vector<PeerMessage> link_messages_;  // all that were added to links
   std::priority_queue<Due, std::vector<Due>, std::greater<>> queue_;
   std::map<std::string, Node> nodes_;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers_;
