Engine: Due work takes a quarter of an instance's time at most

Seen: a cell whose instances have 0.12 of a core does not come back after a cut; recoveries take 9 to 16 s and thousands of messages are given up.

Cause: all due work is run after any event once 3 ms have passed. A run takes 12 ms of such an instance's time, so that each message costs a whole run, and the more messages come, the fewer of them are handled.

Change: the shell tells the reducer how long the event before took. The time between two runs is four times the mean of what a run takes, at most 100 ms longer than that, and 3 ms as before where runs are cheap.

--- a/Source/engine/event.h
+++ b/Source/engine/event.h
@@ -75,6 +75,8 @@
   Time now{0};               // steady clock
   std::int64_t wall_ms = 0;  // Unix time; may jump
   EventBody body{};
+  // How long the instance took for the event before, with its effects.
+  Duration took_before{0};
 };
 
 // Effects, which the shell carries out. Calls are answered by an event, also if
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -208,6 +208,11 @@
 // Minimum time between two runs of the work that is due. Under load, one run
 // serves several events.
 inline constexpr Duration kDriveInterval = milliseconds(3);
+// The work that is due takes at most one part in so many of an instance's time;
+// messages and replies take the rest.
+inline constexpr int kDriveShare = 4;
+// Longest pause for the sake of this share.
+inline constexpr Duration kMaxDrivePause = milliseconds(100);
 // Minimum time between two rounds of placement.
 inline constexpr Duration kPlacementInterval = milliseconds(3);
 
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -191,11 +191,30 @@
   DrainInbox(context);
 }
 
+// Time between the starts of two runs of the work that is due. It is the
+// longer, the longer a run takes: an instance that is short of processor time
+// would else spend it on runs that serve one event each.
+Duration DriveInterval(const State& state) {
+  const Duration cost = state.drive.cost;
+  return std::max(kDriveInterval,
+                  std::min(kDriveShare * cost, cost + kMaxDrivePause));
+}
+
+void NoteDriveCost(DriveState& drive, Duration took) {
+  constexpr int kRuns = 4;  // in the mean
+  // A run that was interrupted for longer says nothing of the next ones.
+  constexpr Duration kMaxCost = 2 * kMaxDrivePause;
+  if (std::exchange(drive.cost_pending, false)) {
+    drive.cost += (std::min(took, kMaxCost) - drive.cost) / kRuns;
+  }
+}
+
 // Does all work that is due.
 void Drive(Context& context) {
   DriveState& drive = context.state.drive;
   drive.due = false;
   drive.driven_at = context.now;
+  drive.cost_pending = true;
   const bool check_timeouts = HasPassed(context.now, drive.ticked_at, kTick);
   if (check_timeouts) {
     drive.ticked_at = context.now;
@@ -268,10 +287,11 @@
                   .effects = effects,
                   .now = event.now,
                   .wall_ms = event.wall_ms};
+  NoteDriveCost(state.drive, event.took_before);
   std::visit(EventVisitor{context}, event.body);
   DrainInbox(context);
   state.drive.due = true;
-  if (HasPassed(context.now, state.drive.driven_at, kDriveInterval)) {
+  if (HasPassed(context.now, state.drive.driven_at, DriveInterval(state))) {
     Drive(context);
   } else {
     Forward(context);
@@ -282,7 +302,7 @@
 Time NextTime(const State& state, Time now) {
   const bool may_place = state.placement_due && IsRegistered(state);
   if (state.drive.due || may_place) {
-    return std::max(now, state.drive.driven_at + kDriveInterval);
+    return std::max(now, state.drive.driven_at + DriveInterval(state));
   }
   return now + kTick;
 }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -473,6 +473,9 @@
 struct DriveState {
   bool due = false;  // events were handled since
   Time driven_at = Time::min();
+  // Mean time that a run takes, with its effects.
+  Duration cost{0};
+  bool cost_pending = false;      // that of the last run is not known yet
   Time ticked_at = Time::min();   // last check of timeouts
   Time expired_at = Time::min();  // last removal of expired entries
 };
--- a/Source/runtime/engine_shell.cc
+++ b/Source/runtime/engine_shell.cc
@@ -37,11 +37,13 @@
       engine::Step(state_, engine::Event{.now = start,
                                          .wall_ms = static_cast<std::int64_t>(
                                              WallMicroseconds() / 1000),
-                                         .body = std::move(arrival.event)});
+                                         .body = std::move(arrival.event),
+                                         .took_before = took_before_});
   hooks_.step_took(SteadyNow() - start);
   for (const engine::Effect& it : effects) {
     CarryOut(it);
   }
+  took_before_ = SteadyNow() - start;
 }
 
 void EngineShell::CarryOut(const engine::Effect& effect) const {
--- a/Source/runtime/engine_shell.h
+++ b/Source/runtime/engine_shell.h
@@ -68,6 +68,7 @@
   EngineShellHooks hooks_;
   std::deque<Arrival> queue_;
   bool running_ = false;
+  Duration took_before_{0};  // of the last event, with its effects
   SteadyTimer timer_;
   Time armed_for_ = kForever;
 };
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -334,7 +334,8 @@
     const Effects effects = step(name, *node.state,
                                  Event{.now = now_,
                                        .wall_ms = ToMilliseconds(now_),
-                                       .body = *arrival.body});
+                                       .body = *arrival.body,
+                                       .took_before = node.took});
     const bool drove = node.state->drive.driven_at != driven_at;
     node.busy_until += drove ? node.cost.due_work : Duration(0);
     for (const Effect& it : effects) {
@@ -342,6 +343,7 @@
       node.busy_until += sends ? node.cost.message : Duration(0);
       ApplyEffect(name, it);
     }
+    node.took = node.busy_until - now_;
   }
   if (arrival.on_handled) {
     arrival.on_handled();
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -269,6 +269,7 @@
     Time frozen_until{0};
     StepCost cost{};
     Time busy_until{0};
+    Duration took{0};  // of the last event, with its effects
     std::deque<Arrival> waiting{};
     std::map<std::string, Link> links{};           // by address
     std::map<std::string, std::uint64_t> taken{};  // last batch, by sender
