Runtime: A message that a later one repeats is not sent

What callers saw: after a cut had ended, the members of a large cell went on losing messages to each other.

Cause: the engine repeats what it gets no reply to, and each repeat waited behind the one before. A member without processor time got all of them, in the order of their age, up to 256 KiB at a time: queries and digests before the reports of leases and runs that it would have been kept for.

Change: each message to a member has a class and the parts that it asks or tells. A later message of the same kind, to the same process, replaces an earlier one whose parts it all has, while that one waits and when it would be sent again; to the reducer this is a loss that the repeat makes good. Offers, their answers, requests for advice and grants are sent once and replace nothing. Messages are sent by class (leases, runs, replies, queries, digests) and in order within it; reports of runs of all kinds are one class. A full channel drops from the last class first.

Result: the tests of the channel and of the subjects pass, and fail with the replacement, the classes, the bound or the compared parts taken out, each.

--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -39,6 +39,8 @@
     "burdockrock_peer_resent_messages_total";
 inline constexpr std::string_view kPeerDroppedMessagesTotal =
     "burdockrock_peer_dropped_messages_total";
+inline constexpr std::string_view kPeerReplacedMessagesTotal =
+    "burdockrock_peer_replaced_messages_total";
 inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
 inline constexpr std::string_view kHoldsTotal = "burdockrock_holds_total";
 inline constexpr std::string_view kOffersTotal = "burdockrock_offers_total";
@@ -138,6 +140,8 @@
      "Such messages that were sent again after a failed request"},
     {kPeerDroppedMessagesTotal, MetricKind::kCounter, "kind",
      "Such messages that were given up undelivered"},
+    {kPeerReplacedMessagesTotal, MetricKind::kCounter, "kind",
+     "Such messages that were not sent, as a later one says all that they did"},
     {kStartsTotal, MetricKind::kCounter, "",
      "Attempts started on workers and minions"},
     {kHoldsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -205,6 +205,12 @@
                     {{.name = "kind", .value = std::string(kind)}})
         .RaiseTo(static_cast<double>(it));
   }
+  for (const auto& [kind, it] : losses.replaced()) {
+    metrics_
+        .GetCounter(kPeerReplacedMessagesTotal,
+                    {{.name = "kind", .value = std::string(kind)}})
+        .RaiseTo(static_cast<double>(it));
+  }
   if (const auto usage = ReadProcessUsage()) {
     metrics_.Set(kResidentBytes, {},
                  static_cast<double>(usage->resident_bytes));
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -122,20 +122,24 @@
     losses_.NoteDropped(address, kind);
   };
   options.on_resent = [this](const char* kind) { losses_.NoteResent(kind); };
+  options.on_replaced = [this](const char* kind) {
+    losses_.NoteReplaced(kind);
+  };
   return links_.try_emplace(address, io_, std::move(options)).first->second;
 }
 
 void EnginePeerClient::Send(const engine::SendPeer& send) {
   Link& link = LinkTo(send.address);
-  const std::string& text = TextOf(send.message);
+  Encode(send.message);
   const char* kind = engine::PeerMethods()[send.message.index()];
   EdgeTraffic& traffic = kinds_[kind];
   ++traffic.messages;
-  traffic.bytes += text.size();
+  traffic.bytes += last_text_.size();
   link.channel.Add({.to = send.to,
                     .kind = kind,
-                    .text = text,
+                    .text = last_text_,
                     .digest = ScopeOf(send.message),
+                    .subject = last_subject_,
                     .queued_at = SteadyNow(),
                     .useful_for = UsefulFor(send.message)});
   if (!std::exchange(link.in_flight, true)) {
@@ -143,14 +147,13 @@
   }
 }
 
-const std::string& EnginePeerClient::TextOf(
-    const engine::PeerMessage& message) {
+void EnginePeerClient::Encode(const engine::PeerMessage& message) {
   if (last_message_ != message) {
     last_text_ =
         WriteJson(engine::EncodePeerNotification(incarnation_, message));
+    last_subject_ = engine::SubjectOf(message);
     last_message_ = message;
   }
-  return last_text_;
 }
 
 // Deferred, so that all messages of one step go together.
@@ -200,6 +203,7 @@
 
 void EnginePeerClient::FlushLater(const std::string& address) {
   Link& link = LinkTo(address);
+  link.channel.NoteFailure();
   link.pause = std::clamp(2 * link.pause, kFirstPause, kLongestPause);
   link.retry.expires_after(link.pause);
   link.retry.async_wait([this, address, alive = std::weak_ptr<bool>(alive_)](
--- a/Source/runtime/engine_peers.h
+++ b/Source/runtime/engine_peers.h
@@ -12,6 +12,7 @@
 #include <jsonrpccpp/server.h>
 
 #include "engine/event.h"
+#include "engine/members/message_subject.h"
 #include "net/tcp.h"
 #include "observe/log.h"
 #include "runtime/client_pool.h"
@@ -55,7 +56,7 @@
 
   Link& LinkTo(const std::string& address);
   // A digest goes to all members: it is written as text once.
-  const std::string& TextOf(const engine::PeerMessage& message);
+  void Encode(const engine::PeerMessage& message);
   void Flush(const std::string& address);
   void FlushSoon(const std::string& address);
   void FlushLater(const std::string& address);
@@ -70,6 +71,7 @@
   PeerLosses losses_;
   std::optional<engine::PeerMessage> last_message_;
   std::string last_text_;  // of it
+  engine::MessageSubject last_subject_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/Source/runtime/peer_channel.cc
+++ b/Source/runtime/peer_channel.cc
@@ -1,58 +1,67 @@
 #include "runtime/peer_channel.h"
 
+#include <algorithm>
+#include <cstring>
 #include <utility>
 
 namespace burdockrock {
 
 namespace {
 
-// Removes the digests that a later one replaces. Returns their bytes.
-std::size_t RemoveReplaced(std::deque<ChannelMessage>& messages,
-                           DigestScope later) {
-  if (later == DigestScope::kNoDigest) {
-    return 0;
+bool IsDigestReplaced(DigestScope earlier, DigestScope later) {
+  if (earlier == DigestScope::kNoDigest || later == DigestScope::kNoDigest) {
+    return false;
   }
-  std::size_t bytes = 0;
-  std::erase_if(messages, [&](const ChannelMessage& it) {
-    const bool replaced =
-        it.digest == DigestScope::kUnchanged ||
-        (it.digest != DigestScope::kNoDigest && later == DigestScope::kWhole);
-    bytes += replaced ? it.text.size() : 0;
-    return replaced;
-  });
-  return bytes;
+  return earlier == DigestScope::kUnchanged || later == DigestScope::kWhole;
+}
+
+bool MayReplace(const ChannelMessage& later) {
+  return later.digest != DigestScope::kNoDigest || !later.subject.parts.empty();
+}
+
+bool IsReplaced(const ChannelMessage& earlier, const ChannelMessage& later) {
+  if (IsDigestReplaced(earlier.digest, later.digest)) {
+    return true;
+  }
+  const auto& parts = earlier.subject.parts;
+  const auto& all = later.subject.parts;
+  return !parts.empty() && parts.size() <= all.size() &&
+         std::strcmp(earlier.kind, later.kind) == 0 && earlier.to == later.to &&
+         std::ranges::includes(all, parts);
 }
 
 }  // namespace
 
 PeerChannel::PeerChannel(PeerChannelOptions options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)), batch_bytes_(options_.max_batch_bytes) {}
 
 void PeerChannel::Add(ChannelMessage message) {
-  waiting_bytes_ -= RemoveReplaced(waiting_, message.digest);
+  Messages& messages =
+      waiting_[static_cast<std::size_t>(message.subject.order)];
+  RemoveReplaced(messages, message);
   waiting_bytes_ += message.text.size();
-  waiting_.push_back(std::move(message));
-  while (waiting_bytes_ > options_.max_waiting_bytes && waiting_.size() > 1) {
-    waiting_bytes_ -= waiting_.front().text.size();
-    options_.on_dropped(waiting_.front().kind);
-    waiting_.pop_front();
+  ++waiting_messages_;
+  messages.push_back(std::move(message));
+  while (waiting_bytes_ > options_.max_waiting_bytes && waiting_messages_ > 1) {
+    DropOldest();
   }
 }
 
 std::optional<ChannelBatch> PeerChannel::TakeBatch(Time now) {
-  for (const ChannelMessage& it : waiting_) {
-    RemoveReplaced(batch_, it.digest);
+  for (const Messages& messages : waiting_) {
+    for (const ChannelMessage& it : messages) {
+      RemoveReplaced(batch_, it);
+    }
   }
-  DropStale(batch_, now);
-  for (const ChannelMessage& it : batch_) {
-    options_.on_resent(it.kind);
+  if (!HasMessages(now)) {
+    return std::nullopt;
   }
   if (batch_.empty()) {
-    waiting_bytes_ -= DropStale(waiting_, now);
     FillBatch();
-  }
-  if (batch_.empty()) {
-    return std::nullopt;
+  } else {
+    for (const ChannelMessage& it : batch_) {
+      options_.on_resent(it.kind);
+    }
   }
   return ChannelBatch{.to = batch_.front().to,
                       .number = number_,
@@ -62,6 +71,7 @@
 
 void PeerChannel::Acknowledge() {
   batch_.clear();
+  batch_bytes_ = std::min(2 * batch_bytes_, options_.max_batch_bytes);
 }
 
 void PeerChannel::DropBatch() {
@@ -71,29 +81,76 @@
   batch_.clear();
 }
 
-std::size_t PeerChannel::DropStale(std::deque<ChannelMessage>& messages,
-                                   Time now) const {
-  std::size_t bytes = 0;
+void PeerChannel::NoteFailure() {
+  batch_bytes_ = std::min(options_.min_batch_bytes, options_.max_batch_bytes);
+}
+
+bool PeerChannel::HasMessages(Time now) {
+  DropStale(batch_, now);
+  for (Messages& messages : waiting_) {
+    DropStale(messages, now);
+  }
+  return !batch_.empty() || waiting_messages_ > 0;
+}
+
+void PeerChannel::Remove(
+    Messages& messages,
+    const std::function<bool(const ChannelMessage&)>& condition,
+    const std::function<void(const char*)>& on_removed) {
   std::erase_if(messages, [&](const ChannelMessage& it) {
-    const bool stale = now >= it.queued_at + it.useful_for;
-    if (stale) {
-      bytes += it.text.size();
-      options_.on_dropped(it.kind);
+    if (!condition(it)) {
+      return false;
+    }
+    on_removed(it.kind);
+    if (&messages != &batch_) {
+      waiting_bytes_ -= it.text.size();
+      --waiting_messages_;
     }
-    return stale;
+    return true;
   });
-  return bytes;
+}
+
+void PeerChannel::RemoveReplaced(Messages& messages,
+                                 const ChannelMessage& later) {
+  if (MayReplace(later)) {
+    Remove(
+        messages,
+        [&](const ChannelMessage& it) { return IsReplaced(it, later); },
+        options_.on_replaced);
+  }
+}
+
+void PeerChannel::DropStale(Messages& messages, Time now) {
+  Remove(
+      messages,
+      [&](const ChannelMessage& it) {
+        return now >= it.queued_at + it.useful_for;
+      },
+      options_.on_dropped);
+}
+
+void PeerChannel::DropOldest() {
+  const auto last =
+      std::find_if(waiting_.rbegin(), waiting_.rend(),
+                   [](const Messages& it) { return !it.empty(); });
+  options_.on_dropped(last->front().kind);
+  waiting_bytes_ -= last->front().text.size();
+  --waiting_messages_;
+  last->pop_front();
 }
 
 void PeerChannel::FillBatch() {
-  number_ += waiting_.empty() ? 0 : 1;
+  ++number_;
   std::size_t bytes = 0;
-  while (!waiting_.empty() && bytes < options_.max_batch_bytes &&
-         (batch_.empty() || waiting_.front().to == batch_.front().to)) {
-    bytes += waiting_.front().text.size();
-    waiting_bytes_ -= waiting_.front().text.size();
-    batch_.push_back(std::move(waiting_.front()));
-    waiting_.pop_front();
+  for (Messages& messages : waiting_) {
+    while (!messages.empty() && bytes < batch_bytes_ &&
+           (batch_.empty() || messages.front().to == batch_.front().to)) {
+      bytes += messages.front().text.size();
+      waiting_bytes_ -= messages.front().text.size();
+      --waiting_messages_;
+      batch_.push_back(std::move(messages.front()));
+      messages.pop_front();
+    }
   }
 }
 
--- a/Source/runtime/peer_losses.h
+++ b/Source/runtime/peer_losses.h
@@ -1,5 +1,5 @@
-// Counts and logs messages to other entry instances that were lost or sent
-// again.
+// Counts and logs messages to other entry instances that were lost, sent again
+// or replaced by later ones.
 #ifndef BURDOCKROCK_RUNTIME_PEER_LOSSES_H_
 #define BURDOCKROCK_RUNTIME_PEER_LOSSES_H_
 
@@ -35,6 +35,7 @@
   // `kind` is one of engine::PeerMethods().
   void NoteDropped(const std::string& address, const char* kind);
   void NoteResent(const char* kind) { ++resent_[kind]; }
+  void NoteReplaced(const char* kind) { ++replaced_[kind]; }
 
   // Writes one line for each peer whose last line was written long enough ago
   // and for which messages were dropped since.
@@ -43,6 +44,7 @@
   const Counts& failed_batches() const { return failed_batches_; }  // by cause
   const Counts& dropped() const { return dropped_; }                // by kind
   const Counts& resent() const { return resent_; }                  // by kind
+  const Counts& replaced() const { return replaced_; }              // by kind
 
  private:
   // Of one peer, since its last line.
@@ -56,6 +58,7 @@
   Counts failed_batches_;
   Counts dropped_;
   Counts resent_;
+  Counts replaced_;
   std::map<std::string, Unlogged> unlogged_;  // by address
 };
 
--- a/Tests/runtime/peer_channel_test.cc
+++ b/Tests/runtime/peer_channel_test.cc
@@ -1,7 +1,10 @@
 #include "runtime/peer_channel.h"
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -30,14 +33,36 @@
   return message;
 }
 
+// Asks or tells `parts`.
+ChannelMessage Query(const std::string& text,
+                     std::vector<std::uint64_t> parts,
+                     const char* kind = "adopt_query") {
+  ChannelMessage message = Say(text);
+  message.kind = kind;
+  message.subject = {.order = engine::MessageClass::kQueries,
+                     .parts = std::move(parts)};
+  return message;
+}
+
+ChannelMessage OfClass(const std::string& text, engine::MessageClass order) {
+  ChannelMessage message = Say(text);
+  message.subject.order = order;
+  return message;
+}
+
 // A channel, and what it tells of its messages.
 struct Recorded {
-  explicit Recorded(std::size_t max_waiting_bytes = 100)
+  explicit Recorded(std::size_t max_waiting_bytes = 100,
+                    std::size_t max_batch_bytes = 8,
+                    std::size_t min_batch_bytes = 8)
       : channel(
             {.max_waiting_bytes = max_waiting_bytes,
-             .max_batch_bytes = 8,
+             .max_batch_bytes = max_batch_bytes,
+             .min_batch_bytes = min_batch_bytes,
              .on_dropped = [this](const char* it) { dropped.push_back(it); },
-             .on_resent = [this](const char* it) { resent.push_back(it); }}) {}
+             .on_resent = [this](const char* it) { resent.push_back(it); },
+             .on_replaced =
+                 [this](const char* it) { replaced.push_back(it); }}) {}
 
   std::string Take(Duration after = Duration(0)) {
     const auto batch = channel.TakeBatch(kStart + after);
@@ -46,6 +71,7 @@
 
   std::vector<std::string> dropped{};
   std::vector<std::string> resent{};
+  std::vector<std::string> replaced{};
   PeerChannel channel;
 };
 
@@ -121,6 +147,75 @@
   CHECK(it.dropped.empty());
 }
 
+// Guards against repeats that pile up for a peer that does not answer, and that
+// it would all have to handle.
+TEST_CASE("A message that a later one repeats is not sent") {
+  Recorded it;
+  it.channel.Add(Query("a", {1, 2}));
+  it.channel.Add(Query("b", {1, 2, 3}));
+  CHECK(it.Take() == "1 [b]");
+  it.channel.Add(Query("c", {1, 2, 3}));
+  CHECK(it.Take() == "2 [c]");
+  CHECK(it.resent.empty());
+  CHECK(it.dropped.empty());
+  CHECK(it.replaced.size() == 2);
+}
+
+// Guards against a query that is lost because a later one of its kind asks for
+// something else, or is for another process.
+TEST_CASE("A message that says more than a later one is sent") {
+  Recorded it;
+  it.channel.Add(Query("a", {1, 2}));
+  it.channel.Add(Query("b", {2, 3}));
+  it.channel.Add(Query("c", {1, 2, 3}, "run_queries"));
+  it.channel.Add(Query("d", {}));
+  ChannelMessage next = Query("e", {1, 2, 3});
+  next.to = "n2-5";
+  it.channel.Add(next);
+  CHECK(it.Take() == "1 [a,b,c,d]");
+  CHECK(it.replaced.empty());
+}
+
+// Guards against leases that run out, and runs that are taken for lost, while a
+// peer that is short of processor time handles queries and digests.
+TEST_CASE("Messages are sent by class, and within a class in order") {
+  using engine::MessageClass;
+  Recorded it(100, 100);
+  it.channel.Add(OfClass("d", MessageClass::kDigests));
+  it.channel.Add(OfClass("q", MessageClass::kQueries));
+  it.channel.Add(OfClass("r1", MessageClass::kRuns));
+  it.channel.Add(OfClass("r2", MessageClass::kRuns));
+  it.channel.Add(OfClass("a", MessageClass::kReplies));
+  it.channel.Add(OfClass("l", MessageClass::kLeases));
+  CHECK(it.Take() == "1 [l,r1,r2,a,q,d]");
+}
+
+// Guards against a full channel that gives up ends of runs for digests.
+TEST_CASE("A full channel drops messages of the last class first") {
+  using engine::MessageClass;
+  Recorded it(8, 100);
+  it.channel.Add(OfClass("rrr", MessageClass::kRuns));
+  it.channel.Add(OfClass("ddd", MessageClass::kDigests));
+  it.channel.Add(OfClass("qqq", MessageClass::kQueries));
+  CHECK(it.Take() == "1 [rrr,qqq]");
+  CHECK(it.dropped.size() == 1);
+}
+
+// Guards against a peer that is short of processor time and gets all that has
+// piled up at once.
+TEST_CASE("Batches after a failure are small and grow while they are taken") {
+  Recorded it(100, 8, 2);
+  for (int n = 0; n < 6; ++n) {
+    it.channel.Add(Say("xx"));
+  }
+  it.channel.NoteFailure();
+  CHECK(it.Take() == "1 [xx]");
+  it.channel.Acknowledge();
+  CHECK(it.Take() == "2 [xx,xx]");
+  it.channel.Acknowledge();
+  CHECK(it.Take() == "3 [xx,xx,xx]");
+}
+
 TEST_CASE("A full channel drops its oldest messages") {
   Recorded it(8);
   it.channel.Add(Say("aaaa"));
