Runtime: A peer that does not answer is probed at growing intervals

What callers saw: members that were short of processor time lost more and more messages after a cut had ended, and the cell did not come back.

Cause: a member without an answer was tried again at most 400 ms later, with the whole batch. Each try that it took from its socket cost it the reading of all messages, when most senders had given up waiting.

Change: the pause after failures doubles up to 1.6 s, at random between half of it and all, so that members that lost each other together don't meet again. After two failures in a row the next request has no messages. It bears the number 0, which each release since batches are numbered takes for a batch that it has had, and answers without reading it; the messages follow its answer. A request of the peer ends a pause of more than 400 ms, so that the longer ones do not outlast a cut. Another process at the address is tried at once. The gauge burdockrock_peers_probed has the number of such peers.

--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -41,6 +41,7 @@
     "burdockrock_peer_dropped_messages_total";
 inline constexpr std::string_view kPeerReplacedMessagesTotal =
     "burdockrock_peer_replaced_messages_total";
+inline constexpr std::string_view kPeersProbed = "burdockrock_peers_probed";
 inline constexpr std::string_view kStartsTotal = "burdockrock_starts_total";
 inline constexpr std::string_view kHoldsTotal = "burdockrock_holds_total";
 inline constexpr std::string_view kOffersTotal = "burdockrock_offers_total";
@@ -142,6 +143,10 @@
      "Such messages that were given up undelivered"},
     {kPeerReplacedMessagesTotal, MetricKind::kCounter, "kind",
      "Such messages that were not sent, as a later one says all that they did"},
+    {kPeersProbed, MetricKind::kGauge, "",
+     "Other entry instances that left their last requests without an answer "
+     "and "
+     "get no messages before they answer one without any"},
     {kStartsTotal, MetricKind::kCounter, "",
      "Attempts started on workers and minions"},
     {kHoldsTotal, MetricKind::kCounter, "",
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -47,6 +47,10 @@
                         [this](engine::PeerMessageReceived it) {
                           shell_.Handle(std::move(it), peers_body_arrived_);
                         },
+                    .on_request =
+                        [this](const std::string& from) {
+                          peer_client_.NoteHeard(from);
+                        },
                     .log = [this](const LogLine& it) { logger_.Write(it); }}),
       housekeeping_timer_(io) {}
 
@@ -211,6 +215,8 @@
                     {{.name = "kind", .value = std::string(kind)}})
         .RaiseTo(static_cast<double>(it));
   }
+  metrics_.Set(kPeersProbed, {},
+               static_cast<double>(peer_client_.probed_peers()));
   if (const auto usage = ReadProcessUsage()) {
     metrics_.Set(kResidentBytes, {},
                  static_cast<double>(usage->resident_bytes));
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -24,9 +24,18 @@
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 // Pauses after failures, which double. The first one is short, as most failures
-// are single ones; the longest spares a machine whose process has ended.
+// are single ones; the longest spares a machine whose process has ended or is
+// short of processor time.
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);
-constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+constexpr Duration kLongestPause = std::chrono::milliseconds(1600);
+// The longest before a request to a peer that is heard meanwhile.
+constexpr Duration kLongestPauseIfHeard = std::chrono::milliseconds(400);
+// After so many failures in a row the next request is a probe. Most single
+// failures are lost requests, and a probe would only delay the messages.
+constexpr int kFailuresBeforeProbe = 2;
+// Lower than the number of any batch: a receiver takes a batch with it for one
+// that it has taken before, and answers without reading it.
+constexpr std::uint64_t kProbeNumber = 0;
 
 // Messages that are late are worse than none: the engine has asked again, or
 // elsewhere, and places tasks by what it knows then. An offer, an end or a
@@ -106,6 +115,8 @@
     : io_(io),
       incarnation_(std::move(incarnation)),
       pool_(io, {.max_connections = 1, .connect_timeout = kConnectTimeout}),
+      random_(static_cast<std::minstd_rand::result_type>(
+          std::hash<std::string>()(incarnation_))),
       losses_(std::move(log)) {}
 
 void EnginePeerClient::LogLosses() {
@@ -142,11 +153,45 @@
                     .subject = last_subject_,
                     .queued_at = SteadyNow(),
                     .useful_for = UsefulFor(send.message)});
-  if (!std::exchange(link.in_flight, true)) {
+  if (link.to != send.to) {
+    // Another process: the failures of the one before tell nothing of it.
+    long_pauses_.erase(link.to);
+    link.to = send.to;
+    EndPause(send.address, link);
+  }
+  if (link.phase != Phase::kIdle) {
+    return;
+  }
+  if (SteadyNow() < link.retry_at) {
+    FlushAfterPause(send.address);
+  } else {
     FlushSoon(send.address);
   }
 }
 
+void EnginePeerClient::NoteHeard(const std::string& incarnation) {
+  const auto found = long_pauses_.find(incarnation);
+  if (found == long_pauses_.end()) {
+    return;
+  }
+  const std::string address = found->second;
+  long_pauses_.erase(found);
+  Link& link = LinkTo(address);
+  link.pause = std::min(link.pause, kLongestPauseIfHeard);
+  link.retry_at =
+      std::min(link.retry_at, link.failed_at + Jittered(link.pause));
+  if (link.phase == Phase::kPausing) {
+    FlushAfterPause(address);
+  }
+}
+
+std::size_t EnginePeerClient::probed_peers() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(links_, [](const auto& it) {
+        return it.second.failures >= kFailuresBeforeProbe;
+      }));
+}
+
 void EnginePeerClient::Encode(const engine::PeerMessage& message) {
   if (last_message_ != message) {
     last_text_ =
@@ -158,6 +203,7 @@
 
 // Deferred, so that all messages of one step go together.
 void EnginePeerClient::FlushSoon(const std::string& address) {
+  LinkTo(address).phase = Phase::kSending;
   boost::asio::post(io_, [this, address, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) {
       Flush(address);
@@ -165,22 +211,48 @@
   });
 }
 
+void EnginePeerClient::FlushAfterPause(const std::string& address) {
+  Link& link = LinkTo(address);
+  link.phase = Phase::kPausing;
+  link.retry.expires_after(std::max(link.retry_at - SteadyNow(), Duration(0)));
+  link.retry.async_wait([this, address, alive = std::weak_ptr<bool>(alive_)](
+                            boost::system::error_code ec) {
+    if (!ec && !alive.expired() && LinkTo(address).phase == Phase::kPausing) {
+      Flush(address);
+    }
+  });
+}
+
 void EnginePeerClient::Flush(const std::string& address) {
   Link& link = LinkTo(address);
-  auto batch = link.channel.TakeBatch(SteadyNow());
-  if (!batch) {
-    link.in_flight = false;
+  if (!link.channel.HasMessages(SteadyNow())) {
+    link.phase = Phase::kIdle;
     return;
   }
-  messages_ += batch->messages;
+  link.phase = Phase::kSending;
+  link.probing = link.failures >= kFailuresBeforeProbe;
+  if (link.probing) {
+    return Post(address, link,
+                {.to = link.to, .number = kProbeNumber, .body = "[]"});
+  }
+  if (auto batch = link.channel.TakeBatch(SteadyNow())) {
+    messages_ += batch->messages;
+    return Post(address, link, *std::move(batch));
+  }
+  link.phase = Phase::kIdle;
+}
+
+void EnginePeerClient::Post(const std::string& address,
+                            Link& link,
+                            ChannelBatch batch) {
   link.sent_at = SteadyNow();
   HttpRequest request;
   request.method = "POST";
   request.path = "/rpc";
   request.query = {{kSenderKey, incarnation_},
-                   {kReceiverKey, batch->to},
-                   {kBatchKey, std::to_string(batch->number)}};
-  request.body = std::move(batch->body);
+                   {kReceiverKey, batch.to},
+                   {kBatchKey, std::to_string(batch.number)}};
+  request.body = std::move(batch.body);
   pool_.Get(address).Send(
       std::move(request), kRequestTimeout,
       [this, address](const HttpResult& it) { OnResult(address, it); });
@@ -192,26 +264,48 @@
   if (const auto failure = FailureOf(result, SteadyNow() - link.sent_at)) {
     losses_.NoteFailedBatch(address, *failure);
     if (*failure != PeerFailure::kRefused) {
-      return FlushLater(address);
+      return OnFailure(address, link);
+    }
+    if (!link.probing) {
+      link.channel.DropBatch();
     }
-    link.channel.DropBatch();
   }
-  link.pause = Duration(0);
-  link.channel.Acknowledge();
+  if (link.probing) {
+    link.failures = kFailuresBeforeProbe - 1;
+  } else {
+    link.failures = 0;
+    link.pause = Duration(0);
+    link.channel.Acknowledge();
+  }
+  long_pauses_.erase(link.to);
   Flush(address);
 }
 
-void EnginePeerClient::FlushLater(const std::string& address) {
-  Link& link = LinkTo(address);
+void EnginePeerClient::OnFailure(const std::string& address, Link& link) {
+  ++link.failures;
   link.channel.NoteFailure();
   link.pause = std::clamp(2 * link.pause, kFirstPause, kLongestPause);
-  link.retry.expires_after(link.pause);
-  link.retry.async_wait([this, address, alive = std::weak_ptr<bool>(alive_)](
-                            boost::system::error_code ec) {
-    if (!ec && !alive.expired()) {
-      Flush(address);
-    }
-  });
+  link.failed_at = SteadyNow();
+  link.retry_at = link.failed_at + Jittered(link.pause);
+  if (link.pause > kLongestPauseIfHeard) {
+    long_pauses_[link.to] = address;
+  }
+  FlushAfterPause(address);
+}
+
+void EnginePeerClient::EndPause(const std::string& address, Link& link) {
+  link.failures = 0;
+  link.pause = Duration(0);
+  link.retry_at = Time(0);
+  if (link.phase == Phase::kPausing) {
+    FlushAfterPause(address);
+  }
+}
+
+Duration EnginePeerClient::Jittered(Duration pause) {
+  return std::uniform_int_distribution<Duration::rep>(pause.count() / 2,
+                                                      pause.count())(random_) *
+         Duration(1);
 }
 
 EdgeTraffic EnginePeerClient::traffic() const {
@@ -247,6 +341,10 @@
       receiver->second != options_.incarnation) {
     return {.status = kGoneStatus};
   }
+  const auto sender = request.query.find(kSenderKey);
+  if (sender != request.query.end()) {
+    options_.on_request(sender->second);
+  }
   if (WasTaken(request, now)) {
     return {};
   }
--- a/Tests/runtime/engine_peers_test.cc
+++ b/Tests/runtime/engine_peers_test.cc
@@ -182,6 +182,87 @@
   CHECK(failed <= 10);
 }
 
+// Guards against batches of messages that a peer without processor time gets
+// again and again, and against messages that are lost with a probe.
+TEST_CASE("A peer that does not answer is probed without messages") {
+  boost::asio::io_context io;
+  std::vector<engine::PeerMessage> said;
+  EnginePeerServer receiver(
+      {.incarnation = "n2-4",
+       .on_message =
+           [&](engine::PeerMessageReceived it) {
+             said.push_back(std::move(it.message));
+           },
+       .log = [](const LogLine&) { FAIL("a message was refused"); }});
+  std::vector<std::string> bodies;
+  HttpServer server(
+      io, {},
+      [&](const HttpRequest& request, const HttpServer::Responder& responder) {
+        bodies.push_back(request.body);
+        if (bodies.size() <= 4) {
+          return responder({.status = 503});
+        }
+        responder(receiver.HandleRequest(request, SteadyNow()));
+      });
+  EnginePeerClient sender(io, "n1-5");
+  const engine::PeerMessage stop = engine::TaskStops{{{.task = "t1"}}};
+  sender.Send({.to = "n2-4",
+               .address = fmt::format("127.0.0.1:{}",
+                                      std::get<std::uint16_t>(server.Listen())),
+               .message = stop});
+  RunUntil(io, [&] { return bodies.size() == 4; });
+  CHECK(sender.probed_peers() == 1);
+  RunUntil(io, [&] { return !said.empty(); });
+  REQUIRE(bodies.size() == 6);
+  CHECK(bodies[0] == bodies[1]);
+  CHECK(bodies[2] == "[]");
+  CHECK(bodies[3] == "[]");
+  CHECK(bodies[4] == "[]");
+  CHECK(bodies[5] == bodies[0]);
+  CHECK(said == std::vector<engine::PeerMessage>{stop});
+  RunUntil(io, [&] { return sender.probed_peers() == 0; });
+}
+
+// Guards against peers that are tried all the time while they can't be reached,
+// and against long pauses after a cut between them has ended.
+TEST_CASE("Pauses grow until the peer is heard") {
+  boost::asio::io_context io;
+  const std::string address = UnusedAddress(io);
+  EnginePeerClient sender(io, "n1-5");
+  const auto failed = [&] {
+    const auto& counts = sender.losses().failed_batches();
+    const auto it = counts.find("not_connected");
+    return it == counts.end() ? 0 : it->second;
+  };
+  const auto run_for = [&](Duration span) {
+    const Time end = SteadyNow() + span;
+    while (SteadyNow() < end) {
+      sender.Send({.to = "n2-4",
+                   .address = address,
+                   .message = engine::TaskStops{{{.task = "t1"}}}});
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(20));
+    }
+  };
+  RunUntil(io, [&] {
+    run_for(std::chrono::milliseconds(20));
+    return failed() >= 6;
+  });
+  const auto before = failed();
+  run_for(std::chrono::milliseconds(2400));
+  CHECK(failed() - before >= 1);
+  CHECK(failed() - before <= 4);
+  // The pause that follows a failure now takes at least 800 ms.
+  RunUntil(io, [&, last = failed()] {
+    run_for(std::chrono::milliseconds(20));
+    return failed() > last;
+  });
+  const auto at_pause = failed();
+  sender.NoteHeard("n2-4");
+  run_for(std::chrono::milliseconds(600));
+  CHECK(failed() > at_pause);
+}
+
 // Guards against replies to the calls of a process that has ended which its
 // successor at the same address takes for replies to its own.
 TEST_CASE("Messages to the process before at an address are not taken") {
