Engine: A member that leaves queries unanswered gets fewer of them

Of the messages that were given up, adopt_query and adopt_report were the second and third kind.

Cause: an adopter queried each member whose report was missing every 120 ms, and all members each second, whether they had answered or not; lease queries and requests for whole digests came each 400 ms, queries for runs each 500 ms. Each query that a member short of processor time took in cost it a whole report, and the repeats of all other members came on top.

Change: a member that has not answered the last query of a kind gets no other one of that kind until a pause has passed, which doubles from the former interval up to 3 s, with jitter from the second repeat on; up to 1 s while it is heard, and for runs, as a run that is not queried for 4 s counts as abandoned. The first query about a new job is held only when a repeat is unanswered, too. All queries are due at once when a member is heard after a silence of 400 ms. A new incarnation starts without a pause. A member that answers is queried as before.

Result: in 6 s behind a cut a member gets 2 to 4 adopt queries; with the pacing taken out the test counts more and fails, and with the reset taken out "A member that is heard again is queried at once" fails. All engine tests pass.

--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -12,6 +12,7 @@
 #include "engine/jobs/task_ref.h"
 #include "engine/members/digests.h"
 #include "engine/members/membership.h"
+#include "engine/members/query_pacing.h"
 #include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
@@ -191,9 +192,12 @@
   if (!IsPlaced(task) || queried_lately || !due) {
     return;
   }
+  const std::string owner = OwnerOfWorker(context, task.worker);
+  if (!MayQuery(context, owner, RepeatedQuery::kRuns)) {
+    return;
+  }
   task.last_update = context.now - timeout + kOfferRetryDelay;
   task.last_query = context.now;
-  const std::string owner = OwnerOfWorker(context, task.worker);
   if (!owner.empty()) {
     RunQueries& query = queries[owner];
     query.runs.push_back(
@@ -439,6 +443,7 @@
   }
   FlushStops(context);
   for (auto& [owner, runs] : queries) {
+    NoteQueried(context, owner, RepeatedQuery::kRuns);
     Send(context, owner, std::move(runs));
   }
 }
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -16,6 +16,7 @@
 #include "engine/jobs/task_handover.h"
 #include "engine/jobs/unseen_workers.h"
 #include "engine/members/membership.h"
+#include "engine/members/query_pacing.h"
 #include "engine/records/record_writer.h"
 #include "engine/records/watches.h"
 #include "engine/workers/worker_list.h"
@@ -155,7 +156,7 @@
     job.confirmed_at = context.now;
     MarkChanged(context, job, true);
   }
-  job.members_queried = true;
+  const bool is_first = !std::exchange(job.members_queried, true);
   job.unreported_workers.EraseIf([&](std::uint32_t it) {
     return !MayRunTasks(context.state,
                         context.state.recovery.numbers.NameOf(it));
@@ -165,6 +166,12 @@
   }
   round.uncovered.InsertAll(job.unreported_workers);
   for (const std::string& it : MembersToQuery(context, job, round)) {
+    const bool may_query =
+        is_first ? MayQuery(context, it, RepeatedQuery::kAdoption)
+                 : MayRepeat(context, it, RepeatedQuery::kAdoption);
+    if (!may_query) {
+      continue;
+    }
     round.queries[it].jobs.push_back(
         {.job = job.id, .generation = job.generation});
   }
@@ -211,6 +218,7 @@
     // may remember a worker. One that did not know all may do so by now.
     query.wants_workers =
         !round.unseen || round.all || AwaitsReportOfUnseen(context, member);
+    NoteQueried(context, member, RepeatedQuery::kAdoption);
     Send(context, member, std::move(query));
   }
 }
@@ -300,6 +308,7 @@
 void OnAdoptReport(Context& context,
                    const std::string& from,
                    const AdoptReport& report) {
+  NoteAnswered(context, from, RepeatedQuery::kAdoption);
   // Processed before the covered workers: reporting a worker doesn't cover it.
   OnWorkersRemembered(context, report.remembered);
   // Each query since the registration has requested them, if needed.
--- a/Source/engine/members/digest_gaps.cc
+++ b/Source/engine/members/digest_gaps.cc
@@ -5,6 +5,7 @@
 
 #include "engine/members/digest_relay.h"
 #include "engine/members/membership.h"
+#include "engine/members/query_pacing.h"
 
 namespace burdockrock::engine {
 
@@ -120,6 +121,7 @@
   if (digest.whole) {
     last = std::max(last, digest.sequence);
     state.full_requested_at.erase(from);
+    NoteAnswered(context, from, RepeatedQuery::kDigest);
   } else if (HasChanges(digest) && digest.sequence == last + 1) {
     last = digest.sequence;
   } else if (digest.sequence > last) {
@@ -135,7 +137,9 @@
   };
   auto& requested = context.state.digest.full_requested_at;
   for (auto& [member, asked] : requested) {
-    if (HasPassed(context.now, asked, kFullDigestRetryDelay)) {
+    if (HasPassed(context.now, asked, kFullDigestRetryDelay) &&
+        MayRepeat(context, member, RepeatedQuery::kDigest)) {
+      NoteQueried(context, member, RepeatedQuery::kDigest);
       asked = context.now;
       Send(context, member, DigestRequest());
     }
--- a/Source/engine/members/unresponsive_members.cc
+++ b/Source/engine/members/unresponsive_members.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "engine/members/membership.h"
+#include "engine/members/query_pacing.h"
 
 namespace burdockrock::engine {
 
@@ -25,6 +26,7 @@
 }
 
 void NoteMessageReceived(Context& context, const std::string& member) {
+  NoteHeard(context, member);
   UnresponsiveMembers& unresponsive_members =
       context.state.unresponsive_members;
   auto offered = unresponsive_members.awaiting_reply.extract(member);
@@ -43,6 +45,7 @@
 void DriveUnresponsiveMembers(Context& context) {
   UnresponsiveMembers& unresponsive_members =
       context.state.unresponsive_members;
+  ForgetQueriesOfDeparted(context);
   std::erase_if(unresponsive_members.unresponsive, [&](const auto& it) {
     return FindMember(context.state, it.first) == nullptr;
   });
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -25,6 +25,7 @@
 #include "engine/log_repeat_limiter.h"
 #include "engine/members/digest_relay_state.h"
 #include "engine/members/peer_message.h"
+#include "engine/members/query_pacing_state.h"
 #include "engine/members/stop_state.h"
 #include "engine/options.h"
 #include "engine/records/record.h"
@@ -523,6 +524,7 @@
   MembersState members{};
   MembersCheck members_check{};
   UnresponsiveMembers unresponsive_members{};
+  QueryPacing query_pacing{};
   Configuration configuration{};
   std::map<std::string, ListedWorker> workers{};  // by incarnation
   // By worker id: the incarnation whose entry is in the store's list.
--- a/Source/engine/workers/lease_bounds.cc
+++ b/Source/engine/workers/lease_bounds.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "engine/members/membership.h"
+#include "engine/members/query_pacing.h"
 #include "engine/workers/worker_list.h"
 #include "engine/workers/worker_owner.h"
 
@@ -199,11 +200,15 @@
       continue;
     }
     for (const std::string& it : MissingReports(context, worker)) {
+      if (!MayRepeat(context, it, RepeatedQuery::kLeases)) {
+        continue;
+      }
       queries[it].workers.push_back(
           {.worker = id, .number = worker.lease_query_number});
     }
   }
   for (auto& [incarnation, query] : queries) {
+    NoteQueried(context, incarnation, RepeatedQuery::kLeases);
     // Sent directly, since members that the store has removed may still renew.
     context.Emit(SendPeer{.to = incarnation,
                           .address = AddressOf(context.state, incarnation),
@@ -239,6 +244,7 @@
 void OnLeaseReport(Context& context,
                    const std::string& from,
                    const LeaseReport& report) {
+  NoteAnswered(context, from, RepeatedQuery::kLeases);
   // The sender may not have seen the last of the members that this instance has
   // missed. It is queried again.
   const UnseenMembers& unseen = context.state.members.unseen;
