Engine: Callers of one job share a query to its owner

What callers saw: as above; job_query was the most frequent of the messages that members gave up, 3,627 in 5 s.

Cause: each caller that asked a member for a job of another one had a query of its own, repeated each 400 ms, and to all members while the store could not be reached.

Change: callers with the same question about the same job, of the same team, share the query in flight, and its reply answers all of them. The pause until it is repeated doubles from 400 ms on.

Result: ten callers cause one query; without a reply for 1 s two. The test fails without the sharing. All engine tests pass.

--- a/Source/engine/jobs/caller_requests.cc
+++ b/Source/engine/jobs/caller_requests.cc
@@ -22,6 +22,9 @@
 // Longer ids don't fit into the keys of the store.
 constexpr std::size_t kMaxJobIdBytes = 64;
 
+// PendingCallerQuery::queried_member of a query to all of them.
+constexpr const char* kAllMembers = "";
+
 void Answer(Context& context, std::uint64_t call, CallerAnswer answer) {
   context.Emit(AnswerCaller{.call = call, .answer = std::move(answer)});
 }
@@ -115,14 +118,49 @@
   EndJob(context, job, JobState::kCancelled, "caller");
 }
 
-void SendQuery(Context& context,
+bool IsSameQuery(const PendingCallerQuery& a, const PendingCallerQuery& b) {
+  return a.job == b.job && a.query == b.query && a.team == b.team;
+}
+
+bool IsRepeatDue(const Context& context, const PendingCallerQuery& caller) {
+  return HasPassed(context.now, caller.queried_at, caller.repeat_after);
+}
+
+// Whether another caller's query to the member serves this one as well.
+bool ShareQuery(const Context& context,
+                PendingCallerQuery& caller,
+                const std::string& member) {
+  for (const auto& [id, it] : context.state.callers) {
+    if (it.query_call != 0 && it.queried_member == member &&
+        !IsRepeatDue(context, it) && IsSameQuery(it, caller)) {
+      caller.queried_member = it.queried_member;
+      caller.queried_at = it.queried_at;
+      caller.query_call = it.query_call;
+      caller.repeat_after = it.repeat_after;
+      return true;
+    }
+  }
+  return false;
+}
+
+// The pause until the next repeat doubles with each.
+void NoteQuery(Context& context,
                std::uint64_t id,
                PendingCallerQuery& caller,
-               const std::string& owner) {
-  caller.queried_member = owner;
+               const std::string& member) {
+  const bool repeats =
+      caller.query_call != 0 && caller.queried_member == member;
+  caller.repeat_after = repeats ? 2 * caller.repeat_after : kPeerReplyTimeout;
+  caller.queried_member = member;
   caller.queried_at = context.now;
+  caller.query_call = caller.query_call == 0 ? id : caller.query_call;
+}
+
+void SendQuery(Context& context,
+               const PendingCallerQuery& caller,
+               const std::string& owner) {
   Send(context, owner,
-       JobQuery{.call = id,
+       JobQuery{.call = caller.query_call,
                 .kind = caller.query == CallerQuery::kCancel
                             ? JobQueryKind::kCancel
                             : JobQueryKind::kState,
@@ -137,14 +175,14 @@
 void QueryAllWithoutStore(Context& context,
                           std::uint64_t id,
                           PendingCallerQuery& caller) {
-  if (context.state.store.healthy ||
-      !HasPassed(context.now, caller.queried_at, kPeerReplyTimeout)) {
+  if (context.state.store.healthy || !IsRepeatDue(context, caller) ||
+      ShareQuery(context, caller, kAllMembers)) {
     return;
   }
+  NoteQuery(context, id, caller, kAllMembers);
   for (const std::string& it : OtherMembers(context)) {
-    SendQuery(context, id, caller, it);
+    SendQuery(context, caller, it);
   }
-  caller.queried_member.clear();
 }
 
 void ReportOutcome(Context& context,
@@ -173,6 +211,30 @@
   return false;
 }
 
+// Returns true if the caller was answered.
+bool TakeReply(Context& context,
+               PendingCallerQuery& caller,
+               const JobReply& reply) {
+  if (!reply.known) {
+    if (!caller.queried_member.empty()) {
+      caller.read_from = context.now;  // the sender was taken for the owner
+      caller.queried_member.clear();
+    }
+    return false;
+  }
+  if (reply.denied) {
+    Answer(context, caller.call, AccessDenied());
+    return true;
+  }
+  if (IsFinal(reply.state)) {
+    CatalogEntry& entry = context.state.catalog[caller.job];
+    entry.final_state = reply.state;
+    entry.final_cause = reply.cause;
+  }
+  ReportOutcome(context, caller, reply.state, reply.cause);
+  return true;
+}
+
 // Answers the caller if possible, else reads the job's record or queries its
 // owner, as due. Returns true if the caller was answered.
 bool TryAnswer(Context& context, std::uint64_t id, PendingCallerQuery& caller) {
@@ -221,13 +283,14 @@
     return false;
   }
   const bool unresponsive =
-      caller.queried_member == owner &&
-      HasPassed(context.now, caller.queried_at, kPeerReplyTimeout);
+      caller.queried_member == owner && IsRepeatDue(context, caller);
   if (unresponsive) {
     RequestRecord(context, caller.job);
   }
-  if (unresponsive || caller.queried_member != owner) {
-    SendQuery(context, id, caller, owner);
+  if ((unresponsive || caller.queried_member != owner) &&
+      !ShareQuery(context, caller, owner)) {
+    NoteQuery(context, id, caller, owner);
+    SendQuery(context, caller, owner);
   }
   return false;
 }
@@ -396,30 +459,15 @@
 }
 
 void OnJobReply(Context& context, const JobReply& reply) {
-  const auto it = context.state.callers.find(reply.call);
-  if (it == context.state.callers.end()) {
-    return;
-  }
-  if (!reply.known) {
-    if (!it->second.queried_member
-             .empty()) {  // the sender was taken for the owner
-      it->second.read_from = context.now;
-      it->second.queried_member.clear();
+  std::vector<std::uint64_t> answered;
+  for (auto& [id, caller] : context.state.callers) {
+    if (caller.query_call == reply.call && TakeReply(context, caller, reply)) {
+      answered.push_back(id);
     }
-    return;
   }
-  if (reply.denied) {
-    Answer(context, it->second.call, AccessDenied());
+  for (const std::uint64_t it : answered) {
     context.state.callers.erase(it);
-    return;
-  }
-  if (IsFinal(reply.state)) {
-    CatalogEntry& entry = context.state.catalog[it->second.job];
-    entry.final_state = reply.state;
-    entry.final_cause = reply.cause;
   }
-  ReportOutcome(context, it->second, reply.state, reply.cause);
-  context.state.callers.erase(it);
 }
 
 void OnRecordRead(Context& context, const std::string& job) {
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -306,6 +306,9 @@
   Time deadline{0};              // when it is answered as not known
   std::string queried_member{};  // the member that was queried last
   Time queried_at = Time::min();
+  // Number of that query, which callers with the same query share.
+  std::uint64_t query_call = 0;
+  Duration repeat_after{0};  // since queried_at, without a reply
   // Only a record whose read began then or later is used.
   Time read_from = Time::min();
 };
--- a/Tests/engine/query_pacing_test.cc
+++ b/Tests/engine/query_pacing_test.cc
@@ -2,8 +2,10 @@
 // no reply.
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -91,4 +93,38 @@
   CHECK(CountRecovering(fleet, "n0") == 0);
 }
 
+// Guards against one query for each caller of a job, which the job's owner has
+// to answer one by one while it is slow.
+TEST_CASE("Callers of one job share a query to its owner") {
+  Fleet fleet;
+  fleet.Settle();
+  PlanAll(fleet, {.takes = seconds(30)});
+  fleet.Submit("n0", "j1", OneStep(1));
+  fleet.Run(seconds(1));
+  // The record is read for the first caller.
+  fleet.StateOf("n1", "j1");
+  const Counter<JobQuery> queries(fleet, "n1", "n0");
+  std::vector<std::uint64_t> calls;
+  const auto call_ten_times = [&] {
+    for (int n = 0; n < 10; ++n) {
+      calls.push_back(fleet.QueryState("n1", "j1"));
+    }
+  };
+  call_ten_times();
+  fleet.Run(milliseconds(300));
+  CHECK(queries.n == 1);
+  // Without a reply only one of them repeats the query.
+  Cut(fleet, "n0", "n1");
+  call_ten_times();
+  fleet.Run(milliseconds(1000));
+  CHECK(queries.n == 3);
+  EndCut(fleet);
+  fleet.Run(milliseconds(400));
+  CHECK(queries.n == 4);
+  for (const std::uint64_t it : calls) {
+    REQUIRE(fleet.answers.contains(it));
+    CHECK(std::holds_alternative<JobStateFound>(fleet.answers.at(it)));
+  }
+}
+
 }  // namespace burdockrock::engine
