Engine: A member is told of the same crashes once a second at most

Change: a crash that a member was told in the last second is left out. The first message goes before the report that would follow it and is of use for longer than that, so that it arrives before the report or with it. It is told again after a second, in case it got lost.

Result: five adopt queries in 0.5 s get one message, and one more a second later; the test fails with the interval taken out.

--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -540,6 +540,8 @@
   std::map<std::string, ReceivedRuns> handed_runs{};  // by worker
   // Workers that crashed, and since when that is known here.
   std::map<std::string, Time> crashed_workers{};
+  // By member and worker: when the member was last told that it crashed.
+  std::map<std::string, std::map<std::string, Time>> crashes_told{};
   Time crashes_checked_at = Time::min();
   // By worker that this instance no longer owns: when the last lease that it
   // renewed there expires.
--- a/Source/engine/workers/worker_crashes.cc
+++ b/Source/engine/workers/worker_crashes.cc
@@ -18,6 +18,9 @@
 // A worker that was prepared for its machine to be taken down ends within this
 // time of the last request to empty it.
 constexpr Duration kTakeDownTime = milliseconds(10'000);
+// A member is told the same crashes again after this long, in case the message
+// got lost. While it is on its way, it arrives before what is sent later.
+constexpr Duration kCrashRepeatInterval = milliseconds(1000);
 
 std::string JobOf(const std::string& task) {
   const auto name = ParseTaskName(task);
@@ -113,6 +116,17 @@
   }
 }
 
+void ForgetTold(State& state) {
+  std::erase_if(state.crashes_told, [&](const auto& it) {
+    return FindMember(state, it.first) == nullptr;
+  });
+  for (auto& [member, crashes] : state.crashes_told) {
+    std::erase_if(crashes, [&](const auto& it) {
+      return !state.crashed_workers.contains(it.first);
+    });
+  }
+}
+
 }  // namespace
 
 bool IsCrash(const Context& context, const OwnedWorker& worker, LossKind kind) {
@@ -180,6 +194,9 @@
   std::erase_if(state.crashed_workers, [&](const auto& it) {
     return HasPassed(context.now, it.second, kCrashReportedFor);
   });
+  if (look) {
+    ForgetTold(state);
+  }
 }
 
 void AddCrashedRuns(const State& state,
@@ -206,8 +223,13 @@
 
 void SendCrashedWorkers(Context& context, const std::string& to) {
   WorkersCrashed message;
+  auto& told = context.state.crashes_told[to];
   for (const auto& [id, since] : context.state.crashed_workers) {
-    message.workers.push_back(id);
+    const auto it = told.try_emplace(id, Time::min()).first;
+    if (HasPassed(context.now, it->second, kCrashRepeatInterval)) {
+      it->second = context.now;
+      message.workers.push_back(id);
+    }
   }
   if (!message.workers.empty()) {
     Send(context, to, std::move(message));
--- a/Tests/engine/query_pacing_test.cc
+++ b/Tests/engine/query_pacing_test.cc
@@ -127,4 +127,37 @@
   }
 }
 
+// Guards against crashes that are told with each query answered, to members
+// that know them all.
+TEST_CASE("A member is not told the same crashes with each reply") {
+  Fleet fleet({.workers_tell_born = true});
+  fleet.Settle();
+  fleet.CrashWorker("w0", milliseconds(500));
+  fleet.Run(seconds(6));
+  const std::string owner = [&] {
+    for (const std::string& it : fleet.nodes()) {
+      if (!fleet.state(it).crashed_workers.empty()) {
+        return it;
+      }
+    }
+    return std::string();
+  }();
+  REQUIRE_FALSE(owner.empty());
+  const std::string other = owner == "n0" ? "n1" : "n0";
+  const Counter<WorkersCrashed> told(fleet, owner, other);
+  const auto ask = [&] {
+    fleet.DeliverPeerMessage(owner, fleet.state(other).options.self.incarnation,
+                             AdoptQuery{.wants_workers = true});
+    fleet.Run(milliseconds(100));
+  };
+  for (int n = 0; n < 5; ++n) {
+    ask();
+  }
+  CHECK(told.n == 1);
+  // The message may have been lost.
+  fleet.Run(seconds(1));
+  ask();
+  CHECK(told.n == 2);
+}
+
 }  // namespace burdockrock::engine
