Engine: Reports to adopters look up fewer workers

Cause: each report to a member that may miss workers looked up the owner of every listed worker by two names, and a check of all views by name came before the cheap one whether all members have reported.

Change: the report uses what placement has looked up since the members changed, and the cheap check comes first.

--- a/Source/engine/jobs/unseen_workers.cc
+++ b/Source/engine/jobs/unseen_workers.cc
@@ -127,6 +127,22 @@
          !KnowsRelays(ChosenToCompare(context.state));
 }
 
+// Whether a member announces the worker as its own. Asked of all workers with
+// each report, so that it uses what placement has looked up lately.
+bool IsClaimed(const State& state,
+               const std::string& id,
+               const ListedWorker& worker) {
+  const RoomView* view = worker.view;
+  if (view == nullptr) {
+    const auto it = state.view.find(id);
+    view = it == state.view.end() ? nullptr : &it->second;
+  }
+  if (view == nullptr || view->checked_version == state.members.version) {
+    return view != nullptr && view->owner_is_member;
+  }
+  return FindMember(state, view->owner) != nullptr;
+}
+
 std::vector<std::string> MembersWithoutReport(Context& context) {
   std::vector<std::string> missing = OtherMembers(context);
   std::erase_if(missing, [&](const std::string& it) {
@@ -183,9 +199,9 @@
   if (!MayMissWorkers(context)) {
     return true;
   }
-  const bool knows = HasPassedSinceReset(context, kListSettleTime) &&
-                     IsCompared(context) && !HasUnlistedOwned(context.state) &&
-                     MembersWithoutReport(context).empty();
+  const bool knows =
+      HasPassedSinceReset(context, kListSettleTime) && IsCompared(context) &&
+      MembersWithoutReport(context).empty() && !HasUnlistedOwned(context.state);
   // A member that registers later may remember a worker that no list of
   // machines has shown.
   UnseenWorkers& unseen = UnseenNow(context);
@@ -307,10 +323,7 @@
 
 void AddUnclaimed(const State& state, std::vector<RememberedWorker>& workers) {
   for (const auto& [id, it] : state.workers) {
-    const auto view = state.view.find(id);
-    const bool claimed = view != state.view.end() &&
-                         FindMember(state, view->second.owner) != nullptr;
-    if (it.listed && !claimed) {
+    if (it.listed && !IsClaimed(state, id, it)) {
       workers.push_back({.worker = id,
                          .address = it.info.address,
                          .domain = it.info.domain,
