--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -25,6 +25,7 @@
 #include "engine/log_repeat_limiter.h"
 #include "engine/members/digest_relay_state.h"
 #include "engine/members/peer_message.h"
+#include "engine/members/query_pacing_state.h"
 #include "engine/members/stop_state.h"
 #include "engine/options.h"
 #include "engine/records/record.h"
@@ -305,6 +306,9 @@
   Time deadline{0};              // when it is answered as not known
   std::string queried_member{};  // the member that was queried last
   Time queried_at = Time::min();
+  // Number of that query, which callers with the same query share.
+  std::uint64_t query_call = 0;
+  Duration repeat_after{0};  // since queried_at, without a reply
   // Only a record whose read began then or later is used.
   Time read_from = Time::min();
 };
@@ -526,6 +530,7 @@
   MembersState members{};
   MembersCheck members_check{};
   UnresponsiveMembers unresponsive_members{};
+  QueryPacing query_pacing{};
   Configuration configuration{};
   std::map<std::string, ListedWorker> workers{};  // by incarnation
   // By worker id: the incarnation whose entry is in the store's list.
@@ -538,6 +543,8 @@
   std::map<std::string, ReceivedRuns> handed_runs{};  // by worker
   // Workers that crashed, and since when that is known here.
   std::map<std::string, Time> crashed_workers{};
+  // By member and worker: when the member was last told that it crashed.
+  std::map<std::string, std::map<std::string, Time>> crashes_told{};
   Time crashes_checked_at = Time::min();
   // By worker that this instance no longer owns: when the last lease that it
   // renewed there expires.
--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -48,6 +48,10 @@
                         [this](engine::PeerMessageReceived it) {
                           shell_.Handle(std::move(it), peers_body_arrived_);
                         },
+                    .on_request =
+                        [this](const std::string& from) {
+                          peer_client_.NoteHeard(from);
+                        },
                     .log = [this](const LogLine& it) { logger_.Write(it); }}),
       housekeeping_timer_(io) {}
 
@@ -217,6 +221,14 @@
                     {{.name = "kind", .value = std::string(kind)}})
         .RaiseTo(static_cast<double>(it));
   }
+  for (const auto& [kind, it] : losses.replaced()) {
+    metrics_
+        .GetCounter(kPeerReplacedMessagesTotal,
+                    {{.name = "kind", .value = std::string(kind)}})
+        .RaiseTo(static_cast<double>(it));
+  }
+  metrics_.Set(kPeersProbed, {},
+               static_cast<double>(peer_client_.probed_peers()));
   if (const auto usage = ReadProcessUsage()) {
     metrics_.Set(kResidentBytes, {},
                  static_cast<double>(usage->resident_bytes));
