Engine: Callers of advice are chosen without ordering all members anew

Cause: each choice of the member that makes a call to the advice service hashed and sorted all members, copied their names three times, and walked all own queries for each of them. Due work chooses up to once for each queue whose steps wait, and once for each query whose reply is overdue.

Change: the order of the members is kept until they change, with what each has reported beside its name, so that a choice looks nothing up by name. Own queries are added up once a choice. The same random numbers are drawn, so that the same members are chosen. Two tests read the reported waits under their new names.

--- a/Source/engine/advice/advice_callers.cc
+++ b/Source/engine/advice/advice_callers.cc
@@ -45,10 +45,11 @@
 // registration is no sign, because it outlasts a network cut.
 constexpr Duration kReplyOverdue = milliseconds(300);
 
+// Members by their numbers in the order of all.
 struct Callers {
-  std::vector<std::string> reserved{};  // make no long calls
-  std::vector<std::string> helpers{};   // make them when no short ones wait
-  std::vector<std::string> for_all{};
+  std::vector<std::size_t> reserved{};  // make no long calls
+  std::vector<std::size_t> helpers{};   // make them when no short ones wait
+  std::vector<std::size_t> for_all{};
 };
 
 std::size_t CountShortCallers(std::size_t members) {
@@ -58,46 +59,107 @@
 }
 
 Time LastUpdateOf(const Context& context, const std::string& member) {
-  const auto& updates = context.state.advice.reported_at;
-  const auto it = updates.find(member);
-  return it == updates.end() ? Time::min() : it->second;
+  const auto& callers = context.state.advice.callers;
+  const auto it = callers.find(member);
+  return it == callers.end() ? Time::min() : it->second.reported_at;
 }
 
-bool IsResponsive(const Context& context,
-                  const std::string& member,
-                  Time updated_since) {
-  return member == context.self() ||
-         (!context.state.advice.unresponsive.contains(member) &&
-          LastUpdateOf(context, member) >= updated_since);
+bool IsUrgent(std::uint32_t priority) {
+  return priority == kMostUrgent;
+}
+
+Duration ReportedWait(const AdviceCaller& caller, std::uint32_t priority) {
+  return IsUrgent(priority) ? caller.urgent_wait : caller.wait;
+}
+
+Duration OwnWait(const Context& context, std::uint32_t priority) {
+  return IsUrgent(priority) ? UrgentAdviceWait(context.state, context.now)
+                            : AdviceWait(context.state, context.now);
+}
+
+// Whether a call of this priority waits for the one of the query.
+bool WaitsFor(const AdviceQuery& query, std::uint32_t priority) {
+  return !IsUrgent(priority) || query.priority == kMostUrgent;
+}
+
+XXH64_hash_t RankOfCaller(const std::string& member) {
+  return XXH64(member.data(), member.size(), 0);
 }
 
 // Orders the members by a hash, which is the same at all instances and mixes
 // the failure domains. By name, the first ones are all of one domain, and no
-// member would make short calls when that domain is cut off.
-std::vector<std::string> MembersInOrder(const Context& context) {
-  std::vector<std::pair<XXH64_hash_t, std::string>> ranked;
+// member would make short calls when that domain is cut off. The order is kept
+// until the members change.
+const std::vector<AdviceCallerPlace>& MembersInOrder(const Context& context) {
+  AdviceState& advice = context.state.advice;
+  AdviceCallerOrder& order = advice.order;
+  if (order.version == context.state.members.version) {
+    return order.places;
+  }
+  order.version = context.state.members.version;
+  order.places.clear();
   const auto add = [&](const std::string& it) {
-    ranked.emplace_back(XXH64(it.data(), it.size(), 0), it);
+    order.places.push_back(
+        {.rank = RankOfCaller(it),
+         .member = it,
+         .chance = std::hash<std::string>()(context.self() + it),
+         .caller = &advice.callers[it]});
   };
   for (const std::string& it : OtherMembers(context)) {
     add(it);
   }
   add(context.self());
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<std::string> members;
-  members.reserve(ranked.size());
-  for (auto& [rank, it] : ranked) {
-    members.push_back(std::move(it));
+  std::sort(order.places.begin(), order.places.end(),
+            [](const AdviceCallerPlace& left, const AdviceCallerPlace& right) {
+              return std::tie(left.rank, left.member) <
+                     std::tie(right.rank, right.member);
+            });
+  return order.places;
+}
+
+// By how much the own queries without a reply delay a call of this priority at
+// each member.
+std::vector<Duration> OpenQueries(const Context& context,
+                                  const std::vector<AdviceCallerPlace>& members,
+                                  std::uint32_t priority) {
+  std::vector<Duration> open(members.size());
+  for (const auto& [call, query] : context.state.advice.queries) {
+    if (!WaitsFor(query, priority)) {
+      continue;
+    }
+    const XXH64_hash_t rank = RankOfCaller(query.member);
+    auto it =
+        std::lower_bound(members.begin(), members.end(), rank,
+                         [](const AdviceCallerPlace& left, XXH64_hash_t right) {
+                           return left.rank < right;
+                         });
+    while (it != members.end() && it->rank == rank &&
+           it->member != query.member) {
+      ++it;
+    }
+    if (it != members.end() && it->rank == rank) {
+      open[static_cast<std::size_t>(it - members.begin())] += query.expected;
+    }
   }
-  return members;
+  return open;
+}
+
+bool IsResponsive(const Context& context,
+                  const AdviceCallerPlace& place,
+                  Time updated_since) {
+  return (!place.caller->unresponsive &&
+          place.caller->reported_at >= updated_since) ||
+         place.member == context.self();
 }
 
-Callers CallersOf(const Context& context, Time updated_since) {
-  const std::vector<std::string> members = MembersInOrder(context);
+Callers CallersOf(const Context& context,
+                  const std::vector<AdviceCallerPlace>& members,
+                  Time updated_since) {
   const std::size_t short_callers = CountShortCallers(members.size());
   const std::size_t reserved =
       (short_callers + kShortCallersPerReserved - 1) / kShortCallersPerReserved;
   Callers callers;
+  callers.for_all.reserve(members.size());
   for (std::size_t it = 0; it < members.size(); ++it) {
     if (!IsResponsive(context, members[it], updated_since)) {
       continue;
@@ -105,7 +167,7 @@
     auto& group = it >= short_callers                  ? callers.for_all
                   : callers.reserved.size() < reserved ? callers.reserved
                                                        : callers.helpers;
-    group.push_back(members[it]);
+    group.push_back(it);
   }
   if (callers.for_all.empty()) {
     callers.for_all =
@@ -122,27 +184,50 @@
   Duration wait = kForever;
 };
 
-// Among equal waits, prefers this instance, which saves a network hop, and else
-// chooses at random: if all instances chose the first one, it would be
-// overloaded until its next report.
-ShortestWait FindShortestWait(const Context& context,
-                              const std::vector<std::string>& members,
-                              std::uint32_t priority) {
-  ShortestWait best;
-  std::tuple<std::int64_t, bool, std::uint64_t> best_rank;
-  for (const std::string& it : members) {
-    const Duration wait = WaitAt(context, it, priority);
-    // The hash makes instances with equal random numbers choose differently.
-    const std::uint64_t chance =
-        std::hash<std::string>()(context.self() + it) ^ context.state.random();
-    const std::tuple rank(wait / kWaitTolerance, it != context.self(), chance);
-    if (best.member.empty() || rank < best_rank) {
-      best = {.member = it, .wait = wait};
-      best_rank = rank;
+// Finds the members with the shortest waits for a call of one priority.
+class ShortestWaits {
+ public:
+  ShortestWaits(const Context& context,
+                const std::vector<AdviceCallerPlace>& members,
+                std::uint32_t priority)
+      : context_(context),
+        members_(members),
+        priority_(priority),
+        open_(OpenQueries(context, members, priority)) {}
+
+  // Among equal waits, prefers this instance, which saves a network hop, and
+  // else chooses at random: if all instances chose the first one, it would be
+  // overloaded until its next report.
+  ShortestWait FindAmong(const std::vector<std::size_t>& numbers) const {
+    const AdviceCallerPlace* best = nullptr;
+    Duration best_wait = kForever;
+    std::tuple<std::int64_t, bool, std::uint64_t> best_rank;
+    for (const std::size_t it : numbers) {
+      const AdviceCallerPlace& place = members_[it];
+      const bool is_self = place.member == context_.self();
+      const Duration wait =
+          is_self ? OwnWait(context_, priority_)
+                  : ReportedWait(*place.caller, priority_) + open_[it];
+      // The hash makes instances with equal random numbers choose differently.
+      const std::uint64_t chance = place.chance ^ context_.state.random();
+      const std::tuple rank(wait / kWaitTolerance, !is_self, chance);
+      if (best == nullptr || rank < best_rank) {
+        best = &place;
+        best_wait = wait;
+        best_rank = rank;
+      }
     }
+    return best == nullptr
+               ? ShortestWait()
+               : ShortestWait{.member = best->member, .wait = best_wait};
   }
-  return best;
-}
+
+ private:
+  const Context& context_;
+  const std::vector<AdviceCallerPlace>& members_;
+  std::uint32_t priority_;
+  std::vector<Duration> open_;
+};
 
 // Whether an instance that is kept for short calls makes a long one while those
 // that make long ones are busy: it is idle, and short calls need not wait at
@@ -161,18 +246,16 @@
 Duration WaitAt(const Context& context,
                 const std::string& member,
                 std::uint32_t priority) {
-  const AdviceState& advice = context.state.advice;
-  const bool urgent = priority == kMostUrgent;
   if (member == context.self()) {
-    return urgent ? UrgentAdviceWait(context.state, context.now)
-                  : AdviceWait(context.state, context.now);
+    return OwnWait(context, priority);
   }
-  const auto& waits = urgent ? advice.urgent_waits : advice.waits;
-  const auto reported = waits.find(member);
-  Duration wait = reported == waits.end() ? Duration(0) : reported->second;
+  const AdviceState& advice = context.state.advice;
+  const auto reported = advice.callers.find(member);
+  Duration wait = reported == advice.callers.end()
+                      ? Duration(0)
+                      : ReportedWait(reported->second, priority);
   for (const auto& [call, query] : advice.queries) {
-    const bool before = !urgent || query.priority == kMostUrgent;
-    if (query.member == member && before) {
+    if (WaitsFor(query, priority) && query.member == member) {
       wait += query.expected;
     }
   }
@@ -183,16 +266,16 @@
                                std::uint32_t priority,
                                Duration expected,
                                Time updated_since) {
-  const Callers callers = CallersOf(context, updated_since);
-  const ShortestWait all = FindShortestWait(context, callers.for_all, priority);
+  const auto& members = MembersInOrder(context);
+  const Callers callers = CallersOf(context, members, updated_since);
+  const ShortestWaits shortest(context, members, priority);
+  const ShortestWait all = shortest.FindAmong(callers.for_all);
   const bool is_long = IsLongCall(expected);
   if (is_long && all.wait <= kWaitTolerance) {
     return all.member;
   }
-  const ShortestWait reserved =
-      FindShortestWait(context, callers.reserved, priority);
-  const ShortestWait helper =
-      FindShortestWait(context, callers.helpers, priority);
+  const ShortestWait reserved = shortest.FindAmong(callers.reserved);
+  const ShortestWait helper = shortest.FindAmong(callers.helpers);
   if (is_long) {
     return MayHelp(reserved, helper) ? helper.member : all.member;
   }
@@ -205,33 +288,25 @@
                         const std::string& member,
                         Duration wait,
                         Duration urgent_wait) {
-  AdviceState& advice = context.state.advice;
-  advice.waits[member] = wait;
-  advice.urgent_waits[member] = urgent_wait;
-  advice.reported_at[member] = context.now;
-  advice.unresponsive.erase(member);
+  context.state.advice.callers[member] = {
+      .wait = wait, .urgent_wait = urgent_wait, .reported_at = context.now};
 }
 
 void ForgetAdviceCaller(Context& context, const std::string& member) {
   AdviceState& advice = context.state.advice;
-  advice.waits.erase(member);
-  advice.urgent_waits.erase(member);
-  advice.reported_at.erase(member);
-  advice.unresponsive.erase(member);
+  advice.order = AdviceCallerOrder();  // refers to the callers
+  advice.callers.erase(member);
 }
 
 void AvoidAdviceCaller(Context& context, const AdviceQuery& query) {
   if (FindMember(context.state, query.member) == nullptr) {
     return;
   }
-  AdviceState& advice = context.state.advice;
-  if (IsQueryLost(context, query)) {
-    advice.unresponsive.insert(query.member);
-  }
+  AdviceCaller& caller = context.state.advice.callers[query.member];
+  caller.unresponsive = caller.unresponsive || IsQueryLost(context, query);
   // The member is busier than it reported.
-  for (auto* waits : {&advice.waits, &advice.urgent_waits}) {
-    Duration& wait = (*waits)[query.member];
-    wait = std::max(wait, context.now - query.sent_at);
+  for (Duration* wait : {&caller.wait, &caller.urgent_wait}) {
+    *wait = std::max(*wait, context.now - query.sent_at);
   }
 }
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -15,8 +15,7 @@
 #include <variant>
 #include <vector>
 
-#include "engine/advice/advice_reason.h"
-#include "engine/advice/advice_rule.h"
+#include "engine/advice/advice_state.h"
 #include "engine/calls.h"
 #include "engine/configuration.h"
 #include "engine/jobs/job.h"
@@ -375,50 +374,6 @@
   std::string after{};
 };
 
-// A pending advice query for a step of an owned job.
-struct AdviceQuery {
-  TaskName step{};       // the index is ignored
-  std::string member{};  // makes the call to the service
-  std::vector<std::string> workers{};
-  std::uint32_t priority = 0;
-  AdviceReason reason = AdviceReason::kFirst;
-  Duration expected{0};
-  Time sent_at{0};
-  Time due{0};  // when the reply is expected
-  Time deadline{0};
-};
-
-// A queued call to the advice service on behalf of a member or this instance.
-struct QueuedAdviceCall {
-  std::string from{};
-  PeerAdviceRequest request{};
-  Time received_at{0};
-};
-
-struct AdviceState {
-  std::uint64_t last_call = 0;
-  std::map<std::uint64_t, AdviceQuery> queries{};
-  std::deque<QueuedAdviceCall> call_queue{};
-  std::optional<QueuedAdviceCall> in_flight{};
-  Time called_at{0};  // start of the call in flight
-  // Calls that were answered lately, by the sender and its number of the call.
-  std::map<std::pair<std::string, std::uint64_t>, Time> answered{};
-  Time retry_at{0};
-  Duration overrun{0};  // how far recent calls exceeded their expected time
-  Time overrun_at{0};
-  // Queueing times at the members as they report them; longer after a query
-  // without a reply.
-  std::map<std::string, Duration> waits{};
-  std::map<std::string, Duration> urgent_waits{};
-  std::map<std::string, Time> reported_at{};  // last report
-  // With an overdue reply, and no message since.
-  std::set<std::string> unresponsive{};
-  std::map<std::string, AllowedShare> shares{};  // by queue
-  // Time in which this instance made no call while own steps waited for one.
-  Duration idle_beside_line{0};
-  Time line_checked_at = kForever;  // since when steps wait; kForever: none do
-};
-
 // What one team sends.
 struct TeamArrivalState {
   ArrivalWindow window{};
--- a/Tests/engine/advice_callers_test.cc
+++ b/Tests/engine/advice_callers_test.cc
@@ -321,9 +321,9 @@
                                        .wait = milliseconds(700),
                                        .urgent_wait = milliseconds(40)});
   const AdviceState& advice = fleet.state("n0").advice;
-  CHECK(advice.reported_at.at("n1-1") >= now);
-  CHECK(advice.waits.at("n1-1") == milliseconds(700));
-  CHECK(advice.urgent_waits.at("n1-1") == milliseconds(40));
+  CHECK(advice.callers.at("n1-1").reported_at >= now);
+  CHECK(advice.callers.at("n1-1").wait == milliseconds(700));
+  CHECK(advice.callers.at("n1-1").urgent_wait == milliseconds(40));
 }
 
 // An instance that has just registered sends queries to members that have not
--- a/Tests/engine/messages_test.cc
+++ b/Tests/engine/messages_test.cc
@@ -156,7 +156,7 @@
   fleet.Settle();
   fleet.DeliverPeerMessage(
       "n1", "n0-1", RoomDigest{.sequence = 1, .advice_wait = seconds(2)});
-  CHECK(fleet.state("n1").advice.waits.at("n0-1") == seconds(2));
+  CHECK(fleet.state("n1").advice.callers.at("n0-1").wait == seconds(2));
   std::vector<AdviceReply> replies;
   fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
     if (const auto* it = std::get_if<AdviceReply>(&send.message)) {
@@ -173,7 +173,7 @@
   CHECK(std::any_of(replies.begin(), replies.end(), [](const AdviceReply& it) {
     return it.wait > Duration(0);
   }));
-  CHECK(fleet.state("n1").advice.waits.at("n0-1") < seconds(1));
+  CHECK(fleet.state("n1").advice.callers.at("n0-1").wait < seconds(1));
 }
 
 TEST_CASE("Rooms are decoded as they were encoded, and are compact") {
