Engine: Steps that need no advice or have no task to place are not ranked

Cause: each run of the due work collected, ranked and sorted all ready steps, and counted for each of them what its queue leaves free, before it looked at which of them may ask for advice. Placement did the same for steps whose tasks all run.

Change: who collects ready steps names a condition, which is checked before anything is counted or sorted. A step's room at workers with tickets is counted no further than needed. Workers are looked at for advice only if they belong to the service, and those without room are passed over before look-ups by name; the preference for a worker is hashed once. The same steps ask, in the same order, and name the same workers.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -47,8 +47,8 @@
 constexpr Duration kQueryInterval = milliseconds(150);
 
 bool HasEnough(const Context& context, const ReadyStep& ready) {
-  return CountTicketed(context, ready) >=
-         static_cast<std::int64_t>(CountWaiting(ready.run()));
+  const auto waiting = static_cast<std::int64_t>(CountWaiting(ready.run()));
+  return CountTicketed(context, ready, waiting) >= waiting;
 }
 
 bool HasValidTicket(const Context& context, const StepRun& step) {
@@ -57,26 +57,27 @@
       [&](const auto& it) { return IsValid(context, it.second); });
 }
 
+// Whether a query may be sent for the step now, if it needs advice.
+bool MayAsk(const Context& context, const ReadyStep& ready) {
+  const StepRun& step = ready.run();
+  return ready.queue->advice && !step.advice_pending &&
+         HasPassed(context.now, step.advice_checked_at,
+                   kQueryInterval + ready.queue->advice->decision) &&
+         !WaitsForRecovery(ready);
+}
+
 bool NeedsAdvice(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
-  if (!ready.queue->advice || step.advice_pending || WaitsForRecovery(ready)) {
-    return false;
+  if (!WorkersToRenew(context, ready).empty()) {
+    return ready.ready || !HasValidTicket(context, step);
   }
-  const bool renews = !WorkersToRenew(context, ready).empty();
-  if (CountWaiting(step) == 0 && !renews) {
-    return false;
-  }
-  if (!ready.ready && HasValidTicket(context, step)) {
+  if (CountWaiting(step) == 0 ||
+      (!ready.ready && HasValidTicket(context, step))) {
     return false;
   }
   // Tickets lapse while the team is at its cap, and each call keeps those of
   // other teams waiting.
-  if (!renews && WaitsForCap(context, *ready.job)) {
-    return false;
-  }
-  return HasPassed(context.now, step.advice_checked_at,
-                   kQueryInterval + ready.queue->advice->decision) &&
-         (renews || !HasEnough(context, ready));
+  return !WaitsForCap(context, *ready.job) && !HasEnough(context, ready);
 }
 
 AdviceReason ReasonOf(const Context& context, const ReadyStep& ready) {
@@ -138,8 +139,12 @@
 // Steps that need advice, in the order in which they get it.
 std::vector<ReadyStep> StepsInLine(Context& context) {
   std::vector<std::pair<AdviceRank, ReadyStep>> ranked;
-  for (const ReadyStep& it : ReadySteps(context, LeadOf)) {
+  const auto may_ask = [&](const ReadyStep& it) {
     it.run().advice_in_line = false;
+    return MayAsk(context, it);
+  };
+  for (const ReadyStep& it :
+       ReadySteps(context, {.lead = LeadOf, .wants = may_ask})) {
     if (NeedsAdvice(context, it)) {
       ranked.emplace_back(
           RankOfCall(PriorityOf(it), it.standing(), Precedes(context, it),
--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -23,7 +23,7 @@
 constexpr std::size_t kMaxRoomlessWorkers = 10;
 
 struct NamedWorker {
-  std::string id;
+  const std::string* id = nullptr;
   bool allowed = false;  // by an earlier reply whose ticket has expired
   bool has_room = false;
   double fits = 0;  // number of tasks that fit now
@@ -37,9 +37,13 @@
 bool CouldPreempt(const Context& context,
                   const ReadyStep& ready,
                   const PlacementNeed& need,
-                  Candidate candidate) {
-  candidate.free += candidate.preemptible;
-  return MayPreempt(context, ready) && HasRoomNow(need, candidate);
+                  const Candidate& candidate) {
+  if (!MayPreempt(context, ready)) {
+    return false;
+  }
+  Candidate after_preemption = candidate;
+  after_preemption.free += candidate.preemptible;
+  return HasRoomNow(need, after_preemption);
 }
 
 bool HasTaskToIsolate(const Context& context, const StepRun& step) {
@@ -65,36 +69,38 @@
   const PlacementNeed need = NeedOf(ready);
   const auto placed = CountPlaced(ready);
   const bool alone = !ready.spec().gang && HasTaskToIsolate(context, step);
+  const bool gang = ready.spec().gang;
+  const bool queried = step.advised_at != kForever;
   std::vector<NamedWorker> names;
   for (const Candidate& candidate :
        CandidatesFor(context, ready.queue->service, candidates)) {
+    // A worker is emptied for a task that is to run alone.
+    const bool has_room = alone || HasRoomNow(need, candidate) ||
+                          CouldPreempt(context, ready, need, candidate);
+    // A further call is useful only for workers where a task starts at once. A
+    // gang remembers which workers are allowed, and room may come there later.
+    if (queried && !has_room && !gang) {
+      continue;
+    }
     const std::string& id = candidate.worker->id;
     if (!MayRunOn(ready.spec(), *candidate.worker) ||
         step.denied.contains(id)) {
       continue;
     }
     const auto ticket = step.tickets.find(id);
-    const std::int64_t starts =
-        CountStarts(ready, placed, need, *candidate.worker, candidate.free);
+    const bool known = ticket != step.tickets.end();
+    if (known && (gang || IsValid(context, ticket->second))) {
+      continue;
+    }
     const auto there = placed.find(id);
     if (there != placed.end() && there->second >= ready.spec().spread) {
       continue;  // the spread limit is reached
     }
-    // A worker is emptied for a task that is to run alone.
-    const bool has_room = alone || HasRoomNow(need, candidate) ||
-                          CouldPreempt(context, ready, need, candidate);
-    const bool known = ticket != step.tickets.end();
-    // A further call is useful only for workers where a task starts at once. A
-    // gang remembers which workers are allowed, and room may come there later.
-    const bool gang = ready.spec().gang;
-    const bool queried = step.advised_at != kForever;
-    if ((known && (gang || IsValid(context, ticket->second))) ||
-        (queried && !has_room && !gang)) {
-      continue;
-    }
+    const std::int64_t starts =
+        CountStarts(ready, placed, need, *candidate.worker, candidate.free);
     const auto fits =
         static_cast<double>(alone ? std::max<std::int64_t>(starts, 1) : starts);
-    names.push_back({.id = id,
+    names.push_back({.id = &id,
                      .allowed = known,
                      .has_room = has_room,
                      .fits = fits,
@@ -122,11 +128,16 @@
   return ticket.expires > context.now + kTicketMargin;
 }
 
-std::int64_t CountTicketed(const Context& context, const ReadyStep& ready) {
+std::int64_t CountTicketed(const Context& context,
+                           const ReadyStep& ready,
+                           std::int64_t enough) {
   const PlacementNeed need = NeedOf(ready);
   const auto placed = CountPlaced(ready);
   std::int64_t fits = 0;
   for (const auto& [worker, ticket] : ready.run().tickets) {
+    if (fits >= enough) {
+      return fits;
+    }
     if (!ready.spec().gang && !IsValid(context, ticket)) {
       continue;
     }
@@ -174,8 +185,9 @@
     const ReadyStep& ready,
     CandidatesByService& candidates) {
   const std::set<std::string> renewed = WorkersToRenew(context, ready);
-  if (CountTicketed(context, ready) >=
-      static_cast<std::int64_t>(CountWaiting(ready.run()))) {
+  const std::size_t waiting = CountWaiting(ready.run());
+  const std::int64_t ticketed = CountTicketed(context, ready);
+  if (ticketed >= static_cast<std::int64_t>(waiting)) {
     return {renewed.begin(), renewed.end()};
   }
   std::vector<NamedWorker> names = NamesFor(context, ready, candidates);
@@ -188,10 +200,9 @@
                             std::tuple(-right.empty, !right.has_room,
                                        !right.allowed, right.rank);
                    });
-  AdviceCallDraft call{
-      .waiting = CountWaiting(ready.run()),
-      .gang = ready.spec().gang,
-      .ticketed = static_cast<double>(CountTicketed(context, ready))};
+  AdviceCallDraft call{.waiting = waiting,
+                       .gang = ready.spec().gang,
+                       .ticketed = static_cast<double>(ticketed)};
   const double share = context.state.advice.shares[ready.queue->name].value();
   std::vector<std::string> chosen(renewed.begin(), renewed.end());
   const bool queried = ready.run().advised_at != kForever;
@@ -203,8 +214,8 @@
         HasEnoughWorkers(call)) {
       break;
     }
-    if (!renewed.contains(it.id)) {
-      chosen.push_back(it.id);
+    if (!renewed.contains(*it.id)) {
+      chosen.push_back(*it.id);
     }
     ++call.named;
     call.starts += it.fits * (it.allowed ? 1 : share);
--- a/Source/engine/advice/advised_names.h
+++ b/Source/engine/advice/advised_names.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -26,8 +27,11 @@
 
 // How many tasks of the step fit at workers with a valid ticket. Of a gang: at
 // workers that are known to be allowed, whose tickets are requested once its
-// room is booked.
-std::int64_t CountTicketed(const Context& context, const ReadyStep& ready);
+// room is booked. Counts no further than `enough`.
+std::int64_t CountTicketed(
+    const Context& context,
+    const ReadyStep& ready,
+    std::int64_t enough = std::numeric_limits<std::int64_t>::max());
 
 // Workers whose tickets expire soon or have expired, and at which tasks of the
 // step wait for other runs there to end or room is booked for a gang.
--- a/Source/engine/jobs/candidates.cc
+++ b/Source/engine/jobs/candidates.cc
@@ -19,15 +19,20 @@
 constexpr double kMaxForeignPreference = 0.5;
 
 double PreferenceFor(const Context& context,
-                     const std::string& worker,
+                     ListedWorker& listed,
                      const std::string& owner) {
   if (owner == context.self()) {
     return 1;
   }
-  const XXH64_hash_t seed =
-      XXH64(context.self().data(), context.self().size(), 0);
-  const XXH64_hash_t hash = XXH64(worker.data(), worker.size(), seed);
-  return kMaxForeignPreference * static_cast<double>(hash >> 11U) / 0x1p53;
+  if (!listed.foreign_preference) {
+    const std::string& worker = listed.info.id;
+    const XXH64_hash_t seed =
+        XXH64(context.self().data(), context.self().size(), 0);
+    const XXH64_hash_t hash = XXH64(worker.data(), worker.size(), seed);
+    listed.foreign_preference =
+        kMaxForeignPreference * static_cast<double>(hash >> 11U) / 0x1p53;
+  }
+  return *listed.foreign_preference;
 }
 
 // Estimates are wrong by a similar factor for all workers, so only differences
@@ -78,14 +83,14 @@
 }
 
 Candidate MakeCandidate(const Context& context,
-                        const ListedWorker& listed,
+                        ListedWorker& listed,
                         const RoomView& view,
                         double mean_slowness) {
   return {.worker = &listed.info,
           .free = view.free,
           .preemptible = view.yielding,
           .own_domain = listed.info.domain == context.state.options.self.domain,
-          .preference = PreferenceFor(context, listed.info.id, view.owner),
+          .preference = PreferenceFor(context, listed, view.owner),
           .slowness = RelativeSlowness(view, mean_slowness)};
 }
 
@@ -125,8 +130,10 @@
   std::vector<Candidate> candidates;
   candidates.reserve(state.workers.size());
   for (auto& [id, listed] : state.workers) {
-    const RoomView* view = UsableView(state, id, listed);
-    if (view != nullptr && listed.info.service == service) {
+    if (listed.info.service != service) {
+      continue;
+    }
+    if (const RoomView* view = UsableView(state, id, listed)) {
       candidates.push_back(MakeCandidate(context, listed, *view, slowness));
     }
   }
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -237,7 +237,7 @@
 void AddReadySteps(Context& context,
                    Job& job,
                    const QueuePolicy& queue,
-                   const StepLead& lead,
+                   const ReadyStepOptions& options,
                    std::vector<ReadyStep>& out) {
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
     for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
@@ -245,8 +245,9 @@
         continue;
       }
       const bool ready = IsStepReady(job, k, s);
-      const auto soon = ready || !lead ? std::optional<Duration>()
-                                       : lead(queue, job.spec.steps[s]);
+      const auto soon = ready || !options.lead
+                            ? std::optional<Duration>()
+                            : options.lead(queue, job.spec.steps[s]);
       if (!ready && !(soon && IsReadySoon(context, job, k, s, *soon))) {
         continue;
       }
@@ -254,18 +255,37 @@
       if (ready) {
         step.ready_at = std::min(step.ready_at, context.now);
       }
-      out.push_back(
-          {.job = &job,
-           .occurrence = k,
-           .step = s,
-           .queue = &queue,
-           .ready = ready,
-           .reserves_for = ReservesFor(context, queue, job.spec.steps[s], step,
-                                       job.occurrences[k].standing)});
+      ReadyStep it{.job = &job,
+                   .occurrence = k,
+                   .step = s,
+                   .queue = &queue,
+                   .ready = ready};
+      if (options.wants && !options.wants(it)) {
+        continue;
+      }
+      it.reserves_for = ReservesFor(context, queue, job.spec.steps[s], step,
+                                    job.occurrences[k].standing);
+      out.push_back(it);
     }
   }
 }
 
+// Whether a placement round may start tasks of the step.
+bool IsPlaceable(const Context& context, const ReadyStep& ready) {
+  if (!ready.job->stored || !ready.job->verified) {
+    return false;
+  }
+  // Copies of lasting tasks need not wait for the reports.
+  if (WaitsForRecovery(ready) && !ready.spec().lasting) {
+    return false;
+  }
+  const auto& tasks = ready.run().tasks;
+  return ready.spec().gang ||
+         std::any_of(tasks.begin(), tasks.end(), [&](const Task& it) {
+           return IsDue(context, it) || WaitsForCopy(it);
+         });
+}
+
 }  // namespace
 
 bool WaitsForRecovery(const ReadyStep& ready) {
@@ -322,20 +342,21 @@
               kReservePerPriority * static_cast<double>(ready.reserves_for)};
 }
 
-std::vector<ReadyStep> ReadySteps(Context& context, const StepLead& lead) {
+std::vector<ReadyStep> ReadySteps(Context& context,
+                                  const ReadyStepOptions& options) {
   std::vector<ReadyStep> steps;
   for (const std::string& id : context.state.active) {
     Job& job = context.state.jobs.at(id);
     const QueuePolicy* queue =
         FindQueueByName(context.state.configuration, job.queue);
     if (queue != nullptr && !IsFinal(job.state)) {
-      AddReadySteps(context, job, *queue, lead, steps);
+      AddReadySteps(context, job, *queue, options, steps);
     }
   }
-  std::sort(steps.begin(), steps.end(),
-            [](const ReadyStep& left, const ReadyStep& right) {
-              return OrderOf(left) < OrderOf(right);
-            });
+  std::stable_sort(steps.begin(), steps.end(),
+                   [](const ReadyStep& left, const ReadyStep& right) {
+                     return OrderOf(left) < OrderOf(right);
+                   });
   return steps;
 }
 
@@ -370,14 +391,10 @@
   context.state.placement_due = false;
   context.state.placed_at = context.now;
   PlacementRound round{.context = context};
-  for (const ReadyStep& it : ReadySteps(context)) {
-    if (!it.job->stored || !it.job->verified) {
-      continue;
-    }
-    // Copies of lasting tasks need not wait for the reports.
-    if (WaitsForRecovery(it) && !it.spec().lasting) {
-      continue;
-    }
+  const auto is_placeable = [&](const ReadyStep& it) {
+    return IsPlaceable(context, it);
+  };
+  for (const ReadyStep& it : ReadySteps(context, {.wants = is_placeable})) {
     if (it.spec().gang) {
       PlaceGang(round, it);
     } else {
--- a/Source/engine/jobs/placing.h
+++ b/Source/engine/jobs/placing.h
@@ -35,12 +35,19 @@
 using StepLead =
     std::function<std::optional<Duration>(const QueuePolicy&, const StepSpec&)>;
 
+// Which steps to collect.
+struct ReadyStepOptions {
+  // Adds steps whose dependencies are expected to be done within this time.
+  StepLead lead{};
+  // Leaves out steps for which it returns false. It is called before
+  // `reserves_for` is known.
+  std::function<bool(const ReadyStep&)> wants{};
+};
+
 // All steps that are ready, sorted by the priority of their queue and then by
 // how long they have been ready; deferred ones come last, by their standing.
-// With `lead` also steps whose dependencies are expected to be done within that
-// time.
 std::vector<ReadyStep> ReadySteps(Context& context,
-                                  const StepLead& lead = nullptr);
+                                  const ReadyStepOptions& options = {});
 
 // Whether no task of the step may start before all workers that may run it have
 // reported: one that has not may list failed runs of the job, and starting a
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -255,6 +255,8 @@
   // Its entry of State::view, whose entries are never removed; null if it was
   // not looked up yet or did not exist then.
   RoomView* view = nullptr;
+  // The preference for it while another member owns it; set with its first use.
+  std::optional<double> foreign_preference{};
 };
 
 // A worker's room as its owner last reported it.
