Engine: Reads of the members that return no change change nothing

Cause: each entry of a member that was read counted as a change of the members, also where the whole list was read again. Each change discards all choices of owners, and whether each worker's owner is a member. Members read the whole list while workers are silent past their leases, so that 147 unchanged entries discarded the choices 147 times.

Change: an entry with the same record and revision is passed over.

--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -272,9 +272,17 @@
   MembersState& members = context.state.members;
   Member& member = members.present[incarnation];
   const bool is_new = member.fence == 0;
+  const Member before = member;
   member.record = std::get<MemberRecord>(std::move(decoded));
   member.fence = std::max(member.fence, item.revision);
-  members.departed.erase(incarnation);
+  const bool rejoins = members.departed.erase(incarnation) > 0;
+  const bool changed =
+      rejoins || member.record != before.record || member.fence != before.fence;
+  // Reads of the whole list repeat what is known, and with each new version all
+  // choices of owners are made anew.
+  if (!changed) {
+    return;
+  }
   RebuildChoosableMembers(members);
   if (IsSelf(context, incarnation)) {
     // The registration took effect although its reply was lost.
--- a/Tests/engine/failure_test.cc
+++ b/Tests/engine/failure_test.cc
@@ -389,6 +389,22 @@
   }
 }
 
+// Guards against reads of the members that have each instance choose all owners
+// anew, although they return what is known.
+TEST_CASE("A read of the members that returns no change is no change") {
+  Fleet fleet;
+  fleet.Settle();
+  const std::uint64_t version = fleet.state("n0").members.version;
+  const Time read_at = fleet.now();
+  fleet.store.Put("other", "");
+  fleet.store.ForgetHistory();
+  fleet.Run(seconds(3));
+  const MembersState& members = fleet.state("n0").members;
+  CHECK(fleet.state("n0").watches[0].known_to > read_at);
+  CHECK(members.present.size() == fleet.nodes().size());
+  CHECK(members.version == version);
+}
+
 // Guards against a store that refuses the calls of all instances because jobs
 // arrive one by one, faster than it accepts writes, and each takes a
 // transaction.
