--- a/Source/runtime/engine_instance.cc
+++ b/Source/runtime/engine_instance.cc
@@ -41,7 +41,7 @@
       peer_client_(io,
                    options_.engine.self.incarnation,
                    [this](const LogLine& it) { logger_.Write(it); }),
-      load_log_([this](const LogLine& it) { logger_.Write(it); }),
+      processor_log_([this](const LogLine& it) { logger_.Write(it); }),
       shell_(io, engine::MakeState(options_.engine), MakeHooks()),
       peer_server_({.incarnation = options_.engine.self.incarnation,
                     .on_message =
@@ -106,18 +106,18 @@
           [this](Duration it) {
             step_seconds_.Observe(InSeconds(it));
             const Time driven_at = shell_.state().drive.driven_at;
-            load_log_.NoteStep(
+            processor_log_.NoteStep(
                 it, std::exchange(last_driven_at_, driven_at) != driven_at);
           },
       .event_waited =
           [this](Duration it) {
             queue_seconds_.Observe(InSeconds(it));
-            load_log_.NoteWait(it);
+            processor_log_.NoteWait(it);
           },
       .timer_late =
           [this](Duration it) {
             late_seconds_.Observe(InSeconds(it));
-            load_log_.NoteWait(it);
+            processor_log_.NoteWait(it);
           },
   };
 }
@@ -226,9 +226,9 @@
   return metrics_.ToText();
 }
 
-LoadTotals EngineInstance::ReadLoad() const {
-  LoadTotals totals{.peers_received = peer_server_.traffic().messages,
-                    .peers_sent = peer_client_.traffic().messages};
+ProcessTotals EngineInstance::ReadTotals() const {
+  ProcessTotals totals{.peers_received = peer_server_.traffic().messages,
+                       .peers_sent = peer_client_.traffic().messages};
   for (const auto& [kind, it] : peer_client_.losses().resent()) {
     totals.peers_resent += it;
   }
@@ -249,7 +249,7 @@
       return;
     }
     peer_client_.LogLosses();
-    load_log_.WriteLine(SteadyNow(), ReadLoad());
+    processor_log_.WriteLine(SteadyNow(), ReadTotals());
     logger_.Flush();
     if (++housekeepings_ % kHousekeepingsPerSweep == 0) {
       peer_client_.Sweep();
--- a/Source/runtime/engine_instance.h
+++ b/Source/runtime/engine_instance.h
@@ -17,7 +17,7 @@
 #include "observe/metrics.h"
 #include "runtime/engine_peers.h"
 #include "runtime/engine_shell.h"
-#include "runtime/load_log.h"
+#include "runtime/processor_log.h"
 
 namespace burdockrock {
 
@@ -68,7 +68,7 @@
   void OnOperatorRequest(const HttpRequest& request,
                          const HttpResponder& responder);
   std::string MetricsText();
-  LoadTotals ReadLoad() const;
+  ProcessTotals ReadTotals() const;
   void ArmHousekeeping();
 
   boost::asio::io_context& io_;
@@ -82,7 +82,7 @@
   Summary& cancel_seconds_ = metrics_.GetSummary(kCancelSeconds);
   Time peers_body_arrived_{0};
   EnginePeerClient peer_client_;
-  LoadLog load_log_;
+  ProcessorLog processor_log_;
   Time last_driven_at_{0};
   EngineShell shell_;
   EnginePeerServer peer_server_;
--- a/Source/runtime/load_log.cc
+++ b/Source/runtime/processor_log.cc
@@ -1,4 +1,4 @@
-#include "runtime/load_log.h"
+#include "runtime/processor_log.h"
 
 #include <algorithm>
 #include <chrono>
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-void LoadLog::NoteStep(Duration took, bool drove) {
+void ProcessorLog::NoteStep(Duration took, bool drove) {
   ++window_.steps;
   window_.steps_took += took;
   if (drove) {
@@ -27,11 +27,11 @@
   }
 }
 
-void LoadLog::NoteWait(Duration wait) {
+void ProcessorLog::NoteWait(Duration wait) {
   window_.longest_wait = std::max(window_.longest_wait, wait);
 }
 
-void LoadLog::WriteLine(Time now, const LoadTotals& totals) {
+void ProcessorLog::WriteLine(Time now, const ProcessTotals& totals) {
   if (begun_ != Time::min() && now < begun_ + kInterval) {
     return;
   }
--- a/Source/runtime/load_log.h
+++ b/Source/runtime/processor_log.h
@@ -1,6 +1,6 @@
 // Logs that the process is short of processor time, and what its time goes to.
-#ifndef BURDOCKROCK_RUNTIME_LOAD_LOG_H_
-#define BURDOCKROCK_RUNTIME_LOAD_LOG_H_
+#ifndef BURDOCKROCK_RUNTIME_PROCESSOR_LOG_H_
+#define BURDOCKROCK_RUNTIME_PROCESSOR_LOG_H_
 
 #include <compare>
 #include <cstdint>
@@ -13,19 +13,19 @@
 namespace burdockrock {
 
 // Totals since the start.
-struct LoadTotals {
+struct ProcessTotals {
   std::uint64_t peers_received = 0;  // messages of other entry instances
   std::uint64_t peers_sent = 0;
   std::uint64_t peers_resent = 0;
   std::uint64_t peers_given_up = 0;
   Duration processor{0};  // of the whole process
 
-  auto operator<=>(const LoadTotals&) const = default;
+  auto operator<=>(const ProcessTotals&) const = default;
 };
 
-class LoadLog {
+class ProcessorLog {
  public:
-  explicit LoadLog(std::function<void(const LogLine&)> log)
+  explicit ProcessorLog(std::function<void(const LogLine&)> log)
       : log_(std::move(log)) {}
 
   // `drove` says that the step ran the work that was due.
@@ -35,7 +35,7 @@
 
   // Writes a line if something has waited for long since the last call with a
   // later `now` by kInterval or more.
-  void WriteLine(Time now, const LoadTotals& totals);
+  void WriteLine(Time now, const ProcessTotals& totals);
 
  private:
   // Steps since the last look.
@@ -50,9 +50,9 @@
   std::function<void(const LogLine&)> log_;
   Window window_;
   Time begun_ = Time::min();
-  LoadTotals before_;  // when the window began
+  ProcessTotals before_;  // when the window began
 };
 
 }  // namespace burdockrock
 
-#endif  // BURDOCKROCK_RUNTIME_LOAD_LOG_H_
+#endif  // BURDOCKROCK_RUNTIME_PROCESSOR_LOG_H_
--- a/Tests/runtime/load_log_test.cc
+++ b/Tests/runtime/processor_log_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "runtime/load_log.h"
+#include "runtime/processor_log.h"
 
 namespace burdockrock {
 
@@ -17,7 +17,7 @@
 // A log that has looked at the time and totals before.
 struct BegunLog {
   std::vector<LogLine> lines{};
-  LoadLog log{[this](const LogLine& it) { lines.push_back(it); }};
+  ProcessorLog log{[this](const LogLine& it) { lines.push_back(it); }};
   Time begun = seconds(100);
 
   BegunLog() {
