--- a/Source/runtime/processor_log.cc
+++ b/Source/runtime/processor_log.cc
@@ -37,20 +37,23 @@
   }
   if (begun_ != Time::min() && window_.longest_wait >= kLongWait) {
     log_({.number = EventNumber::kProcessorShort,
-          .fields = {{"span_ms", Milliseconds(now - begun_)},
-                     {"longest_wait_ms", Milliseconds(window_.longest_wait)},
-                     {"processor_ms",
-                      Milliseconds(totals.processor - before_.processor)},
-                     {"steps", std::to_string(window_.steps)},
-                     {"steps_ms", Milliseconds(window_.steps_took)},
-                     {"drives", std::to_string(window_.drives)},
-                     {"drives_ms", Milliseconds(window_.drives_took)},
-                     {"peers_received", std::to_string(totals.peers_received -
-                                                       before_.peers_received)},
-                     {"peers_sent",
-                      std::to_string(totals.peers_sent - before_.peers_sent)},
-                     {"peers_resent", std::to_string(totals.peers_resent -
-                                                     before_.peers_resent)}}});
+          .fields = {
+              {"span_ms", Milliseconds(now - begun_)},
+              {"longest_wait_ms", Milliseconds(window_.longest_wait)},
+              {"processor_ms",
+               Milliseconds(totals.processor - before_.processor)},
+              {"steps", std::to_string(window_.steps)},
+              {"steps_ms", Milliseconds(window_.steps_took)},
+              {"drives", std::to_string(window_.drives)},
+              {"drives_ms", Milliseconds(window_.drives_took)},
+              {"peers_received",
+               std::to_string(totals.peers_received - before_.peers_received)},
+              {"peers_sent",
+               std::to_string(totals.peers_sent - before_.peers_sent)},
+              {"peers_resent",
+               std::to_string(totals.peers_resent - before_.peers_resent)},
+              {"peers_given_up", std::to_string(totals.peers_given_up -
+                                                before_.peers_given_up)}}});
   }
   window_ = {};
   begun_ = now;
