Tests: Reports to adopters repeat all workers of a cut domain

Each such report lists all workers that no present member has claimed: those of the domain that is cut off.

--- a/Tests/engine/overload_recovery_test.cc
+++ b/Tests/engine/overload_recovery_test.cc
@@ -4,8 +4,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
+#include <tuple>
+#include <variant>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -215,4 +218,31 @@
       {.event = microseconds(7000), .message = microseconds(500)});
 }
 
+// Guards against reports to adopters that list all workers of a cut domain each
+// time, which took most of the bytes between instances during a cut.
+TEST_CASE("An instance seldom tells an adopter of the same worker") {
+  // Once, and again after 5 s, as a message may get lost.
+  constexpr int kMostMentions = 2;
+  LoadedFleet loaded;
+  Fleet& fleet = loaded.fleet;
+  // By sender, receiver and worker.
+  std::map<std::tuple<std::string, std::string, std::string>, int> mentions;
+  int most = 0;
+  std::size_t reports = 0;
+  fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
+    const auto* report = std::get_if<AdoptReport>(&send.message);
+    if (report == nullptr) {
+      return;
+    }
+    ++reports;
+    for (const RememberedWorker& it : report->remembered) {
+      most = std::max(most, ++mentions[{from, send.to, it.worker}]);
+    }
+  };
+  BeginCut(fleet);
+  fleet.Run(kCut);
+  CHECK(reports > 0);
+  CHECK(most <= kMostMentions);
+}
+
 }  // namespace burdockrock::engine
