Engine: Queued advice calls are kept in order instead of sorted anew

Cause: each request for a call, and each begin of one, sorted the whole queue, whose entries hold the names of up to all workers that the call names.

Change: a call is inserted at its place. The rank of a queued call does not change, so that the order is that of the stable sort before.

--- a/Source/engine/advice/advice_queue.cc
+++ b/Source/engine/advice/advice_queue.cc
@@ -77,12 +77,14 @@
                     call.received_at - request.waited);
 }
 
-void SortQueue(std::deque<QueuedAdviceCall>& queue) {
-  std::stable_sort(
-      queue.begin(), queue.end(),
-      [](const QueuedAdviceCall& left, const QueuedAdviceCall& right) {
-        return RankOf(left) < RankOf(right);
-      });
+// Keeps the queue in the order of the calls' ranks, which do not change.
+void Enqueue(std::deque<QueuedAdviceCall>& queue, QueuedAdviceCall call) {
+  const auto place =
+      std::upper_bound(queue.begin(), queue.end(), RankOf(call),
+                       [](const AdviceRank& rank, const QueuedAdviceCall& it) {
+                         return rank < RankOf(it);
+                       });
+  queue.insert(place, std::move(call));
 }
 
 // A member that is not listed is not necessarily lost: it may have registered
@@ -142,7 +144,6 @@
 // those keep their place in the line of their step's owner.
 void DeclineLateCalls(Context& context) {
   AdviceState& advice = context.state.advice;
-  SortQueue(advice.call_queue);
   const Duration late = LatenessAt(advice, context.now);
   Duration wait = WaitForCallInFlight(advice, context.now);
   std::vector<QueuedAdviceCall> declined;
@@ -182,7 +183,6 @@
   if (advice.call_queue.empty()) {
     return;
   }
-  SortQueue(advice.call_queue);
   advice.in_flight = std::move(advice.call_queue.front());
   advice.call_queue.pop_front();
   advice.called_at = context.now;
@@ -198,8 +198,8 @@
   if (IsKnown(context.state.advice, from, request.call)) {
     return;
   }
-  context.state.advice.call_queue.push_back(
-      {.from = from, .request = request, .received_at = context.now});
+  Enqueue(context.state.advice.call_queue,
+          {.from = from, .request = request, .received_at = context.now});
   DeclineLateCalls(context);
 }
 
