Engine: Reports to adopters tell each worker once

A member that knows all workers asks for them with each adopt_query, and each report then lists all workers that no present member has claimed, which during a cut are those of the domain that is cut off.

Change: a report has a digest of the list, the next query names it, and the member leaves out what it has told in that report. A report that was lost is told again, since its digest is not named. Members of an earlier release name none and get the whole list.

Result: "An instance seldom tells an adopter of the same worker" passes (four times of at most two before).

Repeats also wait as long as the last reply took, and a member counts as silent after 2 s: the digests of a large fleet come each 0.8 s, so that each of them reset the pauses after 0.4 s. The links of the test fleet follow those of processes: probes, longer pauses, replaced messages. The case with expensive messages is still red: 4 adopted jobs after 7 s (17 before), 723 messages given up (4393 before).

--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -218,6 +218,9 @@
     // may remember a worker. One that did not know all may do so by now.
     query.wants_workers =
         !round.unseen || round.all || AwaitsReportOfUnseen(context, member);
+    if (query.wants_workers) {
+      query.known_workers = KnownWorkersOf(context, member);
+    }
     NoteQueried(context, member, RepeatedQuery::kAdoption);
     Send(context, member, std::move(query));
   }
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -293,7 +293,7 @@
   AddCrashedRuns(context.state, jobs, report.ends);
   SendCrashedWorkers(context, from);
   if (query.wants_workers) {
-    AddRememberedWorkers(context, from, report);
+    AddRememberedWorkers(context, from, query.known_workers, report);
   }
   Send(context, from, std::move(report));
 }
--- a/Source/engine/jobs/unseen_workers.cc
+++ b/Source/engine/jobs/unseen_workers.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include <xxhash.h>
+
 #include "engine/members/member_features.h"
 #include "engine/members/membership.h"
 #include "engine/records/watches.h"
@@ -143,6 +145,46 @@
   return FindMember(state, view->owner) != nullptr;
 }
 
+std::uint64_t Extend(std::uint64_t digest, std::string_view text) {
+  return XXH64(text.data(), text.size(), digest + text.size());
+}
+
+std::uint64_t DigestOf(const RememberedWorker& it) {
+  std::uint64_t digest = it.draining ? 1 : 0;
+  for (const std::string* text :
+       {&it.worker, &it.address, &it.domain, &it.service}) {
+    digest = Extend(digest, *text);
+  }
+  return digest;
+}
+
+std::uint64_t DigestOf(const std::set<std::uint64_t>& workers) {
+  constexpr int kDroppedBits = 11;  // the others are exact in JSON
+  std::uint64_t digest = workers.size();
+  for (const std::uint64_t it : workers) {
+    digest = XXH64(&it, sizeof(it), digest);
+  }
+  return digest >> kDroppedBits;
+}
+
+// The receiver has read the last report if it names its digest.
+void LeaveOutKnown(ToldWorkers& told,
+                   std::uint64_t known,
+                   AdoptReport& report) {
+  ToldWorkers now;
+  for (const RememberedWorker& it : report.remembered) {
+    now.workers.insert(DigestOf(it));
+  }
+  now.digest = DigestOf(now.workers);
+  if (known != 0 && known == told.digest) {
+    std::erase_if(report.remembered, [&](const RememberedWorker& it) {
+      return told.workers.contains(DigestOf(it));
+    });
+  }
+  report.workers_digest = now.digest;
+  told = std::move(now);
+}
+
 std::vector<std::string> MembersWithoutReport(Context& context) {
   std::vector<std::string> missing = OtherMembers(context);
   std::erase_if(missing, [&](const std::string& it) {
@@ -248,10 +290,18 @@
     return;
   }
   for (const std::string& it : MembersToAsk(context)) {
-    Send(context, it, AdoptQuery{.wants_workers = true});
+    Send(context, it,
+         AdoptQuery{.wants_workers = true,
+                    .known_workers = KnownWorkersOf(context, it)});
   }
 }
 
+std::uint64_t KnownWorkersOf(Context& context, const std::string& member) {
+  const auto& lists = UnseenNow(context).lists_read;
+  const auto it = lists.find(member);
+  return it == lists.end() ? 0 : it->second;
+}
+
 void NoteReportOfUnseen(Context& context,
                         const std::string& from,
                         const AdoptReport& report) {
@@ -262,6 +312,9 @@
   }
   UnseenWorkers& unseen = UnseenNow(context);
   unseen.reported_by.insert(from);
+  if (report.workers_digest != 0) {
+    unseen.lists_read[from] = report.workers_digest;
+  }
   if (report.machines_compared) {
     unseen.compared_by.insert(from);
   }
@@ -274,6 +327,7 @@
 
 void AddRememberedWorkers(Context& context,
                           const std::string& to,
+                          std::uint64_t known,
                           AdoptReport& report) {
   report.remembered = AllRemembered(context.state);
   const bool follows = FollowsWorkerList(context);
@@ -284,6 +338,7 @@
   if (report.machines_compared || report.machines_unread) {
     AddUnclaimed(context.state, report.remembered);
   }
+  LeaveOutKnown(UnseenNow(context).told[to], known, report);
   if (!report.all_remembered && to != context.self()) {
     UnseenNow(context).askers.insert(to);
   }
@@ -303,7 +358,7 @@
   for (const std::string& it : std::exchange(unseen.askers, {})) {
     if (FindMember(context.state, it) != nullptr) {
       AdoptReport report;
-      AddRememberedWorkers(context, it, report);
+      AddRememberedWorkers(context, it, 0, report);
       Send(context, it, std::move(report));
     }
   }
--- a/Source/engine/jobs/unseen_workers.h
+++ b/Source/engine/jobs/unseen_workers.h
@@ -37,11 +37,16 @@
                         const AdoptReport& report);
 
 // Adds what this instance remembers of workers for the member `to`, and whether
-// that is all there are. If it isn't, AnswerOpenQueries reports again.
+// that is all there are. If it isn't, AnswerOpenQueries reports again. Leaves
+// out the workers of the last report, if its digest is `known`.
 void AddRememberedWorkers(Context& context,
                           const std::string& to,
+                          std::uint64_t known,
                           AdoptReport& report);
 
+// The digest of the member's workers to name in queries to it; 0: none.
+std::uint64_t KnownWorkersOf(Context& context, const std::string& member);
+
 // Reports to the members whose queries came before this instance knew all
 // workers, once it does.
 void AnswerOpenQueries(Context& context);
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -359,6 +359,7 @@
     codec.Optional("remembered", it.remembered,
                    std::vector<engine::RememberedWorker>());
     codec.Optional("wants_workers", it.wants_workers, false);
+    codec.Optional("known_workers", it.known_workers, std::uint64_t{0});
   }
 };
 
@@ -390,6 +391,7 @@
     codec.Optional("covered", it.covered, std::vector<engine::CoveredWorker>());
     codec.Optional("remembered", it.remembered,
                    std::vector<engine::RememberedWorker>());
+    codec.Optional("workers_digest", it.workers_digest, std::uint64_t{0});
     codec.Optional("all_remembered", it.all_remembered, false);
     codec.Optional("machines_compared", it.machines_compared, false);
     codec.Optional("machines_unread", it.machines_unread, false);
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -299,6 +299,9 @@
   // Set when the sender has watched the list of workers only for a short time
   // and may have missed removals.
   bool wants_workers = false;
+  // For `wants_workers`: AdoptReport::workers_digest of the receiver's last
+  // report that the sender has read; 0: none.
+  std::uint64_t known_workers = 0;
 
   auto operator<=>(const AdoptQuery&) const = default;
 };
@@ -329,6 +332,9 @@
   // For `wants_workers`: workers that were removed from the list and that may
   // still run tasks.
   std::vector<RememberedWorker> remembered{};
+  // For `wants_workers`: a digest of all these workers. Those that the receiver
+  // knows by AdoptQuery::known_workers are left out; 0: none are.
+  std::uint64_t workers_digest = 0;
   // Together with the store's list, `remembered` holds every worker that may
   // run tasks.
   bool all_remembered = false;
--- a/Source/engine/members/query_pacing.cc
+++ b/Source/engine/members/query_pacing.cc
@@ -18,8 +18,8 @@
 // For a member that is heard: the query or its answer got lost.
 constexpr Duration kLongestPauseIfHeard = milliseconds(1000);
 // A member that was not heard for this long and is heard again is asked at
-// once.
-constexpr Duration kSilence = milliseconds(400);
+// once. Longer than the pauses between the digests of a large fleet.
+constexpr Duration kSilence = milliseconds(2000);
 // A pause is longer than the doubled one by at most this part of it.
 constexpr std::int64_t kJitterDivisor = 4;
 
@@ -67,6 +67,13 @@
       static_cast<std::int64_t>(digest % static_cast<std::uint64_t>(most + 1)));
 }
 
+// A repeat before a reply can be there, by the time that the last one took,
+// would only be one more message to a member that is late.
+Duration FirstPauseAfter(const QueryPace& pace, RepeatedQuery query) {
+  return std::max(FirstPause(query),
+                  std::min(2 * pace.reply_time, kLongestPauseIfHeard));
+}
+
 bool IsAnswered(const MemberQueries& queries,
                 const QueryPace& pace,
                 RepeatedQuery query) {
@@ -85,7 +92,8 @@
   }
   const QueryPace& pace = queries->paces[static_cast<std::size_t>(query)];
   if (IsAnswered(*queries, pace, query)) {
-    return true;
+    return HasPassed(context.now, pace.answered_at,
+                     std::min(pace.reply_time, kLongestPauseIfHeard));
   }
   Duration pause = pace.pause;
   if (pace.repeated) {
@@ -115,11 +123,14 @@
   MemberQueries& queries = context.state.query_pacing[member];
   QueryPace& pace = queries.paces[static_cast<std::size_t>(query)];
   if (IsAnswered(queries, pace, query)) {
-    pace = {.sent_at = context.now, .pause = FirstPause(query)};
+    pace.sent_at = context.now;
+    pace.asked_at = context.now;
+    pace.pause = FirstPauseAfter(pace, query);
+    pace.repeated = false;
   } else if (MayRepeat(context, member, query)) {
-    pace = {.sent_at = context.now,
-            .pause = std::min(2 * pace.pause, LongestPause(query)),
-            .repeated = true};
+    pace.sent_at = context.now;
+    pace.pause = std::min(2 * pace.pause, LongestPause(query));
+    pace.repeated = true;
   }
 }
 
@@ -127,8 +138,14 @@
                   const std::string& member,
                   RepeatedQuery query) {
   const auto it = context.state.query_pacing.find(member);
-  if (it != context.state.query_pacing.end()) {
-    it->second.paces[static_cast<std::size_t>(query)] = QueryPace();
+  if (it == context.state.query_pacing.end()) {
+    return;
+  }
+  QueryPace& pace = it->second.paces[static_cast<std::size_t>(query)];
+  if (pace.pause != Duration(0)) {
+    pace = {.sent_at = pace.sent_at,
+            .answered_at = context.now,
+            .reply_time = context.now - pace.asked_at};
   }
 }
 
--- a/Source/engine/members/query_pacing_state.h
+++ b/Source/engine/members/query_pacing_state.h
@@ -17,8 +17,11 @@
 
 struct QueryPace {
   Time sent_at = Time::min();
-  Duration pause{0};      // until a repeat; 0: the last query is answered
-  bool repeated = false;  // and no repeat was answered
+  Duration pause{0};            // until a repeat; 0: the last query is answered
+  bool repeated = false;        // and no repeat was answered
+  Time asked_at = Time::min();  // the first query that is not answered
+  Time answered_at = Time::min();  // the last answer
+  Duration reply_time{0};          // of it
 
   auto operator<=>(const QueryPace&) const = default;
 };
--- a/Source/engine/unseen_state.h
+++ b/Source/engine/unseen_state.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 
@@ -26,6 +27,12 @@
   Time read_at = Time::min();
 };
 
+// The workers in the last report to a member. Each is known by a digest.
+struct ToldWorkers {
+  std::uint64_t digest = 0;  // of all of them
+  std::set<std::uint64_t> workers{};
+};
+
 // Whether the members have reported the workers that left the list before this
 // instance followed it; collected anew with each registration and after each
 // gap in the list.
@@ -51,6 +58,9 @@
   // Members whose queries came before this instance knew all workers.
   std::set<std::string> askers{};
   Time answer_checked_at = Time::min();
+  // By member: the digest of the last list of workers that was read from it.
+  std::map<std::string, std::uint64_t> lists_read{};
+  std::map<std::string, ToldWorkers> told{};  // by member
 };
 
 }  // namespace burdockrock::engine
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -258,8 +258,14 @@
   struct Link {
     PeerChannel channel;
     bool in_flight = false;     // or about to be sent
+    std::string to{};           // the incarnation of the last message
     std::uint64_t request = 0;  // number of the last one
     Duration pause{0};          // after the last failure; 0: none since
+    int failures = 0;           // in a row
+    bool probing = false;       // the last request was a probe
+    Time failed_at{0};
+    Time retry_at{0};
+    std::uint64_t flush = 0;  // number of the last that was planned
   };
   struct Node {
     std::string domain{};
@@ -314,6 +320,9 @@
   void HandlePeerSend(const std::string& node, const SendPeer& send);
   Link& LinkTo(const std::string& node, const std::string& address);
   void AddToLink(const std::string& node, const SendPeer& send);
+  void FlushAt(const std::string& node, const std::string& address, Time at);
+  // A message of the incarnation has arrived at the node.
+  void NoteHeard(const std::string& node, const std::string& from);
   void Flush(const std::string& node,
              std::uint64_t incarnation,
              const std::string& address);
--- a/Tests/engine/fleet_links.cc
+++ b/Tests/engine/fleet_links.cc
@@ -9,6 +9,7 @@
 
 #include "engine/fleet.h"
 #include "engine/limits.h"
+#include "engine/members/message_subject.h"
 #include "engine/members/peer_codec.h"
 
 namespace burdockrock::engine {
@@ -20,7 +21,10 @@
 constexpr Duration kLatency = milliseconds(1);  // one-way
 constexpr Duration kRequestTimeout = milliseconds(1000);
 constexpr Duration kFirstPause = milliseconds(50);
-constexpr Duration kLongestPause = milliseconds(400);
+constexpr Duration kLongestPause = milliseconds(1600);
+constexpr Duration kLongestPauseIfHeard = milliseconds(400);
+constexpr int kFailuresBeforeProbe = 2;
+constexpr std::uint64_t kProbeNumber = 0;
 constexpr Duration kStateUsefulFor = kRequestTimeout + milliseconds(250);
 constexpr Duration kAdviceUsefulFor = milliseconds(500);
 
@@ -84,12 +88,42 @@
                     .kind = PeerMethods()[send.message.index()],
                     .text = std::to_string(link_messages_.size()),
                     .digest = ScopeOf(send.message),
+                    .subject = SubjectOf(send.message),
                     .queued_at = now_,
                     .useful_for = UsefulFor(send.message)});
   link_messages_.push_back(send.message);
-  if (!std::exchange(link.in_flight, true)) {
-    At(now_, [this, node, incarnation = nodes_.at(node).incarnation,
-              address = send.address] { Flush(node, incarnation, address); });
+  if (std::exchange(link.to, send.to) != send.to) {
+    link.failures = 0;
+    link.pause = Duration(0);
+    link.retry_at = now_;
+  }
+  if (!link.in_flight) {
+    FlushAt(node, send.address, std::max(now_, link.retry_at));
+  }
+}
+
+void Fleet::FlushAt(const std::string& node,
+                    const std::string& address,
+                    Time at) {
+  Link& link = LinkTo(node, address);
+  link.in_flight = true;
+  At(at, [this, node, incarnation = nodes_.at(node).incarnation, address,
+          flush = ++link.flush] {
+    if (nodes_.at(node).incarnation == incarnation &&
+        LinkTo(node, address).flush == flush) {
+      Flush(node, incarnation, address);
+    }
+  });
+}
+
+void Fleet::NoteHeard(const std::string& node, const std::string& from) {
+  for (auto& [address, link] : nodes_.at(node).links) {
+    const Time retry_at = link.failed_at + kLongestPauseIfHeard;
+    if (link.to == from && link.retry_at > std::max(now_, retry_at)) {
+      link.pause = std::min(link.pause, kLongestPauseIfHeard);
+      link.retry_at = retry_at;
+      FlushAt(node, address, std::max(now_, retry_at));
+    }
   }
 }
 
@@ -101,7 +135,17 @@
     return;
   }
   Link& link = LinkTo(node, address);
-  auto batch = link.channel.TakeBatch(now_);
+  if (!link.channel.HasMessages(now_)) {
+    link.in_flight = false;
+    return;
+  }
+  link.probing = link.failures >= kFailuresBeforeProbe;
+  std::optional<ChannelBatch> batch;
+  if (link.probing) {
+    batch = {.to = link.to, .number = kProbeNumber, .body = "[]"};
+  } else {
+    batch = link.channel.TakeBatch(now_);
+  }
   if (!batch) {
     link.in_flight = false;
     return;
@@ -140,16 +184,23 @@
   }
   ++link.request;  // a later result of the same request does not count
   if (result == BatchResult::kFailed) {
+    ++link.failures;
+    link.channel.NoteFailure();
     link.pause = std::clamp(2 * link.pause, kFirstPause, kLongestPause);
-    return At(now_ + link.pause, [this, node, incarnation, address] {
-      Flush(node, incarnation, address);
-    });
+    link.failed_at = now_;
+    link.retry_at = now_ + link.pause;
+    return FlushAt(node, address, link.retry_at);
   }
-  if (result == BatchResult::kRefused) {
-    link.channel.DropBatch();
+  if (link.probing) {
+    link.failures = kFailuresBeforeProbe - 1;
+  } else {
+    if (result == BatchResult::kRefused) {
+      link.channel.DropBatch();
+    }
+    link.failures = 0;
+    link.pause = Duration(0);
+    link.channel.Acknowledge();
   }
-  link.pause = Duration(0);
-  link.channel.Acknowledge();
   Flush(node, incarnation, address);
 }
 
@@ -165,6 +216,7 @@
     return answer(BatchResult::kRefused);
   }
   std::vector<Arrival> arrivals;
+  NoteHeard(address, sender);
   std::uint64_t& taken = to.taken[sender];
   if (batch.number > taken) {
     taken = batch.number;
