Engine: A late instance puts off digests and repeated queries

Seen: in the case of overload_recovery_test with expensive messages (7 ms an event) 4 adopted jobs were not recovered 7 s after the cut, events waited for 1.2 s, and 723 messages were given up from 7 to 10 s. At that rate a third of what the instances handle is digests, and a fifth queries of recovery.

Cause: digests and queries went out at the rate of an instance that is in time, ahead of what others wait for.

Change: the shell tells the reducer how long each event has waited. Digests that are not urgent, rounds of adopt queries and repeated requests for whole digests are put off by three times the mean, at most 1.5 s; nothing is put off while events do not wait. First queries for an adopted job go out at once as before.

--- a/Source/engine/context.h
+++ b/Source/engine/context.h
@@ -2,12 +2,14 @@
 #ifndef BURDOCKROCK_ENGINE_CONTEXT_H_
 #define BURDOCKROCK_ENGINE_CONTEXT_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "engine/event.h"
+#include "engine/limits.h"
 #include "engine/state.h"
 #include "observe/event_number.h"
 
@@ -38,6 +40,12 @@
 // answers its remaining callers before it exits.
 void Reply(Context& context, const std::string& to, PeerMessage message);
 
+// By how much digests and repeated queries are put off, so that what others
+// wait for is not late as well; 0 unless events of this instance wait.
+inline Duration DelayWhenLate(const State& state) {
+  return std::min(kWaitsOfDelay * state.drive.waited, kMaxDelayWhenLate);
+}
+
 // Whether `span` has passed since `since`. Time::min() counts as long ago,
 // without an overflow.
 constexpr bool HasPassed(Time now, Time since, Duration span) {
--- a/Source/engine/event.h
+++ b/Source/engine/event.h
@@ -77,6 +77,8 @@
   EventBody body{};
   // How long the instance took for the event before, with its effects.
   Duration took_before{0};
+  // How long the event has waited in the process; how late, for TimePassed.
+  Duration waited{0};
 };
 
 // Effects, which the shell carries out. Calls are answered by an event, also if
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -262,11 +262,12 @@
   AnswerOpenQueries(context);
   RecoveryState& recovery = context.state.recovery;
   std::optional<bool> knows_all;  // computed once, if a job needs it
+  const Duration late = DelayWhenLate(context.state);
   const bool query_due =
-      HasPassed(context.now, recovery.queried_at, kAdoptQueryInterval);
-  QueryRound round{
-      .all = HasPassed(context.now, recovery.queried_all_at, kQueryAllInterval),
-      .unseen = MayMissWorkers(context)};
+      HasPassed(context.now, recovery.queried_at, kAdoptQueryInterval + late);
+  QueryRound round{.all = HasPassed(context.now, recovery.queried_all_at,
+                                    kQueryAllInterval + late),
+                   .unseen = MayMissWorkers(context)};
   const bool long_query_due =
       query_due &&
       (round.all || LongQueriesAreDue(context, recovery.queried_at));
--- a/Source/engine/limits.h
+++ b/Source/engine/limits.h
@@ -213,6 +213,10 @@
 inline constexpr int kDriveShare = 4;
 // Longest pause for the sake of this share.
 inline constexpr Duration kMaxDrivePause = milliseconds(100);
+// An instance that is short of processor time sends digests and repeats queries
+// later by so many times the time for which its events wait, within the bound.
+inline constexpr int kWaitsOfDelay = 3;
+inline constexpr Duration kMaxDelayWhenLate = milliseconds(1500);
 // Minimum time between two rounds of placement.
 inline constexpr Duration kPlacementInterval = milliseconds(3);
 
--- a/Source/engine/members/digest_gaps.cc
+++ b/Source/engine/members/digest_gaps.cc
@@ -137,7 +137,8 @@
   };
   auto& requested = context.state.digest.full_requested_at;
   for (auto& [member, asked] : requested) {
-    if (HasPassed(context.now, asked, kFullDigestRetryDelay) &&
+    if (HasPassed(context.now, asked,
+                  kFullDigestRetryDelay + DelayWhenLate(context.state)) &&
         MayRepeat(context, member, RepeatedQuery::kDigest)) {
       NoteQueried(context, member, RepeatedQuery::kDigest);
       asked = context.now;
--- a/Source/engine/members/digests.cc
+++ b/Source/engine/members/digests.cc
@@ -97,8 +97,10 @@
 
 Duration IntervalOf(const State& state) {
   const auto members = static_cast<std::int64_t>(state.members.present.size());
-  return kDigestInterval + kDigestIntervalPerMember *
-                               std::max<std::int64_t>(members - kFewMembers, 0);
+  return kDigestInterval +
+         kDigestIntervalPerMember *
+             std::max<std::int64_t>(members - kFewMembers, 0) +
+         DelayWhenLate(state);
 }
 
 bool HasChanges(const DigestState& state) {
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -209,6 +209,11 @@
   }
 }
 
+void NoteWait(DriveState& drive, Duration waited) {
+  constexpr int kEvents = 16;  // in the mean
+  drive.waited += (waited - drive.waited) / kEvents;
+}
+
 // Does all work that is due.
 void Drive(Context& context) {
   DriveState& drive = context.state.drive;
@@ -288,6 +293,7 @@
                   .now = event.now,
                   .wall_ms = event.wall_ms};
   NoteDriveCost(state.drive, event.took_before);
+  NoteWait(state.drive, event.waited);
   std::visit(EventVisitor{context}, event.body);
   DrainInbox(context);
   state.drive.due = true;
--- a/Source/runtime/engine_shell.cc
+++ b/Source/runtime/engine_shell.cc
@@ -16,7 +16,11 @@
 }
 
 void EngineShell::Handle(engine::EventBody event, Time arrived) {
-  queue_.push_back({.event = std::move(event), .at = arrived});
+  Handle(Arrival{.event = std::move(event), .at = arrived});
+}
+
+void EngineShell::Handle(Arrival arrival) {
+  queue_.push_back(std::move(arrival));
   if (running_) {
     return;
   }
@@ -33,12 +37,13 @@
 void EngineShell::Apply(Arrival arrival) {
   const Time start = SteadyNow();
   hooks_.event_waited(start - arrival.at);
-  const engine::Effects effects =
-      engine::Step(state_, engine::Event{.now = start,
-                                         .wall_ms = static_cast<std::int64_t>(
-                                             WallMicroseconds() / 1000),
-                                         .body = std::move(arrival.event),
-                                         .took_before = took_before_});
+  const engine::Effects effects = engine::Step(
+      state_, engine::Event{.now = start,
+                            .wall_ms = static_cast<std::int64_t>(
+                                WallMicroseconds() / 1000),
+                            .body = std::move(arrival.event),
+                            .took_before = took_before_,
+                            .waited = start - arrival.at + arrival.late});
   hooks_.step_took(SteadyNow() - start);
   for (const engine::Effect& it : effects) {
     CarryOut(it);
@@ -84,9 +89,11 @@
   timer_.expires_after(next - SteadyNow());
   timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
-      hooks_.timer_late(SteadyNow() - armed_for_);
+      const Time now = SteadyNow();
+      const Duration late = now - armed_for_;
+      hooks_.timer_late(late);
       armed_for_ = kForever;
-      Handle(engine::TimePassed());
+      Handle(Arrival{.event = engine::TimePassed(), .at = now, .late = late});
     }
   });
 }
--- a/Source/runtime/engine_shell.h
+++ b/Source/runtime/engine_shell.h
@@ -58,8 +58,10 @@
   struct Arrival {
     engine::EventBody event{};
     Time at{0};
+    Duration late{0};  // of a timer
   };
 
+  void Handle(Arrival arrival);
   void Apply(Arrival arrival);
   void CarryOut(const engine::Effect& effect) const;
   void ArmTimer();
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -335,7 +335,8 @@
                                  Event{.now = now_,
                                        .wall_ms = ToMilliseconds(now_),
                                        .body = *arrival.body,
-                                       .took_before = node.took});
+                                       .took_before = node.took,
+                                       .waited = now_ - arrival.at});
     const bool drove = node.state->drive.driven_at != driven_at;
     node.busy_until += drove ? node.cost.due_work : Duration(0);
     for (const Effect& it : effects) {
