--- a/Source/engine/members/query_pacing.cc
+++ b/Source/engine/members/query_pacing.cc
@@ -40,6 +40,13 @@
   return query == RepeatedQuery::kRuns ? kLongestRunPause : kLongestPause;
 }
 
+// A query for a worker that was not asked about before waits for the repeat of
+// those before it: to a member that is heard it goes as soon as without them.
+Duration LongestPauseIfHeard(RepeatedQuery query) {
+  return query == RepeatedQuery::kLeases ? kPeerReplyTimeout
+                                         : kLongestPauseIfHeard;
+}
+
 // Runs are also reported with other messages, or not at all.
 bool IsAnsweredByAny(RepeatedQuery query) {
   return query == RepeatedQuery::kRuns;
@@ -71,7 +78,7 @@
 // would only be one more message to a member that is late.
 Duration FirstPauseAfter(const QueryPace& pace, RepeatedQuery query) {
   return std::max(FirstPause(query),
-                  std::min(2 * pace.reply_time, kLongestPauseIfHeard));
+                  std::min(2 * pace.reply_time, LongestPauseIfHeard(query)));
 }
 
 bool IsAnswered(const MemberQueries& queries,
@@ -93,14 +100,14 @@
   const QueryPace& pace = queries->paces[static_cast<std::size_t>(query)];
   if (IsAnswered(*queries, pace, query)) {
     return HasPassed(context.now, pace.answered_at,
-                     std::min(pace.reply_time, kLongestPauseIfHeard));
+                     std::min(pace.reply_time, LongestPauseIfHeard(query)));
   }
   Duration pause = pace.pause;
   if (pace.repeated) {
     pause += Jitter(context.self(), member, pace);
   }
   if (IsHeardSinceQuery(*queries, pace)) {
-    pause = std::min(pause, kLongestPauseIfHeard);
+    pause = std::min(pause, LongestPauseIfHeard(query));
   }
   return HasPassed(context.now, pace.sent_at, pause);
 }
