Engine: An instance whose events wait is not woken by its timer as well

Seen: overload_recovery_test with expensive messages had one adopted job left 7 s after the cut once lease queries to members that are heard went out after 400 ms again.

Cause: the timer made an event each 25 ms beside those that wait, and a third of what such an instance handles was its own timer.

Change: the timer is put off by the mean wait of events; those bring the due work. An instance in time has the timer as before.

--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -311,7 +311,8 @@
   if (state.drive.due || may_place) {
     return std::max(now, state.drive.driven_at + DriveInterval(state));
   }
-  return now + kTick;
+  // An instance whose events wait need not be woken: they bring the due work.
+  return now + kTick + state.drive.waited;
 }
 
 bool IsReady(const State& state) {
