Tests: A worker is told again if the report that named it was lost

The case asks a member with the digest of the last report, with none, and with that of the one before: only what was read is left out. It passes on the code as it is; it was not run with the mend taken out.

--- a/Tests/engine/recovery_list_test.cc
+++ b/Tests/engine/recovery_list_test.cc
@@ -1,5 +1,10 @@
 // What an instance that has just started knows of the workers, and which tasks
 // of adopted jobs it starts.
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "engine/fleet.h"
@@ -178,4 +183,42 @@
   }
 }
 
+// Guards against adopters that never learn of a worker, as the report that
+// named it was lost.
+TEST_CASE("A worker is told again if the report that named it was lost") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.Run(seconds(6));  // queries that serve no recovery are over
+  std::vector<AdoptReport> reports;
+  fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
+    const auto* report = std::get_if<AdoptReport>(&send.message);
+    if (from == "n0" && send.address == "n1" && report != nullptr) {
+      reports.push_back(*report);
+    }
+  };
+  const auto ask = [&](std::uint64_t known) {
+    reports.clear();
+    fleet.DeliverPeerMessage(
+        "n0", fleet.state("n1").options.self.incarnation,
+        AdoptQuery{.wants_workers = true, .known_workers = known});
+    fleet.Run(milliseconds(50));
+    REQUIRE(reports.size() == 1);
+    return reports.front();
+  };
+  const auto unlist = [&](const std::string& worker) {
+    fleet.store.Remove("worker/" + worker);
+    fleet.Run(seconds(2));
+  };
+  unlist("w1-1");
+  const AdoptReport first = ask(0);
+  REQUIRE(first.remembered.size() == 1);
+  CHECK(ask(first.workers_digest).remembered.empty());
+  CHECK(ask(0).remembered == first.remembered);
+  unlist("w4-1");
+  const AdoptReport second = ask(first.workers_digest);
+  REQUIRE(second.remembered.size() == 1);
+  CHECK(second.remembered != first.remembered);
+  CHECK(ask(first.workers_digest).remembered.size() == 2);
+}
+
 }  // namespace burdockrock::engine
