Wire: Messages between members are read and written without a tree of values

Cause: the library of the protocol parses each batch to a tree of values, from which the message is read, and each message was written by way of such a tree.

Change: a batch is parsed by simdjson and read straight into its messages; text is written straight from them. A batch in which anything is odd goes to the library as before, which takes what can be read and names the faults. The names of all kinds are put together only for an error.

--- a/Source/engine/members/peer_codec.h
+++ b/Source/engine/members/peer_codec.h
@@ -2,10 +2,12 @@
 #ifndef BURDOCKROCK_ENGINE_MEMBERS_PEER_CODEC_H_
 #define BURDOCKROCK_ENGINE_MEMBERS_PEER_CODEC_H_
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include <json/value.h>
 
@@ -21,11 +23,25 @@
 Json::Value EncodePeerNotification(const std::string& from,
                                    const PeerMessage& message);
 
+// The same as text.
+std::string WritePeerNotification(const std::string& from,
+                                  const PeerMessage& message);
+
 // Decodes the `params` of a notification with this method name.
 std::variant<PeerMessage, DecodeError> DecodePeerMessage(
     std::string_view method,
     const Json::Value& params);
 
+struct PeerNotification {
+  std::string from{};  // the sender's incarnation
+  PeerMessage message{};
+};
+
+// Reads a whole batch of notifications; none if any of them can't be read.
+// DecodePeerMessage() then tells which one, and why.
+std::optional<std::vector<PeerNotification>> ReadPeerBatch(
+    std::string_view body);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_MEMBERS_PEER_CODEC_H_
--- a/Source/engine/members/room_codec.cc
+++ b/Source/engine/members/room_codec.cc
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <span>
 #include <string>
 
+#include "wire/dom_reader.h"
+#include "wire/text_writer.h"
 #include "wire/value_reader.h"
 
 namespace burdockrock::engine {
@@ -46,17 +49,34 @@
   return columns;
 }
 
-Json::Value WriteRow(const WorkerRoom& room) {
-  const Columns columns = ColumnsOf(room);
+// Of those that are written: zeros at the end of a row are omitted.
+std::span<const std::uint64_t> WrittenOf(const Columns& columns) {
   const auto last = std::find_if(columns.rbegin(), columns.rend(),
                                  [](std::uint64_t it) { return it != 0; });
+  return {columns.begin(), last.base()};
+}
+
+Json::Value WriteRow(const WorkerRoom& room) {
+  const Columns columns = ColumnsOf(room);
   Json::Value row(Json::arrayValue);
   row.append(room.worker);
-  std::for_each(columns.begin(), last.base(),
-                [&](std::uint64_t it) { row.append(Json::UInt64(it)); });
+  for (const std::uint64_t it : WrittenOf(columns)) {
+    row.append(Json::UInt64(it));
+  }
   return row;
 }
 
+void WriteRow(const WorkerRoom& room, std::string& out) {
+  const Columns columns = ColumnsOf(room);
+  out += '[';
+  WriteQuoted(room.worker, out);
+  for (const std::uint64_t it : WrittenOf(columns)) {
+    out += ',';
+    burdockrock::WriteText(it, out);
+  }
+  out += ']';
+}
+
 // Largest valid value of a column.
 std::uint64_t MaxOf(std::size_t column) {
   switch (column) {
@@ -71,6 +91,22 @@
   }
 }
 
+void SetColumns(const Columns& columns, WorkerRoom& room) {
+  const auto amount = [&](Column it) {
+    return static_cast<std::int64_t>(columns[it]);
+  };
+  room.version = columns[kVersion];
+  room.accepting = columns[kState] == kAccepting;
+  room.lost = columns[kState] == kLost;
+  room.free = {.processors_milli = amount(kProcessors),
+               .memory_mb = amount(kMemory),
+               .accelerators = amount(kAccelerators)};
+  room.yielding = {.processors_milli = amount(kYieldingProcessors),
+                   .memory_mb = amount(kYieldingMemory),
+                   .accelerators = amount(kYieldingAccelerators)};
+  room.slowness = static_cast<std::uint32_t>(columns[kSlowness]);
+}
+
 void ReadRow(const JsonPlace& place, WorkerRoom& room) {
   const Json::Value& row = place.value();
   if (row.empty() || row.size() > kColumns + 1) {
@@ -87,19 +123,24 @@
       cell.Fail(cell.Shown() + " is too large", "0 to " + std::to_string(max));
     }
   }
-  const auto amount = [&](Column it) {
-    return static_cast<std::int64_t>(columns[it]);
-  };
-  room.version = columns[kVersion];
-  room.accepting = columns[kState] == kAccepting;
-  room.lost = columns[kState] == kLost;
-  room.free = {.processors_milli = amount(kProcessors),
-               .memory_mb = amount(kMemory),
-               .accelerators = amount(kAccelerators)};
-  room.yielding = {.processors_milli = amount(kYieldingProcessors),
-                   .memory_mb = amount(kYieldingMemory),
-                   .accelerators = amount(kYieldingAccelerators)};
-  room.slowness = static_cast<std::uint32_t>(columns[kSlowness]);
+  SetColumns(columns, room);
+}
+
+bool ReadDomRow(const simdjson::dom::array& row, WorkerRoom& room) {
+  Columns columns{};
+  std::size_t index = 0;
+  for (const JsonElement it : row) {
+    const bool read =
+        index == 0 ? ReadDomName(it, room.worker)
+                   : index <= kColumns && ReadDomAmount(it, MaxOf(index - 1),
+                                                        columns.at(index - 1));
+    if (!read) {
+      return false;
+    }
+    ++index;
+  }
+  SetColumns(columns, room);
+  return index > 0;
 }
 
 }  // namespace
@@ -117,6 +158,21 @@
   return array;
 }
 
+void WriteText(const std::vector<WorkerRoom>& rooms, std::string& out) {
+  out += '[';
+  std::uint64_t fence = 0;
+  for (const WorkerRoom& it : rooms) {
+    out += &it == &rooms.front() ? "" : ",";
+    if (it.fence != fence) {
+      fence = it.fence;
+      burdockrock::WriteText(fence, out);
+      out += ',';
+    }
+    WriteRow(it, out);
+  }
+  out += ']';
+}
+
 void ReadValue(const JsonPlace& place, std::vector<WorkerRoom>& out) {
   if (!place.value().isArray()) {
     place.Fail(place.Shown() + " is not an array", "an array");
@@ -136,4 +192,24 @@
   }
 }
 
+bool ReadDom(const JsonElement& value, std::vector<WorkerRoom>& out) {
+  simdjson::dom::array rooms;
+  if (value.get(rooms) != simdjson::SUCCESS) {
+    return false;
+  }
+  out.clear();
+  std::uint64_t fence = 0;
+  for (const JsonElement it : rooms) {
+    simdjson::dom::array row;
+    const bool read =
+        it.get(row) == simdjson::SUCCESS
+            ? ReadDomRow(row, out.emplace_back(WorkerRoom{.fence = fence}))
+            : burdockrock::ReadDom(it, fence);
+    if (!read) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/members/room_codec.h
+++ b/Source/engine/members/room_codec.h
@@ -3,11 +3,13 @@
 #ifndef BURDOCKROCK_ENGINE_MEMBERS_ROOM_CODEC_H_
 #define BURDOCKROCK_ENGINE_MEMBERS_ROOM_CODEC_H_
 
+#include <string>
 #include <vector>
 
 #include <json/value.h>
 
 #include "engine/members/peer_message.h"
+#include "net/json_dom.h"
 #include "wire/json_place.h"
 
 namespace burdockrock::engine {
@@ -19,6 +21,9 @@
 // memory and accelerators. Zeros at the end of a row are omitted.
 Json::Value WriteValue(const std::vector<WorkerRoom>& rooms);
 void ReadValue(const JsonPlace& place, std::vector<WorkerRoom>& out);
+// See wire/text_writer.h and wire/dom_reader.h.
+void WriteText(const std::vector<WorkerRoom>& rooms, std::string& out);
+bool ReadDom(const JsonElement& value, std::vector<WorkerRoom>& out);
 
 }  // namespace burdockrock::engine
 
--- a/Source/runtime/engine_peers.cc
+++ b/Source/runtime/engine_peers.cc
@@ -11,7 +11,6 @@
 
 #include "engine/limits.h"
 #include "engine/members/peer_codec.h"
-#include "net/json.h"
 #include "net/json_read.h"
 #include "runtime/clock.h"
 
@@ -194,8 +193,7 @@
 
 void EnginePeerClient::Encode(const engine::PeerMessage& message) {
   if (last_message_ != message) {
-    last_text_ =
-        WriteJson(engine::EncodePeerNotification(incarnation_, message));
+    last_text_ = engine::WritePeerNotification(incarnation_, message);
     last_subject_ = engine::SubjectOf(message);
     last_message_ = message;
   }
@@ -326,6 +324,13 @@
 
 std::string EnginePeerServer::HandleBody(const std::string& body) {
   traffic_.bytes += body.size();
+  if (auto batch = engine::ReadPeerBatch(body)) {
+    for (engine::PeerNotification& it : *batch) {
+      OnNotification(std::move(it));
+    }
+    return {};
+  }
+  // Takes what can be read, and names the faults of the rest.
   std::string errors = Handle(body);
   if (!errors.empty()) {
     options_.log({.number = EventNumber::kPeerMalformed,
@@ -389,12 +394,16 @@
     throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS,
                                     method + " " + ToString(*error));
   }
-  ++traffic_.messages;
-  const auto& message = std::get<engine::PeerMessage>(decoded);
-  ++kinds_[engine::PeerMethods()[message.index()]].messages;
-  options_.on_message(
+  OnNotification(
       {.from = ReadText(MemberOf(params, "from")).value_or(std::string()),
        .message = std::get<engine::PeerMessage>(std::move(decoded))});
 }
 
+void EnginePeerServer::OnNotification(engine::PeerNotification notification) {
+  ++traffic_.messages;
+  ++kinds_[engine::PeerMethods()[notification.message.index()]].messages;
+  options_.on_message({.from = std::move(notification.from),
+                       .message = std::move(notification.message)});
+}
+
 }  // namespace burdockrock
--- a/Source/runtime/engine_peers.h
+++ b/Source/runtime/engine_peers.h
@@ -16,6 +16,7 @@
 
 #include "engine/event.h"
 #include "engine/members/message_subject.h"
+#include "engine/members/peer_codec.h"
 #include "net/tcp.h"
 #include "observe/log.h"
 #include "runtime/client_pool.h"
@@ -135,6 +136,7 @@
  private:
   void HandleNotificationCall(jsonrpc::Procedure& procedure,
                               const Json::Value& params) override;
+  void OnNotification(engine::PeerNotification notification);
 
   // The last batch of one sender.
   struct TakenBatch {
--- a/Source/wire/value_reader.cc
+++ b/Source/wire/value_reader.cc
@@ -10,6 +10,7 @@
 #include "model/work.h"
 #include "net/json.h"
 #include "net/json_read.h"
+#include "wire/printable.h"
 
 namespace burdockrock {
 
@@ -18,9 +19,6 @@
 // "/4294967295/18446744073709551615" behind the job's name.
 constexpr std::size_t kMaxAttemptBytes = kMaxNameBytes + 32;
 
-constexpr unsigned char kFirstPrintable = 0x20;
-constexpr unsigned char kDelete = 0x7f;
-
 // Reads a whole number from 0 to `most`. jsoncpp reads a number over 64 bits
 // as a real one, so that an overflow is found by its type.
 bool ReadNumber(const JsonPlace& place,
@@ -55,11 +53,6 @@
   }
 }
 
-bool IsControl(char it) {
-  const auto byte = static_cast<unsigned char>(it);
-  return byte < kFirstPrintable || byte == kDelete;
-}
-
 }  // namespace
 
 void ReadValue(const JsonPlace& place, std::uint32_t& out) {
@@ -139,7 +132,7 @@
                fmt::format("at most {} bytes", kMaxNameBytes));
     return;
   }
-  if (std::ranges::any_of(text, IsControl)) {
+  if (!IsPrintable(text)) {
     place.Fail("has control characters", "printable characters");
     return;
   }
--- a/Source/wire/variant_codec.h
+++ b/Source/wire/variant_codec.h
@@ -55,13 +55,15 @@
                                    const Json::Value& value) {
   static constexpr auto kDecoders = internal::MakeDecoders<Variant>(
       std::make_index_sequence<std::variant_size_v<Variant>>());
-  std::string allowed;
   for (std::size_t it = 0; it < names.size(); ++it) {
     if (name == names[it]) {
       return kDecoders[it](value);
     }
+  }
+  std::string allowed;
+  for (const char* it : names) {
     allowed += allowed.empty() ? "" : ", ";
-    allowed += names[it];
+    allowed += it;
   }
   return DecodeError{.problem = "there is no " + std::string(name),
                      .allowed = std::move(allowed)};
