Engine: Reports to adopters share their list of workers

Change: reports within 100 ms share one list with its digests. A worker that leaves the list, or one that is added without being listed, ends the list at once, as a change of the members does: the receiver may have read the store's list since, and must not miss it. The list told last is shared with it, and one that the receiver has read is left out without comparing workers.

--- a/Source/engine/jobs/unseen_workers.cc
+++ b/Source/engine/jobs/unseen_workers.cc
@@ -1,6 +1,8 @@
 #include "engine/jobs/unseen_workers.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <memory>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -43,6 +45,8 @@
 constexpr Duration kAskInterval = milliseconds(3000);
 // Between two checks of whether open queries can be answered.
 constexpr Duration kAnswerInterval = milliseconds(200);
+// How long reports share a list of workers.
+constexpr Duration kListInterval = milliseconds(100);
 
 // The reports since the last registration or gap in the list of workers;
 // earlier ones don't count, as this instance may have missed workers that were
@@ -167,22 +171,60 @@
   return digest >> kDroppedBits;
 }
 
-// The receiver has read the last report if it names its digest.
-void LeaveOutKnown(ToldWorkers& told,
-                   std::uint64_t known,
-                   AdoptReport& report) {
-  ToldWorkers now;
-  for (const RememberedWorker& it : report.remembered) {
-    now.workers.insert(DigestOf(it));
+std::shared_ptr<const ReportedWorkers> MakeList(const Context& context,
+                                                bool with_unclaimed) {
+  const State& state = context.state;
+  auto list = std::make_shared<ReportedWorkers>(
+      ReportedWorkers{.made_at = context.now,
+                      .members_version = state.members.version,
+                      .unlisted_version = state.unlisted_version,
+                      .workers = AllRemembered(state)});
+  if (with_unclaimed) {
+    AddUnclaimed(state, list->workers);
+  }
+  list->digests.reserve(list->workers.size());
+  for (const RememberedWorker& it : list->workers) {
+    list->digests.push_back(DigestOf(it));
+  }
+  list->known = {list->digests.begin(), list->digests.end()};
+  list->digest = DigestOf(list->known);
+  return list;
+}
+
+// A worker that has left the list must be in the next report: the receiver may
+// have read the list since. What is claimed meanwhile may be in it as well.
+bool IsCurrent(const Context& context, const ReportedWorkers& list) {
+  return list.members_version == context.state.members.version &&
+         list.unlisted_version == context.state.unlisted_version &&
+         !HasPassed(context.now, list.made_at, kListInterval);
+}
+
+std::shared_ptr<const ReportedWorkers> ListToReport(Context& context,
+                                                    bool with_unclaimed) {
+  auto& list = UnseenNow(context).reported[with_unclaimed];
+  if (!list || !IsCurrent(context, *list)) {
+    list = MakeList(context, with_unclaimed);
   }
-  now.digest = DigestOf(now.workers);
-  if (known != 0 && known == told.digest) {
-    std::erase_if(report.remembered, [&](const RememberedWorker& it) {
-      return told.workers.contains(DigestOf(it));
-    });
+  return list;
+}
+
+// The receiver has read the last report if it names its digest.
+void AddList(const std::shared_ptr<const ReportedWorkers>& list,
+             std::shared_ptr<const ReportedWorkers>& told,
+             std::uint64_t known,
+             AdoptReport& report) {
+  const bool leaves_out = told && known != 0 && known == told->digest;
+  report.workers_digest = list->digest;
+  if (!leaves_out) {
+    report.remembered = list->workers;
+  } else if (told->digest != list->digest) {
+    for (std::size_t it = 0; it < list->workers.size(); ++it) {
+      if (!told->known.contains(list->digests[it])) {
+        report.remembered.push_back(list->workers[it]);
+      }
+    }
   }
-  report.workers_digest = now.digest;
-  told = std::move(now);
+  told = list;
 }
 
 std::vector<std::string> MembersWithoutReport(Context& context) {
@@ -329,16 +371,14 @@
                           const std::string& to,
                           std::uint64_t known,
                           AdoptReport& report) {
-  report.remembered = AllRemembered(context.state);
   const bool follows = FollowsWorkerList(context);
   report.all_remembered = follows && !MayMissWorkers(context);
   report.machines_compared = KnowsRelays(to) && follows && HasCompared(context);
   report.machines_unread = follows && !report.machines_compared &&
                            UnseenNow(context).machines_unread;
-  if (report.machines_compared || report.machines_unread) {
-    AddUnclaimed(context.state, report.remembered);
-  }
-  LeaveOutKnown(UnseenNow(context).told[to], known, report);
+  AddList(
+      ListToReport(context, report.machines_compared || report.machines_unread),
+      UnseenNow(context).told[to], known, report);
   if (!report.all_remembered && to != context.self()) {
     UnseenNow(context).askers.insert(to);
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -491,6 +491,9 @@
   QueryPacing query_pacing{};
   Configuration configuration{};
   std::map<std::string, ListedWorker> workers{};  // by incarnation
+  // Increases with each worker that leaves the list or is added without being
+  // listed.
+  std::uint64_t unlisted_version = 0;
   // By worker id: the incarnation whose entry is in the store's list.
   std::map<std::string, std::string> listed_incarnations{};
   std::map<std::string, OwnedWorker> owned{};
--- a/Source/engine/unseen_state.h
+++ b/Source/engine/unseen_state.h
@@ -5,10 +5,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "engine/limits.h"
+#include "engine/members/peer_message.h"
 #include "model/time.h"
 
 namespace burdockrock::engine {
@@ -27,10 +30,16 @@
   Time read_at = Time::min();
 };
 
-// The workers in the last report to a member. Each is known by a digest.
-struct ToldWorkers {
-  std::uint64_t digest = 0;  // of all of them
-  std::set<std::uint64_t> workers{};
+// The workers that reports tell of. Many reports share a list: it takes a scan
+// of all workers.
+struct ReportedWorkers {
+  Time made_at{0};
+  std::uint64_t members_version = 0;
+  std::uint64_t unlisted_version = 0;  // State::unlisted_version
+  std::vector<RememberedWorker> workers{};
+  std::vector<std::uint64_t> digests{};  // of `workers`, in their order
+  std::set<std::uint64_t> known{};       // the same
+  std::uint64_t digest = 0;              // of all of them
 };
 
 // Whether the members have reported the workers that left the list before this
@@ -60,7 +69,10 @@
   Time answer_checked_at = Time::min();
   // By member: the digest of the last list of workers that was read from it.
   std::map<std::string, std::uint64_t> lists_read{};
-  std::map<std::string, ToldWorkers> told{};  // by member
+  // By member: the list of the last report to it.
+  std::map<std::string, std::shared_ptr<const ReportedWorkers>> told{};
+  // The last list, with and without the workers that nobody has claimed.
+  std::map<bool, std::shared_ptr<const ReportedWorkers>> reported{};
 };
 
 }  // namespace burdockrock::engine
--- a/Source/engine/workers/worker_list.cc
+++ b/Source/engine/workers/worker_list.cc
@@ -46,6 +46,7 @@
   }
   it->second.listed = false;
   it->second.unlisted_at = context.now;
+  ++context.state.unlisted_version;
   context.Log(EventNumber::kWorkerRemoved, {{"worker", name}});
   if (context.state.owned.contains(name)) {
     RoomChanged(context, name);
@@ -232,6 +233,7 @@
                      .listed = false,
                      .remembered_only = true,
                      .unlisted_at = context.now};
+    ++context.state.unlisted_version;
     const auto owned = context.state.owned.find(it.worker);
     if (owned != context.state.owned.end()) {
       owned->second.info.address = it.address;
--- a/Source/engine/workers/worker_restarts.cc
+++ b/Source/engine/workers/worker_restarts.cc
@@ -45,6 +45,7 @@
                                           .unlisted_at = context.now})
           .second;
   if (added) {
+    ++context.state.unlisted_version;
     OnWorkerListed(context, name);
   }
 }
