Engine: Whether workers accept tasks is checked at ticks

Change: what ends by time alone, such as a pause, is checked at the ticks of 25 ms, as leases are. Events that change it announce it themselves.

--- a/Source/engine/workers/worker_owner.cc
+++ b/Source/engine/workers/worker_owner.cc
@@ -341,8 +341,8 @@
   }
   EndSucceededClaims(context);
   std::vector<std::string> lost;
-  // Leases of all members are compared, so this is not done in each step.
-  const bool checks_leases = context.state.drive.ticked_at == context.now;
+  // What changes by time alone is not checked in each step.
+  const bool ticks = context.state.drive.ticked_at == context.now;
   for (auto& [id, worker] : context.state.owned) {
     if (HasRestarted(worker)) {
       continue;
@@ -350,15 +350,15 @@
     if (MaySendOwnershipCheck(context, worker)) {
       SendOwnershipCheck(context, id, worker);
     }
-    if (checks_leases && IsUnresponsive(worker) &&
-        IsRegistrationCurrent(context) && LeasesHaveExpired(context, worker)) {
+    if (ticks && IsUnresponsive(worker) && IsRegistrationCurrent(context) &&
+        LeasesHaveExpired(context, worker)) {
       if (MayDeclareLost(context, worker)) {
         lost.push_back(id);
         continue;
       }
       RequestMembers(context);
     }
-    if (checks_leases && IsUnresponsive(worker)) {
+    if (ticks && IsUnresponsive(worker)) {
       TellOfUnreachable(context, id, worker);
     }
     const bool may_poll =
@@ -367,7 +367,9 @@
       SendPoll(context, id, worker);
     }
     DriveRuns(context, id, worker);
-    AnnounceAcceptance(context, id, worker);
+    if (ticks) {
+      AnnounceAcceptance(context, id, worker);
+    }
   }
   for (const std::string& it : lost) {
     DeclareWorkerLost(context, it, LossKind::kSilent, "silent past its leases");
