Net: The timer of deadlines fires when one is due

Change: the timer is set for the earliest deadline, or for the shortest timeout if that is earlier, as a deadline that is set meanwhile can't be due before. It is set anew when limits change and when the server stops accepting.

--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -15,8 +16,6 @@
 constexpr int kBacklog = 1024;
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 constexpr Duration kMinCheckInterval = std::chrono::milliseconds(1);
-constexpr Duration kMaxCheckInterval = std::chrono::milliseconds(100);
-constexpr int kChecksPerTimeout = 8;
 // Connections above the limit that are told so; further ones are just closed.
 constexpr std::size_t kMaxRefused = 64;
 
@@ -66,6 +65,7 @@
   options_.max_body_bytes = limits.max_body_bytes;
   options_.read_timeout = limits.read_timeout;
   options_.idle_timeout = limits.idle_timeout;
+  deadline_timer_.cancel();  // sets it anew
 }
 
 void HttpServer::AnnounceStop() {
@@ -82,6 +82,7 @@
   for (const auto& session : sessions_) {
     session->StopIdling();
   }
+  deadline_timer_.cancel();  // sets it anew
 }
 
 void HttpServer::Close() {
@@ -237,16 +238,22 @@
 }
 
 // One timer for all connections: a timer each would be set and cancelled three
-// times a request.
+// times a request. What a connection does from now on is not due before the
+// shortest timeout has passed.
 void HttpServer::ArmDeadlineTimer() {
   if (deadline_timer_armed_ || (sessions_.empty() && refused_.empty())) {
     return;
   }
   deadline_timer_armed_ = true;
-  const Duration shortest = std::min(
-      {options_.read_timeout, options_.idle_timeout, options_.write_timeout});
-  deadline_timer_.expires_after(std::clamp(
-      shortest / kChecksPerTimeout, kMinCheckInterval, kMaxCheckInterval));
+  const auto now = HttpSession::Clock::now();
+  auto next = now + std::min({options_.read_timeout, options_.idle_timeout,
+                              options_.write_timeout});
+  for (const auto* sessions : {&sessions_, &refused_}) {
+    for (const auto& session : *sessions) {
+      next = std::min(next, session->deadline());
+    }
+  }
+  deadline_timer_.expires_at(std::max(next, now + kMinCheckInterval));
   deadline_timer_.async_wait(
       [this, alive = std::weak_ptr(alive_)](boost::system::error_code) {
         if (!alive.expired()) {
@@ -260,10 +267,13 @@
 void HttpServer::CheckDeadlines() {
   const auto now = HttpSession::Clock::now();
   // A copy: a session that ends leaves the set.
-  std::vector<std::shared_ptr<HttpSession>> sessions(sessions_.begin(),
-                                                     sessions_.end());
-  sessions.insert(sessions.end(), refused_.begin(), refused_.end());
-  for (const auto& session : sessions) {
+  std::vector<std::shared_ptr<HttpSession>> due;
+  for (const auto* sessions : {&sessions_, &refused_}) {
+    std::ranges::copy_if(
+        *sessions, std::back_inserter(due),
+        [now](const auto& it) { return it->deadline() <= now; });
+  }
+  for (const auto& session : due) {
     session->CheckDeadline(now);
   }
 }
--- a/Source/net/http_session.h
+++ b/Source/net/http_session.h
@@ -47,6 +47,7 @@
   void Refuse();
   // Cuts the connection if its phase has lasted too long.
   void CheckDeadline(Clock::time_point now);
+  Clock::time_point deadline() const { return deadline_; }
   // Closes the connection soon if it waits for a request.
   void StopIdling();
   // A request was read whole and its answer has not left.
