--- a/Tests/bench/reducer_load.cc
+++ b/Tests/bench/reducer_load.cc
@@ -31,10 +31,13 @@
 
 }  // namespace
 
-ReducerLoad::ReducerLoad(Measure measure, MeasuredInstances measured)
+ReducerLoad::ReducerLoad(Measure measure,
+                         MeasuredInstances measured,
+                         std::size_t times)
     : measure_(std::move(measure)),
-      fleet_({.instances = kReducerInstances,
-              .workers = kReducerWorkers,
+      times_(times),
+      fleet_({.instances = kReducerInstances * times,
+              .workers = kReducerWorkers * times,
               .processors_milli = kWorkerMilli,
               .advice = true,
               .timers = true}) {
@@ -72,7 +75,8 @@
 }
 
 std::string ReducerLoad::AnyNode() {
-  return fmt::format("n{}", Pick(0, kReducerInstances - 1));
+  const auto last = static_cast<std::uint32_t>(kReducerInstances * times_ - 1);
+  return fmt::format("n{}", Pick(0, last));
 }
 
 std::uint32_t ReducerLoad::Pick(std::uint32_t least, std::uint32_t most) {
@@ -81,17 +85,17 @@
 
 void ReducerLoad::Advance() {
   while (fleet_.now() >= next_job_) {
-    next_job_ += kBetweenJobs;
+    next_job_ += kBetweenJobs / times_;
     Submit();
   }
   while (fleet_.now() >= next_question_) {
-    next_question_ += kBetweenQuestions;
+    next_question_ += kBetweenQuestions / times_;
     if (!paths_.empty()) {
       Ask();
     }
   }
   while (fleet_.now() >= next_heartbeat_) {
-    next_heartbeat_ += kHeartbeat / kReducerWorkers;
+    next_heartbeat_ += kHeartbeat / (kReducerWorkers * times_);
     Beat();
   }
 }
@@ -126,7 +130,7 @@
 
 void ReducerLoad::Beat() {
   const std::string key =
-      fmt::format("worker/w{}-1", beat_++ % kReducerWorkers);
+      fmt::format("worker/w{}-1", beat_++ % (kReducerWorkers * times_));
   fleet_.store.Put(key, fleet_.store.ValueOf(key));
 }
 
--- a/Tests/bench/reducer_load.h
+++ b/Tests/bench/reducer_load.h
@@ -1,5 +1,5 @@
-// Jobs of steps for 30 instances and 350 workers at 40 jobs a second, in
-// virtual time. The steps of the reducer of one or all instances are handed to
+// Jobs of steps for 30 instances and 350 workers at 40 jobs a second, or for as
+// many times more of each, in virtual time. The steps of the reducer of one or all instances are handed to
 // whoever measures them.
 #ifndef BURDOCKROCK_TESTS_BENCH_REDUCER_LOAD_H_
 #define BURDOCKROCK_TESTS_BENCH_REDUCER_LOAD_H_
@@ -31,7 +31,8 @@
                                                 const engine::Event& event)>;
 
   explicit ReducerLoad(Measure measure,
-                       MeasuredInstances measured = MeasuredInstances::kOne);
+                       MeasuredInstances measured = MeasuredInstances::kOne,
+                       std::size_t times = 1);
 
   // Until all workers are owned.
   void Start();
@@ -51,6 +52,7 @@
   void Beat();
 
   const Measure measure_;
+  const std::size_t times_;  // the size, as a multiple of the smallest
   engine::Fleet fleet_;
   std::mt19937_64 random_{1};
   std::uint64_t jobs_ = 0;
