Engine: A heartbeat takes one look-up of the worker less

Cause: each instance follows the entries of all workers, most of whose changes are heartbeats.

Change: the previous entry is kept together with the incarnation that it lists, which only another entry under the same key changes.

Result: all 409 cases of engine_test pass (release). With the removals of the worker used to forget the entry, and no look-up at all, "A worker that returns with the same entry is listed again" failed, so that this was not kept.

--- a/Source/engine/records/watches.cc
+++ b/Source/engine/records/watches.cc
@@ -76,22 +76,29 @@
 }
 
 // Whether only the heartbeat of the worker's entry has changed, as most changes
-// are. Comparing it with the previous entry is much cheaper than parsing it.
-bool IsHeartbeat(Context& context, const StoreItem& item) {
+// are. Comparing it with the previous entry is much cheaper than parsing it. A
+// worker that was declared lost or has left the list must be listed again.
+bool IsHeartbeat(const Context& context, const StoreItem& item) {
   const StoreDocuments& documents = context.state.options.documents;
-  std::string& last = context.state.worker_entries[item.key];
-  const ListedWorker* worker = FindWorker(
-      context.state,
-      ListedIncarnation(context.state,
-                        item.key.substr(documents.worker_prefix.size())));
-  // A worker that was declared lost or has left the list must be listed again.
-  const bool known = worker != nullptr && worker->listed;
-  if (known && documents.is_heartbeat &&
-      documents.is_heartbeat(last, item.value)) {
-    return true;
+  const auto last = context.state.worker_entries.find(item.key);
+  if (last == context.state.worker_entries.end() || !documents.is_heartbeat) {
+    return false;
   }
-  last = item.value;
-  return false;
+  const ListedWorker* worker = FindWorker(context.state, last->second.worker);
+  return worker != nullptr && worker->listed &&
+         documents.is_heartbeat(last->second.text, item.value);
+}
+
+void OnWorkerEntry(Context& context, const StoreItem& item) {
+  if (IsHeartbeat(context, item)) {
+    return;
+  }
+  OnWorkerItem(context, item);
+  const std::string& prefix = context.state.options.documents.worker_prefix;
+  context.state.worker_entries[item.key] = {
+      .text = item.value,
+      .worker =
+          ListedIncarnation(context.state, item.key.substr(prefix.size()))};
 }
 
 void OnItem(Context& context, WatchedList list, const StoreItem& item) {
@@ -99,7 +106,7 @@
     case WatchedList::kMembers:
       return OnMemberItem(context, item);
     case WatchedList::kWorkers:
-      return IsHeartbeat(context, item) ? void() : OnWorkerItem(context, item);
+      return OnWorkerEntry(context, item);
     case WatchedList::kOperators:
       return OnOperatorItem(context, item);
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -260,6 +260,12 @@
   std::optional<double> foreign_preference{};
 };
 
+// An entry of the list of workers as it was last decoded.
+struct WorkerEntry {
+  std::string text{};
+  std::string worker{};  // the listed incarnation
+};
+
 // A worker's room as its owner last reported it.
 struct RoomView {
   std::string owner{};  // an incarnation
@@ -483,8 +489,7 @@
   std::mt19937_64 random{1};
   StoreState store{};
   std::array<Watch, kWatchedLists> watches{};
-  // Text of each worker's entry as it was last decoded, by key.
-  std::unordered_map<std::string, std::string> worker_entries{};
+  std::unordered_map<std::string, WorkerEntry> worker_entries{};  // by key
   MembersState members{};
   MembersCheck members_check{};
   UnresponsiveMembers unresponsive_members{};
