Tests: A worker that leaves the list is in the next report to an adopter

Guards the lists that reports share: the receiver may have read the store's list after the worker left it. Red where a worker's leaving does not end the shared list (the report tells of none), tried and taken back; green as it is.

--- a/Tests/engine/recovery_list_test.cc
+++ b/Tests/engine/recovery_list_test.cc
@@ -1,5 +1,6 @@
 // What an instance that has just started knows of the workers, and which tasks
 // of adopted jobs it starts.
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -221,4 +222,36 @@
   CHECK(ask(first.workers_digest).remembered.size() == 2);
 }
 
+// Guards against tasks that run twice, as a report to an adopter lacks a worker
+// that has left the list since the sender scanned its workers for reports.
+TEST_CASE("A worker that leaves the list is in the next report") {
+  Fleet fleet;
+  fleet.Settle();
+  fleet.Run(seconds(6));  // queries that serve no recovery are over
+  std::size_t remembered = 0;
+  fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
+    const auto* report = std::get_if<AdoptReport>(&send.message);
+    if (from == "n0" && send.address == "n1" && report != nullptr) {
+      remembered = report->remembered.size();
+    }
+  };
+  const auto ask = [&] {
+    fleet.DeliverPeerMessage("n0", fleet.state("n1").options.self.incarnation,
+                             AdoptQuery{.wants_workers = true});
+    fleet.Run(milliseconds(20));
+    return remembered;
+  };
+  const auto is_listed = [&] {
+    return fleet.state("n0").workers.at("w1-1").listed;
+  };
+  CHECK(ask() == 0);
+  fleet.store.Remove("worker/w1-1");
+  bool was_listed = true;
+  while (was_listed) {
+    was_listed = is_listed();
+    const std::size_t reported = ask();
+    CHECK((was_listed || reported == 1));
+  }
+}
+
 }  // namespace burdockrock::engine
