--- a/Tests/bench/reducer_load.h
+++ b/Tests/bench/reducer_load.h
@@ -1,6 +1,6 @@
 // Jobs of steps for 30 instances and 350 workers at 40 jobs a second, or for as
-// many times more of each, in virtual time. The steps of the reducer of one or all instances are handed to
-// whoever measures them.
+// many times more of each, in virtual time. The steps of the reducer of one or
+// all instances are handed to whoever measures them.
 #ifndef BURDOCKROCK_TESTS_BENCH_REDUCER_LOAD_H_
 #define BURDOCKROCK_TESTS_BENCH_REDUCER_LOAD_H_
 
