Tests: Odd notifications are put together from their parts

clang-tidy took the strings in two lines for a missing comma. The cases are the same, and the good form is checked to be read. peer_text_test passes, the linter has no findings in the changed files.

--- a/Tests/engine/peer_text_test.cc
+++ b/Tests/engine/peer_text_test.cc
@@ -148,6 +148,13 @@
 TEST_CASE("A batch with anything but notifications is not read as one") {
   const std::string good = WritePeerNotification("n1-2", DigestRequest());
   CHECK(IsReadAs(BatchOf(good), {.from = "n1-2", .message = DigestRequest()}));
+  const auto ask = [](const std::string& head, const std::string& message) {
+    return BatchOf(
+        fmt::format(R"({{{},"params":{{"from":"n1-2"{}}}}})", head, message));
+  };
+  const std::string head = R"("jsonrpc":"2.0","method":"digest_ask")";
+  const std::string message = R"(,"message":{})";
+  CHECK(ReadPeerBatch(ask(head, message)));
   const std::string bad[] = {
       "",
       "[]",
@@ -155,13 +162,11 @@
       good,
       BatchOf(good) + "x",
       BatchOf(good + "," + R"({"jsonrpc":"2.0"})"),
-      R"([{"jsonrpc":"1.0","method":"digest_ask",)"
-      R"("params":{"from":"n1-2","message":{}}}])",
-      R"([{"jsonrpc":"2.0","method":"digest","params":)"
-      R"({"from":"n1-2","message":{}}}])",
-      R"([{"jsonrpc":"2.0","id":1,"method":"digest_ask",)"
-      R"("params":{"from":"n1-2","message":{}}}])",
-      R"([{"jsonrpc":"2.0","method":"digest_ask","params":{"from":"n1-2"}}])"};
+      ask(R"("jsonrpc":"1.0","method":"digest_ask")", message),
+      ask(R"("jsonrpc":"2.0","method":"digest")", message),
+      ask(R"("id":1,)" + head, message),
+      ask(head, ""),
+  };
   for (const std::string& it : bad) {
     INFO(it);
     CHECK_FALSE(ReadPeerBatch(it));
