--- a/Source/cli/log_summary.cc
+++ b/Source/cli/log_summary.cc
@@ -102,7 +102,7 @@
 std::optional<AdviceNumbers> ParseAdvice(std::string_view value) {
   const auto parts = Split(value, ':');
   AdviceNumbers numbers = {};
-  if (parts.size() != numbers.size()) {
+  if (parts.size() < kFewestAdviceNumbers || parts.size() > numbers.size()) {
     return std::nullopt;
   }
   for (std::size_t it = 0; it < parts.size(); ++it) {
--- a/Source/cli/log_summary.h
+++ b/Source/cli/log_summary.h
@@ -63,8 +63,12 @@
 };
 
 // The numbers of one reason in event 415, in their order.
-inline constexpr std::array<const char*, 7> kAdviceNumberNames = {
-    "calls", "names", "allowed", "starts", "ms", "unused", "given_up"};
+inline constexpr std::array<const char*, 8> kAdviceNumberNames = {
+    "calls", "names",  "allowed",  "starts",
+    "ms",    "unused", "given_up", "room_gone"};
+
+// Logs of earlier releases have only so many of them.
+inline constexpr std::size_t kFewestAdviceNumbers = 7;
 
 using AdviceNumbers = std::array<std::uint64_t, kAdviceNumberNames.size()>;
 
--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -143,6 +143,7 @@
   std::vector<std::pair<AdviceRank, ReadyStep>> ranked;
   const auto may_ask = [&](const ReadyStep& it) {
     it.run().advice_in_line = false;
+    it.run().advice_history.place = 0;
     return MayAsk(context, it);
   };
   for (const ReadyStep& it :
@@ -189,6 +190,7 @@
   ready.run().advice_checked_at = context.now;
   ready.run().advice_called_at = context.now;
   ready.run().advice_pending = true;
+  ++ready.run().advice_history.asked;
   const TaskName step{
       .job = ready.job->id, .occurrence = ready.occurrence, .step = ready.step};
   Send(context, member,
@@ -315,6 +317,9 @@
       return false;
     }
     StepRun* step = FindStep(context, it.second);
+    if (step != nullptr) {
+      ++step->advice_history.refused;
+    }
     if (step != nullptr && IsLast(*step, it.second)) {
       step->advice_pending = false;
       step->advice_unanswered = true;
@@ -326,6 +331,18 @@
   });
 }
 
+// Counts a reply that came too late: the room that was free when its workers
+// were named is taken.
+void NoteRoomGone(Context& context,
+                  const ReadyStep& ready,
+                  AdviceReason reason) {
+  StepRun& step = ready.run();
+  if (CountWaiting(step) > 0 && CountTicketed(context, ready, 1) == 0) {
+    ++step.advice_history.room_gone;
+    ++context.state.totals.advice[reason].room_gone;
+  }
+}
+
 // Adds the time since the last check in which this instance could have made a
 // call for one of the steps in its line.
 void NoteIdleTime(Context& context) {
@@ -336,6 +353,19 @@
   }
 }
 
+// The step waits to send its request.
+void JoinLine(Context& context, const ReadyStep& ready) {
+  AdviceState& advice = context.state.advice;
+  StepRun& step = ready.run();
+  advice.line_checked_at = context.now;
+  step.advice_history.place = ++advice.line_steps;
+  if (ready.ready) {
+    advice.line_longest =
+        std::max(advice.line_longest,
+                 context.now - std::max(step.advice_called_at, step.ready_at));
+  }
+}
+
 }  // namespace
 
 void DriveAdvice(Context& context) {
@@ -344,6 +374,8 @@
     NoteIdleTime(context);
   }
   context.state.advice.line_checked_at = kForever;
+  context.state.advice.line_steps = 0;
+  context.state.advice.line_longest = Duration(0);
   if (!registered) {
     return;
   }
@@ -353,7 +385,7 @@
   for (const ReadyStep& it : StepsInLine(context)) {
     it.run().advice_in_line = busy.contains(it.queue) || !IsTurn(context, it);
     if (it.run().advice_in_line) {
-      context.state.advice.line_checked_at = context.now;
+      JoinLine(context, it);
       // After a query without a reply fewer members are left to choose from.
       if (!it.run().advice_unanswered) {
         busy.insert(it.queue);
@@ -390,6 +422,9 @@
   const QueuePolicy* queue =
       job == nullptr ? nullptr
                      : FindQueueByName(context.state.configuration, job->queue);
+  if (step != nullptr && reply.failed) {
+    ++step->advice_history.refused;
+  }
   if (reply.declined && is_last) {
     step->advice_checked_at = Time::min();  // query another member at once
     return;
@@ -407,12 +442,12 @@
   for (const AdvisedWorker& it : reply.allowed) {
     allowed.insert(it.worker);
   }
-  RenewTickets(context,
-               {.job = job,
-                .occurrence = query.step.occurrence,
-                .step = query.step.step,
-                .queue = queue},
-               allowed);
+  const ReadyStep ready = ReadyStepOf(context, *job, query.step.occurrence,
+                                      query.step.step, *queue);
+  if (ready.ready) {
+    NoteRoomGone(context, ready, query.reason);
+  }
+  RenewTickets(context, ready, allowed);
   context.state.placement_due = true;
 }
 
--- a/Source/engine/advice/advice_reason.h
+++ b/Source/engine/advice/advice_reason.h
@@ -31,7 +31,9 @@
   std::uint64_t starts = 0;    // tasks offered with the tickets
   std::uint64_t unused = 0;    // calls whose step had ended before the reply
   std::uint64_t given_up = 0;  // queries without a reply
-  Duration time{0};            // expected service time of the answered calls
+  // Calls after which tasks waited and no worker with a ticket had room.
+  std::uint64_t room_gone = 0;
+  Duration time{0};  // expected service time of the answered calls
 };
 
 // One AdviceCount for each reason.
--- a/Source/engine/advice/advice_state.h
+++ b/Source/engine/advice/advice_state.h
@@ -80,6 +80,10 @@
   // Time in which this instance made no call while own steps waited for one.
   Duration idle_beside_line{0};
   Time line_checked_at = kForever;  // since when steps wait; kForever: none do
+  // Steps in the line at the last check, and the longest time since one of them
+  // sent a request or could run.
+  std::size_t line_steps = 0;
+  Duration line_longest{0};
 };
 
 }  // namespace burdockrock::engine
--- a/Source/engine/condition_log.cc
+++ b/Source/engine/condition_log.cc
@@ -165,6 +165,15 @@
   fields.push_back({"grant", std::to_string(cap.grant)});
 }
 
+void AddAdvice(const StepWait& wait, std::vector<LogField>& fields) {
+  fields.push_back({"known", std::to_string(wait.known)});
+  fields.push_back({"asked", std::to_string(wait.advice.asked)});
+  fields.push_back({"refused", std::to_string(wait.advice.refused)});
+  fields.push_back({"gone", std::to_string(wait.advice.room_gone)});
+  fields.push_back({"place", std::to_string(wait.advice.place)});
+  fields.push_back({"unasked_ms", Milliseconds(wait.since_request)});
+}
+
 // Logs why tasks wait: for room, for tickets or for a reply.
 void LogWaits(Context& context) {
   ConditionLogState& condition_log = context.state.condition_log;
@@ -196,6 +205,9 @@
         {"closed", std::to_string(wait.closed)},
         {"alone", std::to_string(wait.alone)},
         {"asked_ms", Milliseconds(wait.since_advice_check)}};
+    if (it.queue->advice) {
+      AddAdvice(wait, fields);
+    }
     if (it.standing() != Standing::kInTime) {
       fields.push_back({"standing", StandingName(it.standing())});
     }
@@ -207,11 +219,11 @@
   limiter.EndRound();
 }
 
-// CALLS:NAMES:ALLOWED:STARTS:MS:UNUSED:GIVEN_UP
+// CALLS:NAMES:ALLOWED:STARTS:MS:UNUSED:GIVEN_UP:ROOM_GONE
 std::string DescribeAdvice(const AdviceCount& count) {
-  return fmt::format("{}:{}:{}:{}:{}:{}:{}", count.calls, count.names,
+  return fmt::format("{}:{}:{}:{}:{}:{}:{}:{}", count.calls, count.names,
                      count.allowed, count.starts, ToMilliseconds(count.time),
-                     count.unused, count.given_up);
+                     count.unused, count.given_up, count.room_gone);
 }
 
 // Logs which calls use the time of the advice service, and which of them lead
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "engine/advice/advice_history.h"
 #include "engine/advice/advice_reason.h"
 #include "engine/jobs/job_model.h"
 #include "engine/jobs/objective_rule.h"
@@ -114,6 +115,7 @@
   bool advice_in_line = false;            // an advice request waits to be sent
   bool advice_pending = false;            // an advice request is pending
   bool advice_unanswered = false;  // the last advice request got no answer
+  AdviceHistory advice_history{};
   // Times for the log, which shows what the step waited for. kForever: not yet.
   Time ready_at = kForever;    // all that it depends on was done
   Time advised_at = kForever;  // first tickets
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -211,22 +211,20 @@
 // Deferred work leaves as much room free as that of the lowest priority. Urgent
 // tasks need no reserve as long as half of the service is free, and lasting
 // ones would wait for it until other work has ended, however long that runs.
-std::uint32_t ReservesFor(const Context& context,
-                          const QueuePolicy& queue,
-                          const StepSpec& spec,
-                          const StepRun& step,
-                          Standing standing) {
+std::uint32_t ReservesFor(const Context& context, const ReadyStep& ready) {
   const std::uint32_t priorities =
-      IsDeferred(standing) ? LowestPriority(context.state.configuration)
-                           : queue.priority;
-  if (priorities == 0 || spec.lasting) {
+      IsDeferred(ready.standing()) ? LowestPriority(context.state.configuration)
+                                   : ready.queue->priority;
+  if (priorities == 0 || ready.spec().lasting) {
     return 0;
   }
+  const auto& tasks = ready.run().tasks;
   const auto waiting = std::count_if(
-      step.tasks.begin(), step.tasks.end(),
+      tasks.begin(), tasks.end(),
       [](const Task& it) { return it.phase == TaskPhase::kWaiting; });
-  const bool half_free = IsHalfFreeBeside(
-      context, queue.service, waiting * RoomOf(spec).processors_milli);
+  const bool half_free =
+      IsHalfFreeBeside(context, ready.queue->service,
+                       waiting * RoomOf(ready.spec()).processors_milli);
   return half_free ? 0 : priorities;
 }
 
@@ -265,8 +263,7 @@
       if (options.wants && !options.wants(it)) {
         continue;
       }
-      it.reserves_for = ReservesFor(context, queue, job.spec.steps[s], step,
-                                    job.occurrences[k].standing);
+      it.reserves_for = ReservesFor(context, it);
       out.push_back(it);
     }
   }
@@ -349,6 +346,20 @@
               kReservePerPriority * static_cast<double>(ready.reserves_for)};
 }
 
+ReadyStep ReadyStepOf(const Context& context,
+                      Job& job,
+                      std::uint32_t occurrence,
+                      std::uint32_t step,
+                      const QueuePolicy& queue) {
+  ReadyStep ready{.job = &job,
+                  .occurrence = occurrence,
+                  .step = step,
+                  .queue = &queue,
+                  .ready = IsStepReady(job, occurrence, step)};
+  ready.reserves_for = ReservesFor(context, ready);
+  return ready;
+}
+
 std::vector<ReadyStep> ReadySteps(Context& context,
                                   const ReadyStepOptions& options) {
   std::vector<ReadyStep> steps;
--- a/Source/engine/jobs/placing.h
+++ b/Source/engine/jobs/placing.h
@@ -44,6 +44,13 @@
   std::function<bool(const ReadyStep&)> wants{};
 };
 
+// The step as ReadySteps() returns it.
+ReadyStep ReadyStepOf(const Context& context,
+                      Job& job,
+                      std::uint32_t occurrence,
+                      std::uint32_t step,
+                      const QueuePolicy& queue);
+
 // All steps that are ready, sorted by the priority of their queue and then by
 // how long they have been ready; deferred ones come last, by their standing.
 std::vector<ReadyStep> ReadySteps(Context& context,
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -34,6 +34,7 @@
     const auto fits = static_cast<std::size_t>(
         CountStarts(ready, placed, need, *it.worker, it.free));
     wait.room += fits;
+    wait.known += ready.run().tickets.contains(it.worker->id) ? fits : 0;
     // A gang's tickets are requested for the workers that it has booked.
     if (ready.spec().gang ? ready.run().tickets.contains(it.worker->id)
                           : HasValidTicket(context, ready, it.worker->id)) {
@@ -192,6 +193,9 @@
   if (ready.run().advice_checked_at != Time::min()) {
     wait.since_advice_check = context.now - ready.run().advice_checked_at;
   }
+  wait.since_request = context.now - std::max(ready.run().advice_called_at,
+                                              ready.run().ready_at);
+  wait.advice = ready.run().advice_history;
   wait.cause = CauseOf(context, ready, wait, all_pause);
   if (wait.cause == WaitCause::kQuota) {
     wait.cap = CapLimitOf(context, *ready.job,
--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 
+#include "engine/advice/advice_history.h"
 #include "engine/context.h"
 #include "engine/jobs/placing.h"
 #include "engine/teams/quota.h"
@@ -36,11 +37,15 @@
   std::size_t room = 0;      // tasks that fit on all workers that may run it
   std::size_t ticketed = 0;  // of these, on workers with a valid ticket
   std::size_t tickets = 0;   // valid tickets
+  std::size_t known = 0;     // of `room`, at workers known to be allowed
   std::size_t denied = 0;    // workers that advice has ruled out
   std::size_t closed = 0;    // workers that may run it and accept no tasks
   std::size_t alone = 0;     // waiting tasks that are isolated
   CapLimit cap{};            // for kQuota
   Duration since_advice_check{0};  // since advice was last considered; 0: never
+  // Since the last request for advice, or since the step can run.
+  Duration since_request{0};
+  AdviceHistory advice{};
 };
 
 // When the longest waiting task of the step began to wait; kForever: none
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -111,6 +111,12 @@
     "burdockrock_advice_seconds_total";
 inline constexpr std::string_view kAdviceStartsTotal =
     "burdockrock_advice_starts_total";
+inline constexpr std::string_view kAdviceRoomGoneTotal =
+    "burdockrock_advice_room_gone_total";
+inline constexpr std::string_view kAdviceLineSteps =
+    "burdockrock_advice_line_steps";
+inline constexpr std::string_view kAdviceLineSeconds =
+    "burdockrock_advice_line_seconds";
 inline constexpr std::string_view kAdviceIdleSecondsTotal =
     "burdockrock_advice_idle_seconds_total";
 inline constexpr std::string_view kResidentBytes = "burdockrock_resident_bytes";
@@ -231,6 +237,13 @@
      "Time that these calls take the service, in seconds"},
     {kAdviceStartsTotal, MetricKind::kCounter, "reason",
      "Tasks offered with the tickets of these calls"},
+    {kAdviceRoomGoneTotal, MetricKind::kCounter, "reason",
+     "Calls after which tasks waited and no worker with a ticket had room"},
+    {kAdviceLineSteps, MetricKind::kGauge, "",
+     "Own steps that wait to send a request for advice"},
+    {kAdviceLineSeconds, MetricKind::kGauge, "",
+     "Longest time since one of these steps sent its last request or could "
+     "run, in seconds"},
     {kAdviceIdleSecondsTotal, MetricKind::kCounter, "",
      "Time without a call by this process while own steps waited for one, in "
      "seconds"},
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -98,6 +98,9 @@
 void SetAdvice(Metrics& metrics, const engine::State& state) {
   metrics.GetCounter(kAdviceIdleSecondsTotal, {})
       .RaiseTo(InSeconds(state.advice.idle_beside_line));
+  metrics.Set(kAdviceLineSteps, {},
+              static_cast<double>(state.advice.line_steps));
+  metrics.Set(kAdviceLineSeconds, {}, InSeconds(state.advice.line_longest));
   const engine::AdviceCounts& counts = state.totals.advice;
   for (const engine::AdviceReason it : engine::kAllAdviceReasons) {
     const Labels labels = {
@@ -110,6 +113,7 @@
     raise(kAdviceNamesTotal, static_cast<double>(count.names));
     raise(kAdviceSecondsTotal, InSeconds(count.time));
     raise(kAdviceStartsTotal, static_cast<double>(count.starts));
+    raise(kAdviceRoomGoneTotal, static_cast<double>(count.room_gone));
   }
 }
 
