--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -13,6 +13,7 @@
 #include "engine/jobs/gang_bookings.h"
 #include "engine/jobs/job_table.h"
 #include "engine/jobs/placing.h"
+#include "engine/jobs/task_reservations.h"
 #include "engine/members/member_features.h"
 #include "engine/members/membership.h"
 #include "engine/teams/quota.h"
@@ -167,6 +168,11 @@
   return steps;
 }
 
+// Whether room is worth reserving while a call for the step lasts.
+bool MayReserve(const ReadyStep& ready) {
+  return IsLongCall(ExpectedTime(*ready.queue->advice, kTypicalWorkers));
+}
+
 // Whether a member could make such a call soon.
 bool IsTurn(const Context& context, const ReadyStep& ready) {
   const Duration expected = ExpectedTime(*ready.queue->advice, kTypicalWorkers);
@@ -285,7 +291,8 @@
     const std::string other = ChooseAdviceCaller(context, query.priority,
                                                  query.expected, Time::min());
     const bool holds_room =
-        IsBeingBooked(*FindJob(context.state, query.step.job), *step);
+        IsBeingBooked(*FindJob(context.state, query.step.job), *step) ||
+        std::any_of(step->tasks.begin(), step->tasks.end(), IsReserved);
     if (other != query.member &&
         (holds_room ||
          WaitLeftAt(context, other, query.priority) <= kIdleWait)) {
@@ -392,6 +399,11 @@
       }
       continue;
     }
+    if (MayReserve(it) && (ReserveKnownRoom(context, it) ||
+                           AwaitsConfirmation(context, it.run()))) {
+      it.run().advice_in_line = true;
+      continue;
+    }
     std::vector<std::string> workers = ChooseWorkersForAdvice(context, it);
     if (!workers.empty()) {
       SendQuery(context, it, std::move(workers));
--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -11,6 +11,7 @@
 #include "engine/jobs/placement_rule.h"
 #include "engine/jobs/task_copies.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/jobs/task_reservations.h"
 #include "engine/workers/worker_list.h"
 
 namespace burdockrock::engine {
@@ -252,7 +253,7 @@
       kTicketMargin + kRenewalLead + ExpectedTime(*ready.queue->advice, 1);
   for (const Task& it : step.tasks) {
     const bool only_booked =
-        ready.spec().gang && IsOnlyBooked(*ready.job, step, it);
+        ready.spec().gang ? IsOnlyBooked(*ready.job, step, it) : IsReserved(it);
     if (!only_booked && !MayAwaitEmptyWorker(context, ready.spec(), it)) {
       continue;
     }
--- a/Source/engine/condition_log.cc
+++ b/Source/engine/condition_log.cc
@@ -166,6 +166,7 @@
 }
 
 void AddAdvice(const StepWait& wait, std::vector<LogField>& fields) {
+  fields.push_back({"reserved", std::to_string(wait.reserved)});
   fields.push_back({"known", std::to_string(wait.known)});
   fields.push_back({"asked", std::to_string(wait.advice.asked)});
   fields.push_back({"refused", std::to_string(wait.advice.refused)});
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -78,13 +78,19 @@
   // Since when it has neither run nor been at work; offers that do not start a
   // run leave it as it is.
   Time idle_since{0};
-  Time last_update{0};    // last update on its run
-  Time last_query{0};     // last query for its run to the worker's owner
-  Time retry_at{0};       // not placed before this
-  bool booked = false;    // of a gang: the worker has reserved room for it
-  Time booked_at{0};      // when the worker's owner last confirmed the booking
-  Time offered_at{0};     // of a gang: when its last offer was sent
-  bool stopping = false;  // a stop command was sent
+  Time last_update{0};  // last update on its run
+  Time last_query{0};   // last query for its run to the worker's owner
+  Time retry_at{0};     // not placed before this
+  bool booked = false;  // the worker's owner has confirmed the reserved room
+  Time booked_at{0};    // when the worker's owner last confirmed the booking
+  Time offered_at{0};   // when its last offer was sent
+  // Not of a gang: room is reserved at the worker, and nothing may run there
+  // before the start, which waits for a ticket or for the store.
+  bool reserved = false;
+  // The start may be sent once the store has the job's progress at this
+  // version.
+  std::uint64_t reserved_version = 0;
+  bool stopping = false;         // a stop command was sent
   Time stop_sent = Time::min();  // the last stop command
   Time stopping_since{0};        // the first stop command
   std::optional<TaskCopy> copy{};
@@ -116,6 +122,9 @@
   bool advice_pending = false;            // an advice request is pending
   bool advice_unanswered = false;  // the last advice request got no answer
   AdviceHistory advice_history{};
+  // At the last check, a worker where the step is known to be allowed had room
+  // for a task. The step asks for its part of the team's cap without a ticket.
+  bool knows_room = false;
   // Times for the log, which shows what the step waited for. kForever: not yet.
   Time ready_at = kForever;    // all that it depends on was done
   Time advised_at = kForever;  // first tickets
--- a/Source/engine/jobs/job_ends.cc
+++ b/Source/engine/jobs/job_ends.cc
@@ -10,6 +10,7 @@
 #include "engine/jobs/task_copies.h"
 #include "engine/jobs/task_crashes.h"
 #include "engine/jobs/task_ref.h"
+#include "engine/jobs/task_reservations.h"
 
 namespace burdockrock::engine {
 
@@ -142,7 +143,8 @@
     } else if (report.run == ref->task.run && IsPlaced(ref->task)) {
       Requeue(context, ref->task, Duration(0));
     }
-  } else if (WasNeverStarted(ref->job, ref->spec, ref->step, report.run)) {
+  } else if (WasNeverStarted(ref->job, ref->spec, ref->step, report.run) ||
+             (IsReserved(ref->task) && report.run == ref->task.run)) {
     if (report.run == ref->task.run && report.worker == ref->task.worker) {
       Requeue(context, ref->task, Duration(0));
     }
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -10,6 +10,7 @@
 #include "engine/jobs/task_copies.h"
 #include "engine/jobs/task_crashes.h"
 #include "engine/jobs/task_ref.h"
+#include "engine/jobs/task_reservations.h"
 #include "engine/members/digests.h"
 #include "engine/members/membership.h"
 #include "engine/members/query_pacing.h"
@@ -254,6 +255,7 @@
   task.retry_at = context.now + pause;
   task.worker.clear();
   task.booked = false;
+  task.reserved = false;
   task.stopping = false;
   task.copy_wanted = false;
   context.state.placement_due = true;
@@ -342,7 +344,8 @@
       break;
     case RunState::kPending:
       task.last_update = context.now;
-      if (ref->spec.gang && IsOnlyBooked(ref->job, ref->step, task)) {
+      if (IsReserved(task) ||
+          (ref->spec.gang && IsOnlyBooked(ref->job, ref->step, task))) {
         NoteBooked(context, task);
       }
       break;
@@ -350,10 +353,12 @@
       if (report.worker != task.worker) {
         break;  // of a booking that was given up, or of a former incarnation
       }
-      context.Log(EventNumber::kAttemptLost,
-                  {{"task", report.task},
-                   {"run", std::to_string(report.run)},
-                   {"worker", report.worker}});
+      if (!IsReserved(task)) {
+        context.Log(EventNumber::kAttemptLost,
+                    {{"task", report.task},
+                     {"run", std::to_string(report.run)},
+                     {"worker", report.worker}});
+      }
       CountIfCrashed(context, ref->job, ref->name, task);
       // The offer may have been lost; then the room deducted for it is free.
       RequestRoomUpdate(context, report.worker);
@@ -395,9 +400,12 @@
       if (!IsPlaced(task) || task.worker != worker) {
         return;
       }
-      context.Log(EventNumber::kAttemptLost, {{"task", ToString(name)},
-                                              {"run", std::to_string(task.run)},
-                                              {"worker", worker}});
+      if (!IsReserved(task)) {
+        context.Log(EventNumber::kAttemptLost,
+                    {{"task", ToString(name)},
+                     {"run", std::to_string(task.run)},
+                     {"worker", worker}});
+      }
       CountIfCrashed(context, job, name, task);
       if (PromoteCopy(context, task)) {
         return;
@@ -430,6 +438,7 @@
     ForEachTask(job, [&](const TaskName& name, Task& task) {
       CheckTask(context, name, task, queries);
       ExpireBooking(context, job, name, task);
+      ExpireReservation(context, job, name, task);
       ClearOutlastedCrashes(context, job, task);
       DriveCopy(context, job, name, task, queries);
     });
--- a/Source/engine/jobs/placement_round.cc
+++ b/Source/engine/jobs/placement_round.cc
@@ -137,6 +137,22 @@
   return eligible;
 }
 
+std::vector<Candidate*> KnownWorkers(PlacementRound& round,
+                                     const ReadyStep& ready,
+                                     const PlacementNeed& need) {
+  std::vector<Candidate*> known;
+  for (const auto& [worker, ticket] : ready.run().tickets) {
+    Candidate* it = IsUsable(round.context, ticket)
+                        ? nullptr
+                        : FindCandidate(round, worker);
+    if (it != nullptr && HasRoomNow(need, *it) &&
+        MayRunOn(ready.spec(), *it->worker)) {
+      known.push_back(it);
+    }
+  }
+  return known;
+}
+
 Candidate* ChooseWorker(const PlacementChoice& choice,
                         const PlacementNeed& need) {
   const StepSpec& spec = choice.ready.spec();
@@ -254,6 +270,7 @@
   task.last_update = round.context.now;
   task.booked = false;
   task.offered_at = round.context.now;
+  task.reserved = false;
 }
 
 }  // namespace burdockrock::engine
--- a/Source/engine/jobs/placement_round.h
+++ b/Source/engine/jobs/placement_round.h
@@ -51,6 +51,12 @@
                                         const ReadyStep& ready,
                                         const PlacementNeed& need);
 
+// The same of those where an earlier reply allowed the step and its ticket is
+// no longer valid.
+std::vector<Candidate*> KnownWorkers(PlacementRound& round,
+                                     const ReadyStep& ready,
+                                     const PlacementNeed& need);
+
 // The workers from which one is chosen, and what restricts the choice.
 struct PlacementChoice {
   const ReadyStep& ready;
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -12,6 +12,7 @@
 #include "engine/jobs/placement_round.h"
 #include "engine/jobs/task_copies.h"
 #include "engine/jobs/task_crashes.h"
+#include "engine/jobs/task_reservations.h"
 #include "engine/members/membership.h"
 #include "engine/members/unresponsive_members.h"
 #include "engine/teams/quota.h"
@@ -45,6 +46,12 @@
   return task.planned && job.stored_version < task.planned->version;
 }
 
+// Whether the task's start at the worker has to be stored before it is sent.
+bool MustBeStored(const Task& task, const std::string& worker) {
+  return MustStoreStart(task) &&
+         !(task.planned && task.planned->worker == worker);
+}
+
 // Returns the run's number if the start may be sent now. Otherwise it must be
 // stored first; another round sends it then.
 std::optional<std::uint64_t> RunToStart(Context& context,
@@ -54,7 +61,7 @@
   if (!MustStoreStart(task)) {
     return NextRun(job, HighestRun(task));
   }
-  if (task.planned && task.planned->worker == worker) {
+  if (!MustBeStored(task, worker)) {
     return task.planned->run;
   }
   MarkChanged(context, job, true);
@@ -123,6 +130,10 @@
       return;  // the other tasks need the same room
     }
     ++choice.placed[std::string(WorkerIdOf(best->worker->id))];
+    if (MustBeStored(task, best->worker->id) && !alone && !choice.preempts) {
+      ReserveForStore(round, ready, it, *best);
+      continue;
+    }
     const auto run =
         RunToStart(round.context, *ready.job, task, best->worker->id);
     if (!run) {
@@ -281,7 +292,7 @@
   const auto& tasks = ready.run().tasks;
   return ready.spec().gang ||
          std::any_of(tasks.begin(), tasks.end(), [&](const Task& it) {
-           return IsDue(context, it) || WaitsForCopy(it);
+           return IsDue(context, it) || WaitsForCopy(it) || IsReserved(it);
          });
 }
 
@@ -416,6 +427,7 @@
     if (it.spec().gang) {
       PlaceGang(round, it);
     } else {
+      DriveReservations(round, it);
       PlaceIndependentTasks(round, it);
       PlaceCopies(round, it);
     }
--- a/Source/engine/jobs/preemption.cc
+++ b/Source/engine/jobs/preemption.cc
@@ -21,6 +21,12 @@
          !run.spec.filling;
 }
 
+// Room that is only reserved: nothing is lost with it.
+bool IsYieldingReservation(const LocalRun& run) {
+  return run.phase == RunPhase::kBooked && run.priority > kMostUrgent &&
+         !run.spec.gang;
+}
+
 struct Victim {
   const std::string* task = nullptr;
   LocalRun* run = nullptr;
@@ -97,7 +103,7 @@
 Resources PreemptibleRoom(const OwnedWorker& worker) {
   Resources room;
   for (const auto& [task, run] : worker.runs) {
-    if (IsPreemptible(run)) {
+    if (IsPreemptible(run) || IsYieldingReservation(run)) {
       room += RoomOf(run.spec);
     }
   }
@@ -109,6 +115,13 @@
               OwnedWorker& worker,
               const Resources& room) {
   Resources free = RoomAfterStops(worker);
+  std::vector<std::string> given_up;
+  for (const auto& [task, run] : worker.runs) {
+    if (IsYieldingReservation(run) && !Fits(room, free)) {
+      free += RoomOf(run.spec);
+      given_up.push_back(task);
+    }
+  }
   std::vector<Victim> chosen;
   for (const Victim& it : VictimsOf(worker)) {
     if (Fits(room, free)) {
@@ -128,6 +141,11 @@
                  {"percent", std::to_string(it.run->progress.percent)}});
     BeginRunStop(context, id, worker, *it.task, *it.run);
   }
+  for (const std::string& it : given_up) {
+    const LocalRun& run = worker.runs.at(it);
+    AnswerOffer(context, run.owner, id, it, run.run, OfferOutcome::kNoRoom);
+    RemoveRun(context, id, worker, it);
+  }
   return true;
 }
 
--- a/Source/engine/jobs/run_queries.cc
+++ b/Source/engine/jobs/run_queries.cc
@@ -159,6 +159,25 @@
   }
 }
 
+// Gives up room that a former owner of these jobs has reserved: nothing runs
+// for it, and the new owner would wait until it expires. A gang's bookings are
+// found, as some of its members may have started.
+void DropReservations(Context& context,
+                      const std::string& from,
+                      const std::set<std::string>& jobs,
+                      const std::string& id,
+                      OwnedWorker& worker) {
+  const auto n = std::erase_if(worker.runs, [&](const auto& it) {
+    const LocalRun& run = it.second;
+    const auto name = ParseTaskName(it.first);
+    return run.phase == RunPhase::kBooked && !run.spec.gang &&
+           run.owner != from && name && jobs.contains(name->job);
+  });
+  if (n > 0) {
+    RoomChanged(context, id);
+  }
+}
+
 // Adds what is complete and what runs at the own workers of the queried jobs.
 void AddOwnWorkers(Context& context,
                    const std::string& from,
@@ -169,6 +188,7 @@
     if (!worker.claimed) {
       continue;
     }
+    DropReservations(context, from, jobs, id, worker);
     // Only workers whose ownership was proven after the query first arrived,
     // and not those with ends of runs that are not known here.
     const bool owned = worker.owned_as_of >= queried_at ||
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -8,6 +8,7 @@
 #include "engine/jobs/placement_rule.h"
 #include "engine/jobs/task_crashes.h"
 #include "engine/jobs/task_ref.h"
+#include "engine/jobs/task_reservations.h"
 #include "engine/teams/quota.h"
 #include "engine/teams/quota_demand.h"
 
@@ -76,7 +77,7 @@
 
 bool Waits(const Context& context, const ReadyStep& ready, const Task& task) {
   return task.phase == TaskPhase::kWaiting || IsBooking(ready, task) ||
-         IsHeldBack(context, ready, task) ||
+         IsReserved(task) || IsHeldBack(context, ready, task) ||
          (task.phase == TaskPhase::kUnknown && ready.job->recovering);
 }
 
@@ -109,7 +110,10 @@
   if (std::none_of(tasks.begin(), tasks.end(), [](const Task& it) {
         return it.phase == TaskPhase::kWaiting;
       })) {
-    return WaitCause::kOffer;
+    if (wait.reserved == 0) {
+      return WaitCause::kOffer;
+    }
+    return wait.unstored > 0 ? WaitCause::kRecord : WaitCause::kAdvice;
   }
   if (all_pause) {
     return WaitCause::kPause;
@@ -184,6 +188,10 @@
     if (Waits(context, ready, it)) {
       ++wait.tasks;
       all_pause = all_pause && it.retry_at > context.now;
+      wait.reserved += IsReserved(it) ? 1 : 0;
+      wait.unstored +=
+          IsReserved(it) && ready.job->stored_version < it.reserved_version ? 1
+                                                                            : 0;
       wait.alone += IsolationOf(context, it) > Duration(0) ? 1 : 0;
     }
   }
--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -13,8 +13,9 @@
 
 enum class WaitCause {
   kRecovery,   // after an adoption not all of its possible runs are known
-  kRecord,     // the job's record is not stored, or its ownership is unverified
-  kAdvice,     // an advice request is pending
+  kRecord,     // the job's record or a start is not stored, or the job's
+               // ownership is unverified
+  kAdvice,     // an advice request is pending, or waits to be sent
   kTickets,    // no worker with a ticket has room (for a gang: for all of it),
                // and no advice request is pending
   kRoom,       // no worker that may run it has room (for a gang: for all of it)
@@ -34,6 +35,8 @@
 struct StepWait {
   WaitCause cause = WaitCause::kRoom;
   std::size_t tasks = 0;     // waiting tasks
+  std::size_t reserved = 0;  // of these, with reserved room
+  std::size_t unstored = 0;  // of these, whose start is not stored yet
   std::size_t room = 0;      // tasks that fit on all workers that may run it
   std::size_t ticketed = 0;  // of these, on workers with a valid ticket
   std::size_t tickets = 0;   // valid tickets
--- a/Source/engine/jobs/task_handover.cc
+++ b/Source/engine/jobs/task_handover.cc
@@ -7,6 +7,7 @@
 
 #include "engine/jobs/gang_bookings.h"
 #include "engine/jobs/job_table.h"
+#include "engine/jobs/task_reservations.h"
 #include "engine/members/member_features.h"
 #include "engine/members/membership.h"
 
@@ -85,6 +86,8 @@
         continue;
       }
       GiveUpBookings(context, job, k, s);
+      ReleaseReservations(context, job,
+                          {.job = job.id, .occurrence = k, .step = s});
       if (auto step = StepToHandOver(spec, StepAt(job, k, s))) {
         step->occurrence = k;
         step->step = s;
--- a/Source/engine/teams/quota.cc
+++ b/Source/engine/teams/quota.cc
@@ -91,11 +91,10 @@
   const Resources cap = CapOf(context.state.configuration, job.team);
   return [&context, &job, queue, cap](std::uint32_t occurrence,
                                       std::uint32_t step) {
+    const ReadyStep ready{
+        .job = &job, .occurrence = occurrence, .step = step, .queue = queue};
     return queue != nullptr && FitsCap(job.spec.steps[step], cap) &&
-           MayPlaceAnywhere(context, {.job = &job,
-                                      .occurrence = occurrence,
-                                      .step = step,
-                                      .queue = queue});
+           (ready.run().knows_room || MayPlaceAnywhere(context, ready));
   };
 }
 
