--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -44,6 +44,8 @@
 // when the step is ready: tickets requested earlier for the successor of a long
 // step expire before their use.
 constexpr Duration kEnoughSlack = milliseconds(2500);
+// Requests for deferred work come after all others for this long.
+constexpr Duration kMaxDeferral = milliseconds(1500);
 // Minimum time between two queries for one step, in addition to the decision
 // time of the service.
 constexpr Duration kQueryInterval = milliseconds(150);
@@ -110,11 +112,31 @@
   return kRequestLead + ExpectedTime(*queue.advice, kTypicalWorkers);
 }
 
-// Since when the step waits for a reply.
+// Whether room is reserved for a task of the step.
+bool HoldsRoom(const StepRun& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(), IsReserved);
+}
+
+// Since when the step waits for a reply. A reply that started nothing ends the
+// wait, or a step without room would ask again and again before all others. It
+// does not where room is held, as the next one will start tasks.
 Time WaitingSince(const Context& context, const ReadyStep& ready) {
-  return ready.ready
-             ? std::max(ready.run().ready_at, ready.run().advice_answered_at)
-             : context.now;
+  const StepRun& step = ready.run();
+  if (!ready.ready) {
+    return context.now;
+  }
+  return HoldsRoom(step) ? step.ready_at
+                         : std::max(step.ready_at, step.advice_answered_at);
+}
+
+// The standing by which the step is served. Deferred ones come last for a time,
+// and then have their place among the others: behind steps that ask again, they
+// would never be served.
+Standing StandingInLine(const Context& context, const ReadyStep& ready) {
+  const bool aged =
+      HasPassed(context.now, WaitingSince(context, ready), kMaxDeferral);
+  return IsDeferred(ready.standing()) && aged ? Standing::kLate
+                                              : ready.standing();
 }
 
 // Deferred work has no part in what is kept for the most urgent work.
@@ -151,8 +173,8 @@
        ReadySteps(context, {.lead = LeadOf, .wants = may_ask})) {
     if (NeedsAdvice(context, it)) {
       ranked.emplace_back(
-          RankOfCall(PriorityOf(it), it.standing(), Precedes(context, it),
-                     WaitingSince(context, it)),
+          RankOfCall(PriorityOf(it), StandingInLine(context, it),
+                     Precedes(context, it), WaitingSince(context, it)),
           it);
     }
   }
@@ -204,7 +226,8 @@
            .call = call,
            .step = StepName(step),
            .priority = PriorityOf(ready),
-           .standing = KnowsLoad(member) ? ready.standing() : Standing::kInTime,
+           .standing = KnowsLoad(member) ? StandingInLine(context, ready)
+                                         : Standing::kInTime,
            .precedes = Precedes(context, ready),
            .waited = std::max(context.now - WaitingSince(context, ready),
                               Duration(0)),
@@ -292,7 +315,7 @@
                                                  query.expected, Time::min());
     const bool holds_room =
         IsBeingBooked(*FindJob(context.state, query.step.job), *step) ||
-        std::any_of(step->tasks.begin(), step->tasks.end(), IsReserved);
+        HoldsRoom(*step);
     if (other != query.member &&
         (holds_room ||
          WaitLeftAt(context, other, query.priority) <= kIdleWait)) {
@@ -399,10 +422,12 @@
       }
       continue;
     }
-    if (MayReserve(it) && (ReserveKnownRoom(context, it) ||
-                           AwaitsConfirmation(context, it.run()))) {
-      it.run().advice_in_line = true;
-      continue;
+    if (MayReserve(it)) {
+      ReserveKnownRoom(context, it);
+      if (AwaitsConfirmation(context, it.run())) {
+        it.run().advice_in_line = true;
+        continue;
+      }
     }
     std::vector<std::string> workers = ChooseWorkersForAdvice(context, it);
     if (!workers.empty()) {
--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <random>
 #include <tuple>
 #include <utility>
 
@@ -34,6 +35,9 @@
 constexpr std::size_t kMaxRoomlessConsidered = 32;
 static_assert(kMaxRoomlessConsidered > kMaxRoomlessWorkers);
 
+// Weight of a worker without room in the random choice, in tasks.
+constexpr double kLeastWeight = 0.1;
+
 struct NamedWorker {
   const std::string* id = nullptr;
   bool allowed = false;  // by an earlier reply whose ticket has expired
@@ -96,6 +100,7 @@
   std::vector<NamedWorker> Take() { return std::move(names_); }
 
  private:
+  double RankOf(const Candidate& candidate, double fits) const;
   std::size_t roomless() const { return names_.size() - with_room_; }
 
   const Context& context_;
@@ -142,14 +147,25 @@
                     .has_room = has_room,
                     .fits = fits,
                     .empty = alone_ ? FreeShare(candidate) : 0,
-                    // Steps with a speed weight prefer fast workers, others
-                    // those where many tasks fit.
-                    .rank = need_.speed_weight > 0
-                                ? PlacementCost(need_, candidate)
-                                : -fits});
+                    .rank = RankOf(candidate, fits)});
   with_room_ += has_room ? 1 : 0;
 }
 
+// Steps with a speed weight prefer fast workers, gangs those where many members
+// fit. Others choose at random, in proportion to the room: if all of them named
+// the workers with the most, the first replies would use it up, and the others
+// would find none.
+double NameCollector::RankOf(const Candidate& candidate, double fits) const {
+  if (need_.speed_weight > 0) {
+    return PlacementCost(need_, candidate);
+  }
+  if (gang_) {
+    return -fits;
+  }
+  std::exponential_distribution<double> rank(std::max(fits, kLeastWeight));
+  return rank(context_.state.random);
+}
+
 // Own workers, those that an earlier reply allowed, and so many others that the
 // best of them serve as well as the best of all. Where few have room, all that
 // have are found.
@@ -275,7 +291,10 @@
   const std::set<std::string> renewed = WorkersToRenew(context, ready);
   const std::size_t waiting = CountWaiting(ready.run());
   const std::int64_t ticketed = CountTicketed(context, ready);
-  if (ticketed >= static_cast<std::int64_t>(waiting)) {
+  // A step that lacks its part of the cap would find its tickets lapsed once it
+  // has that.
+  if (ticketed >= static_cast<std::int64_t>(waiting) ||
+      ready.run().awaits_cap) {
     return {renewed.begin(), renewed.end()};
   }
   std::vector<NamedWorker> names = NamesFor(context, ready);
--- a/Source/engine/jobs/job.h
+++ b/Source/engine/jobs/job.h
@@ -85,11 +85,10 @@
   Time booked_at{0};    // when the worker's owner last confirmed the booking
   Time offered_at{0};   // when its last offer was sent
   // Not of a gang: room is reserved at the worker, and nothing may run there
-  // before the start, which waits for a ticket or for the store.
+  // before the start, which waits for a ticket or for the store. The start has
+  // a run number of its own, so that a late answer to the reservation does not
+  // count for it.
   bool reserved = false;
-  // The start may be sent once the store has the job's progress at this
-  // version.
-  std::uint64_t reserved_version = 0;
   bool stopping = false;         // a stop command was sent
   Time stop_sent = Time::min();  // the last stop command
   Time stopping_since{0};        // the first stop command
@@ -123,8 +122,9 @@
   bool advice_unanswered = false;  // the last advice request got no answer
   AdviceHistory advice_history{};
   // At the last check, a worker where the step is known to be allowed had room
-  // for a task. The step asks for its part of the team's cap without a ticket.
-  bool knows_room = false;
+  // for a task, and the team's cap had none. The step asks for its part of the
+  // cap without a ticket.
+  bool awaits_cap = false;
   // Times for the log, which shows what the step waited for. kForever: not yet.
   Time ready_at = kForever;    // all that it depends on was done
   Time advised_at = kForever;  // first tickets
--- a/Source/engine/jobs/placing.cc
+++ b/Source/engine/jobs/placing.cc
@@ -41,11 +41,6 @@
          !IsHeldForCrashes(context, task);
 }
 
-// Whether the start that is planned for the task is still being stored.
-bool IsBeingStored(const Job& job, const Task& task) {
-  return task.planned && job.stored_version < task.planned->version;
-}
-
 // Whether the task's start at the worker has to be stored before it is sent.
 bool MustBeStored(const Task& task, const std::string& worker) {
   return MustStoreStart(task) &&
@@ -109,7 +104,7 @@
                          .placed = CountPlaced(ready)};
   for (std::uint32_t it = 0; it < tasks.size(); ++it) {
     Task& task = tasks[it];
-    if (!IsDue(round.context, task) || IsBeingStored(*ready.job, task)) {
+    if (!IsDue(round.context, task) || IsUnstored(*ready.job, task)) {
       continue;
     }
     if (!HasQuota(round.context, *ready.job, charge)) {
--- a/Source/engine/jobs/recovery.cc
+++ b/Source/engine/jobs/recovery.cc
@@ -54,6 +54,15 @@
   });
 }
 
+// A run that was found shows that its step is allowed at its worker.
+void NoteAllowedWorkers(Job& job) {
+  ForEachTask(job, [&](const TaskName& name, const Task& task) {
+    if (task.phase == TaskPhase::kRunning) {
+      StepAt(job, name.occurrence, name.step).tickets.try_emplace(task.worker);
+    }
+  });
+}
+
 // Ends the recovery, as all members and workers that may run the job's tasks
 // are accounted for. Tasks without a reported run wait to be placed.
 void FinishRecovery(Context& context, Job& job) {
@@ -66,6 +75,7 @@
       NoteUntoldCrashes(task);
     }
   });
+  NoteAllowedWorkers(job);
   StopIncompleteGangs(context, job);
   context.state.placement_due = true;
   CompleteIfDone(context, job);
--- a/Source/engine/jobs/step_waits.cc
+++ b/Source/engine/jobs/step_waits.cc
@@ -125,8 +125,8 @@
   // the cap where its team's other steps do, since it then asks for no advice.
   const bool asks = ready.run().advice_pending || ready.run().advice_in_line;
   const Resources charge = LeastChargeOf(ready.spec(), ready.run());
-  const bool may_need_cap =
-      usable >= least || (!asks && WaitsForCap(context, *ready.job, charge));
+  const bool may_need_cap = usable >= least || ready.run().awaits_cap ||
+                            (!asks && WaitsForCap(context, *ready.job, charge));
   if (may_need_cap && !HasQuota(context, *ready.job, charge)) {
     return WaitCause::kQuota;
   }
@@ -189,9 +189,7 @@
       ++wait.tasks;
       all_pause = all_pause && it.retry_at > context.now;
       wait.reserved += IsReserved(it) ? 1 : 0;
-      wait.unstored +=
-          IsReserved(it) && ready.job->stored_version < it.reserved_version ? 1
-                                                                            : 0;
+      wait.unstored += IsReserved(it) && IsUnstored(*ready.job, it) ? 1 : 0;
       wait.alone += IsolationOf(context, it) > Duration(0) ? 1 : 0;
     }
   }
--- a/Source/engine/jobs/task_reservations.cc
+++ b/Source/engine/jobs/task_reservations.cc
@@ -20,18 +20,9 @@
 // A request for advice waits this long for reservations to be confirmed.
 constexpr Duration kConfirmationWait = milliseconds(200);
 
-// A task whose start must be stored has it in the job's record, which a later
-// owner would take for one that was sent.
-void NoteNotStarted(Context& context, Job& job, const Task& task) {
-  if (MustStoreStart(task)) {
-    MarkChanged(context, job, true);
-  }
-}
-
 void Release(Context& context, Job& job, const TaskName& name, Task& task) {
   SendStop(context, job, name, task.worker, task.run);
   Requeue(context, task, Duration(0));
-  NoteNotStarted(context, job, task);
 }
 
 // Whether a reservation may be made for the task now. One that is to run alone
@@ -39,8 +30,7 @@
 bool MayReserve(const Context& context, const Job& job, const Task& task) {
   return task.phase == TaskPhase::kWaiting && task.retry_at <= context.now &&
          !IsHeldForCrashes(context, task) &&
-         IsolationOf(context, task) == Duration(0) &&
-         (!task.planned || job.stored_version >= task.planned->version);
+         IsolationOf(context, task) == Duration(0) && !IsUnstored(job, task);
 }
 
 void Reserve(PlacementRound& round,
@@ -53,10 +43,10 @@
   AssignWorker(round, RoomOf(ready.spec()), worker, task,
                NextRun(job, HighestRun(task)));
   task.reserved = true;
-  task.reserved_version = 0;
   if (MustStoreStart(task)) {
     MarkChanged(context, job, true);
-    task.reserved_version = job.version;
+    task.planned = PlannedStart{
+        .run = task.run + 1, .worker = task.worker, .version = job.version};
   }
   TakeQuota(context, job, ChargeOfRun(ready.spec()));
   AddOffer(round, ready, index, OfferOf(context, task), OfferKind::kBooking);
@@ -76,6 +66,10 @@
   return task.phase == TaskPhase::kOffered && task.reserved;
 }
 
+bool IsUnstored(const Job& job, const Task& task) {
+  return task.planned && job.stored_version < task.planned->version;
+}
+
 bool AwaitsConfirmation(const Context& context, const StepRun& step) {
   return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& it) {
     return IsReserved(it) && !it.booked &&
@@ -83,11 +77,11 @@
   });
 }
 
-bool ReserveKnownRoom(Context& context, const ReadyStep& ready) {
+void ReserveKnownRoom(Context& context, const ReadyStep& ready) {
   StepRun& step = ready.run();
-  step.knows_room = false;
+  step.awaits_cap = false;
   if (!ready.ready || ready.spec().gang) {
-    return false;
+    return;
   }
   PlacementRound round{.context = context};
   PlacementNeed need = NeedOf(ready);
@@ -95,7 +89,6 @@
                          .eligible = KnownWorkers(round, ready, need),
                          .placed = CountPlaced(ready)};
   const Resources charge = ChargeOfRun(ready.spec());
-  bool any = false;
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     Task& task = step.tasks[it];
     if (!MayReserve(context, *ready.job, task)) {
@@ -106,16 +99,14 @@
     if (best == nullptr) {
       break;  // the other tasks need the same room
     }
-    step.knows_room = true;
     if (!HasQuota(context, *ready.job, charge)) {
+      step.awaits_cap = true;
       break;
     }
     ++choice.placed[std::string(WorkerIdOf(best->worker->id))];
     Reserve(round, ready, it, *best);
-    any = true;
   }
   SendOffers(round);
-  return any;
 }
 
 void ReserveForStore(PlacementRound& round,
@@ -144,7 +135,9 @@
                .index = it},
               task);
     } else if (HasTicket(context, ready, task.worker) &&
-               job.stored_version >= task.reserved_version) {
+               !IsUnstored(job, task)) {
+      task.run = NextRun(job, task.run);
+      task.planned.reset();
       task.reserved = false;
       task.last_update = context.now;
       task.offered_at = context.now;
--- a/Source/engine/jobs/task_reservations.h
+++ b/Source/engine/jobs/task_reservations.h
@@ -17,15 +17,17 @@
 // Whether the task has no more than a reservation at its worker.
 bool IsReserved(const Task& task);
 
+// Whether the planned start of the task waits until the store has it.
+bool IsUnstored(const Job& job, const Task& task);
+
 // Whether the step waits for the owners of workers to confirm reservations. Its
 // request for advice names the workers that they confirm.
 bool AwaitsConfirmation(const Context& context, const StepRun& step);
 
 // Reserves room for waiting tasks of the step at workers where it is known to
 // be allowed and has no valid ticket. Where the team's cap has no room for
-// them, the step is counted in what is requested of it. Returns whether it
-// reserved any.
-bool ReserveKnownRoom(Context& context, const ReadyStep& ready);
+// them, the step is counted in what is requested of it.
+void ReserveKnownRoom(Context& context, const ReadyStep& ready);
 
 // Reserves room at the worker for a task whose start must be stored first.
 void ReserveForStore(PlacementRound& round,
--- a/Source/engine/teams/quota.cc
+++ b/Source/engine/teams/quota.cc
@@ -94,7 +94,7 @@
     const ReadyStep ready{
         .job = &job, .occurrence = occurrence, .step = step, .queue = queue};
     return queue != nullptr && FitsCap(job.spec.steps[step], cap) &&
-           (ready.run().knows_room || MayPlaceAnywhere(context, ready));
+           (ready.run().awaits_cap || MayPlaceAnywhere(context, ready));
   };
 }
 
