--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -204,11 +204,10 @@
   return WaitLeftAt(context, member, priority) <= LongestWait(expected);
 }
 
-void SendQuery(Context& context,
-               const ReadyStep& ready,
-               std::vector<std::string> workers) {
+void SendQuery(Context& context, const ReadyStep& ready, AdvisedNames names) {
   AdviceState& advice = context.state.advice;
-  const Duration expected = ExpectedTime(*ready.queue->advice, workers.size());
+  const Duration expected =
+      ExpectedTime(*ready.queue->advice, names.workers.size());
   const std::string member = ChooseAdviceCaller(
       context, PriorityOf(ready), expected, UpdatedSince(ready.run()));
   const Duration wait = WaitAt(context, member, PriorityOf(ready));
@@ -235,12 +234,13 @@
            .timeout = timeout,
            .max_wait =
                std::min(wait, LongestWait(expected)) + WaitTolerance(expected),
-           .workers = workers});
+           .workers = names.workers});
   advice.queries.emplace(call, AdviceQuery{.step = step,
                                            .member = member,
-                                           .workers = std::move(workers),
+                                           .workers = std::move(names.workers),
                                            .priority = PriorityOf(ready),
                                            .reason = ReasonOf(context, ready),
+                                           .starts = names.starts,
                                            .expected = expected,
                                            .sent_at = context.now,
                                            .due = context.now + wait + expected,
@@ -361,6 +361,18 @@
   });
 }
 
+// Adds to what is known of how much room replies find. Of a gang no room is
+// meant to be free when its workers are named.
+void UpdateLeft(Context& context,
+                const ReadyStep& ready,
+                const AdviceQuery& query) {
+  if (ready.ready && !ready.spec().gang && query.starts > 0) {
+    const auto left = static_cast<double>(CountTicketed(context, ready));
+    context.state.advice.left[ready.queue->name].Update(
+        std::min(left, query.starts), query.starts);
+  }
+}
+
 // Counts a reply that came too late: the room that was free when its workers
 // were named is taken.
 void NoteRoomGone(Context& context,
@@ -429,9 +441,9 @@
         continue;
       }
     }
-    std::vector<std::string> workers = ChooseWorkersForAdvice(context, it);
-    if (!workers.empty()) {
-      SendQuery(context, it, std::move(workers));
+    AdvisedNames names = ChooseWorkersForAdvice(context, it);
+    if (!names.workers.empty()) {
+      SendQuery(context, it, std::move(names));
     } else {
       it.run().advice_checked_at = context.now;
     }
@@ -481,6 +493,7 @@
   }
   const ReadyStep ready = ReadyStepOf(context, *job, query.step.occurrence,
                                       query.step.step, *queue);
+  UpdateLeft(context, ready, query);
   if (ready.ready) {
     NoteRoomGone(context, ready, query.reason);
   }
--- a/Source/engine/advice/advice_rule.cc
+++ b/Source/engine/advice/advice_rule.cc
@@ -25,8 +25,14 @@
 constexpr double kSurplus = 4;
 constexpr double kGangSurplus = 3;
 
+// Expected starts for each waiting task in the room that is left at the reply.
+constexpr double kLeftSurplus = 1.5;
+
 // Weight of the previous value of a share, as a number of workers in a reply.
 constexpr double kPastShareWeight = 100;
+// The same of the room that is left, as a number of tasks.
+constexpr double kPastLeftWeight = 200;
+constexpr double kLeastLeft = 0.05;
 
 }  // namespace
 
@@ -35,8 +41,15 @@
            (kPastShareWeight + static_cast<double>(named));
 }
 
+void LeftShare::Update(double left, double expected) {
+  share_ = std::clamp(
+      (share_ * kPastLeftWeight + left) / (kPastLeftWeight + expected),
+      kLeastLeft, 1.0);
+}
+
 bool HasEnoughWorkers(const AdviceCallDraft& call) {
-  const double surplus = call.gang ? kGangSurplus : kSurplus;
+  const double surplus =
+      std::max(call.gang ? kGangSurplus : kSurplus, kLeftSurplus / call.left);
   return call.named >= kMinWorkers &&
          call.starts >= surplus * static_cast<double>(call.waiting);
 }
--- a/Source/engine/advice/advice_rule.h
+++ b/Source/engine/advice/advice_rule.h
@@ -24,6 +24,22 @@
   double share_ = 0.4;  // before the first reply
 };
 
+// The share of the room at allowed workers that is left when the reply comes,
+// learned from the replies. Under load, steps of other instances take much of
+// it during the call and its wait.
+class LeftShare {
+ public:
+  double value() const { return share_; }
+
+  // Adds a reply after which `left` tasks fit where `expected` were.
+  void Update(double left, double expected);
+
+  bool operator==(const LeftShare&) const = default;
+
+ private:
+  double share_ = 1;
+};
+
 // A call while its workers are being chosen.
 struct AdviceCallDraft {
   std::size_t waiting = 0;  // waiting tasks of the step
@@ -32,6 +48,7 @@
   double starts = 0;      // expected starts there, by the allowed share
   double max_starts = 0;  // starts if all of these workers are allowed
   double ticketed = 0;    // starts at other workers with valid tickets
+  double left = 1;        // share of the room that the reply finds; LeftShare
 };
 
 // Whether the call names enough workers. Too few cause another call, whose
--- a/Source/engine/advice/advice_state.h
+++ b/Source/engine/advice/advice_state.h
@@ -27,6 +27,7 @@
   std::vector<std::string> workers{};
   std::uint32_t priority = 0;
   AdviceReason reason = AdviceReason::kFirst;
+  double starts = 0;  // expected, in the room at the workers without a ticket
   Duration expected{0};
   Time sent_at{0};
   Time due{0};  // when the reply is expected
@@ -77,6 +78,7 @@
   std::unordered_map<std::string, AdviceCaller> callers{};  // by incarnation
   AdviceCallerOrder order{};
   std::map<std::string, AllowedShare> shares{};  // by queue
+  std::map<std::string, LeftShare> left{};       // by queue
   // Time in which this instance made no call while own steps waited for one.
   Duration idle_beside_line{0};
   Time line_checked_at = kForever;  // since when steps wait; kForever: none do
--- a/Source/engine/advice/advised_names.cc
+++ b/Source/engine/advice/advised_names.cc
@@ -286,8 +286,7 @@
   return policy.decision + policy.each * static_cast<std::int64_t>(workers);
 }
 
-std::vector<std::string> ChooseWorkersForAdvice(Context& context,
-                                                const ReadyStep& ready) {
+AdvisedNames ChooseWorkersForAdvice(Context& context, const ReadyStep& ready) {
   const std::set<std::string> renewed = WorkersToRenew(context, ready);
   const std::size_t waiting = CountWaiting(ready.run());
   const std::int64_t ticketed = CountTicketed(context, ready);
@@ -295,7 +294,7 @@
   // has that.
   if (ticketed >= static_cast<std::int64_t>(waiting) ||
       ready.run().awaits_cap) {
-    return {renewed.begin(), renewed.end()};
+    return {.workers = {renewed.begin(), renewed.end()}};
   }
   std::vector<NamedWorker> names = NamesFor(context, ready);
   // Shuffles workers of equal rank so that not all steps name the same ones.
@@ -307,9 +306,11 @@
                             std::tuple(-right.empty, !right.has_room,
                                        !right.allowed, right.rank);
                    });
-  AdviceCallDraft call{.waiting = waiting,
-                       .gang = ready.spec().gang,
-                       .ticketed = static_cast<double>(ticketed)};
+  AdviceCallDraft call{
+      .waiting = waiting,
+      .gang = ready.spec().gang,
+      .ticketed = static_cast<double>(ticketed),
+      .left = context.state.advice.left[ready.queue->name].value()};
   const double share = context.state.advice.shares[ready.queue->name].value();
   std::vector<std::string> chosen(renewed.begin(), renewed.end());
   const bool queried = ready.run().advised_at != kForever;
@@ -330,9 +331,9 @@
   }
   if (queried &&
       !IsWorthACall(call, context.now - ready.run().advice_called_at)) {
-    chosen.resize(renewed.size());
+    return {.workers = {renewed.begin(), renewed.end()}};
   }
-  return chosen;
+  return {.workers = std::move(chosen), .starts = call.starts};
 }
 
 }  // namespace burdockrock::engine
--- a/Source/engine/advice/advised_names.h
+++ b/Source/engine/advice/advised_names.h
@@ -37,10 +37,14 @@
 // Service time of a call that names so many workers.
 Duration ExpectedTime(const AdvicePolicy& policy, std::size_t workers);
 
-// Ids of the workers to name, the best first; empty when the call is not worth
-// its service time.
-std::vector<std::string> ChooseWorkersForAdvice(Context& context,
-                                                const ReadyStep& ready);
+// The workers that a call names.
+struct AdvisedNames {
+  std::vector<std::string> workers{};  // ids, the best first
+  double starts = 0;                   // expected at those without a ticket
+};
+
+// No workers when the call is not worth its service time.
+AdvisedNames ChooseWorkersForAdvice(Context& context, const ReadyStep& ready);
 
 }  // namespace burdockrock::engine
 
--- a/Source/engine/jobs/job_runs.cc
+++ b/Source/engine/jobs/job_runs.cc
@@ -86,7 +86,7 @@
       ref.job.version == ref.job.stored_version) {
     MarkChanged(context, ref.job, true);  // the write shows who owns the job
   }
-  if (MustStoreStart(ref.task)) {
+  if (MustStoreStart(ref.task) && !IsReserved(ref.task)) {
     MarkChanged(context, ref.job, true);  // the start is no longer open
   }
   // A member whose booking is refused is booked elsewhere, unless its run
