Advice: An instance looks for room to reserve each 50 ms

Cause: a step without room was looked at again only after the time between two of its queries, 0.65 s, while others took the room.

Change: each 50 ms the first step with known room reserves it, one at a time before it has asked for its tickets. Its query does not wait for the reply to another one.

--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -44,6 +44,8 @@
 // when the step is ready: tickets requested earlier for the successor of a long
 // step expire before their use.
 constexpr Duration kEnoughSlack = milliseconds(2500);
+// Between two looks for room to reserve.
+constexpr Duration kReservationInterval = milliseconds(50);
 // Requests for deferred work come after all others for this long.
 constexpr Duration kMaxDeferral = milliseconds(1500);
 // Minimum time between two queries for one step, in addition to the decision
@@ -61,13 +63,48 @@
       [&](const auto& it) { return IsValid(context, it.second); });
 }
 
-// Whether a query may be sent for the step now, if it needs advice.
+// Whether room is reserved for a task of the step.
+bool HoldsRoom(const StepRun& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(), IsReserved);
+}
+
+// Whether an open query for the step names the worker.
+bool IsNamed(const Context& context,
+             const ReadyStep& ready,
+             const std::string& worker) {
+  const auto& queries = context.state.advice.queries;
+  return std::any_of(queries.begin(), queries.end(), [&](const auto& it) {
+    const AdviceQuery& query = it.second;
+    return query.step.job == ready.job->id && query.step.step == ready.step &&
+           query.step.occurrence == ready.occurrence &&
+           std::find(query.workers.begin(), query.workers.end(), worker) !=
+               query.workers.end();
+  });
+}
+
+// Whether room is reserved for the step at a worker for which it has neither a
+// ticket nor asked for one.
+bool HoldsUnnamedRoom(const Context& context, const ReadyStep& ready) {
+  const auto& tasks = ready.run().tasks;
+  return std::any_of(tasks.begin(), tasks.end(), [&](const Task& it) {
+    return IsReserved(it) && !HasTicket(context, ready, it.worker) &&
+           !IsNamed(context, ready, it.worker);
+  });
+}
+
+// Whether a query may be sent for the step now, if it needs advice. One for
+// reserved room does not wait for the reply to another one.
 bool MayAsk(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
-  return ready.queue->advice && !step.advice_pending &&
+  if (!ready.queue->advice || WaitsForRecovery(ready)) {
+    return false;
+  }
+  if (HoldsRoom(step) && HoldsUnnamedRoom(context, ready)) {
+    return true;
+  }
+  return !step.advice_pending &&
          HasPassed(context.now, step.advice_checked_at,
-                   kQueryInterval + ready.queue->advice->decision) &&
-         !WaitsForRecovery(ready);
+                   kQueryInterval + ready.queue->advice->decision);
 }
 
 bool NeedsAdvice(const Context& context, const ReadyStep& ready) {
@@ -112,11 +149,6 @@
   return kRequestLead + ExpectedTime(*queue.advice, kTypicalWorkers);
 }
 
-// Whether room is reserved for a task of the step.
-bool HoldsRoom(const StepRun& step) {
-  return std::any_of(step.tasks.begin(), step.tasks.end(), IsReserved);
-}
-
 // Since when the step waits for a reply. A reply that started nothing ends the
 // wait, or a step without room would ask again and again before all others. It
 // does not where room is held, as the next one will start tasks.
@@ -190,11 +222,6 @@
   return steps;
 }
 
-// Whether room is worth reserving while a call for the step lasts.
-bool MayReserve(const ReadyStep& ready) {
-  return IsLongCall(ExpectedTime(*ready.queue->advice, kTypicalWorkers));
-}
-
 // Whether a member could make such a call soon.
 bool IsTurn(const Context& context, const ReadyStep& ready) {
   const Duration expected = ExpectedTime(*ready.queue->advice, kTypicalWorkers);
@@ -385,6 +412,42 @@
   }
 }
 
+// Whether a step whose valid tickets have no room may reserve some where it is
+// known to be allowed. Short calls are over before others take it.
+bool MayReserve(const ReadyStep& ready) {
+  const StepRun& step = ready.run();
+  return ready.queue->advice && !ready.spec().gang && !step.tickets.empty() &&
+         CountWaiting(step) > 0 && !WaitsForRecovery(ready) &&
+         IsLongCall(ExpectedTime(*ready.queue->advice, kTypicalWorkers));
+}
+
+// Reserves room for the first step that finds some. Only one holds room before
+// it has asked for tickets: room that is held for a later turn is of no use.
+void ReserveRoom(Context& context) {
+  AdviceState& advice = context.state.advice;
+  if (!HasPassed(context.now, advice.reserved_at, kReservationInterval)) {
+    return;
+  }
+  advice.reserved_at = context.now;
+  bool holds_unnamed = false;
+  const auto may_reserve = [&](const ReadyStep& it) {
+    holds_unnamed =
+        holds_unnamed || (HoldsRoom(it.run()) && HoldsUnnamedRoom(context, it));
+    return MayReserve(it);
+  };
+  const std::vector<ReadyStep> steps =
+      ReadySteps(context, {.wants = may_reserve});
+  for (const ReadyStep& it : steps) {
+    if (holds_unnamed) {
+      return;
+    }
+    if (!WaitsForCap(context, *it.job, LeastChargeOf(it.spec(), it.run())) &&
+        !HasEnough(context, it) && IsTurn(context, it)) {
+      holds_unnamed = ReserveKnownRoom(context, it);
+    }
+  }
+}
+
 // Adds the time since the last check in which this instance could have made a
 // call for one of the steps in its line.
 void NoteIdleTime(Context& context) {
@@ -423,6 +486,7 @@
   }
   GiveUpOverdueQueries(context);
   ReleaseOverdueSteps(context);
+  ReserveRoom(context);
   std::set<const QueuePolicy*> busy;  // their calls have to wait
   for (const ReadyStep& it : StepsInLine(context)) {
     it.run().advice_in_line = busy.contains(it.queue) || !IsTurn(context, it);
@@ -434,12 +498,9 @@
       }
       continue;
     }
-    if (MayReserve(it)) {
-      ReserveKnownRoom(context, it);
-      if (AwaitsConfirmation(context, it.run())) {
-        it.run().advice_in_line = true;
-        continue;
-      }
+    if (AwaitsConfirmation(context, it.run())) {
+      it.run().advice_in_line = true;
+      continue;
     }
     AdvisedNames names = ChooseWorkersForAdvice(context, it);
     if (!names.workers.empty()) {
--- a/Source/engine/advice/advice_state.h
+++ b/Source/engine/advice/advice_state.h
@@ -73,6 +73,7 @@
   // Calls that were answered lately, by the sender and its number of the call.
   std::map<std::pair<std::string, std::uint64_t>, Time> answered{};
   Time retry_at{0};
+  Time reserved_at = Time::min();  // last look for room to reserve
   Duration overrun{0};  // how far recent calls exceeded their expected time
   Time overrun_at{0};
   std::unordered_map<std::string, AdviceCaller> callers{};  // by incarnation
--- a/Source/engine/jobs/task_reservations.cc
+++ b/Source/engine/jobs/task_reservations.cc
@@ -77,11 +77,11 @@
   });
 }
 
-void ReserveKnownRoom(Context& context, const ReadyStep& ready) {
+bool ReserveKnownRoom(Context& context, const ReadyStep& ready) {
   StepRun& step = ready.run();
   step.awaits_cap = false;
   if (!ready.ready || ready.spec().gang) {
-    return;
+    return false;
   }
   PlacementRound round{.context = context};
   PlacementNeed need = NeedOf(ready);
@@ -89,6 +89,7 @@
                          .eligible = KnownWorkers(round, ready, need),
                          .placed = CountPlaced(ready)};
   const Resources charge = ChargeOfRun(ready.spec());
+  bool any = false;
   for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
     Task& task = step.tasks[it];
     if (!MayReserve(context, *ready.job, task)) {
@@ -105,8 +106,10 @@
     }
     ++choice.placed[std::string(WorkerIdOf(best->worker->id))];
     Reserve(round, ready, it, *best);
+    any = true;
   }
   SendOffers(round);
+  return any;
 }
 
 void ReserveForStore(PlacementRound& round,
--- a/Source/engine/jobs/task_reservations.h
+++ b/Source/engine/jobs/task_reservations.h
@@ -26,8 +26,9 @@
 
 // Reserves room for waiting tasks of the step at workers where it is known to
 // be allowed and has no valid ticket. Where the team's cap has no room for
-// them, the step is counted in what is requested of it.
-void ReserveKnownRoom(Context& context, const ReadyStep& ready);
+// them, the step is counted in what is requested of it. Returns whether it
+// reserved any.
+bool ReserveKnownRoom(Context& context, const ReadyStep& ready);
 
 // Reserves room at the worker for a task whose start must be stored first.
 void ReserveForStore(PlacementRound& round,
