--- a/Source/engine/advice/advice_rule.cc
+++ b/Source/engine/advice/advice_rule.cc
@@ -26,12 +26,12 @@
 constexpr double kGangSurplus = 3;
 
 // Expected starts for each waiting task in the room that is left at the reply.
-constexpr double kLeftSurplus = 1.5;
+constexpr double kLeftSurplus = 2;
 
 // Weight of the previous value of a share, as a number of workers in a reply.
 constexpr double kPastShareWeight = 100;
 // The same of the room that is left, as a number of tasks.
-constexpr double kPastLeftWeight = 200;
+constexpr double kPastLeftWeight = 60;
 constexpr double kLeastLeft = 0.05;
 
 }  // namespace
--- a/Tests/engine/task_reservation_test.cc
+++ b/Tests/engine/task_reservation_test.cc
@@ -1,5 +1,6 @@
 // Room that is reserved for a task whose start waits for a ticket or for the
 // store.
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -59,8 +60,21 @@
   };
 }
 
-void SubmitTo(Fleet& fleet, const std::string& queue, const std::string& job) {
-  fleet.SendRequest("n0", {.query = CallerQuery::kSubmit,
+// An instance that does not own the worker, so that its offers are messages.
+std::string Stranger(const Fleet& fleet) {
+  const auto nodes = fleet.nodes();
+  const auto it = std::find_if(
+      nodes.begin(), nodes.end(),
+      [&](const std::string& node) { return fleet.state(node).owned.empty(); });
+  REQUIRE(it != nodes.end());
+  return *it;
+}
+
+void SubmitTo(Fleet& fleet,
+              const std::string& node,
+              const std::string& queue,
+              const std::string& job) {
+  fleet.SendRequest(node, {.query = CallerQuery::kSubmit,
                            .host = "h",
                            .path = "/" + queue + "/" + job,
                            .spec = OneStep(1, kWhole)});
@@ -68,11 +82,11 @@
 
 // Submits a job that fills the only worker, and then one of the queue "slow",
 // whose ticket has lapsed when the first one ends. Returns when it has ended.
-void WaitForRoom(Fleet& fleet) {
-  fleet.Submit("n0", kFill, OneStep(1, kWhole));
+void WaitForRoom(Fleet& fleet, const std::string& node) {
+  fleet.Submit(node, kFill, OneStep(1, kWhole));
   fleet.Run(milliseconds(500));
   REQUIRE(FindRun(fleet, kFill) != nullptr);
-  SubmitTo(fleet, "slow", kJob);
+  SubmitTo(fleet, node, "slow", kJob);
   REQUIRE(fleet.RunUntil(
       [&] { return FindRun(fleet, kFill)->ended <= fleet.now(); }, seconds(8)));
   REQUIRE(FindRun(fleet, kJob) == nullptr);
@@ -85,7 +99,7 @@
 TEST_CASE("Room is held while the ticket of a task is requested") {
   Fleet fleet({.workers = 1, .processors_milli = kWhole});
   SetUp(fleet);
-  WaitForRoom(fleet);
+  WaitForRoom(fleet, "n0");
   fleet.Run(milliseconds(300));
   fleet.Submit("n0", kRival, OneStep(1, kWhole));
   fleet.Run(seconds(3));
@@ -108,12 +122,13 @@
       started = started || !offer->book_only;
     }
   };
-  WaitForRoom(fleet);
+  const std::string node = Stranger(fleet);
+  WaitForRoom(fleet, node);
   REQUIRE(fleet.RunUntil([&] { return started; }, seconds(3)));
   REQUIRE(booking);
   const OfferedTask task = std::get<TaskOffer>(booking->message).tasks.front();
   fleet.DeliverPeerMessage(
-      "n0", booking->to,
+      node, booking->to,
       OfferAnswers{.answers = {{.task = "job.0.0.0",
                                 .run = task.run,
                                 .worker = task.worker,
@@ -163,9 +178,9 @@
       "urgent", 0,
       AdvicePolicy{.decision = milliseconds(20), .valid = seconds(20)});
   fleet.Run(seconds(1));
-  WaitForRoom(fleet);
+  WaitForRoom(fleet, "n0");
   fleet.Run(milliseconds(100));
-  SubmitTo(fleet, "urgent", kRival);
+  SubmitTo(fleet, "n0", "urgent", kRival);
   fleet.Run(milliseconds(1500));
   CHECK(FindRun(fleet, kRival) != nullptr);
   fleet.Run(seconds(3));
