--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -45,6 +45,8 @@
 // when the step is ready: tickets requested earlier for the successor of a long
 // step expire before their use.
 constexpr Duration kEnoughSlack = milliseconds(2500);
+// Lead of a step that holds room. Below the time for which it is held.
+constexpr Duration kHoldingLead = milliseconds(2000);
 // Between two looks for room to reserve.
 constexpr Duration kReservationInterval = milliseconds(50);
 // Requests for deferred work come after all others for this long.
@@ -154,16 +156,17 @@
   return kRequestLead + ExpectedTime(*queue.advice, kTypicalWorkers);
 }
 
-// Since when the step waits for a reply. A reply that started nothing ends the
-// wait, or a step without room would ask again and again before all others. It
-// does not where room is held, as the next one will start tasks.
+// Since when the step waits for a reply. A reply ends the wait also if it
+// started nothing: by their whole wait, steps that ask again and again would
+// keep those waiting that have no reply yet. Held room, which is of no use to
+// others, is worth a lead.
 Time WaitingSince(const Context& context, const ReadyStep& ready) {
   const StepRun& step = ready.run();
   if (!ready.ready) {
     return context.now;
   }
-  return HoldsRoom(step) ? step.ready_at
-                         : std::max(step.ready_at, step.advice_answered_at);
+  return std::max(step.ready_at, step.advice_answered_at) -
+         (HoldsRoom(step) ? kHoldingLead : Duration(0));
 }
 
 // The standing by which the step is served. Deferred ones come last for a time,
@@ -185,8 +188,7 @@
 
 // Whether the step's query precedes others that wait for some seconds longer:
 // only once for a step of lasting tasks without room, as the steps that keep
-// asking would take all of the service's time. Room that is held for other
-// steps counts by their whole wait.
+// asking would take all of the service's time.
 bool Precedes(const Context& context, const ReadyStep& ready) {
   const bool first = ready.run().advice_answered_at == Time::min();
   const bool holds = HoldsRoom(ready.run());
