--- a/Source/engine/advice/advice.cc
+++ b/Source/engine/advice/advice.cc
@@ -244,15 +244,6 @@
   return WaitLeftAt(context, member, priority) <= LongestWait(expected);
 }
 
-// The longest wait at the member for which the query is made. Room that is held
-// is there after any wait; other room may be gone.
-Duration LongestWaitOf(const ReadyStep& ready,
-                       Duration reported,
-                       Duration expected) {
-  const Duration longest = LongestWait(expected);
-  return HoldsRoom(ready.run()) ? longest : std::min(reported, longest);
-}
-
 void SendQuery(Context& context, const ReadyStep& ready, AdvisedNames names) {
   AdviceState& advice = context.state.advice;
   const Duration expected =
@@ -282,7 +273,7 @@
            .expected = expected,
            .timeout = timeout,
            .max_wait =
-               LongestWaitOf(ready, wait, expected) + WaitTolerance(expected),
+               std::min(wait, LongestWait(expected)) + WaitTolerance(expected),
            .workers = names.workers});
   advice.queries.emplace(call, AdviceQuery{.step = step,
                                            .member = member,
