--- a/Tests/engine/scarce_advice_test.cc
+++ b/Tests/engine/scarce_advice_test.cc
@@ -179,7 +179,7 @@
   fleet.Run(seconds(1));
   const Duration last = LastStart(fleet, "ex", kDeferred, since);
   INFO("the last deferred step started after ", ToMilliseconds(last), " ms");
-  CHECK(last <= 2 * kMaxWait);
+  CHECK(last <= kMaxWait);
   CheckInvariants(fleet);
 }
 
