Teams: Event 516 tells a full, a blocked and an ungranted cap apart

Cause: 516 named the limit and the number of the last grant. Whether the other members hold the cap, runs of former members block it, or a grant is refused could not be told from the logs of a member that waits.

Change: with a report of a shortage the accountant repeats the last grant with what is taken of the cap and what is blocked, each 0.5 s at most, to members that know of it. 516 names the state, both amounts, and grants that the member refused since the last one that it applied.

--- a/Source/engine/condition_log.cc
+++ b/Source/engine/condition_log.cc
@@ -163,6 +163,16 @@
   fields.push_back({"wanted", std::to_string(cap.wanted)});
   fields.push_back({"cap", std::to_string(cap.cap)});
   fields.push_back({"grant", std::to_string(cap.grant)});
+  fields.push_back({"cap_state", CapStateName(cap.state)});
+  fields.push_back({"taken", std::to_string(cap.taken)});
+  fields.push_back({"blocked", std::to_string(cap.blocked)});
+  // NUMBER@SENDER:COUNT:MS
+  if (cap.refused.count > 0) {
+    fields.push_back(
+        {"refused_grants",
+         fmt::format("{}@{}:{}:{}", cap.refused.last, cap.refused.from,
+                     cap.refused.count, Milliseconds(cap.since_refused))});
+  }
 }
 
 void AddAdvice(const StepWait& wait, std::vector<LogField>& fields) {
--- a/Source/engine/members/member_features.cc
+++ b/Source/engine/members/member_features.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::string_view kRegistrationSuffix = "_n";
 constexpr std::string_view kHandoverSuffix = "_h";
 constexpr std::string_view kRelaySuffix = "_r";
 constexpr std::string_view kLoadSuffix = "_l";
@@ -20,10 +21,14 @@
   return WithLoad(incarnation.append(kRelaySuffix));
 }
 
+std::string WithHandovers(std::string incarnation) {
+  return WithRelays(incarnation.append(kHandoverSuffix));
+}
+
 }  // namespace
 
 std::string WithFeatures(std::string incarnation) {
-  return WithRelays(incarnation.append(kHandoverSuffix));
+  return WithHandovers(incarnation.append(kRegistrationSuffix));
 }
 
 bool KnowsLoad(std::string_view incarnation) {
@@ -37,6 +42,11 @@
 }
 
 bool KnowsHandovers(std::string_view incarnation) {
+  static const std::string kSuffix = WithHandovers({});
+  return incarnation.ends_with(kSuffix);
+}
+
+bool KnowsRegistrations(std::string_view incarnation) {
   static const std::string kSuffix = WithFeatures({});
   return incarnation.ends_with(kSuffix);
 }
--- a/Source/engine/members/member_features.h
+++ b/Source/engine/members/member_features.h
@@ -24,6 +24,10 @@
 // Such a member knows relays, too.
 bool KnowsHandovers(std::string_view incarnation);
 
+// Whether the member numbers its registrations, and binds what it holds of caps
+// to them. Such a member knows handovers, too.
+bool KnowsRegistrations(std::string_view incarnation);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_MEMBERS_MEMBER_FEATURES_H_
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -456,6 +456,8 @@
     codec.Optional("held", it.held, Resources());
     codec.Optional("cap", it.cap, Resources());
     codec.Optional("shared", it.shared, it.held);
+    codec.Optional("taken", it.taken, Resources());
+    codec.Optional("blocked", it.blocked, Resources());
   }
 };
 
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -529,6 +529,9 @@
   Resources held{};
   Resources cap{};     // of which `held` is a part
   Resources shared{};  // of `held`: usable by work of any priority
+  // The following only to members for which KnowsRegistrations() is true.
+  Resources taken{};    // of the cap, by all members and former ones
+  Resources blocked{};  // of this, what runs of former members may take
 
   auto operator<=>(const QuotaGrant&) const = default;
 };
--- a/Source/engine/teams/quota.cc
+++ b/Source/engine/teams/quota.cc
@@ -62,6 +62,37 @@
   return share.wanted - share.urgent_wanted;
 }
 
+// The accountant tells how the cap is used with each report of a shortage that
+// it gets, which are repeated more often than this.
+constexpr Duration kUseKnownFor = milliseconds(2000);
+
+CapState StateOf(const Context& context,
+                 const QuotaShare& share,
+                 std::size_t dimension,
+                 std::int64_t need) {
+  if (HasPassed(context.now, share.use.told_at, kUseKnownFor)) {
+    return CapState::kUngranted;
+  }
+  const std::int64_t left =
+      ToArray(share.cap)[dimension] - ToArray(share.use.taken)[dimension];
+  if (need <= left) {
+    return CapState::kUngranted;
+  }
+  return need <= left + ToArray(share.use.blocked)[dimension]
+             ? CapState::kBlocked
+             : CapState::kFull;
+}
+
+void NoteRefused(Time now,
+                 const std::string& from,
+                 const QuotaGrant& grant,
+                 RefusedGrants& refused) {
+  ++refused.count;
+  refused.last = grant.number;
+  refused.from = from;
+  refused.since = std::min(refused.since, now);
+}
+
 // The share as the accountant counts it.
 QuotaHolder HolderOf(const QuotaShare& share) {
   return {.held = LargerOf(share.held, share.charge),
@@ -354,11 +385,20 @@
       continue;
     }
     QuotaShare& share = found->second;
-    const bool valid = share.accountant == from && share.claim == it.claim &&
-                       it.number > share.grant;
-    if (!valid) {
+    const bool valid = share.accountant == from && share.claim == it.claim;
+    if (valid && it.number >= share.grant) {
+      share.use = {.told_at = context.now,
+                   .taken = it.taken,
+                   .blocked = it.blocked};
+    }
+    if (!valid || it.number < share.grant) {
+      NoteRefused(context.now, from, it, share.refused);
+    }
+    // One that is applied already may be repeated.
+    if (!valid || it.number <= share.grant) {
       continue;
     }
+    share.refused = {};
     share.grant = it.number;
     share.held = it.held;
     share.shared = it.shared;
@@ -416,6 +456,18 @@
   return !IsUnmet(holder.other_charge + need, UsableByOther(holder), cap);
 }
 
+const char* CapStateName(CapState state) {
+  switch (state) {
+    case CapState::kFull:
+      return "full";
+    case CapState::kBlocked:
+      return "blocked";
+    case CapState::kUngranted:
+      return "ungranted";
+  }
+  return "";
+}
+
 CapLimit CapLimitOf(const Context& context,
                     const Job& job,
                     const Resources& need) {
@@ -437,6 +489,13 @@
   for (std::size_t d = 0; d < kDimensionCount; ++d) {
     if (cap[d] > 0 && used[d] + needed[d] > usable[d]) {
       return {.dimension = DimensionName(d),
+              .state = StateOf(context, share, d, needed[d]),
+              .taken = ToArray(share.use.taken)[d],
+              .blocked = ToArray(share.use.blocked)[d],
+              .refused = share.refused,
+              .since_refused = share.refused.since == kForever
+                                   ? Duration(0)
+                                   : context.now - share.refused.since,
               .held = held[d],
               .usable = usable[d],
               .used = used[d],
--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -21,6 +21,8 @@
 // Between two scans while members do not reply to the questions after the
 // first: slow ones get the time to reply.
 constexpr Duration kUnheardScanInterval = milliseconds(3000);
+// Between two messages that tell a member which is short how the cap is used.
+constexpr Duration kUseInterval = milliseconds(500);
 // Before an accountant repeats a claim that another one has overridden. Both
 // follow the same list of members by then.
 constexpr Duration kContestedDelay = milliseconds(500);
@@ -272,6 +274,25 @@
   }
 }
 
+// The last grant to the member, and how the cap is used.
+QuotaGrant LastGrant(const std::string& team,
+                     const std::string& member,
+                     const QuotaLedger& ledger,
+                     const QuotaHolder& holder,
+                     const Resources& cap) {
+  QuotaGrant grant{.team = team,
+                   .claim = ledger.claim,
+                   .number = holder.grant,
+                   .held = holder.held,
+                   .cap = cap,
+                   .shared = holder.shared};
+  if (KnowsRegistrations(member)) {
+    grant.taken = HeldInAll(ledger);
+    grant.blocked = HeldByLeft(ledger);
+  }
+  return grant;
+}
+
 void AddGrants(Context& context,
                const std::string& team,
                AccountedTeam& account,
@@ -288,12 +309,8 @@
     if (!IsShort(holder, cap)) {
       holder.asked_at = kForever;
     }
-    grants[it.holder].teams.push_back({.team = team,
-                                       .claim = account.ledger.claim,
-                                       .number = holder.grant,
-                                       .held = holder.held,
-                                       .cap = cap,
-                                       .shared = holder.shared});
+    grants[it.holder].teams.push_back(
+        LastGrant(team, it.holder, account.ledger, holder, cap));
   }
 }
 
@@ -314,12 +331,6 @@
     // so do runs that the member has adopted meanwhile.
     holder.held = LargerOf(holder.held, holding.charge);
     holder.shared = LargerOf(holder.shared, holding.other_charge);
-    repeated.teams.push_back({.team = holding.team,
-                              .claim = account.ledger.claim,
-                              .number = holder.grant,
-                              .held = holder.held,
-                              .cap = cap,
-                              .shared = holder.shared});
   }
   holder.wanted = holding.wanted;
   holder.urgent_wanted = holding.urgent_wanted;
@@ -329,8 +340,16 @@
   holder.least = holding.least;
   holder.urgent_least = holding.urgent_least;
   holder.excess_waiting = holding.excess_waiting;
+  const bool is_short = IsShort(holder, cap);
   holder.asked_at =
-      IsShort(holder, cap) ? std::min(holder.asked_at, context.now) : kForever;
+      is_short ? std::min(holder.asked_at, context.now) : kForever;
+  const bool tells = is_short && KnowsRegistrations(from) &&
+                     HasPassed(context.now, holder.told_at, kUseInterval);
+  if (holding.grant != holder.grant || tells) {
+    holder.told_at = context.now;
+    repeated.teams.push_back(
+        LastGrant(holding.team, from, account.ledger, holder, cap));
+  }
 }
 
 }  // namespace
--- a/Source/engine/teams/quota_ledger.h
+++ b/Source/engine/teams/quota_ledger.h
@@ -36,6 +36,7 @@
   Resources excess_waiting{};  // of what is wanted, beyond the entitlement
   std::uint64_t grant = 0;     // number of the last grant to it
   Time asked_at = kForever;    // since when it has wanted more than it holds
+  Time told_at = Time::min();  // when it was told how the cap is used
 
   auto operator<=>(const QuotaHolder&) const = default;
 };
--- a/Source/engine/teams/quota_state.h
+++ b/Source/engine/teams/quota_state.h
@@ -14,6 +14,21 @@
 
 namespace burdockrock::engine {
 
+// How a team's cap is used, as its accountant last told.
+struct CapUse {
+  Time told_at = Time::min();
+  Resources taken{};    // by all members and former ones
+  Resources blocked{};  // of this, what runs of former members may take
+};
+
+// Grants that were not applied since the last one that was.
+struct RefusedGrants {
+  std::uint64_t count = 0;
+  std::uint64_t last = 0;  // its number
+  std::string from{};      // its sender
+  Time since = kForever;
+};
+
 // What this instance holds of one team's cap.
 struct QuotaShare {
   std::string accountant{};  // the member whose grants are applied
@@ -50,6 +65,9 @@
   Resources sent_excess_waiting{};
   Resources sent_unknown{};
   bool sent_unmet = false;
+  // For logs.
+  CapUse use{};
+  RefusedGrants refused{};
 };
 
 // How an account learns what members hold that it has not heard from: after the
