Teams: What a member holds of a cap is bound to its registration

Cause: claim, incarnation and number bind a grant. A member that loses its registration forgets what it holds; its accountant, when it sees the departure, forgets the member's account. Neither tells the other. A claim that was sent before gave the member the number of the old account; the new account counted from 0, and the member refused its grants, which the accountant took for grants on their way and counted as held.

Change: members number their registrations and report the number; grants name it, and one to an earlier registration is void. A report of a later registration begins the account anew, and what was held counts as that of a member that left. Numbers of grants rise over the whole ledger, so that the account of a holder may end while the holder goes on with its numbers. Members of earlier releases are sent neither, which the names of incarnations tell.

Evidence: quota_return_test, on: "A member that is back gets grants after a late claim" fails with and without work at the return, "A departure that is seen after the return leaves no grant refused" with departures seen 0.4 and 1.5 s late, "A grant from before the return gives a member nothing" too.

--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -445,6 +445,7 @@
   context.Log(EventNumber::kRegistrationLost, {{"cause", cause}});
   members.lease = 0;
   members.fence = 0;
+  ++members.registration;
   members.renewing = false;
   members.renew_at = context.now;
   members.present.erase(context.self());
--- a/Source/engine/members/peer_fields.h
+++ b/Source/engine/members/peer_fields.h
@@ -435,6 +435,7 @@
     codec.Optional("charge", it.charge, it.other_charge);
     codec.Optional("unknown", it.unknown, Resources());
     codec.Optional("excess_waiting", it.excess_waiting, Resources());
+    codec.Optional("registration", it.registration, std::uint64_t{0});
   }
 };
 
@@ -458,6 +459,7 @@
     codec.Optional("shared", it.shared, it.held);
     codec.Optional("taken", it.taken, Resources());
     codec.Optional("blocked", it.blocked, Resources());
+    codec.Optional("registration", it.registration, std::uint64_t{0});
   }
 };
 
--- a/Source/engine/members/peer_message.h
+++ b/Source/engine/members/peer_message.h
@@ -511,6 +511,8 @@
   Resources unknown{};
   // Of `wanted`: waiting tasks beyond the team's entitlement.
   Resources excess_waiting{};
+  // The following only to members for which KnowsRegistrations() is true.
+  std::uint64_t registration = 0;  // of the sender; 0: it tells none
 
   auto operator<=>(const QuotaHolding&) const = default;
 };
@@ -525,13 +527,15 @@
 struct QuotaGrant {
   std::string team{};
   std::uint64_t claim = 0;   // of the sender
-  std::uint64_t number = 0;  // rises with each grant to the same member
+  std::uint64_t number = 0;  // rises with each grant under the claim
   Resources held{};
   Resources cap{};     // of which `held` is a part
   Resources shared{};  // of `held`: usable by work of any priority
   // The following only to members for which KnowsRegistrations() is true.
   Resources taken{};    // of the cap, by all members and former ones
   Resources blocked{};  // of this, what runs of former members may take
+  // Of the receiver, as it last told. A grant to an earlier one is void.
+  std::uint64_t registration = 0;
 
   auto operator<=>(const QuotaGrant&) const = default;
 };
@@ -547,7 +551,7 @@
 struct QuotaClaim {
   std::string team{};
   std::uint64_t claim = 0;
-  // Number of the last grant to the receiver. One that takes up the claim again
+  // Number of the last grant to any member. One that takes up the claim again
   // has given up what it held, and must not apply earlier grants.
   std::uint64_t grant = 0;
 
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -197,6 +197,9 @@
   bool fence_advance_due = false;
   Time fence_advanced_at = Time::min();
   std::uint64_t fence = 0;  // 0: not registered
+  // Number of the registration, or of the next one while there is none. What
+  // other members know of an earlier one does not hold any more.
+  std::uint64_t registration = 1;
   Time registered_at{0};
   // The registration was valid then: a renewal sent at that time succeeded.
   Time last_contact{0};
--- a/Source/engine/teams/quota.cc
+++ b/Source/engine/teams/quota.cc
@@ -278,7 +278,7 @@
   }
 }
 
-QuotaHolding ReportOf(const std::string& team, const QuotaShare& share) {
+QuotaHolding FullReport(const std::string& team, const QuotaShare& share) {
   const QuotaHolder holder = HolderOf(share);
   return {.team = team,
           .claim = share.claim,
@@ -295,7 +295,7 @@
           .excess_waiting = holder.excess_waiting};
 }
 
-// The report as a member of an earlier release understands it.
+// The report as a member that knows no priorities understands it.
 QuotaHolding WithoutPriorities(QuotaHolding report) {
   if (report.least == Resources()) {
     report.least = report.urgent_least;
@@ -311,6 +311,18 @@
   return report;
 }
 
+// The report as its receiver understands it.
+QuotaHolding ReportTo(const Context& context,
+                      const std::string& receiver,
+                      const std::string& team,
+                      const QuotaShare& share) {
+  QuotaHolding report = FullReport(team, share);
+  if (KnowsRegistrations(receiver)) {
+    report.registration = context.state.members.registration;
+  }
+  return KnowsLoad(receiver) ? report : WithoutPriorities(std::move(report));
+}
+
 void NoteReported(Time now, QuotaShare& share) {
   share.sent_at = now;
   share.sent_held = HolderOf(share).held;
@@ -349,9 +361,8 @@
     const std::string accountant = AccountantOf(context.state, team);
     if (!accountant.empty()) {
       NoteReported(context.now, share);
-      const QuotaHolding report = ReportOf(team, share);
       reports[accountant].teams.push_back(
-          KnowsLoad(accountant) ? report : WithoutPriorities(report));
+          ReportTo(context, accountant, team, share));
     }
   }
   for (auto& [accountant, it] : reports) {
@@ -385,11 +396,13 @@
       continue;
     }
     QuotaShare& share = found->second;
-    const bool valid = share.accountant == from && share.claim == it.claim;
+    const bool current = !KnowsRegistrations(from) ||
+                         it.registration == context.state.members.registration;
+    const bool valid =
+        current && share.accountant == from && share.claim == it.claim;
     if (valid && it.number >= share.grant) {
-      share.use = {.told_at = context.now,
-                   .taken = it.taken,
-                   .blocked = it.blocked};
+      share.use = {
+          .told_at = context.now, .taken = it.taken, .blocked = it.blocked};
     }
     if (!valid || it.number < share.grant) {
       NoteRefused(context.now, from, it, share.refused);
@@ -433,8 +446,7 @@
       ContestAccount(context, it.team);
     }
     NoteReported(context.now, share);
-    const QuotaHolding report = ReportOf(it.team, share);
-    reply.teams.push_back(KnowsLoad(from) ? report : WithoutPriorities(report));
+    reply.teams.push_back(ReportTo(context, from, it.team, share));
   }
   Reply(context, from, std::move(reply));
 }
--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -106,13 +106,8 @@
   }
 }
 
-QuotaClaim ClaimFor(const std::string& member,
-                    const std::string& team,
-                    const QuotaLedger& ledger) {
-  const auto holder = ledger.holders.find(member);
-  return {.team = team,
-          .claim = ledger.claim,
-          .grant = holder == ledger.holders.end() ? 0 : holder->second.grant};
+QuotaClaim ClaimOf(const std::string& team, const QuotaLedger& ledger) {
+  return {.team = team, .claim = ledger.claim, .grant = ledger.last_grant};
 }
 
 void AskMembers(Context& context,
@@ -121,7 +116,7 @@
                 ClaimsByMember& claims) {
   account.audit.asked_at = context.now;
   for (const std::string& it : account.audit.awaited) {
-    claims[it].teams.push_back(ClaimFor(it, team, account.ledger));
+    claims[it].teams.push_back(ClaimOf(team, account.ledger));
   }
 }
 
@@ -289,6 +284,7 @@
   if (KnowsRegistrations(member)) {
     grant.taken = HeldInAll(ledger);
     grant.blocked = HeldByLeft(ledger);
+    grant.registration = holder.registration;
   }
   return grant;
 }
@@ -305,7 +301,7 @@
     holder.held = it.held;
     // A member of an earlier release knows no priorities.
     holder.shared = KnowsLoad(it.holder) ? it.shared : it.held;
-    ++holder.grant;
+    holder.grant = ++account.ledger.last_grant;
     if (!IsShort(holder, cap)) {
       holder.asked_at = kForever;
     }
@@ -314,6 +310,26 @@
   }
 }
 
+// Whether the report is of the holder's last known registration, or of a later
+// one. What it held before counts as that of a member that left: it may be back
+// in the same moment as its departure became known, or before.
+bool BeginsOrContinues(const std::string& from,
+                       const QuotaHolding& holding,
+                       AccountedTeam& account) {
+  const auto it = account.ledger.holders.find(from);
+  if (it == account.ledger.holders.end() || it->second.registration == 0) {
+    return true;
+  }
+  if (holding.registration < it->second.registration) {
+    return false;
+  }
+  if (holding.registration > it->second.registration) {
+    MoveToLeft(account.ledger, from);
+    account.audit.reviews = false;  // the last scan may be older than its loss
+  }
+  return true;
+}
+
 // Records what a member holds and wants.
 void NoteHolding(Context& context,
                  const std::string& from,
@@ -321,8 +337,15 @@
                  AccountedTeam& account,
                  QuotaGrants& repeated) {
   const Resources cap = CapOf(context.state.configuration, holding.team);
+  if (!BeginsOrContinues(from, holding, account)) {
+    return;
+  }
+  QuotaLedger& ledger = account.ledger;
   account.audit.awaited.erase(from);
-  QuotaHolder& holder = account.ledger.holders[from];
+  QuotaHolder& holder = ledger.holders[from];
+  holder.registration = holding.registration;
+  // A holder that was granted more than its account tells is older than that.
+  holder.grant = std::max(holder.grant, holding.grant);
   if (holding.grant == holder.grant) {
     holder.held = holding.held;
     holder.shared = holding.shared;
@@ -348,7 +371,7 @@
   if (holding.grant != holder.grant || tells) {
     holder.told_at = context.now;
     repeated.teams.push_back(
-        LastGrant(holding.team, from, account.ledger, holder, cap));
+        LastGrant(holding.team, from, ledger, holder, cap));
   }
 }
 
@@ -397,7 +420,7 @@
       // longer taken.
       ContestAccount(context, it.team);
     } else if (it.claim < ledger.claim) {
-      claims.teams.push_back(ClaimFor(from, it.team, ledger));
+      claims.teams.push_back(ClaimOf(it.team, ledger));
     } else if (ledger.claim != 0) {
       NoteHolding(context, from, it, account->second, repeated);
     }
--- a/Source/engine/teams/quota_ledger.h
+++ b/Source/engine/teams/quota_ledger.h
@@ -35,8 +35,10 @@
   Resources unknown{};  // what runs of former owners of its jobs may take
   Resources excess_waiting{};  // of what is wanted, beyond the entitlement
   std::uint64_t grant = 0;     // number of the last grant to it
-  Time asked_at = kForever;    // since when it has wanted more than it holds
-  Time told_at = Time::min();  // when it was told how the cap is used
+  // The registration that it last reported; 0: it has told none.
+  std::uint64_t registration = 0;
+  Time asked_at = kForever;     // since when it has wanted more than it holds
+  Time told_at = Time::min();   // when it was told how the cap is used
 
   auto operator<=>(const QuotaHolder&) const = default;
 };
@@ -45,6 +47,9 @@
   std::uint64_t claim = 0;
   // The holdings are known, or bounds of them. Nothing is granted before.
   bool settled = false;
+  // Number of the last grant. It is the ledger's, as the account of a holder
+  // may end while the holder goes on with its numbers.
+  std::uint64_t last_grant = 0;
   std::map<std::string, QuotaHolder> holders{};  // members, by incarnation
   // What members held that left. Their jobs' runs take no more than that, nor
   // more than what their new owners do not know yet and what is unclaimed.
--- /dev/null
+++ b/Tests/engine/quota_return_test.cc
@@ -0,0 +1,270 @@
+// Caps of teams while a member and its accountant don't learn in the same order
+// that the member has lost its registration and is back.
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <iterator>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "engine/fleet.h"
+#include "engine/records/record.h"
+
+namespace burdockrock::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kKey = "key";
+constexpr const char* kTeam = "team";
+constexpr std::int64_t kTask = 1000;  // thousandths of a processor
+constexpr std::int64_t kCap = 60;     // tasks
+constexpr std::uint32_t kJobTasks = 10;
+constexpr double kAmpleWeight = 1000;
+// A step that its cap and the workers have room for starts within this time
+// after the member is back.
+constexpr Duration kStartBound = seconds(3);
+// A start may bring a team above its cap by a tenth, and by one task.
+constexpr std::int64_t kMostAllowed = kCap * 11 / 10 + 1;
+
+struct CappedFleet {
+  explicit CappedFleet(std::size_t members = 9)
+      : fleet({.instances = members, .workers = 60, .teams = true}) {
+    fleet.SetTeams({{.name = kTeam,
+                     .keys = {DigestOf(kKey)},
+                     .weight = kAmpleWeight,
+                     .cap = {.processors_milli = kCap * kTask}}});
+    fleet.Settle();
+    for (const std::string& it : fleet.nodes()) {
+      (fleet.state(it).quota.accounts.contains(kTeam) ? accountant : member) =
+          it;
+    }
+  }
+
+  void Submit(const std::string& node,
+              const std::string& job,
+              std::uint32_t tasks = kJobTasks) {
+    fleet.SubmitWithKey(node, job, OneStep(tasks), kKey);
+  }
+
+  // Jobs at the member, one after the other, each with grants of its own.
+  void GrantSeveralTimes() {
+    constexpr int kJobs = 8;
+    for (int it = 0; it < kJobs; ++it) {
+      Submit(member, fmt::format("before{}", it));
+      fleet.Run(seconds(2));
+    }
+    REQUIRE(fleet.state(member).quota.shares.at(kTeam).grant >= kJobs);
+  }
+
+  std::string IncarnationOf(const std::string& node) const {
+    return fleet.state(node).options.self.incarnation;
+  }
+
+  bool IsRegistered(const std::string& node) const {
+    return fleet.state(node).members.fence != 0;
+  }
+
+  // Ends the member's registration at the store, as if its lease had expired.
+  void RevokeMember() { fleet.store.Revoke(MemberKey(IncarnationOf(member))); }
+
+  // The claim that the accountant sends to the member now, which does not
+  // arrive.
+  QuotaClaims ClaimOnItsWay() {
+    std::optional<QuotaClaims> claim;
+    fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
+      const auto* claims = std::get_if<QuotaClaims>(&send.message);
+      if (from == accountant && claims != nullptr) {
+        claim = *claims;
+      }
+    };
+    fleet.is_cut = [&](const std::string& from, const std::string& to) {
+      return from == accountant && to == member;
+    };
+    fleet.DeliverPeerMessage(
+        accountant, IncarnationOf(member),
+        QuotaHoldings{.teams = {{.team = kTeam, .claim = 0}}});
+    fleet.Run(milliseconds(20));
+    fleet.is_cut = [](const std::string&, const std::string&) { return false; };
+    fleet.on_peer = [](const std::string&, const SendPeer&) {};
+    REQUIRE(claim.has_value());
+    return *claim;
+  }
+
+  void CheckStarts(const std::string& job, std::uint32_t tasks = kJobTasks) {
+    CHECK(fleet.RunUntil([&] { return CountRuns(fleet, job) == tasks; },
+                         kStartBound));
+  }
+
+  std::int64_t MostRunning() const {
+    std::vector<std::pair<Time, int>> changes;
+    for (const SeenRun& it : fleet.seen) {
+      changes.emplace_back(it.began, 1);
+      if (it.ended != kForever) {
+        changes.emplace_back(it.ended, -1);
+      }
+    }
+    std::sort(changes.begin(), changes.end());
+    std::int64_t running = 0;
+    std::int64_t most = 0;
+    for (const auto& [at, change] : changes) {
+      running += change;
+      most = std::max(most, running);
+    }
+    return most;
+  }
+
+  Fleet fleet;
+  std::string accountant{};
+  std::string member{};  // another one
+};
+
+// Keeps the answers to one instance's watches back until they are released.
+class HeldWatches {
+ public:
+  HeldWatches(Fleet& fleet, std::string node) {
+    fleet.step = [this, node = std::move(node)](
+                     const std::string& to, State& state, const Event& event) {
+      return to == node ? StepHeld(state, event) : Step(state, event);
+    };
+  }
+
+  void Hold() { holds_ = true; }
+  void Release() { holds_ = false; }
+
+ private:
+  static bool IsWatch(const State& state, const Event& event) {
+    const auto* answer = std::get_if<StoreAnswered>(&event.body);
+    if (answer == nullptr) {
+      return false;
+    }
+    const auto call = state.store.calls.find(answer->call);
+    return call != state.store.calls.end() &&
+           std::holds_alternative<ForWatch>(call->second);
+  }
+
+  Effects StepHeld(State& state, const Event& event) {
+    if (holds_ && IsWatch(state, event)) {
+      held_.push_back(event);
+      return {};
+    }
+    Effects effects;
+    if (!holds_) {
+      for (Event& it : std::exchange(held_, {})) {
+        it.now = event.now;
+        it.wall_ms = event.wall_ms;
+        effects = Joined(std::move(effects), Step(state, it));
+      }
+    }
+    return Joined(std::move(effects), Step(state, event));
+  }
+
+  static Effects Joined(Effects first, Effects second) {
+    std::move(second.begin(), second.end(), std::back_inserter(first));
+    return first;
+  }
+
+  bool holds_ = false;
+  std::vector<Event> held_{};
+};
+
+}  // namespace
+
+// Guards against a member that refuses all grants, as a claim from before its
+// return has given it the number of an account that has ended since.
+TEST_CASE("A member that is back gets grants after a late claim") {
+  for (const bool has_work : {false, true}) {
+    CAPTURE(has_work);
+    CappedFleet cell;
+    cell.GrantSeveralTimes();
+    const QuotaClaims late = cell.ClaimOnItsWay();
+    cell.RevokeMember();
+    REQUIRE(cell.fleet.RunUntil([&] { return !cell.IsRegistered(cell.member); },
+                                seconds(1)));
+    REQUIRE(cell.fleet.RunUntil([&] { return cell.IsRegistered(cell.member); },
+                                seconds(3)));
+    if (has_work) {
+      cell.Submit(cell.member, "next");
+    }
+    cell.fleet.DeliverPeerMessage(cell.member,
+                                  cell.IncarnationOf(cell.accountant), late);
+    if (!has_work) {
+      cell.fleet.Run(seconds(1));
+      cell.Submit(cell.member, "next");
+    }
+    cell.CheckStarts("next");
+    CHECK(cell.MostRunning() <= kMostAllowed);
+  }
+}
+
+// Guards against an account that ends when a late list shows a departure whose
+// member has reported since, and that begins anew with lower numbers.
+TEST_CASE("A departure that is seen after the return leaves no grant refused") {
+  for (const std::int64_t late_ms : {100, 400, 1500}) {
+    CAPTURE(late_ms);
+    CappedFleet cell;
+    cell.GrantSeveralTimes();
+    HeldWatches watches(cell.fleet, cell.accountant);
+    watches.Hold();
+    cell.RevokeMember();
+    REQUIRE(cell.fleet.RunUntil([&] { return !cell.IsRegistered(cell.member); },
+                                seconds(1)));
+    REQUIRE(cell.fleet.RunUntil([&] { return cell.IsRegistered(cell.member); },
+                                seconds(3)));
+    cell.Submit(cell.member, "first", 2);
+    cell.fleet.Run(milliseconds(late_ms));
+    watches.Release();
+    cell.fleet.Run(milliseconds(500));
+    cell.Submit(cell.member, "next");
+    cell.CheckStarts("next");
+    CHECK(cell.MostRunning() <= kMostAllowed);
+  }
+}
+
+// Guards against grants of before a return that are applied after it: what they
+// gave counts as free.
+TEST_CASE("A grant from before the return gives a member nothing") {
+  CappedFleet cell;
+  cell.GrantSeveralTimes();
+  const QuotaClaims claim = cell.ClaimOnItsWay();
+  std::optional<QuotaGrants> late;
+  cell.fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
+    const auto* grants = std::get_if<QuotaGrants>(&send.message);
+    if (from == cell.accountant && grants != nullptr) {
+      late = *grants;
+    }
+  };
+  cell.fleet.is_cut = [&](const std::string& from, const std::string& to) {
+    return from == cell.accountant && to == cell.member;
+  };
+  cell.Submit(cell.member, "lost", 40);
+  cell.fleet.Run(milliseconds(300));
+  cell.fleet.is_cut = [](const std::string&, const std::string&) {
+    return false;
+  };
+  REQUIRE(late.has_value());
+  cell.fleet.on_peer = [](const std::string&, const SendPeer&) {};
+  cell.RevokeMember();
+  REQUIRE(cell.fleet.RunUntil([&] { return !cell.IsRegistered(cell.member); },
+                              seconds(1)));
+  cell.fleet.DeliverPeerMessage(cell.member,
+                                cell.IncarnationOf(cell.accountant), claim);
+  cell.fleet.DeliverPeerMessage(cell.member,
+                                cell.IncarnationOf(cell.accountant), *late);
+  cell.fleet.Run(milliseconds(2));
+  CHECK(cell.fleet.state(cell.member).quota.shares.at(kTeam).held ==
+        Resources());
+  cell.CheckStarts("lost", 40);
+  CHECK(cell.MostRunning() <= kMostAllowed);
+}
+
+}  // namespace burdockrock::engine
