Teams: Reports of members that have left don't count

Callers saw urgent steps wait for their team's cap beside room, for as long as the store refused a part of the instances.

Cause: a member that can't reach the store is removed from the list and goes on to report to the accountant, which took each report as that of a new holder.

Change: the accountant takes reports of members only. What one held when it left counts already, and its jobs are told by their new owners.

Evidence: quota_return_test "Members without the store block no more of a cap than they hold", 24 instances of which 8 are refused: on up to 104,000 are blocked of a cap of 60,000 and again and again for 10 s, in 13 of 20 looks from 5.5 s on.

--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -421,7 +421,9 @@
       ContestAccount(context, it.team);
     } else if (it.claim < ledger.claim) {
       claims.teams.push_back(ClaimOf(it.team, ledger));
-    } else if (ledger.claim != 0) {
+    } else if (ledger.claim != 0 &&
+               context.state.members.present.contains(from)) {
+      // What a member that left goes on to tell of its runs is in `left`.
       NoteHolding(context, from, it, account->second, repeated);
     }
   }
--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -267,4 +267,45 @@
   CHECK(cell.MostRunning() <= kMostAllowed);
 }
 
+// Guards against a cap that members which have left, and are heard all the
+// same, block with each of their reports.
+TEST_CASE("Members without the store block no more of a cap than they hold") {
+  CappedFleet cell(24);
+  Fleet& fleet = cell.fleet;
+  fleet.AddQueue("long", 2);
+  fleet.Run(milliseconds(100));
+  PlanAll(fleet, {.takes = milliseconds(700)});
+  const auto nodes = fleet.nodes();
+  std::set<std::string> away;
+  std::string other;
+  for (const std::string& it : nodes) {
+    if (it == cell.accountant) {
+      continue;
+    }
+    if (away.size() == nodes.size() / 3) {
+      other = it;
+      break;
+    }
+    away.insert(it);
+    fleet.SendRequest(it, {.query = CallerQuery::kSubmit,
+                           .host = "h",
+                           .path = "/long/runs-" + it,
+                           .key = DigestOf(kKey),
+                           .spec = OneStep(200)});
+  }
+  fleet.Run(seconds(2));
+  fleet.store_fault = [&](const std::string& node, const StoreRequest&) {
+    return away.contains(node) ? StoreFault::kRefuse : StoreFault::kNone;
+  };
+  fleet.Run(kMemberTtl + kStartBound);
+  const auto& account = fleet.state(cell.accountant).quota.accounts.at(kTeam);
+  for (int it = 0; it < 20; ++it) {
+    CHECK(HeldByLeft(account.ledger) == Resources());
+    fleet.Run(milliseconds(110));
+  }
+  cell.Submit(other, "next", 5);
+  cell.CheckStarts("next", 5);
+  CHECK(cell.MostRunning() <= kMostAllowed);
+}
+
 }  // namespace burdockrock::engine
