Teams: Holders that are silent while others wait are asked

Callers saw a step wait for a cap that nobody used.

Cause: a member tells once that it has returned its part. Where that message is lost, or the member has lost its registration and holds nothing to tell of, the accountant counts the part as held for good.

Change: while a member waits for the cap, one that holds some of it and has not reported for a second is sent the claim, to which members reply.

--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -23,6 +23,9 @@
 constexpr Duration kUnheardScanInterval = milliseconds(3000);
 // Between two messages that tell a member which is short how the cap is used.
 constexpr Duration kUseInterval = milliseconds(500);
+// While a member waits for the cap, one that holds some of it and has not
+// reported for this long is asked: that it has returned its part may be lost.
+constexpr Duration kHolderSilence = milliseconds(1000);
 // Before an accountant repeats a claim that another one has overridden. Both
 // follow the same list of members by then.
 constexpr Duration kContestedDelay = milliseconds(500);
@@ -120,6 +123,22 @@
   }
 }
 
+void AskSilentHolders(const Context& context,
+                      const std::string& team,
+                      QuotaLedger& ledger,
+                      ClaimsByMember& claims) {
+  const bool waits = std::any_of(
+      ledger.holders.begin(), ledger.holders.end(),
+      [](const auto& it) { return it.second.asked_at != kForever; });
+  for (auto& [member, it] : ledger.holders) {
+    if (waits && it.held != Resources() && KnowsTeams(member) &&
+        HasPassed(context.now, it.heard_at, kHolderSilence)) {
+      it.heard_at = context.now;
+      claims[member].teams.push_back(ClaimOf(team, ledger));
+    }
+  }
+}
+
 // What `owner` may hold of the cap, by the stored jobs that it owns.
 Resources BoundIn(const OwnedScan& scan,
                   const std::string& owner,
@@ -267,6 +286,7 @@
       HasPassed(context.now, audit.asked_at, kClaimRepeat)) {
     AskMembers(context, team, account, claims);
   }
+  AskSilentHolders(context, team, account.ledger, claims);
 }
 
 // The last grant to the member, and how the cap is used.
@@ -344,6 +364,7 @@
   account.audit.awaited.erase(from);
   QuotaHolder& holder = ledger.holders[from];
   holder.registration = holding.registration;
+  holder.heard_at = context.now;
   // A holder that was granted more than its account tells is older than that.
   holder.grant = std::max(holder.grant, holding.grant);
   if (holding.grant == holder.grant) {
--- a/Source/engine/teams/quota_ledger.h
+++ b/Source/engine/teams/quota_ledger.h
@@ -37,6 +37,7 @@
   std::uint64_t grant = 0;     // number of the last grant to it
   // The registration that it last reported; 0: it has told none.
   std::uint64_t registration = 0;
+  Time heard_at = Time::min();  // last report, or question for one
   Time asked_at = kForever;     // since when it has wanted more than it holds
   Time told_at = Time::min();   // when it was told how the cap is used
 
--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -267,6 +267,30 @@
   CHECK(cell.MostRunning() <= kMostAllowed);
 }
 
+// Guards against a part of the cap that counts as held for good, as the report
+// that it is returned was lost.
+TEST_CASE("A part of the cap whose return was lost is free again") {
+  CappedFleet cell;
+  Fleet& fleet = cell.fleet;
+  PlanAll(fleet, {.takes = seconds(2)});
+  cell.Submit(cell.member, "before", 50);
+  fleet.Run(seconds(1));
+  REQUIRE(CountRuns(fleet, "before") == 50);
+  fleet.is_cut = [&](const std::string& from, const std::string& to) {
+    return std::pair(from, to) == std::pair(cell.member, cell.accountant);
+  };
+  fleet.Run(seconds(4));
+  REQUIRE(CountEnds(fleet, RunEnd::kDone) == 50);
+  fleet.is_cut = [](const std::string&, const std::string&) { return false; };
+  const auto nodes = fleet.nodes();
+  const auto other = std::find_if(nodes.begin(), nodes.end(), [&](auto& it) {
+    return it != cell.member && it != cell.accountant;
+  });
+  cell.Submit(*other, "next", 40);
+  cell.CheckStarts("next", 40);
+  CHECK(cell.MostRunning() <= kMostAllowed);
+}
+
 // Guards against a cap that members which have left, and are heard all the
 // same, block with each of their reports.
 TEST_CASE("Members without the store block no more of a cap than they hold") {
