Members: A late watch takes away no member that is registered again

Cause: members are watched and, beside the watch, read. A watch that answers late tells of a removal, or of an entry, that a read has overtaken: the member that was read as registered again counted as departed until the next answer, and a member that was gone as present. A read of the list in pages took away what had registered after its first page, this instance as well.

Change: a removal has its revision and takes away older registrations only; entries older than the last complete read are passed over.

--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -300,12 +300,19 @@
   ScheduleOwnershipCheck(context);
 }
 
-void OnMemberRemoved(Context& context, const std::string& key) {
+void OnMemberRemoved(Context& context,
+                     const std::string& key,
+                     std::uint64_t revision) {
   MembersState& members = context.state.members;
   const std::string incarnation = IncarnationOf(key);
   if (!IsSelf(context, incarnation)) {
     DistrustWorkersOf(context, incarnation);
   }
+  // Watches and reads overlap: it may have been read as registered again.
+  const auto present = members.present.find(incarnation);
+  if (present != members.present.end() && present->second.fence > revision) {
+    return;
+  }
   const auto node = members.present.extract(incarnation);
   if (node.empty()) {
     if (!IsSelf(context, incarnation) &&
--- a/Source/engine/members/membership.h
+++ b/Source/engine/members/membership.h
@@ -16,7 +16,10 @@
 
 // A member's registration appeared, changed or disappeared in the store.
 void OnMemberItem(Context& context, const StoreItem& item);
-void OnMemberRemoved(Context& context, const std::string& key);
+// The key was not there any more at `revision`.
+void OnMemberRemoved(Context& context,
+                     const std::string& key,
+                     std::uint64_t revision);
 
 // Replies of the store to this instance's own requests.
 void OnLeaseGranted(Context& context, const StoreAnswer& answer);
--- a/Source/engine/records/watches.cc
+++ b/Source/engine/records/watches.cc
@@ -112,10 +112,13 @@
   }
 }
 
-void OnRemoved(Context& context, WatchedList list, const std::string& key) {
+void OnRemoved(Context& context,
+               WatchedList list,
+               const std::string& key,
+               std::uint64_t revision) {
   switch (list) {
     case WatchedList::kMembers:
-      return OnMemberRemoved(context, key);
+      return OnMemberRemoved(context, key, revision);
     case WatchedList::kWorkers:
       context.state.worker_entries.erase(key);
       return OnWorkerRemoved(context, key);
@@ -127,7 +130,8 @@
 // Removes known entries whose keys the listing did not return.
 void RemoveUnseen(Context& context,
                   WatchedList list,
-                  const std::set<std::string>& seen) {
+                  const std::set<std::string>& seen,
+                  std::uint64_t revision) {
   std::vector<std::string> missing;
   if (list == WatchedList::kMembers) {
     for (const auto& [incarnation, member] : context.state.members.present) {
@@ -144,10 +148,18 @@
   std::erase_if(missing,
                 [&](const std::string& key) { return seen.contains(key); });
   for (const std::string& it : missing) {
-    OnRemoved(context, list, it);
+    OnRemoved(context, list, it, revision);
   }
 }
 
+// Whether a complete read has told of the change, or of a later one.
+bool IsOutdated(const Context& context,
+                WatchedList list,
+                std::uint64_t revision) {
+  return list == WatchedList::kMembers &&
+         revision <= context.state.members_check.revision;
+}
+
 void OnPage(Context& context, WatchedList list, const StoreDone& page) {
   Watch& watch = context.state.watches.at(static_cast<std::size_t>(list));
   if (watch.after.empty()) {
@@ -172,7 +184,7 @@
   watch.after.clear();
   watch.revision = watch.read_revision;
   watch.followed_to = watch.sent_at;
-  RemoveUnseen(context, list, std::exchange(watch.seen, {}));
+  RemoveUnseen(context, list, std::exchange(watch.seen, {}), watch.revision);
 }
 
 void OnChanges(Context& context, WatchedList list, const StoreDone& changes) {
@@ -185,14 +197,16 @@
     removed[it.key] = it.revision;
   }
   for (const StoreItem& it : changes.items) {
-    OnItem(context, list, it);
+    if (!IsOutdated(context, list, it.revision)) {
+      OnItem(context, list, it);
+    }
     const auto removal = removed.find(it.key);
     if (removal != removed.end() && removal->second < it.revision) {
       removed.erase(removal);
     }
   }
   for (const auto& [key, revision] : removed) {
-    OnRemoved(context, list, key);
+    OnRemoved(context, list, key, revision);
   }
 }
 
@@ -240,7 +254,7 @@
     }
   }
   for (const std::string& it : removed) {
-    OnMemberRemoved(context, it);
+    OnMemberRemoved(context, it, page.revision);
   }
 }
 
@@ -311,6 +325,7 @@
     OnMemberItem(context, it);
   }
   if (!page->more) {
+    check.revision = page->revision;
     RemoveMembersNotIn(context, *page);
   }
   // If one page does not hold all members, only the watch can be relied on. So
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -134,6 +134,7 @@
 struct MembersCheck {
   bool in_flight = false;
   Time sent_at = Time::min();
+  std::uint64_t revision = 0;  // of the last read that held all members
 };
 
 // Members.
