Tests: Late watches of the members beside reads

Change: two cases feed the watch and the read of the members by hand: a removal that is told after the return was read, and an entry that is told after a read without it.

--- a/Tests/engine/watches_test.cc
+++ b/Tests/engine/watches_test.cc
@@ -54,6 +54,32 @@
   State state{};
 };
 
+// Feeds the watch of members and the reads beside it.
+struct MemberFollower {
+  MemberFollower() : state(MakeState({})) { Watched({.revision = 90}); }
+
+  static StoreItem Entry(std::uint64_t revision) {
+    return {.key = MemberKey("m1"),
+            .value = EncodeMember({.incarnation = "m1", .node = "m1"}),
+            .revision = revision};
+  }
+  void Watched(StoreDone done) {
+    Effects effects;
+    Context context{
+        .state = state, .effects = effects, .now = seconds(1000), .wall_ms = 0};
+    OnWatchAnswer(context, WatchedList::kMembers, done);
+  }
+  void Read(StoreDone done) {
+    Effects effects;
+    Context context{
+        .state = state, .effects = effects, .now = seconds(1000), .wall_ms = 0};
+    OnMembersRead(context, done);
+  }
+  bool HasMember() const { return state.members.present.contains("m1"); }
+
+  State state;
+};
+
 }  // namespace
 
 // Guards against needless decoding: on a site with 350 workers, each of 30
@@ -172,4 +198,32 @@
   }
 }
 
+// Guards against a member that departs, for this instance alone, because a
+// watch tells late of a removal that was followed by its return.
+TEST_CASE("A late removal leaves a member that was read as registered again") {
+  MemberFollower follower;
+  follower.Watched({.items = {MemberFollower::Entry(95)}, .revision = 95});
+  follower.Read({.items = {MemberFollower::Entry(105)}, .revision = 105});
+  follower.Watched({.removed = {{.key = MemberKey("m1"), .revision = 100}},
+                    .revision = 100});
+  CHECK(follower.HasMember());
+  CHECK(follower.state.members.departed.empty());
+  follower.Watched({.removed = {{.key = MemberKey("m1"), .revision = 110}},
+                    .revision = 110});
+  CHECK_FALSE(follower.HasMember());
+}
+
+// Guards against a member that is back for this instance alone, because a watch
+// tells late of an entry that a read has found gone.
+TEST_CASE("A late entry brings back no member that was read as gone") {
+  MemberFollower follower;
+  follower.Watched({.items = {MemberFollower::Entry(95)}, .revision = 95});
+  follower.Read({.revision = 105});
+  REQUIRE_FALSE(follower.HasMember());
+  follower.Watched({.items = {MemberFollower::Entry(98)}, .revision = 98});
+  CHECK_FALSE(follower.HasMember());
+  follower.Watched({.items = {MemberFollower::Entry(110)}, .revision = 110});
+  CHECK(follower.HasMember());
+}
+
 }  // namespace burdockrock::engine
