Teams: The state of a cap in event 516 counts all of its dimensions

Cause: the state was that of the first dimension that the member lacks its part of.

Change: the state is that of the whole need, less the reserve for other work, and the dimension that is named is one that the cap has no room in. What event 516 tells of a cap has files of its own.

Measured: cap_limit_test passes, both cases; so do those of quota and the condition log.

--- a/Source/engine/jobs/step_waits.h
+++ b/Source/engine/jobs/step_waits.h
@@ -7,7 +7,7 @@
 #include "engine/advice/advice_history.h"
 #include "engine/context.h"
 #include "engine/jobs/placing.h"
-#include "engine/teams/quota.h"
+#include "engine/teams/cap_limit.h"
 
 namespace burdockrock::engine {
 
--- a/Source/engine/teams/quota.cc
+++ b/Source/engine/teams/quota.cc
@@ -43,13 +43,6 @@
   return !Fits(LimitedPart(wanted, cap), LimitedPart(held, cap));
 }
 
-// Whether the job may use what is reserved for the most urgent work.
-bool IsUrgent(const Configuration& configuration, const Job& job) {
-  const QueuePolicy* queue = FindQueueByName(configuration, job.queue);
-  return !job.excess && queue != nullptr && queue->priority == kMostUrgent &&
-         LowestPriority(configuration) != kMostUrgent;
-}
-
 // Whether the job comes after the other work of its team.
 bool IsDeferredJob(const Job& job) {
   return job.excess &&
@@ -62,27 +55,6 @@
   return share.wanted - share.urgent_wanted;
 }
 
-// The accountant tells how the cap is used with each report of a shortage that
-// it gets, which are repeated more often than this.
-constexpr Duration kUseKnownFor = milliseconds(2000);
-
-CapState StateOf(const Context& context,
-                 const QuotaShare& share,
-                 std::size_t dimension,
-                 std::int64_t need) {
-  if (HasPassed(context.now, share.use.told_at, kUseKnownFor)) {
-    return CapState::kUngranted;
-  }
-  const std::int64_t left =
-      ToArray(share.cap)[dimension] - ToArray(share.use.taken)[dimension];
-  if (need <= left) {
-    return CapState::kUngranted;
-  }
-  return need <= left + ToArray(share.use.blocked)[dimension]
-             ? CapState::kBlocked
-             : CapState::kFull;
-}
-
 void NoteRefused(Time now,
                  const std::string& from,
                  const QuotaGrant& grant,
@@ -93,20 +65,6 @@
   refused.since = std::min(refused.since, now);
 }
 
-// The share as the accountant counts it.
-QuotaHolder HolderOf(const QuotaShare& share) {
-  return {.held = LargerOf(share.held, share.charge),
-          .shared = LargerOf(share.shared, share.other_charge),
-          .wanted = share.wanted,
-          .urgent_wanted = share.urgent_wanted,
-          .charge = share.charge,
-          .other_charge = share.other_charge,
-          .least = share.least,
-          .urgent_least = share.urgent_least,
-          .unknown = share.unknown,
-          .excess_waiting = share.excess_waiting};
-}
-
 // False for a gang that was accepted under a higher cap: it can't start.
 bool FitsCap(const StepSpec& step, const Resources& cap) {
   Resources all;
@@ -372,6 +330,25 @@
 
 }  // namespace
 
+bool IsUrgent(const Configuration& configuration, const Job& job) {
+  const QueuePolicy* queue = FindQueueByName(configuration, job.queue);
+  return !job.excess && queue != nullptr && queue->priority == kMostUrgent &&
+         LowestPriority(configuration) != kMostUrgent;
+}
+
+QuotaHolder HolderOf(const QuotaShare& share) {
+  return {.held = LargerOf(share.held, share.charge),
+          .shared = LargerOf(share.shared, share.other_charge),
+          .wanted = share.wanted,
+          .urgent_wanted = share.urgent_wanted,
+          .charge = share.charge,
+          .other_charge = share.other_charge,
+          .least = share.least,
+          .urgent_least = share.urgent_least,
+          .unknown = share.unknown,
+          .excess_waiting = share.excess_waiting};
+}
+
 void DriveQuota(Context& context) {
   const QuotaState& quota = context.state.quota;
   const bool unused = !context.state.configuration.teams &&
@@ -468,57 +445,6 @@
   return !IsUnmet(holder.other_charge + need, UsableByOther(holder), cap);
 }
 
-const char* CapStateName(CapState state) {
-  switch (state) {
-    case CapState::kFull:
-      return "full";
-    case CapState::kBlocked:
-      return "blocked";
-    case CapState::kUngranted:
-      return "ungranted";
-  }
-  return "";
-}
-
-CapLimit CapLimitOf(const Context& context,
-                    const Job& job,
-                    const Resources& need) {
-  const auto it = context.state.quota.shares.find(job.team);
-  if (it == context.state.quota.shares.end()) {
-    return {};
-  }
-  const QuotaShare& share = it->second;
-  const QuotaHolder holder = HolderOf(share);
-  const bool urgent = IsUrgent(context.state.configuration, job);
-  const DimensionArray usable =
-      ToArray(urgent ? UsableByUrgent(holder) : UsableByOther(holder));
-  const DimensionArray used =
-      ToArray(urgent ? share.charge - share.other_charge : share.other_charge);
-  const DimensionArray held = ToArray(share.held);
-  const DimensionArray wanted = ToArray(share.wanted);
-  const DimensionArray needed = ToArray(need);
-  const DimensionArray cap = ToArray(share.cap);
-  for (std::size_t d = 0; d < kDimensionCount; ++d) {
-    if (cap[d] > 0 && used[d] + needed[d] > usable[d]) {
-      return {.dimension = DimensionName(d),
-              .state = StateOf(context, share, d, needed[d]),
-              .taken = ToArray(share.use.taken)[d],
-              .blocked = ToArray(share.use.blocked)[d],
-              .refused = share.refused,
-              .since_refused = share.refused.since == kForever
-                                   ? Duration(0)
-                                   : context.now - share.refused.since,
-              .held = held[d],
-              .usable = usable[d],
-              .used = used[d],
-              .wanted = wanted[d],
-              .cap = cap[d],
-              .grant = share.grant};
-    }
-  }
-  return {};
-}
-
 bool WaitsForCap(const Context& context,
                  const Job& job,
                  const Resources& least) {
