--- a/Tests/engine/day_end_test.cc
+++ b/Tests/engine/day_end_test.cc
@@ -61,6 +61,12 @@
   CheckDays({.cap_milli = 300'000});
 }
 
+// Guards against members that each count from another registration, claim or
+// grant, after messages of before a cut and lists that are late.
+TEST_CASE("Nothing waits beside a free cap after late messages and lists") {
+  CheckDays({.cap_milli = 300'000, .late = true});
+}
+
 // Guards against work that waits for advice beside room: after the last fault
 // the service has calls for many steps, and each gets its turn.
 TEST_CASE("Nothing waits for advice beside room after a day of faults") {
--- a/Tests/engine/fleet.cc
+++ b/Tests/engine/fleet.cc
@@ -452,10 +452,11 @@
       AnswerWatch(node, incarnation, call, until);
     });
   }
-  At(now_ + kStoreLatency, [this, node, incarnation, call, result] {
-    Deliver(node, incarnation,
-            StoreAnswered{.call = call.call, .answer = *result});
-  });
+  At(now_ + kStoreLatency + watch_delay(node),
+     [this, node, incarnation, call, result] {
+       Deliver(node, incarnation,
+               StoreAnswered{.call = call.call, .answer = *result});
+     });
 }
 
 void Fleet::HandlePeerSend(const std::string& node, const SendPeer& send) {
--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -231,6 +231,11 @@
       command_fault = [](const std::string&,
                          const std::string&,
                          const WorkerRequest&) { return CommandFault::kNone; };
+  // Time that the answer to an instance's watch takes beside the latency. It
+  // tells what had changed before, while other calls to the store are as fast
+  // as ever.
+  std::function<Duration(const std::string& node)> watch_delay =
+      [](const std::string&) { return Duration(0); };
   std::function<bool(const std::string& from, const std::string& to)> is_cut =
       [](const std::string&, const std::string&) { return false; };
   // Whether nothing passes between an instance and a worker. A call that
--- a/Tests/engine/quota_test.cc
+++ b/Tests/engine/quota_test.cc
@@ -90,6 +90,95 @@
   return CountEnds(fleet, RunEnd::kDone) >= tasks;
 }
 
+// Plays random faults. With `late_lists`, a third of the answers to watches is
+// late, and messages that a cut holds up arrive after it.
+void CheckCapUnderFaults(bool late_lists) {
+  constexpr std::int64_t kCap = 24;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    FleetOptions cell = Cell(seed);
+    cell.batches = late_lists;
+    Fleet fleet(cell);
+    fleet.SetTeams({TeamWithCap(kCap)});
+    fleet.Settle();
+    PlanAll(fleet, {.takes = milliseconds(1500)});
+    std::mt19937_64 random(seed);
+    const auto draw = [&](std::uint64_t n) { return random() % n; };
+    const auto nodes = fleet.nodes();
+    if (late_lists) {
+      fleet.watch_delay = [&](const std::string&) {
+        return draw(3) == 0 ? milliseconds(700) : Duration(0);
+      };
+    }
+    std::set<std::string> cut;
+    std::set<std::string> refused;
+    fleet.is_cut = [&](const std::string& from, const std::string& to) {
+      return cut.contains(from) != cut.contains(to);
+    };
+    fleet.store_fault = [&](const std::string& node, const StoreRequest&) {
+      return refused.contains(node) ? StoreFault::kNoReply : StoreFault::kNone;
+    };
+    bool late = false;
+    fleet.command_fault = [&](const std::string& node,
+                              const std::string& worker,
+                              const WorkerRequest& request) {
+      // A worker is on the side of the members of its domain.
+      const bool apart = cut.contains(node) && (worker.back() - '0') % 3 != 0;
+      if (apart) {
+        return CommandFault::kUnreached;
+      }
+      const bool start = std::holds_alternative<StartRun>(request);
+      return start && late && draw(10) == 0 ? CommandFault::kLate
+                                            : CommandFault::kNone;
+    };
+    for (int round = 0; round < 10; ++round) {
+      SubmitJobs(fleet, fmt::format("r{}-", round), 9, 6);
+      const std::string& node = nodes[draw(nodes.size())];
+      switch (draw(6)) {
+        case 0:
+          fleet.Kill(node);
+          fleet.RunLater(milliseconds(draw(4000)),
+                         [&fleet, node] { fleet.Start(node); });
+          break;
+        case 1:
+          fleet.Freeze(node, milliseconds(draw(5000)));
+          break;
+        case 2:
+          // The instances of one domain are cut off from the others and from
+          // the store.
+          cut = {"n0", "n3", "n6"};
+          refused = cut;
+          fleet.RunLater(milliseconds(1000 + draw(5000)), [&] {
+            cut.clear();
+            refused.clear();
+          });
+          break;
+        case 3:
+          refused.insert(node);
+          fleet.RunLater(milliseconds(draw(5000)), [&] { refused.clear(); });
+          break;
+        case 4:
+          for (const std::string& it : nodes) {
+            fleet.Kill(it);
+            fleet.RunLater(milliseconds(draw(1500)),
+                           [&fleet, it] { fleet.Start(it); });
+          }
+          break;
+        default:
+          late = !late;
+          break;
+      }
+      fleet.Run(milliseconds(500 + draw(3000)));
+      for (const std::string& it : nodes) {
+        if (!fleet.IsUp(it)) {
+          fleet.Run(milliseconds(1600));
+        }
+      }
+    }
+    CHECK(MostRunning(fleet) <= MostAllowed(kCap));
+  }
+}
+
 }  // namespace
 
 // Guards against a team that takes more than its cap when its callers send to
@@ -262,83 +351,13 @@
 // Guards against two accountants that grant the same part of a cap, and against
 // runs that nobody counts, whatever faults come together.
 TEST_CASE("The cap holds under random faults") {
-  constexpr std::int64_t kCap = 24;
-  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
-    CAPTURE(seed);
-    Fleet fleet(Cell(seed));
-    fleet.SetTeams({TeamWithCap(kCap)});
-    fleet.Settle();
-    PlanAll(fleet, {.takes = milliseconds(1500)});
-    std::mt19937_64 random(seed);
-    const auto draw = [&](std::uint64_t n) { return random() % n; };
-    const auto nodes = fleet.nodes();
-    std::set<std::string> cut;
-    std::set<std::string> refused;
-    fleet.is_cut = [&](const std::string& from, const std::string& to) {
-      return cut.contains(from) != cut.contains(to);
-    };
-    fleet.store_fault = [&](const std::string& node, const StoreRequest&) {
-      return refused.contains(node) ? StoreFault::kNoReply : StoreFault::kNone;
-    };
-    bool late = false;
-    fleet.command_fault = [&](const std::string& node,
-                              const std::string& worker,
-                              const WorkerRequest& request) {
-      // A worker is on the side of the members of its domain.
-      const bool apart = cut.contains(node) && (worker.back() - '0') % 3 != 0;
-      if (apart) {
-        return CommandFault::kUnreached;
-      }
-      const bool start = std::holds_alternative<StartRun>(request);
-      return start && late && draw(10) == 0 ? CommandFault::kLate
-                                            : CommandFault::kNone;
-    };
-    for (int round = 0; round < 10; ++round) {
-      SubmitJobs(fleet, fmt::format("r{}-", round), 9, 6);
-      const std::string& node = nodes[draw(nodes.size())];
-      switch (draw(6)) {
-        case 0:
-          fleet.Kill(node);
-          fleet.RunLater(milliseconds(draw(4000)),
-                         [&fleet, node] { fleet.Start(node); });
-          break;
-        case 1:
-          fleet.Freeze(node, milliseconds(draw(5000)));
-          break;
-        case 2:
-          // The instances of one domain are cut off from the others and from
-          // the store.
-          cut = {"n0", "n3", "n6"};
-          refused = cut;
-          fleet.RunLater(milliseconds(1000 + draw(5000)), [&] {
-            cut.clear();
-            refused.clear();
-          });
-          break;
-        case 3:
-          refused.insert(node);
-          fleet.RunLater(milliseconds(draw(5000)), [&] { refused.clear(); });
-          break;
-        case 4:
-          for (const std::string& it : nodes) {
-            fleet.Kill(it);
-            fleet.RunLater(milliseconds(draw(1500)),
-                           [&fleet, it] { fleet.Start(it); });
-          }
-          break;
-        default:
-          late = !late;
-          break;
-      }
-      fleet.Run(milliseconds(500 + draw(3000)));
-      for (const std::string& it : nodes) {
-        if (!fleet.IsUp(it)) {
-          fleet.Run(milliseconds(1600));
-        }
-      }
-    }
-    CHECK(MostRunning(fleet) <= MostAllowed(kCap));
-  }
+  CheckCapUnderFaults(false);
+}
+
+// Guards against grants and claims that are applied after the registration that
+// they were meant for.
+TEST_CASE("The cap holds under random faults with late messages and lists") {
+  CheckCapUnderFaults(true);
 }
 
 }  // namespace burdockrock::engine
--- a/Tests/engine/random_day.cc
+++ b/Tests/engine/random_day.cc
@@ -19,6 +19,8 @@
 // Without a heartbeat the store drops a worker's entry after this time.
 constexpr Duration kEntryLifetime = milliseconds(4500);
 constexpr int kDomains = 4;
+// Of the answers to watches that are late.
+constexpr Duration kWatchDelay = milliseconds(700);
 
 // By kind of job.
 constexpr AdvicePolicy kAdvice[] = {{.decision = milliseconds(27),
@@ -74,7 +76,12 @@
               .advice = true,
               .seed = options.seed,
               .timers = true,
-              .teams = options.teams || options.cap_milli > 0}) {}
+              .teams = options.teams || options.cap_milli > 0,
+              .batches = options.late}) {
+  if (options.late) {
+    PlanLateWatches(options.seed);
+  }
+}
 
 void RandomDay::Play() {
   SetUp();
@@ -216,6 +223,26 @@
   };
 }
 
+void RandomDay::PlanLateWatches(std::uint64_t seed) {
+  // Draws of their own: the days are else those without late answers.
+  std::mt19937_64 random(seed);
+  const auto draw = [&random](int least_ms, int most_ms) {
+    return milliseconds(
+        std::uniform_int_distribution<int>(least_ms, most_ms)(random));
+  };
+  for (const std::string& it : fleet_.nodes()) {
+    for (Duration at = draw(0, 4000); at < kTraffic;) {
+      const Duration span = draw(500, 3000);
+      fleet_.RunLater(at, [this, it] { late_watches_.insert(it); });
+      fleet_.RunLater(at + span, [this, it] { late_watches_.erase(it); });
+      at += span + draw(1000, 4000);
+    }
+  }
+  fleet_.watch_delay = [this](const std::string& node) {
+    return late_watches_.contains(node) ? kWatchDelay : Duration(0);
+  };
+}
+
 bool RandomDay::IsApart(const std::string& one,
                         const std::string& other) const {
   const bool cut =
@@ -518,6 +545,7 @@
     it();
   }
   fleet_.machines_answer = true;
+  fleet_.watch_delay = [](const std::string&) { return Duration(0); };
   for (const std::string& it : fleet_.nodes()) {
     if (!fleet_.IsUp(it)) {
       fleet_.Start(it);
--- a/Tests/engine/random_day.h
+++ b/Tests/engine/random_day.h
@@ -43,6 +43,9 @@
   // So many batches of one to three tasks are submitted at the end of the
   // traffic. Calls for advice for all of them take the service seconds.
   std::size_t last_batches = 0;
+  // Answers to watches come late at times, and messages between instances that
+  // a cut holds up arrive after it.
+  bool late = false;
 };
 
 class RandomDay {
@@ -85,6 +88,8 @@
   std::string AnyWorker();
   RunPlan PlanOf(const std::string& worker, const std::string& task);
   void SetFaults();
+  // Each instance's watches are late for a span of a few seconds each.
+  void PlanLateWatches(std::uint64_t seed);
   bool IsApart(const std::string& one, const std::string& other) const;
   void SubmitSome();
   void CancelSome();
@@ -124,6 +129,7 @@
   std::set<std::string> unhealthy_;
   std::set<std::string> away_;
   bool late_ = false;
+  std::set<std::string> late_watches_;
   std::vector<std::function<void()>> undo_;
 };
 
