Members: An instance's old entry does not register it again

Cause: after the end of its registration an instance that read its own entry from before, in a list that was older than the end, took it for the next registration, without a lease, until the removal was told.

Change: own entries up to the fence of the registration that ended are passed over.

Measured: watches_test "A late entry of its own registers no instance again" fails on and passes now.

--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -271,6 +271,10 @@
   }
   const std::string incarnation = IncarnationOf(item.key);
   MembersState& members = context.state.members;
+  // A read or a watch may be older than the end of this registration.
+  if (IsSelf(context, incarnation) && item.revision <= members.ended_fence) {
+    return;
+  }
   Member& member = members.present[incarnation];
   const bool is_new = member.fence == 0;
   const Member before = member;
@@ -451,6 +455,7 @@
   }
   context.Log(EventNumber::kRegistrationLost, {{"cause", cause}});
   members.lease = 0;
+  members.ended_fence = std::max(members.ended_fence, members.fence);
   members.fence = 0;
   ++members.registration;
   members.renewing = false;
--- a/Tests/engine/watches_test.cc
+++ b/Tests/engine/watches_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "engine/jobs/unseen_workers.h"
+#include "engine/members/membership.h"
 #include "engine/records/record.h"
 #include "engine/records/watches.h"
 #include "engine/reducer.h"
@@ -213,6 +214,27 @@
   CHECK_FALSE(follower.HasMember());
 }
 
+// Guards against an instance that takes an old entry of its own for its next
+// registration.
+TEST_CASE("A late entry of its own registers no instance again") {
+  MemberFollower follower;
+  MembersState& members = follower.state.members;
+  follower.state.options.self.incarnation = "m1";
+  follower.Watched({.items = {MemberFollower::Entry(95)}, .revision = 95});
+  REQUIRE(members.fence == 95);
+  Effects effects;
+  Context context{.state = follower.state,
+                  .effects = effects,
+                  .now = seconds(1000),
+                  .wall_ms = 0};
+  LoseRegistration(context, "lease ended");
+  follower.Read({.items = {MemberFollower::Entry(95)}, .revision = 100});
+  CHECK(members.fence == 0);
+  CHECK_FALSE(follower.HasMember());
+  follower.Watched({.items = {MemberFollower::Entry(105)}, .revision = 105});
+  CHECK(members.fence == 105);
+}
+
 // Guards against a member that is back for this instance alone, because a watch
 // tells late of an entry that a read has found gone.
 TEST_CASE("A late entry brings back no member that was read as gone") {
