--- a/Source/engine/condition_log.cc
+++ b/Source/engine/condition_log.cc
@@ -166,6 +166,7 @@
   fields.push_back({"cap_state", CapStateName(cap.state)});
   fields.push_back({"taken", std::to_string(cap.taken)});
   fields.push_back({"blocked", std::to_string(cap.blocked)});
+  fields.push_back({"told_ms", Milliseconds(cap.since_told)});
   // NUMBER@SENDER:COUNT:MS
   if (cap.refused.count > 0) {
     fields.push_back(
--- a/Source/engine/teams/cap_limit.cc
+++ b/Source/engine/teams/cap_limit.cc
@@ -90,6 +90,9 @@
           .since_refused = share.refused.since == kForever
                                ? Duration(0)
                                : context.now - share.refused.since,
+          .since_told = share.use.told_at == Time::min()
+                            ? Duration(0)
+                            : context.now - share.use.told_at,
           .held = ToArray(share.held)[binding],
           .usable = usable[binding],
           .used = used[binding],
--- a/Source/engine/teams/cap_limit.h
+++ b/Source/engine/teams/cap_limit.h
@@ -29,6 +29,7 @@
   std::int64_t blocked = 0;  // of this, by runs of former members
   RefusedGrants refused{};   // since the last grant
   Duration since_refused{0};
+  Duration since_told{0};   // since the accountant told; 0: it has told nothing
   std::int64_t held = 0;    // of the cap, granted to this instance
   std::int64_t usable = 0;  // by such work: of what is held, or its runs
   std::int64_t used = 0;    // of this
--- a/Tests/engine/cap_limit_test.cc
+++ b/Tests/engine/cap_limit_test.cc
@@ -41,8 +41,10 @@
         CapState::kBlocked);
   CHECK(LimitWith({.told_at = kNow, .taken = some}).state ==
         CapState::kUngranted);
-  CHECK(LimitWith({.told_at = kNow - seconds(3), .taken = most}).state ==
-        CapState::kUngranted);
+  const CapLimit silent =
+      LimitWith({.told_at = kNow - seconds(3), .taken = most});
+  CHECK(silent.state == CapState::kUngranted);
+  CHECK(silent.since_told == seconds(3));
 }
 
 // Guards against a line that names processors, of which the cap has room, where
