Teams: Holders that tell of unknown runs are asked when silent, too

A member that adopted a job without runs tells what they may take. Where its report that there are none is lost, it holds nothing, repeats nothing, and the account blocks that part of the cap for good.

Change: a silent holder is asked where it holds something or told of unknown runs.

The files named quota, watches, messages and entitlement of engine_test pass.

--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -131,7 +131,8 @@
       ledger.holders.begin(), ledger.holders.end(),
       [](const auto& it) { return it.second.asked_at != kForever; });
   for (auto& [member, it] : ledger.holders) {
-    if (waits && it.held != Resources() && KnowsTeams(member) &&
+    const bool holds = it.held != Resources() || it.unknown != Resources();
+    if (waits && holds && KnowsTeams(member) &&
         HasPassed(context.now, it.heard_at, kHolderSilence)) {
       it.heard_at = context.now;
       claims[member].teams.push_back(ClaimOf(team, ledger));
