Teams: Grants of an account that has ended are void

A late list ends an account while a grant is on its way to its member. What was granted is in what former members hold until the review; the new account takes what the member reports; the grant arrives, has the number that comes next, and what it gives counts as free.

Change: a new account repeats the first report as a grant with the ledger's next number, so that earlier ones are void.

Evidence: quota_return_test "A grant of an account that has ended is void" fails without the change.

--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -363,7 +363,16 @@
   }
   QuotaLedger& ledger = account.ledger;
   account.audit.awaited.erase(from);
-  QuotaHolder& holder = ledger.holders[from];
+  const auto [place, is_new] = ledger.holders.try_emplace(from);
+  QuotaHolder& holder = place->second;
+  if (is_new) {
+    // Grants of an account that has ended may still be on their way. The report
+    // is repeated as a grant, so that they are void.
+    holder.held = holding.held;
+    holder.shared = holding.shared;
+    ledger.last_grant = std::max(ledger.last_grant, holding.grant);
+    holder.grant = ++ledger.last_grant;
+  }
   holder.registration = holding.registration;
   holder.heard_at = context.now;
   // A holder that was granted more than its account tells is older than that.
--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -291,6 +291,55 @@
   CHECK(cell.MostRunning() <= kMostAllowed);
 }
 
+// Guards against a grant that is on its way when the account of its receiver
+// ends: the next account doesn't know of it, and what it gives counts as free.
+TEST_CASE("A grant of an account that has ended is void") {
+  CappedFleet cell;
+  Fleet& fleet = cell.fleet;
+  cell.GrantSeveralTimes();
+  HeldWatches watches(fleet, cell.accountant);
+  watches.Hold();
+  cell.RevokeMember();
+  REQUIRE(fleet.RunUntil([&] { return !cell.IsRegistered(cell.member); },
+                         seconds(1)));
+  REQUIRE(fleet.RunUntil([&] { return cell.IsRegistered(cell.member); },
+                         seconds(3)));
+  PlanAll(fleet, {.takes = seconds(20)});
+  cell.Submit(cell.member, "first", 5);
+  fleet.Run(milliseconds(300));
+  REQUIRE(CountRuns(fleet, "first") == 5);
+  std::optional<QuotaGrants> late;
+  bool cut = true;
+  fleet.on_peer = [&](const std::string& from, const SendPeer& send) {
+    const auto* grants = std::get_if<QuotaGrants>(&send.message);
+    if (cut && from == cell.accountant && grants != nullptr &&
+        send.address == cell.member) {
+      late = *grants;
+    }
+  };
+  fleet.is_cut = [&](const std::string& from, const std::string& to) {
+    return cut && from == cell.accountant && to == cell.member;
+  };
+  cell.Submit(cell.member, "next", 20);
+  fleet.Run(milliseconds(60));
+  REQUIRE(late.has_value());
+  fleet.SendRequest(cell.member, {.query = CallerQuery::kCancel,
+                                  .host = "h",
+                                  .path = "/q/next",
+                                  .key = DigestOf(kKey)});
+  fleet.Run(milliseconds(100));
+  watches.Release();
+  fleet.Run(milliseconds(100));
+  cut = false;
+  fleet.Run(seconds(6));
+  const Resources before = fleet.state(cell.member).quota.shares.at(kTeam).held;
+  fleet.DeliverPeerMessage(cell.member, cell.IncarnationOf(cell.accountant),
+                           *late);
+  fleet.Run(milliseconds(2));
+  CHECK(fleet.state(cell.member).quota.shares.at(kTeam).held == before);
+  CHECK(cell.MostRunning() <= kMostAllowed);
+}
+
 // Guards against a cap that members which have left, and are heard all the
 // same, block with each of their reports.
 TEST_CASE("Members without the store block no more of a cap than they hold") {
