Members: Late replies to writes of an ended registration are passed over

Cause: found by the review. Where the lease ends while a write of the fence is under way, its reply made the instance registered again, with no entry in the store and a lease that nothing was written under; it did not register then.

Change: the end of a registration ends what awaits such replies.

--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <iterator>
 #include <limits>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -384,7 +385,9 @@
 
 void OnRegistered(Context& context, const StoreAnswer& answer) {
   MembersState& members = context.state.members;
-  members.registering = false;
+  if (!std::exchange(members.registering, false)) {
+    return;  // the lease of the attempt has ended since
+  }
   if (const auto* done = std::get_if<StoreDone>(&answer)) {
     SetFence(context, done->revision);
     return;
@@ -407,7 +410,9 @@
 
 void OnFenceAdvanced(Context& context, const StoreAnswer& answer) {
   MembersState& members = context.state.members;
-  members.advancing_fence = false;
+  if (!std::exchange(members.advancing_fence, false)) {
+    return;  // that registration has ended since
+  }
   if (const auto* done = std::get_if<StoreDone>(&answer)) {
     SetFence(context, done->revision);
     return;
@@ -457,6 +462,8 @@
   members.lease = 0;
   members.ended_fence = std::max(members.ended_fence, members.fence);
   members.fence = 0;
+  members.registering = false;
+  members.advancing_fence = false;
   ++members.registration;
   members.renewing = false;
   members.renew_at = context.now;
--- a/Tests/engine/watches_test.cc
+++ b/Tests/engine/watches_test.cc
@@ -235,6 +235,29 @@
   CHECK(members.fence == 105);
 }
 
+// Guards against an instance that takes the late reply to a write of a
+// registration that has ended for its next one.
+TEST_CASE("A late reply to a fence write registers no instance again") {
+  MemberFollower follower;
+  MembersState& members = follower.state.members;
+  follower.state.options.self.incarnation = "m1";
+  follower.Watched({.items = {MemberFollower::Entry(95)}, .revision = 95});
+  Effects effects;
+  Context context{.state = follower.state,
+                  .effects = effects,
+                  .now = seconds(1000),
+                  .wall_ms = 0};
+  members.advancing_fence = true;
+  LoseRegistration(context, "lease ended");
+  OnFenceAdvanced(context, StoreDone{.revision = 110});
+  CHECK(members.fence == 0);
+  members.registering = true;
+  members.lease = 1;
+  LoseRegistration(context, "lease ended");
+  OnRegistered(context, StoreDone{.revision = 120});
+  CHECK(members.fence == 0);
+}
+
 // Guards against a member that is back for this instance alone, because a watch
 // tells late of an entry that a read has found gone.
 TEST_CASE("A late entry brings back no member that was read as gone") {
