--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -197,7 +197,7 @@
   bool advancing_fence = false;
   bool fence_advance_due = false;
   Time fence_advanced_at = Time::min();
-  std::uint64_t fence = 0;  // 0: not registered
+  std::uint64_t fence = 0;        // 0: not registered
   std::uint64_t ended_fence = 0;  // of the last registration that ended
   // Number of the registration, or of the next one while there is none. What
   // other members know of an earlier one does not hold any more.
