Tests: The growth of requests is measured over two digest intervals

Cause: the test counts for 4 s; instances of a fleet of 150 send changed room every 4.4 s, so that an instance is counted with one or two digests by the phase that its name gives it.

Change: 9 s, two intervals. The bound and what is counted stay as they were.

--- a/Tests/engine/fleet_growth_test.cc
+++ b/Tests/engine/fleet_growth_test.cc
@@ -23,7 +23,8 @@
 constexpr std::size_t kSmall = 30;
 constexpr std::size_t kLarge = 150;
 constexpr std::size_t kWorkersEach = 7;
-constexpr Duration kMeasured = seconds(4);
+// Two intervals of the digests of the large fleet.
+constexpr Duration kMeasured = seconds(9);
 constexpr Duration kJobInterval = seconds(2);  // of one instance
 constexpr std::uint32_t kTasks = 13;
 constexpr const char* kKey = "key";
