Teams: What a cap's limit is made of can be compared

Cause: the linter found that the comparison of CapLimit is deleted, as two of its parts have none.

Change: both are compared by their fields.

--- a/Source/engine/teams/quota_state.h
+++ b/Source/engine/teams/quota_state.h
@@ -3,6 +3,7 @@
 #ifndef BURDOCKROCK_ENGINE_TEAMS_QUOTA_STATE_H_
 #define BURDOCKROCK_ENGINE_TEAMS_QUOTA_STATE_H_
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -19,6 +20,8 @@
   Time told_at = Time::min();
   Resources taken{};    // by all members and former ones
   Resources blocked{};  // of this, what runs of former members may take
+
+  auto operator<=>(const CapUse&) const = default;
 };
 
 // Grants that were not applied since the last one that was.
@@ -27,6 +30,8 @@
   std::uint64_t last = 0;  // its number
   std::string from{};      // its sender
   Time since = kForever;
+
+  auto operator<=>(const RefusedGrants&) const = default;
 };
 
 // What this instance holds of one team's cap.
