Tests: Reads of the members are requested before they are answered

Cause: the fixture of the members' watch answered a read that no one had requested. The time of the request is then unset, and the check for an interruption of the watch subtracts from the least time: an overflow that the sanitizers report in engine_test. An instance takes the answer to a read only after its request, so that the product does not get there.

Change: the fixture requests the read first, as an instance does.

Measured: engine_test in the sanitize preset failed with the overflow before.

--- a/Tests/engine/watches_test.cc
+++ b/Tests/engine/watches_test.cc
@@ -74,6 +74,7 @@
     Effects effects;
     Context context{
         .state = state, .effects = effects, .now = seconds(1000), .wall_ms = 0};
+    RequestMembers(context);
     OnMembersRead(context, done);
   }
   bool HasMember() const { return state.members.present.contains("m1"); }
