Members: Waiting jobs of a member that has left don't count

Cause: a digest that arrives after its sender's removal from the list brings the sender's counts of waiting jobs back. Nothing takes them away again unless the sender returns, so that callers are told of jobs that no one has, and machines are moved for them.

Change: queue lengths, and moves between pools, count members of the list only.

Measured: path_test, "Waiting jobs of a member that has left don't count".

--- a/Source/engine/jobs/caller_requests.cc
+++ b/Source/engine/jobs/caller_requests.cc
@@ -339,11 +339,8 @@
 void OnQueueLengthQuery(Context& context,
                         std::uint64_t call,
                         const QueuePolicy& queue) {
-  std::uint32_t jobs = CountWaiting(context.state, queue.name);
-  for (const auto& [member, queues] : context.state.digest.waiting) {
-    const auto it = queues.find(queue.name);
-    jobs += it == queues.end() ? 0 : it->second;
-  }
+  const std::uint32_t jobs = CountWaiting(context.state, queue.name) +
+                             CountWaitingElsewhere(context.state, queue.name);
   Answer(context, call, WaitingCount{.jobs = jobs});
 }
 
@@ -570,4 +567,17 @@
   return n;
 }
 
+std::uint32_t CountWaitingElsewhere(const State& state,
+                                    const std::string& queue) {
+  std::uint32_t jobs = 0;
+  for (const auto& [member, queues] : state.digest.waiting) {
+    const auto it = queues.find(queue);
+    // Digests of a member that has left may arrive after its removal.
+    if (it != queues.end() && state.members.present.contains(member)) {
+      jobs += it->second;
+    }
+  }
+  return jobs;
+}
+
 }  // namespace burdockrock::engine
--- a/Source/engine/jobs/caller_requests.h
+++ b/Source/engine/jobs/caller_requests.h
@@ -68,6 +68,10 @@
 // Number of the queue's jobs that were accepted here and have not started.
 std::uint32_t CountWaiting(const State& state, const std::string& queue);
 
+// The same of the other members, by their digests.
+std::uint32_t CountWaitingElsewhere(const State& state,
+                                    const std::string& queue);
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_ENGINE_JOBS_CALLER_REQUESTS_H_
--- a/Source/engine/workers/pools.cc
+++ b/Source/engine/workers/pools.cc
@@ -14,19 +14,14 @@
 constexpr Duration kPrepareRepeat = milliseconds(500);
 
 bool HasWaiting(const State& state, const std::string& service) {
-  return std::any_of(
-      state.configuration.queues.begin(), state.configuration.queues.end(),
-      [&](const QueuePolicy& queue) {
-        if (queue.service != service) {
-          return false;
-        }
-        std::uint32_t jobs = CountWaiting(state, queue.name);
-        for (const auto& [member, queues] : state.digest.waiting) {
-          const auto it = queues.find(queue.name);
-          jobs += it == queues.end() ? 0 : it->second;
-        }
-        return jobs > 0;
-      });
+  return std::any_of(state.configuration.queues.begin(),
+                     state.configuration.queues.end(),
+                     [&](const QueuePolicy& queue) {
+                       return queue.service == service &&
+                              CountWaiting(state, queue.name) +
+                                      CountWaitingElsewhere(state, queue.name) >
+                                  0;
+                     });
 }
 
 MoveMachine CommandOf(const Context& context, const PoolMove& move) {
--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -327,6 +327,28 @@
   CHECK(shown->jobs <= 3);
 }
 
+// Guards against waiting jobs of a member that has left which count for good: its
+// last digest arrives after its removal.
+TEST_CASE("Waiting jobs of a member that has left don't count") {
+  Fleet fleet({.workers = 1, .processors_milli = 1000, .timers = true});
+  fleet.Settle();
+  const std::string from = fleet.state("n1").options.self.incarnation;
+  const std::string queue = fleet.state("n0").configuration.queues.front().name;
+  const std::uint64_t last = fleet.state("n0").digest.received_up_to.at(from);
+  fleet.Kill("n1");
+  fleet.Run(seconds(6));
+  REQUIRE_FALSE(fleet.state("n0").members.present.contains(from));
+  RoomDigest digest{.sequence = last + 1};
+  digest.waiting.push_back({.queue = queue, .jobs = 7});
+  fleet.DeliverPeerMessage("n0", "n1", digest);
+  const std::uint64_t call = fleet.SendRequest(
+      "n0", {.query = CallerQuery::kWaiting, .host = "h", .path = "/q/"});
+  fleet.Run(milliseconds(100));
+  const auto* shown = std::get_if<WaitingCount>(&fleet.answers[call]);
+  REQUIRE(shown != nullptr);
+  CHECK(shown->jobs == 0);
+}
+
 // Guards against unbounded memory use: instances kept the owner of every job of
 // which a task had run on one of their workers and never removed the entry.
 // Small instances have 160 MB of memory and run indefinitely.
