Teams: A member that reports before it is listed is asked again

Cause: the accountant passes over reports of senders that are not in its list. One of a member whose registration becomes known later is repeated only after the interval of its reports, and what it runs isn't counted meanwhile.

Change: such senders are asked as soon as they are listed.

Measured: quota_return_test, "A member that reports before it is listed is asked again".

--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -257,6 +257,13 @@
   std::erase_if(audit.awaited, [&](const std::string& it) {
     return !state.members.present.contains(it);
   });
+  std::erase_if(audit.unlisted, [&](const std::string& it) {
+    const bool is_listed = state.members.present.contains(it);
+    if (is_listed) {
+      audit.awaited.insert(it);
+    }
+    return is_listed;
+  });
 }
 
 void DriveAudit(Context& context,
@@ -454,8 +461,10 @@
       claims.teams.push_back(ClaimOf(it.team, ledger));
     } else if (ledger.claim != 0 &&
                context.state.members.present.contains(from)) {
-      // What a member that left goes on to tell of its runs is in `left`.
       NoteHolding(context, from, it, account->second, repeated);
+    } else if (ledger.claim != 0) {
+      // What a member that left goes on to tell of its runs is in `left`.
+      account->second.audit.unlisted.insert(from);
     }
   }
   if (!claims.teams.empty()) {
--- a/Source/engine/teams/quota_state.h
+++ b/Source/engine/teams/quota_state.h
@@ -83,6 +83,9 @@
   Time scan_due = kForever;
   Time asked_at{0};
   std::set<std::string> awaited{};  // members that have not replied
+  // Senders of reports that are no members: a registration may become known
+  // after the first report of the member.
+  std::set<std::string> unlisted{};
   // By the last scan, what stored jobs of owners that are no members may take.
   // It counts once all members that own jobs of the team have replied: those
   // may have adopted others.
--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -15,7 +15,10 @@
 #include <fmt/format.h>
 
 #include "engine/fleet.h"
+#include "engine/members/member_features.h"
 #include "engine/records/record.h"
+#include "engine/reducer.h"
+#include "engine/teams/quota_accounts.h"
 
 namespace burdockrock::engine {
 
@@ -381,4 +384,25 @@
   CHECK(cell.MostRunning() <= kMostAllowed);
 }
 
+// Guards against an accountant that goes on without what a member holds, as its
+// report came before its registration was known.
+TEST_CASE("A member that reports before it is listed is asked again") {
+  const std::string member = WithFeatures("n1-1");
+  State state = MakeState({});
+  Effects effects;
+  Context context{
+      .state = state, .effects = effects, .now = seconds(1000), .wall_ms = 0};
+  AccountedTeam& account = state.quota.accounts[kTeam];
+  account.ledger.claim = 5;
+  account.ledger.settled = true;
+  OnQuotaHoldings(context, member,
+                  QuotaHoldings{.teams = {{.team = kTeam, .claim = 5}}});
+  REQUIRE(account.ledger.holders.empty());
+  DriveAccounts(context);
+  CHECK_FALSE(account.audit.awaited.contains(member));
+  state.members.present[member] = {};
+  DriveAccounts(context);
+  CHECK(account.audit.awaited.contains(member));
+}
+
 }  // namespace burdockrock::engine
