Scheduler: A late answer to a renewal books nothing at a lost worker

Cause: the answer to a renewal that was in flight when the worker got another owner was applied: its attempts were booked in the place of the worker in the index, which had been given back (an empty optional).

Change: the answer is passed over unless the worker is owned, as failures of the same call are.

Measured: worker_failure_test, "A late answer to a renewal books nothing at a lost worker".

--- a/Source/scheduler/worker_answers.cc
+++ b/Source/scheduler/worker_answers.cc
@@ -314,6 +314,9 @@
                    Epoch purpose_epoch,
                    const RenewPurpose& purpose,
                    const WorkerResult& result) {
+  if (!IsOurs(worker)) {
+    return;  // lost while the renewal was in flight
+  }
   if (const auto* done = std::get_if<RenewDone>(&result)) {
     RecordAnswer(context, worker);
     if (purpose_epoch == worker.epoch) {
@@ -329,9 +332,6 @@
     }
     return;
   }
-  if (!IsOurs(worker)) {
-    return;
-  }
   worker.suspect = true;
   UpdateOpen(context, worker);
   const Duration since_answer = context.now() - worker.last_answer;
--- a/Tests/scheduler/worker_failure_test.cc
+++ b/Tests/scheduler/worker_failure_test.cc
@@ -1,5 +1,8 @@
 // Workers that are lost, pause, lose answers, fail their tasks or become
 // unreachable while tasks run on them.
+#include <algorithm>
+#include <variant>
+
 #include <doctest/doctest.h>
 
 #include "scheduler/entry_group.h"
@@ -230,6 +233,37 @@
   CHECK(group.Violations() == "");
 }
 
+// Guards against attempts of the next owner that are booked at a worker which
+// has been lost: the answer to a renewal of before arrives after that.
+TEST_CASE("A late answer to a renewal books nothing at a lost worker") {
+  EntryGroup group({.entries = {1}, .workers = 1});
+  REQUIRE(Settle(group));
+  State& state = group.state("d0-e0");
+  const auto renewal = std::find_if(
+      state.calls.workers.begin(), state.calls.workers.end(),
+      [](const auto& it) {
+        return std::holds_alternative<RenewPurpose>(it.second.body);
+      });
+  REQUIRE(renewal != state.calls.workers.end());
+  const auto [late, purpose] = *renewal;
+  const CallId refused = state.calls.next++;
+  state.calls.workers[refused] = {.worker = purpose.worker,
+                                  .epoch = purpose.epoch,
+                                  .born = purpose.born,
+                                  .body = RenewPurpose{.sent = group.now()}};
+  group.Inject("d0-e0",
+               WorkerAnswered{.call = refused,
+                              .result = StaleEpoch{.epoch = purpose.epoch + 1,
+                                                   .owner = "another"}});
+  const WorkerRecord& worker = state.ownership.workers.at(purpose.worker);
+  REQUIRE(worker.state == OwnerState::kFree);
+  const AttemptReport run{.attempt = {.job = "job", .number = 1},
+                          .resources = {.processors_milli = 100}};
+  group.Inject("d0-e0", WorkerAnswered{.call = late,
+                                       .result = RenewDone{.attempts = {run}}});
+  CHECK(worker.bookings.empty());
+}
+
 // Guards against a service with fewer running tasks than requested after a
 // worker with some of them is lost: no end is reported for tasks that never end
 // by themselves.
