Members: Replies to writes name the registration that they belong to

Cause: a late reply to a write of a registration that had ended was told by the flag of the write, which the next registration's write sets again: the reply of before was then taken for its own.

Change: the purposes of both writes carry the count of ended registrations, and replies to those of before are passed over, as for renewals of the lease.

Measured: watches_test, "A late reply to a fence write registers no instance again", extended by the next write in flight.

--- a/Source/engine/members/membership.cc
+++ b/Source/engine/members/membership.cc
@@ -139,7 +139,7 @@
                    {.key = NodeKey(context.state.options.self.node),
                     .value = context.self()}},
           .removes = EarlierIncarnations(context)},
-      ForRegistration{});
+      ForRegistration{.registration = members.registration});
 }
 
 void AdvanceFence(Context& context) {
@@ -155,7 +155,7 @@
           .puts = {{.key = key,
                     .value = EncodeMember(context.state.options.self),
                     .lease = members.lease}}},
-      ForFenceAdvance{});
+      ForFenceAdvance{.registration = members.registration});
 }
 
 // A machine runs one process at a time, so earlier ones on `node` have ended.
@@ -383,11 +383,14 @@
   }
 }
 
-void OnRegistered(Context& context, const StoreAnswer& answer) {
+void OnRegistered(Context& context,
+                  std::uint64_t registration,
+                  const StoreAnswer& answer) {
   MembersState& members = context.state.members;
-  if (!std::exchange(members.registering, false)) {
+  if (registration != members.registration) {
     return;  // the lease of the attempt has ended since
   }
+  members.registering = false;
   if (const auto* done = std::get_if<StoreDone>(&answer)) {
     SetFence(context, done->revision);
     return;
@@ -408,11 +411,14 @@
   }
 }
 
-void OnFenceAdvanced(Context& context, const StoreAnswer& answer) {
+void OnFenceAdvanced(Context& context,
+                     std::uint64_t registration,
+                     const StoreAnswer& answer) {
   MembersState& members = context.state.members;
-  if (!std::exchange(members.advancing_fence, false)) {
+  if (registration != members.registration) {
     return;  // that registration has ended since
   }
+  members.advancing_fence = false;
   if (const auto* done = std::get_if<StoreDone>(&answer)) {
     SetFence(context, done->revision);
     return;
--- a/Source/engine/members/membership.h
+++ b/Source/engine/members/membership.h
@@ -26,8 +26,12 @@
 void OnLeaseRenewed(Context& context,
                     std::uint64_t lease,
                     const StoreAnswer& answer);
-void OnRegistered(Context& context, const StoreAnswer& answer);
-void OnFenceAdvanced(Context& context, const StoreAnswer& answer);
+void OnRegistered(Context& context,
+                  std::uint64_t registration,
+                  const StoreAnswer& answer);
+void OnFenceAdvanced(Context& context,
+                     std::uint64_t registration,
+                     const StoreAnswer& answer);
 
 // The member `from` is stopping and renews no more leases.
 void OnStoppedRenewing(Context& context, const std::string& from);
--- a/Source/engine/reducer.cc
+++ b/Source/engine/reducer.cc
@@ -102,8 +102,12 @@
   void operator()(const ForLeaseRenewal& it) {
     OnLeaseRenewed(context, it.lease, answer);
   }
-  void operator()(const ForRegistration&) { OnRegistered(context, answer); }
-  void operator()(const ForFenceAdvance&) { OnFenceAdvanced(context, answer); }
+  void operator()(const ForRegistration& it) {
+    OnRegistered(context, it.registration, answer);
+  }
+  void operator()(const ForFenceAdvance& it) {
+    OnFenceAdvanced(context, it.registration, answer);
+  }
   void operator()(const ForBatch& it) {
     OnBatchAnswer(context, it.batch, answer);
   }
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -59,8 +59,13 @@
 struct ForLeaseRenewal {
   std::uint64_t lease = 0;
 };
-struct ForRegistration {};
-struct ForFenceAdvance {};
+// By the count of registrations that had ended when it was sent.
+struct ForRegistration {
+  std::uint64_t registration = 0;
+};
+struct ForFenceAdvance {
+  std::uint64_t registration = 0;
+};
 struct ForBatch {
   std::uint64_t batch = 0;
 };
--- a/Tests/engine/watches_test.cc
+++ b/Tests/engine/watches_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -237,7 +238,7 @@
 }
 
 // Guards against an instance that takes the late reply to a write of a
-// registration that has ended for its next one.
+// registration that has ended for its next one, also while it writes that.
 TEST_CASE("A late reply to a fence write registers no instance again") {
   MemberFollower follower;
   MembersState& members = follower.state.members;
@@ -249,14 +250,24 @@
                   .now = seconds(1000),
                   .wall_ms = 0};
   members.advancing_fence = true;
+  std::uint64_t before = members.registration;
   LoseRegistration(context, "lease ended");
-  OnFenceAdvanced(context, StoreDone{.revision = 110});
+  OnFenceAdvanced(context, before, StoreDone{.revision = 110});
+  CHECK(members.fence == 0);
+  members.advancing_fence = true;
+  OnFenceAdvanced(context, before, StoreDone{.revision = 110});
   CHECK(members.fence == 0);
   members.registering = true;
   members.lease = 1;
+  before = members.registration;
   LoseRegistration(context, "lease ended");
-  OnRegistered(context, StoreDone{.revision = 120});
+  OnRegistered(context, before, StoreDone{.revision = 120});
+  CHECK(members.fence == 0);
+  members.registering = true;
+  OnRegistered(context, before, StoreDone{.revision = 120});
   CHECK(members.fence == 0);
+  OnRegistered(context, members.registration, StoreDone{.revision = 130});
+  CHECK(members.fence == 130);
 }
 
 // Guards against a member that is back for this instance alone, because a watch
