Teams: Tell of grants that a member does not apply

An accountant counts a grant as held from the moment it is sent. Where the member refused it, or never got it, only the member told so, and only in the lines of a step that waited (516).

The accountant now records which grant each holder reports. Event 329, grant_unapplied, names the team, the member, the numbers sent and applied and what is held, once reports in a row have told the same earlier grant for 3 s. A single such report may have crossed a grant on its way and is not logged; nor is one that tells a later grant than the report before it.

Gauges by team tell what former members block of its cap and how many members leave grants unapplied; a counter tells how many grants an instance refused. The gauges are set for every team with a claim, so that they fall to 0 when an account moves to another member.

--- a/Source/engine/condition_log.cc
+++ b/Source/engine/condition_log.cc
@@ -231,6 +231,29 @@
   limiter.EndRound();
 }
 
+// Logs members that do not apply what they are granted of a team's cap. The
+// grants count as held all the same.
+void LogGrants(Context& context) {
+  LogRepeatLimiter& limiter = context.state.condition_log.grants;
+  for (const auto& [team, account] : context.state.quota.accounts) {
+    for (const auto& [member, it] : account.ledger.holders) {
+      if (!LeavesGrantsUnapplied(it) ||
+          !limiter.IsDue(fmt::format("{}/{}", team, member), context.now,
+                         it.unapplied_since)) {
+        continue;
+      }
+      context.Log(EventNumber::kGrantUnapplied,
+                  {{"team", team},
+                   {"member", member},
+                   {"sent", std::to_string(it.grant)},
+                   {"applied", std::to_string(it.applied)},
+                   {"held", std::to_string(it.held.processors_milli)},
+                   {"for_ms", Milliseconds(context.now - it.unapplied_since)}});
+    }
+  }
+  limiter.EndRound();
+}
+
 // CALLS:NAMES:ALLOWED:STARTS:MS:UNUSED:GIVEN_UP:ROOM_GONE
 std::string DescribeAdvice(const AdviceCount& count) {
   return fmt::format("{}:{}:{}:{}:{}:{}:{}:{}", count.calls, count.names,
@@ -331,6 +354,7 @@
   LogClaims(context);
   LogStops(context);
   LogWaits(context);
+  LogGrants(context);
 }
 
 void LogRecovered(Context& context, const Job& job) {
--- a/Source/engine/state.h
+++ b/Source/engine/state.h
@@ -462,6 +462,7 @@
   std::uint64_t crashes = 0;            // of workers under own tasks
   std::uint64_t rejected_writes = 0;    // by the store, or not sent for it
   std::uint64_t shortened_records = 0;  // to fit in the store
+  std::uint64_t refused_grants = 0;     // of teams' caps, by this instance
   AdviceCounts advice{};
 };
 
@@ -475,6 +476,7 @@
   LogRepeatLimiter stops{};       // by worker
   LogRepeatLimiter cancels{};     // by job
   LogRepeatLimiter waits{};       // by step
+  LogRepeatLimiter grants{};      // by team and member
   std::size_t waiting_steps = 0;  // at the last check
   Duration longest_wait{0};       // of these
   // By job that may still run: when its cancel was acknowledged.
--- a/Source/engine/teams/quota.cc
+++ b/Source/engine/teams/quota.cc
@@ -383,6 +383,7 @@
     }
     if (!valid || it.number < share.grant) {
       NoteRefused(context.now, from, it, share.refused);
+      ++context.state.totals.refused_grants;
     }
     // One that is applied already may be repeated.
     if (!valid || it.number <= share.grant) {
--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -384,6 +384,7 @@
   holder.heard_at = context.now;
   // A holder that was granted more than its account tells is older than that.
   holder.grant = std::max(holder.grant, holding.grant);
+  NoteApplied(context.now, holding.grant, holder);
   if (holding.grant == holder.grant) {
     holder.held = holding.held;
     holder.shared = holding.shared;
--- a/Source/engine/teams/quota_ledger.cc
+++ b/Source/engine/teams/quota_ledger.cc
@@ -1,6 +1,7 @@
 #include "engine/teams/quota_ledger.h"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <tuple>
 #include <utility>
@@ -16,6 +17,9 @@
 constexpr double kReservePerPriority = 0.06;
 // Most of a cap is for work of any priority, however many priorities there are.
 constexpr double kMostReserve = 0.3;
+// Members that are short report several times within it, and others once or not
+// at all.
+constexpr Duration kUnappliedSpan = std::chrono::milliseconds(3000);
 
 Resources PositivePart(const Resources& amount) {
   return LargerOf(amount, Resources());
@@ -196,6 +200,23 @@
           .slots = std::min(left.slots, right.slots)};
 }
 
+void NoteApplied(Time now, std::uint64_t applied, QuotaHolder& holder) {
+  const bool advances = applied > holder.applied;
+  holder.applied = applied;
+  holder.unapplied_for = Duration(0);
+  if (applied == holder.grant) {
+    holder.unapplied_since = kForever;
+  } else if (advances || holder.unapplied_since == kForever) {
+    holder.unapplied_since = now;
+  } else {
+    holder.unapplied_for = now - holder.unapplied_since;
+  }
+}
+
+bool LeavesGrantsUnapplied(const QuotaHolder& holder) {
+  return holder.unapplied_for >= kUnappliedSpan;
+}
+
 Resources HeldByLeft(const QuotaLedger& ledger) {
   Resources unknown = ledger.unclaimed;
   for (const auto& [name, it] : ledger.holders) {
--- a/Source/engine/teams/quota_ledger.h
+++ b/Source/engine/teams/quota_ledger.h
@@ -35,6 +35,12 @@
   Resources unknown{};  // what runs of former owners of its jobs may take
   Resources excess_waiting{};  // of what is wanted, beyond the entitlement
   std::uint64_t grant = 0;     // number of the last grant to it
+  std::uint64_t applied = 0;   // number of the last grant that it reported
+  // Since the first report in a row that told the same earlier grant, and how
+  // long after it the last one came. Of a single report it is not known whether
+  // the grant was on its way.
+  Time unapplied_since = kForever;
+  Duration unapplied_for{0};
   // The registration that it last reported; 0: it has told none.
   std::uint64_t registration = 0;
   Time heard_at = Time::min();  // last report, or question for one
@@ -69,6 +75,14 @@
   auto operator<=>(const HolderGrant&) const = default;
 };
 
+// Records the number of the last grant that the holder has applied, as it
+// reports it.
+void NoteApplied(Time now, std::uint64_t applied, QuotaHolder& holder);
+
+// Whether the holder has reported an earlier grant than the last one for so
+// long that it refuses grants or does not receive them.
+bool LeavesGrantsUnapplied(const QuotaHolder& holder);
+
 // Of a cap, what runs of members that left may still take.
 Resources HeldByLeft(const QuotaLedger& ledger);
 
--- a/Source/observe/event_catalogue.cc
+++ b/Source/observe/event_catalogue.cc
@@ -119,6 +119,9 @@
     {EventNumber::kRunsInDoubt, Level::kWarning, "runs_in_doubt",
      "A worker's process is lost, but runs whose starts may have reached a "
      "later one are not started elsewhere yet"},
+    {EventNumber::kGrantUnapplied, Level::kWarning, "grant_unapplied",
+     "A member reports, for seconds, that it has not applied what this "
+     "instance granted it of a team's cap"},
     {EventNumber::kPlatformUnreachable, Level::kError, "platform_unreachable",
      "The platform's service does not answer; durable work is refused "
      "meanwhile"},
--- a/Source/observe/event_number.h
+++ b/Source/observe/event_number.h
@@ -64,6 +64,7 @@
   kProcessorShort = 326,
   kLaterProcessAnswered = 327,
   kRunsInDoubt = 328,
+  kGrantUnapplied = 329,
 
   // Platform and durable logs
   kPlatformUnreachable = 401,
--- a/Source/observe/metric_catalogue.h
+++ b/Source/observe/metric_catalogue.h
@@ -59,6 +59,12 @@
     "burdockrock_team_processors_milli";
 inline constexpr std::string_view kTeamHeld =
     "burdockrock_team_held_processors_milli";
+inline constexpr std::string_view kTeamBlocked =
+    "burdockrock_team_blocked_processors_milli";
+inline constexpr std::string_view kTeamUnappliedGrants =
+    "burdockrock_team_unapplied_grants";
+inline constexpr std::string_view kGrantsRefusedTotal =
+    "burdockrock_grants_refused_total";
 inline constexpr std::string_view kTeamExcessTotal =
     "burdockrock_team_excess_jobs_total";
 inline constexpr std::string_view kTeamRefusedTotal =
@@ -187,6 +193,15 @@
     {kTeamHeld, MetricKind::kGauge, "team",
      "What this instance holds of the team's cap for them, in thousandths of a "
      "processor"},
+    {kTeamBlocked, MetricKind::kGauge, "team",
+     "What runs of former members may take of the team's cap, in thousandths "
+     "of a processor; 0 at instances that do not account for it"},
+    {kTeamUnappliedGrants, MetricKind::kGauge, "team",
+     "Members that do not apply what they are granted of the team's cap; 0 at "
+     "instances that do not account for it"},
+    {kGrantsRefusedTotal, MetricKind::kCounter, "",
+     "Grants of teams' caps that this instance has not applied, as they are "
+     "outdated or of another registration or accountant"},
     {kTeamExcessTotal, MetricKind::kCounter, "team",
      "Jobs accepted here beyond the team's entitlement"},
     {kTeamRefusedTotal, MetricKind::kCounter, "team",
--- a/Source/runtime/engine_dump.cc
+++ b/Source/runtime/engine_dump.cc
@@ -140,6 +140,19 @@
   metrics.Set(kLongestWaitSeconds, {}, InSeconds(waits.longest_wait));
 }
 
+void SetAccount(Metrics& metrics,
+                const Labels& labels,
+                const engine::QuotaLedger& ledger) {
+  metrics.Set(kTeamBlocked, labels,
+              static_cast<double>(engine::HeldByLeft(ledger).processors_milli));
+  metrics.Set(
+      kTeamUnappliedGrants, labels,
+      static_cast<double>(std::count_if(
+          ledger.holders.begin(), ledger.holders.end(), [](const auto& it) {
+            return engine::LeavesGrantsUnapplied(it.second);
+          })));
+}
+
 void SetTeams(Metrics& metrics, const engine::State& state) {
   for (const auto& [team, it] : state.arrivals) {
     metrics.GetCounter(kTeamExcessTotal, {{.name = "team", .value = team}})
@@ -154,6 +167,13 @@
     metrics.Set(kTeamHeld, labels,
                 static_cast<double>(share.held.processors_milli));
   }
+  // Of all teams with claims, so that the gauges fall when an account ends.
+  for (const auto& [team, claim] : state.quota.highest_claims) {
+    const auto account = state.quota.accounts.find(team);
+    SetAccount(metrics, {{.name = "team", .value = team}},
+               account == state.quota.accounts.end() ? engine::QuotaLedger{}
+                                                     : account->second.ledger);
+  }
 }
 
 void SetOpenWork(Metrics& metrics, const engine::OpenWork& open) {
@@ -202,6 +222,7 @@
   Raise(metrics, kTaskCrashesTotal, totals.crashes);
   Raise(metrics, kWritesRejectedTotal, totals.rejected_writes);
   Raise(metrics, kRecordsShortenedTotal, totals.shortened_records);
+  Raise(metrics, kGrantsRefusedTotal, totals.refused_grants);
   metrics.Set(kOwnedWorkers, {}, static_cast<double>(state.owned.size()));
   metrics.Set(kIsolatedRuns, {},
               static_cast<double>(std::count_if(
--- a/Tests/engine/quota_ledger_test.cc
+++ b/Tests/engine/quota_ledger_test.cc
@@ -1,6 +1,8 @@
 // The decisions on a team's cap, as pure functions.
 #include "engine/teams/quota_ledger.h"
 
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -55,6 +57,40 @@
   CHECK(grants[1].held.processors_milli == 15'000);
 }
 
+// Guards against a report that has crossed a grant on its way, and that is
+// taken for a refusal.
+TEST_CASE(
+    "Only reports in a row that tell the same earlier grant are refusals") {
+  const auto at = [](std::int64_t ms) {
+    return Time(std::chrono::milliseconds(ms));
+  };
+  QuotaHolder holder{.grant = 2};
+  NoteApplied(at(1000), 1, holder);
+  CHECK(holder.unapplied_since == at(1000));
+  CHECK_FALSE(LeavesGrantsUnapplied(holder));
+  SUBCASE("the grant is applied before the next report") {
+    NoteApplied(at(6000), 2, holder);
+    CHECK(holder.unapplied_since == kForever);
+    CHECK_FALSE(LeavesGrantsUnapplied(holder));
+  }
+  SUBCASE("the next report tells that one and has crossed another") {
+    holder.grant = 3;
+    NoteApplied(at(6000), 2, holder);
+    CHECK(holder.unapplied_since == at(6000));
+    CHECK_FALSE(LeavesGrantsUnapplied(holder));
+  }
+  SUBCASE("further grants are not applied either") {
+    NoteApplied(at(3900), 1, holder);
+    CHECK_FALSE(LeavesGrantsUnapplied(holder));
+    holder.grant = 5;
+    NoteApplied(at(4000), 1, holder);
+    CHECK(LeavesGrantsUnapplied(holder));
+    CHECK(holder.unapplied_since == at(1000));
+    NoteApplied(at(5000), 5, holder);
+    CHECK_FALSE(LeavesGrantsUnapplied(holder));
+  }
+}
+
 // Guards against a burst beyond a team's entitlement that takes the cap from
 // its other work because it asked first.
 TEST_CASE("What is beyond the entitlement gets what other work leaves") {
--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -180,6 +180,27 @@
   std::vector<Event> held_{};
 };
 
+std::vector<LogLine> UnappliedLines(const Fleet& fleet) {
+  std::vector<LogLine> lines;
+  std::copy_if(fleet.log.begin(), fleet.log.end(), std::back_inserter(lines),
+               [](const LogLine& it) {
+                 return it.number == EventNumber::kGrantUnapplied;
+               });
+  return lines;
+}
+
+// The event; grants in it are of a registration that the receiver never had.
+Event WithGrantsOfOtherRegistration(Event event) {
+  if (auto* message = std::get_if<PeerMessageReceived>(&event.body)) {
+    if (auto* grants = std::get_if<QuotaGrants>(&message->message)) {
+      for (QuotaGrant& it : grants->teams) {
+        ++it.registration;
+      }
+    }
+  }
+  return event;
+}
+
 }  // namespace
 
 // Guards against a member that refuses all grants, as a claim from before its
@@ -343,6 +364,52 @@
   CHECK(cell.MostRunning() <= kMostAllowed);
 }
 
+// Guards against a member that refuses its grants without a line that names it:
+// its accountant goes on to count as held what it refuses.
+TEST_CASE("Grants that a member does not apply are logged at the accountant") {
+  CappedFleet cell;
+  Fleet& fleet = cell.fleet;
+  cell.GrantSeveralTimes();
+  fleet.Run(seconds(6));
+  CHECK(UnappliedLines(fleet).empty());
+  bool refuses = true;
+  fleet.step = [&](const std::string& to, State& state, const Event& event) {
+    return Step(state, refuses && to == cell.member
+                           ? WithGrantsOfOtherRegistration(event)
+                           : event);
+  };
+  cell.Submit(cell.member, "next");
+  fleet.Run(seconds(6));
+  CHECK(CountRuns(fleet, "next") == 0);
+  CHECK(fleet.state(cell.member).totals.refused_grants > 0);
+  const auto& holder = fleet.state(cell.accountant)
+                           .quota.accounts.at(kTeam)
+                           .ledger.holders.at(cell.IncarnationOf(cell.member));
+  CHECK(LeavesGrantsUnapplied(holder));
+  const auto lines = UnappliedLines(fleet);
+  REQUIRE(!lines.empty());
+  CHECK(lines.size() <= 4);
+  const std::vector<LogField> first(lines[0].fields.begin(),
+                                    lines[0].fields.end() - 1);
+  CHECK(first ==
+        std::vector<LogField>{{"team", kTeam},
+                              {"member", cell.IncarnationOf(cell.member)},
+                              {"sent", std::to_string(holder.grant)},
+                              {"applied", std::to_string(holder.applied)},
+                              {"held", std::to_string(kJobTasks * kTask)}});
+  CHECK(lines[0].fields.back().key == "for_ms");
+  const int for_ms = std::stoi(lines[0].fields.back().value);
+  CHECK(for_ms >= 3000);
+  CHECK(for_ms < 4500);
+
+  refuses = false;
+  cell.CheckStarts("next");
+  fleet.Run(seconds(1));
+  const std::size_t logged = UnappliedLines(fleet).size();
+  fleet.Run(seconds(10));
+  CHECK(UnappliedLines(fleet).size() == logged);
+}
+
 // Guards against a cap that members which have left, and are heard all the
 // same, block with each of their reports.
 TEST_CASE("Members without the store block no more of a cap than they hold") {
--- a/Tests/runtime/engine_measures_test.cc
+++ b/Tests/runtime/engine_measures_test.cc
@@ -116,6 +116,35 @@
   CHECK(HasLine(metrics, "burdockrock_oldest_stop_seconds{side=\"worker\"} 0"));
 }
 
+TEST_CASE("What keeps a team's cap from use is served, and falls to 0") {
+  engine::State state = engine::MakeState({.self = {.incarnation = "n0-1"}});
+  engine::QuotaHolder applies{.grant = 4};
+  engine::NoteApplied(seconds(90), 4, applies);
+  engine::QuotaHolder refuses{.grant = 3};
+  engine::NoteApplied(seconds(90), 1, refuses);
+  engine::NoteApplied(seconds(99), 1, refuses);
+  state.quota.highest_claims["red"] = 7;
+  state.quota.accounts["red"].ledger = {
+      .claim = 7,
+      .settled = true,
+      .holders = {{"n1-1", applies}, {"n2-1", refuses}},
+      .left = {.processors_milli = 5000},
+      .unclaimed = {.processors_milli = 3000}};
+  state.totals.refused_grants = 2;
+  Metrics metrics;
+  SetEngineMetrics(metrics, state, seconds(100));
+  CHECK(HasLine(
+      metrics, "burdockrock_team_blocked_processors_milli{team=\"red\"} 3000"));
+  CHECK(HasLine(metrics, "burdockrock_team_unapplied_grants{team=\"red\"} 1"));
+  CHECK(HasLine(metrics, "burdockrock_grants_refused_total 2"));
+
+  state.quota.accounts.clear();
+  SetEngineMetrics(metrics, state, seconds(101));
+  CHECK(HasLine(metrics,
+                "burdockrock_team_blocked_processors_milli{team=\"red\"} 0"));
+  CHECK(HasLine(metrics, "burdockrock_team_unapplied_grants{team=\"red\"} 0"));
+}
+
 }  // namespace
 
 }  // namespace burdockrock
