Tests: The most tasks that run at once are counted in one place

Cause: four test files of caps had a function of their own, equal but for the start of the span.

Change: MostRunning is declared in fleet.h, and the copies are gone. It looks after starts only, from a given time on, as that of quota_test did; an end never makes the most.

--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -455,6 +455,9 @@
 // Number of the job's runs, ended or not.
 std::size_t CountRuns(const Fleet& fleet, const std::string& job);
 
+// The most tasks that ran at once after a start at or after `from`.
+std::int64_t MostRunning(const Fleet& fleet, Time from = Time::min());
+
 }  // namespace burdockrock::engine
 
 #endif  // BURDOCKROCK_TESTS_ENGINE_FLEET_H_
--- a/Tests/engine/fleet_workers.cc
+++ b/Tests/engine/fleet_workers.cc
@@ -1,9 +1,12 @@
 // Calls of the fleet's instances to its workers.
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "engine/fleet.h"
 #include "model/worker_incarnation.h"
@@ -158,4 +161,22 @@
   At(std::max(now_, deadline), [answer] { answer(WorkerUnreached()); });
 }
 
+std::int64_t MostRunning(const Fleet& fleet, Time from) {
+  std::vector<std::pair<Time, int>> changes;
+  for (const SeenRun& it : fleet.seen) {
+    changes.emplace_back(it.began, 1);
+    if (it.ended != kForever) {
+      changes.emplace_back(it.ended, -1);
+    }
+  }
+  std::sort(changes.begin(), changes.end());
+  std::int64_t running = 0;
+  std::int64_t most = 0;
+  for (const auto& [at, change] : changes) {
+    running += change;
+    most = change > 0 && at >= from ? std::max(most, running) : most;
+  }
+  return most;
+}
+
 }  // namespace burdockrock::engine
--- a/Tests/engine/quota_losses_test.cc
+++ b/Tests/engine/quota_losses_test.cc
@@ -1,5 +1,4 @@
 // Caps of teams while many members are lost or can't be heard.
-#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -98,24 +97,6 @@
   std::set<std::string> cut{};
 };
 
-std::int64_t MostRunning(const Fleet& fleet) {
-  std::vector<std::pair<Time, int>> changes;
-  for (const SeenRun& it : fleet.seen) {
-    changes.emplace_back(it.began, 1);
-    if (it.ended != kForever) {
-      changes.emplace_back(it.ended, -1);
-    }
-  }
-  std::sort(changes.begin(), changes.end());
-  std::int64_t running = 0;
-  std::int64_t most = 0;
-  for (const auto& [at, change] : changes) {
-    running += change;
-    most = std::max(most, running);
-  }
-  return most;
-}
-
 }  // namespace
 
 // Guards against a cap that nobody may use after a loss, because some members
--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -108,24 +108,6 @@
                          kStartBound));
   }
 
-  std::int64_t MostRunning() const {
-    std::vector<std::pair<Time, int>> changes;
-    for (const SeenRun& it : fleet.seen) {
-      changes.emplace_back(it.began, 1);
-      if (it.ended != kForever) {
-        changes.emplace_back(it.ended, -1);
-      }
-    }
-    std::sort(changes.begin(), changes.end());
-    std::int64_t running = 0;
-    std::int64_t most = 0;
-    for (const auto& [at, change] : changes) {
-      running += change;
-      most = std::max(most, running);
-    }
-    return most;
-  }
-
   Fleet fleet;
   std::string accountant{};
   std::string member{};  // another one
@@ -226,7 +208,7 @@
       cell.Submit(cell.member, "next");
     }
     cell.CheckStarts("next");
-    CHECK(cell.MostRunning() <= kMostAllowed);
+    CHECK(MostRunning(cell.fleet) <= kMostAllowed);
   }
 }
 
@@ -250,7 +232,7 @@
     cell.fleet.Run(milliseconds(500));
     cell.Submit(cell.member, "next");
     cell.CheckStarts("next");
-    CHECK(cell.MostRunning() <= kMostAllowed);
+    CHECK(MostRunning(cell.fleet) <= kMostAllowed);
   }
 }
 
@@ -288,7 +270,7 @@
   CHECK(cell.fleet.state(cell.member).quota.shares.at(kTeam).held ==
         Resources());
   cell.CheckStarts("lost", 40);
-  CHECK(cell.MostRunning() <= kMostAllowed);
+  CHECK(MostRunning(cell.fleet) <= kMostAllowed);
 }
 
 // Guards against a part of the cap that counts as held for good, as the report
@@ -312,7 +294,7 @@
   });
   cell.Submit(*other, "next", 40);
   cell.CheckStarts("next", 40);
-  CHECK(cell.MostRunning() <= kMostAllowed);
+  CHECK(MostRunning(cell.fleet) <= kMostAllowed);
 }
 
 // Guards against a grant that is on its way when the account of its receiver
@@ -361,7 +343,7 @@
                            *late);
   fleet.Run(milliseconds(2));
   CHECK(fleet.state(cell.member).quota.shares.at(kTeam).held == before);
-  CHECK(cell.MostRunning() <= kMostAllowed);
+  CHECK(MostRunning(cell.fleet) <= kMostAllowed);
 }
 
 // Guards against a member that refuses its grants without a line that names it:
@@ -448,7 +430,7 @@
   }
   cell.Submit(other, "next", 5);
   cell.CheckStarts("next", 5);
-  CHECK(cell.MostRunning() <= kMostAllowed);
+  CHECK(MostRunning(cell.fleet) <= kMostAllowed);
 }
 
 // Guards against an accountant that goes on without what a member holds, as its
--- a/Tests/engine/quota_test.cc
+++ b/Tests/engine/quota_test.cc
@@ -1,12 +1,9 @@
 // Caps of teams, checked from the workers' side after each start.
-#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <random>
 #include <set>
 #include <string>
-#include <utility>
-#include <vector>
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -53,25 +50,6 @@
   }
 }
 
-// The most tasks that ran at once after a start.
-std::int64_t MostRunning(const Fleet& fleet, Time from = Time::min()) {
-  std::vector<std::pair<Time, int>> changes;
-  for (const SeenRun& it : fleet.seen) {
-    changes.emplace_back(it.began, 1);
-    if (it.ended != kForever) {
-      changes.emplace_back(it.ended, -1);
-    }
-  }
-  std::sort(changes.begin(), changes.end());
-  std::int64_t running = 0;
-  std::int64_t most = 0;
-  for (const auto& [at, change] : changes) {
-    running += change;
-    most = change > 0 && at >= from ? std::max(most, running) : most;
-  }
-  return most;
-}
-
 std::int64_t MostAllowed(std::int64_t cap) {
   return static_cast<std::int64_t>(static_cast<double>(cap) * (1 + kOverage)) +
          1;
--- a/Tests/engine/quota_waits_test.cc
+++ b/Tests/engine/quota_waits_test.cc
@@ -87,25 +87,6 @@
   return spec;
 }
 
-// The most tasks that ran at once after a start.
-std::int64_t MostRunning(const Fleet& fleet) {
-  std::vector<std::pair<Time, int>> changes;
-  for (const SeenRun& it : fleet.seen) {
-    changes.emplace_back(it.began, 1);
-    if (it.ended != kForever) {
-      changes.emplace_back(it.ended, -1);
-    }
-  }
-  std::sort(changes.begin(), changes.end());
-  std::int64_t running = 0;
-  std::int64_t most = 0;
-  for (const auto& [at, change] : changes) {
-    running += change;
-    most = std::max(most, running);
-  }
-  return most;
-}
-
 enum class Loss { kRestartOfAll, kKillOfHalf };
 
 // Lets other members adopt jobs with runs that continue, and submits a short
