Tests: Batches that are sent during a cut can arrive after it

Cause: with the option `batches` the fleet lost what was sent during a cut, where a connection that stays open delivers it once the cut has ended. Messages arrived after a cut only as their senders sent them again.

Change: FleetOptions::held_after_cut, the time from the end of the cut to the arrival of such a batch. Without it they are lost, as before.

--- a/Tests/engine/fleet.h
+++ b/Tests/engine/fleet.h
@@ -63,6 +63,9 @@
   // Messages between instances go in batches that time out and are sent again,
   // as those of processes do. Else each goes alone, and none is given up.
   bool batches = false;
+  // A batch that is sent during a cut arrives this long after the cut has
+  // ended, as on a connection that stays open. kForever: it is lost.
+  Duration held_after_cut = kForever;
   // Members of the gang that a step (StepName) is; 0: it is none. Where set,
   // workers end the members of gangs that are broken or stay incomplete.
   std::function<std::size_t(const std::string& step)> gang_width{};
@@ -360,6 +363,10 @@
                   const std::string& address,
                   std::uint64_t request,
                   BatchResult result);
+  // Delivers what was sent during a cut; see FleetOptions::held_after_cut.
+  void DeliverAfterCut(const std::string& from,
+                       const std::string& to,
+                       std::function<void()> deliver);
   void TakeBatch(const std::string& sender,
                  const std::string& address,
                  const ChannelBatch& batch,
--- a/Tests/engine/fleet_links.cc
+++ b/Tests/engine/fleet_links.cc
@@ -27,6 +27,8 @@
 constexpr std::uint64_t kProbeNumber = 0;
 constexpr Duration kStateUsefulFor = kRequestTimeout + milliseconds(250);
 constexpr Duration kAdviceUsefulFor = milliseconds(500);
+// Between two looks at whether a cut has ended.
+constexpr Duration kCutCheckInterval = milliseconds(20);
 
 Duration UsefulFor(const PeerMessage& message) {
   if (std::holds_alternative<PeerAdviceRequest>(message) ||
@@ -155,17 +157,32 @@
     EndRequest(node, incarnation, address, request, it);
   };
   At(now_ + kRequestTimeout, [answer] { answer(BatchResult::kFailed); });
-  if (is_cut(node, address)) {
-    return;
-  }
   const auto answer_later = [this, node, address, answer](BatchResult it) {
     if (!is_cut(address, node)) {
       At(now_ + kLatency, [answer, it] { answer(it); });
     }
   };
-  At(now_ + kLatency, [this, sender = from.state->options.self.incarnation,
-                       address, batch = *std::move(batch), answer_later] {
+  const auto deliver = [this, sender = from.state->options.self.incarnation,
+                        address, batch = *std::move(batch), answer_later] {
     TakeBatch(sender, address, batch, answer_later);
+  };
+  if (is_cut(node, address)) {
+    return DeliverAfterCut(node, address, deliver);
+  }
+  At(now_ + kLatency, deliver);
+}
+
+void Fleet::DeliverAfterCut(const std::string& from,
+                            const std::string& to,
+                            std::function<void()> deliver) {
+  if (options_.held_after_cut == kForever) {
+    return;
+  }
+  if (!is_cut(from, to)) {
+    return At(now_ + options_.held_after_cut, std::move(deliver));
+  }
+  At(now_ + kCutCheckInterval, [this, from, to, deliver = std::move(deliver)] {
+    DeliverAfterCut(from, to, deliver);
   });
 }
 
--- a/Tests/engine/quota_test.cc
+++ b/Tests/engine/quota_test.cc
@@ -24,6 +24,8 @@
 constexpr double kOverage = 0.1;
 // A step with room that is under half of its team's cap starts within this.
 constexpr Duration kStartBound = seconds(3);
+// From the end of a cut to the arrival of messages that were sent during it.
+constexpr Duration kHeldAfterCut = milliseconds(700);
 
 // Above what the tests send, so that all of it is within the entitlement.
 constexpr double kAmpleWeight = 1000;
@@ -76,6 +78,7 @@
     CAPTURE(seed);
     FleetOptions cell = Cell(seed);
     cell.batches = late_lists;
+    cell.held_after_cut = late_lists ? kHeldAfterCut : kForever;
     Fleet fleet(cell);
     fleet.SetTeams({TeamWithCap(kCap)});
     fleet.Settle();
--- a/Tests/engine/random_day.cc
+++ b/Tests/engine/random_day.cc
@@ -21,6 +21,8 @@
 constexpr int kDomains = 4;
 // Of the answers to watches that are late.
 constexpr Duration kWatchDelay = milliseconds(700);
+// From the end of a cut to the arrival of messages that were sent during it.
+constexpr Duration kHeldAfterCut = milliseconds(700);
 
 // By kind of job.
 constexpr AdvicePolicy kAdvice[] = {{.decision = milliseconds(27),
@@ -77,7 +79,8 @@
               .seed = options.seed,
               .timers = true,
               .teams = options.teams || options.cap_milli > 0,
-              .batches = options.late}) {
+              .batches = options.late,
+              .held_after_cut = options.late ? kHeldAfterCut : kForever}) {
   if (options.late) {
     PlanLateWatches(options.seed);
   }
