--- a/Tests/engine/path_test.cc
+++ b/Tests/engine/path_test.cc
@@ -327,8 +327,8 @@
   CHECK(shown->jobs <= 3);
 }
 
-// Guards against waiting jobs of a member that has left which count for good: its
-// last digest arrives after its removal.
+// Guards against waiting jobs of a member that has left which count for good:
+// its last digest arrives after its removal.
 TEST_CASE("Waiting jobs of a member that has left don't count") {
   Fleet fleet({.workers = 1, .processors_milli = 1000, .timers = true});
   fleet.Settle();
