Tests: The tests of late answers set up what they rely on

Cause: the test of a report before the listing left the versions unset by which an accountant knows that its accounts are chosen, so that the account under test was taken away; that of a late renewal relied on one in flight at once.

Change: the versions are set, and the renewal is waited for.

Measured: both failed in the release preset before, and pass.

--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -441,6 +441,8 @@
   Effects effects;
   Context context{
       .state = state, .effects = effects, .now = seconds(1000), .wall_ms = 0};
+  state.quota.members_version = state.members.version;
+  state.quota.configuration_version = state.configuration.version;
   AccountedTeam& account = state.quota.accounts[kTeam];
   account.ledger.claim = 5;
   account.ledger.settled = true;
--- a/Tests/scheduler/worker_failure_test.cc
+++ b/Tests/scheduler/worker_failure_test.cc
@@ -239,13 +239,16 @@
   EntryGroup group({.entries = {1}, .workers = 1});
   REQUIRE(Settle(group));
   State& state = group.state("d0-e0");
-  const auto renewal = std::find_if(
-      state.calls.workers.begin(), state.calls.workers.end(),
-      [](const auto& it) {
-        return std::holds_alternative<RenewPurpose>(it.second.body);
-      });
-  REQUIRE(renewal != state.calls.workers.end());
-  const auto [late, purpose] = *renewal;
+  const auto find_renewal = [&state] {
+    return std::find_if(
+        state.calls.workers.begin(), state.calls.workers.end(),
+        [](const auto& it) {
+          return std::holds_alternative<RenewPurpose>(it.second.body);
+        });
+  };
+  REQUIRE(group.RunUntil(
+      [&] { return find_renewal() != state.calls.workers.end(); }, seconds(5)));
+  const auto [late, purpose] = *find_renewal();
   const CallId refused = state.calls.next++;
   state.calls.workers[refused] = {.worker = purpose.worker,
                                   .epoch = purpose.epoch,
