Teams: A new account gives a member no right to replace its runs

What callers saw: a team above its cap, 30 tasks of 24. A member that was frozen came back after its job had been adopted and its part of the cap granted to others. It reported the runs of before, which it still took for its own; the accountant, which repeats the first report of a new account as a grant, gave it that much, and once it saw that the runs had ended it started others.

Cause: what counts as held and what is granted were the same figure. Runs that a member takes over, or goes on with, count as held, but give no right to start others in their place; the repeated grant turned them into one.

Change: the account keeps what the last grant gave apart from what counts as held, and only that is sent. A new account has granted nothing. The seeds of the property test can be chosen by hand.

--- a/Source/engine/teams/quota_accounts.cc
+++ b/Source/engine/teams/quota_accounts.cc
@@ -306,9 +306,9 @@
   QuotaGrant grant{.team = team,
                    .claim = ledger.claim,
                    .number = holder.grant,
-                   .held = holder.held,
+                   .held = holder.granted,
                    .cap = cap,
-                   .shared = holder.shared};
+                   .shared = holder.granted_shared};
   if (KnowsRegistrations(member)) {
     grant.taken = HeldInAll(ledger);
     grant.blocked = HeldByLeft(ledger);
@@ -329,6 +329,8 @@
     holder.held = it.held;
     // A member of an earlier release knows no priorities.
     holder.shared = KnowsLoad(it.holder) ? it.shared : it.held;
+    holder.granted = holder.held;
+    holder.granted_shared = holder.shared;
     holder.grant = ++account.ledger.last_grant;
     if (!IsShort(holder, cap)) {
       holder.asked_at = kForever;
@@ -373,8 +375,9 @@
   const auto [place, is_new] = ledger.holders.try_emplace(from);
   QuotaHolder& holder = place->second;
   if (is_new) {
-    // Grants of an account that has ended may still be on their way. The report
-    // is repeated as a grant, so that they are void.
+    // Grants of an account that has ended may still be on their way. They are
+    // void with the next number, under which nothing is granted yet: runs that
+    // the member reports may be others' by now.
     holder.held = holding.held;
     holder.shared = holding.shared;
     ledger.last_grant = std::max(ledger.last_grant, holding.grant);
--- a/Source/engine/teams/quota_ledger.h
+++ b/Source/engine/teams/quota_ledger.h
@@ -35,7 +35,11 @@
   Resources unknown{};  // what runs of former owners of its jobs may take
   Resources excess_waiting{};  // of what is wanted, beyond the entitlement
   std::uint64_t grant = 0;     // number of the last grant to it
-  std::uint64_t applied = 0;   // number of the last grant that it reported
+  // What the last grant gives it. Runs that it took over count as held beside
+  // it, but give no right to start others in their place.
+  Resources granted{};
+  Resources granted_shared{};
+  std::uint64_t applied = 0;  // number of the last grant that it reported
   // Since the first report in a row that told the same earlier grant, and how
   // long after it the last one came. Of a single report it is not known whether
   // the grant was on its way.
--- a/Tests/engine/quota_return_test.cc
+++ b/Tests/engine/quota_return_test.cc
@@ -433,6 +433,37 @@
   CHECK(MostRunning(cell.fleet) <= kMostAllowed);
 }
 
+// Guards against a team above its cap: a member that is back still reports runs
+// of jobs that others have adopted, and starts others in their place.
+TEST_CASE(
+    "A new account grants a member nothing for the runs that it reports") {
+  const std::string member = WithFeatures("n1-1");
+  State state = MakeState({});
+  Effects effects;
+  Context context{
+      .state = state, .effects = effects, .now = seconds(1000), .wall_ms = 0};
+  AccountedTeam& account = state.quota.accounts[kTeam];
+  account.ledger.claim = 5;
+  account.ledger.settled = true;
+  state.members.present[member] = {};
+  const Resources runs{.processors_milli = 6 * kTask};
+  OnQuotaHoldings(context, member,
+                  QuotaHoldings{.teams = {{.team = kTeam,
+                                           .claim = 5,
+                                           .held = runs,
+                                           .shared = runs,
+                                           .charge = runs,
+                                           .other_charge = runs}}});
+  CHECK(HeldInAll(account.ledger) == runs);
+  REQUIRE(effects.size() == 1);
+  const auto* sent = std::get_if<SendPeer>(&effects.front());
+  REQUIRE(sent != nullptr);
+  const auto& grants = std::get<QuotaGrants>(sent->message).teams;
+  REQUIRE(grants.size() == 1);
+  CHECK(grants.front().number == 1);
+  CHECK(grants.front().held == Resources());
+}
+
 // Guards against an accountant that goes on without what a member holds, as its
 // report came before its registration was known.
 TEST_CASE("A member that reports before it is listed is asked again") {
--- a/Tests/engine/quota_test.cc
+++ b/Tests/engine/quota_test.cc
@@ -1,6 +1,8 @@
 // Caps of teams, checked from the workers' side after each start.
+// QUOTA_SEED sets the first seed of a manual run and QUOTA_SEEDS their number.
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <random>
 #include <set>
 #include <string>
@@ -74,7 +76,11 @@
 // late, and messages that a cut holds up arrive after it.
 void CheckCapUnderFaults(bool late_lists) {
   constexpr std::int64_t kCap = 24;
-  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+  const char* chosen = std::getenv("QUOTA_SEED");
+  const std::uint64_t first = chosen == nullptr ? 1 : std::stoull(chosen);
+  const char* many = std::getenv("QUOTA_SEEDS");
+  const std::uint64_t n = many == nullptr ? 12 : std::stoull(many);
+  for (std::uint64_t seed = first; seed < first + n; ++seed) {
     CAPTURE(seed);
     FleetOptions cell = Cell(seed);
     cell.batches = late_lists;
